Serve a streamed completion through a thin path

Cause: the repository was empty.

Conclusion: the path stands; routing, limits, retries and recovery follow.

--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,24 @@
+import process from 'node:process';
+import {readKnownRed} from '../test/known-red.ts';
+import type {Measure} from './measure.ts';
+
+/** All measures, in the order in which they are printed. */
+const measures: readonly Measure[] = [
+];
+
+const onlyDeterministic = process.argv.includes('--deterministic');
+const filter = process.argv.slice(2).find(argument => !argument.startsWith('--'));
+const knownRed = readKnownRed();
+
+for (const measure of measures) {
+	if ((onlyDeterministic && !measure.deterministic) || (filter !== undefined && !measure.name.includes(filter))) {
+		continue;
+	}
+
+	for (const measurement of await measure.run()) {
+		console.log(JSON.stringify(measurement));
+		if (!measurement.ok && !knownRed.has(`bench ${measurement.name}`)) {
+			process.exitCode = 1;
+		}
+	}
+}
--- /dev/null
+++ b/scripts/build.ts
@@ -0,0 +1,35 @@
+/**
+Builds `dist/wagtailtack`: one executable that needs no `node_modules` beside it.
+*/
+import {execFileSync} from 'node:child_process';
+import {
+	chmodSync, copyFileSync, mkdirSync, writeFileSync,
+} from 'node:fs';
+import process from 'node:process';
+import {build} from 'esbuild';
+
+const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+const executable = 'dist/wagtailtack';
+
+mkdirSync('dist', {recursive: true});
+await build({
+	entryPoints: ['src/main.ts'],
+	bundle: true,
+	platform: 'node',
+	target: 'node24',
+	format: 'cjs',
+	outfile: 'dist/wagtailtack.cjs',
+	logLevel: 'error',
+});
+writeFileSync('dist/sea.json', JSON.stringify({
+	main: 'dist/wagtailtack.cjs',
+	output: 'dist/sea.blob',
+	disableExperimentalSEAWarning: true,
+}));
+execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], {stdio: ['ignore', 'ignore', 'inherit']});
+copyFileSync(process.execPath, executable);
+execFileSync(process.execPath, [
+	'node_modules/postject/dist/cli.js', executable, 'NODE_SEA_BLOB', 'dist/sea.blob', '--sentinel-fuse', fuse,
+], {stdio: ['ignore', 'ignore', 'inherit']});
+chmodSync(executable, 0o755);
+console.log(`Built ${executable}.`);
--- /dev/null
+++ b/src/demo/local-deployment.ts
@@ -0,0 +1,125 @@
+import type {Host} from '../platform/host-list.ts';
+import {hashKey} from '../process/key-directory.ts';
+import type {Log} from '../process/log.ts';
+import {createDaemon, type Daemon} from '../process/wiring.ts';
+import {EngineServer} from '../stand-ins/engine/engine-server.ts';
+import {HostsServer} from '../stand-ins/hosts/hosts-server.ts';
+import {PlatformServer} from '../stand-ins/platform/platform-server.ts';
+import {ServiceServer} from '../stand-ins/service/service-server.ts';
+import {parseSettings, type Settings} from '../version/settings.ts';
+
+/** Shape of a deployment on loopback. */
+export type LocalDeploymentOptions = {
+	/** @default ['zone-a', 'zone-b', 'zone-c'] */
+	readonly availabilityZones?: readonly string[];
+	/** Daemons in each availability zone. @default 1 */
+	readonly daemonsPerZone?: number;
+	/** Engines of each model in each availability zone. @default 1 */
+	readonly enginesPerZone?: number;
+	readonly log: Log;
+};
+
+/** Key of the demo's customer. */
+export const demoKey = 'demo-key';
+
+/** Models that the engines of a local deployment serve. */
+export const demoModels = ['press-check', 'batch-notes'] as const;
+
+/** Plain service of a local deployment. */
+export const demoService = 'orders';
+
+const loopback = {host: '127.0.0.1', port: 0};
+
+/** Embedded stand-ins and daemons in one process. */
+export type LocalDeployment = AsyncDisposable & {
+	readonly daemons: readonly Daemon[];
+	readonly platform: PlatformServer;
+	readonly hosts: HostsServer;
+	readonly engines: readonly EngineServer[];
+	readonly services: readonly ServiceServer[];
+	/** Base URLs of the daemons. */
+	readonly urls: readonly string[];
+};
+
+/** Starts stand-ins and daemons on free ports of the loopback interface. */
+export async function createLocalDeployment(options: LocalDeploymentOptions): Promise<LocalDeployment> {
+	const {availabilityZones = ['zone-a', 'zone-b', 'zone-c'], daemonsPerZone = 1, enginesPerZone = 1, log} = options;
+	const resources = new AsyncDisposableStack();
+	const platform = resources.use(new PlatformServer());
+	const {port: platformPort} = await platform.listen(loopback);
+	await platform.table.write([{
+		kind: 'put', key: {partition: 'key', sort: hashKey(demoKey)}, expected: 0, body: JSON.stringify({customer: 'demo'}),
+	}]);
+	const list: Host[] = [];
+	const engines: EngineServer[] = [];
+	const services: ServiceServer[] = [];
+	for (const availabilityZone of availabilityZones) {
+		for (const model of demoModels) {
+			for (let index = 0; index < enginesPerZone; index += 1) {
+				const id = `${model}-${availabilityZone}-${index}`;
+				const engine = resources.use(new EngineServer({id, model}));
+				const {port} = await engine.listen(loopback);
+				engines.push(engine);
+				list.push(createHost({
+					kind: 'engine', id, availabilityZone, serves: model,
+				}, port));
+			}
+		}
+
+		const service = resources.use(new ServiceServer());
+		const {port} = await service.listen(loopback);
+		services.push(service);
+		list.push(createHost({
+			kind: 'service', id: `${demoService}-${availabilityZone}`, availabilityZone, serves: demoService,
+		}, port));
+	}
+
+	const hosts = resources.use(new HostsServer(list));
+	const {port: hostsPort} = await hosts.listen(loopback);
+	const daemons: Daemon[] = [];
+	for (const availabilityZone of availabilityZones) {
+		for (let index = 0; index < daemonsPerZone; index += 1) {
+			const id = `daemon-${availabilityZone}-${index}`;
+			const settings = createSettings(id, availabilityZone, platformPort, hostsPort);
+			daemons.push(resources.use(await createDaemon(settings, log.part(id))));
+		}
+	}
+
+	return {
+		daemons,
+		platform,
+		hosts,
+		engines,
+		services,
+		urls: daemons.map(({address}) => `http://${address.host}:${address.port}`),
+		[Symbol.asyncDispose]: async () => resources.disposeAsync(),
+	};
+}
+
+function createHost(host: Pick<Host, 'kind' | 'id' | 'availabilityZone' | 'serves'>, port: number): Host {
+	return {
+		...host, address: `127.0.0.1:${port}`, state: 'live', enforcesFencing: true,
+	};
+}
+
+function createSettings(id: string, availabilityZone: string, platformPort: number, hostsPort: number): Settings {
+	const text = [
+		'[daemon]',
+		`id = ${id}`,
+		`availability-zone = ${availabilityZone}`,
+		'listen = 127.0.0.1:0',
+		'peer-listen = 127.0.0.1:0',
+		'[platform]',
+		`table = http://127.0.0.1:${platformPort}`,
+		`objects = http://127.0.0.1:${platformPort}/objects`,
+		`hosts = http://127.0.0.1:${hostsPort}/hosts`,
+		'[shutdown]',
+		'balancer-delay-ms = 0',
+	].join('\n');
+	return parseSettings(text, 'local deployment').caseOf({
+		Left(findings) {
+			throw new Error(findings.map(finding => finding.message).join('; '));
+		},
+		Right: settings => settings,
+	});
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,39 @@
+import process from 'node:process';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {checkCommand} from './process/cli/check-command.ts';
+import {demoCommand} from './process/cli/demo-command.ts';
+import {exitCode} from './process/cli/exit-code.ts';
+import {serveCommand} from './process/cli/serve-command.ts';
+import {standInCommand} from './process/cli/stand-in-command.ts';
+
+async function main(): Promise<void> {
+	await yargs(hideBin(process.argv))
+		.scriptName('wagtailtack')
+		.command(serveCommand)
+		.command(checkCommand)
+		.command(standInCommand)
+		.command(demoCommand)
+		.demandCommand(1, 'A command is needed.')
+		.strict()
+		.fail((message, error, parser) => {
+			if (error !== undefined) {
+				throw error;
+			}
+
+			parser.showHelp();
+			console.error(`\n${message}`);
+			// Yargs goes on with the handler unless the process ends here.
+			// eslint-disable-next-line unicorn/no-process-exit
+			process.exit(exitCode.misuse);
+		})
+		.help()
+		.parseAsync();
+}
+
+// The executable is bundled as CommonJS, which has no top-level await.
+// eslint-disable-next-line unicorn/prefer-top-level-await
+void main().catch((error: unknown) => {
+	console.error(error instanceof Error ? error.message : String(error));
+	process.exitCode = exitCode.failure;
+});
--- /dev/null
+++ b/src/process/cli/exit-code.ts
@@ -0,0 +1,8 @@
+/** Exit codes of the command line. */
+export const exitCode = {
+	success: 0,
+	/** The command ran and reports findings or a failure. */
+	failure: 1,
+	/** The command line itself is wrong. */
+	misuse: 2,
+} as const;
--- /dev/null
+++ b/src/stand-ins/hosts/hosts-server.ts
@@ -0,0 +1,61 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Host} from '../../platform/host-list.ts';
+import {
+	noFaults, readText, sendAnswer, StandInServer, type CommonFaults,
+} from '../stand-in-server.ts';
+
+/** Faults of the host list. */
+export type HostsFaults = CommonFaults & {
+	/** Age of the list that is given out, in milliseconds. */
+	readonly lagMs: number;
+};
+
+type Revision = {readonly at: number; readonly hosts: readonly Host[]};
+
+/** Stand-in for the host list: Prometheus HTTP service discovery, with a lag. */
+export class HostsServer extends StandInServer<HostsFaults> {
+	#revisions: readonly Revision[] = [];
+
+	constructor(hosts: readonly Host[] = []) {
+		super({...noFaults, lagMs: 0});
+		this.setHosts(hosts);
+	}
+
+	/** Replaces the list; readers see it after the lag. */
+	setHosts(hosts: readonly Host[]): void {
+		this.#revisions = [...this.#revisions, {at: Date.now(), hosts}];
+	}
+
+	/** Newest list, without the lag. */
+	get hosts(): readonly Host[] {
+		return this.#revisions.at(-1)?.hosts ?? [];
+	}
+
+	protected async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (request.method === 'PUT') {
+			this.setHosts(JSON.parse(await readText(request)) as readonly Host[]);
+		}
+
+		sendAnswer(response, {status: 200, body: this.#visible().map(host => toTargetGroup(host))});
+	}
+
+	#visible(): readonly Host[] {
+		const limit = Date.now() - this.faults.lagMs;
+		const visible = this.#revisions.findLast(revision => revision.at <= limit) ?? this.#revisions[0];
+		return visible?.hosts ?? [];
+	}
+}
+
+function toTargetGroup(host: Host): Record<string, unknown> {
+	return {
+		targets: [host.address],
+		labels: {
+			kind: host.kind,
+			id: host.id,
+			availability_zone: host.availabilityZone,
+			state: host.state,
+			serves: host.serves,
+			fencing: host.enforcesFencing ? 'enforced' : 'ignored',
+		},
+	};
+}
--- /dev/null
+++ b/src/stand-ins/stand-in-server.ts
@@ -0,0 +1,131 @@
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+import type {Socket} from 'node:net';
+import type {Address} from '../process/address.ts';
+import {closeAbruptly, listen} from '../connection/http-listener.ts';
+
+/** Faults that every stand-in has; set with `PUT /faults` while it runs. */
+export type CommonFaults = {
+	/** Added to each answer, in milliseconds. */
+	readonly slowMs: number;
+	/** Refuses every request by closing its connection. */
+	readonly down: boolean;
+	/** Keeps connections that are open now silent for good; new ones work. */
+	readonly silent: boolean;
+};
+
+/** Answer of a stand-in to one request. */
+export type StandInAnswer = {
+	readonly status: number;
+	readonly body?: unknown;
+	readonly headers?: Readonly<Record<string, string>>;
+};
+
+/** State without faults. */
+export const noFaults: CommonFaults = {slowMs: 0, down: false, silent: false};
+
+/** HTTP server of a stand-in, with faults that can be set over HTTP while it runs. */
+export abstract class StandInServer<Faults extends CommonFaults = CommonFaults> implements AsyncDisposable {
+	readonly #server: Server;
+	readonly #sockets = new Set<Socket>();
+	readonly #silenced = new WeakSet();
+	#faults: Faults;
+
+	constructor(faults: Faults) {
+		this.#faults = faults;
+		this.#server = createServer((request, response) => {
+			void this.#handle(request, response);
+		});
+	}
+
+	/** Faults in force. */
+	get faults(): Faults {
+		return this.#faults;
+	}
+
+	/** Changes some faults; connections that are open now go silent when `silent` is set. */
+	setFaults(faults: Partial<Faults>): void {
+		this.#faults = {...this.#faults, ...faults};
+		if (faults.silent === true) {
+			for (const socket of this.#sockets) {
+				this.#silenced.add(socket);
+			}
+		}
+	}
+
+	/** Binds the server and resolves with its address. */
+	async listen(address: Address): Promise<Address> {
+		this.#server.on('connection', socket => {
+			this.#sockets.add(socket);
+			socket.once('close', () => {
+				this.#sockets.delete(socket);
+			});
+		});
+		return listen(this.#server, address);
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		await closeAbruptly(this.#server);
+	}
+
+	/** HTTP server, for limits that a stand-in sets itself. */
+	protected get server(): Server {
+		return this.#server;
+	}
+
+	/** Answers one request that no fault has taken. */
+	protected abstract serve(request: IncomingMessage, response: ServerResponse): Promise<void>;
+
+	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		response.on('error', () => {
+			response.destroy();
+		});
+		try {
+			if (request.url === '/faults') {
+				await this.#handleFaults(request, response);
+				return;
+			}
+
+			if (this.#silenced.has(request.socket)) {
+				return;
+			}
+
+			if (this.#faults.down) {
+				request.socket.destroy();
+				return;
+			}
+
+			await delay(this.#faults.slowMs);
+			await this.serve(request, response);
+		} catch (error) {
+			response.destroy(error instanceof Error ? error : undefined);
+		}
+	}
+
+	async #handleFaults(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (request.method === 'PUT') {
+			this.setFaults(JSON.parse(await readText(request)) as Partial<Faults>);
+		}
+
+		sendAnswer(response, {status: 200, body: this.#faults});
+	}
+}
+
+/** Reads a request body as text. */
+export async function readText(request: IncomingMessage): Promise<string> {
+	const chunks: Uint8Array[] = [];
+	for await (const chunk of request) {
+		chunks.push(chunk as Uint8Array);
+	}
+
+	return Buffer.concat(chunks).toString('utf8');
+}
+
+/** Sends an answer as JSON. */
+export function sendAnswer(response: ServerResponse, answer: StandInAnswer): void {
+	response.writeHead(answer.status, {'content-type': 'application/json', ...answer.headers});
+	response.end(answer.body === undefined ? undefined : JSON.stringify(answer.body));
+}
--- /dev/null
+++ b/src/stand-ins/stand-in-settings.ts
@@ -0,0 +1,73 @@
+import type {Either} from 'purify-ts';
+import {z} from 'zod';
+import {parseAddress, type Address} from '../process/address.ts';
+import type {Finding} from '../version/finding.ts';
+import {parseIniDocument} from '../version/ini-document.ts';
+import {validateSections} from '../version/ini-schema.ts';
+import {EngineServer} from './engine/engine-server.ts';
+import {HostsServer} from './hosts/hosts-server.ts';
+import {PlatformServer} from './platform/platform-server.ts';
+import {ServiceServer} from './service/service-server.ts';
+import type {StandInServer} from './stand-in-server.ts';
+
+/** Outside systems that have a stand-in. */
+export const standInKinds = ['platform', 'hosts', 'engine', 'service'] as const;
+
+/** Name of a stand-in. */
+export type StandInKind = (typeof standInKinds)[number];
+
+/** A stand-in that is ready to listen. */
+export type StandIn = {
+	readonly server: Pick<StandInServer, 'listen' | typeof Symbol.asyncDispose>;
+	readonly address: Address;
+};
+
+const listen = z.string().min(1);
+
+const schemas = {
+	platform: {platform: z.object({listen})},
+	hosts: {hosts: z.object({listen})},
+	engine: {
+		engine: z.object({
+			listen,
+			id: z.string().min(1),
+			model: z.string().min(1),
+			'prefill-ms-per-token': z.coerce.number().min(0).default(0.05),
+			'decode-ms-per-token': z.coerce.number().min(0).default(5),
+		}),
+	},
+	service: {service: z.object({listen})},
+} as const;
+
+/** Creates a stand-in from its settings text; returns every finding at once. */
+export function createStandIn(kind: StandInKind, text: string, file: string): Either<readonly Finding[], StandIn> {
+	const document = parseIniDocument(text, file);
+	switch (kind) {
+		case 'platform': {
+			return validateSections(document, schemas.platform)
+				.map(values => ({server: new PlatformServer(), address: parseAddress(values.platform.listen)}));
+		}
+
+		case 'hosts': {
+			return validateSections(document, schemas.hosts)
+				.map(values => ({server: new HostsServer(), address: parseAddress(values.hosts.listen)}));
+		}
+
+		case 'engine': {
+			return validateSections(document, schemas.engine).map(({engine}) => ({
+				server: new EngineServer({
+					id: engine.id,
+					model: engine.model,
+					prefillMsPerToken: engine['prefill-ms-per-token'],
+					decodeMsPerToken: engine['decode-ms-per-token'],
+				}),
+				address: parseAddress(engine.listen),
+			}));
+		}
+
+		case 'service': {
+			return validateSections(document, schemas.service)
+				.map(values => ({server: new ServiceServer(), address: parseAddress(values.service.listen)}));
+		}
+	}
+}
--- /dev/null
+++ b/src/version/settings.ts
@@ -0,0 +1,72 @@
+import {readFile} from 'node:fs/promises';
+import {Left, type Either} from 'purify-ts';
+import {z} from 'zod';
+import {logLevels} from '../process/log.ts';
+import type {Finding} from './finding.ts';
+import {parseIniDocument} from './ini-document.ts';
+import {validateSections, type SectionValues} from './ini-schema.ts';
+
+const portLimit = 65_535;
+const kibibyte = 1024;
+
+const address = z.string().refine(isAddress, 'must be IP:PORT');
+const url = z.url({protocol: /^https?$/v, error: 'must be an http or https URL'});
+const name = z.string().regex(/^[a-z\d][\w.\-]{0,62}$/iv, 'must be a name of letters, digits, ".", "_" or "-"');
+
+/** Parses a whole number within a range, given as text. */
+export function integer(minimum: number, maximum: number) {
+	const message = `must be a whole number from ${minimum} to ${maximum}`;
+	return z.coerce.number(message).int(message).min(minimum, message).max(maximum, message);
+}
+
+const daemonSchemas = {
+	daemon: z.object({
+		id: name,
+		'availability-zone': name,
+		listen: address,
+		'peer-listen': address,
+	}),
+	platform: z.object({
+		table: url,
+		'table-name': name.default('wagtailtack'),
+		objects: url,
+		hosts: url,
+	}),
+	limits: z.object({
+		'body-bytes': integer(kibibyte, 256 * kibibyte * kibibyte).default(4 * kibibyte * kibibyte),
+		'header-bytes': integer(kibibyte, kibibyte * kibibyte).default(16 * kibibyte),
+	}),
+	shutdown: z.object({
+		'balancer-delay-ms': integer(0, 600_000).default(5000),
+	}),
+	traces: z.object({
+		endpoint: url.optional(),
+	}),
+	logs: z.object({
+		level: z.enum(logLevels).default('info'),
+	}),
+} as const;
+
+/** Settings of one daemon, as `wagtailtack serve` reads them. */
+export type Settings = SectionValues<typeof daemonSchemas>;
+
+/** Parses settings text; returns every finding at once. */
+export function parseSettings(text: string, file: string): Either<readonly Finding[], Settings> {
+	return validateSections(parseIniDocument(text, file), daemonSchemas);
+}
+
+/** Reads and parses a settings file; an unreadable file is a finding at line 1. */
+export async function readSettings(file: string): Promise<Either<readonly Finding[], Settings>> {
+	try {
+		return parseSettings(await readFile(file, 'utf8'), file);
+	} catch (error) {
+		const message = error instanceof Error ? error.message : String(error);
+		return Left([{file, line: 1, message: `cannot be read: ${message}`}]);
+	}
+}
+
+function isAddress(text: string): boolean {
+	const split = text.lastIndexOf(':');
+	const port = Number(text.slice(split + 1));
+	return split > 0 && Number.isInteger(port) && port >= 0 && port <= portLimit;
+}
