Build an executable that resolves yargs' locale files

Cause: yargs calls createRequire(import.meta.url), which is undefined in a CommonJS bundle, so the executable ended at once. Change: define import.meta.url in the bundle from __filename. Before: TypeError at start. After: the executable serves the demo.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -19,6 +19,9 @@
 	target: 'node24',
 	format: 'cjs',
 	outfile: 'dist/wagtailtack.cjs',
+	// The yargs package resolves its locale files from import.meta.url, which CommonJS lacks.
+	define: {'import.meta.url': 'importMetaUrl'},
+	banner: {js: 'const importMetaUrl = require(\'node:url\').pathToFileURL(__filename).href;'},
 	logLevel: 'error',
 });
 writeFileSync('dist/sea.json', JSON.stringify({
