Give the platform stand-in limits, lost answers and an object store

The client reads all pages of a query and no longer takes TransactionInProgressException as a promise that nothing was applied.

Conclusion: `unavailable` comes only from refusals before any write.

--- a/src/platform/dynamo-table.ts
+++ b/src/platform/dynamo-table.ts
@@ -4,6 +4,7 @@
 	QueryCommand,
 	TransactWriteItemsCommand,
 	type AttributeValue,
+	type QueryCommandOutput,
 	type TransactWriteItem,
 } from '@aws-sdk/client-dynamodb';
 import {Left, Right, type Either} from 'purify-ts';
@@ -28,7 +29,6 @@
 	'RequestLimitExceeded',
 	'ResourceNotFoundException',
 	'ThrottlingException',
-	'TransactionInProgressException',
 	'ValidationException',
 ]);
 
@@ -67,17 +67,21 @@
 		partition: string,
 		options: {readonly after?: string; readonly limit?: number} = {},
 	): Promise<Either<StoreFailure, readonly Row[]>> {
-		const {after, limit = defaultQueryLimit} = options;
-		const command = new QueryCommand({
-			TableName: this.#options.tableName,
-			KeyConditionExpression: 'pk = :pk',
-			ExpressionAttributeValues: {':pk': {S: partition}},
-			ConsistentRead: true,
-			Limit: limit,
-			...(after === undefined ? {} : {ExclusiveStartKey: toItemKey({partition, sort: after})}),
-		});
-		const result = await this.#call(async abortSignal => this.#client.send(command, {abortSignal}));
-		return result.map(output => (output.Items ?? []).map(item => toRow(item)));
+		const {limit = defaultQueryLimit} = options;
+		const rows: Row[] = [];
+		let {after} = options;
+		do {
+			const page = await this.#queryPage(partition, limit - rows.length, after);
+			if (page.isLeft()) {
+				return Left(page.extract());
+			}
+
+			const {Items: items = [], LastEvaluatedKey: last} = page.unsafeCoerce();
+			rows.push(...items.map(item => toRow(item)));
+			after = last?.sk?.S;
+		} while (after !== undefined && rows.length < limit);
+
+		return Right(rows);
 	}
 
 	async write(writes: readonly RowWrite[]): Promise<Either<StoreFailure, void>> {
@@ -92,6 +96,18 @@
 		this.#client.destroy();
 	}
 
+	async #queryPage(partition: string, limit: number, after?: string): Promise<Either<StoreFailure, QueryCommandOutput>> {
+		const command = new QueryCommand({
+			TableName: this.#options.tableName,
+			KeyConditionExpression: 'pk = :pk',
+			ExpressionAttributeValues: {':pk': {S: partition}},
+			ConsistentRead: true,
+			Limit: limit,
+			...(after === undefined ? {} : {ExclusiveStartKey: toItemKey({partition, sort: after})}),
+		});
+		return this.#call(async abortSignal => this.#client.send(command, {abortSignal}));
+	}
+
 	async #call<Output>(
 		send: (abortSignal: AbortSignal) => Promise<Output>,
 		writes: readonly RowWrite[] = [],
--- a/src/stand-ins/platform/memory-table.ts
+++ b/src/stand-ins/platform/memory-table.ts
@@ -3,6 +3,8 @@
 	Table, type Row, type RowKey, type RowWrite, type StoreFailure,
 } from '../../platform/table.ts';
 
+const transactionLimit = 100;
+
 /** Table in memory, with the semantics of the platform's table. */
 export class MemoryTable extends Table {
 	readonly #partitions = new Map<string, Map<string, Row>>();
@@ -24,6 +26,11 @@
 	}
 
 	async write(writes: readonly RowWrite[]): Promise<Either<StoreFailure, void>> {
+		const names = new Set(writes.map(write => JSON.stringify([write.key.partition, write.key.sort])));
+		if (writes.length === 0 || writes.length > transactionLimit || names.size < writes.length) {
+			return Left({kind: 'unavailable', message: 'a transaction has 1 to 100 rows, each of them once'});
+		}
+
 		const conflicts = writes.filter(write => (this.#read(write.key)?.revision ?? 0) !== write.expected);
 		if (conflicts.length > 0) {
 			return Left({kind: 'conflict', keys: conflicts.map(write => write.key)});
--- a/src/stand-ins/platform/platform-server.ts
+++ b/src/stand-ins/platform/platform-server.ts
@@ -1,47 +1,112 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {
-	Row, RowKey, RowWrite, StoreFailure,
-} from '../../platform/table.ts';
+import {setTimeout as delay} from 'node:timers/promises';
+import {SystemClock} from '../../process/clock.ts';
 import {
 	noFaults, readText, sendAnswer, StandInServer, type CommonFaults, type StandInAnswer,
 } from '../stand-in-server.ts';
-import {
-	parseRowKey, parseRowWrite, type Item, type TransactItem,
-} from './dynamo-protocol.ts';
+import type {Item, TransactItem} from './dynamo-protocol.ts';
+import {MemoryObjectStore} from './memory-object-store.ts';
 import {MemoryTable} from './memory-table.ts';
+import {objectPath, serveObject} from './object-requests.ts';
+import {RateLimit} from './rate-limit.ts';
+import {
+	answerGet, answerQuery, answerWrite, createTableError, type QueryInput,
+} from './table-requests.ts';
 
-/** Faults of the platform. */
+/** Faults and limits of the platform; set with `PUT /faults` while it runs. */
 export type PlatformFaults = CommonFaults & {
 	/** Applies writes, then closes the connection without an answer. */
 	readonly loseWriteAnswers: boolean;
+	/** Number of coming write answers to lose, in addition. */
+	readonly loseNextWriteAnswers: number;
+	/** Answers each write with an internal error before it is applied. */
+	readonly failWrites: boolean;
+	/** Holds each table write back after it was received, in milliseconds; it is applied even when its sender has gone. */
+	readonly slowWritesMs: number;
+	/** Table writes a second above which calls are throttled; 0 for no limit. */
+	readonly writesPerSecond: number;
+	/** Table reads a second above which calls are throttled; 0 for no limit. */
+	readonly readsPerSecond: number;
+	/** What a transaction costs of the write limit. */
+	readonly transactionCost: 'one' | 'rows';
+	/** Rows in one answer to a query; the rest needs another call. */
+	readonly pageRows: number;
+	/** Closes the connection of each request to the object store. */
+	readonly objectsDown: boolean;
 };
 
-type Operation = (input: never) => Promise<StandInAnswer>;
+/** Calls and units that the platform has served. */
+export type PlatformCounters = {
+	readonly reads: number;
+	/** Write calls. */
+	readonly writes: number;
+	/** Rows in all write calls. */
+	readonly writtenRows: number;
+	readonly throttled: number;
+	readonly objectReads: number;
+	readonly objectWrites: number;
+};
+
+const defaults: PlatformFaults = {
+	...noFaults,
+	loseWriteAnswers: false,
+	loseNextWriteAnswers: 0,
+	failWrites: false,
+	slowWritesMs: 0,
+	writesPerSecond: 0,
+	readsPerSecond: 0,
+	transactionCost: 'one',
+	pageRows: 1000,
+	objectsDown: false,
+};
 
-/** Stand-in for the platform: table by the DynamoDB JSON protocol. */
+const throttled = createTableError('ThrottlingException', 'Rate exceeded');
+
+/** Stand-in for the platform: table by the DynamoDB JSON protocol, and an object store. */
 export class PlatformServer extends StandInServer<PlatformFaults> {
 	readonly table = new MemoryTable();
-
-	readonly #operations: Readonly<Record<string, Operation>> = {
-		GetItem: async (input: {Key: Item}) => this.#get(input.Key),
-		Query: async (input: QueryInput) => this.#query(input),
-		TransactWriteItems: async (input: {TransactItems: readonly TransactItem[]}) => this.#write(input.TransactItems),
+	readonly objects = new MemoryObjectStore();
+	readonly #readLimit = new RateLimit(new SystemClock());
+	readonly #writeLimit = new RateLimit(new SystemClock());
+	readonly #counters = {
+		reads: 0, writes: 0, writtenRows: 0, throttled: 0, objectReads: 0, objectWrites: 0,
 	};
 
 	constructor() {
-		super({...noFaults, loseWriteAnswers: false});
+		super(defaults);
+	}
+
+	/** Calls served since the start. */
+	get counters(): PlatformCounters {
+		return {...this.#counters};
 	}
 
 	protected async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const [, name = ''] = String(request.headers['x-amz-target']).split('.');
-		const operation = this.#operations[name];
-		if (operation === undefined) {
-			sendAnswer(response, toError('UnknownOperationException', name));
+		const {url = '/'} = request;
+		if (url === '/counters') {
+			sendAnswer(response, {status: 200, body: this.#counters});
+		} else if (url.startsWith(objectPath)) {
+			await this.#serveObject(request, response);
+		} else {
+			await this.#serveTable(request, response);
+		}
+	}
+
+	async #serveObject(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		if (this.faults.objectsDown) {
+			request.socket.destroy();
 			return;
 		}
 
-		const answer = await operation(JSON.parse(await readText(request)) as never);
-		if (name === 'TransactWriteItems' && this.faults.loseWriteAnswers) {
+		this.#counters[request.method === 'GET' ? 'objectReads' : 'objectWrites'] += 1;
+		await serveObject(this.objects, request, response);
+	}
+
+	async #serveTable(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const [, name = ''] = String(request.headers['x-amz-target']).split('.');
+		const input = JSON.parse(await readText(request)) as unknown;
+		const answer = await this.#answer(name, input);
+		if (name === 'TransactWriteItems' && answer !== throttled && this.#losesAnswer()) {
 			request.socket.destroy();
 			return;
 		}
@@ -49,58 +114,53 @@
 		sendAnswer(response, answer);
 	}
 
-	async #get(key: Item): Promise<StandInAnswer> {
-		const result = await this.table.get(parseRowKey(key));
-		return result.caseOf<StandInAnswer>({
-			Left: toFailure,
-			Right: row => ({status: 200, body: row === undefined ? {} : {Item: toItem(row)}}),
-		});
-	}
+	async #answer(name: string, input: unknown): Promise<StandInAnswer> {
+		switch (name) {
+			case 'GetItem': {
+				return this.#takeRead() ? answerGet(this.table, (input as {Key: Item}).Key) : throttled;
+			}
 
-	async #query(input: QueryInput): Promise<StandInAnswer> {
-		const partition = input.ExpressionAttributeValues[':pk']?.S ?? '';
-		const result = await this.table.query(partition, {after: input.ExclusiveStartKey?.sk?.S, limit: input.Limit});
-		return result.caseOf<StandInAnswer>({
-			Left: toFailure,
-			Right: rows => ({status: 200, body: {Items: rows.map(row => toItem(row)), Count: rows.length}}),
-		});
-	}
+			case 'Query': {
+				return this.#takeRead() ? answerQuery(this.table, input as QueryInput, this.faults.pageRows) : throttled;
+			}
 
-	async #write(entries: readonly TransactItem[]): Promise<StandInAnswer> {
-		const writes = entries.map(entry => parseRowWrite(entry));
-		const result = await this.table.write(writes);
-		return result.caseOf<StandInAnswer>({
-			Left: failure => (failure.kind === 'conflict' ? toCancellation(writes, failure.keys) : toFailure(failure)),
-			Right: () => ({status: 200, body: {}}),
-		});
+			case 'TransactWriteItems': {
+				return this.#write((input as {TransactItems: readonly TransactItem[]}).TransactItems);
+			}
+
+			default: {
+				return createTableError('UnknownOperationException', name);
+			}
+		}
 	}
-}
 
-type QueryInput = {
-	readonly ExpressionAttributeValues: Item;
-	readonly ExclusiveStartKey?: Item;
-	readonly Limit?: number;
-};
+	async #write(entries: readonly TransactItem[]): Promise<StandInAnswer> {
+		const units = this.faults.transactionCost === 'one' ? 1 : entries.length;
+		if (!this.#writeLimit.take(units, this.faults.writesPerSecond)) {
+			this.#counters.throttled += 1;
+			return throttled;
+		}
 
-function toItem(row: Row): Item {
-	return {
-		pk: {S: row.key.partition},
-		sk: {S: row.key.sort},
-		revision: {N: String(row.revision)},
-		body: {S: row.body},
-	};
-}
+		await delay(this.faults.slowWritesMs);
+		this.#counters.writes += 1;
+		this.#counters.writtenRows += entries.length;
+		return this.faults.failWrites
+			? {...createTableError('InternalServerError', 'Internal error'), status: 500}
+			: answerWrite(this.table, entries);
+	}
 
-function toError(type: string, message: string, details: Record<string, unknown> = {}): StandInAnswer {
-	return {status: 400, body: {__type: `com.amazonaws.dynamodb.v20120810#${type}`, message, ...details}};
-}
+	#takeRead(): boolean {
+		const taken = this.#readLimit.take(1, this.faults.readsPerSecond);
+		this.#counters[taken ? 'reads' : 'throttled'] += 1;
+		return taken;
+	}
 
-function toCancellation(writes: readonly RowWrite[], keys: readonly RowKey[]): StandInAnswer {
-	const failed = new Set(keys);
-	const reasons = writes.map(write => ({Code: failed.has(write.key) ? 'ConditionalCheckFailed' : 'None'}));
-	return toError('TransactionCanceledException', 'Transaction cancelled', {CancellationReasons: reasons});
-}
+	#losesAnswer(): boolean {
+		const {loseNextWriteAnswers: next, loseWriteAnswers} = this.faults;
+		if (next > 0) {
+			this.setFaults({loseNextWriteAnswers: next - 1});
+		}
 
-function toFailure(failure: StoreFailure): StandInAnswer {
-	return toError('InternalServerError', failure.kind);
+		return next > 0 || loseWriteAnswers;
+	}
 }
