--- a/src/stand-ins/stand-in-settings.ts
+++ b/src/stand-ins/stand-in-settings.ts
@@ -5,6 +5,7 @@
 import {parseIniDocument} from '../version/ini-document.ts';
 import {validateSections} from '../version/ini-schema.ts';
 import {EngineServer} from './engine/engine-server.ts';
+import {parseHostsSettings} from './hosts/hosts-settings.ts';
 import {HostsServer} from './hosts/hosts-server.ts';
 import {PlatformServer} from './platform/platform-server.ts';
 import {ServiceServer} from './service/service-server.ts';
@@ -26,7 +27,6 @@
 
 const schemas = {
 	platform: {platform: z.object({listen})},
-	hosts: {hosts: z.object({listen})},
 	engine: {
 		engine: z.object({
 			listen,
@@ -49,8 +49,8 @@
 		}
 
 		case 'hosts': {
-			return validateSections(document, schemas.hosts)
-				.map(values => ({server: new HostsServer(), address: parseAddress(values.hosts.listen)}));
+			return parseHostsSettings(document)
+				.map(settings => ({server: new HostsServer(settings.hosts), address: parseAddress(settings.listen)}));
 		}
 
 		case 'engine': {
