Put contracts and keys in force by operators' commands

Cause: contracts and keys could only be written into the table by hand.

Change: contract file parsed as a whole with placed findings; commands contract put, get, list, check and key bootstrap, put, list, revoke; each change is one transaction over entry, head, change row and change id, serialised by the head; a lost answer is read back by change id.

Figures: 300 fault schedules (seed 7) with two concurrent operators: no change written twice, none reported against what the table holds.

Conclusion: a refusal names the other operator's change.

--- a/src/main.ts
+++ b/src/main.ts
@@ -2,8 +2,10 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 import {checkCommand} from './process/cli/check-command.ts';
+import {contractCommand} from './process/cli/contract-command.ts';
 import {demoCommand} from './process/cli/demo-command.ts';
 import {exitCode} from './process/cli/exit-code.ts';
+import {keyCommand} from './process/cli/key-command.ts';
 import {serveCommand} from './process/cli/serve-command.ts';
 import {standInCommand} from './process/cli/stand-in-command.ts';
 
@@ -12,6 +14,8 @@
 		.scriptName('wagtailtack')
 		.command(serveCommand)
 		.command(checkCommand)
+		.command(contractCommand)
+		.command(keyCommand)
 		.command(standInCommand)
 		.command(demoCommand)
 		.demandCommand(1, 'A command is needed.')
--- a/src/platform/dynamo-table.ts
+++ b/src/platform/dynamo-table.ts
@@ -22,6 +22,7 @@
 
 const defaultTimeoutMs = 2000;
 const defaultQueryLimit = 1000;
+const pageLimit = 1000;
 
 /** Errors after which the service states that nothing was applied. */
 const notApplied = new Set([
@@ -102,7 +103,7 @@
 			KeyConditionExpression: 'pk = :pk',
 			ExpressionAttributeValues: {':pk': {S: partition}},
 			ConsistentRead: true,
-			Limit: limit,
+			Limit: Math.min(limit, pageLimit),
 			...(after === undefined ? {} : {ExclusiveStartKey: toItemKey({partition, sort: after})}),
 		});
 		return this.#call(async abortSignal => this.#client.send(command, {abortSignal}));
--- /dev/null
+++ b/src/process/administration/administration.ts
@@ -0,0 +1,111 @@
+import {randomBytes} from 'node:crypto';
+import {EitherAsync, type Either} from 'purify-ts';
+import type {ObjectStore} from '../../platform/object-store.ts';
+import type {Row, Table} from '../../platform/table.ts';
+import {
+	parseEntry, parseHolder, type ConfigurationEntry, type KeyHolder,
+} from '../../version/configuration.ts';
+import type {Contract} from '../../version/contract.ts';
+import {hashKey} from '../key-directory.ts';
+import {
+	planContract, planFirstOperator, planKey, planRevocation, type Operator,
+} from './change-plans.ts';
+import {
+	ConfigurationWriter, toReadFailure, type ChangeAuthor, type ChangeFailure, type ChangePlan, type MadeChange,
+} from './configuration-writer.ts';
+import {writeSnapshot} from './snapshot-writer.ts';
+
+/** A contract with the version that wrote it. */
+export type StoredContract = {readonly version: number; readonly contract: Contract};
+
+/** A key's digest and holder. */
+export type StoredKey = {readonly version: number; readonly digest: string; readonly holder: KeyHolder};
+
+/** A key that was made; the key itself is shown only here. */
+export type MadeKey = MadeChange & {readonly key: string; readonly digest: string};
+
+const keyBytes = 32;
+const everything = {limit: Number.POSITIVE_INFINITY};
+
+/** Creates a random key. */
+export function createKey(): string {
+	return `wt-${randomBytes(keyBytes).toString('base64url')}`;
+}
+
+/** Operators' changes to contracts and keys. */
+export class Administration {
+	readonly #table: Table;
+	readonly #objects: ObjectStore;
+	readonly #writer: ConfigurationWriter;
+
+	constructor(table: Table, objects: ObjectStore, writer = new ConfigurationWriter(table)) {
+		this.#table = table;
+		this.#objects = objects;
+		this.#writer = writer;
+	}
+
+	/** Puts a contract over the version that the operator has seen (0 for none). */
+	async putContract(
+		operator: Operator,
+		contract: Contract,
+		change: {readonly base: number; readonly changeId: string},
+	): Promise<Either<ChangeFailure, MadeChange>> {
+		return this.#apply(operator.name, change.changeId, planContract(this.#table, operator, contract, change.base));
+	}
+
+	/** Admits a key. */
+	async putKey(operator: Operator, holder: KeyHolder, key: string, changeId: string): Promise<Either<ChangeFailure, MadeKey>> {
+		const digest = hashKey(key);
+		const made = await this.#apply(operator.name, changeId, planKey(this.#table, operator, digest, holder));
+		return made.map(change => ({...change, key, digest}));
+	}
+
+	/** Revokes a key by its digest. */
+	async revokeKey(operator: Operator, digest: string, changeId: string): Promise<Either<ChangeFailure, MadeChange>> {
+		return this.#apply(operator.name, changeId, planRevocation(this.#table, operator, digest));
+	}
+
+	/** Admits the first operator key. */
+	async createFirstOperator(name: string, key: string, changeId: string): Promise<Either<ChangeFailure, MadeKey>> {
+		const digest = hashKey(key);
+		const made = await this.#apply(name, changeId, planFirstOperator(this.#table, digest, name));
+		return made.map(change => ({...change, key, digest}));
+	}
+
+	/** Reads one contract; `undefined` when it is absent. */
+	async getContract(customer: string): Promise<Either<ChangeFailure, StoredContract | undefined>> {
+		const row = await this.#table.get({partition: 'contract', sort: customer});
+		return row.mapLeft(failure => toReadFailure(failure))
+			.map(found => (found === undefined ? undefined : toStoredContract(found)));
+	}
+
+	/** Reads all contracts in order of their customers. */
+	async listContracts(): Promise<Either<ChangeFailure, readonly StoredContract[]>> {
+		const rows = await this.#table.query('contract', everything);
+		return rows.mapLeft(failure => toReadFailure(failure)).map(found => found.map(row => toStoredContract(row)));
+	}
+
+	/** Reads all keys in order of their digests. */
+	async listKeys(): Promise<Either<ChangeFailure, readonly StoredKey[]>> {
+		const rows = await this.#table.query('key', everything);
+		return rows.mapLeft(failure => toReadFailure(failure)).map(found => found.map(row => {
+			const {version, name, body} = parseEntry(row.body);
+			return {version, digest: name, holder: parseHolder(body)};
+		}));
+	}
+
+	async #apply(operator: string, changeId: string, plan: ChangePlan): Promise<Either<ChangeFailure, MadeChange>> {
+		const author: ChangeAuthor = {operator, changeId};
+		return EitherAsync<ChangeFailure, MadeChange>(async ({fromPromise}) => {
+			const made = await fromPromise(this.#writer.apply(author, plan));
+			// A missing snapshot costs a new daemon more reads, nothing else.
+			await writeSnapshot(this.#table, this.#objects, made.version);
+			return made;
+		}).run();
+	}
+}
+
+function toStoredContract(row: Row): StoredContract {
+	const entry: ConfigurationEntry = parseEntry(row.body);
+	return {version: entry.version, contract: JSON.parse(entry.body) as Contract};
+}
--- /dev/null
+++ b/src/process/administration/configuration-writer.ts
@@ -0,0 +1,158 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	EitherAsync, Left, Right, type Either,
+} from 'purify-ts';
+import {z} from 'zod';
+import type {
+	Row, RowKey, RowWrite, StoreFailure, Table,
+} from '../../platform/table.ts';
+import {
+	formatVersion, headKey, parseHead, toEntryKey, type ConfigurationEntry,
+} from '../../version/configuration.ts';
+
+/** Why a change to the configuration was not made. `unknown` leaves open whether it was. */
+export type ChangeFailure
+	= | {readonly kind: 'refused'; readonly message: string}
+		| {readonly kind: 'unavailable'; readonly message: string}
+		| {readonly kind: 'unknown'; readonly message: string};
+
+/** A change to one entry, planned against the configuration as read. */
+export type PlannedChange = {
+	readonly entry: Omit<ConfigurationEntry, 'version'>;
+	/** Row of the entry as read; `undefined` when it is absent. */
+	readonly current: Row | undefined;
+	/** Rows that must not change until the write. */
+	readonly checks: ReadonlyArray<Pick<Row, 'key' | 'revision'>>;
+};
+
+/** Plans a change; it runs again when another change came first. */
+export type ChangePlan = (version: number) => Promise<Either<ChangeFailure, PlannedChange>>;
+
+/** A change that was made. */
+export type MadeChange = {
+	readonly changeId: string;
+	/** Version of the whole configuration. */
+	readonly version: number;
+};
+
+/** Identity of a change: its id makes a repeated command harmless. */
+export type ChangeAuthor = {
+	readonly changeId: string;
+	readonly operator: string;
+};
+
+const attemptLimit = 6;
+const retryDelayMs = 300;
+const madeSchema = z.object({version: z.number()});
+
+/** Writes changes to the configuration, each at most once. */
+export class ConfigurationWriter {
+	readonly #table: Table;
+	readonly #delay: (milliseconds: number) => Promise<void>;
+
+	constructor(table: Table, wait: (milliseconds: number) => Promise<void> = async milliseconds => delay(milliseconds)) {
+		this.#table = table;
+		this.#delay = wait;
+	}
+
+	/** Makes a change in one transaction over entry, head and change row; a lost answer is read back by change id. */
+	async apply(author: ChangeAuthor, plan: ChangePlan): Promise<Either<ChangeFailure, MadeChange>> {
+		let open: ChangeFailure | undefined;
+		let failure: ChangeFailure = {kind: 'unavailable', message: 'too many concurrent changes'};
+		for (let attempt = 0; attempt < attemptLimit; attempt += 1) {
+			const result = await this.#attempt(author, plan);
+			if (result.isRight()) {
+				return result;
+			}
+
+			const cause = result.extract() as AttemptFailure;
+			if (cause.kind === 'refused') {
+				return open === undefined ? Left(cause) : this.#settle(author, cause);
+			}
+
+			// Once a write may have been applied, a later failure does not rule it out.
+			open = cause.kind === 'unknown' ? cause : open;
+			failure = open ?? (cause.kind === 'conflict' ? failure : cause);
+			await this.#delay(cause.kind === 'conflict' ? 0 : retryDelayMs);
+		}
+
+		return Left(failure);
+	}
+
+	async #attempt(author: ChangeAuthor, plan: ChangePlan): Promise<Either<AttemptFailure, MadeChange>> {
+		return EitherAsync<AttemptFailure, MadeChange>(async ({fromPromise}) => {
+			const head = await fromPromise(this.#read(headKey));
+			const made = await fromPromise(this.#findMade(author.changeId));
+			if (made !== undefined) {
+				return made;
+			}
+
+			const version = parseHead(head?.body).version + 1;
+			const change = await fromPromise(plan(version));
+			await fromPromise(this.#write(createWrites(author, version, head, change)));
+			return {changeId: author.changeId, version};
+		}).run();
+	}
+
+	/** A refusal after an open write: it may stem from that very write. */
+	async #settle(author: ChangeAuthor, refusal: ChangeFailure): Promise<Either<ChangeFailure, MadeChange>> {
+		const made = await this.#findMade(author.changeId);
+		return made.caseOf<Either<ChangeFailure, MadeChange>>({
+			Left: () => Left({kind: 'unknown', message: 'the change cannot be read back'}),
+			Right: found => (found === undefined ? Left(refusal) : Right(found)),
+		});
+	}
+
+	async #findMade(changeId: string): Promise<Either<AttemptFailure, MadeChange | undefined>> {
+		const row = await this.#read(toChangeIdKey(changeId));
+		return row.map(found => (found === undefined
+			? undefined
+			: {changeId, version: madeSchema.parse(JSON.parse(found.body)).version}));
+	}
+
+	async #read(key: RowKey): Promise<Either<AttemptFailure, Row | undefined>> {
+		const row = await this.#table.get(key);
+		return row.mapLeft(readFailure => toReadFailure(readFailure));
+	}
+
+	async #write(writes: readonly RowWrite[]): Promise<Either<AttemptFailure, void>> {
+		const result = await this.#table.write(writes);
+		return result.mapLeft(failure => (failure.kind === 'conflict' ? {kind: 'conflict'} : failure));
+	}
+}
+
+type AttemptFailure = ChangeFailure | {readonly kind: 'conflict'};
+
+/** Reading changes nothing, so that no failed read leaves a change open. */
+export function toReadFailure(failure: StoreFailure): ChangeFailure {
+	return {kind: 'unavailable', message: failure.kind === 'conflict' ? 'conflict' : failure.message};
+}
+
+function toChangeIdKey(changeId: string): RowKey {
+	return {partition: 'change-id', sort: changeId};
+}
+
+function createWrites(
+	author: ChangeAuthor,
+	version: number,
+	head: Row | undefined,
+	{entry, current, checks}: PlannedChange,
+): readonly RowWrite[] {
+	const written = {...entry, version};
+	const body = JSON.stringify({...written, ...author});
+	return [
+		{
+			kind: 'put', key: toEntryKey(entry), expected: current?.revision ?? 0, body,
+		},
+		{
+			kind: 'put', key: headKey, expected: head?.revision ?? 0, body: JSON.stringify({version, ...author}),
+		},
+		{
+			kind: 'put', key: {partition: 'change', sort: formatVersion(version)}, expected: 0, body,
+		},
+		{
+			kind: 'put', key: toChangeIdKey(author.changeId), expected: 0, body: JSON.stringify({version}),
+		},
+		...checks.map(({key, revision}): RowWrite => ({kind: 'check', key, expected: revision})),
+	];
+}
--- a/src/version/settings.ts
+++ b/src/version/settings.ts
@@ -1,5 +1,5 @@
 import {readFile} from 'node:fs/promises';
-import {Left, type Either} from 'purify-ts';
+import {Left, Right, type Either} from 'purify-ts';
 import {z} from 'zod';
 import {logLevels} from '../process/log.ts';
 import type {Finding} from './finding.ts';
@@ -19,6 +19,13 @@
 	return z.coerce.number(message).int(message).min(minimum, message).max(maximum, message);
 }
 
+const platformSchema = z.object({
+	table: url,
+	'table-name': name.default('wagtailtack'),
+	objects: url,
+	hosts: url,
+});
+
 const daemonSchemas = {
 	daemon: z.object({
 		id: name,
@@ -26,12 +33,7 @@
 		listen: address,
 		'peer-listen': address,
 	}),
-	platform: z.object({
-		table: url,
-		'table-name': name.default('wagtailtack'),
-		objects: url,
-		hosts: url,
-	}),
+	platform: platformSchema,
 	limits: z.object({
 		'body-bytes': integer(kibibyte, 256 * kibibyte * kibibyte).default(4 * kibibyte * kibibyte),
 		'header-bytes': integer(kibibyte, kibibyte * kibibyte).default(16 * kibibyte),
@@ -57,8 +59,23 @@
 
 /** Reads and parses a settings file; an unreadable file is a finding at line 1. */
 export async function readSettings(file: string): Promise<Either<readonly Finding[], Settings>> {
+	const text = await readText(file);
+	return text.chain(content => parseSettings(content, file));
+}
+
+/** Reads the `platform` section of a settings file, for operators' commands; other sections are not looked at. */
+export async function readPlatformSettings(file: string) {
+	const text = await readText(file);
+	return text.chain(content => {
+		const {sections, findings} = parseIniDocument(content, file);
+		const document = {file, findings, sections: sections.filter(section => section.name === 'platform')};
+		return validateSections(document, {platform: platformSchema.partial({hosts: true})});
+	}).map(({platform}) => platform);
+}
+
+async function readText(file: string): Promise<Either<readonly Finding[], string>> {
 	try {
-		return parseSettings(await readFile(file, 'utf8'), file);
+		return Right(await readFile(file, 'utf8'));
 	} catch (error) {
 		const message = error instanceof Error ? error.message : String(error);
 		return Left([{file, line: 1, message: `cannot be read: ${message}`}]);
--- /dev/null
+++ b/test/process/administration.test.ts
@@ -0,0 +1,128 @@
+import fc from 'fast-check';
+import {
+	beforeEach, describe, expect, it,
+} from 'vitest';
+import type {Table} from '../../src/platform/table.ts';
+import {Administration} from '../../src/process/administration/administration.ts';
+import type {Operator} from '../../src/process/administration/change-plans.ts';
+import {ConfigurationWriter} from '../../src/process/administration/configuration-writer.ts';
+import {hashKey} from '../../src/process/key-directory.ts';
+import {MemoryObjectStore} from '../../src/stand-ins/platform/memory-object-store.ts';
+import {MemoryTable} from '../../src/stand-ins/platform/memory-table.ts';
+import {parseContract, type Contract} from '../../src/version/contract.ts';
+import {extract, succeed} from '../either.ts';
+import {FaultyTable, type CallFault} from '../fixtures/faulty-table.ts';
+
+const operator: Operator = {name: 'ana', digest: hashKey('operator-key')};
+const contractOf = (share: number): Contract =>
+	parseContract(`[contract]\ncustomer = tuul\nshare = ${share}\n`, 'c.ini').unsafeCoerce();
+let table: MemoryTable;
+let administration: Administration;
+
+async function createTable(): Promise<MemoryTable> {
+	const created = new MemoryTable();
+	await succeed(new Administration(created, new MemoryObjectStore()).createFirstOperator('ana', 'operator-key', 'first'));
+	return created;
+}
+
+beforeEach(async () => {
+	table = await createTable();
+	administration = new Administration(table, new MemoryObjectStore());
+});
+
+describe('Administration', () => {
+	it('writes contract, head, change and change id in one version', async () => {
+		const made = await succeed(administration.putContract(operator, contractOf(40), {base: 0, changeId: 'c1'}));
+		expect(made).toEqual({changeId: 'c1', version: 2});
+		expect(await extract(administration.getContract('tuul'))).toMatchObject({version: 2, contract: {share: 40}});
+		const changes = await succeed(table.query('change'));
+		expect(changes.map(row => row.key.sort)).toEqual(['000000000001', '000000000002']);
+	});
+
+	// Of two operators who start from the same version the second must not undo the first unseen.
+	it('names the other change to the second of two conflicting operators', async () => {
+		await succeed(administration.putContract(operator, contractOf(40), {base: 0, changeId: 'c1'}));
+		await succeed(administration.putContract(operator, contractOf(41), {base: 2, changeId: 'c2'}));
+		expect(await extract(administration.putContract(operator, contractOf(50), {base: 2, changeId: 'c3'}))).toEqual({
+			kind: 'refused',
+			message: 'change c2 by operator "ana" has put the contract at version 3; this change was made against version 2',
+		});
+	});
+
+	it('writes nothing when a change id is used again', async () => {
+		await succeed(administration.putContract(operator, contractOf(40), {base: 0, changeId: 'c1'}));
+		expect(await succeed(administration.putContract(operator, contractOf(40), {base: 2, changeId: 'c1'})))
+			.toEqual({changeId: 'c1', version: 2});
+		expect(await succeed(table.query('change'))).toHaveLength(2);
+	});
+
+	it('keeps keys as digests only', async () => {
+		await succeed(administration.putContract(operator, contractOf(40), {base: 0, changeId: 'c1'}));
+		await succeed(administration.putKey(operator, {kind: 'customer', customer: 'tuul', state: 'active'}, 'caller-key', 'k1'));
+		const rows = [];
+		for (const partition of ['key', 'change', 'contract', 'configuration', 'change-id']) {
+			rows.push(...await succeed(table.query(partition)));
+		}
+
+		expect(JSON.stringify(rows)).not.toMatch(/caller-key|operator-key/v);
+		expect(JSON.stringify(rows)).toContain(hashKey('caller-key'));
+	});
+
+	it.each([
+		['an unknown operator', 'the operator key is not known or was revoked', async () =>
+			administration.putContract({name: 'eve', digest: hashKey('eve')}, contractOf(1), {base: 0, changeId: 'x'})],
+		['a second first operator', 'there is an operator key already', async () =>
+			administration.createFirstOperator('eve', 'other', 'x')],
+		['the revocation of the last operator key', 'this is the last active operator key', async () =>
+			administration.revokeKey(operator, operator.digest, 'x')],
+		['a key of a customer without a contract', 'customer "nobody" has no contract', async () =>
+			administration.putKey(operator, {kind: 'customer', customer: 'nobody', state: 'active'}, 'k', 'x')],
+	])('refuses %s', async (_, message, run) => {
+		const result = await run();
+		expect(result.extract()).toEqual({kind: 'refused', message});
+	});
+
+	it('refuses a revoked operator', async () => {
+		await succeed(administration.putKey(operator, {kind: 'operator', name: 'ben', state: 'active'}, 'ben', 'k1'));
+		await succeed(administration.revokeKey(operator, hashKey('ben'), 'k2'));
+		const ben = {name: 'ben', digest: hashKey('ben')};
+		expect(await extract(administration.putContract(ben, contractOf(1), {base: 0, changeId: 'x'}))).toMatchObject({kind: 'refused'});
+	});
+});
+
+/** Runs two concurrent puts under a schedule of faults; returns how each ended, and what the table holds. */
+async function runPuts(faults: readonly CallFault[], createWriter: (table: Table) => ConfigurationWriter) {
+	const inner = await createTable();
+	const schedule = [...faults];
+	const faulty = new FaultyTable(inner, call => {
+		const fault = schedule.shift() ?? 'none';
+		return call === 'read' && fault !== 'unavailable' ? 'none' : fault;
+	});
+	const writer = createWriter(faulty);
+	const run = async (changeId: string, share: number) =>
+		new Administration(faulty, new MemoryObjectStore(), writer).putContract(operator, contractOf(share), {base: 0, changeId});
+	const results = await Promise.all([run('c1', 40), run('c2', 50)]);
+	await faulty.deliverLate();
+	const changes = await succeed(inner.query('change'));
+	const written = changes.map(row => (JSON.parse(row.body) as {readonly changeId: string}).changeId);
+	return {results, written};
+}
+
+describe('ConfigurationWriter under faults', () => {
+	const fault = fc.constantFrom<CallFault>('none', 'none', 'unavailable', 'lost-before', 'lost-after', 'late');
+
+	// A lost answer must not make a command write twice, or report as refused what was written.
+	it('writes each change at most once and reports it truthfully', async () => {
+		await fc.assert(fc.asyncProperty(fc.array(fault, {maxLength: 24}), async faults => {
+			const {results, written} = await runPuts(faults, inner => new ConfigurationWriter(inner, async () => undefined));
+			expect(new Set(written).size).toBe(written.length);
+			for (const [index, changeId] of ['c1', 'c2'].entries()) {
+				const result = results[index]!;
+				const kind = result.isRight() ? 'made' : (result.extract() as {readonly kind: string}).kind;
+				if (kind !== 'unknown') {
+					expect(written.includes(changeId)).toBe(kind === 'made');
+				}
+			}
+		}), {numRuns: 300, seed: 7});
+	});
+});
