Run the engine stand-in on the engine model

Cause: the first engine stand-in answered each request on its own, without batching, priorities, cache, KV memory or faults. Change: a driver runs the engine model in real time; cancel, resume, KV export and import, late load reports, late and gapped cache events, crash by prompt, leaving state and truncated streams, all settable over HTTP.

--- a/src/stand-ins/engine/engine-server.ts
+++ b/src/stand-ins/engine/engine-server.ts
@@ -1,54 +1,123 @@
 import {randomUUID} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
+import {SystemClock} from '../../process/clock.ts';
 import {
 	noFaults, readText, sendAnswer, StandInServer, type CommonFaults,
 } from '../stand-in-server.ts';
-
-/** Speed and model of the engine stand-in. */
+import {CacheEventLog, type PublicationFaults} from './cache-event-log.ts';
+import {parseCompletionInput} from './completion-input.ts';
+import {createWork, runCompletion} from './completions.ts';
+import {EngineDriver} from './engine-driver.ts';
+import {EngineModel, type EngineModelOptions} from './engine-model.ts';
+import {KvStore, type KvExport} from './kv-store.ts';
+import {LoadReport} from './load-report.ts';
+
+/** Model and speed of the engine stand-in. */
 export type EngineOptions = {
 	readonly id: string;
 	readonly model: string;
-	/** Time to process one prompt token, in milliseconds. @default 0.05 */
-	readonly prefillMsPerToken?: number;
-	/** Time between two generated tokens, in milliseconds. @default 5 */
-	readonly decodeMsPerToken?: number;
+	/** Speed and memory. @default a step of 5 ms and 0.05 ms a prompt token */
+	readonly speed?: EngineModelOptions;
 };
 
 /** Faults of an engine. */
-export type EngineFaults = CommonFaults;
+export type EngineFaults = CommonFaults & PublicationFaults & {
+	/** Multiplies the time of each step. */
+	readonly slowdown: number;
+	/** Age of the reported load, in milliseconds. */
+	readonly reportLagMs: number;
+	/** Crashes the engine when a prompt contains this text; empty for none. */
+	readonly crashOn: string;
+	/** Time without service after a crash, in milliseconds. */
+	readonly restartMs: number;
+	/** Refuses new work and says that the engine is leaving. */
+	readonly leaving: boolean;
+	/** Ends streams without their end mark after this number of tokens; 0 never does. */
+	readonly truncateAfterTokens: number;
+};
 
-type CompletionInput = {
-	readonly model: string;
-	readonly stream?: boolean;
-	readonly max_tokens?: number;
-	readonly messages?: ReadonlyArray<{readonly role: string; readonly content: string}>;
-	readonly prompt?: string;
+const healthy: EngineFaults = {
+	...noFaults,
+	slowdown: 1,
+	reportLagMs: 0,
+	eventDelayMs: 0,
+	dropEvery: 0,
+	crashOn: '',
+	restartMs: 1000,
+	leaving: false,
+	truncateAfterTokens: 0,
 };
 
-const defaultMaxTokens = 16;
-const charactersPerToken = 4;
+const defaultSpeed: EngineModelOptions = {stepBaseMs: 5, stepPerSequenceMs: 0.1, prefillMsPerToken: 0.05};
 
-/** Stand-in for a model engine: OpenAI API with answers at token pace. */
-export class EngineServer extends StandInServer {
-	readonly #options: EngineOptions;
-	#running = 0;
+const leavingHeaders = {'wagtailtack-leaving': 'true'};
 
-	constructor(options: EngineOptions) {
-		super(noFaults);
+/** Stand-in for a model engine: OpenAI API over the engine model in real time. */
+export class EngineServer extends StandInServer<EngineFaults> {
+	readonly #options: EngineOptions;
+	readonly #clock = new SystemClock();
+	readonly #cacheEvents = new CacheEventLog(this.#clock);
+	readonly #kv = new KvStore();
+	readonly #report: LoadReport;
+	#driver: EngineDriver;
+	#crashes = 0;
+
+	constructor(options: EngineOptions, faults: Partial<EngineFaults> = {}) {
+		super({...healthy, ...faults});
 		this.#options = options;
+		this.#driver = this.#createDriver();
+		this.#report = new LoadReport(this.#clock, () => this.#driver.load);
+	}
+
+	/** Number of crashes so far. */
+	get crashes(): number {
+		return this.#crashes;
+	}
+
+	override setFaults(faults: Partial<EngineFaults>): void {
+		super.setFaults(faults);
+		if (faults.slowdown !== undefined) {
+			this.#driver.setSlowdown(faults.slowdown);
+		}
+	}
+
+	/** Ends all requests and connections and refuses service for the restart time. */
+	crash(): void {
+		this.#crashes += 1;
+		this.#driver[Symbol.dispose]();
+		this.#driver = this.#createDriver();
+		this.setFaults({down: true});
+		this.server.closeAllConnections();
+		setTimeout(() => {
+			this.setFaults({down: false});
+		}, this.faults.restartMs).unref();
+	}
+
+	override async [Symbol.asyncDispose](): Promise<void> {
+		this.#report[Symbol.dispose]();
+		this.#driver[Symbol.dispose]();
+		await super[Symbol.asyncDispose]();
 	}
 
 	protected async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		switch (`${request.method} ${request.url}`) {
+		const {pathname, searchParams} = new URL(request.url ?? '/', 'http://engine');
+		switch (`${request.method} ${pathname}`) {
 			case 'GET /healthz': {
-				sendAnswer(response, {status: 200, body: {status: 'ok'}});
+				sendAnswer(response, this.faults.leaving
+					? {status: 503, headers: leavingHeaders, body: {status: 'leaving'}}
+					: {status: 200, body: {status: 'ok'}});
 				return;
 			}
 
 			case 'GET /metrics': {
 				response.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
-				response.end(`engine_running_requests ${this.#running}\n`);
+				response.end(this.#report.format(this.faults.reportLagMs));
+				return;
+			}
+
+			case 'GET /cache-events': {
+				sendAnswer(response, {status: 200, body: this.#cacheEvents.read(Number(searchParams.get('after') ?? 0), this.faults)});
 				return;
 			}
 
@@ -63,6 +132,19 @@
 				return;
 			}
 
+			case 'POST /kv/export': {
+				await this.#exportKv(request, response);
+				return;
+			}
+
+			case 'POST /kv/import': {
+				const kv = JSON.parse(await readText(request)) as KvExport;
+				await delay(this.#driver.kvTransferMs(kv.promptTokens));
+				this.#kv.import(kv);
+				sendAnswer(response, {status: 200, body: kv});
+				return;
+			}
+
 			default: {
 				sendAnswer(response, {status: 404, body: {error: {code: 'not_found', message: 'unknown path'}}});
 			}
@@ -70,55 +152,52 @@
 	}
 
 	async #complete(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const input = JSON.parse(await readText(request)) as CompletionInput;
-		this.#running += 1;
-		try {
-			await (input.stream === true ? this.#stream(input, response) : this.#answer(input, response));
-		} finally {
-			this.#running -= 1;
+		const input = parseCompletionInput(await readText(request));
+		if (this.faults.leaving) {
+			sendAnswer(response, {status: 503, headers: leavingHeaders, body: {error: {code: 'leaving', message: 'The engine is leaving.'}}});
+			return;
 		}
-	}
 
-	async #stream(input: CompletionInput, response: ServerResponse): Promise<void> {
-		const id = `chatcmpl-${randomUUID()}`;
-		await delay(this.#prefillMs(input));
-		response.writeHead(200, {'content-type': 'text/event-stream'});
-		for (let index = 0; index < outputTokens(input) && !response.destroyed; index += 1) {
-			const choice = {index: 0, delta: {content: `token${index} `}, finish_reason: null};
-			const chunk = {
-				id, object: 'chat.completion.chunk', model: input.model, choices: [choice],
-			};
-			response.write(`data: ${JSON.stringify(chunk)}\n\n`);
-			await delay(this.#options.decodeMsPerToken ?? 5);
+		if (this.faults.crashOn !== '' && input.text.includes(this.faults.crashOn)) {
+			this.crash();
+			return;
 		}
 
-		response.end('data: [DONE]\n\n');
+		const isChat = request.url?.startsWith('/v1/chat/') ?? false;
+		await runCompletion(this.#driver, input, {
+			id: `${isChat ? 'chatcmpl' : 'cmpl'}-${randomUUID()}`,
+			priority: request.headers['x-priority'] === '1' ? 1 : 0,
+			kvImported: this.#kv.take(input.kvHandle, input.promptTokens),
+			truncateAfterTokens: this.faults.truncateAfterTokens,
+			isChat,
+		}, response);
 	}
 
-	async #answer(input: CompletionInput, response: ServerResponse): Promise<void> {
-		const tokens = outputTokens(input);
-		await delay(this.#prefillMs(input) + (tokens * (this.#options.decodeMsPerToken ?? 5)));
-		const content = Array.from({length: tokens}, (_, index) => `token${index} `).join('');
-		const choice = {index: 0, message: {role: 'assistant', content}, finish_reason: 'stop'};
-		const usage = {prompt_tokens: promptTokens(input), completion_tokens: tokens};
-		sendAnswer(response, {
-			status: 200,
-			body: {
-				id: `chatcmpl-${randomUUID()}`, object: 'chat.completion', model: input.model, choices: [choice], usage,
-			},
+	/** Processes a prompt, then hands out its KV cache. */
+	async #exportKv(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const input = {...parseCompletionInput(await readText(request)), outputTokens: 1};
+		const work = createWork(input, {
+			id: randomUUID(), priority: 0, kvImported: false, truncateAfterTokens: 0, isChat: false,
 		});
+		const isAccepted = this.#driver.submit(work, event => {
+			if (event.kind === 'finished') {
+				sendAnswer(response, {status: 200, body: this.#kv.export(input.promptTokens)});
+			}
+		});
+		if (!isAccepted) {
+			sendAnswer(response, {status: 503, body: {error: {code: 'not_accepted', message: 'The engine takes no work now.'}}});
+		}
 	}
 
-	#prefillMs(input: CompletionInput): number {
-		return promptTokens(input) * (this.#options.prefillMsPerToken ?? 0.05);
-	}
-}
-
-function outputTokens(input: CompletionInput): number {
-	return input.max_tokens ?? defaultMaxTokens;
-}
+	#createDriver(): EngineDriver {
+		const model = new EngineModel({...defaultSpeed, ...this.#options.speed, tokenEvents: true});
+		const driver = new EngineDriver(model, this.#clock, event => {
+			this.#cacheEvents.record(event);
+		});
+		if (this.faults.slowdown !== 1) {
+			driver.setSlowdown(this.faults.slowdown);
+		}
 
-function promptTokens(input: CompletionInput): number {
-	const text = input.prompt ?? (input.messages ?? []).map(message => message.content).join(' ');
-	return Math.ceil(text.length / charactersPerToken);
+		return driver;
+	}
 }
--- /dev/null
+++ b/src/stand-ins/engine/load-report.ts
@@ -0,0 +1,47 @@
+import type {Clock} from '../../process/clock.ts';
+import type {EngineLoad} from './engine-work.ts';
+
+const sampleIntervalMs = 100;
+const keptMs = 60_000;
+
+/** Samples the load of an engine and reports it with a lag. */
+export class LoadReport implements Disposable {
+	readonly #clock: Clock;
+	readonly #read: () => EngineLoad;
+	readonly #timer: NodeJS.Timeout;
+	#samples: ReadonlyArray<{readonly at: number; readonly load: EngineLoad}>;
+
+	constructor(clock: Clock, read: () => EngineLoad) {
+		this.#clock = clock;
+		this.#read = read;
+		this.#samples = [{at: clock.now(), load: read()}];
+		this.#timer = setInterval(() => {
+			this.#sample();
+		}, sampleIntervalMs);
+	}
+
+	/** Formats the load as it was `lagMs` ago, as Prometheus text. */
+	format(lagMs: number): string {
+		const limit = this.#clock.now() - lagMs;
+		const load = lagMs === 0
+			? this.#read()
+			: (this.#samples.findLast(({at}) => at <= limit) ?? this.#samples[0]!).load;
+		return [
+			`engine_running_requests ${load.running}`,
+			`engine_waiting_requests ${load.waiting}`,
+			`engine_outstanding_tokens ${load.outstandingTokens}`,
+			`engine_kv_pieces_used ${load.kvPiecesUsed}`,
+			`engine_kv_pieces_total ${load.kvPiecesTotal}`,
+			'',
+		].join('\n');
+	}
+
+	[Symbol.dispose](): void {
+		clearInterval(this.#timer);
+	}
+
+	#sample(): void {
+		const now = this.#clock.now();
+		this.#samples = [...this.#samples.filter(({at}) => at > now - keptMs), {at: now, load: this.#read()}];
+	}
+}
