Let the service stand-in lose answers and leave

Cause: at-most-once execution can be tested only against a service that runs a request and then loses the answer. Change: faults loseAnswers, leaving and executionMs. Conclusion: the execution record counts runs that no caller saw.

--- a/src/stand-ins/service/service-server.ts
+++ b/src/stand-ins/service/service-server.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
-	noFaults, readText, sendAnswer, StandInServer,
+	noFaults, readText, sendAnswer, StandInServer, type CommonFaults,
 } from '../stand-in-server.ts';
 
 /** One execution at the plain service. */
@@ -11,12 +12,26 @@
 	readonly idempotencyKey?: string;
 };
 
+/** Faults of a plain service. */
+export type ServiceFaults = CommonFaults & {
+	/** Executes requests, then closes the connection without an answer. */
+	readonly loseAnswers: boolean;
+	/** Refuses new work and says that the service is leaving. */
+	readonly leaving: boolean;
+	/** Time to execute a request, in milliseconds. */
+	readonly executionMs: number;
+};
+
+const healthy: ServiceFaults = {
+	...noFaults, loseAnswers: false, leaving: false, executionMs: 0,
+};
+
 /** Stand-in for a plain service: records each execution and numbers it. */
-export class ServiceServer extends StandInServer {
+export class ServiceServer extends StandInServer<ServiceFaults> {
 	readonly #executions: Execution[] = [];
 
-	constructor() {
-		super(noFaults);
+	constructor(faults: Partial<ServiceFaults> = {}) {
+		super({...healthy, ...faults});
 	}
 
 	/** Executions in order. */
@@ -25,22 +40,38 @@
 	}
 
 	protected async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		if (request.url === '/healthz') {
-			sendAnswer(response, {status: 200, body: {status: 'ok'}});
+		if (request.url === '/executions') {
+			sendAnswer(response, {status: 200, body: this.#executions});
 			return;
 		}
 
-		if (request.url === '/executions') {
-			sendAnswer(response, {status: 200, body: this.#executions});
+		if (this.faults.leaving) {
+			sendAnswer(response, {status: 503, headers: {'wagtailtack-leaving': 'true'}, body: {status: 'leaving'}});
 			return;
 		}
 
+		if (request.url === '/healthz') {
+			sendAnswer(response, {status: 200, body: {status: 'ok'}});
+			return;
+		}
+
+		await this.#execute(request, response);
+	}
+
+	async #execute(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		const {method = 'GET', url: path = '/', headers} = request;
 		const body = await readText(request);
 		const key = headers['idempotency-key'];
 		this.#executions.push({
 			method, path, body, ...(typeof key === 'string' ? {idempotencyKey: key} : {}),
 		});
-		sendAnswer(response, {status: 200, body: {number: this.#executions.length, method, path}});
+		const {length: number} = this.#executions;
+		await delay(this.faults.executionMs);
+		if (this.faults.loseAnswers) {
+			request.socket.destroy();
+			return;
+		}
+
+		sendAnswer(response, {status: 200, body: {number, method, path}});
 	}
 }
