Apply configuration versions from the table and from peers

Cause: daemons read all key rows each second and had no version, so that a long store outage stopped new daemons and nothing kept a version from going back.

The object store setting is a base URL, as in the design.

Conclusion: a fresh daemon starts from peers while the store is down.

--- a/src/demo/local-deployment.ts
+++ b/src/demo/local-deployment.ts
@@ -1,5 +1,4 @@
 import type {Host} from '../platform/host-list.ts';
-import {hashKey} from '../process/key-directory.ts';
 import type {Log} from '../process/log.ts';
 import {createDaemon, type Daemon} from '../process/wiring.ts';
 import {EngineServer} from '../stand-ins/engine/engine-server.ts';
@@ -7,6 +6,7 @@
 import {PlatformServer} from '../stand-ins/platform/platform-server.ts';
 import {ServiceServer} from '../stand-ins/service/service-server.ts';
 import {parseSettings, type Settings} from '../version/settings.ts';
+import {seedConfiguration} from './seed-configuration.ts';
 
 /** Shape of a deployment on loopback. */
 export type LocalDeploymentOptions = {
@@ -47,9 +47,7 @@
 	const resources = new AsyncDisposableStack();
 	const platform = resources.use(new PlatformServer());
 	const {port: platformPort} = await platform.listen(loopback);
-	await platform.table.write([{
-		kind: 'put', key: {partition: 'key', sort: hashKey(demoKey)}, expected: 0, body: JSON.stringify({customer: 'demo'}),
-	}]);
+	await seedConfiguration(platform.table, platform.objects, [{customer: 'demo', key: demoKey}]);
 	const list: Host[] = [];
 	const engines: EngineServer[] = [];
 	const services: ServiceServer[] = [];
@@ -111,7 +109,7 @@
 		'peer-listen = 127.0.0.1:0',
 		'[platform]',
 		`table = http://127.0.0.1:${platformPort}`,
-		`objects = http://127.0.0.1:${platformPort}/objects`,
+		`objects = http://127.0.0.1:${platformPort}`,
 		`hosts = http://127.0.0.1:${hostsPort}/hosts`,
 		'[shutdown]',
 		'balancer-delay-ms = 0',
--- a/src/platform/object-store.ts
+++ b/src/platform/object-store.ts
@@ -36,7 +36,7 @@
 
 type Reply = {readonly status: number; readonly etag: string; readonly body: Uint8Array};
 
-/** Object store behind `GET`, `PUT` and `DELETE` of `<base URL>/<name>` with ETags. */
+/** Object store behind `GET`, `PUT` and `DELETE` of `<base URL>/objects/<name>` with ETags. */
 export class HttpObjectStore extends ObjectStore {
 	readonly #url: string;
 	readonly #timeoutMs: number;
@@ -77,7 +77,7 @@
 	): Promise<Either<ObjectFailure, Reply>> {
 		const path = name.split('/').map(part => encodeURIComponent(part)).join('/');
 		try {
-			const response = await request(`${this.#url}/${path}`, {
+			const response = await request(`${this.#url}/objects/${path}`, {
 				method, ...content, signal: AbortSignal.timeout(this.#timeoutMs),
 			});
 			const body = await response.body.bytes();
--- a/src/process/administration/snapshot-writer.ts
+++ b/src/process/administration/snapshot-writer.ts
@@ -5,6 +5,12 @@
 	entryKinds, formatSnapshot, headKey, parseEntry, parseHead, snapshotInterval, toSnapshotName, type ConfigurationDifference,
 } from '../../version/configuration.ts';
 
+/** Change rows that are kept below the newest snapshot. */
+const keptChanges = 1000;
+
+/** Changes in one deleting transaction; each takes two rows of at most 100. */
+const trimBatch = 50;
+
 /**
 Reads the whole configuration from the table.
 
@@ -38,5 +44,24 @@
 		// Later changes are in the entries already; the object's version is only a lower bound.
 		const text = formatSnapshot({...configuration, version});
 		await fromPromise(objects.put(toSnapshotName(version), new TextEncoder().encode(text)));
+		await fromPromise(trimChanges(table, version));
+	}).run();
+}
+
+/** Deletes change rows, and the ids of their changes, that are well below a snapshot. */
+async function trimChanges(table: Table, version: number): Promise<Either<StoreFailure, void>> {
+	return EitherAsync<StoreFailure, void>(async ({fromPromise}) => {
+		const rows = await fromPromise(table.query('change', {limit: 2 * snapshotInterval}));
+		const old = rows.filter(row => parseEntry(row.body).version <= version - keptChanges);
+		for (let start = 0; start < old.length; start += trimBatch) {
+			await fromPromise(table.write(old.slice(start, start + trimBatch).flatMap(row => [
+				{kind: 'delete', key: row.key, expected: row.revision},
+				{kind: 'delete', key: {partition: 'change-id', sort: parseChangeId(row.body)}, expected: 1},
+			])));
+		}
 	}).run();
 }
+
+function parseChangeId(body: string): string {
+	return (JSON.parse(body) as {readonly changeId: string}).changeId;
+}
--- a/src/process/cli/operator-options.ts
+++ b/src/process/cli/operator-options.ts
@@ -37,7 +37,7 @@
 /** Adds the options that reach the platform. */
 export function addOperatorOptions<Options>(yargs: Argv<Options>) {
 	return yargs
-		.option('platform', {type: 'string', describe: 'Base URL of the platform; objects are below /objects'})
+		.option('platform', {type: 'string', describe: 'Base URL of the table and the object store'})
 		.option('table-name', {type: 'string', default: 'wagtailtack', describe: 'Name of the table'})
 		.option('config', {type: 'string', describe: 'Settings file whose [platform] section is used', conflicts: 'platform'})
 		.option('operator-key-file', {type: 'string', describe: `File with the operator key; else ${operatorKeyVariable}`})
@@ -97,7 +97,7 @@
 async function resolveEndpoints(options: OperatorOptions) {
 	if (options.platform !== undefined) {
 		const base = options.platform.replace(/\/$/v, '');
-		return Right({table: base, objects: `${base}/objects`, 'table-name': options['table-name']});
+		return Right({table: base, objects: base, 'table-name': options['table-name']});
 	}
 
 	if (options.config === undefined) {
--- a/src/process/configuration-task.ts
+++ b/src/process/configuration-task.ts
@@ -1,74 +1,196 @@
-import type {Row, StoreFailure, Table} from '../platform/table.ts';
+import type {ObjectStore} from '../platform/object-store.ts';
+import type {Table} from '../platform/table.ts';
+import {parseHolder, type ConfigurationDifference, type ConfigurationEntry} from '../version/configuration.ts';
+import type {Contract} from '../version/contract.ts';
+import type {Clock} from './clock.ts';
+import {ConfigurationMachine} from './configuration/configuration-machine.ts';
+import type {PeerConfigurationSource} from './configuration/peer-configuration-source.ts';
+import {TableConfigurationSource, type TableRead} from './configuration/table-configuration-source.ts';
 import type {KeyDirectory} from './key-directory.ts';
 import type {Log} from './log.ts';
 import {Task} from './task.ts';
 
+/** What the task needs from the rest of the daemon. */
+export type ConfigurationTaskOptions = {
+	readonly log: Log;
+	readonly clock: Clock;
+	readonly table: Table;
+	readonly objects: ObjectStore;
+	readonly peers: PeerConfigurationSource;
+	/** True while this daemon is one of the two of its availability zone that read the table each second. */
+	readonly isPoller: () => boolean;
+	/** Told of each version that is applied. */
+	readonly onApplied?: (version: number) => void;
+	/** @default a machine with all checks */
+	readonly machine?: ConfigurationMachine;
+};
+
 type Message
-	= | {readonly kind: 'poll'}
-		| {readonly kind: 'read'; readonly rows: readonly Row[]}
-		| {readonly kind: 'failed'; readonly failure: StoreFailure};
+	= | {readonly kind: 'tick'}
+		| {readonly kind: 'table-read'; readonly since: number; readonly read: TableRead}
+		| {readonly kind: 'table-failed'; readonly failure: unknown}
+		| {readonly kind: 'peer-read'; readonly peer: string; readonly since: number; readonly difference: ConfigurationDifference}
+		| {readonly kind: 'peer-failed'; readonly peer: string; readonly failure: unknown};
 
-const pollIntervalMs = 1000;
+const tickIntervalMs = 1000;
 
-/** Keeps the keys of the platform's table in force in this daemon. */
+/** Keeps the newest configuration in force in this daemon, from the platform's table or from peers. */
 export class ConfigurationTask extends Task<Message> {
-	readonly #table: Table;
-	#keys: KeyDirectory = new Map();
-	#isLoaded = false;
+	readonly #options: ConfigurationTaskOptions;
+	readonly #source: TableConfigurationSource;
+	readonly #machine: ConfigurationMachine;
+	readonly #keys = new Map<string, string>();
+	readonly #contracts = new Map<string, Contract>();
+
+	constructor(options: ConfigurationTaskOptions) {
+		super(options.log);
+		this.#options = options;
+		this.#source = new TableConfigurationSource(options.table, options.objects);
+		this.#machine = options.machine ?? new ConfigurationMachine();
+	}
 
-	constructor(log: Log, table: Table) {
-		super(log);
-		this.#table = table;
+	/** Version in force; 0 before the first. */
+	get version(): number {
+		return this.#machine.version;
 	}
 
-	/** Keys in force. */
+	/** Customers' keys in force. */
 	get keys(): KeyDirectory {
 		return this.#keys;
 	}
 
-	/** True once a configuration has been read. */
+	/** Contracts in force by customer. */
+	get contracts(): ReadonlyMap<string, Contract> {
+		return this.#contracts;
+	}
+
+	/** True once a configuration is in force. */
 	get isLoaded(): boolean {
-		return this.#isLoaded;
+		return this.#machine.version > 0;
 	}
 
-	/** Starts polling at once and then each second. */
+	/** Entries above a version, for a peer that asks. */
+	differenceSince(version: number): ConfigurationDifference {
+		return this.#machine.differenceSince(version);
+	}
+
+	/** Starts reading at once and then each second. */
 	run(): void {
-		this.start({message: {kind: 'poll'}, intervalMs: pollIntervalMs});
+		this.start({message: {kind: 'tick'}, intervalMs: tickIntervalMs});
+	}
+
+	/** Looks at the peers' versions now; called when one of them may have risen. */
+	noticePeers(): void {
+		this.post({kind: 'tick'});
 	}
 
 	protected receive(message: Message): void {
 		switch (message.kind) {
-			case 'poll': {
-				void this.#read();
+			case 'tick': {
+				this.#pull();
 				return;
 			}
 
-			case 'read': {
-				this.#keys = new Map(message.rows.map(row => [row.key.sort, parseCustomer(row.body)]));
-				this.#isLoaded = true;
+			case 'table-read': {
+				const {read: {head, difference}, since} = message;
+				const isApplied = difference === undefined || this.#accept(difference, since);
+				this.#machine.endTableRead(!isApplied || this.#machine.version >= head);
+				this.#pull();
 				return;
 			}
 
-			case 'failed': {
-				this.log.warn('The configuration cannot be read.', {failure: message.failure});
+			case 'table-failed': {
+				this.#machine.endTableRead(true);
+				this.log.warn('The configuration cannot be read from the table.', {failure: message.failure});
+				return;
+			}
+
+			case 'peer-read': {
+				this.#machine.endPeerPull(message.peer, true);
+				this.#accept(message.difference, message.since);
+				this.#pull();
+				return;
+			}
+
+			case 'peer-failed': {
+				this.#machine.endPeerPull(message.peer, false);
+				this.log.warn('The configuration cannot be pulled from a peer.', {peer: message.peer, failure: message.failure});
 			}
 		}
 	}
 
-	async #read(): Promise<void> {
-		const result = await this.#table.query('key');
-		result.caseOf({
-			Left: failure => {
-				this.post({kind: 'failed', failure});
-			},
-			Right: rows => {
-				this.post({kind: 'read', rows});
-			},
-		});
+	#pull(): void {
+		const now = this.#options.clock.now();
+		const pull = this.#machine.startPeerPull(now, this.#options.peers.peers());
+		if (pull !== undefined) {
+			void this.#pullFromPeer(pull.peer, pull.since);
+		}
+
+		if (this.#machine.startTableRead(now, this.#options.isPoller())) {
+			void this.#readTable(this.#machine.version);
+		}
 	}
-}
 
-function parseCustomer(body: string): string {
-	const {customer} = JSON.parse(body) as {readonly customer: string};
-	return customer;
+	async #readTable(since: number): Promise<void> {
+		try {
+			const result = await this.#source.read(since);
+			result.caseOf({
+				Left: failure => {
+					this.post({kind: 'table-failed', failure});
+				},
+				Right: read => {
+					this.post({kind: 'table-read', since, read});
+				},
+			});
+		} catch (error) {
+			this.post({kind: 'table-failed', failure: String(error)});
+		}
+	}
+
+	async #pullFromPeer(peer: string, since: number): Promise<void> {
+		try {
+			const result = await this.#options.peers.pull(peer, since);
+			result.caseOf({
+				Left: failure => {
+					this.post({kind: 'peer-failed', peer, failure});
+				},
+				Right: difference => {
+					this.post({
+						kind: 'peer-read', peer, since, difference,
+					});
+				},
+			});
+		} catch (error) {
+			this.post({kind: 'peer-failed', peer, failure: String(error)});
+		}
+	}
+
+	#accept(difference: ConfigurationDifference, since: number): boolean {
+		const acceptance = this.#machine.accept(difference, since);
+		if (acceptance.kind !== 'applied') {
+			return false;
+		}
+
+		for (const entry of acceptance.entries) {
+			this.#apply(entry);
+		}
+
+		this.log.info('Configuration applied.', {version: this.#machine.version, entries: acceptance.entries.length});
+		this.#options.onApplied?.(this.#machine.version);
+		return true;
+	}
+
+	#apply({kind, name, body}: ConfigurationEntry): void {
+		if (kind === 'contract') {
+			this.#contracts.set(name, JSON.parse(body) as Contract);
+			return;
+		}
+
+		const holder = parseHolder(body);
+		if (holder.kind === 'customer' && holder.state === 'active') {
+			this.#keys.set(name, holder.customer);
+		} else {
+			this.#keys.delete(name);
+		}
+	}
 }
--- /dev/null
+++ b/src/process/configuration/peer-configuration-source.ts
@@ -0,0 +1,28 @@
+import type {Either} from 'purify-ts';
+import type {ConfigurationDifference} from '../../version/configuration.ts';
+
+/** A peer and the configuration version that it has reported. */
+export type PeerConfiguration = {
+	readonly peer: string;
+	readonly version: number;
+};
+
+/** Peers of the daemon as sources of the configuration. */
+export abstract class PeerConfigurationSource {
+	/** Lists the peers that seem alive. */
+	abstract peers(): readonly PeerConfiguration[];
+
+	/** Pulls what a peer has above a version, within the source's own time limit; a failure is a short message. */
+	abstract pull(peer: string, since: number): Promise<Either<string, ConfigurationDifference>>;
+}
+
+/** No peers. */
+export class NoPeerConfigurationSource extends PeerConfigurationSource {
+	peers(): readonly PeerConfiguration[] {
+		return [];
+	}
+
+	async pull(): Promise<never> {
+		throw new Error('there are no peers');
+	}
+}
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -3,9 +3,12 @@
 import {closeAbruptly, listen} from '../connection/http-listener.ts';
 import {DynamoTable} from '../platform/dynamo-table.ts';
 import {HttpHostList, type Host} from '../platform/host-list.ts';
+import {HttpObjectStore} from '../platform/object-store.ts';
 import type {Call} from '../request/call.ts';
 import type {Settings} from '../version/settings.ts';
 import {parseAddress, type Address} from './address.ts';
+import {SystemClock} from './clock.ts';
+import {NoPeerConfigurationSource} from './configuration/peer-configuration-source.ts';
 import {ConfigurationTask} from './configuration-task.ts';
 import {HostListPoller} from './host-list-poller.ts';
 import type {Log} from './log.ts';
@@ -27,7 +30,15 @@
 		tableName: settings.platform['table-name'],
 	}));
 	const hostList = resources.use(new HostListPoller(log.part('hosts'), new HttpHostList(settings.platform.hosts)));
-	const configuration = resources.use(new ConfigurationTask(log.part('configuration'), table));
+	const clock = new SystemClock();
+	const configuration = resources.use(new ConfigurationTask({
+		log: log.part('configuration'),
+		clock,
+		table,
+		objects: new HttpObjectStore(settings.platform.objects),
+		peers: new NoPeerConfigurationSource(),
+		isPoller: () => true,
+	}));
 	const dispatcher = resources.adopt(new Agent({headersTimeout: 0, bodyTimeout: 0}), async agent => agent.destroy());
 	const isReady = () => configuration.isLoaded && hostList.hosts.length > 0;
 	const front = new RequestFront({
--- a/test/platform/object-store-contract.test.ts
+++ b/test/platform/object-store-contract.test.ts
@@ -8,7 +8,7 @@
 
 const kinds = [
 	{name: 'MemoryObjectStore', create: () => new MemoryObjectStore()},
-	{name: 'HttpObjectStore', create: (url: string) => new HttpObjectStore(`${url}/objects`, 250)},
+	{name: 'HttpObjectStore', create: (base: string) => new HttpObjectStore(base, 250)},
 ];
 const text = (content: string) => new TextEncoder().encode(content);
 let platform: PlatformServer;
@@ -55,7 +55,7 @@
 
 describe('HttpObjectStore under faults', () => {
 	it('reports unknown when the connection breaks and unavailable when nobody listens', async () => {
-		const store = new HttpObjectStore(`${url}/objects`, 250);
+		const store = new HttpObjectStore(url, 250);
 		platform.setFaults({objectsDown: true});
 		expect(await extract(store.put('a', text('one')))).toMatchObject({kind: 'unknown'});
 		await platform[Symbol.asyncDispose]();
--- /dev/null
+++ b/test/process/configuration/configuration-task.test.ts
@@ -0,0 +1,292 @@
+import fc from 'fast-check';
+import {Right, type Either} from 'purify-ts';
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import {seedConfiguration, seedOperatorKey} from '../../../src/demo/seed-configuration.ts';
+import {
+	type Row, type RowKey, type StoreFailure, Table,
+} from '../../../src/platform/table.ts';
+import {Administration} from '../../../src/process/administration/administration.ts';
+import {Clock} from '../../../src/process/clock.ts';
+import {ConfigurationTask} from '../../../src/process/configuration-task.ts';
+import {ConfigurationMachine} from '../../../src/process/configuration/configuration-machine.ts';
+import {PeerConfigurationSource} from '../../../src/process/configuration/peer-configuration-source.ts';
+import {hashKey} from '../../../src/process/key-directory.ts';
+import {createLog} from '../../../src/process/log.ts';
+import {MemoryObjectStore} from '../../../src/stand-ins/platform/memory-object-store.ts';
+import {MemoryTable} from '../../../src/stand-ins/platform/memory-table.ts';
+import type {ConfigurationDifference} from '../../../src/version/configuration.ts';
+import {parseContract} from '../../../src/version/contract.ts';
+import {succeed} from '../../either.ts';
+
+const zones = ['zone-a', 'zone-b'];
+const daemonsPerZone = 4;
+const inForceWithinMs = 5000;
+const silenceMs = 2000;
+const operator = {name: 'seed', digest: hashKey(seedOperatorKey)};
+const log = createLog('error', 'hidden');
+
+/** Clock that moves with the fake timers. */
+class FakeClock extends Clock {
+	now(): number {
+		return Date.now();
+	}
+}
+
+/** What is cut off now. */
+type Faults = {storeDown: boolean; partitioned: Set<string>};
+
+/** Table as one availability zone reaches it: a call into a partition stays silent, then fails. */
+class ReachedTable extends Table {
+	readonly #inner: Table;
+	readonly #isReached: () => boolean;
+
+	constructor(inner: Table, isReached: () => boolean) {
+		super();
+		this.#inner = inner;
+		this.#isReached = isReached;
+	}
+
+	async get(key: RowKey): Promise<Either<StoreFailure, Row | undefined>> {
+		await this.#pass();
+		return this.#inner.get(key);
+	}
+
+	async query(partition: string, options?: {readonly after?: string; readonly limit?: number}) {
+		await this.#pass();
+		return this.#inner.query(partition, options);
+	}
+
+	async write(): Promise<never> {
+		throw new Error('a daemon does not write the configuration');
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		// The inner table belongs to the test.
+	}
+
+	async #pass(): Promise<void> {
+		if (!this.#isReached()) {
+			await pause(silenceMs);
+			throw new Error('silent');
+		}
+	}
+}
+
+/** Peers whose versions become known by a heartbeat each second. */
+class HeartbeatPeers extends PeerConfigurationSource {
+	readonly versions = new Map<string, number>();
+	readonly #pullFrom: (peer: string, since: number) => Promise<ConfigurationDifference>;
+
+	constructor(pullFrom: (peer: string, since: number) => Promise<ConfigurationDifference>) {
+		super();
+		this.#pullFrom = pullFrom;
+	}
+
+	peers() {
+		return [...this.versions].map(([peer, version]) => ({peer, version}));
+	}
+
+	async pull(peer: string, since: number) {
+		return Right(await this.#pullFrom(peer, since));
+	}
+}
+
+class Deployment implements AsyncDisposable {
+	readonly table = new MemoryTable();
+	readonly objects = new MemoryObjectStore();
+	readonly faults: Faults = {storeDown: false, partitioned: new Set()};
+	readonly tasks = new Map<string, {zone: string; task: ConfigurationTask; peers: HeartbeatPeers; applied: number[]}>();
+	readonly #createMachine: () => ConfigurationMachine;
+	#changes = 0;
+
+	constructor(createMachine = () => new ConfigurationMachine()) {
+		this.#createMachine = createMachine;
+	}
+
+	async start(): Promise<void> {
+		await seedConfiguration(this.table, this.objects, [{customer: 'tuul', key: 'caller-key'}]);
+		for (const zone of zones) {
+			for (let index = 0; index < daemonsPerZone; index += 1) {
+				this.add(`${zone}-${index}`, zone, index < 2);
+			}
+		}
+	}
+
+	add(id: string, zone: string, isPoller: boolean): ConfigurationTask {
+		const peers = new HeartbeatPeers(async (peer, since) => {
+			await pause(this.#isConnected(zone, this.tasks.get(peer)!.zone) ? 1 : silenceMs);
+			return this.#isConnected(zone, this.tasks.get(peer)!.zone)
+				? this.tasks.get(peer)!.task.differenceSince(since)
+				: Promise.reject(new Error('silent'));
+		});
+		const applied: number[] = [];
+		const task = new ConfigurationTask({
+			log,
+			clock: new FakeClock(),
+			table: new ReachedTable(this.table, () => !this.faults.storeDown && !this.faults.partitioned.has(zone)),
+			objects: this.objects,
+			peers,
+			isPoller: () => isPoller,
+			onApplied(version) {
+				applied.push(version);
+			},
+			machine: this.#createMachine(),
+		});
+		this.tasks.set(id, {
+			zone, task, peers, applied,
+		});
+		task.run();
+		return task;
+	}
+
+	/** Puts a new share in force, as an operator who reaches the store. */
+	async change(): Promise<void> {
+		this.#changes += 1;
+		const administration = new Administration(this.table, this.objects);
+		const current = await succeed(administration.getContract('tuul'));
+		const contract = parseContract(`[contract]\ncustomer = tuul\nshare = ${this.#changes + 1}\n`, 'c').unsafeCoerce();
+		await succeed(administration.putContract(operator, contract, {base: current?.version ?? 0, changeId: `change ${this.#changes}`}));
+	}
+
+	/** Advances time; each second every daemon hears the versions of its zone and of one other zone's daemon. */
+	async advance(milliseconds: number): Promise<void> {
+		for (let passed = 0; passed < milliseconds; passed += 500) {
+			await vi.advanceTimersByTimeAsync(500);
+			if (passed % 1000 === 0) {
+				this.#exchangeHeartbeats();
+			}
+		}
+	}
+
+	versions(): ReadonlySet<number> {
+		return new Set([...this.tasks.values()].map(({task}) => task.version));
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		for (const {task} of this.tasks.values()) {
+			await task[Symbol.asyncDispose]();
+		}
+	}
+
+	#exchangeHeartbeats(): void {
+		for (const receiver of this.tasks.values()) {
+			for (const [id, sender] of this.tasks) {
+				const isHeard = sender.zone === receiver.zone || id.endsWith('-0');
+				if (sender !== receiver && isHeard && this.#isConnected(sender.zone, receiver.zone)) {
+					receiver.peers.versions.set(id, sender.task.version);
+				}
+			}
+
+			receiver.task.noticePeers();
+		}
+	}
+
+	#isConnected(from: string, to: string): boolean {
+		return from === to || !(this.faults.partitioned.has(from) || this.faults.partitioned.has(to));
+	}
+}
+
+async function pause(milliseconds: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, milliseconds);
+	});
+}
+
+/** Runs steps with faults, then heals; returns versions that went back, and whether all daemons caught up in time. */
+async function runSchedule(steps: readonly Step[], createMachine?: () => ConfigurationMachine) {
+	await using deployment = new Deployment(createMachine);
+	await deployment.start();
+	await deployment.advance(3000);
+	for (const {kind, zone, durationMs} of steps) {
+		if (kind === 'change') {
+			await deployment.change();
+		} else if (kind === 'store') {
+			deployment.faults.storeDown = !deployment.faults.storeDown;
+		} else if (!deployment.faults.partitioned.delete(zone)) {
+			deployment.faults.partitioned.add(zone);
+		}
+
+		await deployment.advance(durationMs);
+	}
+
+	deployment.faults.storeDown = false;
+	deployment.faults.partitioned.clear();
+	await deployment.advance(inForceWithinMs);
+	const head = await succeed(deployment.table.query('change'));
+	const wentBack = [...deployment.tasks.values()].filter(({applied}) => applied.some((version, index) => version <= (applied[index - 1] ?? 0)));
+	const shares = new Set([...deployment.tasks.values()].map(({task}) => task.contracts.get('tuul')?.share));
+	return {
+		wentBack: wentBack.length, versions: deployment.versions(), expected: head.length, shares,
+	};
+}
+
+type Step = {readonly kind: 'change' | 'store' | 'partition'; readonly zone: string; readonly durationMs: number};
+
+const step: fc.Arbitrary<Step> = fc.record({
+	kind: fc.constantFrom('change', 'change', 'store', 'partition'),
+	zone: fc.constantFrom(...zones),
+	durationMs: fc.integer({min: 1, max: 6}).map(seconds => seconds * 500),
+});
+
+describe('ConfigurationTask', () => {
+	beforeEach(() => {
+		vi.useFakeTimers();
+	});
+
+	afterEach(() => {
+		vi.useRealTimers();
+	});
+
+	// P9: an accepted version is in force everywhere within 5 s of paths existing, and none goes back.
+	it('brings every version everywhere within 5 s after outages and partitions', async () => {
+		await fc.assert(fc.asyncProperty(fc.array(step, {maxLength: 10}), async steps => {
+			const {wentBack, versions, expected, shares} = await runSchedule(steps);
+			expect(wentBack).toBe(0);
+			expect(versions).toEqual(new Set([expected]));
+			expect(shares.size).toBe(1);
+		}), {numRuns: 25, seed: 11});
+	});
+
+	it('reaches other daemons through peers while the store is down', async () => {
+		await using deployment = new Deployment();
+		await deployment.start();
+		await deployment.advance(3000);
+		await deployment.change();
+		await deployment.advance(1500);
+		deployment.faults.storeDown = true;
+		await deployment.advance(inForceWithinMs - 1500);
+		expect(deployment.versions()).toEqual(new Set([4]));
+	});
+
+	// A fresh daemon that waited for the store would leave its zone without entry during a long outage.
+	it('starts from peers while the store is down, and is not ready before', async () => {
+		await using deployment = new Deployment();
+		await deployment.start();
+		await deployment.advance(3000);
+		deployment.faults.storeDown = true;
+		const fresh = deployment.add('fresh', 'zone-a', true);
+		await deployment.advance(500);
+		expect(fresh.isLoaded).toBe(false);
+		await deployment.advance(inForceWithinMs);
+		expect(fresh.version).toBe(3);
+		expect(fresh.keys.get(hashKey('caller-key'))).toBe('tuul');
+	});
+
+	it('reads a snapshot when it is far behind, and forgets a revoked key', async () => {
+		await using deployment = new Deployment();
+		await deployment.start();
+		for (let count = 0; count < 620; count += 1) {
+			await deployment.change();
+		}
+
+		const administration = new Administration(deployment.table, deployment.objects);
+		await succeed(administration.revokeKey(operator, hashKey('caller-key'), 'revoke'));
+		const fresh = deployment.add('fresh', 'zone-a', true);
+		await deployment.advance(inForceWithinMs);
+		expect(fresh.version).toBe(624);
+		expect(fresh.contracts.get('tuul')?.share).toBe(621);
+		expect(fresh.keys.size).toBe(0);
+	});
+});
--- a/test/separate-processes.test.ts
+++ b/test/separate-processes.test.ts
@@ -1,8 +1,9 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {request} from 'undici';
 import {describe, expect, it} from 'vitest';
+import {seedConfiguration} from '../src/demo/seed-configuration.ts';
 import {DynamoTable} from '../src/platform/dynamo-table.ts';
-import {hashKey} from '../src/process/key-directory.ts';
+import {HttpObjectStore} from '../src/platform/object-store.ts';
 import {spawnCommand} from './fixtures/spawned-process.ts';
 
 describe('separate processes', () => {
@@ -18,9 +19,7 @@
 serves = press
 `);
 		await using table = new DynamoTable({endpoint: platform.url, tableName: 'wagtailtack'});
-		await table.write([{
-			kind: 'put', key: {partition: 'key', sort: hashKey('secret')}, expected: 0, body: '{"customer":"tuul"}',
-		}]);
+		await seedConfiguration(table, new HttpObjectStore(platform.url), [{customer: 'tuul', key: 'secret'}]);
 		await using daemon = await spawnCommand(['serve'], `[daemon]
 id = a1
 availability-zone = zone-a
