Claim unrepeatable requests in the platform's table

Cause: a request with an idempotency key had no claim, so that a resend could run a booking twice.

Change: pure resolution of a claim's row; a store that writes a claim before dispatch, settles an unknown outcome by the token in the row and else answers 503 as not run while it fences the claim in the background; answers up to 64 KiB in the row, larger ones as objects; completion, release and abandonment retried in the background and on shutdown; group commit; a bounded sweeper. A release writes a released row in place of a delete: revisions start over after a delete, so that a late delete could remove the claim of a resend.

--- /dev/null
+++ b/src/process/claims/claim-settler.ts
@@ -0,0 +1,180 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import type {ObjectStore} from '../../platform/object-store.ts';
+import type {RowKey, Table} from '../../platform/table.ts';
+import {parseClaimRecord, type ClaimRecord} from '../../request/claim.ts';
+import type {Log} from '../log.ts';
+import type {WriteBatcher} from './write-batcher.ts';
+
+/** A record that is to replace the daemon's own claim. */
+export type Settlement = {
+	readonly key: RowKey;
+	readonly record: ClaimRecord;
+	/** Revision that the row had when last known. */
+	readonly revision: number;
+	/** Body that is to be stored under the record's object name first. */
+	readonly objectBody?: Uint8Array;
+};
+
+/** What the settler needs from the rest of the daemon. */
+export type ClaimSettlerOptions = {
+	readonly log: Log;
+	readonly table: Table;
+	readonly objects: ObjectStore;
+	readonly batcher: WriteBatcher;
+	readonly wait?: (milliseconds: number) => Promise<unknown>;
+	/** Time limit of the last attempts on shutdown in milliseconds. @default 10000 */
+	readonly shutdownMs?: number;
+};
+
+type Attempt = {readonly kind: 'settled'} | {readonly kind: 'open'; readonly settlement: Settlement};
+
+const retryIntervalMs = 1000;
+const defaultShutdownMs = 10_000;
+const heldBytesLimit = 32 * 1024 * 1024;
+
+/** Writes the ends of claims, in the background while the store does not take them. */
+export class ClaimSettler implements AsyncDisposable {
+	readonly #options: ClaimSettlerOptions;
+	readonly #wait: (milliseconds: number) => Promise<unknown>;
+	readonly #open = new Set<Settlement>();
+	#heldBytes = 0;
+	#isRetrying = false;
+	#isStopped = false;
+
+	constructor(options: ClaimSettlerOptions) {
+		this.#options = options;
+		this.#wait = options.wait ?? (async milliseconds => delay(milliseconds, undefined, {ref: false}));
+	}
+
+	/** Claims whose end is not yet written. */
+	get open(): number {
+		return this.#open.size;
+	}
+
+	/** Tries to write an end once; what fails is read back and tried again in the background. */
+	async settle(settlement: Settlement): Promise<void> {
+		if (!await this.#write(settlement)) {
+			this.defer(settlement);
+		}
+	}
+
+	/** Leaves an end to the background. */
+	defer(settlement: Settlement): void {
+		this.#hold(this.#degrade(settlement));
+		void this.#retry();
+	}
+
+	/** Tries each open end once. */
+	async retryOnce(): Promise<void> {
+		await Promise.all([...this.#open].map(async settlement => {
+			const attempt = await this.#attempt(settlement);
+			this.#drop(settlement);
+			if (attempt.kind === 'open') {
+				this.#hold(attempt.settlement);
+			}
+		}));
+	}
+
+	/** Tries until nothing is open or the time limit is reached. */
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#isStopped = true;
+		const rounds = Math.ceil((this.#options.shutdownMs ?? defaultShutdownMs) / retryIntervalMs);
+		for (let round = 0; round < rounds && this.#open.size > 0; round += 1) {
+			await this.retryOnce();
+			await (this.#open.size > 0 ? this.#wait(retryIntervalMs) : undefined);
+		}
+
+		if (this.#open.size > 0) {
+			this.#options.log.warn('Claims end without a record.', {claims: this.#open.size});
+		}
+	}
+
+	async #retry(): Promise<void> {
+		if (this.#isRetrying) {
+			return;
+		}
+
+		this.#isRetrying = true;
+		while (this.#open.size > 0 && !this.#isStopped) {
+			await this.#wait(retryIntervalMs);
+			await (this.#isStopped ? undefined : this.retryOnce());
+		}
+
+		this.#isRetrying = false;
+	}
+
+	async #attempt(settlement: Settlement): Promise<Attempt> {
+		return await this.#write(settlement) ? {kind: 'settled'} : this.#readBack(settlement);
+	}
+
+	async #write(settlement: Settlement): Promise<boolean> {
+		const {key, record, revision} = settlement;
+		if (!await this.#storeObject(settlement)) {
+			return false;
+		}
+
+		const outcome = await this.#options.batcher.submit({
+			kind: 'put', key, expected: revision, body: JSON.stringify(record),
+		});
+		return outcome === 'written';
+	}
+
+	async #storeObject({record, objectBody}: Settlement): Promise<boolean> {
+		const object = record.answer?.object;
+		if (object === undefined || objectBody === undefined) {
+			return true;
+		}
+
+		const stored = await this.#options.objects.put(object, objectBody);
+		return stored.isRight();
+	}
+
+	/** After a write that failed: the row is settled when it holds the record, or another claim. */
+	async #readBack(settlement: Settlement): Promise<Attempt> {
+		const read = await this.#options.table.get(settlement.key);
+		return read.caseOf<Attempt>({
+			Left: () => ({kind: 'open', settlement}),
+			Right(row) {
+				const current = row === undefined ? undefined : parseClaimRecord(row.body);
+				if (row === undefined || current === undefined) {
+					return settlement.revision === 0 ? {kind: 'open', settlement} : {kind: 'settled'};
+				}
+
+				const {record, revision} = settlement;
+				if (current.token === record.token) {
+					return current.phase === record.phase
+						? {kind: 'settled'}
+						: {kind: 'open', settlement: {...settlement, revision: row.revision}};
+				}
+
+				// A row that has moved on refuses every write of this claim that may still be on its way.
+				return row.revision > revision ? {kind: 'settled'} : {kind: 'open', settlement};
+			},
+		});
+	}
+
+	/** Answers above the memory limit are not kept: their claims end as unknown. */
+	#degrade(settlement: Settlement): Settlement {
+		if (this.#heldBytes + sizeOf(settlement) <= heldBytesLimit) {
+			return settlement;
+		}
+
+		const {answer: _, ...record} = settlement.record;
+		return {key: settlement.key, revision: settlement.revision, record: {...record, phase: record.phase === 'done' ? 'unknown' : record.phase}};
+	}
+
+	#hold(settlement: Settlement): void {
+		this.#open.add(settlement);
+		this.#heldBytes += sizeOf(settlement);
+	}
+
+	#drop(settlement: Settlement): void {
+		if (this.#open.delete(settlement)) {
+			this.#heldBytes -= sizeOf(settlement);
+		}
+	}
+}
+
+function sizeOf({record, objectBody}: Settlement): number {
+	return (record.answer?.body?.length ?? 0) + (objectBody?.length ?? 0);
+}
--- /dev/null
+++ b/src/process/claims/claim-sweeper.ts
@@ -0,0 +1,81 @@
+import type {ObjectStore} from '../../platform/object-store.ts';
+import type {Row, Table} from '../../platform/table.ts';
+import {parseClaimRecord} from '../../request/claim.ts';
+import type {Log} from '../log.ts';
+import {Task} from '../task.ts';
+
+/** What the sweeper needs from the rest of the daemon. */
+export type ClaimSweeperOptions = {
+	readonly log: Log;
+	readonly table: Table;
+	readonly objects: ObjectStore;
+	/** True while this daemon is the one that sweeps. */
+	readonly isSweeper: () => boolean;
+	/** Wall time in milliseconds. */
+	readonly now: () => number;
+};
+
+type Message = {readonly kind: 'tick'};
+
+const sweepIntervalMs = 10_000;
+const rowsPerSweep = 100;
+const rowsPerDelete = 25;
+
+/** Time past its end after which a row is deleted, in milliseconds; no write of the claim is on its way by then. */
+const graceMs = 3_600_000;
+
+/** Deletes expired claims, a bounded number at each interval. */
+export class ClaimSweeper extends Task<Message> {
+	readonly #options: ClaimSweeperOptions;
+	#after: string | undefined;
+	#isSweeping = false;
+
+	constructor(options: ClaimSweeperOptions) {
+		super(options.log);
+		this.#options = options;
+	}
+
+	/** Starts sweeping at each interval. */
+	run(): void {
+		this.start({message: {kind: 'tick'}, intervalMs: sweepIntervalMs});
+	}
+
+	/** Looks at the next rows and deletes the expired ones; starts over after the last row. */
+	async sweep(): Promise<void> {
+		const {table, now} = this.#options;
+		const rows = await table.query('claim', {limit: rowsPerSweep, ...(this.#after === undefined ? {} : {after: this.#after})});
+		const found = rows.orDefault([]);
+		this.#after = found.length < rowsPerSweep ? undefined : found.at(-1)?.key.sort;
+		const expired = found.filter(row => parseClaimRecord(row.body).expiresAt + graceMs < now());
+		for (let start = 0; start < expired.length; start += rowsPerDelete) {
+			await this.#delete(expired.slice(start, start + rowsPerDelete));
+		}
+	}
+
+	protected receive(): void {
+		if (this.#options.isSweeper() && !this.#isSweeping) {
+			void this.#sweepSafely();
+		}
+	}
+
+	async #sweepSafely(): Promise<void> {
+		this.#isSweeping = true;
+		try {
+			await this.sweep();
+		} catch (error) {
+			this.log.error('Expired claims cannot be deleted.', error);
+		}
+
+		this.#isSweeping = false;
+	}
+
+	/** The object goes first, so that no failure leaves one that no row names. */
+	async #delete(rows: readonly Row[]): Promise<void> {
+		for (const row of rows) {
+			const object = parseClaimRecord(row.body).answer?.object;
+			await (object === undefined ? undefined : this.#options.objects.delete(object));
+		}
+
+		await this.#options.table.write(rows.map(({key, revision}) => ({kind: 'delete', key, expected: revision})));
+	}
+}
--- /dev/null
+++ b/src/process/claims/platform-claim-store.ts
@@ -0,0 +1,216 @@
+import {randomUUID} from 'node:crypto';
+import {Left, Right, type Either} from 'purify-ts';
+import type {ObjectStore} from '../../platform/object-store.ts';
+import type {RowKey, StoreFailure, Table} from '../../platform/table.ts';
+import type {CallerError} from '../../request/caller-error.ts';
+import {
+	Claim, ClaimStore, type ClaimGrant, type ClaimRequest, type StoredAnswer,
+} from '../../request/claim-store.ts';
+import {
+	claimLifetimeMs, parseClaimRecord, recordAnswer, resolveClaim, restoreAnswer, type ClaimPhase, type ClaimRecord, type ClaimResolution, type RecordedAnswer,
+} from '../../request/claim.ts';
+import type {ClaimSettler, Settlement} from './claim-settler.ts';
+import type {WriteBatcher} from './write-batcher.ts';
+
+/** Checks of the store; all are on except in tests that show what each of them prevents. */
+export type ClaimGuards = {
+	/** An unknown outcome is settled by the token in the row, not taken as a success. */
+	readonly readsBackByToken: boolean;
+	/** A claim is released before the caller is told that nothing ran. */
+	readonly releasesClaims: boolean;
+	/** A claim that may still be applied is fenced in the background. */
+	readonly fencesOpenClaims: boolean;
+};
+
+/** What the store needs from the rest of the daemon. */
+export type PlatformClaimStoreOptions = {
+	readonly table: Table;
+	readonly objects: ObjectStore;
+	readonly batcher: WriteBatcher;
+	readonly settler: ClaimSettler;
+	/** Name of this daemon, unlike that of its earlier processes. */
+	readonly daemon: string;
+	readonly isLive: (daemon: string) => boolean;
+	/** Wall time in milliseconds. */
+	readonly now: () => number;
+	/** @default a random UUID */
+	readonly createToken?: () => string;
+	readonly guards?: ClaimGuards;
+};
+
+const attemptLimit = 4;
+const rememberedKeys = 10_000;
+const allGuards: ClaimGuards = {readsBackByToken: true, releasesClaims: true, fencesOpenClaims: true};
+
+/** Claims in the platform's table. */
+export class PlatformClaimStore extends ClaimStore {
+	readonly #options: PlatformClaimStoreOptions;
+	readonly #guards: ClaimGuards;
+	/** Keys that this daemon may have dispatched, oldest first. */
+	readonly #dispatched = new Set<string>();
+
+	constructor(options: PlatformClaimStoreOptions) {
+		super();
+		this.#options = options;
+		this.#guards = options.guards ?? allGuards;
+	}
+
+	async claim(request: ClaimRequest): Promise<Either<CallerError, ClaimGrant>> {
+		const key = toClaimKey(request);
+		const record = this.#createRecord(request);
+		let revision = 0;
+		let isOpen = false;
+		for (let attempt = 0; attempt < attemptLimit; attempt += 1) {
+			const outcome = await this.#options.batcher.submit({
+				kind: 'put', key, expected: revision, body: JSON.stringify(record),
+			});
+			if (outcome === 'written' || (outcome === 'unknown' && !this.#guards.readsBackByToken)) {
+				return Right(this.#grant({key, record, revision: revision + 1}));
+			}
+
+			isOpen ||= outcome === 'unknown';
+			const resolution = outcome === 'unavailable' ? undefined : await this.#read(key, record);
+			if (resolution === undefined) {
+				break;
+			}
+
+			if (resolution.kind !== 'free') {
+				return this.#resolve({key, record, revision}, resolution);
+			}
+
+			revision = resolution.revision;
+		}
+
+		if (isOpen && this.#guards.fencesOpenClaims) {
+			this.#options.settler.defer({key, record: {...record, phase: 'released'}, revision});
+		}
+
+		return Left(this.#refuse(key));
+	}
+
+	#createRecord({digest}: ClaimRequest): ClaimRecord {
+		const {daemon, createToken = randomUUID, now} = this.#options;
+		return {
+			daemon, token: createToken(), digest, phase: 'claimed', expiresAt: now() + claimLifetimeMs,
+		};
+	}
+
+	/** Reads the row back; `undefined` when it cannot be read. */
+	async #read(key: RowKey, {digest, token}: ClaimRecord): Promise<ClaimResolution | undefined> {
+		const {table, isLive, now} = this.#options;
+		const result = await readSafely(table, key);
+		return result.map(row => resolveClaim(row && {revision: row.revision, record: parseClaimRecord(row.body)}, {
+			digest, token, now: now(), isLive,
+		})).toMaybe().extract();
+	}
+
+	async #resolve(
+		settlement: Settlement,
+		resolution: Exclude<ClaimResolution, {kind: 'free'}>,
+	): Promise<Either<CallerError, ClaimGrant>> {
+		switch (resolution.kind) {
+			case 'own': {
+				return Right(this.#grant({...settlement, revision: resolution.revision}));
+			}
+
+			case 'answered': {
+				return this.#load(resolution.answer);
+			}
+
+			case 'refused': {
+				return Left(resolution.error);
+			}
+		}
+	}
+
+	async #load(answer: RecordedAnswer): Promise<Either<CallerError, ClaimGrant>> {
+		if (answer.object === undefined) {
+			return Right({kind: 'answered', answer: restoreAnswer(answer)});
+		}
+
+		const object = await this.#options.objects.get(answer.object);
+		const body = object.toMaybe().extract()?.body;
+		return body === undefined
+			? Left(answerUnavailable)
+			: Right({kind: 'answered', answer: restoreAnswer(answer, body)});
+	}
+
+	#grant(settlement: Settlement): ClaimGrant {
+		const name = settlement.key.sort;
+		this.#dispatched.add(name);
+		if (this.#dispatched.size > rememberedKeys) {
+			const [oldest = name] = this.#dispatched;
+			this.#dispatched.delete(oldest);
+		}
+
+		const {settler} = this.#options;
+		return {
+			kind: 'granted',
+			claim: new PlatformClaim(settlement, settler, async () => {
+				this.#dispatched.delete(name);
+				await (this.#guards.releasesClaims ? settler.settle(withPhase(settlement, 'released')) : undefined);
+			}),
+		};
+	}
+
+	/** This submission was not dispatched; a key that this daemon has dispatched before may nevertheless have run. */
+	#refuse({sort}: RowKey): CallerError {
+		return {
+			status: 503,
+			code: 'claims_unavailable',
+			message: 'The request cannot be claimed now.',
+			ran: this.#dispatched.has(sort) ? 'unknown' : 'no',
+			retryAfterS: 1,
+		};
+	}
+}
+
+/** A claim that this daemon holds. */
+class PlatformClaim extends Claim {
+	readonly #settlement: Settlement;
+	readonly #settler: ClaimSettler;
+	readonly #release: () => Promise<void>;
+
+	constructor(settlement: Settlement, settler: ClaimSettler, release: () => Promise<void>) {
+		super();
+		this.#settlement = settlement;
+		this.#settler = settler;
+		this.#release = release;
+	}
+
+	async complete(stored: StoredAnswer): Promise<void> {
+		const {key, record} = this.#settlement;
+		const answer = recordAnswer(stored, `answer/${key.sort}/${record.token}`);
+		const settlement = withPhase(this.#settlement, 'done', answer);
+		await this.#settler.settle(answer.object === undefined ? settlement : {...settlement, objectBody: stored.body});
+	}
+
+	async release(): Promise<void> {
+		await this.#release();
+	}
+
+	async abandon(): Promise<void> {
+		await this.#settler.settle(withPhase(this.#settlement, 'unknown'));
+	}
+}
+
+const answerUnavailable: CallerError = {
+	status: 503, code: 'answer_unavailable', message: 'The request has run; its answer cannot be read now.', ran: 'yes', retryAfterS: 1,
+};
+
+function withPhase(settlement: Settlement, phase: ClaimPhase, answer?: RecordedAnswer): Settlement {
+	return {...settlement, record: {...settlement.record, phase, ...(answer === undefined ? {} : {answer})}};
+}
+
+/** Row of a claim; the customer's name has no "/", so that two customers never share a row. */
+export function toClaimKey({customer, idempotencyKey}: Pick<ClaimRequest, 'customer' | 'idempotencyKey'>): RowKey {
+	return {partition: 'claim', sort: `${customer}/${idempotencyKey}`};
+}
+
+async function readSafely(table: Table, key: RowKey) {
+	try {
+		return await table.get(key);
+	} catch (error) {
+		return Left<StoreFailure>({kind: 'unknown', message: String(error)});
+	}
+}
--- /dev/null
+++ b/test/process/claims/claim-parts.test.ts
@@ -0,0 +1,149 @@
+import {Left} from 'purify-ts';
+import {describe, expect, it} from 'vitest';
+import {ClaimSettler} from '../../../src/process/claims/claim-settler.ts';
+import {ClaimSweeper} from '../../../src/process/claims/claim-sweeper.ts';
+import {PlatformClaimStore, toClaimKey} from '../../../src/process/claims/platform-claim-store.ts';
+import {groupedWrites, WriteBatcher} from '../../../src/process/claims/write-batcher.ts';
+import {createLog} from '../../../src/process/log.ts';
+import type {RowWrite} from '../../../src/platform/table.ts';
+import type {Claim} from '../../../src/request/claim-store.ts';
+import {claimLifetimeMs} from '../../../src/request/claim.ts';
+import {MemoryObjectStore} from '../../../src/stand-ins/platform/memory-object-store.ts';
+import {MemoryTable} from '../../../src/stand-ins/platform/memory-table.ts';
+import {extract, succeed} from '../../either.ts';
+import {FaultyTable, type CallFault} from '../../fixtures/faulty-table.ts';
+
+const log = createLog('error', 'hidden');
+const put = (sort: string, expected = 0): RowWrite => ({
+	kind: 'put', key: {partition: 'p', sort}, expected, body: '{}',
+});
+const request = {customer: 'tuul', idempotencyKey: 'k', digest: 'd'};
+const answer = {status: 201, headers: {'content-type': 'text/plain'}, body: new TextEncoder().encode('booked')};
+
+class CountingTable extends MemoryTable {
+	readonly sizes: number[] = [];
+
+	override async write(writes: readonly RowWrite[]) {
+		this.sizes.push(writes.length);
+		return super.write(writes);
+	}
+}
+
+function createStore(table = new MemoryTable()) {
+	const objects = new MemoryObjectStore();
+	const faults: CallFault[] = [];
+	const faulty = new FaultyTable(table, () => faults.shift() ?? 'none');
+	const batcher = new WriteBatcher(faulty, groupedWrites, async () => undefined);
+	const settler = new ClaimSettler({
+		log, table: faulty, objects, batcher, wait: async () => Promise.withResolvers<void>().promise,
+	});
+	const store = new PlatformClaimStore({
+		table: faulty, objects, batcher, settler, daemon: 'a1', isLive: () => true, now: () => 0,
+	});
+	return {
+		store, settler, table, objects, faults,
+	};
+}
+
+async function claim(store: PlatformClaimStore): Promise<Claim> {
+	const grant = await succeed(store.claim(request));
+	return grant.kind === 'granted' ? grant.claim : expect.unreachable('not granted');
+}
+
+describe('WriteBatcher', () => {
+	it('commits writes that arrive together in one transaction of at most 25', async () => {
+		const table = new CountingTable();
+		const batcher = new WriteBatcher(table, groupedWrites, async () => undefined);
+		const outcomes = await Promise.all(Array.from({length: 30}, async (_, index) => batcher.submit(put(String(index)))));
+		expect(new Set(outcomes)).toEqual(new Set(['written']));
+		expect(table.sizes).toEqual([25, 5]);
+	});
+
+	// One conflicting claim must not refuse, or delay until another round trip by its caller, those beside it.
+	it('commits the others when some conflict, also two writes of one row', async () => {
+		const table = new MemoryTable();
+		await table.write([put('b')]);
+		const batcher = new WriteBatcher(table, groupedWrites, async () => undefined);
+		const [first, second, ...same] = await Promise.all(['a', 'b', 'c', 'c'].map(async sort => batcher.submit(put(sort))));
+		expect([first, second]).toEqual(['written', 'conflict']);
+		// Which of two writes of one row comes first is open.
+		expect(same.toSorted()).toEqual(['conflict', 'written']);
+	});
+
+	it.each(['unavailable', 'unknown'] as const)('passes %s on to every write of the group', async kind => {
+		class FailingTable extends MemoryTable {
+			override async write() {
+				return Left({kind, message: 'down'});
+			}
+		}
+		const batcher = new WriteBatcher(new FailingTable(), groupedWrites, async () => undefined);
+		expect(await Promise.all(['a', 'b'].map(async sort => batcher.submit(put(sort))))).toEqual([kind, kind]);
+	});
+});
+
+describe('a completed claim', () => {
+	it.each([6, 200_000])('gives a resend the stored answer of %i bytes', async size => {
+		const {store} = createStore();
+		const held = await claim(store);
+		const body = new Uint8Array(size).fill(7);
+		await held.complete({...answer, body});
+		const resent = await succeed(store.claim(request));
+		expect(resent).toMatchObject({kind: 'answered', answer: {status: 201, headers: answer.headers}});
+		expect(resent).toHaveProperty('answer.body.length', size);
+	});
+
+	// An answer that cannot be written at once must not be lost, and the request must not run again meanwhile.
+	it('is written in the background while the store is down, and on shutdown', async () => {
+		const {store, settler, faults} = createStore();
+		const held = await claim(store);
+		faults.push('unavailable');
+		await held.complete(answer);
+		expect(settler.open).toBe(1);
+		expect(await extract(store.claim(request))).toMatchObject({code: 'in_progress', ran: 'unknown'});
+		await settler[Symbol.asyncDispose]();
+		expect(settler.open).toBe(0);
+		expect(await extract(store.claim(request))).toMatchObject({kind: 'answered'});
+	});
+
+	it('answers that it ran while its stored body cannot be read', async () => {
+		const {store, objects, table} = createStore();
+		const held = await claim(store);
+		await held.complete({...answer, body: new Uint8Array(100_000)});
+		const row = await succeed(table.get(toClaimKey(request)));
+		const {answer: stored} = JSON.parse(row!.body) as {readonly answer: {readonly object: string}};
+		await objects.delete(stored.object);
+		expect(await extract(store.claim(request))).toMatchObject({code: 'answer_unavailable', ran: 'yes'});
+	});
+});
+
+describe('a refused claim', () => {
+	it('is told as not run while the store is down, unless this daemon has dispatched the key', async () => {
+		const {store, faults} = createStore();
+		faults.push('unavailable');
+		expect(await extract(store.claim(request))).toMatchObject({status: 503, code: 'claims_unavailable', ran: 'no'});
+		await claim(store);
+		faults.push('unavailable');
+		expect(await extract(store.claim(request))).toMatchObject({code: 'claims_unavailable', ran: 'unknown'});
+	});
+});
+
+describe('ClaimSweeper', () => {
+	// Rows that are never deleted fill the table; one deleted too early lets a booking run twice.
+	it('deletes expired claims and their objects only', async () => {
+		const {store, table, objects} = createStore();
+		const held = await claim(store);
+		await held.complete({...answer, body: new Uint8Array(100_000)});
+		const row = await succeed(table.get(toClaimKey(request)));
+		const {answer: stored} = JSON.parse(row!.body) as {readonly answer: {readonly object: string}};
+		let now = claimLifetimeMs;
+		const sweeper = new ClaimSweeper({
+			log, table, objects, isSweeper: () => true, now: () => now,
+		});
+		await sweeper.sweep();
+		expect(await succeed(table.query('claim'))).toHaveLength(1);
+		now = 2 * claimLifetimeMs;
+		await sweeper.sweep();
+		expect(await succeed(table.query('claim'))).toHaveLength(0);
+		expect(await succeed(objects.get(stored.object))).toBeUndefined();
+	});
+});
