--- /dev/null
+++ b/src/connection/caller-server.ts
@@ -0,0 +1,92 @@
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import type {Duplex} from 'node:stream';
+import {
+	createRefusal, formatCallerError, ranHeader, type CallerError,
+} from '../request/caller-error.ts';
+import {headerCountLimit} from '../request/intake.ts';
+
+/** Limits on what callers' connections may take. */
+export type CallerServerOptions = {
+	/** Largest head of a request, in bytes. */
+	readonly headerBytes: number;
+	/** Connections open at the same time; more are closed at once. @default 8192 */
+	readonly connections?: number;
+	/** Limit on receiving a request's head, in milliseconds. @default 10_000 */
+	readonly headTimeoutMs?: number;
+	/** Limit on receiving a whole request, in milliseconds. @default 60_000 */
+	readonly requestTimeoutMs?: number;
+	/** Time that a connection may be idle between requests, longer than balancers keep theirs, in milliseconds. @default 75_000 */
+	readonly idleTimeoutMs?: number;
+	/** Interval between two checks of these limits, in milliseconds. @default 1000 */
+	readonly checkIntervalMs?: number;
+};
+
+const tcpKeepAliveDelayMs = 30_000;
+
+const malformedRequest = createRefusal(400, 'malformed_request', 'The request is not valid HTTP.');
+const parserRefusals: Readonly<Record<string, CallerError>> = {
+
+	HPE_HEADER_OVERFLOW: createRefusal(431, 'headers_too_large', 'The head of the request is too large.'),
+	HPE_CHUNK_EXTENSIONS_OVERFLOW: createRefusal(413, 'body_too_large', 'The chunk extensions are too large.'),
+	ERR_HTTP_REQUEST_TIMEOUT: createRefusal(408, 'request_timeout', 'The request did not arrive in time.'),
+
+};
+
+/** Creates the server for callers; requests that are not valid HTTP are refused without reaching the handler's upstreams. */
+export function createCallerServer(
+	options: CallerServerOptions,
+	handle: (request: IncomingMessage, response: ServerResponse) => void,
+): Server {
+	const open = new WeakMap<Duplex, Set<ServerResponse>>();
+	const server = createServer({
+		maxHeaderSize: options.headerBytes,
+		headersTimeout: options.headTimeoutMs ?? 10_000,
+		requestTimeout: options.requestTimeoutMs ?? 60_000,
+		keepAliveTimeout: options.idleTimeoutMs ?? 75_000,
+		connectionsCheckingInterval: options.checkIntervalMs ?? 1000,
+		keepAlive: true,
+		keepAliveInitialDelay: tcpKeepAliveDelayMs,
+		insecureHTTPParser: false,
+	}, (request, response) => {
+		trackResponse(open, request, response);
+		handle(request, response);
+	});
+	server.maxConnections = options.connections ?? 8192;
+	server.maxHeadersCount = headerCountLimit;
+	server.on('clientError', (error: Error & {readonly code?: string}, socket) => {
+		refuseMalformed(socket, open.get(socket), parserRefusals[error.code ?? ''] ?? malformedRequest);
+	});
+	return server;
+}
+
+function trackResponse(open: WeakMap<Duplex, Set<ServerResponse>>, {socket}: IncomingMessage, response: ServerResponse): void {
+	const responses = open.get(socket) ?? new Set();
+	open.set(socket, responses);
+	responses.add(response);
+	response.once('close', () => {
+		responses.delete(response);
+	});
+}
+
+/** Answers with an error, unless another request of the connection is being served, whose answer it would corrupt. */
+function refuseMalformed(socket: Duplex, responses: ReadonlySet<ServerResponse> | undefined, error: CallerError): void {
+	const isServing = [...responses ?? []].some(response => response.req.complete || response.headersSent);
+	if (isServing || !socket.writable) {
+		socket.destroy();
+		return;
+	}
+
+	const body = formatCallerError(error);
+	const head = [
+		`HTTP/1.1 ${error.status} Refused`,
+		'Content-Type: application/json',
+		`Content-Length: ${body.length}`,
+		`${ranHeader}: ${error.ran}`,
+		'Connection: close',
+	].join('\r\n');
+	socket.end(`${head}\r\n\r\n${body}`, () => {
+		socket.destroy();
+	});
+}
--- /dev/null
+++ b/src/process/metrics.ts
@@ -0,0 +1,104 @@
+import {
+	collectDefaultMetrics, Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import type {Host} from '../platform/host-list.ts';
+import {AttemptListener, type AttemptEnd, type AttemptStart} from '../request/attempt-listener.ts';
+import type {RunState} from '../request/caller-error.ts';
+
+/** A request that has ended, as metrics count it. */
+export type EndedRequest = {
+	readonly kind: 'model' | 'service' | 'none';
+	readonly customer: string | undefined;
+	/** Stable code of the error, or `ok`. */
+	readonly code: string;
+	readonly ran: RunState;
+	readonly firstByteMs?: number;
+	readonly totalMs: number;
+};
+
+const otherLabel = 'other';
+const customerLabels = 20;
+const servesLabels = 64;
+const secondsBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.74, 1, 2.5, 5, 10, 30, 60];
+
+/** Metrics of one daemon; each label has a bounded set of values. */
+export class Metrics extends AttemptListener {
+	readonly #registry = new Registry();
+	readonly #customers = new Set<string>();
+	readonly #serves = new Set<string>();
+	readonly #requests = new Counter({
+		name: 'wagtailtack_requests_total', help: 'Requests that ended', labelNames: ['kind', 'code', 'ran'], registers: [this.#registry],
+	});
+
+	readonly #customerRequests = new Counter({
+		name: 'wagtailtack_customer_requests_total', help: 'Requests of the first customers seen, and of all others together', labelNames: ['customer'], registers: [this.#registry],
+	});
+
+	readonly #attempts = new Counter({
+		name: 'wagtailtack_attempts_total', help: 'Attempts at upstreams', labelNames: ['serves', 'outcome'], registers: [this.#registry],
+	});
+
+	readonly #openAttempts = new Gauge({name: 'wagtailtack_open_attempts', help: 'Attempts that are running', registers: [this.#registry]});
+
+	readonly #firstByte = new Histogram({
+		name: 'wagtailtack_first_byte_seconds', help: 'Time from admission to the first byte of the answer', labelNames: ['kind'], buckets: secondsBuckets, registers: [this.#registry],
+	});
+
+	readonly #duration = new Histogram({
+		name: 'wagtailtack_request_seconds', help: 'Time from the head of a request to its end', labelNames: ['kind'], buckets: secondsBuckets, registers: [this.#registry],
+	});
+
+	constructor() {
+		super();
+		collectDefaultMetrics({register: this.#registry});
+	}
+
+	/** Registry to which other components add their metrics. */
+	get registry(): Registry {
+		return this.#registry;
+	}
+
+	/** Counts a request that has ended. */
+	requestEnded({kind, customer, code, ran, firstByteMs, totalMs}: EndedRequest): void {
+		this.#requests.inc({kind, code, ran});
+		this.#duration.observe({kind}, totalMs / 1000);
+		if (firstByteMs !== undefined) {
+			this.#firstByte.observe({kind}, firstByteMs / 1000);
+		}
+
+		if (customer !== undefined) {
+			this.#customerRequests.inc({customer: boundLabel(this.#customers, customer, customerLabels)});
+		}
+	}
+
+	attemptStarted(): void {
+		this.#openAttempts.inc();
+	}
+
+	attemptEnded({upstream}: AttemptStart, {outcome}: AttemptEnd): void {
+		this.#openAttempts.dec();
+		this.#attempts.inc({serves: this.#servesLabel(upstream), outcome});
+	}
+
+	/** Formats all metrics as Prometheus text. */
+	async format(): Promise<{readonly contentType: string; readonly text: string}> {
+		return {contentType: this.#registry.contentType, text: await this.#registry.metrics()};
+	}
+
+	#servesLabel({serves}: Host): string {
+		return boundLabel(this.#serves, serves, servesLabels);
+	}
+}
+
+function boundLabel(known: Set<string>, value: string, limit: number): string {
+	if (known.has(value)) {
+		return value;
+	}
+
+	if (known.size >= limit) {
+		return otherLabel;
+	}
+
+	known.add(value);
+	return value;
+}
--- a/src/process/request-front.ts
+++ b/src/process/request-front.ts
@@ -1,118 +1,177 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Dispatcher} from 'undici';
-import type {Host} from '../platform/host-list.ts';
-import {sendAttempt} from '../request/attempt.ts';
-import {resolveCall, type Call} from '../request/call.ts';
-import {createRefusal, sendCallerError, type CallerError} from '../request/caller-error.ts';
-import {relayAnswer} from '../request/relay.ts';
-import {readBody} from '../request/request-body.ts';
+import type {Tracer} from '@opentelemetry/api';
+import {
+	createRefusal, ranHeader, sendCallerError, type CallerError,
+} from '../request/caller-error.ts';
+import {watchCaller, watchDeadline} from '../request/cancellation.ts';
+import {
+	parseHead, resolveIntake, type Intake, type RequestHead,
+} from '../request/intake.ts';
+import {readBody, type BodyLimits, type RequestBody} from '../request/request-body.ts';
+import {RequestPipeline, type PipelineOutcome, type RequestPipelineOptions} from '../request/request-pipeline.ts';
+import {RequestTrace} from '../request/request-trace.ts';
 import {resolveCustomer, type KeyDirectory} from './key-directory.ts';
 import type {Log} from './log.ts';
+import type {Metrics} from './metrics.ts';
+import {serveOperationalRoute} from './operational-routes.ts';
 
 /** What the front needs from the rest of the daemon. */
-export type RequestFrontOptions = {
+export type RequestFrontOptions = RequestPipelineOptions & {
 	readonly log: Log;
-	readonly dispatcher: Dispatcher;
-	readonly bodyLimit: number;
+	readonly metrics: Metrics;
+	readonly tracer: Tracer;
+	readonly bodyLimits: BodyLimits;
+	/** Requests served at the same time; more are refused. @default 4096 */
+	readonly openRequestLimit?: number;
 	/** Keys in force. */
 	readonly keys: () => KeyDirectory;
-	/** Live upstreams that serve a model or a plain service. */
-	readonly upstreams: (call: Call) => readonly Host[];
+	/** Models that live engines serve. */
+	readonly models: () => readonly string[];
 	/** True once the daemon may take requests. */
 	readonly isReady: () => boolean;
 };
 
+/** One request at the front. */
+type Exchange = {
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly startMs: number;
+};
+
+/** What is known of a request when it ends. */
+type Ending = Partial<PipelineOutcome> & {
+	readonly customer?: string;
+	readonly intake?: Intake;
+};
+
+const defaultOpenRequestLimit = 4096;
+
 /** Takes callers' requests to upstreams and the answers back. */
 export class RequestFront {
 	readonly #options: RequestFrontOptions;
-	readonly #outstanding = new Map<string, number>();
+	readonly #pipeline: RequestPipeline;
+	#openRequests = 0;
 
 	constructor(options: RequestFrontOptions) {
 		this.#options = options;
+		this.#pipeline = new RequestPipeline(options);
+	}
+
+	/** Requests that are being served. */
+	get openRequests(): number {
+		return this.#openRequests;
 	}
 
 	/** Handles one request from start to end; never rejects. */
 	async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		response.on('error', () => {
+			response.destroy();
+		});
+		this.#openRequests += 1;
 		try {
-			const error = await this.#serve(request, response);
-			if (error !== undefined) {
-				sendCallerError(response, error);
+			if (!await serveOperationalRoute(request.url ?? '/', response, this.#options)) {
+				await this.#serve({request, response, startMs: this.#options.clock.now()});
 			}
 		} catch (error) {
-			this.#options.log.warn('An answer was cut.', {message: error instanceof Error ? error.message : String(error)});
 			response.destroy();
+			if (request.complete) {
+				this.#options.log.error('A request failed.', error);
+			}
+		} finally {
+			this.#openRequests -= 1;
 		}
 	}
 
-	async #serve(request: IncomingMessage, response: ServerResponse): Promise<CallerError | undefined> {
-		const {method = 'GET', url = '/'} = request;
-		if (url === '/healthz') {
-			response.end('ok\n');
+	async #serve(exchange: Exchange): Promise<void> {
+		const customer = resolveCustomer(this.#options.keys(), exchange.request.headers.authorization);
+		const head = parseHead(exchange.request);
+		const refusal = this.#findRefusal(customer);
+		if (refusal !== undefined || customer === undefined) {
+			this.#finish(exchange, {error: refusal});
 			return;
 		}
 
-		if (url === '/readyz') {
-			response.statusCode = this.#options.isReady() ? 200 : 503;
-			response.end();
-			return;
-		}
+		const ending = await head.caseOf<Ending | Promise<Ending>>({
+			Left: error => ({error}),
+			Right: async value => this.#serveHead(exchange, value, customer),
+		});
+		this.#finish(exchange, {...ending, customer});
+	}
 
-		if (resolveCustomer(this.#options.keys(), request.headers.authorization) === undefined) {
+	#findRefusal(customer: string | undefined): CallerError | undefined {
+		if (customer === undefined) {
 			return createRefusal(401, 'invalid_key', 'The bearer key is missing or not known.');
 		}
 
-		const body = await readBody(request, this.#options.bodyLimit);
-		const call = body.chain(bytes => resolveCall(method, url, bytes).map(resolved => ({resolved, bytes})));
-		return call.caseOf<CallerError | undefined | Promise<CallerError | undefined>>({
-			Left: error => error,
-			Right: async ({resolved, bytes}) => this.#forward(request, response, resolved, bytes),
-		});
+		return this.#openRequests > (this.#options.openRequestLimit ?? defaultOpenRequestLimit)
+			? createRefusal(503, 'overloaded', 'Too many requests are open.', 1)
+			: undefined;
 	}
 
-	async #forward(
-		request: IncomingMessage,
-		response: ServerResponse,
-		call: Call,
-		body: Uint8Array,
-	): Promise<CallerError | undefined> {
-		const upstream = this.#leastOutstanding(this.#options.upstreams(call));
-		if (upstream === undefined) {
-			return createRefusal(503, 'no_upstream', 'No upstream serves this request now.', 1);
+	async #serveHead(exchange: Exchange, head: RequestHead, customer: string): Promise<Ending> {
+		if (head.url === '/v1/models') {
+			this.#sendModels(exchange.response);
+			return {};
 		}
 
-		const abort = new AbortController();
-		response.once('close', () => {
-			abort.abort();
+		const body = await readBody(exchange.request, this.#options.bodyLimits);
+		return body.caseOf<Ending | Promise<Ending>>({
+			Left: error => ({error}),
+			Right: async value => this.#serveBody(exchange, head, value, customer),
 		});
-		this.#count(upstream, 1);
-		try {
-			const {method = 'GET', headers} = request;
-			const sent = await sendAttempt(this.#options.dispatcher, `http://${upstream.address}`, {
-				method, path: call.path, headers, body,
-			}, abort.signal);
-			return await sent.caseOf<CallerError | undefined | Promise<undefined>>({
-				Left: failure => ({
-					status: 502, code: 'upstream_failed', message: 'The upstream failed.', ran: failure.ran,
-				}),
-				async Right(answer) {
-					await relayAnswer(answer, response);
-					return undefined;
-				},
-			});
-		} finally {
-			this.#count(upstream, -1);
-		}
 	}
 
-	#leastOutstanding(upstreams: readonly Host[]): Host | undefined {
-		return upstreams.toSorted((a, b) => this.#outstandingOf(a) - this.#outstandingOf(b))[0];
+	async #serveBody(exchange: Exchange, head: RequestHead, body: RequestBody, customer: string): Promise<Ending> {
+		using _body = body;
+		const intake = resolveIntake(head, body, {customer, nowMs: exchange.startMs});
+		const ending = await intake.caseOf<Ending | Promise<Ending>>({
+			Left: error => ({error}),
+			Right: async value => ({...await this.#runPipeline(exchange, value), intake: value}),
+		});
+		return ending;
+	}
+
+	async #runPipeline({request, response, startMs}: Exchange, intake: Intake): Promise<PipelineOutcome> {
+		const {head} = intake;
+		const controller = new AbortController();
+		const passedMs = this.#options.clock.now() - startMs;
+		using _caller = watchCaller(request, response, controller);
+		using _deadline = watchDeadline(head.remainingMs === undefined ? undefined : head.remainingMs - passedMs, controller);
+		using trace = new RequestTrace(this.#options.tracer, head.headers, head.requestId);
+		const outcome = await this.#pipeline.run({
+			intake, response, signal: controller.signal, trace,
+		});
+		trace.setAttributes({attempts: outcome.attempts, code: outcome.error?.code ?? 'ok', ran: outcome.error?.ran ?? 'yes'});
+		if (outcome.error !== undefined) {
+			trace.fail(outcome.error.code);
+		}
+
+		return outcome;
 	}
 
-	#outstandingOf(upstream: Host): number {
-		return this.#outstanding.get(upstream.id) ?? 0;
+	#sendModels(response: ServerResponse): void {
+		const data = this.#options.models().map(id => ({id, object: 'model', owned_by: 'wagtailtack'}));
+		response.writeHead(200, {'content-type': 'application/json', [ranHeader]: 'yes'});
+		response.end(JSON.stringify({object: 'list', data}));
 	}
 
-	#count(upstream: Host, change: number): void {
-		this.#outstanding.set(upstream.id, this.#outstandingOf(upstream) + change);
+	#finish({request, response, startMs}: Exchange, ending: Ending): void {
+		const {error, begun, customer, intake, attempts = 0, answerBytes = 0, firstByteMs} = ending;
+		if (error !== undefined && begun !== undefined) {
+			begun.abort(error);
+		} else if (error !== undefined) {
+			sendCallerError(response, error);
+		}
+
+		const code = error?.code ?? 'ok';
+		const ran = error?.ran ?? 'yes';
+		const totalMs = this.#options.clock.now() - startMs;
+		const kind = intake?.demand.call.kind ?? 'none';
+		this.#options.metrics.requestEnded({
+			kind, customer, code, ran, totalMs, ...(firstByteMs === undefined ? {} : {firstByteMs}),
+		});
+		this.#options.log.debug('Request ended.', {
+			requestId: intake?.head.requestId, customer, kind, method: request.method, code, ran, attempts, answerBytes, firstByteMs, totalMs,
+		});
 	}
 }
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -1,15 +1,24 @@
-import {createServer} from 'node:http';
-import {Agent} from 'undici';
+import {createCallerServer} from '../connection/caller-server.ts';
 import {closeAbruptly, listen} from '../connection/http-listener.ts';
+import {createUpstreamClient} from '../connection/upstream-client.ts';
 import {DynamoTable} from '../platform/dynamo-table.ts';
 import {HttpHostList, type Host} from '../platform/host-list.ts';
+import {OpenAdmission} from '../request/admission.ts';
+import {ByteBudget} from '../request/byte-budget.ts';
 import type {Call} from '../request/call.ts';
+import {AbsentClaimStore} from '../request/claim-store.ts';
+import {EmptyCrashRegister} from '../request/crash-register.ts';
+import {RetryBudget} from '../request/retry-budget.ts';
+import {LeastOutstandingRouter} from '../request/router.ts';
 import type {Settings} from '../version/settings.ts';
 import {parseAddress, type Address} from './address.ts';
+import {SystemClock} from './clock.ts';
 import {ConfigurationTask} from './configuration-task.ts';
 import {HostListPoller} from './host-list-poller.ts';
 import type {Log} from './log.ts';
+import {Metrics} from './metrics.ts';
 import {RequestFront} from './request-front.ts';
+import {createTraces} from './traces.ts';
 
 /** A running daemon. */
 export type Daemon = AsyncDisposable & {
@@ -19,6 +28,9 @@
 	readonly isReady: () => boolean;
 };
 
+/** Limit on the memory that all request bodies hold together. */
+const heldBodyBytes = 64 * 1024 * 1024;
+
 /** Constructs the daemon from its parts and starts it. */
 export async function createDaemon(settings: Settings, log: Log): Promise<Daemon> {
 	const resources = new AsyncDisposableStack();
@@ -28,17 +40,31 @@
 	}));
 	const hostList = resources.use(new HostListPoller(log.part('hosts'), new HttpHostList(settings.platform.hosts)));
 	const configuration = resources.use(new ConfigurationTask(log.part('configuration'), table));
-	const dispatcher = resources.adopt(new Agent({headersTimeout: 0, bodyTimeout: 0}), async agent => agent.destroy());
+	const dispatcher = resources.adopt(createUpstreamClient(), async client => client.destroy());
+	const traces = resources.use(createTraces(settings.daemon.id, settings.traces.endpoint));
 	const isReady = () => configuration.isLoaded && hostList.hosts.length > 0;
+	const liveHosts = () => hostList.hosts.filter(host => host.state === 'live');
+	const metrics = new Metrics();
 	const front = new RequestFront({
 		log: log.part('front'),
+		clock: new SystemClock(),
 		dispatcher,
-		bodyLimit: settings.limits['body-bytes'],
+		metrics,
+		tracer: traces.tracer,
+		bodyLimits: {bodyBytes: settings.limits['body-bytes'], budget: new ByteBudget(heldBodyBytes)},
 		keys: () => configuration.keys,
-		upstreams: call => hostList.hosts.filter(host => host.state === 'live' && serves(host, call)),
+		models: () => [...new Set(liveHosts().filter(host => host.kind === 'engine').map(host => host.serves))].toSorted(),
+		upstreams: call => liveHosts().filter(host => serves(host, call)),
 		isReady,
+		isUnrepeatableRoute: () => false,
+		admission: new OpenAdmission(),
+		claimStore: new AbsentClaimStore(),
+		crashRegister: new EmptyCrashRegister(),
+		router: new LeastOutstandingRouter(),
+		retryBudget: new RetryBudget(),
+		listeners: [metrics],
 	});
-	const server = createServer({maxHeaderSize: settings.limits['header-bytes']}, (request, response) => {
+	const server = createCallerServer({headerBytes: settings.limits['header-bytes']}, (request, response) => {
 		void front.handle(request, response);
 	});
 	hostList.run();
--- /dev/null
+++ b/src/request/admission.ts
@@ -0,0 +1,42 @@
+import {Right, type Either} from 'purify-ts';
+import type {CallerError} from './caller-error.ts';
+import type {RequestDemand} from './request-demand.ts';
+
+/** What a request used, reported when it ends. */
+export type RequestUsage = {
+	readonly outcome: 'complete' | 'failed' | 'cancelled';
+	/** Bytes of the answer that were relayed. */
+	readonly answerBytes: number;
+	/** Milliseconds from admission to the first byte of the answer, if there was one. */
+	readonly firstByteMs?: number;
+	/** Milliseconds from admission to the end. */
+	readonly totalMs: number;
+};
+
+/** Permission to dispatch one request; it holds capacity until it is released. */
+export type Ticket = {
+	/** Value of `X-Priority` for engines: 0 live, 1 patient. */
+	readonly enginePriority: 0 | 1;
+	/** Aborted when capacity is taken back from patient work; absent for work that is never preempted. */
+	readonly preempted?: AbortSignal;
+	/** Gives the capacity back; called exactly once. */
+	readonly release: (usage: RequestUsage) => void;
+};
+
+/** Decides when a request may be dispatched. */
+export abstract class Admission {
+	/** Resolves with a ticket or a refusal; an aborted signal (caller gone, deadline) ends the wait with a refusal. */
+	abstract acquire(demand: RequestDemand, signal: AbortSignal): Promise<Either<CallerError, Ticket>>;
+}
+
+/** Admits every request at once. */
+export class OpenAdmission extends Admission {
+	async acquire(demand: RequestDemand): Promise<Either<CallerError, Ticket>> {
+		return Right({
+			enginePriority: demand.serviceClass === 'live' ? 0 : 1,
+			release() {
+				// Nothing is held.
+			},
+		});
+	}
+}
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -1,65 +1,212 @@
 import type {IncomingHttpHeaders} from 'node:http';
-import {Left, Right, type Either} from 'purify-ts';
 import type {Dispatcher} from 'undici';
+import type {AttemptEnd} from './attempt-listener.ts';
 import type {RunState} from './caller-error.ts';
+import type {AnswerHead, AnswerRelay} from './relay.ts';
 
 /** A request as it is sent to an upstream. */
 export type UpstreamRequest = {
+	readonly origin: string;
 	readonly method: string;
 	readonly path: string;
 	readonly headers: IncomingHttpHeaders;
 	readonly body: Uint8Array;
+	/** Limit on the wait for the answer's head, in milliseconds. */
+	readonly headTimeoutMs: number;
 };
 
-/** Why an attempt brought no answer, and whether the upstream may have run the request. */
-export type AttemptFailure = {
-	readonly ran: RunState;
+/** How an attempt ended. */
+export type AttemptResult = Pick<AttemptEnd, 'outcome' | 'ran' | 'status' | 'isLeaving'> & {
+	/** For logs. */
 	readonly message: string;
 };
 
-const hopByHopHeaders = new Set([
-	'connection',
-	'content-length',
-	'expect',
-	'host',
-	'keep-alive',
-	'proxy-authenticate',
-	'proxy-authorization',
-	'proxy-connection',
-	'te',
-	'trailer',
-	'transfer-encoding',
-	'upgrade',
-]);
-
-/** Errors before any byte was written to the upstream. */
-const notSentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
-
-/** Sends a request to one upstream; the answer's body is streamed. */
-export async function sendAttempt(
-	dispatcher: Dispatcher,
-	origin: string,
-	request: UpstreamRequest,
-	signal: AbortSignal,
-): Promise<Either<AttemptFailure, Dispatcher.ResponseData>> {
+/** What an attempt does with the answer. */
+export type AttemptOptions = {
+	readonly relay: AnswerRelay;
+	/** Ends the attempt: caller gone, deadline or preemption. */
+	readonly signal: AbortSignal;
+	/** Called on the head of the answer; true discards the answer so that another upstream is tried. */
+	readonly discards: (head: AnswerHead) => boolean;
+	/** Called on the first byte of the body. */
+	readonly onFirstByte: () => void;
+	/** Limit on the time that a caller may leave its stream undrained, in milliseconds. */
+	readonly callerStallMs: number;
+};
+
+const bodySilenceTimeoutMs = 60_000;
+const leavingHeader = 'wagtailtack-leaving';
+const timeoutCodes: ReadonlySet<string> = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']);
+const invalidCodes: ReadonlySet<string> = new Set(['UND_ERR_HEADERS_OVERFLOW', 'UND_ERR_RES_EXCEEDED_MAX_SIZE']);
+
+/** Cause of an abort that comes from the daemon and not from the connection. */
+class AttemptAbort extends Error {
+	readonly outcome: AttemptEnd['outcome'];
+
+	constructor(outcome: AttemptEnd['outcome'], message: string) {
+		super(message);
+		this.outcome = outcome;
+	}
+}
+
+/**
+One dispatch of a request to one upstream.
+
+The client library calls `onRequestStart` right before it writes to a connected socket and on no other occasion,
+so that the request was not run if that call has not happened. Aborting destroys the connection: it is never reused.
+*/
+class Attempt implements Dispatcher.DispatchHandler {
+	readonly #options: AttemptOptions;
+	readonly #method: string;
+	readonly #finish: (result: AttemptResult) => void;
+	#controller: Dispatcher.DispatchController | undefined;
+	#ran: RunState = 'no';
+	#status: number | undefined;
+	#isLeaving = false;
+	#hasFirstByte = false;
+	#isDiscarded = false;
+	#hasEnded = false;
+	#stallTimer: NodeJS.Timeout | undefined;
+
+	constructor(method: string, options: AttemptOptions, finish: (result: AttemptResult) => void) {
+		this.#method = method;
+		this.#options = options;
+		this.#finish = finish;
+		options.signal.addEventListener('abort', this.#cancel);
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		if (this.#ran !== 'no' || this.#options.signal.aborted) {
+			// The library would write the request a second time, or after its caller has gone.
+			controller.abort(new AttemptAbort('cancelled', 'the request must not be written'));
+			return;
+		}
+
+		this.#ran = 'unknown';
+		this.#controller = controller;
+	}
+
+	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
+		if (status < 200) {
+			return;
+		}
+
+		const head = {status, headers};
+		this.#status = status;
+		this.#isLeaving = status === 503 && headers[leavingHeader] === 'true';
+		this.#isDiscarded = this.#options.discards(head);
+		if (this.#isDiscarded) {
+			return;
+		}
+
+		this.#options.relay.begin(head);
+		if (!this.#isFramed(head)) {
+			controller.abort(new AttemptAbort('invalid_answer', 'the end of the answer cannot be recognised'));
+		}
+	}
+
+	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
+		if (this.#isDiscarded) {
+			return;
+		}
+
+		if (!this.#hasFirstByte) {
+			this.#hasFirstByte = true;
+			this.#options.onFirstByte();
+		}
+
+		const {relay} = this.#options;
+		const mayContinue = relay.write(chunk);
+		if (relay.fault !== undefined) {
+			controller.abort(new AttemptAbort('invalid_answer', relay.fault));
+		} else if (!mayContinue) {
+			this.#pause(controller);
+		}
+	}
+
+	onResponseEnd(): void {
+		if (this.#isDiscarded) {
+			this.#end('connection_lost', 'unknown', 'the upstream refused the request');
+		} else if (this.#options.relay.isComplete) {
+			this.#end('complete', 'yes', '');
+		} else {
+			this.#end('connection_lost', 'unknown', 'the stream ended without its end mark');
+		}
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController, error: Error & {readonly code?: string}): void {
+		if (error instanceof AttemptAbort) {
+			this.#end(error.outcome, this.#ran, error.message);
+		} else if (this.#ran === 'no') {
+			this.#end('not_sent', 'no', error.message);
+		} else {
+			this.#end(classifyError(error.code), 'unknown', error.message);
+		}
+	}
+
+	/** A whole body is recognised by its length, its last chunk or the end mark of a completion stream. */
+	#isFramed({status, headers}: AnswerHead): boolean {
+		return this.#options.relay.hasEndMark || this.#method === 'HEAD' || status === 204 || status === 304
+			|| headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+	}
+
+	#pause(controller: Dispatcher.DispatchController): void {
+		controller.pause();
+		this.#stallTimer = setTimeout(() => {
+			controller.abort(new AttemptAbort('cancelled', 'the caller stopped reading'));
+		}, this.#options.callerStallMs);
+		this.#options.relay.onceDrained(() => {
+			if (!this.#hasEnded) {
+				clearTimeout(this.#stallTimer);
+				controller.resume();
+			}
+		});
+	}
+
+	readonly #cancel = (): void => {
+		const abort = new AttemptAbort('cancelled', String(this.#options.signal.reason));
+		if (this.#controller === undefined) {
+			// Still waiting for a connection: onRequestStart refuses to write.
+			this.#end('cancelled', 'no', abort.message);
+		} else {
+			this.#controller.abort(abort);
+		}
+	};
+
+	#end(outcome: AttemptEnd['outcome'], ran: RunState, message: string): void {
+		this.#hasEnded = true;
+		clearTimeout(this.#stallTimer);
+		this.#options.signal.removeEventListener('abort', this.#cancel);
+		this.#finish({
+			outcome, ran, message, isLeaving: this.#isLeaving, ...(this.#status === undefined ? {} : {status: this.#status}),
+		});
+	}
+}
+
+/** Sends a request to one upstream and relays its answer; never rejects. */
+export async function runAttempt(dispatcher: Dispatcher, request: UpstreamRequest, options: AttemptOptions): Promise<AttemptResult> {
+	const {promise, resolve} = Promise.withResolvers<AttemptResult>();
+	const attempt = new Attempt(request.method, options, resolve);
+	const {headTimeoutMs, ...rest} = request;
 	try {
-		return Right(await dispatcher.request({
-			origin,
+		dispatcher.dispatch({
+			...rest,
 			method: request.method,
-			path: request.path,
-			headers: forwardHeaders(request.headers),
 			body: request.body.length === 0 ? null : request.body,
-			signal,
-		}));
+			headersTimeout: headTimeoutMs,
+			bodyTimeout: bodySilenceTimeoutMs,
+		}, attempt);
 	} catch (error) {
-		const {code, message} = error as Error & {readonly code?: string};
-		return Left({ran: code !== undefined && notSentCodes.has(code) ? 'no' : 'unknown', message});
+		attempt.onResponseError(undefined as never, error as Error);
 	}
+
+	return promise;
 }
 
-/** Drops headers that belong to one connection, and the caller's credentials. */
-export function forwardHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
-	const listed = new Set(String(headers.connection ?? '').split(',').map(name => name.trim().toLowerCase()));
-	return Object.fromEntries(Object.entries(headers).filter(([name]) =>
-		!hopByHopHeaders.has(name) && !listed.has(name) && name !== 'authorization'));
+function classifyError(code: string | undefined): AttemptEnd['outcome'] {
+	if (code !== undefined && timeoutCodes.has(code)) {
+		return 'timed_out';
+	}
+
+	return code !== undefined && (code.startsWith('HPE_') || invalidCodes.has(code)) ? 'invalid_answer' : 'connection_lost';
 }
--- a/src/request/call.ts
+++ b/src/request/call.ts
@@ -7,8 +7,13 @@
 	= | {readonly kind: 'model'; readonly model: string; readonly path: string; readonly stream: boolean}
 		| {readonly kind: 'service'; readonly service: string; readonly path: string};
 
-const modelPaths = new Set(['/v1/chat/completions', '/v1/completions']);
+const modelPaths: ReadonlySet<string> = new Set(['/v1/chat/completions', '/v1/completions']);
 const servicePath = /^\/services\/(?<service>[\w.\-]+)(?<path>\/[^?]*(?:\?.*)?)?$/v;
+const serviceMethods: ReadonlySet<string> = new Set(['DELETE', 'GET', 'HEAD', 'OPTIONS', 'PATCH', 'POST', 'PUT']);
+const idempotentMethods: ReadonlySet<string> = new Set(['DELETE', 'GET', 'HEAD', 'OPTIONS', 'PUT']);
+
+/** Segments that a service may resolve to another path than the one that a contract's route was compared with. */
+const ambiguousSegment = /^(?:\.|%2e){0,2}$|%2f|%5c|%00|\\/iv;
 
 const modelBody = z.looseObject({
 	model: z.string().min(1),
@@ -19,12 +24,12 @@
 export function resolveCall(method: string, url: string, body: Uint8Array): Either<CallerError, Call> {
 	const service = servicePath.exec(url)?.groups;
 	if (service?.service !== undefined) {
-		return Right({kind: 'service', service: service.service, path: service.path ?? '/'});
+		return resolveServiceCall(method, service.service, service.path ?? '/');
 	}
 
 	const [path = '/'] = url.split('?');
 	if (!modelPaths.has(path)) {
-		return Left(createRefusal(404, 'path_not_found', `There is nothing at ${path}.`));
+		return Left(createRefusal(404, 'path_not_found', 'There is nothing at this path.'));
 	}
 
 	if (method !== 'POST') {
@@ -36,13 +41,31 @@
 	}));
 }
 
+/** True when a call does no harm if it runs twice; a contract may restrict this further. */
+export function isRepeatableCall(method: string, call: Call): boolean {
+	return call.kind === 'model' || idempotentMethods.has(method);
+}
+
+function resolveServiceCall(method: string, service: string, path: string): Either<CallerError, Call> {
+	if (!serviceMethods.has(method)) {
+		return Left(createRefusal(405, 'method_not_allowed', 'Services do not take this method.'));
+	}
+
+	const [, ...segments] = path.split('?', 1)[0]!.split('/');
+	// An empty last segment is a trailing slash.
+	const checked = segments.at(-1) === '' ? segments.slice(0, -1) : segments;
+	return checked.some(segment => ambiguousSegment.test(segment))
+		? Left(createRefusal(400, 'invalid_path', 'The path has an empty, "." or ".." segment or an encoded separator.'))
+		: Right({kind: 'service', service, path});
+}
+
 function parseModelBody(body: Uint8Array): Either<CallerError, z.infer<typeof modelBody>> {
 	try {
-		const result = modelBody.safeParse(JSON.parse(new TextDecoder().decode(body)));
+		const result = modelBody.safeParse(JSON.parse(new TextDecoder('utf-8', {fatal: true}).decode(body)));
 		return result.success
 			? Right(result.data)
 			: Left(createRefusal(400, 'invalid_body', `The body is not a completion request: ${z.prettifyError(result.error)}`));
 	} catch {
-		return Left(createRefusal(400, 'invalid_json', 'The body is not valid JSON.'));
+		return Left(createRefusal(400, 'invalid_json', 'The body is not valid JSON in UTF-8.'));
 	}
 }
--- a/src/request/caller-error.ts
+++ b/src/request/caller-error.ts
@@ -19,6 +19,9 @@
 	readonly retryAfterS?: number;
 };
 
+/** Limit on the wait for an error event to reach the caller before its connection is destroyed. */
+const flushLimitMs = 1000;
+
 /** Creates an error for a request that was not run. */
 export function createRefusal(status: number, code: string, message: string, retryAfterS?: number): CallerError {
 	return {
@@ -26,19 +29,45 @@
 	};
 }
 
-/** Sends an error as JSON; a response that has begun is aborted instead, so that it cannot pass for a whole answer. */
+/** Formats the JSON body of an error. */
+export function formatCallerError(error: CallerError): string {
+	return JSON.stringify({error: {code: error.code, message: error.message, ran: error.ran}});
+}
+
+/**
+Sends an error as JSON; a response that has begun is aborted instead, so that a part cannot pass for a whole answer.
+
+The connection is closed when the caller has not finished sending its request.
+*/
 export function sendCallerError(response: ServerResponse, error: CallerError): void {
 	if (response.headersSent) {
 		response.destroy();
 		return;
 	}
 
-	const body = JSON.stringify({error: {code: error.code, message: error.message, ran: error.ran}});
+	const body = formatCallerError(error);
+	const isRequestComplete = response.req.complete;
 	response.writeHead(error.status, {
 		'content-type': 'application/json',
 		'content-length': new TextEncoder().encode(body).length,
 		[ranHeader]: error.ran,
 		...(error.retryAfterS === undefined ? {} : {'retry-after': String(error.retryAfterS)}),
+		...(isRequestComplete ? {} : {connection: 'close'}),
+	});
+	response.end(body, () => {
+		if (!isRequestComplete) {
+			response.req.destroy();
+		}
+	});
+}
+
+/** Ends an event stream that has begun with an error event and an aborted connection. */
+export function abortEventStream(response: ServerResponse, error: CallerError): void {
+	const timer = setTimeout(() => {
+		response.destroy();
+	}, flushLimitMs);
+	response.write(`event: error\ndata: ${formatCallerError(error)}\n\n`, () => {
+		clearTimeout(timer);
+		response.destroy();
 	});
-	response.end(body);
 }
--- /dev/null
+++ b/src/request/crash-register.ts
@@ -0,0 +1,32 @@
+import type {Host} from '../platform/host-list.ts';
+import {AttemptListener} from './attempt-listener.ts';
+import type {CallerError} from './caller-error.ts';
+import type {RequestDemand} from './request-demand.ts';
+
+/** Keeps requests that crash upstreams away from them. */
+export abstract class CrashRegister extends AttemptListener {
+	/** Returns a refusal for a condemned request. */
+	abstract check(demand: RequestDemand): CallerError | undefined;
+
+	/** Returns the candidates on which this request may run now. */
+	abstract selectUsable(demand: RequestDemand, candidates: readonly Host[]): readonly Host[];
+}
+
+/** Condemns nothing. */
+export class EmptyCrashRegister extends CrashRegister {
+	check(): undefined {
+		return undefined;
+	}
+
+	selectUsable(_demand: RequestDemand, candidates: readonly Host[]): readonly Host[] {
+		return candidates;
+	}
+
+	attemptStarted(): void {
+		// Nothing is recorded.
+	}
+
+	attemptEnded(): void {
+		// Nothing is recorded.
+	}
+}
--- /dev/null
+++ b/src/request/dispatch.ts
@@ -0,0 +1,214 @@
+import type {Dispatcher} from 'undici';
+import type {Host} from '../platform/host-list.ts';
+import type {Clock} from '../process/clock.ts';
+import type {Ticket} from './admission.ts';
+import {runAttempt, type AttemptResult, type UpstreamRequest} from './attempt.ts';
+import type {AttemptListener, AttemptStart} from './attempt-listener.ts';
+import {isRepeatableCall, type Call} from './call.ts';
+import type {CallerError, RunState} from './caller-error.ts';
+import type {CrashRegister} from './crash-register.ts';
+import {deadlineHeader} from './deadline.ts';
+import {describeFailure, noUpstream} from './failure.ts';
+import {selectRequestHeaders} from './headers.ts';
+import type {Intake} from './intake.ts';
+import type {AnswerRelay} from './relay.ts';
+import type {RequestDemand} from './request-demand.ts';
+import type {RequestTrace} from './request-trace.ts';
+import type {RetryBudget} from './retry-budget.ts';
+import {mayRetry} from './retry-policy.ts';
+import type {Router} from './router.ts';
+
+/** What dispatching needs from the rest of the daemon. */
+export type DispatchOptions = {
+	readonly dispatcher: Dispatcher;
+	readonly clock: Clock;
+	readonly router: Router;
+	readonly crashRegister: CrashRegister;
+	readonly retryBudget: RetryBudget;
+	/** Live upstreams that serve a call. */
+	readonly upstreams: (call: Call) => readonly Host[];
+	/** True on a route that the customer's contract marks as unrepeatable. */
+	readonly isUnrepeatableRoute: (demand: RequestDemand) => boolean;
+	/** Further listeners, such as metrics. */
+	readonly listeners?: readonly AttemptListener[];
+	/** Limit on the wait for the head of an answer. @default 60_000 */
+	readonly headTimeoutMs?: number;
+	/** Limit on the time that a caller may leave its stream undrained. @default 60_000 */
+	readonly callerStallMs?: number;
+};
+
+/** One request on its way to upstreams. */
+export type DispatchRequest = {
+	readonly intake: Intake;
+	readonly ticket: Ticket;
+	readonly relay: AnswerRelay;
+	readonly signal: AbortSignal;
+	readonly trace: RequestTrace;
+};
+
+/** How dispatching ended; the answer is whole, but not ended, when there is no error. */
+export type DispatchOutcome = {
+	readonly error?: CallerError;
+	readonly result?: AttemptResult;
+	readonly attempts: number;
+	readonly firstByteMs?: number;
+};
+
+const defaultTimeoutMs = 60_000;
+const attemptLimit = 16;
+let lastAttemptId = 0;
+
+/** Sends one request to upstreams until an answer is whole or no retry is allowed. */
+export class Dispatch {
+	readonly #options: DispatchOptions;
+	readonly #request: DispatchRequest;
+	readonly #isRepeatable: boolean;
+	readonly #listeners: readonly AttemptListener[];
+	readonly #tried = new Set<string>();
+	#ran: RunState = 'no';
+	#firstByteMs: number | undefined;
+	#isRetryGranted = false;
+
+	constructor(options: DispatchOptions, request: DispatchRequest) {
+		const {demand, head} = request.intake;
+		this.#options = options;
+		this.#request = request;
+		this.#listeners = [options.router, options.crashRegister, ...options.listeners ?? []];
+		this.#isRepeatable = head.idempotencyKey === undefined
+			&& isRepeatableCall(demand.method, demand.call)
+			&& !options.isUnrepeatableRoute(demand);
+	}
+
+	/** True when running the request twice does no harm. */
+	get isRepeatable(): boolean {
+		return this.#isRepeatable;
+	}
+
+	/** Runs attempts one after another. */
+	async run(): Promise<DispatchOutcome> {
+		let failure: {readonly error: CallerError; readonly result?: AttemptResult} = {error: noUpstream};
+		while (this.#tried.size < attemptLimit) {
+			const upstream = this.#request.trace.route(() => this.#choose());
+			if (upstream === undefined) {
+				break;
+			}
+
+			const result = await this.#attempt(upstream);
+			if (result.outcome === 'complete') {
+				return this.#createOutcome({result});
+			}
+
+			failure = {error: describeFailure(result, this.#request.relay, this.#ran), result};
+			if (!this.#mayRetry(upstream, result)) {
+				break;
+			}
+		}
+
+		return this.#createOutcome(failure);
+	}
+
+	#createOutcome(outcome: Pick<DispatchOutcome, 'error' | 'result'>): DispatchOutcome {
+		const firstByteMs = this.#firstByteMs;
+		return {...outcome, attempts: this.#tried.size, ...(firstByteMs === undefined ? {} : {firstByteMs})};
+	}
+
+	#candidates(): readonly Host[] {
+		const {demand} = this.#request.intake;
+		const live = this.#options.upstreams(demand.call).filter(host => !this.#tried.has(host.id));
+		return this.#options.crashRegister.selectUsable(demand, live);
+	}
+
+	#choose(): Host | undefined {
+		const candidates = this.#candidates();
+		return candidates.length === 0 ? undefined : this.#options.router.choose(this.#request.intake.demand, candidates);
+	}
+
+	#mayRetry(upstream: Host, result: AttemptResult): boolean {
+		if (this.#isRetryGranted) {
+			this.#isRetryGranted = false;
+			return result.outcome !== 'cancelled';
+		}
+
+		return mayRetry({
+			result,
+			hasBegun: this.#request.relay.hasBegun,
+			isRepeatable: this.#isRepeatable,
+			takeBudget: () => this.#takeBudget(upstream),
+		});
+	}
+
+	#takeBudget(upstream: Host): boolean {
+		return this.#candidates().length > 0
+			&& this.#options.retryBudget.take({customer: this.#request.intake.demand.customer, upstream: upstream.id});
+	}
+
+	async #attempt(upstream: Host): Promise<AttemptResult> {
+		const {intake: {demand}, trace} = this.#request;
+		if (this.#tried.size === 0 && demand.serviceClass === 'live') {
+			this.#options.retryBudget.earn({customer: demand.customer, upstream: upstream.id});
+		}
+
+		this.#tried.add(upstream.id);
+		lastAttemptId += 1;
+		const start: AttemptStart = {
+			attemptId: lastAttemptId, demand, upstream, startMs: this.#options.clock.now(),
+		};
+		for (const listener of this.#listeners) {
+			listener.attemptStarted(start);
+		}
+
+		const result = await trace.hop('attempt', async ({span, headers}) => {
+			const sent = await this.#send(upstream, headers);
+			span.setAttributes({upstream: upstream.id, outcome: sent.outcome, ran: sent.ran});
+			return sent;
+		});
+		this.#ran = result.ran === 'no' ? this.#ran : result.ran;
+		this.#reportEnd(start, result);
+		return result;
+	}
+
+	#reportEnd(start: AttemptStart, result: AttemptResult): void {
+		const firstByteMs = this.#firstByteMs === undefined ? {} : {firstByteMs: this.#firstByteMs - start.startMs};
+		const totalMs = this.#options.clock.now() - start.startMs;
+		for (const listener of this.#listeners) {
+			listener.attemptEnded(start, {...result, ...firstByteMs, totalMs});
+		}
+	}
+
+	async #send(upstream: Host, traceHeaders: Readonly<Record<string, string>>): Promise<AttemptResult> {
+		const {relay, signal} = this.#request;
+		return runAttempt(this.#options.dispatcher, this.#createUpstreamRequest(upstream, traceHeaders), {
+			relay,
+			signal,
+			callerStallMs: this.#options.callerStallMs ?? defaultTimeoutMs,
+			discards: ({status}) => {
+				this.#isRetryGranted = status === 503 && this.#isRepeatable && this.#takeBudget(upstream);
+				return this.#isRetryGranted;
+			},
+			onFirstByte: () => {
+				this.#firstByteMs = this.#options.clock.now();
+			},
+		});
+	}
+
+	#createUpstreamRequest(upstream: Host, traceHeaders: Readonly<Record<string, string>>): UpstreamRequest {
+		const {intake: {demand, head}, ticket} = this.#request;
+		const remainingMs = demand.deadlineMs === undefined
+			? undefined
+			: Math.max(1, Math.floor(demand.deadlineMs - this.#options.clock.now()));
+		return {
+			origin: `http://${upstream.address}`,
+			method: demand.method,
+			path: demand.call.path,
+			body: demand.body,
+			headTimeoutMs: this.#options.headTimeoutMs ?? defaultTimeoutMs,
+			headers: {
+				...selectRequestHeaders(head.headers),
+				...traceHeaders,
+				'x-request-id': demand.requestId,
+				...(demand.call.kind === 'model' ? {'x-priority': String(ticket.enginePriority), 'accept-encoding': 'identity'} : {}),
+				...(remainingMs === undefined ? {} : {[deadlineHeader]: String(remainingMs)}),
+			},
+		};
+	}
+}
--- /dev/null
+++ b/src/request/event-stream-guard.ts
@@ -0,0 +1,136 @@
+/** Why an event stream must not be relayed further. */
+export type StreamFault = 'stream_mixed' | 'stream_malformed' | 'stream_event_too_large';
+
+const empty = new Uint8Array(0);
+const eventLimitBytes = 1024 * 1024;
+const lineFeed = 10;
+const carriageReturn = 13;
+const decoder = new TextDecoder();
+const encoder = new TextEncoder();
+
+/**
+Checks a completion's event stream while it is relayed.
+
+Only whole events are let through. All chunks must have the id of the first one, and nothing may follow the end mark.
+*/
+export class EventStreamGuard {
+	#pending: Uint8Array = empty;
+	/** Start of each event when the id is its first member, as common engines write it. */
+	#usualStart: Uint8Array | undefined;
+	#id: string | undefined;
+	#isComplete = false;
+	#fault: StreamFault | undefined;
+
+	/** True once the end mark was seen and nothing is pending. */
+	get isComplete(): boolean {
+		return this.#isComplete && this.#pending.length === 0;
+	}
+
+	/** Set once the stream has broken a rule; the offending event is withheld. */
+	get fault(): StreamFault | undefined {
+		return this.#fault;
+	}
+
+	/** Takes a chunk and returns the whole events that may be relayed now. */
+	accept(chunk: Uint8Array): Uint8Array {
+		const bytes = this.#pending.length === 0 ? chunk : concatenate(this.#pending, chunk);
+		let start = 0;
+		let end = findEventEnd(bytes, start);
+		while (end !== -1 && this.#checkEvent(bytes, start, end)) {
+			start = end;
+			end = findEventEnd(bytes, start);
+		}
+
+		this.#pending = start === bytes.length ? empty : bytes.subarray(start);
+		if (this.#pending.length > eventLimitBytes) {
+			this.#fault ??= 'stream_event_too_large';
+		}
+
+		return start === bytes.length ? bytes : bytes.subarray(0, start);
+	}
+
+	#checkEvent(bytes: Uint8Array, start: number, end: number): boolean {
+		if (this.#usualStart !== undefined && !this.#isComplete && startsWith(bytes, this.#usualStart, start)) {
+			return true;
+		}
+
+		const data = readEventData(decoder.decode(bytes.subarray(start, end)));
+		if (data === undefined) {
+			return true;
+		}
+
+		if (this.#isComplete) {
+			this.#fault = 'stream_mixed';
+		} else if (data === '[DONE]') {
+			this.#isComplete = true;
+		} else {
+			this.#checkId(bytes, start, data);
+		}
+
+		return this.#fault === undefined;
+	}
+
+	#checkId(bytes: Uint8Array, start: number, data: string): void {
+		const id = readId(data);
+		if (id === 'malformed') {
+			this.#fault = 'stream_malformed';
+		} else if (id !== undefined && this.#id === undefined) {
+			this.#id = id.id;
+			const usualStart = encoder.encode(`data: {"id":${JSON.stringify(id.id)},`);
+			this.#usualStart = startsWith(bytes, usualStart, start) ? usualStart : undefined;
+		} else if (id !== undefined && id.id !== this.#id) {
+			this.#fault = 'stream_mixed';
+		}
+	}
+}
+
+function startsWith(bytes: Uint8Array, prefix: Uint8Array, start: number): boolean {
+	let index = start;
+	for (const byte of prefix) {
+		if (bytes[index] !== byte) {
+			return false;
+		}
+
+		index += 1;
+	}
+
+	return true;
+}
+
+/** Returns the place after the first empty line, or -1. */
+function findEventEnd(bytes: Uint8Array, start: number): number {
+	let lineEnd = bytes.indexOf(lineFeed, start);
+	while (lineEnd !== -1) {
+		const next = bytes[lineEnd + 1] === carriageReturn ? lineEnd + 2 : lineEnd + 1;
+		if (bytes[next] === lineFeed) {
+			return next + 1;
+		}
+
+		lineEnd = bytes.indexOf(lineFeed, lineEnd + 1);
+	}
+
+	return -1;
+}
+
+function concatenate(first: Uint8Array, second: Uint8Array): Uint8Array {
+	const bytes = new Uint8Array(first.length + second.length);
+	bytes.set(first);
+	bytes.set(second, first.length);
+	return bytes;
+}
+
+function readEventData(event: string): string | undefined {
+	const lines = event.split(/\r?\n/v).filter(line => line.startsWith('data:'));
+	return lines.length === 0
+		? undefined
+		: lines.map(line => line.slice(line.startsWith('data: ') ? 6 : 5)).join('\n');
+}
+
+function readId(data: string): {readonly id: string} | 'malformed' | undefined {
+	try {
+		const chunk = JSON.parse(data) as {readonly id?: unknown} | undefined;
+		return typeof chunk?.id === 'string' ? {id: chunk.id} : undefined;
+	} catch {
+		return 'malformed';
+	}
+}
--- /dev/null
+++ b/src/request/headers.ts
@@ -0,0 +1,43 @@
+import type {IncomingHttpHeaders} from 'node:http';
+
+const hopByHopHeaders: ReadonlySet<string> = new Set([
+	'connection',
+	'expect',
+	'keep-alive',
+	'proxy-authenticate',
+	'proxy-authorization',
+	'proxy-connection',
+	'te',
+	'trailer',
+	'transfer-encoding',
+	'upgrade',
+]);
+
+/** Headers that the daemon sets itself, so that a caller's or an upstream's value never passes through. */
+const ownPrefix = 'wagtailtack-';
+const requestOnlyHeaders: ReadonlySet<string> = new Set(['authorization', 'content-length', 'host', 'x-priority', 'x-request-id']);
+
+/** Keeps a caller's headers that an upstream may see: nothing of the connection, no credentials, nothing that the daemon sets. */
+export function selectRequestHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
+	return selectHeaders(headers, requestOnlyHeaders);
+}
+
+/** Keeps an upstream's headers that a caller may see. */
+export function selectAnswerHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
+	return selectHeaders(headers, new Set());
+}
+
+function selectHeaders(headers: IncomingHttpHeaders, dropped: ReadonlySet<string>): IncomingHttpHeaders {
+	const {connection} = headers;
+	const listed = connection === undefined || connection === 'keep-alive' || connection === 'close'
+		? undefined
+		: new Set(String(connection).split(',').map(name => name.trim().toLowerCase()));
+	const selected: IncomingHttpHeaders = {};
+	for (const name of Object.keys(headers)) {
+		if (!hopByHopHeaders.has(name) && !dropped.has(name) && !name.startsWith(ownPrefix) && listed?.has(name) !== true) {
+			selected[name] = headers[name];
+		}
+	}
+
+	return selected;
+}
--- /dev/null
+++ b/src/request/intake.ts
@@ -0,0 +1,103 @@
+import {createHash, randomUUID} from 'node:crypto';
+import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
+import {Left, Right, type Either} from 'purify-ts';
+import {resolveCall} from './call.ts';
+import {createRefusal, type CallerError} from './caller-error.ts';
+import {deadlineHeader, parseDeadline} from './deadline.ts';
+import type {RequestBody} from './request-body.ts';
+import type {RequestDemand, ServiceClass} from './request-demand.ts';
+
+/** Parts of a request's head that are valid before its body is read. */
+export type RequestHead = {
+	readonly requestId: string;
+	readonly method: string;
+	readonly url: string;
+	readonly headers: IncomingHttpHeaders;
+	readonly serviceClass: ServiceClass;
+	/** Milliseconds from now, if the caller gave a deadline. */
+	readonly remainingMs?: number;
+	readonly idempotencyKey?: string;
+};
+
+/** A whole request, ready to be claimed, admitted and dispatched. */
+export type Intake = {
+	readonly head: RequestHead;
+	readonly demand: RequestDemand;
+};
+
+/** Largest number of headers in a request; Node.js drops the rest without an error, so that the limit itself is refused. */
+export const headerCountLimit = 100;
+
+const classHeader = 'wagtailtack-class';
+const validRequestId = /^[\w.\-]{1,128}$/v;
+const validIdempotencyKey = /^[\u0021-\u007E]{1,255}$/v;
+
+/** Parses the head of a request. */
+export function parseHead(request: IncomingMessage): Either<CallerError, RequestHead> {
+	const {method = 'GET', url = '/', headers} = request;
+	const key = headers['idempotency-key'] as string | undefined;
+	const serviceClass = headers[classHeader] ?? 'live';
+	const fault = findHeadFault(request);
+	if (fault !== undefined) {
+		return Left(fault);
+	}
+
+	if (serviceClass !== 'live' && serviceClass !== 'patient') {
+		return Left(createRefusal(400, 'invalid_class', `${classHeader} is "live" or "patient".`));
+	}
+
+	return parseDeadline(headers[deadlineHeader] as string | undefined).map(remainingMs => ({
+		requestId: resolveRequestId(headers),
+		method,
+		url,
+		headers,
+		serviceClass,
+		...(remainingMs === undefined ? {} : {remainingMs}),
+		...(key === undefined ? {} : {idempotencyKey: key}),
+	}));
+}
+
+/** Resolves what is asked for from a valid head and the body. */
+export function resolveIntake(
+	head: RequestHead,
+	body: RequestBody,
+	identity: {readonly customer: string; readonly nowMs: number},
+): Either<CallerError, Intake> {
+	const {requestId, method, url, serviceClass, remainingMs} = head;
+	const {customer, nowMs} = identity;
+	return resolveCall(method, url, body.bytes).map(call => ({
+		head,
+		demand: {
+			requestId,
+			customer,
+			method,
+			call,
+			serviceClass,
+			body: body.bytes,
+			fingerprint: createHash('sha256').update(JSON.stringify([customer, method, url])).update(body.bytes).digest('hex'),
+			...(remainingMs === undefined ? {} : {deadlineMs: nowMs + remainingMs}),
+		},
+	}));
+}
+
+function findHeadFault(request: IncomingMessage): CallerError | undefined {
+	const {headers, rawHeaders} = request;
+	if (rawHeaders.length >= headerCountLimit * 2) {
+		return createRefusal(431, 'too_many_headers', `A request has fewer than ${headerCountLimit} headers.`);
+	}
+
+	const coding = headers['transfer-encoding'];
+	if (coding !== undefined && (coding.toLowerCase() !== 'chunked' || headers['content-length'] !== undefined || request.httpVersion !== '1.1')) {
+		return createRefusal(400, 'malformed_request', 'The framing of the body is ambiguous.');
+	}
+
+	const key = headers['idempotency-key'];
+	return key === undefined || validIdempotencyKey.test(String(key))
+		? undefined
+		: createRefusal(400, 'invalid_idempotency_key', 'Idempotency-Key takes 1 to 255 visible ASCII characters.');
+}
+
+function resolveRequestId(headers: IncomingHttpHeaders): string {
+	const given = headers['x-request-id'];
+	return typeof given === 'string' && validRequestId.test(given) ? given : randomUUID();
+}
--- a/src/request/relay.ts
+++ b/src/request/relay.ts
@@ -1,22 +1,140 @@
-import type {OutgoingHttpHeaders, ServerResponse} from 'node:http';
-import {pipeline} from 'node:stream/promises';
-import type {Dispatcher} from 'undici';
-import {forwardHeaders} from './attempt.ts';
-import {ranHeader} from './caller-error.ts';
+import {Buffer} from 'node:buffer';
+import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
+import {abortEventStream, ranHeader, type CallerError} from './caller-error.ts';
+import {EventStreamGuard, type StreamFault} from './event-stream-guard.ts';
+import {selectAnswerHeaders} from './headers.ts';
+import type {StoredAnswer} from './claim-store.ts';
+
+/** Head of an upstream's answer. */
+export type AnswerHead = {
+	readonly status: number;
+	readonly headers: IncomingHttpHeaders;
+};
+
+/** How an answer is relayed. */
+export type RelayOptions = {
+	readonly response: ServerResponse;
+	readonly requestId: string;
+	/** True when a streamed completion was asked for, so that its end mark and ids are checked. */
+	readonly isCompletionStream: boolean;
+	/** Largest answer that is kept for resends, in bytes; nothing is kept when it is 0. */
+	readonly keptBytesLimit: number;
+};
 
 /**
-Copies an upstream's answer to the caller with back pressure.
+Relays one answer to the caller with bounded buffering.
 
-Rejects when either side ends early; the caller's connection is then destroyed, so that a part cannot pass for the whole.
+The head is held back until the first byte of the body, so that an answer without output can be retried elsewhere.
 */
-export async function relayAnswer(answer: Dispatcher.ResponseData, response: ServerResponse): Promise<void> {
-	const length = answer.headers['content-length']?.toString();
-	const headers: OutgoingHttpHeaders = {
-		...(forwardHeaders(answer.headers) as OutgoingHttpHeaders),
-		...(length === undefined ? {} : {'content-length': length}),
-		[ranHeader]: 'yes',
-	};
-	response.writeHead(answer.statusCode, headers);
-	response.flushHeaders();
-	await pipeline(answer.body, response);
+export class AnswerRelay {
+	readonly #options: RelayOptions;
+	readonly #kept: Uint8Array[] = [];
+	#head: AnswerHead | undefined;
+	#guard: EventStreamGuard | undefined;
+	#bytes = 0;
+
+	constructor(options: RelayOptions) {
+		this.#options = options;
+	}
+
+	/** True once a byte was handed to the caller's connection. */
+	get hasBegun(): boolean {
+		return this.#options.response.headersSent;
+	}
+
+	/** Bytes of the body that were relayed. */
+	get answerBytes(): number {
+		return this.#bytes;
+	}
+
+	/** Reason to abandon the stream, if any. */
+	get fault(): StreamFault | undefined {
+		return this.#guard?.fault;
+	}
+
+	/** True when the end of the body is marked inside it. */
+	get hasEndMark(): boolean {
+		return this.#guard !== undefined;
+	}
+
+	/** True when the end of the body proves that the answer is whole. */
+	get isComplete(): boolean {
+		return this.#guard === undefined || this.#guard.isComplete;
+	}
+
+	/** Takes the head of an answer; a later attempt replaces it while nothing has been sent. */
+	begin(head: AnswerHead): void {
+		const isEventStream = head.status === 200 && (head.headers['content-type'] ?? '').startsWith('text/event-stream');
+		this.#head = head;
+		this.#guard = this.#options.isCompletionStream && isEventStream ? new EventStreamGuard() : undefined;
+		this.#kept.length = 0;
+		this.#bytes = 0;
+	}
+
+	/** Relays a part of the body; returns false when the caller must drain first. */
+	write(chunk: Uint8Array): boolean {
+		const bytes = this.#guard === undefined ? chunk : this.#guard.accept(chunk);
+		if (bytes.length === 0) {
+			return true;
+		}
+
+		this.#bytes += bytes.length;
+		if (this.#bytes <= this.#options.keptBytesLimit) {
+			this.#kept.push(bytes);
+		}
+
+		if (this.#options.response.destroyed) {
+			// The answer of a claimed request is read to its end for resends, even when the caller has gone.
+			return true;
+		}
+
+		this.#sendHead();
+		return this.#options.response.write(bytes);
+	}
+
+	/** Calls back once the caller has drained. */
+	onceDrained(callback: () => void): void {
+		this.#options.response.once('drain', callback);
+	}
+
+	/** Ends a whole answer. */
+	end(): void {
+		this.#sendHead();
+		this.#options.response.end();
+	}
+
+	/** Ends an answer that has begun and is not whole: an error event where there is a place for it, then an aborted connection. */
+	abort(error: CallerError): void {
+		if (this.#guard === undefined) {
+			this.#options.response.destroy();
+		} else {
+			abortEventStream(this.#options.response, error);
+		}
+	}
+
+	/** Returns the whole answer for resends; undefined when it is larger than what is kept. */
+	takeKept(): StoredAnswer | undefined {
+		return this.#head === undefined || this.#bytes > this.#options.keptBytesLimit
+			? undefined
+			: {
+				status: this.#head.status,
+				headers: selectAnswerHeaders(this.#head.headers),
+				body: Buffer.concat(this.#kept),
+			};
+	}
+
+	#sendHead(): void {
+		const {response, requestId} = this.#options;
+		if (response.headersSent || this.#head === undefined) {
+			return;
+		}
+
+		const {status, headers} = this.#head;
+		response.writeHead(status, {
+			...selectAnswerHeaders(headers),
+			'x-request-id': requestId,
+			// An upstream's own failure says nothing about how far it came with the request.
+			[ranHeader]: status >= 500 ? 'unknown' : 'yes',
+		});
+	}
 }
--- a/src/request/request-body.ts
+++ b/src/request/request-body.ts
@@ -1,20 +1,60 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {Left, Right, type Either} from 'purify-ts';
+import type {ByteBudget} from './byte-budget.ts';
 import {createRefusal, type CallerError} from './caller-error.ts';
 
-/** Reads a request body of at most `limit` bytes. */
-export async function readBody(request: IncomingMessage, limit: number): Promise<Either<CallerError, Uint8Array>> {
+/** A request body with its part of the byte budget, which is given back on disposal. */
+export type RequestBody = Disposable & {
+	readonly bytes: Uint8Array;
+};
+
+/** Limits on reading a request body. */
+export type BodyLimits = {
+	/** Largest body of one request, in bytes. */
+	readonly bodyBytes: number;
+	/** Shared by all requests. */
+	readonly budget: ByteBudget;
+};
+
+/** Reads a request body within the limits; rejects when the caller ends early. */
+export async function readBody(request: IncomingMessage, limits: BodyLimits): Promise<Either<CallerError, RequestBody>> {
+	const declared = Number(request.headers['content-length'] ?? 0);
+	if (declared > limits.bodyBytes) {
+		return Left(createSizeRefusal(limits.bodyBytes));
+	}
+
 	const chunks: Uint8Array[] = [];
 	let size = 0;
-	for await (const chunk of request as AsyncIterable<Uint8Array>) {
-		size += chunk.length;
-		if (size > limit) {
-			return Left(createRefusal(413, 'body_too_large', `The body is larger than ${limit} bytes.`));
-		}
+	const release = () => {
+		limits.budget.release(size);
+		size = 0;
+	};
 
-		chunks.push(chunk);
+	try {
+		// Iteration destroys the request when it ends early, which would take the answer with it.
+		for await (const chunk of request.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
+			if (size + chunk.length > limits.bodyBytes) {
+				release();
+				return Left(createSizeRefusal(limits.bodyBytes));
+			}
+
+			if (!limits.budget.reserve(chunk.length)) {
+				release();
+				return Left(createRefusal(503, 'overloaded', 'Too many request bodies are being received.', 1));
+			}
+
+			size += chunk.length;
+			chunks.push(chunk);
+		}
+	} catch (error) {
+		release();
+		throw error;
 	}
 
-	return Right(Buffer.concat(chunks));
+	return Right({bytes: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), [Symbol.dispose]: release});
+}
+
+function createSizeRefusal(limitBytes: number): CallerError {
+	return createRefusal(413, 'body_too_large', `The body is larger than ${limitBytes} bytes.`);
 }
--- /dev/null
+++ b/src/request/request-pipeline.ts
@@ -0,0 +1,177 @@
+import type {ServerResponse} from 'node:http';
+import type {Admission, RequestUsage, Ticket} from './admission.ts';
+import {ranHeader, type CallerError} from './caller-error.ts';
+import {joinSignals, type CancelReason} from './cancellation.ts';
+import type {Claim, ClaimStore, StoredAnswer} from './claim-store.ts';
+import {Dispatch, type DispatchOptions, type DispatchOutcome} from './dispatch.ts';
+import {describeCancellation} from './failure.ts';
+import type {Intake} from './intake.ts';
+import {AnswerRelay} from './relay.ts';
+import type {RequestTrace} from './request-trace.ts';
+
+/** What the pipeline needs from the rest of the daemon. */
+export type RequestPipelineOptions = DispatchOptions & {
+	readonly admission: Admission;
+	readonly claimStore: ClaimStore;
+	/** Largest answer of a claimed request that is kept for resends. @default 4 MiB */
+	readonly keptBytesLimit?: number;
+};
+
+/** One request in the pipeline. */
+export type PipelineRequest = {
+	readonly intake: Intake;
+	readonly response: ServerResponse;
+	/** Aborted with a `CancelReason`. */
+	readonly signal: AbortSignal;
+	readonly trace: RequestTrace;
+};
+
+/** How a request ended. */
+export type PipelineOutcome = {
+	/** Set when no whole answer was relayed. */
+	readonly error?: CallerError;
+	/** Relay of an answer that has begun and must be aborted. */
+	readonly begun?: AnswerRelay;
+	readonly attempts: number;
+	readonly answerBytes: number;
+	readonly firstByteMs?: number;
+};
+
+const defaultKeptBytes = 4 * 1024 * 1024;
+
+/** Takes whole requests through the crash check, the claim, admission and dispatch. */
+export class RequestPipeline {
+	readonly #options: RequestPipelineOptions;
+
+	constructor(options: RequestPipelineOptions) {
+		this.#options = options;
+	}
+
+	/** Runs one request; an error is returned and not yet sent to the caller. */
+	async run(request: PipelineRequest): Promise<PipelineOutcome> {
+		const {intake: {demand, head}, trace} = request;
+		const condemned = this.#options.crashRegister.check(demand);
+		if (condemned !== undefined) {
+			return createFailure(condemned);
+		}
+
+		const {idempotencyKey} = head;
+		if (idempotencyKey === undefined) {
+			return this.#admit(request);
+		}
+
+		const {customer, fingerprint} = demand;
+		const grant = await trace.hop('claim', async () =>
+			this.#options.claimStore.claim({customer, idempotencyKey, digest: fingerprint}));
+		return grant.caseOf<PipelineOutcome | Promise<PipelineOutcome>>({
+			Left: createFailure,
+			Right: async value => value.kind === 'answered'
+				? sendStoredAnswer(request, value.answer)
+				: this.#runClaimed(request, value.claim),
+		});
+	}
+
+	async #runClaimed(request: PipelineRequest, claim: Claim): Promise<PipelineOutcome> {
+		const outcome = await this.#admit(request, claim);
+		if (outcome.error?.ran === 'no') {
+			await claim.release();
+		}
+
+		return outcome;
+	}
+
+	async #admit(request: PipelineRequest, claim?: Claim): Promise<PipelineOutcome> {
+		const {intake: {demand}, trace} = request;
+		if (request.signal.aborted) {
+			return createFailure(describeCancellation(request.signal.reason as CancelReason, 'no'));
+		}
+
+		const ticket = await trace.hop('queue', async () => this.#options.admission.acquire(demand, request.signal));
+		return ticket.caseOf<PipelineOutcome | Promise<PipelineOutcome>>({
+			Left: createFailure,
+			Right: async granted => this.#dispatch(request, granted, claim),
+		});
+	}
+
+	async #dispatch(request: PipelineRequest, ticket: Ticket, claim?: Claim): Promise<PipelineOutcome> {
+		const startMs = this.#options.clock.now();
+		const relay = this.#createRelay(request, claim);
+		// The answer of a claimed request is wanted for resends even when its caller has gone.
+		using scope = joinSignals(claim === undefined ? request.signal : undefined, ticket.preempted);
+		const {signal} = scope;
+		const dispatch = new Dispatch(this.#options, {
+			...request, ticket, relay, signal,
+		});
+		let outcome: DispatchOutcome | undefined;
+		try {
+			outcome = await dispatch.run();
+		} finally {
+			ticket.release(this.#createUsage(outcome, relay, startMs));
+		}
+
+		if (outcome.error === undefined) {
+			await this.#finish(relay, claim);
+			return this.#createOutcome(outcome, relay, startMs);
+		}
+
+		const isResumable = outcome.error.code === 'preempted' && dispatch.isRepeatable && !relay.hasBegun;
+		if (isResumable) {
+			const resumed = await this.#admit(request, claim);
+			return resumed;
+		}
+
+		return this.#createOutcome(outcome, relay, startMs);
+	}
+
+	#createRelay({intake: {demand, head}, response}: PipelineRequest, claim?: Claim): AnswerRelay {
+		return new AnswerRelay({
+			response,
+			requestId: head.requestId,
+			isCompletionStream: demand.call.kind === 'model' && demand.call.stream,
+			keptBytesLimit: claim === undefined ? 0 : this.#options.keptBytesLimit ?? defaultKeptBytes,
+		});
+	}
+
+	/** Records the answer of a claimed request before its end is sent, so that a caller with a whole answer can resend. */
+	async #finish(relay: AnswerRelay, claim?: Claim): Promise<void> {
+		const kept = claim === undefined ? undefined : relay.takeKept();
+		if (kept !== undefined) {
+			await claim?.complete(kept);
+		}
+
+		relay.end();
+	}
+
+	#createUsage(outcome: DispatchOutcome | undefined, relay: AnswerRelay, startMs: number): RequestUsage {
+		const isCancelled = outcome?.result?.outcome === 'cancelled';
+		return {
+			outcome: outcome !== undefined && outcome.error === undefined ? 'complete' : (isCancelled ? 'cancelled' : 'failed'),
+			answerBytes: relay.answerBytes,
+			...(outcome?.firstByteMs === undefined ? {} : {firstByteMs: outcome.firstByteMs - startMs}),
+			totalMs: this.#options.clock.now() - startMs,
+		};
+	}
+
+	#createOutcome(outcome: DispatchOutcome, relay: AnswerRelay, startMs: number): PipelineOutcome {
+		const {error, attempts, firstByteMs} = outcome;
+		return {
+			attempts,
+			answerBytes: relay.answerBytes,
+			...(error === undefined ? {} : {error}),
+			...(error !== undefined && relay.hasBegun ? {begun: relay} : {}),
+			...(firstByteMs === undefined ? {} : {firstByteMs: firstByteMs - startMs}),
+		};
+	}
+}
+
+function createFailure(error: CallerError): PipelineOutcome {
+	return {error, attempts: 0, answerBytes: 0};
+}
+
+function sendStoredAnswer({intake, response}: PipelineRequest, answer: StoredAnswer): PipelineOutcome {
+	response.writeHead(answer.status, {
+		...answer.headers, 'x-request-id': intake.head.requestId, [ranHeader]: 'yes', 'content-length': answer.body.length,
+	});
+	response.end(answer.body);
+	return {attempts: 0, answerBytes: answer.body.length};
+}
--- /dev/null
+++ b/test/request/answers.test.ts
@@ -0,0 +1,207 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {describe, expect, it} from 'vitest';
+import {createFront, fixtureKey} from './front-fixture.ts';
+import {
+	createRawUpstream, formatChunk, formatEvent, streamHead, wholeStream, type RawAnswer,
+} from './upstream-fixture.ts';
+
+const completion = {model: 'model-a', stream: true};
+
+async function post(url: string, body: unknown = completion, init: RequestInit = {}) {
+	return fetch(`${url}/v1/chat/completions`, {
+		method: 'POST', body: JSON.stringify(body), ...init, headers: {authorization: `Bearer ${fixtureKey}`, ...init.headers},
+	});
+}
+
+/** Reads until the end or the abort of an answer. */
+async function readAll(response: Response): Promise<{readonly text: string; readonly isAborted: boolean}> {
+	let text = '';
+	const decoder = new TextDecoder();
+	try {
+		for await (const chunk of response.body ?? []) {
+			text += decoder.decode(chunk as Uint8Array);
+		}
+
+		return {text, isAborted: false};
+	} catch {
+		return {text, isAborted: true};
+	}
+}
+
+describe('a completion stream', () => {
+	it('is relayed whole when its events are split at every place', async () => {
+		const content = formatEvent('a') + formatEvent('a').replaceAll('\n', '\r\n') + ': comment\n\ndata: [DONE]\n\n';
+		for (let split = 1; split < content.length; split += 7) {
+			await using upstream = await createRawUpstream('u', socket => {
+				socket.write(streamHead + formatChunk(content.slice(0, split)));
+				setImmediate(() => {
+					socket.write(formatChunk(content.slice(split)) + '0\r\n\r\n');
+				});
+			});
+			await using fixture = await createFront([upstream.host]);
+			const response = await post(fixture.url);
+			expect(response.headers.get('wagtailtack-ran')).toBe('yes');
+			expect(await readAll(response)).toEqual({text: content, isAborted: false});
+		}
+	});
+
+	// Guards against a truncated or foreign stream that is reported as success.
+	it.each<{name: string; answer: RawAnswer; code: string}>([
+		{
+			name: 'ends without its end mark',
+			answer: socket => socket.write(streamHead + formatChunk(formatEvent('a')) + '0\r\n\r\n'),
+			code: 'stream_truncated',
+		},
+		{
+			name: 'is closed in the middle',
+			answer: socket => socket.end(streamHead + formatChunk(formatEvent('a'))),
+			code: 'stream_truncated',
+		},
+		{
+			name: 'is reset in the middle',
+			answer(socket) {
+				socket.write(streamHead + formatChunk(formatEvent('a')));
+				setTimeout(() => {
+					socket.resetAndDestroy();
+				}, 20);
+			},
+			code: 'stream_truncated',
+		},
+		{
+			name: 'is closed after its end mark but before its last chunk',
+			answer: socket => socket.end(streamHead + formatChunk(formatEvent('a') + 'data: [DONE]\n\n')),
+			code: 'stream_truncated',
+		},
+		{
+			name: 'ends in the middle of an event',
+			answer: socket => socket.write(streamHead + formatChunk(formatEvent('a') + 'data: {"id":"a"') + '0\r\n\r\n'),
+			code: 'stream_truncated',
+		},
+		{
+			name: 'changes its id',
+			answer: socket => socket.write(streamHead + formatChunk(formatEvent('a') + formatEvent('secret')) + formatChunk('data: [DONE]\n\n') + '0\r\n\r\n'),
+			code: 'stream_mixed',
+		},
+		{
+			name: 'goes on after its end mark',
+			answer: socket => socket.write(streamHead + formatChunk(formatEvent('a') + 'data: [DONE]\n\n' + formatEvent('secret')) + '0\r\n\r\n'),
+			code: 'stream_mixed',
+		},
+		{
+			name: 'has an event that is not JSON',
+			answer: socket => socket.write(streamHead + formatChunk(formatEvent('a') + 'data: secret\n\n') + '0\r\n\r\n'),
+			code: 'stream_malformed',
+		},
+	])('that $name ends with an error event and an aborted connection', async ({answer, code}) => {
+		await using upstream = await createRawUpstream('u', answer);
+		await using fixture = await createFront([upstream.host]);
+		const {text, isAborted} = await readAll(await post(fixture.url));
+		expect(isAborted).toBe(true);
+		expect(text).toContain(`event: error\ndata: {"error":{"code":"${code}"`);
+		expect(text).not.toContain('secret');
+	});
+});
+
+describe('an answer that is not a stream', () => {
+	// Guards against a short answer that is reported as success.
+	it.each([
+		{name: 'a short content-length', head: 'Content-Length: 20\r\n'},
+		{name: 'a short content-length and close', head: 'Content-Length: 20\r\nConnection: close\r\n'},
+		{name: 'a missing last chunk', head: 'Transfer-Encoding: chunked\r\n', isChunked: true},
+		{name: 'a missing last chunk and close', head: 'Transfer-Encoding: chunked\r\nConnection: close\r\n', isChunked: true},
+		{name: 'no framing', head: 'Connection: close\r\n'},
+	])('with $name is aborted or an error', async ({head, isChunked = false}) => {
+		await using upstream = await createRawUpstream('u', socket => {
+			socket.end(`HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n${head}\r\n${isChunked ? formatChunk('{"id":') : '{"id":'}`);
+		});
+		await using fixture = await createFront([upstream.host]);
+		const response = await post(fixture.url, {model: 'model-a'}).catch(() => undefined);
+		const answer = response?.status === 200 ? await readAll(response) : undefined;
+		expect(answer?.isAborted).not.toBe(false);
+	});
+
+	it('loses headers of the connection and of the daemon on both ways', async () => {
+		await using upstream = await createRawUpstream('u', socket => {
+			socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: x-private\r\nX-Private: 1\r\nKeep-Alive: timeout=9\r\nWagtailtack-Ran: no\r\nX-Kept: 1\r\n\r\nok');
+		});
+		await using fixture = await createFront([upstream.host]);
+		const response = await post(fixture.url, {model: 'model-a'}, {headers: {'x-priority': '0', 'proxy-authorization': 'p', 'wagtailtack-class': 'patient'}});
+		expect(await response.text()).toBe('ok');
+		expect(Object.fromEntries(response.headers)).toMatchObject({'x-kept': '1', 'wagtailtack-ran': 'yes'});
+		expect(response.headers.has('x-private')).toBe(false);
+		expect(upstream.received[0]).toContain('x-priority: 1');
+		expect(upstream.received[0]).not.toMatch(/authorization|wagtailtack-class|fixture-key/iv);
+	});
+});
+
+describe('a caller that disconnects', () => {
+	it('cancels the upstream work within a second, and the connection is not used again', async () => {
+		await using upstream = await createRawUpstream('u', (socket, text, connection) => {
+			socket.write(connection === 0 ? streamHead + formatChunk(formatEvent('a')) : wholeStream);
+		});
+		await using fixture = await createFront([upstream.host]);
+		const abort = new AbortController();
+		const response = await post(fixture.url, completion, {signal: abort.signal});
+		expect(response.status).toBe(200);
+		abort.abort();
+		await expect.poll(() => upstream.open.size, {timeout: 1000, interval: 10}).toBe(0);
+		const {isAborted} = await readAll(await post(fixture.url));
+		expect(isAborted).toBe(false);
+		expect(upstream.received.filter(text => text !== '')).toHaveLength(2);
+		expect(fixture.front.openRequests).toBe(0);
+	});
+
+	it('cancels work that has not answered yet', async () => {
+		await using upstream = await createRawUpstream('u', () => {
+			// Never answers.
+		});
+		await using fixture = await createFront([upstream.host]);
+		const abort = new AbortController();
+		const pending = post(fixture.url, completion, {signal: abort.signal}).catch(() => undefined);
+		await expect.poll(() => upstream.open.size, {interval: 5}).toBe(1);
+		abort.abort();
+		await pending;
+		await expect.poll(() => upstream.open.size, {timeout: 1000, interval: 10}).toBe(0);
+	});
+});
+
+describe('a caller that reads slowly', () => {
+	it('holds back only its own stream, in bounded memory', async () => {
+		const event = formatEvent('a', 'x'.repeat(16 * 1024));
+		const events = 2000;
+		let written = 0;
+		await using upstream = await createRawUpstream('u', (socket, text) => {
+			if (text.includes('"fast"')) {
+				socket.write(wholeStream);
+				return;
+			}
+
+			const send = () => {
+				while (written < events) {
+					written += 1;
+					if (!socket.write(formatChunk(event))) {
+						socket.once('drain', send);
+						return;
+					}
+				}
+
+				socket.write(formatChunk('data: [DONE]\n\n') + '0\r\n\r\n');
+			};
+
+			socket.write(streamHead);
+			send();
+		});
+		await using fixture = await createFront([upstream.host]);
+		const slow = await post(fixture.url);
+		await delay(300);
+		// 32 MB are offered; kernel and process buffers of both hops hold only a part of them.
+		expect(written * event.length).toBeLessThan(24 * 1024 * 1024);
+		const started = performance.now();
+		const fast = await readAll(await post(fixture.url, {...completion, user: 'fast'}));
+		expect(fast.isAborted).toBe(false);
+		expect(performance.now() - started).toBeLessThan(1000);
+		const {text, isAborted} = await readAll(slow);
+		expect(isAborted).toBe(false);
+		expect(text).toHaveLength((event.length * events) + 'data: [DONE]\n\n'.length);
+	});
+});
--- /dev/null
+++ b/test/request/front-fixture.ts
@@ -0,0 +1,71 @@
+import {trace} from '@opentelemetry/api';
+import {createCallerServer, type CallerServerOptions} from '../../src/connection/caller-server.ts';
+import {closeAbruptly, listen} from '../../src/connection/http-listener.ts';
+import {createUpstreamClient} from '../../src/connection/upstream-client.ts';
+import type {Host} from '../../src/platform/host-list.ts';
+import {SystemClock} from '../../src/process/clock.ts';
+import {hashKey} from '../../src/process/key-directory.ts';
+import {createLog} from '../../src/process/log.ts';
+import {Metrics} from '../../src/process/metrics.ts';
+import {RequestFront, type RequestFrontOptions} from '../../src/process/request-front.ts';
+import {OpenAdmission} from '../../src/request/admission.ts';
+import {ByteBudget} from '../../src/request/byte-budget.ts';
+import {AbsentClaimStore} from '../../src/request/claim-store.ts';
+import {EmptyCrashRegister} from '../../src/request/crash-register.ts';
+import {RetryBudget} from '../../src/request/retry-budget.ts';
+import {LeastOutstandingRouter} from '../../src/request/router.ts';
+
+/** A front on a real socket, in front of the given hosts. */
+export type FrontFixture = AsyncDisposable & {
+	readonly port: number;
+	readonly url: string;
+	readonly front: RequestFront;
+	readonly metrics: Metrics;
+};
+
+/** Key that the fixture knows. */
+export const fixtureKey = 'fixture-key';
+
+/** Starts a front; options override the defaults. */
+export async function createFront(
+	hosts: readonly Host[],
+	options: Partial<RequestFrontOptions> = {},
+	serverOptions: Partial<CallerServerOptions> = {},
+): Promise<FrontFixture> {
+	const dispatcher = createUpstreamClient();
+	const metrics = new Metrics();
+	const front = new RequestFront({
+		log: createLog('error', 'hidden'),
+		clock: new SystemClock(),
+		dispatcher,
+		metrics,
+		tracer: trace.getTracer('test'),
+		bodyLimits: {bodyBytes: 64 * 1024, budget: new ByteBudget(1024 * 1024)},
+		keys: () => new Map([[hashKey(fixtureKey), 'customer-a']]),
+		models: () => hosts.map(host => host.serves),
+		upstreams: call => hosts.filter(host => host.serves === (call.kind === 'model' ? call.model : call.service)),
+		isReady: () => true,
+		isUnrepeatableRoute: () => false,
+		admission: new OpenAdmission(),
+		claimStore: new AbsentClaimStore(),
+		crashRegister: new EmptyCrashRegister(),
+		router: new LeastOutstandingRouter(),
+		retryBudget: new RetryBudget(),
+		listeners: [metrics],
+		...options,
+	});
+	const server = createCallerServer({headerBytes: 16 * 1024, ...serverOptions}, (request, response) => {
+		void front.handle(request, response);
+	});
+	const {port} = await listen(server, {host: '127.0.0.1', port: 0});
+	return {
+		port,
+		url: `http://127.0.0.1:${port}`,
+		front,
+		metrics,
+		async [Symbol.asyncDispose]() {
+			await closeAbruptly(server);
+			await dispatcher.destroy();
+		},
+	};
+}
