--- /dev/null
+++ b/src/process/lease/candidates.ts
@@ -0,0 +1,22 @@
+import {createHash} from 'node:crypto';
+
+/** Number of daemons that compete for the lease of a group. */
+export const candidatesPerGroup = 2;
+
+/** Name of the group of a model in an availability zone. */
+export function groupName(serves: string, availabilityZone: string): string {
+	return `${serves}@${availabilityZone}`;
+}
+
+/** Selects the candidates of a group among the live members of its availability zone, by rendezvous hash. */
+export function selectCandidates(group: string, members: readonly string[]): readonly string[] {
+	return members
+		.map(member => ({member, weight: weigh(group, member)}))
+		.toSorted((a, b) => b.weight - a.weight || (a.member < b.member ? -1 : 1))
+		.slice(0, candidatesPerGroup)
+		.map(({member}) => member);
+}
+
+function weigh(group: string, member: string): number {
+	return createHash('sha256').update(`${group}\n${member}`).digest().readUIntBE(0, 6);
+}
