Send orders on a connection that is opened before the lease is checked

Cause: a holder that is paused between its check and its write must not reach an engine, whether or not the engine enforces fencing numbers. Change: order channel (connect, check, one write, close), /state and /orders on the engine stand-in with timed changes, drain, crash in the middle of a change and an idle limit for connections. Figures: a process stopped by SIGSTOP between check and write has no effect on either kind of engine; with the idle limit off its order lands on the engine that ignores fencing. Conclusion: the idle limit alone is enough where fencing is ignored.

--- /dev/null
+++ b/src/connection/order-channel.ts
@@ -0,0 +1,108 @@
+import {request as createRequest} from 'node:http';
+import {connect, type Socket} from 'node:net';
+import {parseAddress} from '../process/address.ts';
+import type {WantedState} from '../platform/engine.ts';
+
+/** An order as it is sent to an engine. */
+export type Order = {
+	readonly orderId: string;
+	readonly fencing: number;
+	readonly wanted: WantedState;
+};
+
+/** What became of an order. Only `unknown` leaves open whether the engine took it. */
+export type OrderOutcome
+	= | {readonly kind: 'accepted'}
+		| {readonly kind: 'refused'; readonly status: number}
+		| {readonly kind: 'not-sent'; readonly message: string}
+		| {readonly kind: 'unknown'; readonly message: string};
+
+/** Conditions under which an order is sent. */
+export type OrderChannelOptions = {
+	/** Checks the lease on the monotonic clock; called once the connection is open. */
+	readonly isAuthorized: () => boolean;
+	/** Time limit for the connection and the answer, in milliseconds. @default 2000 */
+	readonly timeoutMs?: number;
+	/** Runs between the check and the write; tests pause the process here. */
+	readonly beforeWrite?: () => void;
+};
+
+const defaultTimeoutMs = 2000;
+
+/**
+Sends one order on a connection of its own, then closes it.
+
+The connection is opened before the lease is checked. A sender that is paused after the check therefore writes to a connection that the engine has closed at its idle limit.
+*/
+export async function sendOrder(address: string, order: Order, options: OrderChannelOptions): Promise<OrderOutcome> {
+	const socket = connect(parseAddress(address));
+	const signal = AbortSignal.timeout(options.timeoutMs ?? defaultTimeoutMs);
+	try {
+		const failure = await waitUntilConnected(socket, signal);
+		return failure === undefined
+			? await writeOrder(socket, order, options, signal)
+			: {kind: 'not-sent', message: failure};
+	} finally {
+		socket.destroy();
+	}
+}
+
+async function waitUntilConnected(socket: Socket, signal: AbortSignal): Promise<string | undefined> {
+	const {promise, resolve} = Promise.withResolvers<string | undefined>();
+	socket.setNoDelay(true);
+	socket.once('connect', () => {
+		resolve(undefined);
+	});
+	socket.on('error', error => {
+		resolve(error.message);
+	});
+	signal.addEventListener('abort', () => {
+		resolve('connect timed out');
+	});
+	return promise;
+}
+
+async function writeOrder(
+	socket: Socket,
+	order: Order,
+	options: OrderChannelOptions,
+	signal: AbortSignal,
+): Promise<OrderOutcome> {
+	const {promise, resolve} = Promise.withResolvers<OrderOutcome>();
+	const body = JSON.stringify(order.wanted);
+	const request = createRequest({
+		method: 'PUT',
+		path: '/state',
+		headers: {
+			host: `${socket.remoteAddress}:${socket.remotePort}`,
+			'content-type': 'application/json',
+			'content-length': new TextEncoder().encode(body).length,
+			'fencing-number': order.fencing,
+			'order-id': order.orderId,
+		},
+		createConnection: () => socket,
+	});
+	request.once('response', response => {
+		response.resume();
+		const {statusCode: status = 0} = response;
+		resolve(status >= 200 && status < 300 ? {kind: 'accepted'} : {kind: 'refused', status});
+	});
+	request.once('error', error => {
+		resolve({kind: 'unknown', message: error.message});
+	});
+	signal.addEventListener('abort', () => {
+		resolve({kind: 'unknown', message: 'no answer in time'});
+	});
+	// The check and the write run in one synchronous step; head and body leave in one write.
+	request.once('socket', () => {
+		if (!options.isAuthorized()) {
+			resolve({kind: 'not-sent', message: 'the lease has expired'});
+			request.destroy();
+			return;
+		}
+
+		options.beforeWrite?.();
+		request.end(body);
+	});
+	return promise;
+}
--- /dev/null
+++ b/src/stand-ins/engine/engine-orders.ts
@@ -0,0 +1,152 @@
+import type {EngineRole, EngineState, WantedState} from '../../platform/engine.ts';
+
+/** How an engine treats orders. */
+export type EngineOrderOptions = {
+	readonly model: string;
+	/** @default 'mixed' */
+	readonly role?: EngineRole;
+	/** @default '1' */
+	readonly version?: string;
+	/** Refuses an order with a lower fencing number than the highest seen. @default true */
+	readonly enforcesFencing?: boolean;
+	/** Time that a change of role, model, adapters or version takes, in milliseconds. @default 2000 */
+	readonly changeMs?: number;
+	/** Time from a crash until the engine runs again, in milliseconds. @default 1000 */
+	readonly restartMs?: number;
+};
+
+/** An order as the engine received it. */
+export type ReceivedOrder = {
+	readonly orderId: string;
+	readonly fencing: number;
+	readonly wanted: WantedState;
+};
+
+/** Record of an accepted order, for invariant checks. */
+export type AcceptedOrder = ReceivedOrder & {
+	readonly acceptedAt: number;
+	/** Time at which the engine was ready again; absent while it changes or after a crash. */
+	readonly readyAt?: number;
+	/** Requests that were in flight when a change began. */
+	readonly cutRequests: number;
+	/** True when the order came while another one was being carried out. */
+	readonly conflicts: boolean;
+};
+
+/** Answer of the engine to an order. */
+export type OrderAnswer = 'accepted' | 'repeated' | 'refused';
+
+type Change = {readonly orderId: string; readonly wanted: WantedState; readonly startedAt: number};
+
+/** Orders and state of an engine as a state machine; times in milliseconds are passed in. */
+export class EngineOrders {
+	readonly #options: EngineOrderOptions;
+	#state: EngineState;
+	#change: Change | undefined;
+	#accepted: readonly AcceptedOrder[] = [];
+	#refused: readonly ReceivedOrder[] = [];
+	#downUntil = Number.NEGATIVE_INFINITY;
+
+	constructor(options: EngineOrderOptions) {
+		this.#options = options;
+		this.#state = createBootState(options);
+	}
+
+	/** Orders accepted since the stand-in was created, also across its crashes. */
+	get accepted(): readonly AcceptedOrder[] {
+		return this.#accepted;
+	}
+
+	/** Orders refused for their fencing number. */
+	get refused(): readonly ReceivedOrder[] {
+		return this.#refused;
+	}
+
+	/** State at a time. */
+	state(now: number): EngineState {
+		this.#finishChange(now);
+		return this.#state;
+	}
+
+	/** True while the engine restarts after a crash. */
+	isDown(now: number): boolean {
+		return now < this.#downUntil;
+	}
+
+	/** Takes or refuses an order. */
+	receive(order: ReceivedOrder, inFlight: number, now: number): OrderAnswer {
+		this.#finishChange(now);
+		const {enforcesFencing = true} = this.#options;
+		if (enforcesFencing && order.fencing < this.#state.fencing) {
+			this.#refused = [...this.#refused, order];
+			return 'refused';
+		}
+
+		if (order.orderId === this.#state.orderId) {
+			return 'repeated';
+		}
+
+		const conflicts = this.#change !== undefined;
+		const takesTime = isSlow(order.wanted, this.#state);
+		this.#accepted = [...this.#accepted, {
+			...order, acceptedAt: now, conflicts, cutRequests: takesTime ? inFlight : 0,
+		}];
+		this.#state = {...this.#state, fencing: Math.max(order.fencing, this.#state.fencing), orderId: order.orderId};
+		if (takesTime) {
+			this.#state = {...this.#state, phase: 'changing'};
+			this.#change = {orderId: order.orderId, wanted: order.wanted, startedAt: now};
+		} else {
+			this.#apply(order.orderId, order.wanted, now);
+		}
+
+		return 'accepted';
+	}
+
+	/** Stops the engine; it restarts with the state it booted with and forgets its orders. */
+	crash(now: number): void {
+		this.#state = createBootState(this.#options);
+		this.#change = undefined;
+		this.#downUntil = now + (this.#options.restartMs ?? 1000);
+	}
+
+	/** True while a change is being carried out. */
+	isChanging(now: number): boolean {
+		this.#finishChange(now);
+		return this.#change !== undefined;
+	}
+
+	#finishChange(now: number): void {
+		const change = this.#change;
+		if (change !== undefined && now >= change.startedAt + (this.#options.changeMs ?? 2000)) {
+			this.#change = undefined;
+			this.#apply(change.orderId, change.wanted, change.startedAt + (this.#options.changeMs ?? 2000));
+		}
+	}
+
+	#apply(orderId: string, wanted: WantedState, readyAt: number): void {
+		const {drain = this.#state.draining, ...rest} = wanted;
+		this.#state = {
+			...this.#state, ...rest, draining: drain, phase: this.#change === undefined ? 'ready' : 'changing',
+		};
+		this.#accepted = this.#accepted.map(order => (order.orderId === orderId && order.readyAt === undefined ? {...order, readyAt} : order));
+	}
+}
+
+function createBootState(options: EngineOrderOptions): EngineState {
+	return {
+		role: options.role ?? 'mixed',
+		model: options.model,
+		adapters: [],
+		version: options.version ?? '1',
+		draining: false,
+		fencing: 0,
+		orderId: '',
+		phase: 'ready',
+	};
+}
+
+function isSlow(wanted: WantedState, state: EngineState): boolean {
+	const {drain, ...change} = wanted;
+	return Object.entries(change).some(([name, value]) =>
+		JSON.stringify(value) !== JSON.stringify(state[name as keyof EngineState]));
+}
--- a/src/stand-ins/engine/engine-server.ts
+++ b/src/stand-ins/engine/engine-server.ts
@@ -4,6 +4,8 @@
 import {
 	noFaults, readText, sendAnswer, StandInServer, type CommonFaults,
 } from '../stand-in-server.ts';
+import type {EngineOrders} from './engine-orders.ts';
+import {OrderEndpoint, type OrderEndpointOptions, type OrderFaults} from './order-endpoint.ts';
 
 /** Speed and model of the engine stand-in. */
 export type EngineOptions = {
@@ -13,10 +15,12 @@
 	readonly prefillMsPerToken?: number;
 	/** Time between two generated tokens, in milliseconds. @default 5 */
 	readonly decodeMsPerToken?: number;
+	/** How the engine takes orders. @default {} */
+	readonly orders?: Partial<OrderEndpointOptions>;
 };
 
 /** Faults of an engine. */
-export type EngineFaults = CommonFaults;
+export type EngineFaults = CommonFaults & OrderFaults;
 
 type CompletionInput = {
 	readonly model: string;
@@ -30,16 +34,35 @@
 const charactersPerToken = 4;
 
 /** Stand-in for a model engine: OpenAI API with answers at token pace. */
-export class EngineServer extends StandInServer {
+export class EngineServer extends StandInServer<EngineFaults> {
 	readonly #options: EngineOptions;
+	readonly #orders: OrderEndpoint;
 	#running = 0;
 
 	constructor(options: EngineOptions) {
-		super(noFaults);
+		super({...noFaults, crashInChange: false});
 		this.#options = options;
+		this.#orders = new OrderEndpoint({model: options.model, ...options.orders});
+		this.#orders.attach(this.server);
+	}
+
+	/** Orders that the engine has accepted and refused. */
+	get orders(): EngineOrders {
+		return this.#orders.orders;
 	}
 
 	protected async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const isHandled = await this.#orders.handle(request, response, {
+			faults: this.faults,
+			inFlight: this.#running,
+			cutConnections: () => {
+				this.server.closeAllConnections();
+			},
+		});
+		if (isHandled) {
+			return;
+		}
+
 		switch (`${request.method} ${request.url}`) {
 			case 'GET /healthz': {
 				sendAnswer(response, {status: 200, body: {status: 'ok'}});
--- /dev/null
+++ b/src/stand-ins/engine/order-endpoint.ts
@@ -0,0 +1,113 @@
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {WantedState} from '../../platform/engine.ts';
+import {readText, sendAnswer} from '../stand-in-server.ts';
+import {EngineOrders, type EngineOrderOptions, type ReceivedOrder} from './engine-orders.ts';
+import {IdleLimit, idleLimitMs} from './idle-limit.ts';
+
+/** Options of an engine's order interface. */
+export type OrderEndpointOptions = EngineOrderOptions & {
+	/** @default idleLimitMs */
+	readonly idleLimitMs?: number;
+};
+
+/** Faults of an engine's order interface. */
+export type OrderFaults = {
+	/** Stops the engine halfway through each change. */
+	readonly crashInChange: boolean;
+};
+
+type Context = {
+	readonly faults: OrderFaults;
+	/** Requests that run or wait. */
+	readonly inFlight: number;
+	/** Closes every connection, as a crash does. */
+	readonly cutConnections: () => void;
+};
+
+/** HTTP side of an engine's orders: `/state`, and `/orders` with the record for invariant checks. */
+export class OrderEndpoint implements Disposable {
+	readonly orders: EngineOrders;
+	readonly #idleLimit: IdleLimit;
+	readonly #options: OrderEndpointOptions;
+	#crash: NodeJS.Timeout | undefined;
+
+	constructor(options: OrderEndpointOptions) {
+		this.#options = options;
+		this.orders = new EngineOrders(options);
+		this.#idleLimit = new IdleLimit(options.idleLimitMs ?? idleLimitMs);
+	}
+
+	/** Applies the idle limit to the engine's connections. */
+	attach(server: Server): void {
+		this.#idleLimit.apply(server);
+	}
+
+	/** Answers requests of the order interface and refuses work while the engine cannot take it; false when the request is work to be done. */
+	async handle(request: IncomingMessage, response: ServerResponse, context: Context): Promise<boolean> {
+		const now = performance.now();
+		if (this.orders.isDown(now)) {
+			request.socket.destroy();
+			return true;
+		}
+
+		switch (`${request.method} ${request.url}`) {
+			case 'GET /state': {
+				sendAnswer(response, {status: 200, body: this.orders.state(now)});
+				return true;
+			}
+
+			case 'GET /orders': {
+				sendAnswer(response, {status: 200, body: {accepted: this.orders.accepted, refused: this.orders.refused}});
+				return true;
+			}
+
+			case 'PUT /state': {
+				await this.#put(request, response, context);
+				return true;
+			}
+
+			default: {
+				return request.method === 'POST' && this.#refuseWork(response, now);
+			}
+		}
+	}
+
+	[Symbol.dispose](): void {
+		clearTimeout(this.#crash);
+	}
+
+	async #put(request: IncomingMessage, response: ServerResponse, context: Context): Promise<void> {
+		const wanted = JSON.parse(await readText(request)) as WantedState;
+		if (!this.#idleLimit.isInTime(request.socket)) {
+			return;
+		}
+
+		const order: ReceivedOrder = {
+			orderId: String(request.headers['order-id']), fencing: Number(request.headers['fencing-number']), wanted,
+		};
+		const now = performance.now();
+		const answer = this.orders.receive(order, context.inFlight, now);
+		if (answer === 'accepted' && this.orders.isChanging(now) && context.faults.crashInChange) {
+			this.#crash = setTimeout(() => {
+				this.orders.crash(performance.now());
+				context.cutConnections();
+			}, (this.#options.changeMs ?? 2000) / 2);
+		}
+
+		sendAnswer(response, {status: answer === 'refused' ? 409 : 202, body: this.orders.state(now)});
+	}
+
+	#refuseWork(response: ServerResponse, now: number): boolean {
+		const {draining, phase} = this.orders.state(now);
+		if (!draining && phase === 'ready') {
+			return false;
+		}
+
+		sendAnswer(response, {
+			status: 503,
+			headers: {'wagtailtack-leaving': 'true', 'wagtailtack-ran': 'no', connection: 'close'},
+			body: {error: {code: 'engine_draining', message: 'the engine takes no new work'}},
+		});
+		return true;
+	}
+}
--- /dev/null
+++ b/test/connection/order-channel.test.ts
@@ -0,0 +1,78 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {readFile} from 'node:fs/promises';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {setTimeout as delay} from 'node:timers/promises';
+import {text} from 'node:stream/consumers';
+import {expect, it} from 'vitest';
+import {sendOrder} from '../../src/connection/order-channel.ts';
+import {EngineServer} from '../../src/stand-ins/engine/engine-server.ts';
+
+const idleLimitMs = 400;
+const leaseMs = 1000;
+
+async function waitUntilStopped(child: ChildProcess): Promise<void> {
+	for (;;) {
+		const status = await readFile(`/proc/${child.pid}/stat`, 'utf8');
+		if (status.split(') ')[1]?.startsWith('T') === true) {
+			return;
+		}
+
+		await delay(10);
+	}
+}
+
+/** Pauses a holder between check and write, lets a successor give an order, and resumes the holder. */
+async function succeedPausedHolder(orders: {readonly enforcesFencing: boolean; readonly idleLimitMs: number}) {
+	await using engine = new EngineServer({id: 'e', model: 'm', orders: {...orders, changeMs: 50}});
+	const {host, port} = await engine.listen({host: '127.0.0.1', port: 0});
+	const address = `${host}:${port}`;
+	const child = spawn(process.execPath, [fileURLToPath(new URL('../fixtures/paused-sender.ts', import.meta.url)), address, String(leaseMs)], {stdio: ['ignore', 'pipe', 'inherit']});
+	const output = text(child.stdout);
+	try {
+		await waitUntilStopped(child);
+		// The successor's grant follows the end of the lease; its first order waits for the idle limit of a real engine.
+		await delay(leaseMs + idleLimitMs);
+		await sendOrder(address, {orderId: 'new', fencing: 2, wanted: {role: 'decode'}}, {isAuthorized: () => true});
+		await delay(100);
+	} finally {
+		child.kill('SIGCONT');
+	}
+
+	const outcome = await output;
+	return {outcome: outcome.trim(), accepted: engine.orders.accepted.map(order => order.orderId), role: engine.orders.state(performance.now()).role};
+}
+
+it.concurrent.each([true, false])('an order of a holder that is paused after its check has no effect (engine enforces fencing: %s)', async enforcesFencing => {
+	const result = await succeedPausedHolder({enforcesFencing, idleLimitMs});
+	expect(result).toEqual({outcome: 'unknown', accepted: ['new'], role: 'decode'});
+});
+
+it.concurrent('the late order would take effect without the idle limit, so that the test above can fail', async () => {
+	const {accepted} = await succeedPausedHolder({enforcesFencing: false, idleLimitMs: 60_000});
+	expect(accepted).toEqual(['new', 'old']);
+});
+
+it.concurrent('an engine that enforces fencing refuses the late order even where it does not close idle connections', async () => {
+	const result = await succeedPausedHolder({enforcesFencing: true, idleLimitMs: 60_000});
+	expect(result).toEqual({outcome: 'refused', accepted: ['new'], role: 'decode'});
+});
+
+it.concurrent('an order is not sent when the lease has ended while the connection was opened', async () => {
+	await using engine = new EngineServer({id: 'e', model: 'm'});
+	const {host, port} = await engine.listen({host: '127.0.0.1', port: 0});
+	const outcome = await sendOrder(`${host}:${port}`, {orderId: 'o', fencing: 1, wanted: {drain: true}}, {isAuthorized: () => false});
+	expect(outcome.kind).toBe('not-sent');
+	expect(engine.orders.accepted).toEqual([]);
+});
+
+it.concurrent('an engine that crashes in the middle of a change comes back with its old state and no order', async () => {
+	await using engine = new EngineServer({id: 'e', model: 'm', orders: {changeMs: 100, restartMs: 50}});
+	engine.setFaults({crashInChange: true});
+	const {host, port} = await engine.listen({host: '127.0.0.1', port: 0});
+	const outcome = await sendOrder(`${host}:${port}`, {orderId: 'o', fencing: 1, wanted: {role: 'decode'}}, {isAuthorized: () => true});
+	expect(outcome.kind).toBe('accepted');
+	await delay(250);
+	expect(engine.orders.state(performance.now())).toMatchObject({role: 'mixed', orderId: '', phase: 'ready'});
+	expect(engine.orders.accepted[0]?.readyAt).toBeUndefined();
+});
