--- /dev/null
+++ b/src/process/orders/plan-machine.ts
@@ -0,0 +1,217 @@
+import type {WantedState} from '../../platform/engine.ts';
+import type {PlanAction} from '../../version/fleet-plan.ts';
+import {isReached, type EngineFacts, type Goal} from './intent-machine.ts';
+import {
+	areEarlierStepsFinished, currentStep, partName, type PlanBody, type TargetBody, type TargetPhase,
+} from './plan-row.ts';
+import type {ReservationDecision} from './reservation.ts';
+
+/** Safety rules of plans; only mutation checks switch one off. */
+export type PlanGuards = {
+	/** Nothing is in flight at an engine when an order that cuts work is written. */
+	readonly waitsUntilIdle: boolean;
+	/** The last ready replica in an availability zone stays. */
+	readonly keepsLastReplica: boolean;
+	/** Loads are spaced. */
+	readonly spacesLoads: boolean;
+};
+
+/** All rules on. */
+export const planGuards: PlanGuards = {waitsUntilIdle: true, keepsLastReplica: true, spacesLoads: true};
+
+/** Durations and rules of plans. */
+export type PlanOptions = {
+	/** Time after which every daemon has stopped routing to an upstream whose row says draining, in milliseconds. */
+	readonly settleMs: number;
+	readonly guards: PlanGuards;
+};
+
+/** Time that daemons have to learn that an upstream drains, in milliseconds; the same as for a leaving upstream. */
+export const settleMs = 3000;
+
+/** What a holder knows about one upstream that a plan holds. */
+export type TargetFacts = {
+	readonly upstream: string;
+	readonly plan: PlanBody;
+	readonly target: TargetBody;
+	readonly engine: EngineFacts;
+	/** Requests in flight and the time at which the count was asked for. */
+	readonly inFlight?: {readonly count: number; readonly startedAt: number};
+	/** Time since which this holder has seen the current phase. */
+	readonly phaseSince: number;
+	/** Other ready replicas of the same model in the availability zone. */
+	readonly readyPeers: number;
+	/** True when another upstream of the group is being changed. */
+	readonly isGroupBusy: boolean;
+	/** True when the upstream that takes over in a `replace` step is ready. */
+	readonly isReplacementReady: boolean;
+	readonly reservation: ReservationDecision;
+};
+
+/** What happens next to an upstream that a plan holds; the goal is what its engine is to become meanwhile. */
+export type TargetDecision
+	= | {readonly kind: 'wait'; readonly note: string; readonly goal?: Goal}
+		| {readonly kind: 'move'; readonly phase: TargetPhase}
+		| {readonly kind: 'reserve'}
+		| {readonly kind: 'finish'; readonly phase: 'released' | 'drained'; readonly part?: string};
+
+/** Decides the next move of one upstream that a plan holds. */
+export function decideTarget(facts: TargetFacts, now: number, options: PlanOptions): TargetDecision {
+	const {plan, target, upstream} = facts;
+	const step = currentStep(plan, upstream);
+	const {action} = plan.steps[step] ?? {};
+	if (plan.state !== 'running' || action === undefined) {
+		return decideReturn(facts);
+	}
+
+	const part = partName(step, upstream);
+	switch (target.phase) {
+		case 'waiting':
+		case 'drained': {
+			return areEarlierStepsFinished(plan, step)
+				? decideStart(facts, action, options)
+				: {kind: 'wait', note: 'An earlier step is not finished.'};
+		}
+
+		case 'draining': {
+			return decideDraining(facts, action, now, options);
+		}
+
+		case 'changing': {
+			return decideChanging(facts, action);
+		}
+
+		case 'undraining': {
+			const goal = createGoal(facts, 'undrain', {drain: false});
+			return isReached(facts.engine, goal) ? finishUndrain(action, part) : {kind: 'wait', note: '', goal};
+		}
+	}
+}
+
+/** Identifies one load in the reservation row; a load that is repeated after a crash needs a new reservation. */
+export function loadName({plan, upstream, engine}: Pick<TargetFacts, 'plan' | 'upstream' | 'engine'>): string {
+	return `${plan.id}/${partName(currentStep(plan, upstream), upstream)}/${engine.intent?.revision ?? 0}`;
+}
+
+function decideStart(facts: TargetFacts, action: PlanAction, {guards}: PlanOptions): TargetDecision {
+	if (action.kind === 'undrain') {
+		return {kind: 'move', phase: 'undraining'};
+	}
+
+	if (facts.target.phase === 'drained') {
+		return {kind: 'move', phase: 'draining'};
+	}
+
+	if (facts.isGroupBusy) {
+		return {kind: 'wait', note: 'Another upstream of the group is being changed.'};
+	}
+
+	if (action.kind === 'replace' && !facts.isReplacementReady) {
+		return {kind: 'wait', note: `Its replacement ${action.replacement} is not ready.`};
+	}
+
+	return facts.readyPeers === 0 && guards.keepsLastReplica
+		? {kind: 'wait', note: 'It is the last ready replica of its model in its availability zone.'}
+		: {kind: 'move', phase: 'draining'};
+}
+
+function decideDraining(facts: TargetFacts, action: PlanAction, now: number, options: PlanOptions): TargetDecision {
+	const {plan, upstream, engine, inFlight} = facts;
+	const isPermanent = action.kind === 'drain' || action.kind === 'replace';
+	if (facts.readyPeers === 0 && options.guards.keepsLastReplica) {
+		return {kind: 'move', phase: 'undraining'};
+	}
+
+	if (now < facts.phaseSince + options.settleMs) {
+		return {kind: 'wait', note: 'The daemons learn that it drains.'};
+	}
+
+	const goal = createGoal(facts, 'drain', {drain: true});
+	if (!isReached(engine, goal) || engine.reading?.state.draining !== true) {
+		return {kind: 'wait', note: '', goal};
+	}
+
+	// Counted after the engine showed that it takes no new work, so that the count cannot rise again.
+	const isIdle = inFlight?.count === 0 && inFlight.startedAt >= engine.reading.startedAt;
+	if (!isIdle && options.guards.waitsUntilIdle) {
+		return {kind: 'wait', note: 'Requests are in flight at the engine.', goal};
+	}
+
+	if (isPermanent) {
+		return {kind: 'finish', phase: 'drained', part: partName(currentStep(plan, upstream), upstream)};
+	}
+
+	if (action.kind !== 'load' || !options.guards.spacesLoads || facts.reservation === 'held') {
+		return {kind: 'move', phase: 'changing'};
+	}
+
+	return facts.reservation === 'take' ? {kind: 'reserve'} : {kind: 'wait', note: 'The weight store serves another load.', goal};
+}
+
+function decideChanging(facts: TargetFacts, action: PlanAction): TargetDecision {
+	const {plan, upstream, engine} = facts;
+	const goal = createGoal(facts, 'change', toWanted(action));
+	if (isReached(engine, goal)) {
+		return {kind: 'finish', phase: 'released', part: partName(currentStep(plan, upstream), upstream)};
+	}
+
+	const isPending = engine.intent?.body?.phase === 'pending';
+	const hasLostDrain = engine.reading?.state.draining === false && engine.reading.state.phase === 'ready';
+	// An engine that crashed comes back without its drain flag and may have new work in flight.
+	return engine.intent !== undefined && !isPending && hasLostDrain
+		? {kind: 'move', phase: 'draining'}
+		: {kind: 'wait', note: '', goal};
+}
+
+/** Returns an upstream to service, or leaves it drained, once its plan is cancelled. */
+function decideReturn(facts: TargetFacts): TargetDecision {
+	const {engine} = facts;
+	switch (facts.target.phase) {
+		case 'waiting': {
+			return {kind: 'finish', phase: 'released'};
+		}
+
+		case 'drained': {
+			return {kind: 'wait', note: ''};
+		}
+
+		case 'draining':
+		case 'changing': {
+			return engine.intent?.body?.phase === 'pending'
+				? {kind: 'wait', note: 'An order is being resolved.'}
+				: {kind: 'move', phase: 'undraining'};
+		}
+
+		case 'undraining': {
+			const goal = createGoal(facts, 'return', {drain: false});
+			return isReached(engine, goal) ? {kind: 'finish', phase: 'released'} : {kind: 'wait', note: '', goal};
+		}
+	}
+}
+
+function finishUndrain(action: PlanAction, part: string): TargetDecision {
+	return action.kind === 'undrain' ? {kind: 'finish', phase: 'released', part} : {kind: 'move', phase: 'waiting'};
+}
+
+function createGoal({plan, upstream}: TargetFacts, purpose: string, wanted: WantedState): Goal {
+	return {id: `${plan.id}/${partName(currentStep(plan, upstream), upstream)}/${purpose}`, planId: plan.id, wanted};
+}
+
+function toWanted(action: PlanAction): WantedState {
+	switch (action.kind) {
+		case 'load': {
+			const {kind, ...weights} = action;
+			return {...weights, drain: false};
+		}
+
+		case 'role': {
+			return {role: action.role, drain: false};
+		}
+
+		case 'replace':
+		case 'drain':
+		case 'undrain': {
+			return {drain: action.kind !== 'undrain'};
+		}
+	}
+}
--- /dev/null
+++ b/src/process/orders/reservation.ts
@@ -0,0 +1,49 @@
+import {z} from 'zod';
+import type {Row, RowKey} from '../../platform/table.ts';
+
+/** Time between the starts of two loads from the weight store, in milliseconds. */
+export const loadSpacingMs = 5000;
+
+/** Key of the row that spaces loads from the weight store across the fleet. */
+export const reservationKey: RowKey = {partition: 'reservation', sort: 'weight-store'};
+
+/** The last load as an observer sees it; `since` is when it first saw this revision, on its own clock. */
+export type ReservationObservation = {
+	readonly revision: number;
+	/** Identifies the load that holds the reservation; empty when there is no row. */
+	readonly load: string;
+	readonly since: number;
+};
+
+/** Whether a load may start now. */
+export type ReservationDecision = 'held' | 'take' | 'wait';
+
+const reservationBody = z.object({load: z.string()});
+
+/** Updates an observation with the row as read. */
+export function observeReservation(
+	last: ReservationObservation | undefined,
+	row: Row | undefined,
+	now: number,
+): ReservationObservation {
+	const revision = row?.revision ?? 0;
+	if (last?.revision === revision) {
+		return last;
+	}
+
+	return {revision, load: row === undefined ? '' : reservationBody.parse(JSON.parse(row.body)).load, since: now};
+}
+
+/** Decides whether a load may start; no clocks are compared, because each observer times the row itself. */
+export function decideReservation(
+	observation: ReservationObservation,
+	load: string,
+	now: number,
+	spacingMs: number,
+): ReservationDecision {
+	if (observation.load === load) {
+		return 'held';
+	}
+
+	return observation.revision === 0 || now - observation.since >= spacingMs ? 'take' : 'wait';
+}
