--- a/src/platform/engine.ts
+++ b/src/platform/engine.ts
@@ -31,6 +31,8 @@
 	/** Last order accepted since the engine started; empty when there is none. */
 	readonly orderId: string;
 	readonly phase: 'ready' | 'changing';
+	/** Requests that run or wait now; unlike the load report, it does not lag. */
+	readonly inFlight: number;
 };
 
 const engineState = z.object({
@@ -42,46 +44,25 @@
 	fencing: z.number(),
 	orderId: z.string(),
 	phase: z.enum(['ready', 'changing']),
+	inFlight: z.number(),
 });
 
 /** Read access to model engines. Each read opens a connection of its own. */
 export abstract class Engine {
 	/** Reads the state of the engine at an address; a failure is a short message. */
 	abstract readState(address: string): Promise<Either<string, EngineState>>;
-
-	/** Reads the number of requests that run or wait at the engine; a failure is a short message. */
-	abstract readInFlight(address: string): Promise<Either<string, number>>;
 }
 
 const readTimeoutMs = 2000;
-const inFlightMetrics = new Set(['engine_running_requests', 'engine_waiting_requests']);
 
 /** Engine over HTTP. */
 export class HttpEngine extends Engine {
 	async readState(address: string): Promise<Either<string, EngineState>> {
-		return attempt(async () => engineState.parse(JSON.parse(await read(address, '/state'))));
-	}
-
-	async readInFlight(address: string): Promise<Either<string, number>> {
-		return attempt(async () => parseInFlight(await read(address, '/metrics')));
-	}
-}
-
-/** Sums the running and the waiting requests in Prometheus text; throws when the running ones are not reported. */
-export function parseInFlight(text: string): number {
-	const samples = text.split('\n').map(line => line.trim().split(/[\s\{]/v)).filter(([name]) => inFlightMetrics.has(name ?? ''));
-	if (!samples.some(([name]) => name === 'engine_running_requests')) {
-		throw new Error('the engine does not report its running requests');
-	}
-
-	return samples.reduce((sum, sample) => sum + Number(sample.at(-1)), 0);
-}
-
-async function attempt<Value>(produce: () => Promise<Value>): Promise<Either<string, Value>> {
-	try {
-		return Right(await produce());
-	} catch (error) {
-		return Left(error instanceof Error ? error.message : String(error));
+		try {
+			return Right(engineState.parse(JSON.parse(await read(address, '/state'))));
+		} catch (error) {
+			return Left(error instanceof Error ? error.message : String(error));
+		}
 	}
 }
 
--- a/src/process/orders/plan-machine.ts
+++ b/src/process/orders/plan-machine.ts
@@ -35,8 +35,6 @@
 	readonly plan: PlanBody;
 	readonly target: TargetBody;
 	readonly engine: EngineFacts;
-	/** Requests in flight and the time at which the count was asked for. */
-	readonly inFlight?: {readonly count: number; readonly startedAt: number};
 	/** Time since which this holder has seen the current phase. */
 	readonly phaseSince: number;
 	/** Other ready replicas of the same model in the availability zone. */
@@ -116,7 +114,7 @@
 }
 
 function decideDraining(facts: TargetFacts, action: PlanAction, now: number, options: PlanOptions): TargetDecision {
-	const {plan, upstream, engine, inFlight} = facts;
+	const {plan, upstream, engine} = facts;
 	const isPermanent = action.kind === 'drain' || action.kind === 'replace';
 	if (facts.readyPeers === 0 && options.guards.keepsLastReplica) {
 		return {kind: 'move', phase: 'undraining'};
@@ -131,9 +129,8 @@
 		return {kind: 'wait', note: '', goal};
 	}
 
-	// Counted after the engine showed that it takes no new work, so that the count cannot rise again.
-	const isIdle = inFlight?.count === 0 && inFlight.startedAt >= engine.reading.startedAt;
-	if (!isIdle && options.guards.waitsUntilIdle) {
+	// One reading shows that the engine takes no new work and that none is left, so that the count cannot rise again.
+	if (engine.reading.state.inFlight > 0 && options.guards.waitsUntilIdle) {
 		return {kind: 'wait', note: 'Requests are in flight at the engine.', goal};
 	}
 
--- a/src/stand-ins/engine/engine-orders.ts
+++ b/src/stand-ins/engine/engine-orders.ts
@@ -1,5 +1,8 @@
 import type {EngineRole, EngineState, WantedState} from '../../platform/engine.ts';
 
+/** Time that a change of role, model, adapters or version takes, in milliseconds. */
+export const defaultChangeMs = 2000;
+
 /** How an engine treats orders. */
 export type EngineOrderOptions = {
 	readonly model: string;
@@ -11,8 +14,6 @@
 	readonly enforcesFencing?: boolean;
 	/** Time that a change of role, model, adapters or version takes, in milliseconds. @default 2000 */
 	readonly changeMs?: number;
-	/** Time from a crash until the engine runs again, in milliseconds. @default 1000 */
-	readonly restartMs?: number;
 };
 
 /** An order as the engine received it. */
@@ -45,7 +46,6 @@
 	#change: Change | undefined;
 	#accepted: readonly AcceptedOrder[] = [];
 	#refused: readonly ReceivedOrder[] = [];
-	#downUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(options: EngineOrderOptions) {
 		this.#options = options;
@@ -68,11 +68,6 @@
 		return this.#state;
 	}
 
-	/** True while the engine restarts after a crash. */
-	isDown(now: number): boolean {
-		return now < this.#downUntil;
-	}
-
 	/** Takes or refuses an order. */
 	receive(order: ReceivedOrder, inFlight: number, now: number): OrderAnswer {
 		this.#finishChange(now);
@@ -104,9 +99,9 @@
 
 	/** Stops the engine; it restarts with the state it booted with and forgets its orders. */
 	crash(now: number): void {
+		this.#finishChange(now);
 		this.#state = createBootState(this.#options);
 		this.#change = undefined;
-		this.#downUntil = now + (this.#options.restartMs ?? 1000);
 	}
 
 	/** True while a change is being carried out. */
@@ -117,9 +112,9 @@
 
 	#finishChange(now: number): void {
 		const change = this.#change;
-		if (change !== undefined && now >= change.startedAt + (this.#options.changeMs ?? 2000)) {
+		if (change !== undefined && now >= change.startedAt + (this.#options.changeMs ?? defaultChangeMs)) {
 			this.#change = undefined;
-			this.#apply(change.orderId, change.wanted, change.startedAt + (this.#options.changeMs ?? 2000));
+			this.#apply(change.orderId, change.wanted, change.startedAt + (this.#options.changeMs ?? defaultChangeMs));
 		}
 	}
 
@@ -142,6 +137,7 @@
 		fencing: 0,
 		orderId: '',
 		phase: 'ready',
+		inFlight: 0,
 	};
 }
 
--- a/src/stand-ins/engine/order-endpoint.ts
+++ b/src/stand-ins/engine/order-endpoint.ts
@@ -1,7 +1,9 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {WantedState} from '../../platform/engine.ts';
+import type {EngineState, WantedState} from '../../platform/engine.ts';
 import {readText, sendAnswer} from '../stand-in-server.ts';
-import {EngineOrders, type EngineOrderOptions, type ReceivedOrder} from './engine-orders.ts';
+import {
+	defaultChangeMs, EngineOrders, type EngineOrderOptions, type ReceivedOrder,
+} from './engine-orders.ts';
 import {IdleLimit, idleLimitMs} from './idle-limit.ts';
 
 /** Options of an engine's order interface. */
@@ -18,10 +20,8 @@
 
 type Context = {
 	readonly faults: OrderFaults;
-	/** Requests that run or wait. */
-	readonly inFlight: number;
-	/** Closes every connection, as a crash does. */
-	readonly cutConnections: () => void;
+	/** Stops the engine for its restart time. */
+	readonly crash: () => void;
 };
 
 /** HTTP side of an engine's orders: `/state`, and `/orders` with the record for invariant checks. */
@@ -29,6 +29,7 @@
 	readonly orders: EngineOrders;
 	readonly #idleLimit: IdleLimit;
 	readonly #options: OrderEndpointOptions;
+	readonly #work = new Set<ServerResponse>();
 	#crash: NodeJS.Timeout | undefined;
 
 	constructor(options: OrderEndpointOptions) {
@@ -45,14 +46,9 @@
 	/** Answers requests of the order interface and refuses work while the engine cannot take it; false when the request is work to be done. */
 	async handle(request: IncomingMessage, response: ServerResponse, context: Context): Promise<boolean> {
 		const now = performance.now();
-		if (this.orders.isDown(now)) {
-			request.socket.destroy();
-			return true;
-		}
-
 		switch (`${request.method} ${request.url}`) {
 			case 'GET /state': {
-				sendAnswer(response, {status: 200, body: this.orders.state(now)});
+				sendAnswer(response, {status: 200, body: this.#report(now)});
 				return true;
 			}
 
@@ -67,7 +63,7 @@
 			}
 
 			default: {
-				return request.method === 'POST' && this.#refuseWork(response, now);
+				return request.method === 'POST' && this.#admitOrRefuse(response, now);
 			}
 		}
 	}
@@ -86,20 +82,37 @@
 			orderId: String(request.headers['order-id']), fencing: Number(request.headers['fencing-number']), wanted,
 		};
 		const now = performance.now();
-		const answer = this.orders.receive(order, context.inFlight, now);
-		if (answer === 'accepted' && this.orders.isChanging(now) && context.faults.crashInChange) {
-			this.#crash = setTimeout(() => {
-				this.orders.crash(performance.now());
-				context.cutConnections();
-			}, (this.#options.changeMs ?? 2000) / 2);
+		const isFree = !this.orders.isChanging(now);
+		const answer = this.orders.receive(order, this.#work.size, now);
+		if (answer === 'accepted' && isFree && this.orders.isChanging(now)) {
+			this.#startChange(context);
 		}
 
-		sendAnswer(response, {status: answer === 'refused' ? 409 : 202, body: this.orders.state(now)});
+		sendAnswer(response, {status: answer === 'refused' ? 409 : 202, body: this.#report(now)});
+	}
+
+	/** Cuts what runs, as a change of role or weights does. */
+	#startChange(context: Context): void {
+		for (const response of this.#work) {
+			response.destroy();
+		}
+
+		if (context.faults.crashInChange) {
+			this.#crash = setTimeout(context.crash, (this.#options.changeMs ?? defaultChangeMs) / 2);
+		}
+	}
+
+	#report(now: number): EngineState {
+		return {...this.orders.state(now), inFlight: this.#work.size};
 	}
 
-	#refuseWork(response: ServerResponse, now: number): boolean {
+	#admitOrRefuse(response: ServerResponse, now: number): boolean {
 		const {draining, phase} = this.orders.state(now);
 		if (!draining && phase === 'ready') {
+			this.#work.add(response);
+			response.once('close', () => {
+				this.#work.delete(response);
+			});
 			return false;
 		}
 
--- a/test/connection/order-channel.test.ts
+++ b/test/connection/order-channel.test.ts
@@ -67,8 +67,8 @@
 });
 
 it.concurrent('an engine that crashes in the middle of a change comes back with its old state and no order', async () => {
-	await using engine = new EngineServer({id: 'e', model: 'm', orders: {changeMs: 100, restartMs: 50}});
-	engine.setFaults({crashInChange: true});
+	await using engine = new EngineServer({id: 'e', model: 'm', orders: {changeMs: 100}});
+	engine.setFaults({crashInChange: true, restartMs: 50});
 	const {host, port} = await engine.listen({host: '127.0.0.1', port: 0});
 	const outcome = await sendOrder(`${host}:${port}`, {orderId: 'o', fencing: 1, wanted: {role: 'decode'}}, {isAuthorized: () => true});
 	expect(outcome.kind).toBe('accepted');
