--- /dev/null
+++ b/src/process/admission/admission.ts
@@ -0,0 +1,241 @@
+import {Rate} from '../rate.ts';
+import {FairQueue} from './fair-queue.ts';
+import {
+	laneOf, type AdmissionDecision, type Lane, type Ticket,
+} from './ticket.ts';
+
+/** Options of admission. */
+export type AdmissionOptions = {
+	/** Weight of a customer among those that wait. */
+	readonly weight: (customer: string) => number;
+	/** Tickets of one customer that may wait in one lane. @default 1000 */
+	readonly queueLimit?: number;
+	/** Part of the room that long live work may take. @default 0.4 */
+	readonly longPart?: number;
+	/** Part of the room that is kept for short live work. @default 0.15 */
+	readonly reservedPart?: number;
+	/** Part of the room that patient work gets after the ageing time even when live work waits. @default 0.05 */
+	readonly ageingPart?: number;
+	/** Time after which waiting patient work uses the ageing part, in milliseconds. @default 10000 */
+	readonly ageingMs?: number;
+};
+
+const defaults = {
+	queueLimit: 1000,
+	longPart: 0.4,
+	reservedPart: 0.15,
+	ageingPart: 0.05,
+	ageingMs: 10_000,
+};
+
+const lanes: readonly Lane[] = ['short', 'long', 'patient'];
+const longestRetryAfterS = 30;
+const rateMs = 1000;
+/** Time after which the rate of a lane is known well enough to refuse work by it. */
+const rateWarmUpMs = 500;
+/** Keeps the expected wait finite in a lane that is not served. */
+const leastTokensPerMs = 1e-6;
+
+type Running = {
+	readonly ticket: Ticket;
+	slots: number;
+};
+
+/** Decides when requests run: live before patient work, customers by share, short work never behind long work. */
+export class Admission {
+	readonly #options: Required<AdmissionOptions>;
+	readonly #queues: Readonly<Record<Lane, FairQueue>> = {
+		short: new FairQueue(), long: new FairQueue(), patient: new FairQueue(),
+	};
+
+	readonly #rates: Readonly<Record<Lane, Rate>> = {
+		short: new Rate(rateMs), long: new Rate(rateMs), patient: new Rate(rateMs),
+	};
+
+	readonly #used: Record<Lane, number> = {short: 0, long: 0, patient: 0};
+	readonly #running = new Map<string, Running>();
+	/** Patient tickets that run, oldest first. */
+	readonly #patient = new Map<string, Running>();
+	#room: number;
+
+	constructor(roomSlots: number, options: AdmissionOptions) {
+		this.#room = roomSlots;
+		this.#options = {...defaults, ...options};
+	}
+
+	/** Slots in use. */
+	get usedSlots(): number {
+		return this.#used.short + this.#used.long + this.#used.patient;
+	}
+
+	/** Tickets that wait. */
+	get waiting(): number {
+		return lanes.reduce((sum, lane) => sum + this.#queues[lane].length, 0);
+	}
+
+	/** Tokens that wait, by customer, for the usage exchange. */
+	waitingTokens(customer: string): number {
+		return lanes.reduce((sum, lane) => sum + this.#queues[lane].tokensOf(customer), 0);
+	}
+
+	/** Takes a ticket; it is granted, queued or refused. */
+	offer(now: number, ticket: Ticket): readonly AdmissionDecision[] {
+		const lane = laneOf(ticket);
+		const queue = this.#queues[lane];
+		if (queue.lengthOf(ticket.customer) >= this.#options.queueLimit) {
+			return [this.#refuse(now, ticket, 'queue_full')];
+		}
+
+		if (this.#expectedWaitMs(now, ticket) > ticket.startBy - now) {
+			return [this.#refuse(now, ticket, 'deadline')];
+		}
+
+		queue.push(ticket, this.#options.weight(ticket.customer));
+		return this.decide(now);
+	}
+
+	/** Returns the room that a prompt took once its first token has arrived. */
+	firstToken(now: number, id: string): readonly AdmissionDecision[] {
+		const running = this.#running.get(id);
+		if (running === undefined || running.slots <= 1) {
+			return [];
+		}
+
+		this.#used[laneOf(running.ticket)] += 1 - running.slots;
+		running.slots = 1;
+		return this.decide(now);
+	}
+
+	/** Ends a granted ticket, or drops one that waits. */
+	finish(now: number, ticket: Ticket): readonly AdmissionDecision[] {
+		if (!this.#release(ticket.id)) {
+			this.#queues[laneOf(ticket)].remove(ticket);
+		}
+
+		return this.decide(now);
+	}
+
+	/** Changes the room. */
+	resize(now: number, roomSlots: number): readonly AdmissionDecision[] {
+		this.#room = roomSlots;
+		return this.decide(now);
+	}
+
+	/** Refuses tickets whose deadline has passed and grants what fits; call it every 100 ms or so. */
+	tick(now: number): readonly AdmissionDecision[] {
+		const expired = lanes.flatMap(lane => this.#queues[lane].takeWhere(({startBy}) => startBy < now));
+		return [...expired.map(ticket => this.#refuse(now, ticket, 'deadline')), ...this.decide(now)];
+	}
+
+	/** Grants tickets that fit, live work first, and preempts patient work that holds up live work. */
+	decide(now: number): readonly AdmissionDecision[] {
+		const decisions: AdmissionDecision[] = [];
+		for (const lane of lanes) {
+			const queue = this.#queues[lane];
+			for (let ticket = queue.peek(); ticket !== undefined; ticket = queue.peek()) {
+				if (!this.#fits(now, lane, ticket) && !this.#preemptFor(now, lane, ticket, decisions)) {
+					break;
+				}
+
+				queue.take();
+				this.#grant(now, lane, ticket, decisions);
+			}
+		}
+
+		return decisions;
+	}
+
+	#grant(now: number, lane: Lane, ticket: Ticket, decisions: AdmissionDecision[]): void {
+		const running = {ticket, slots: ticket.slots};
+		this.#running.set(ticket.id, running);
+		if (lane === 'patient') {
+			this.#patient.set(ticket.id, running);
+		}
+
+		this.#used[lane] += ticket.slots;
+		this.#rates[lane].add(now, ticket.tokens);
+		decisions.push({kind: 'grant', ticket});
+	}
+
+	#fits(now: number, lane: Lane, ticket: Ticket): boolean {
+		const {longPart, reservedPart, ageingPart, ageingMs} = this.#options;
+		const used = this.usedSlots;
+		const {slots} = ticket;
+		switch (lane) {
+			case 'short': {
+				return used === 0 || used + slots <= this.#room;
+			}
+
+			// A long ticket larger than its part of the room runs alone in its lane.
+			case 'long': {
+				const fitsPart = this.#used.long === 0 || this.#used.long + slots <= this.#room * longPart;
+				return fitsPart && (used === 0 || used + Math.min(slots, this.#room * longPart) <= this.#room * (1 - reservedPart));
+			}
+
+			case 'patient': {
+				const isAged = now - ticket.arrivedAt >= ageingMs && this.#used.patient + slots <= Math.max(slots, this.#room * ageingPart);
+				const hasLiveWaiting = this.#queues.short.length + this.#queues.long.length > 0;
+				return isAged || (!hasLiveWaiting && (used === 0 || used + slots <= this.#room * (1 - reservedPart)));
+			}
+		}
+	}
+
+	/** Takes room from the youngest patient work, except from what the ageing part protects. */
+	#preemptFor(now: number, lane: Lane, ticket: Ticket, decisions: AdmissionDecision[]): boolean {
+		if (lane !== 'short') {
+			return false;
+		}
+
+		const floor = this.#room * this.#options.ageingPart;
+		const missing = this.usedSlots + ticket.slots - this.#room;
+		if (this.#used.patient - floor < missing) {
+			return false;
+		}
+
+		for (const {ticket: victim} of [...this.#patient.values()].toReversed()) {
+			if (this.#fits(now, lane, ticket)) {
+				break;
+			}
+
+			this.#release(victim.id);
+			decisions.push({kind: 'preempt', ticket: victim});
+		}
+
+		return true;
+	}
+
+	#release(id: string): boolean {
+		const running = this.#running.get(id);
+		if (running === undefined) {
+			return false;
+		}
+
+		this.#used[laneOf(running.ticket)] -= running.slots;
+		this.#running.delete(id);
+		this.#patient.delete(id);
+		return true;
+	}
+
+	/** Time until the ticket's customer has been served what it queued before, at the recent rate of the lane. */
+	#expectedWaitMs(now: number, ticket: Ticket): number {
+		const lane = laneOf(ticket);
+		const queue = this.#queues[lane];
+		const ahead = queue.tokensOf(ticket.customer);
+		if (ahead === 0 || this.#rates[lane].ageMs(now) < rateWarmUpMs) {
+			return 0;
+		}
+
+		const rate = Math.max(this.#rates[lane].perMs(now), leastTokensPerMs);
+
+		const weight = this.#options.weight(ticket.customer);
+		const part = weight / Math.max(weight, queue.activeWeight);
+		return Math.min(ahead / (rate * part), queue.tokens / rate);
+	}
+
+	#refuse(now: number, ticket: Ticket, reason: 'queue_full' | 'deadline'): AdmissionDecision {
+		const waitS = Math.ceil(this.#expectedWaitMs(now, ticket) / 1000);
+		return {
+			kind: 'refuse', ticket, reason, retryAfterS: Math.min(longestRetryAfterS, Math.max(1, waitS)),
+		};
+	}
+}
--- /dev/null
+++ b/src/process/load/load-table.ts
@@ -0,0 +1,247 @@
+import type {Random} from '../random.ts';
+import {ejectOutliers, median} from './outliers.ts';
+import {PrefixResidency, type CacheEventBatch} from './prefix-residency.ts';
+import {UpstreamLoad, type LoadReport, type Upstream} from './upstream-load.ts';
+
+/** What routing needs to know about a request. */
+export type RoutedRequest = {
+	/** Model or plain service. */
+	readonly group: string;
+	/** Cost in tokens. */
+	readonly tokens: number;
+	/** True for work that is kept away from short live work. @default false */
+	readonly isLong?: boolean;
+	readonly prefix?: string;
+	/** Tokens of cost that a cached prefix saves. @default 0 */
+	readonly prefixTokens?: number;
+	/** Upstreams that must not be chosen, such as those of earlier attempts. */
+	readonly excluded?: ReadonlySet<string>;
+};
+
+/** Options of a load table. */
+export type LoadTableOptions = {
+	readonly availabilityZone: string;
+	readonly random: Random;
+	/** Upstreams drawn for each decision. @default 3 */
+	readonly choices?: number;
+	/** Tokens of load above which another zone is considered. @default 1500 */
+	readonly spillTokens?: number;
+	/** Tokens of load that another zone must save. @default 300 */
+	readonly spillPenaltyTokens?: number;
+};
+
+type Group = {
+	/** Upstreams in a fixed order that is the same at every daemon. */
+	readonly all: readonly UpstreamLoad[];
+	readonly zoneShort: readonly UpstreamLoad[];
+	readonly zoneLong: readonly UpstreamLoad[];
+	readonly otherShort: readonly UpstreamLoad[];
+	readonly otherLong: readonly UpstreamLoad[];
+	meanForeign: number;
+	usualMsPerToken: number;
+	refreshedAt: number;
+};
+
+const refreshMs = 200;
+/** Part of a group that takes long work first; the same upstreams at every daemon, so that short work avoids them. */
+const longPart = 0.25;
+/** Wait for a first token, as a multiple of the usual one, from which an upstream is avoided. */
+const overdueRatio = 3;
+const overdueFloorMs = 300;
+const usualFirstTokenWeight = 0.02;
+
+/** Load of the upstreams as one daemon sees it, and the routing decisions that follow from it. */
+export class LoadTable {
+	readonly #options: Required<LoadTableOptions>;
+	readonly #loads = new Map<string, UpstreamLoad>();
+	readonly #groups = new Map<string, Group>();
+	readonly #residency = new PrefixResidency();
+	#usualFirstTokenMs = 200;
+
+	constructor(options: LoadTableOptions) {
+		this.#options = {
+			choices: 3, spillTokens: 1500, spillPenaltyTokens: 300, ...options,
+		};
+	}
+
+	/** Smoothed time to the first token over all upstreams. */
+	get usualFirstTokenMs(): number {
+		return this.#usualFirstTokenMs;
+	}
+
+	/** Replaces the upstreams; a new or returned one begins with a slow start unless the table was empty. */
+	setUpstreams(now: number, upstreams: readonly Upstream[]): void {
+		const isFirst = this.#loads.size === 0;
+		const ids = new Set(upstreams.map(({id}) => id));
+		for (const id of this.#loads.keys()) {
+			if (!ids.has(id)) {
+				this.#loads.delete(id);
+				this.#residency.forget(id);
+			}
+		}
+
+		for (const upstream of upstreams) {
+			if (!this.#loads.has(upstream.id)) {
+				this.#loads.set(upstream.id, new UpstreamLoad(upstream, isFirst ? -Infinity : now));
+			}
+		}
+
+		this.#groups.clear();
+		const byGroup = Map.groupBy(this.#loads.values(), ({upstream}) => upstream.group);
+		for (const [name, loads] of byGroup) {
+			this.#groups.set(name, createGroup(loads, this.#options.availabilityZone));
+		}
+	}
+
+	/** Chooses an upstream; undefined when none may be chosen. */
+	choose(now: number, request: RoutedRequest): string | undefined {
+		const group = this.#groups.get(request.group);
+		if (group === undefined) {
+			return undefined;
+		}
+
+		this.#refresh(now, group);
+		const {spillTokens, spillPenaltyTokens} = this.#options;
+		const {isLong = false} = request;
+		const local = this.#best(now, group, isLong ? group.zoneLong : group.zoneShort, request);
+		if (local !== undefined && local.score <= spillTokens) {
+			return local.load.upstream.id;
+		}
+
+		const other = this.#best(now, group, isLong ? group.otherLong : group.otherShort, request);
+		const spills = other !== undefined && (local === undefined || other.score + spillPenaltyTokens < local.score);
+		const best = (spills ? other : local)?.load ?? this.#anyOf(group, request);
+		return best?.upstream.id;
+	}
+
+	/** Counts an attempt at an upstream. */
+	start(now: number, attempt: string, upstream: string, request: RoutedRequest): void {
+		this.#loads.get(upstream)?.start(now, attempt, request.tokens);
+		if (request.prefix !== undefined) {
+			this.#residency.sent(request.prefix, upstream);
+		}
+	}
+
+	/** Notes the first token of an attempt after its wait in milliseconds. */
+	firstToken(attempt: string, upstream: string, waitedMs: number): void {
+		this.#loads.get(upstream)?.firstToken(attempt);
+		this.#usualFirstTokenMs += (Math.min(waitedMs, 5 * this.#usualFirstTokenMs) - this.#usualFirstTokenMs) * usualFirstTokenWeight;
+	}
+
+	/** Ends an attempt. */
+	finish(now: number, attempt: string, upstream: string, tokens: number): void {
+		this.#loads.get(upstream)?.finish(now, attempt, tokens);
+	}
+
+	/** Takes the tokens that own streams of an upstream received, and the time that the streams took together. */
+	observe(now: number, upstream: string, tokens: number, streamMs: number): void {
+		this.#loads.get(upstream)?.observe(now, tokens, streamMs);
+	}
+
+	/** Takes a load report, which may be late. */
+	report(upstream: string, report: LoadReport): void {
+		this.#loads.get(upstream)?.report(report);
+	}
+
+	/** Takes cache events, which may be late and have gaps. */
+	takeCacheEvents(upstream: string, batch: CacheEventBatch): void {
+		this.#residency.take(upstream, batch);
+	}
+
+	/** Sequence number after which cache events of an upstream are to be read. */
+	lastCacheSequence(upstream: string): number {
+		return this.#residency.lastSequence(upstream);
+	}
+
+	/** True while an upstream is out of routing because of its latency. */
+	isEjected(now: number, upstream: string): boolean {
+		return this.#loads.get(upstream)?.isEjected(now) ?? false;
+	}
+
+	#best(now: number, group: Group, from: readonly UpstreamLoad[], request: RoutedRequest) {
+		let best: {readonly load: UpstreamLoad; readonly score: number} | undefined;
+		const consider = (load: UpstreamLoad | undefined, saved: number) => {
+			if (load === undefined || request.excluded?.has(load.upstream.id) === true) {
+				return;
+			}
+
+			const score = this.#score(now, group, load, request.tokens - saved);
+			if (score < (best?.score ?? Infinity)) {
+				best = {load, score};
+			}
+		};
+
+		for (let draw = 0; draw < this.#options.choices; draw += 1) {
+			consider(from[this.#options.random.integer(from.length)], 0);
+		}
+
+		const affine = request.prefix === undefined ? [] : this.#residency.upstreams(request.prefix);
+		for (const id of affine) {
+			const load = this.#loads.get(id);
+			if (load !== undefined && from.includes(load)) {
+				consider(load, request.prefixTokens ?? 0);
+				break;
+			}
+		}
+
+		return best;
+	}
+
+	/** Tokens ahead of a request, stretched by the upstream's latency and readiness; infinite while ejected. */
+	#score(now: number, group: Group, load: UpstreamLoad, tokens: number): number {
+		const readiness = load.readiness(now);
+		if (readiness === 0) {
+			return Infinity;
+		}
+
+		const slowness = Math.max(1, (load.msPerToken ?? 0) / group.usualMsPerToken);
+		const overdueMs = Math.max(overdueFloorMs, this.#usualFirstTokenMs * overdueRatio);
+		const overdue = Math.max(1, load.oldestAwaitingMs(now) / overdueMs);
+		return (load.tokens(now, group.meanForeign) + tokens) * slowness * overdue * overdue / readiness;
+	}
+
+	#anyOf(group: Group, request: RoutedRequest): UpstreamLoad | undefined {
+		const allowed = group.all.filter(({upstream}) => request.excluded?.has(upstream.id) !== true);
+		return allowed[this.#options.random.integer(allowed.length)];
+	}
+
+	#refresh(now: number, group: Group): void {
+		if (now - group.refreshedAt < refreshMs) {
+			return;
+		}
+
+		group.refreshedAt = now;
+		ejectOutliers(now, group.all);
+		let foreign = 0;
+		for (const {foreignTokens} of group.all) {
+			foreign += foreignTokens;
+		}
+
+		group.meanForeign = foreign / group.all.length;
+		group.usualMsPerToken = median(group.all.flatMap(({msPerToken}) => msPerToken ?? [])) ?? 1;
+	}
+}
+
+function createGroup(loads: readonly UpstreamLoad[], availabilityZone: string): Group {
+	const all = loads.toSorted((a, b) => a.upstream.id < b.upstream.id ? -1 : 1);
+	const long = new Set<UpstreamLoad>();
+	for (const zoneLoads of Map.groupBy(all, ({upstream}) => upstream.availabilityZone).values()) {
+		const count = zoneLoads.length === 1 ? 0 : Math.max(1, Math.round(zoneLoads.length * longPart));
+		for (const load of zoneLoads.slice(0, count)) {
+			long.add(load);
+		}
+	}
+
+	const isLocal = ({upstream}: UpstreamLoad) => upstream.availabilityZone === availabilityZone;
+	const takesLong = (load: UpstreamLoad) => long.size === 0 || long.has(load);
+	return {
+		all,
+		zoneShort: all.filter(load => isLocal(load)),
+		zoneLong: all.filter(load => isLocal(load) && takesLong(load)),
+		otherShort: all.filter(load => !isLocal(load)),
+		otherLong: all.filter(load => !isLocal(load) && takesLong(load)),
+		meanForeign: 0,
+		usualMsPerToken: 1,
+		refreshedAt: -Infinity,
+	};
+}
--- /dev/null
+++ b/src/process/load/outliers.ts
@@ -0,0 +1,38 @@
+import type {UpstreamLoad} from './upstream-load.ts';
+
+/** Multiple of the group's median latency from which an upstream is an outlier. */
+const outlierRatio = 3;
+/** Largest part of a group that may be ejected at a time. */
+const ejectedPart = 1 / 3;
+
+/** Median of the values; undefined when there are none. */
+export function median(values: readonly number[]): number | undefined {
+	return values.toSorted((a, b) => a - b)[Math.floor(values.length / 2)];
+}
+
+/** Ejects the slowest outliers of one group up to the cap, and extends the ejection of those that are still slow. */
+export function ejectOutliers(now: number, loads: readonly UpstreamLoad[]): void {
+	const usual = median(loads.flatMap(({msPerToken}) => msPerToken ?? []));
+	if (usual === undefined) {
+		return;
+	}
+
+	const slow = loads
+		.filter(({msPerToken}) => msPerToken !== undefined && msPerToken > usual * outlierRatio)
+		.toSorted((a, b) => b.msPerToken! - a.msPerToken!);
+	let room = Math.floor(loads.length * ejectedPart) - loads.filter(load => load.isEjected(now)).length;
+	for (const load of slow) {
+		if (load.isEjected(now)) {
+			if (load.ownTokens > 0) {
+				load.extendEjection(now);
+			}
+		} else if (room > 0) {
+			load.eject(now);
+			room -= 1;
+		}
+	}
+
+	for (const load of loads) {
+		load.recover(now);
+	}
+}
--- /dev/null
+++ b/src/process/load/samples.ts
@@ -0,0 +1,33 @@
+const sampleMs = 250;
+const sampleCount = 24;
+
+/** Recent values of a quantity, kept at 250 ms for 6 s. */
+export class Samples {
+	readonly #values = new Float64Array(sampleCount);
+	#lastIndex = 0;
+	#last = 0;
+
+	/** Records the value from a time on; times do not go back. */
+	record(now: number, value: number): void {
+		const index = Math.floor(now / sampleMs);
+		const missing = Math.min(index - this.#lastIndex, sampleCount);
+		for (let offset = 0; offset < missing; offset += 1) {
+			this.#values[(index - offset) % sampleCount] = this.#last;
+		}
+
+		this.#values[index % sampleCount] = value;
+		this.#lastIndex = Math.max(index, this.#lastIndex);
+		this.#last = value;
+	}
+
+	/** Value at a time in the past. */
+	at(time: number): number {
+		const index = Math.floor(time / sampleMs);
+		if (index >= this.#lastIndex) {
+			return this.#last;
+		}
+
+		const oldest = Math.max(0, this.#lastIndex - sampleCount + 1);
+		return this.#values[Math.max(oldest, index) % sampleCount] ?? 0;
+	}
+}
--- /dev/null
+++ b/src/process/rate.ts
@@ -0,0 +1,37 @@
+/** Exponentially smoothed rate of a quantity, in units per millisecond. */
+export class Rate {
+	readonly #timeConstantMs: number;
+	#value = 0;
+	#since: number | undefined;
+	#at = 0;
+
+	constructor(timeConstantMs: number) {
+		this.#timeConstantMs = timeConstantMs;
+	}
+
+	/** Counts a quantity. */
+	add(now: number, quantity: number): void {
+		this.#since ??= now;
+		this.#value = (this.#value * this.#fade(now)) + quantity;
+		this.#at = now;
+	}
+
+	/** Rate per millisecond; corrected for the short time that a new rate has been counted. */
+	perMs(now: number): number {
+		if (this.#since === undefined) {
+			return 0;
+		}
+
+		const seen = 1 - Math.exp((this.#since - now - 1) / this.#timeConstantMs);
+		return this.#value * this.#fade(now) / (this.#timeConstantMs * seen);
+	}
+
+	/** Time since the first count, in milliseconds. */
+	ageMs(now: number): number {
+		return this.#since === undefined ? 0 : now - this.#since;
+	}
+
+	#fade(now: number): number {
+		return Math.exp((this.#at - now) / this.#timeConstantMs);
+	}
+}
--- /dev/null
+++ b/src/process/roles/split.ts
@@ -0,0 +1,20 @@
+/** State of the engines that a split would use. */
+export type SplitInput = {
+	readonly promptTokens: number;
+	/** Expected time until the prompt is processed by a prefill engine, queue included, in milliseconds. */
+	readonly prefillWaitMs: number;
+	/** Time to export and import the KV cache. */
+	readonly transferMs: number;
+	/** Expected time until the prompt is processed by a decode engine, queue included. */
+	readonly wholeWaitMs: number;
+};
+
+/** Prompt that an engine in the decode role processes in one step beside its streams. */
+const smallPromptTokens = 128;
+/** Advantage that a whole answer on a decode engine must have, as it slows the streams there. */
+const wholePenaltyMs = 100;
+
+/** True when the prompt is better processed by a prefill engine, with the KV cache moved to a decode engine. */
+export function isSplitBetter({promptTokens, prefillWaitMs, transferMs, wholeWaitMs}: SplitInput): boolean {
+	return promptTokens > smallPromptTokens && prefillWaitMs + transferMs <= wholeWaitMs + wholePenaltyMs;
+}
--- /dev/null
+++ b/src/process/shares/allotments.ts
@@ -0,0 +1,146 @@
+import {Rate} from '../rate.ts';
+
+/** Demand of one customer at one daemon, as exchanged between daemons. */
+export type CustomerUsage = {
+	/** Customer, or `allCustomers` for the sum. */
+	readonly customer: string;
+	/** Tokens that arrived in the interval. */
+	readonly tokens: number;
+	/** Tokens that wait for admission. */
+	readonly waitingTokens: number;
+	readonly intervalMs: number;
+};
+
+/** Name under which the demand of all customers is exchanged. */
+export const allCustomers = '*';
+
+/** Demand of a customer at this daemon and at the others. */
+type Demand = {
+	readonly own: Rate;
+	readonly others: Map<string, {readonly tokensPerMs: number; readonly at: number}>;
+	/** Part of the demand that is at this daemon, and when it was computed. */
+	part: number;
+	computedAt: number;
+};
+
+/** Options of the allotments. */
+export type AllotmentsOptions = {
+	/** Share of a customer, relative to the shares of the others. */
+	readonly share: (customer: string) => number;
+	/** Time after which a daemon's news no longer counts, in milliseconds. @default 2500 */
+	readonly newsAgeMs?: number;
+	/** Customers whose demand is told to others at a time. @default 16 */
+	readonly toldCustomers?: number;
+};
+
+const ownDemandMs = 800;
+const recomputeMs = 200;
+/** Part of an equal allotment that a daemon without demand keeps, so that its first requests do not wait. */
+const floorPart = 0.25;
+const idleMs = 10_000;
+
+/** Divides shares and room among the live daemons by where the demand is; what is idle at one daemon is lent to others. */
+export class Allotments {
+	readonly #options: Required<AllotmentsOptions>;
+	readonly #demands = new Map<string, Demand>();
+	#daemons = 1;
+
+	constructor(options: AllotmentsOptions) {
+		this.#options = {newsAgeMs: 2500, toldCustomers: 16, ...options};
+	}
+
+	/** Sets the number of live daemons, this one included. */
+	setDaemons(count: number): void {
+		this.#daemons = Math.max(1, count);
+	}
+
+	/** Counts demand of a customer that arrives at this daemon. */
+	arrive(now: number, customer: string, tokens: number): void {
+		this.#demand(customer).own.add(now, tokens);
+		this.#demand(allCustomers).own.add(now, tokens);
+	}
+
+	/** Takes news of another daemon's demand; late news counts from when it was sent. */
+	take(sentAt: number, origin: string, usage: CustomerUsage): void {
+		const {others} = this.#demand(usage.customer);
+		if ((others.get(origin)?.at ?? -Infinity) < sentAt) {
+			others.set(origin, {tokensPerMs: usage.tokens / usage.intervalMs, at: sentAt});
+		}
+	}
+
+	/** News for the other daemons: the sum, and the customers with the highest demand. */
+	news(now: number, waitingTokens: (customer: string) => number): readonly CustomerUsage[] {
+		this.#forgetIdle(now);
+		const usages = [...this.#demands].map(([customer, {own}]) => ({
+			customer, tokens: own.perMs(now) * ownDemandMs, waitingTokens: waitingTokens(customer), intervalMs: ownDemandMs,
+		}));
+		return usages
+			.toSorted((a, b) => b.tokens - a.tokens)
+			.slice(0, this.#options.toldCustomers + 1)
+			.filter(({tokens, waitingTokens}) => tokens > 0 || waitingTokens > 0);
+	}
+
+	/** Weight of a customer in this daemon's queues. */
+	weight(now: number, customer: string): number {
+		return this.#options.share(customer) * this.#daemons * this.#part(now, customer);
+	}
+
+	/** Part of the room of all upstreams that this daemon may use. */
+	roomPart(now: number): number {
+		return this.#part(now, allCustomers);
+	}
+
+	#demand(customer: string): Demand {
+		let demand = this.#demands.get(customer);
+		if (demand === undefined) {
+			demand = {
+				own: new Rate(ownDemandMs), others: new Map(), part: 1 / this.#daemons, computedAt: -Infinity,
+			};
+			this.#demands.set(customer, demand);
+		}
+
+		return demand;
+	}
+
+	#part(now: number, customer: string): number {
+		const demand = this.#demands.get(customer);
+		if (demand === undefined) {
+			return 1 / this.#daemons;
+		}
+
+		if (now - demand.computedAt >= recomputeMs) {
+			demand.part = this.#computePart(now, demand);
+			demand.computedAt = now;
+		}
+
+		return demand.part;
+	}
+
+	/** Daemons without fresh news keep an equal part: silence is not idleness. */
+	#computePart(now: number, {own, others}: Demand): number {
+		const equal = 1 / this.#daemons;
+		let othersDemand = 0;
+		let heard = 0;
+		for (const {tokensPerMs, at} of others.values()) {
+			if (now - at <= this.#options.newsAgeMs) {
+				othersDemand += tokensPerMs;
+				heard += 1;
+			}
+		}
+
+		const ownDemand = own.perMs(now);
+		const known = Math.min(1, (heard + 1) * equal);
+		const total = ownDemand + othersDemand;
+		const part = total === 0 ? known / (heard + 1) : known * ownDemand / total;
+		return Math.min(1, Math.max(part, floorPart * equal));
+	}
+
+	#forgetIdle(now: number): void {
+		for (const [customer, {own, others}] of this.#demands) {
+			const hasOthers = others.values().some(({at}) => now - at < idleMs);
+			if (own.perMs(now) < 1e-6 && !hasOthers) {
+				this.#demands.delete(customer);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/stand-ins/engine/engine-batch.ts
@@ -0,0 +1,171 @@
+import type {EngineModelOptions} from './engine-options.ts';
+import {
+	kvPieceTokens, type Sequence, type EngineEvent, type EngineLoad, type EngineWork,
+} from './engine-work.ts';
+import {PrefixCache, type CacheChange} from './prefix-cache.ts';
+
+/** Requests of an engine and the KV memory that they hold. */
+export class EngineBatch {
+	readonly #options: Required<EngineModelOptions>;
+	readonly #emit: (event: EngineEvent) => void;
+	readonly #cache = new PrefixCache();
+	readonly #waiting: readonly [Sequence[], Sequence[]] = [[], []];
+	#running: Sequence[] = [];
+	#runningPieces = 0;
+	#cacheSequence = 0;
+
+	constructor(options: Required<EngineModelOptions>, emit: (event: EngineEvent) => void) {
+		this.#options = options;
+		this.#emit = emit;
+	}
+
+	/** Requests that run, in order of their start. */
+	get running(): readonly Sequence[] {
+		return this.#running;
+	}
+
+	get isEmpty(): boolean {
+		return this.#running.length === 0 && this.#waiting.every(queue => queue.length === 0);
+	}
+
+	get load(): EngineLoad {
+		const [live, patient] = this.#waiting;
+		let outstandingTokens = 0;
+		for (const sequences of [this.#running, live, patient]) {
+			for (const sequence of sequences) {
+				outstandingTokens += sequence.prefillLeft + sequence.outputLeft;
+			}
+		}
+
+		return {
+			running: this.#running.length,
+			waiting: live.length + patient.length,
+			outstandingTokens,
+			kvPiecesUsed: this.#runningPieces + this.#cache.used,
+			kvPiecesTotal: this.#options.kvPieces,
+		};
+	}
+
+	/** Queues a request. */
+	add(sequence: Sequence): void {
+		this.#waiting[sequence.work.priority].push(sequence);
+	}
+
+	/** Drops a request; returns the tokens that it has generated, or undefined when it is not here. */
+	cancel(id: string): number | undefined {
+		for (const queue of this.#waiting) {
+			const index = queue.findIndex(sequence => sequence.work.id === id);
+			if (index !== -1) {
+				return queue.splice(index, 1)[0]?.generated;
+			}
+		}
+
+		const sequence = this.#running.find(({work}) => work.id === id);
+		if (sequence !== undefined) {
+			this.remove(sequence);
+		}
+
+		return sequence?.generated;
+	}
+
+	/** Removes a running request and frees its memory. */
+	remove(sequence: Sequence): void {
+		sequence.isRunning = false;
+		this.#running = this.#running.filter(other => other !== sequence);
+		this.#runningPieces -= sequence.pieces;
+	}
+
+	/** Starts waiting requests that fit, live work first. */
+	admit(at: number): void {
+		for (const [priority, queue] of this.#waiting.entries()) {
+			for (let next = queue[0]; next !== undefined; next = queue[0]) {
+				if (!this.#makeRoom(at, next, priority === 0)) {
+					return;
+				}
+
+				queue.shift();
+				this.#start(at, next);
+			}
+		}
+	}
+
+	/** Shares the prompt tokens of one step, live work first and then in order of arrival. */
+	planChunks(limitTokens: number): ReadonlyArray<readonly [Sequence, number]> {
+		let room = limitTokens;
+		const chunks: Array<readonly [Sequence, number]> = [];
+		for (const priority of [0, 1]) {
+			for (const sequence of this.#running) {
+				if (room > 0 && sequence.work.priority === priority && sequence.prefillLeft > 0) {
+					const tokens = Math.min(room, sequence.prefillLeft);
+					chunks.push([sequence, tokens]);
+					room -= tokens;
+				}
+			}
+		}
+
+		return chunks;
+	}
+
+	/** Keeps the prefix of a processed prompt while memory allows. */
+	storePrefix(at: number, {prefix, prefixTokens = 0}: EngineWork): void {
+		if (prefix !== undefined && prefixTokens > 0) {
+			const room = this.#options.kvPieces - this.#runningPieces;
+			this.#record(at, this.#cache.store(prefix, Math.ceil(prefixTokens / kvPieceTokens), room));
+		}
+	}
+
+	/** Evicts every prefix. */
+	clearCache(at: number): void {
+		this.#record(at, this.#cache.shrink(0));
+	}
+
+	#makeRoom(at: number, sequence: Sequence, mayPreempt: boolean): boolean {
+		while (!this.#fits(sequence)) {
+			const victim = mayPreempt ? this.#running.findLast(({work}) => work.priority === 1) : undefined;
+			if (victim === undefined) {
+				return false;
+			}
+
+			this.#preempt(at, victim);
+		}
+
+		return true;
+	}
+
+	#fits(sequence: Sequence): boolean {
+		return this.#running.length < this.#options.maxSequences
+			&& this.#runningPieces + sequence.pieces <= this.#options.kvPieces;
+	}
+
+	#start(at: number, sequence: Sequence): void {
+		const {prefix, prefixTokens = 0} = sequence.work;
+		if (sequence.prefillLeft > 0 && prefix !== undefined && this.#cache.touch(prefix)) {
+			sequence.cachedTokens = Math.min(prefixTokens, sequence.prefillLeft - 1);
+			sequence.prefillLeft -= sequence.cachedTokens;
+		}
+
+		sequence.isRunning = true;
+		this.#running.push(sequence);
+		this.#runningPieces += sequence.pieces;
+		this.#record(at, this.#cache.shrink(this.#options.kvPieces - this.#runningPieces));
+	}
+
+	/** Returns a patient request to the queue; its KV cache is lost and computed again. */
+	#preempt(at: number, victim: Sequence): void {
+		this.remove(victim);
+		victim.prefillLeft = victim.work.promptTokens + victim.generated;
+		this.#waiting[1].unshift(victim);
+		this.#emit({
+			kind: 'preempted', at, id: victim.work.id, generatedTokens: victim.generated,
+		});
+	}
+
+	#record(at: number, changes: readonly CacheChange[]): void {
+		for (const {kind, prefix} of changes) {
+			this.#cacheSequence += 1;
+			this.#emit({
+				kind, at, sequence: this.#cacheSequence, prefix,
+			});
+		}
+	}
+}
--- a/src/stand-ins/engine/engine-work.ts
+++ b/src/stand-ins/engine/engine-work.ts
@@ -48,6 +48,8 @@
 	prefillLeft: number;
 	generated: number;
 	cachedTokens = 0;
+	/** False once it is finished, preempted or cancelled. */
+	isRunning = false;
 
 	constructor(work: EngineWork) {
 		this.work = work;
