--- a/src/process/load/load-table.ts
+++ b/src/process/load/load-table.ts
@@ -1,18 +1,18 @@
 import type {Random} from '../random.ts';
 import {ejectOutliers, median} from './outliers.ts';
 import {PrefixResidency, type CacheEventBatch} from './prefix-residency.ts';
-import {UpstreamLoad, type LoadReport, type Upstream} from './upstream-load.ts';
+import {
+	UpstreamLoad, type LoadReport, type RequestSize, type Upstream,
+} from './upstream-load.ts';
 
 /** What routing needs to know about a request. */
-export type RoutedRequest = {
+export type RoutedRequest = RequestSize & {
 	/** Model or plain service. */
 	readonly group: string;
-	/** Cost in tokens. */
-	readonly tokens: number;
 	/** True for work that is kept away from short live work. @default false */
 	readonly isLong?: boolean;
 	readonly prefix?: string;
-	/** Tokens of cost that a cached prefix saves. @default 0 */
+	/** Prompt tokens that a cached prefix saves. @default 0 */
 	readonly prefixTokens?: number;
 	/** Upstreams that must not be chosen, such as those of earlier attempts. */
 	readonly excluded?: ReadonlySet<string>;
@@ -81,7 +81,7 @@
 		}
 
 		for (const upstream of upstreams) {
-			if (!this.#loads.has(upstream.id)) {
+			if (this.#loads.get(upstream.id)?.upstream.group !== upstream.group) {
 				this.#loads.set(upstream.id, new UpstreamLoad(upstream, isFirst ? -Infinity : now));
 			}
 		}
@@ -116,21 +116,21 @@
 
 	/** Counts an attempt at an upstream. */
 	start(now: number, attempt: string, upstream: string, request: RoutedRequest): void {
-		this.#loads.get(upstream)?.start(now, attempt, request.tokens);
+		this.#loads.get(upstream)?.start(now, attempt, request);
 		if (request.prefix !== undefined) {
 			this.#residency.sent(request.prefix, upstream);
 		}
 	}
 
 	/** Notes the first token of an attempt after its wait in milliseconds. */
-	firstToken(attempt: string, upstream: string, waitedMs: number): void {
-		this.#loads.get(upstream)?.firstToken(attempt);
+	firstToken(now: number, attempt: string, upstream: string, waitedMs: number): void {
+		this.#loads.get(upstream)?.firstToken(now, attempt);
 		this.#usualFirstTokenMs += (Math.min(waitedMs, 5 * this.#usualFirstTokenMs) - this.#usualFirstTokenMs) * usualFirstTokenWeight;
 	}
 
 	/** Ends an attempt. */
-	finish(now: number, attempt: string, upstream: string, tokens: number): void {
-		this.#loads.get(upstream)?.finish(now, attempt, tokens);
+	finish(now: number, attempt: string, upstream: string): void {
+		this.#loads.get(upstream)?.finish(now, attempt);
 	}
 
 	/** Takes the tokens that own streams of an upstream received, and the time that the streams took together. */
@@ -165,7 +165,7 @@
 				return;
 			}
 
-			const score = this.#score(now, group, load, request.tokens - saved);
+			const score = this.#score(now, group, load, request.promptTokens - saved);
 			if (score < (best?.score ?? Infinity)) {
 				best = {load, score};
 			}
--- a/src/process/load/upstream-load.ts
+++ b/src/process/load/upstream-load.ts
@@ -15,6 +15,19 @@
 	readonly measuredAt: number;
 };
 
+/** Size of a request in tokens. */
+export type RequestSize = {
+	readonly promptTokens: number;
+	/** Expected length of the answer. */
+	readonly outputTokens: number;
+};
+
+/** Tokens of an attempt that are outstanding. */
+type Attempt = {
+	readonly outputTokens: number;
+	tokens: number;
+};
+
 /** Time after which a report counts for 1/e of its deviation from the mean of the group. */
 const reportAgeMs = 4000;
 /** Time constant of the latency per token. */
@@ -29,6 +42,7 @@
 export class UpstreamLoad {
 	readonly upstream: Upstream;
 	readonly #ownSamples = new Samples();
+	readonly #attempts = new Map<string, Attempt>();
 	/** Start times of attempts that have no first token yet, oldest first. */
 	readonly #awaiting = new Map<string, number>();
 	#own = 0;
@@ -60,23 +74,28 @@
 		return this.#msPerToken;
 	}
 
-	/** Counts an attempt's tokens. */
-	start(now: number, attempt: string, tokens: number): void {
+	/** Counts an attempt. */
+	start(now: number, attempt: string, {promptTokens, outputTokens}: RequestSize): void {
 		this.#awaiting.set(attempt, now);
-		this.#own += tokens;
-		this.#ownSamples.record(now, this.#own);
+		this.#attempts.set(attempt, {outputTokens, tokens: promptTokens + outputTokens});
+		this.#add(now, promptTokens + outputTokens);
 	}
 
-	/** Notes the first token of an attempt. */
-	firstToken(attempt: string): void {
+	/** Notes the first token of an attempt, whose prompt has been processed. */
+	firstToken(now: number, attempt: string): void {
 		this.#awaiting.delete(attempt);
+		const counted = this.#attempts.get(attempt);
+		if (counted !== undefined) {
+			this.#add(now, counted.outputTokens - counted.tokens);
+			counted.tokens = counted.outputTokens;
+		}
 	}
 
-	/** Ends an attempt and releases its tokens. */
-	finish(now: number, attempt: string, tokens: number): void {
+	/** Ends an attempt. */
+	finish(now: number, attempt: string): void {
 		this.#awaiting.delete(attempt);
-		this.#own = Math.max(0, this.#own - tokens);
-		this.#ownSamples.record(now, this.#own);
+		this.#add(now, -(this.#attempts.get(attempt)?.tokens ?? 0));
+		this.#attempts.delete(attempt);
 	}
 
 	/** Takes a report; the part that own work explains at its time is not counted twice. */
@@ -143,4 +162,9 @@
 		this.#ejectedUntil = Math.max(this.#ejectedUntil, now + (firstEjectionMs / 2));
 		this.#returnedAt = this.#ejectedUntil;
 	}
+
+	#add(now: number, tokens: number): void {
+		this.#own += tokens;
+		this.#ownSamples.record(now, this.#own);
+	}
 }
