--- a/src/stand-ins/stand-in-settings.ts
+++ b/src/stand-ins/stand-in-settings.ts
@@ -5,6 +5,7 @@
 import {parseIniDocument} from '../version/ini-document.ts';
 import {validateSections} from '../version/ini-schema.ts';
 import {EngineServer} from './engine/engine-server.ts';
+import {parseHostsSettings} from './hosts/hosts-settings.ts';
 import {HostsServer} from './hosts/hosts-server.ts';
 import {PlatformServer} from './platform/platform-server.ts';
 import {ServiceServer} from './service/service-server.ts';
@@ -26,14 +27,17 @@
 
 const schemas = {
 	platform: {platform: z.object({listen})},
-	hosts: {hosts: z.object({listen})},
 	engine: {
 		engine: z.object({
 			listen,
 			id: z.string().min(1),
 			model: z.string().min(1),
+			role: z.enum(['mixed', 'prefill', 'decode']).default('mixed'),
+			'step-base-ms': z.coerce.number().positive().default(5),
+			'step-per-sequence-ms': z.coerce.number().min(0).default(0.1),
 			'prefill-ms-per-token': z.coerce.number().min(0).default(0.05),
-			'decode-ms-per-token': z.coerce.number().min(0).default(5),
+			'max-sequences': z.coerce.number().int().positive().default(64),
+			'kv-pieces': z.coerce.number().int().positive().default(400),
 		}),
 	},
 	service: {service: z.object({listen})},
@@ -49,8 +53,8 @@
 		}
 
 		case 'hosts': {
-			return validateSections(document, schemas.hosts)
-				.map(values => ({server: new HostsServer(), address: parseAddress(values.hosts.listen)}));
+			return parseHostsSettings(document)
+				.map(settings => ({server: new HostsServer(settings.hosts), address: parseAddress(settings.listen)}));
 		}
 
 		case 'engine': {
@@ -58,8 +62,14 @@
 				server: new EngineServer({
 					id: engine.id,
 					model: engine.model,
-					prefillMsPerToken: engine['prefill-ms-per-token'],
-					decodeMsPerToken: engine['decode-ms-per-token'],
+					speed: {
+						role: engine.role,
+						stepBaseMs: engine['step-base-ms'],
+						stepPerSequenceMs: engine['step-per-sequence-ms'],
+						prefillMsPerToken: engine['prefill-ms-per-token'],
+						maxSequences: engine['max-sequences'],
+						kvPieces: engine['kv-pieces'],
+					},
 				}),
 				address: parseAddress(engine.listen),
 			}));
