--- a/src/version/contract.ts
+++ b/src/version/contract.ts
@@ -100,13 +100,23 @@
 
 /** Finds the rule that covers a request: the one with the longest path. */
 export function resolveRoute(contract: Contract, method: string, path: string): RouteRule | undefined {
-	const matching = contract.routes.filter(rule => rule.methods.includes(method) && isCovered(path, rule.path));
+	const plain = normalizePath(path);
+	const matching = contract.routes.filter(rule => rule.methods.includes(method) && isCovered(plain, rule.path));
 	return matching.toSorted((a, b) => b.path.length - a.path.length)[0];
 }
 
 function isCovered(path: string, prefix: string): boolean {
-	const [plain = ''] = path.split('?');
-	return plain === prefix || plain.startsWith(prefix.endsWith('/') ? prefix : `${prefix}/`);
+	return path === prefix || path.startsWith(prefix.endsWith('/') ? prefix : `${prefix}/`);
+}
+
+/** Another spelling of a path must not escape its rule: escapes, dot segments and repeated slashes are resolved. */
+function normalizePath(path: string): string {
+	const {pathname} = new URL(path.replaceAll(/\/{2,}/gv, '/'), 'http://localhost');
+	try {
+		return decodeURIComponent(pathname).replaceAll(/\/{2,}/gv, '/');
+	} catch {
+		return pathname;
+	}
 }
 
 function findMalformedPaths(document: IniDocument): readonly Finding[] {
