Test run state and retries, and survive a reset of a stalled stream

Cause: undici fails an assertion outside of any request, which ends the process, when an upstream that answered with Connection: close resets a connection whose answer is paused for a slow caller.

Change: an attempt learns its socket through the library's diagnostics channel and guards it while the answer is paused. Tables of fault cases cover the run state, retries, the retry budget and claims. A parse error of an answer is told from a lost connection.

--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -1,5 +1,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
-import type {Dispatcher} from 'undici';
+import type {Socket} from 'node:net';
+import {errors, type Dispatcher} from 'undici';
+import {awaitSocket, guardPausedSocket} from '../connection/attempt-socket.ts';
 import type {AttemptEnd} from './attempt-listener.ts';
 import type {RunState} from './caller-error.ts';
 import type {AnswerHead, AnswerRelay} from './relay.ts';
@@ -36,8 +38,6 @@
 
 const bodySilenceTimeoutMs = 60_000;
 const leavingHeader = 'wagtailtack-leaving';
-const timeoutCodes: ReadonlySet<string> = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']);
-const invalidCodes: ReadonlySet<string> = new Set(['UND_ERR_HEADERS_OVERFLOW', 'UND_ERR_RES_EXCEEDED_MAX_SIZE']);
 
 /** Cause of an abort that comes from the daemon and not from the connection. */
 class AttemptAbort extends Error {
@@ -57,7 +57,7 @@
 */
 class Attempt implements Dispatcher.DispatchHandler {
 	readonly #options: AttemptOptions;
-	readonly #method: string;
+	readonly #target: Pick<UpstreamRequest, 'method' | 'path'>;
 	readonly #finish: (result: AttemptResult) => void;
 	#controller: Dispatcher.DispatchController | undefined;
 	#ran: RunState = 'no';
@@ -65,11 +65,12 @@
 	#isLeaving = false;
 	#hasFirstByte = false;
 	#isDiscarded = false;
-	#hasEnded = false;
-	#stallTimer: NodeJS.Timeout | undefined;
+	#socket: Socket | undefined;
+	/** Set while the answer is paused. */
+	#resume: (() => void) | undefined;
 
-	constructor(method: string, options: AttemptOptions, finish: (result: AttemptResult) => void) {
-		this.#method = method;
+	constructor({method, path}: UpstreamRequest, options: AttemptOptions, finish: (result: AttemptResult) => void) {
+		this.#target = {method, path};
 		this.#options = options;
 		this.#finish = finish;
 		options.signal.addEventListener('abort', this.#cancel);
@@ -84,6 +85,12 @@
 
 		this.#ran = 'unknown';
 		this.#controller = controller;
+		awaitSocket({
+			...this.#target,
+			onSocket: socket => {
+				this.#socket = socket;
+			},
+		});
 	}
 
 	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: IncomingHttpHeaders): void {
@@ -134,33 +141,36 @@
 		}
 	}
 
-	onResponseError(_controller: Dispatcher.DispatchController, error: Error & {readonly code?: string}): void {
+	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
 		if (error instanceof AttemptAbort) {
 			this.#end(error.outcome, this.#ran, error.message);
 		} else if (this.#ran === 'no') {
 			this.#end('not_sent', 'no', error.message);
 		} else {
-			this.#end(classifyError(error.code), 'unknown', error.message);
+			this.#end(classifyError(error), 'unknown', error.message);
 		}
 	}
 
 	/** A whole body is recognised by its length, its last chunk or the end mark of a completion stream. */
 	#isFramed({status, headers}: AnswerHead): boolean {
-		return this.#options.relay.hasEndMark || this.#method === 'HEAD' || status === 204 || status === 304
+		return this.#options.relay.hasEndMark || this.#target.method === 'HEAD' || status === 204 || status === 304
 			|| headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 	}
 
 	#pause(controller: Dispatcher.DispatchController): void {
 		controller.pause();
-		this.#stallTimer = setTimeout(() => {
+		const stallTimer = setTimeout(() => {
 			controller.abort(new AttemptAbort('cancelled', 'the caller stopped reading'));
 		}, this.#options.callerStallMs);
-		this.#options.relay.onceDrained(() => {
-			if (!this.#hasEnded) {
-				clearTimeout(this.#stallTimer);
-				controller.resume();
-			}
-		});
+		const watch = this.#socket === undefined ? undefined : guardPausedSocket(this.#socket, () => this.#resume?.());
+		this.#resume = () => {
+			this.#resume = undefined;
+			clearTimeout(stallTimer);
+			watch?.[Symbol.dispose]();
+			controller.resume();
+		};
+
+		this.#options.relay.onceDrained(() => this.#resume?.());
 	}
 
 	readonly #cancel = (): void => {
@@ -174,8 +184,7 @@
 	};
 
 	#end(outcome: AttemptEnd['outcome'], ran: RunState, message: string): void {
-		this.#hasEnded = true;
-		clearTimeout(this.#stallTimer);
+		this.#resume?.();
 		this.#options.signal.removeEventListener('abort', this.#cancel);
 		this.#finish({
 			outcome, ran, message, isLeaving: this.#isLeaving, ...(this.#status === undefined ? {} : {status: this.#status}),
@@ -186,7 +195,7 @@
 /** Sends a request to one upstream and relays its answer; never rejects. */
 export async function runAttempt(dispatcher: Dispatcher, request: UpstreamRequest, options: AttemptOptions): Promise<AttemptResult> {
 	const {promise, resolve} = Promise.withResolvers<AttemptResult>();
-	const attempt = new Attempt(request.method, options, resolve);
+	const attempt = new Attempt(request, options, resolve);
 	const {headTimeoutMs, ...rest} = request;
 	try {
 		dispatcher.dispatch({
@@ -203,10 +212,17 @@
 	return promise;
 }
 
-function classifyError(code: string | undefined): AttemptEnd['outcome'] {
-	if (code !== undefined && timeoutCodes.has(code)) {
+function classifyError(error: Error): AttemptEnd['outcome'] {
+	if (error instanceof errors.HeadersTimeoutError || error instanceof errors.BodyTimeoutError) {
 		return 'timed_out';
 	}
 
-	return code !== undefined && (code.startsWith('HPE_') || invalidCodes.has(code)) ? 'invalid_answer' : 'connection_lost';
+	const isCutShort = error instanceof errors.HTTPParserError && error.code === 'HPE_INVALID_EOF_STATE';
+	if (isCutShort) {
+		return 'connection_lost';
+	}
+
+	return error instanceof errors.HTTPParserError || error instanceof errors.HeadersOverflowError
+		? 'invalid_answer'
+		: 'connection_lost';
 }
--- a/test/request/answers.test.ts
+++ b/test/request/answers.test.ts
@@ -1,3 +1,4 @@
+import {connect, type Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {describe, expect, it} from 'vitest';
 import {createFront, fixtureKey} from './front-fixture.ts';
@@ -166,6 +167,59 @@
 });
 
 describe('a caller that reads slowly', () => {
+	// Guards against an assertion of the client library that ends the process when a paused answer loses its connection.
+	it.each<{name: string; end: (socket: Socket) => unknown}>([
+		{name: 'is closed', end: socket => socket.end()},
+		{name: 'is reset', end: socket => socket.resetAndDestroy()},
+	])('survives when its stalled upstream $name', async ({end}) => {
+		const event = formatEvent('a', 'x'.repeat(60 * 1024));
+		let hasEnded = false;
+		await using upstream = await createRawUpstream('u', async socket => {
+			socket.write(streamHead.replace('\r\n\r\n', '\r\nConnection: close\r\n\r\n'));
+			// Small steps, so that all is read from the connection when the caller's buffers are full.
+			while (fixture.pausedStreams === 0) {
+				socket.write(formatChunk(event));
+				await delay(3);
+			}
+
+			end(socket);
+			hasEnded = true;
+		});
+		await using fixture = await createFront([upstream.host]);
+		const caller = connect(fixture.port, '127.0.0.1');
+		caller.pause();
+		caller.on('error', () => {
+			caller.destroy();
+		});
+		const body = JSON.stringify(completion);
+		caller.write(`POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer ${fixtureKey}\r\nContent-Length: ${body.length}\r\n\r\n${body}`);
+		await expect.poll(() => hasEnded, {interval: 10, timeout: 5000}).toBe(true);
+		await delay(100);
+		caller.destroy();
+		await expect.poll(() => upstream.open.size, {interval: 10}).toBe(0);
+		await expect.poll(() => fixture.front.openRequests, {interval: 10}).toBe(0);
+	});
+
+	it.each(['', 'Connection: close\r\n'])('survives a reset of its upstream (%j)', async header => {
+		const event = formatEvent('a', 'x'.repeat(256 * 1024));
+		await using upstream = await createRawUpstream('u', socket => {
+			socket.write(streamHead.replace('\r\n\r\n', `\r\n${header}\r\n`));
+			for (let index = 0; index < 64; index += 1) {
+				socket.write(formatChunk(event));
+			}
+
+			setTimeout(() => {
+				socket.resetAndDestroy();
+			}, 100);
+		});
+		await using fixture = await createFront([upstream.host]);
+		const response = await post(fixture.url);
+		await delay(200);
+		const {isAborted} = await readAll(response);
+		expect(isAborted).toBe(true);
+		expect(fixture.front.openRequests).toBe(0);
+	});
+
 	it('holds back only its own stream, in bounded memory', async () => {
 		const event = formatEvent('a', 'x'.repeat(16 * 1024));
 		const events = 2000;
--- a/test/request/front-fixture.ts
+++ b/test/request/front-fixture.ts
@@ -1,3 +1,4 @@
+import type {ServerResponse} from 'node:http';
 import {trace} from '@opentelemetry/api';
 import {createCallerServer, type CallerServerOptions} from '../../src/connection/caller-server.ts';
 import {closeAbruptly, listen} from '../../src/connection/http-listener.ts';
@@ -20,6 +21,8 @@
 	readonly port: number;
 	readonly url: string;
 	readonly front: RequestFront;
+	/** Responses that wait for their caller to read. */
+	readonly pausedStreams: number;
 	readonly metrics: Metrics;
 };
 
@@ -54,7 +57,12 @@
 		listeners: [metrics],
 		...options,
 	});
+	const responses = new Set<ServerResponse>();
 	const server = createCallerServer({headerBytes: 16 * 1024, ...serverOptions}, (request, response) => {
+		responses.add(response);
+		response.once('close', () => {
+			responses.delete(response);
+		});
 		void front.handle(request, response);
 	});
 	const {port} = await listen(server, {host: '127.0.0.1', port: 0});
@@ -62,6 +70,9 @@
 		port,
 		url: `http://127.0.0.1:${port}`,
 		front,
+		get pausedStreams() {
+			return [...responses].filter(response => response.writableNeedDrain).length;
+		},
 		metrics,
 		async [Symbol.asyncDispose]() {
 			await closeAbruptly(server);
--- /dev/null
+++ b/test/request/retries.test.ts
@@ -0,0 +1,280 @@
+import {Right, type Either} from 'purify-ts';
+import {describe, expect, it} from 'vitest';
+import type {Host} from '../../src/platform/host-list.ts';
+import type {CallerError} from '../../src/request/caller-error.ts';
+import {
+	Claim, ClaimStore, type ClaimGrant, type ClaimRequest, type StoredAnswer,
+} from '../../src/request/claim-store.ts';
+import {RetryBudget} from '../../src/request/retry-budget.ts';
+import {Router} from '../../src/request/router.ts';
+import {createFront, fixtureKey, type FrontFixture} from './front-fixture.ts';
+import {
+	createClosedHost, createRawUpstream, formatChunk, formatEvent, streamHead, type RawAnswer, type RawUpstream,
+} from './upstream-fixture.ts';
+
+const wholeAnswer = 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok';
+const model = 'model-a';
+const service = 'service-a';
+
+/** Takes the candidates in the given order. */
+class OrderedRouter extends Router {
+	choose(_demand: unknown, candidates: readonly Host[]): Host | undefined {
+		return candidates[0];
+	}
+
+	attemptStarted(): void {
+		// Nothing is learned.
+	}
+
+	attemptEnded(): void {
+		// Nothing is learned.
+	}
+}
+
+/** Keeps claims in memory and records what was done with them. */
+class MemoryClaimStore extends ClaimStore {
+	readonly log: string[] = [];
+	#answer: StoredAnswer | undefined;
+
+	async claim({idempotencyKey}: ClaimRequest): Promise<Either<CallerError, ClaimGrant>> {
+		this.log.push(`claim ${idempotencyKey}`);
+		const answer = this.#answer;
+		return Right(answer === undefined ? {kind: 'granted', claim: this.#createClaim()} : {kind: 'answered', answer});
+	}
+
+	#createClaim(): Claim {
+		const {log} = this;
+		const keep = (answer: StoredAnswer) => {
+			this.#answer = answer;
+		};
+
+		return new class extends Claim {
+			async complete(answer: StoredAnswer): Promise<void> {
+				log.push('complete');
+				keep(answer);
+			}
+
+			async release(): Promise<void> {
+				log.push('release');
+			}
+		}();
+	}
+}
+
+async function send({url}: FrontFixture, serves: string, headers: Readonly<Record<string, string>> = {}, stream = false) {
+	const path = serves === model ? '/v1/completions' : `/services/${serves}/bookings`;
+	return fetch(url + path, {
+		method: 'POST', body: JSON.stringify({model: serves, stream}), headers: {authorization: `Bearer ${fixtureKey}`, ...headers},
+	});
+}
+
+async function createUpstreams(answers: readonly RawAnswer[], serves: string): Promise<AsyncDisposable & {readonly list: readonly RawUpstream[]}> {
+	const list = await Promise.all(answers.map(async (answer, index) => createRawUpstream(`u${index}`, answer, serves)));
+	return {
+		list,
+		async [Symbol.asyncDispose]() {
+			await Promise.all(list.map(async upstream => upstream[Symbol.asyncDispose]()));
+		},
+	};
+}
+
+function countRequests(upstreams: readonly RawUpstream[]): number {
+	return upstreams.flatMap(upstream => upstream.received).filter(text => text !== '').length;
+}
+
+const close: RawAnswer = socket => socket.destroy();
+const reset: RawAnswer = socket => socket.resetAndDestroy();
+const garbage: RawAnswer = socket => socket.write('nonsense\r\n\r\n');
+const silent: RawAnswer = () => undefined;
+const answer: RawAnswer = socket => socket.write(wholeAnswer);
+const busy: RawAnswer = socket => socket.write('HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n');
+const headOnly: RawAnswer = socket => socket.end(streamHead);
+const firstEvent: RawAnswer = socket => socket.end(streamHead + formatChunk(formatEvent('a')));
+
+describe('the run state', () => {
+	// Guards against "not run" for a request of which an upstream has seen a byte.
+	it.each<{name: string; first: RawAnswer; serves: string; headers?: Record<string, string>; ran: string; code: string}>([
+		{
+			name: 'closed before an answer', first: close, serves: service, ran: 'unknown', code: 'upstream_failed',
+		},
+		{
+			name: 'reset before an answer', first: reset, serves: service, ran: 'unknown', code: 'upstream_failed',
+		},
+		{
+			name: 'an answer that is not HTTP', first: garbage, serves: service, ran: 'unknown', code: 'invalid_answer',
+		},
+		{
+			name: 'no answer before the deadline', first: silent, serves: service, headers: {'wagtailtack-deadline-ms': '60'}, ran: 'unknown', code: 'deadline_exceeded',
+		},
+		{
+			name: 'a model that gives no answer before the deadline', first: silent, serves: model, headers: {'wagtailtack-deadline-ms': '60'}, ran: 'unknown', code: 'deadline_exceeded',
+		},
+	])('is $ran after $name', async ({first, serves, headers, ran, code}) => {
+		await using upstreams = await createUpstreams([first, answer], serves);
+		await using fixture = await createFront(upstreams.list.map(upstream => upstream.host), {router: new OrderedRouter()});
+		const response = await send(fixture, serves, headers);
+		expect(response.headers.get('wagtailtack-ran')).toBe(ran);
+		expect(await response.json()).toMatchObject({error: {code, ran}});
+		expect(countRequests(upstreams.list)).toBe(1);
+	});
+
+	it('is "no" when no upstream could be reached, and "unknown" when an earlier attempt may have run', async () => {
+		await using upstreams = await createUpstreams([close], model);
+		const closed = await createClosedHost('closed');
+		await using unreachable = await createFront([closed], {router: new OrderedRouter()});
+		const refused = await send(unreachable, model);
+		expect(refused.status).toBe(503);
+		expect(refused.headers.get('wagtailtack-ran')).toBe('no');
+		await using fixture = await createFront([upstreams.list[0]!.host, closed], {router: new OrderedRouter()});
+		const response = await send(fixture, model);
+		expect(response.headers.get('wagtailtack-ran')).toBe('unknown');
+	});
+});
+
+describe('a retry', () => {
+	it.each<{name: string; first: RawAnswer | 'closed'; serves: string; stream?: boolean; headers?: Record<string, string>; isMarked?: boolean; isRetried: boolean}>([
+		{
+			name: 'a model request whose upstream closed', first: close, serves: model, isRetried: true,
+		},
+		{
+			name: 'a model request whose upstream is busy', first: busy, serves: model, isRetried: true,
+		},
+		{
+			name: 'a stream that ended before its first event', first: headOnly, serves: model, stream: true, isRetried: true,
+		},
+		{
+			name: 'a stream that ended after its first event', first: firstEvent, serves: model, stream: true, isRetried: false,
+		},
+		{
+			name: 'a booking that was not sent', first: 'closed', serves: service, isRetried: true,
+		},
+		{
+			name: 'a booking that may have run', first: close, serves: service, isRetried: false,
+		},
+		{
+			name: 'a booking whose upstream is busy', first: busy, serves: service, isRetried: false,
+		},
+		{
+			name: 'a model request with an idempotency key', first: close, serves: model, headers: {'idempotency-key': 'k'}, isRetried: false,
+		},
+		{
+			name: 'a model request on a route marked as unrepeatable', first: close, serves: model, isMarked: true, isRetried: false,
+		},
+	])('follows $name: $isRetried', async ({first, serves, stream, headers, isMarked = false, isRetried}) => {
+		await using upstreams = await createUpstreams([first === 'closed' ? silent : first, answer], serves);
+		const [one, two] = upstreams.list.map(upstream => upstream.host);
+		const firstHost = first === 'closed' ? await createClosedHost('closed', serves) : one!;
+		await using fixture = await createFront([firstHost, two!], {
+			router: new OrderedRouter(), claimStore: new MemoryClaimStore(), isUnrepeatableRoute: () => isMarked,
+		});
+		const response = await send(fixture, serves, headers, stream);
+		await response.text().catch(() => undefined);
+		expect(countRequests([upstreams.list[1]!])).toBe(isRetried ? 1 : 0);
+	});
+
+	// Guards against a retry storm when every upstream fails.
+	it('stays within 5% of the traffic and the first token', async () => {
+		await using upstreams = await createUpstreams([close, close, close], model);
+		await using fixture = await createFront(upstreams.list.map(upstream => upstream.host));
+		const requests = 100;
+		for (let index = 0; index < requests; index += 1) {
+			const response = await send(fixture, model);
+			await response.text();
+		}
+
+		expect(countRequests(upstreams.list)).toBeLessThanOrEqual(requests + (requests * 0.05) + 1);
+		expect(countRequests(upstreams.list)).toBeGreaterThan(requests);
+	});
+
+	it('passes on the time that remains', async () => {
+		await using upstreams = await createUpstreams([answer], model);
+		await using fixture = await createFront(upstreams.list.map(upstream => upstream.host));
+		const response = await send(fixture, model, {'wagtailtack-deadline-ms': '5000', traceparent: '00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01'});
+		expect(response.status).toBe(200);
+		const text = upstreams.list[0]!.received[0]!;
+		const remainingMs = Number(/wagtailtack-deadline-ms: (?<ms>\d+)/v.exec(text)?.groups?.ms);
+		expect(remainingMs).toBeGreaterThan(4000);
+		expect(remainingMs).toBeLessThanOrEqual(5000);
+		expect(text).toContain('traceparent: 00-0af7651916cd43dd8448eb211c80319c-');
+	});
+});
+
+describe('a retry budget', () => {
+	it('charges the customer and the upstream, and takes from neither when one is empty', () => {
+		const budget = new RetryBudget();
+		expect(budget.take({customer: 'a', upstream: 'x'})).toBe(true);
+		expect(budget.take({customer: 'a', upstream: 'y'})).toBe(false);
+		expect(budget.take({customer: 'b', upstream: 'x'})).toBe(false);
+		expect(budget.take({customer: 'b', upstream: 'y'})).toBe(true);
+	});
+
+	it('earns a token with every 20 live requests', () => {
+		const budget = new RetryBudget();
+		const payer = {customer: 'a', upstream: 'x'};
+		budget.take(payer);
+		const taken = Array.from({length: 100}, () => {
+			budget.earn(payer);
+			return budget.take(payer);
+		});
+		expect(taken.filter(Boolean)).toHaveLength(5);
+	});
+});
+
+describe('a claimed request', () => {
+	const headers = {'idempotency-key': 'booking-1'};
+
+	it('is answered from the claim when it is sent again', async () => {
+		await using upstreams = await createUpstreams([answer], service);
+		const claimStore = new MemoryClaimStore();
+		await using fixture = await createFront(upstreams.list.map(upstream => upstream.host), {claimStore});
+		for (let sent = 0; sent < 2; sent += 1) {
+			const response = await send(fixture, service, headers);
+			expect(await response.text()).toBe('ok');
+			expect(response.headers.get('wagtailtack-ran')).toBe('yes');
+		}
+
+		expect(claimStore.log).toEqual(['claim booking-1', 'complete', 'claim booking-1']);
+		expect(countRequests(upstreams.list)).toBe(1);
+	});
+
+	it.each<{name: string; first: RawAnswer | 'closed'; log: readonly string[]}>([
+		{name: 'released when it was not sent', first: 'closed', log: ['claim booking-1', 'release']},
+		{name: 'kept when it may have run', first: close, log: ['claim booking-1']},
+	])('has its claim $name', async ({first, log}) => {
+		await using upstreams = await createUpstreams(first === 'closed' ? [] : [first], service);
+		const hosts = first === 'closed' ? [await createClosedHost('closed', service)] : upstreams.list.map(upstream => upstream.host);
+		const claimStore = new MemoryClaimStore();
+		await using fixture = await createFront(hosts, {claimStore});
+		const response = await send(fixture, service, headers);
+		expect(response.status).toBeGreaterThanOrEqual(500);
+		expect(claimStore.log).toEqual(log);
+	});
+
+	// Guards against a booking whose outcome can never be known because its caller hung up.
+	it('is recorded when its caller has gone', async () => {
+		const {promise: mayAnswer, resolve: release} = Promise.withResolvers<void>();
+		await using upstreams = await createUpstreams([async socket => {
+			await mayAnswer;
+			socket.write(wholeAnswer);
+		}], service);
+		const claimStore = new MemoryClaimStore();
+		await using fixture = await createFront(upstreams.list.map(upstream => upstream.host), {claimStore});
+		const abort = new AbortController();
+		const pending = fetch(`${fixture.url}/services/${service}/bookings`, {
+			method: 'POST', signal: abort.signal, headers: {authorization: `Bearer ${fixtureKey}`, ...headers},
+		}).catch(() => undefined);
+		await expect.poll(() => countRequests(upstreams.list), {interval: 5}).toBe(1);
+		abort.abort();
+		await pending;
+		release();
+		await expect.poll(() => claimStore.log, {interval: 5}).toEqual(['claim booking-1', 'complete']);
+	});
+
+	it('is refused as not run when there is no claim store', async () => {
+		await using upstreams = await createUpstreams([answer], service);
+		await using fixture = await createFront(upstreams.list.map(upstream => upstream.host));
+		const response = await send(fixture, service, headers);
+		expect(await response.json()).toMatchObject({error: {code: 'claims_unavailable', ran: 'no'}});
+		expect(countRequests(upstreams.list)).toBe(0);
+	});
+});
