--- a/src/request/intake.ts
+++ b/src/request/intake.ts
@@ -25,10 +25,12 @@
 	readonly demand: RequestDemand;
 };
 
-/** Largest number of headers in a request; Node.js drops the rest without an error, so that the limit itself is refused. */
+/** Largest number of headers in a request. */
 export const headerCountLimit = 100;
 
 const classHeader = 'wagtailtack-class';
+/** Headers of which Node.js would keep one value without an error when they are repeated. */
+const singleHeaders: ReadonlySet<string> = new Set(['authorization', 'host', 'idempotency-key', classHeader, deadlineHeader]);
 const validRequestId = /^[\w.\-]{1,128}$/v;
 const validIdempotencyKey = /^[\u0021-\u007E]{1,255}$/v;
 
@@ -82,8 +84,13 @@
 
 function findHeadFault(request: IncomingMessage): CallerError | undefined {
 	const {headers, rawHeaders} = request;
-	if (rawHeaders.length >= headerCountLimit * 2) {
-		return createRefusal(431, 'too_many_headers', `A request has fewer than ${headerCountLimit} headers.`);
+	if (rawHeaders.length > headerCountLimit * 2) {
+		return createRefusal(431, 'headers_too_large', `A request has at most ${headerCountLimit} headers.`);
+	}
+
+	const repeated = findRepeatedHeader(rawHeaders);
+	if (repeated !== undefined) {
+		return createRefusal(400, 'malformed_request', `The header ${repeated} is given more than once.`);
 	}
 
 	const coding = headers['transfer-encoding'];
@@ -97,6 +104,20 @@
 		: createRefusal(400, 'invalid_idempotency_key', 'Idempotency-Key takes 1 to 255 visible ASCII characters.');
 }
 
+function findRepeatedHeader(rawHeaders: readonly string[]): string | undefined {
+	const seen = new Set<string>();
+	for (let index = 0; index < rawHeaders.length; index += 2) {
+		const name = rawHeaders[index]!.toLowerCase();
+		if (singleHeaders.has(name) && seen.has(name)) {
+			return name;
+		}
+
+		seen.add(name);
+	}
+
+	return undefined;
+}
+
 function resolveRequestId(headers: IncomingHttpHeaders): string {
 	const given = headers['x-request-id'];
 	return typeof given === 'string' && validRequestId.test(given) ? given : randomUUID();
