--- /dev/null
+++ b/src/platform/engine.ts
@@ -0,0 +1,90 @@
+import {get} from 'node:http';
+import {Left, Right, type Either} from 'purify-ts';
+import {z} from 'zod';
+import {parseAddress} from '../process/address.ts';
+
+/** Kinds of work that an engine takes. */
+export const engineRoles = ['prefill', 'decode', 'mixed'] as const;
+
+/** Kind of work that an engine takes. */
+export type EngineRole = (typeof engineRoles)[number];
+
+/** Part of an engine's state that an order sets; absent fields stay as they are. */
+export type WantedState = {
+	readonly role?: EngineRole;
+	readonly model?: string;
+	readonly adapters?: readonly string[];
+	readonly version?: string;
+	/** True stops new work, false takes it again. */
+	readonly drain?: boolean;
+};
+
+/** State that an engine reports. */
+export type EngineState = {
+	readonly role: EngineRole;
+	readonly model: string;
+	readonly adapters: readonly string[];
+	readonly version: string;
+	readonly draining: boolean;
+	/** Highest fencing number seen since the engine started. */
+	readonly fencing: number;
+	/** Last order accepted since the engine started; empty when there is none. */
+	readonly orderId: string;
+	readonly phase: 'ready' | 'changing';
+	/** Requests that run or wait now; unlike the load report, it does not lag. */
+	readonly inFlight: number;
+};
+
+const engineState = z.object({
+	role: z.enum(engineRoles),
+	model: z.string(),
+	adapters: z.array(z.string()),
+	version: z.string(),
+	draining: z.boolean().default(false),
+	fencing: z.number(),
+	orderId: z.string(),
+	phase: z.enum(['ready', 'changing']),
+	inFlight: z.number(),
+});
+
+/** Read access to model engines. Each read opens a connection of its own. */
+export abstract class Engine {
+	/** Reads the state of the engine at an address; a failure is a short message. */
+	abstract readState(address: string): Promise<Either<string, EngineState>>;
+}
+
+const readTimeoutMs = 2000;
+
+/** Engine over HTTP. */
+export class HttpEngine extends Engine {
+	async readState(address: string): Promise<Either<string, EngineState>> {
+		try {
+			return Right(engineState.parse(JSON.parse(await read(address, '/state'))));
+		} catch (error) {
+			return Left(error instanceof Error ? error.message : String(error));
+		}
+	}
+}
+
+async function read(address: string, path: string): Promise<string> {
+	const {promise, resolve, reject} = Promise.withResolvers<string>();
+	const request = get({
+		...parseAddress(address), path, agent: false, signal: AbortSignal.timeout(readTimeoutMs),
+	}, response => {
+		let text = '';
+		response.setEncoding('utf8');
+		response.on('data', (chunk: string) => {
+			text += chunk;
+		});
+		response.once('error', reject);
+		response.once('end', () => {
+			if (response.statusCode === 200) {
+				resolve(text);
+			} else {
+				reject(new Error(`${path} answered ${response.statusCode}`));
+			}
+		});
+	});
+	request.once('error', reject);
+	return promise;
+}
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -3,6 +3,7 @@
 import {createUpstreamClient} from '../connection/upstream-client.ts';
 import {DynamoTable} from '../platform/dynamo-table.ts';
 import {HttpHostList, type Host} from '../platform/host-list.ts';
+import {HttpObjectStore} from '../platform/object-store.ts';
 import {OpenAdmission} from '../request/admission.ts';
 import {ByteBudget} from '../request/byte-budget.ts';
 import type {Call} from '../request/call.ts';
@@ -13,6 +14,7 @@
 import type {Settings} from '../version/settings.ts';
 import {parseAddress, type Address} from './address.ts';
 import {SystemClock} from './clock.ts';
+import {NoPeerConfigurationSource} from './configuration/peer-configuration-source.ts';
 import {ConfigurationTask} from './configuration-task.ts';
 import {HostListPoller} from './host-list-poller.ts';
 import type {Log} from './log.ts';
@@ -39,7 +41,15 @@
 		tableName: settings.platform['table-name'],
 	}));
 	const hostList = resources.use(new HostListPoller(log.part('hosts'), new HttpHostList(settings.platform.hosts)));
-	const configuration = resources.use(new ConfigurationTask(log.part('configuration'), table));
+	const clock = new SystemClock();
+	const configuration = resources.use(new ConfigurationTask({
+		log: log.part('configuration'),
+		clock,
+		table,
+		objects: new HttpObjectStore(settings.platform.objects),
+		peers: new NoPeerConfigurationSource(),
+		isPoller: () => true,
+	}));
 	const dispatcher = resources.adopt(createUpstreamClient(), async client => client.destroy());
 	const traces = resources.use(createTraces(settings.daemon.id, settings.traces.endpoint));
 	const isReady = () => configuration.isLoaded && hostList.hosts.length > 0;
@@ -47,7 +57,7 @@
 	const metrics = new Metrics();
 	const front = new RequestFront({
 		log: log.part('front'),
-		clock: new SystemClock(),
+		clock,
 		dispatcher,
 		metrics,
 		tracer: traces.tracer,
