Carry out fleet plans under the lease of each engine group

Cause: planned changes must interrupt nothing and survive their holder. Change: Authority with a lease task and an order task per group, plan store (one transaction per submission, read back by id), plan board that tells routing which upstreams drain.

--- a/src/demo/local-deployment.ts
+++ b/src/demo/local-deployment.ts
@@ -1,8 +1,8 @@
 import type {Host} from '../platform/host-list.ts';
 import {hashKey} from '../process/key-directory.ts';
 import type {Log} from '../process/log.ts';
-import {createDaemon, type Daemon} from '../process/wiring.ts';
-import {EngineServer} from '../stand-ins/engine/engine-server.ts';
+import {createDaemon, type Daemon, type DaemonTuning} from '../process/wiring.ts';
+import {EngineServer, type EngineOptions} from '../stand-ins/engine/engine-server.ts';
 import {HostsServer} from '../stand-ins/hosts/hosts-server.ts';
 import {PlatformServer} from '../stand-ins/platform/platform-server.ts';
 import {ServiceServer} from '../stand-ins/service/service-server.ts';
@@ -16,6 +16,10 @@
 	readonly daemonsPerZone?: number;
 	/** Engines of each model in each availability zone. @default 1 */
 	readonly enginesPerZone?: number;
+	/** @default {} */
+	readonly tuning?: DaemonTuning;
+	/** How the engines take orders. @default {} */
+	readonly engineOrders?: EngineOptions['orders'];
 	readonly log: Log;
 };
 
@@ -57,7 +61,7 @@
 		for (const model of demoModels) {
 			for (let index = 0; index < enginesPerZone; index += 1) {
 				const id = `${model}-${availabilityZone}-${index}`;
-				const engine = resources.use(new EngineServer({id, model}));
+				const engine = resources.use(new EngineServer({id, model, orders: options.engineOrders}));
 				const {port} = await engine.listen(loopback);
 				engines.push(engine);
 				list.push(createHost({
@@ -81,7 +85,7 @@
 		for (let index = 0; index < daemonsPerZone; index += 1) {
 			const id = `daemon-${availabilityZone}-${index}`;
 			const settings = createSettings(id, availabilityZone, platformPort, hostsPort);
-			daemons.push(resources.use(await createDaemon(settings, log.part(id))));
+			daemons.push(resources.use(await createDaemon(settings, log.part(id), options.tuning)));
 		}
 	}
 
--- /dev/null
+++ b/src/process/authority.ts
@@ -0,0 +1,145 @@
+import type {Engine} from '../platform/engine.ts';
+import type {Host} from '../platform/host-list.ts';
+import type {Table} from '../platform/table.ts';
+import type {Clock} from './clock.ts';
+import {groupName, selectCandidates} from './lease/candidates.ts';
+import {leaseTimes, type LeaseTimes} from './lease/lease-machine.ts';
+import {LeaseTask} from './lease/lease-task.ts';
+import type {Log} from './log.ts';
+import {intentGuards, intentTimes, type IntentTimes} from './orders/intent-machine.ts';
+import {OrderTask} from './orders/order-task.ts';
+import {boardPollMs, PlanBoard} from './orders/plan-board.ts';
+import {planGuards, settleMs} from './orders/plan-machine.ts';
+import {loadSpacingMs} from './orders/reservation.ts';
+import {Task} from './task.ts';
+
+/** Durations of leases, orders and plans, in milliseconds; tests shorten them together. */
+export type AuthorityTimes = {
+	readonly lease: LeaseTimes;
+	readonly intent: IntentTimes;
+	/** Time after which every daemon has learned that an upstream drains. */
+	readonly settleMs: number;
+	/** Time between the starts of two loads from the weight store. */
+	readonly spacingMs: number;
+	readonly boardPollMs: number;
+	readonly orderTickMs: number;
+};
+
+/** Durations in production. */
+export const authorityTimes: AuthorityTimes = {
+	lease: leaseTimes, intent: intentTimes, settleMs, spacingMs: loadSpacingMs, boardPollMs, orderTickMs: 250,
+};
+
+/** What the authority needs from the rest of the daemon. */
+export type AuthorityOptions = {
+	readonly log: Log;
+	readonly table: Table;
+	readonly clock: Clock;
+	readonly engine: Engine;
+	readonly daemon: string;
+	readonly availabilityZone: string;
+	readonly hosts: () => readonly Host[];
+	/** Live daemons of the availability zone. @default the daemons of the host list */
+	readonly members?: () => readonly string[];
+	/** @default authorityTimes */
+	readonly times?: AuthorityTimes;
+};
+
+type GroupTasks = {readonly lease: LeaseTask; readonly orders: OrderTask};
+
+const groupPollMs = 500;
+const resignLimitMs = 2000;
+
+/** Competes for the leases of the engine groups in this availability zone and gives their orders. */
+export class Authority extends Task<'poll'> {
+	readonly #options: AuthorityOptions;
+	readonly #times: AuthorityTimes;
+	readonly #board: PlanBoard;
+	readonly #groups = new Map<string, GroupTasks>();
+
+	constructor(options: AuthorityOptions) {
+		super(options.log);
+		this.#options = options;
+		this.#times = options.times ?? authorityTimes;
+		this.#board = new PlanBoard(options.log, options.table);
+	}
+
+	/** Upstreams that take no new work because of a plan. */
+	get draining(): ReadonlySet<string> {
+		return this.#board.draining;
+	}
+
+	/** Groups whose lease this daemon holds now. */
+	get heldGroups(): readonly string[] {
+		return [...this.#groups].filter(([, {lease}]) => lease.held !== undefined).map(([group]) => group);
+	}
+
+	/** Starts polling plans and following the groups of the host list. */
+	run(): void {
+		this.#board.run(this.#times.boardPollMs);
+		this.start({message: 'poll', intervalMs: groupPollMs});
+	}
+
+	protected receive(): void {
+		const {hosts, availabilityZone, daemon, members = () => this.#listedMembers()} = this.#options;
+		const engines = hosts().filter(host => host.kind === 'engine' && host.availabilityZone === availabilityZone);
+		const zoneMembers = [...new Set([...members(), daemon])];
+		const names = new Set(engines.map(host => groupName(host.serves, availabilityZone)));
+		for (const group of names) {
+			if (!this.#groups.has(group) && selectCandidates(group, zoneMembers).includes(daemon)) {
+				this.#groups.set(group, this.#startGroup(group));
+			}
+		}
+
+		for (const [group, {lease}] of this.#groups) {
+			lease.post({kind: 'candidacy', isCandidate: names.has(group) && selectCandidates(group, zoneMembers).includes(daemon)});
+		}
+	}
+
+	/** Stops orders first, so that none follows the release of a lease. */
+	protected override async release(): Promise<void> {
+		const groups = [...this.#groups.values()];
+		await Promise.all(groups.map(async ({orders}) => orders[Symbol.asyncDispose]()));
+		await Promise.all(groups.map(async ({lease}) => {
+			await lease.resign(resignLimitMs);
+			await lease[Symbol.asyncDispose]();
+		}));
+		await this.#board[Symbol.asyncDispose]();
+	}
+
+	#listedMembers(): readonly string[] {
+		const {hosts, availabilityZone} = this.#options;
+		return hosts()
+			.filter(host => host.kind === 'daemon' && host.availabilityZone === availabilityZone && host.state === 'live')
+			.map(host => host.id);
+	}
+
+	#startGroup(group: string): GroupTasks {
+		const {
+			log, table, clock, engine, daemon, availabilityZone, hosts,
+		} = this.#options;
+		const times = this.#times;
+		const lease = new LeaseTask({
+			log, table, clock, daemon, group, times: times.lease,
+		});
+		const orders = new OrderTask({
+			log,
+			table,
+			clock,
+			engine,
+			group,
+			lease: () => lease.held,
+			hosts: () => hosts().filter(host => host.kind === 'engine' && host.availabilityZone === availabilityZone
+				&& groupName(host.serves, availabilityZone) === group),
+			allHosts: hosts,
+			targets: () => this.#board.targets,
+			intent: {times: times.intent, guards: intentGuards},
+			plan: {settleMs: times.settleMs, guards: planGuards},
+			spacingMs: times.spacingMs,
+			tickMs: times.orderTickMs,
+		});
+		lease.run();
+		orders.run();
+		return {lease, orders};
+	}
+}
--- /dev/null
+++ b/src/process/orders/plan-executor.ts
@@ -0,0 +1,102 @@
+import type {RowWrite, Table} from '../../platform/table.ts';
+import type {HeldLease} from '../lease/lease-machine.ts';
+import {leaseKey} from '../lease/lease-row.ts';
+import {loadName, type TargetDecision, type TargetFacts} from './plan-machine.ts';
+import {
+	currentStep, planKey, targetKey, type PlanBody, type PlanRow, type TargetBody, type TargetRow,
+} from './plan-row.ts';
+import {reservationKey, type ReservationObservation} from './reservation.ts';
+
+/** Rows that a decision about one upstream was made on. */
+export type TargetContext = {
+	readonly group: string;
+	readonly held: HeldLease;
+	readonly plan: PlanRow;
+	readonly target: TargetRow;
+	readonly facts: TargetFacts;
+	readonly reservation: ReservationObservation;
+};
+
+/** Returns the transaction that records a decision; empty when there is nothing to record. */
+export function recordDecision(decision: TargetDecision, context: TargetContext): readonly RowWrite[] {
+	const {target, plan} = context;
+	switch (decision.kind) {
+		case 'wait': {
+			return decision.note === target.body.note
+				? []
+				: withChecks(context, putTarget(target, {...target.body, note: decision.note}));
+		}
+
+		case 'move': {
+			return withChecks(context, putTarget(target, {...target.body, phase: decision.phase, note: ''}));
+		}
+
+		case 'reserve': {
+			const body = JSON.stringify({load: loadName(context.facts)});
+			const {revision: expected} = context.reservation;
+			return withChecks(context, {
+				kind: 'put', key: reservationKey, expected, body,
+			});
+		}
+
+		case 'finish': {
+			return decision.part === undefined
+				? withChecks(context, releaseTarget(target))
+				: finishPart(decision.part, decision.phase, context, plan.body);
+		}
+	}
+}
+
+/** Check that a plan is unchanged. */
+export function checkPlan({revision, body}: PlanRow): RowWrite {
+	return {kind: 'check', key: planKey(body.id), expected: revision};
+}
+
+/** Writes a decision; the next round reads the rows again, so that no outcome is assumed. */
+export async function writeDecision(table: Table, decision: TargetDecision, context: TargetContext): Promise<boolean> {
+	const writes = recordDecision(decision, context);
+	if (writes.length === 0) {
+		return false;
+	}
+
+	const result = await table.write(writes);
+	return result.isRight();
+}
+
+function finishPart(
+	part: string,
+	phase: 'released' | 'drained',
+	{plan, target, group, held}: TargetContext,
+	body: PlanBody,
+): readonly RowWrite[] {
+	const finished = [...body.finished, part];
+	const parts = body.steps.reduce((sum, step) => sum + step.upstreams.length, 0);
+	const next: PlanBody = {...body, finished, state: finished.length === parts ? 'done' : 'running'};
+	const hasMoreSteps = currentStep(next, target.upstream) !== -1;
+	const keeps = phase === 'drained' || hasMoreSteps;
+	return [
+		{
+			kind: 'put', key: planKey(body.id), expected: plan.revision, body: JSON.stringify(next),
+		},
+		keeps ? putTarget(target, {...target.body, phase: phase === 'drained' ? 'drained' : 'waiting', note: ''}) : releaseTarget(target),
+		checkLease(group, held),
+	];
+}
+
+function withChecks({plan, group, held}: TargetContext, write: RowWrite): readonly RowWrite[] {
+	return [write, checkPlan(plan), checkLease(group, held)];
+}
+
+function checkLease(group: string, held: HeldLease): RowWrite {
+	return {kind: 'check', key: leaseKey(group), expected: held.revision};
+}
+
+function putTarget(target: TargetRow, body: TargetBody): RowWrite {
+	return {
+		kind: 'put', key: targetKey(target.upstream), expected: target.revision, body: JSON.stringify(body),
+	};
+}
+
+function releaseTarget(target: TargetRow): RowWrite {
+	return {kind: 'delete', key: targetKey(target.upstream), expected: target.revision};
+}
--- a/src/process/orders/plan-row.ts
+++ b/src/process/orders/plan-row.ts
@@ -6,7 +6,7 @@
 	z.object({
 		kind: z.literal('load'),
 		model: z.string().optional(),
-		adapters: z.array(z.string()).optional(),
+		adapters: z.array(z.string()).readonly().optional(),
 		version: z.string().optional(),
 	}),
 	z.object({kind: z.literal('role'), role: z.enum(engineRoles)}),
--- /dev/null
+++ b/test/process/fleet-plan.test.ts
@@ -0,0 +1,86 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {request} from 'undici';
+import {
+	afterAll, beforeAll, describe, expect, it,
+} from 'vitest';
+import {
+	createLocalDeployment, demoKey, demoModels, type LocalDeployment,
+} from '../../src/demo/local-deployment.ts';
+import {waitUntilReady} from '../../src/demo/mixed-load.ts';
+import {createLog} from '../../src/process/log.ts';
+import {createPlan, showPlan, submitPlan} from '../../src/process/orders/plan-store.ts';
+import type {PlanStep} from '../../src/version/fleet-plan.ts';
+import {shortIdleLimitMs, shortTimes} from '../fixtures/short-times.ts';
+
+const model = demoModels[0];
+const upstreams = [0, 1].map(index => `${model}-zone-a-${index}`);
+const streamTokens = 40;
+
+describe('a plan with real daemons', () => {
+	let deployment: LocalDeployment;
+
+	beforeAll(async () => {
+		deployment = await createLocalDeployment({
+			availabilityZones: ['zone-a'],
+			daemonsPerZone: 2,
+			enginesPerZone: 2,
+			tuning: {authorityTimes: shortTimes},
+			engineOrders: {changeMs: 200, idleLimitMs: shortIdleLimitMs, enforcesFencing: false},
+			log: createLog('error', 'hidden'),
+		});
+		await waitUntilReady(deployment);
+	});
+
+	afterAll(async () => {
+		await deployment[Symbol.asyncDispose]();
+	});
+
+	it('changes weights and roles while requests stream, and cuts none of them', async () => {
+		const steps: readonly PlanStep[] = [
+			{action: {kind: 'load', version: '2'}, upstreams, line: 1},
+			{action: {kind: 'role', role: 'decode'}, upstreams: [upstreams[1]!], line: 2},
+		];
+		const plan = createPlan('p1', {name: 'october', author: 'anu', steps});
+		const submitted = await submitPlan(deployment.platform.table, plan);
+		expect(submitted.isRight()).toBe(true);
+		const results = await streamUntil(async () => {
+			const view = await showPlan(deployment.platform.table, 'p1');
+			return view.map(({plan: {state}}) => state === 'done').orDefault(false);
+		});
+		expect(results.filter(isWhole => !isWhole)).toEqual([]);
+		expect(results.length).toBeGreaterThan(20);
+		const engines = deployment.engines.slice(0, 2);
+		expect(engines.map(engine => engine.orders.state(performance.now()))).toMatchObject([
+			{version: '2', role: 'mixed', draining: false}, {version: '2', role: 'decode', draining: false},
+		]);
+		const accepted = engines.flatMap(engine => engine.orders.accepted);
+		expect(accepted.filter(order => order.cutRequests > 0 || order.conflicts)).toEqual([]);
+		const loads = engines.map(engine => engine.orders.accepted.find(order => order.wanted.version === '2')!.acceptedAt);
+		expect(Math.abs(loads[0]! - loads[1]!)).toBeGreaterThanOrEqual(shortTimes.spacingMs);
+	});
+
+	async function streamUntil(isOver: () => Promise<boolean>): Promise<readonly boolean[]> {
+		const results: Array<Promise<boolean>> = [];
+		for (let index = 0; !await isOver(); index += 1) {
+			results.push(stream(deployment.urls[index % 2]!));
+			await delay(20);
+		}
+
+		return Promise.all(results);
+	}
+
+	async function stream(url: string): Promise<boolean> {
+		const body = {
+			model, stream: true, max_tokens: streamTokens, messages: [{role: 'user', content: 'check'}],
+		};
+		try {
+			const response = await request(`${url}/v1/chat/completions`, {
+				method: 'POST', headers: {authorization: `Bearer ${demoKey}`}, body: JSON.stringify(body),
+			});
+			const text = await response.body.text();
+			return text.endsWith('data: [DONE]\n\n');
+		} catch {
+			return false;
+		}
+	}
+});
