--- a/src/main.ts
+++ b/src/main.ts
@@ -6,6 +6,7 @@
 import {demoCommand} from './process/cli/demo-command.ts';
 import {exitCode} from './process/cli/exit-code.ts';
 import {keyCommand} from './process/cli/key-command.ts';
+import {planCommand} from './process/cli/plan-command.ts';
 import {serveCommand} from './process/cli/serve-command.ts';
 import {standInCommand} from './process/cli/stand-in-command.ts';
 
@@ -16,6 +17,7 @@
 		.command(checkCommand)
 		.command(contractCommand)
 		.command(keyCommand)
+		.command(planCommand)
 		.command(standInCommand)
 		.command(demoCommand)
 		.demandCommand(1, 'A command is needed.')
--- a/src/version/fleet-plan.ts
+++ b/src/version/fleet-plan.ts
@@ -55,9 +55,12 @@
 	const header = document.sections.find(section => section.name === 'plan');
 	const head = validateSection(file, header ?? {name: 'plan', line: 1, entries: []}, planSchema);
 	findings.push(...head.findings);
-	const steps = document.sections
-		.filter(section => section !== header)
-		.flatMap(section => parseStep(document, section, findings));
+	const stepSections = document.sections.filter(section => section !== header);
+	if (stepSections.length === 0) {
+		findings.push({file, line: 1, message: 'the plan has no step'});
+	}
+
+	const steps = stepSections.flatMap(section => parseStep(document, section, findings));
 	findings.push(...checkSize(file, steps));
 	return findings.length === 0 && head.value !== undefined
 		? Right({...head.value, steps})
@@ -65,10 +68,6 @@
 }
 
 function checkSize(file: string, steps: readonly PlanStep[]): readonly Finding[] {
-	if (steps.length === 0) {
-		return [{file, line: 1, message: 'the plan has no step'}];
-	}
-
 	const targets = new Set(steps.flatMap(step => step.upstreams));
 	return targets.size > planTargetLimit
 		? [{file, line: 1, message: `the plan names ${targets.size} upstreams; at most ${planTargetLimit} are allowed`}]
