Separate rounds of orders from their task, and limit how long a load stays reserved

Cause: the proof in fake time must run the same code as the daemon; a reservation that is used late would let two loads start close together. Change: GroupOrders, Engine.sendOrder as a port, reservation held for half of the spacing. Conclusion: only sockets, timers and the table remain outside.

--- a/src/connection/order-channel.ts
+++ b/src/connection/order-channel.ts
@@ -1,21 +1,7 @@
 import {request as createRequest} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {parseAddress} from '../process/address.ts';
-import type {WantedState} from '../platform/engine.ts';
-
-/** An order as it is sent to an engine. */
-export type Order = {
-	readonly orderId: string;
-	readonly fencing: number;
-	readonly wanted: WantedState;
-};
-
-/** What became of an order. Only `unknown` leaves open whether the engine took it. */
-export type OrderOutcome
-	= | {readonly kind: 'accepted'}
-		| {readonly kind: 'refused'; readonly status: number}
-		| {readonly kind: 'not-sent'; readonly message: string}
-		| {readonly kind: 'unknown'; readonly message: string};
+import type {Order, OrderOutcome} from '../platform/engine.ts';
 
 /** Conditions under which an order is sent. */
 export type OrderChannelOptions = {
--- a/src/platform/engine.ts
+++ b/src/platform/engine.ts
@@ -1,6 +1,7 @@
 import {get} from 'node:http';
 import {Left, Right, type Either} from 'purify-ts';
 import {z} from 'zod';
+import {sendOrder} from '../connection/order-channel.ts';
 import {parseAddress} from '../process/address.ts';
 
 /** Kinds of work that an engine takes. */
@@ -47,10 +48,27 @@
 	inFlight: z.number(),
 });
 
-/** Read access to model engines. Each read opens a connection of its own. */
+/** An order as it is sent to an engine. */
+export type Order = {
+	readonly orderId: string;
+	readonly fencing: number;
+	readonly wanted: WantedState;
+};
+
+/** What became of an order. Only `unknown` leaves open whether the engine took it. */
+export type OrderOutcome
+	= | {readonly kind: 'accepted'}
+		| {readonly kind: 'refused'; readonly status: number}
+		| {readonly kind: 'not-sent'; readonly message: string}
+		| {readonly kind: 'unknown'; readonly message: string};
+
+/** Access to the state of model engines. Each call opens a connection of its own. */
 export abstract class Engine {
 	/** Reads the state of the engine at an address; a failure is a short message. */
 	abstract readState(address: string): Promise<Either<string, EngineState>>;
+
+	/** Sends an order; the lease is checked between connecting and writing. */
+	abstract sendOrder(address: string, order: Order, isAuthorized: () => boolean): Promise<OrderOutcome>;
 }
 
 const readTimeoutMs = 2000;
@@ -64,6 +82,10 @@
 			return Left(error instanceof Error ? error.message : String(error));
 		}
 	}
+
+	async sendOrder(address: string, order: Order, isAuthorized: () => boolean): Promise<OrderOutcome> {
+		return sendOrder(address, order, {isAuthorized});
+	}
 }
 
 async function read(address: string, path: string): Promise<string> {
--- a/src/process/orders/engine-controller.ts
+++ b/src/process/orders/engine-controller.ts
@@ -1,5 +1,4 @@
 import {randomUUID} from 'node:crypto';
-import {sendOrder} from '../../connection/order-channel.ts';
 import type {Engine} from '../../platform/engine.ts';
 import type {Host} from '../../platform/host-list.ts';
 import type {RowWrite, Table} from '../../platform/table.ts';
@@ -139,9 +138,11 @@
 
 	async #send(intent: Intent): Promise<void> {
 		const {orderId, fencing, wanted, goal} = intent;
-		const outcome = await sendOrder(this.#address, {orderId, fencing, wanted}, {
-			isAuthorized: () => this.#held() !== undefined,
-		});
+		const outcome = await this.#options.engine.sendOrder(
+			this.#address,
+			{orderId, fencing, wanted},
+			() => this.#held() !== undefined,
+		);
 		this.#options.log.info('An order was sent.', {
 			address: this.#address, orderId, fencing, goal, outcome: outcome.kind,
 		});
--- a/src/process/orders/order-task.ts
+++ b/src/process/orders/order-task.ts
@@ -1,57 +1,22 @@
-import type {Host} from '../../platform/host-list.ts';
-import type {HeldLease} from '../lease/lease-machine.ts';
 import {Task} from '../task.ts';
-import {EngineController, type ControllerOptions} from './engine-controller.ts';
-import {checkPlan, writeDecision} from './plan-executor.ts';
-import {
-	decideTarget, loadName, type PlanOptions, type TargetDecision, type TargetFacts,
-} from './plan-machine.ts';
-import {
-	currentStep, parsePlanRow, planKey, type PlanRow, type TargetRow,
-} from './plan-row.ts';
-import {readTargets} from './plan-store.ts';
-import {
-	decideReservation, observeReservation, reservationKey, type ReservationObservation,
-} from './reservation.ts';
+import {GroupOrders, type GroupOrdersOptions} from './group-orders.ts';
 
 /** What an order task needs. */
-export type OrderTaskOptions = ControllerOptions & {
-	/** Engines of the group that are in the host list. */
-	readonly hosts: () => readonly Host[];
-	/** All hosts, for upstreams that replace others. */
-	readonly allHosts: () => readonly Host[];
-	/** Holds of plans as last polled. */
-	readonly targets: () => readonly TargetRow[];
-	readonly plan: PlanOptions;
-	readonly spacingMs: number;
+export type OrderTaskOptions = GroupOrdersOptions & {
+	/** Time between two rounds, in milliseconds. */
 	readonly tickMs: number;
 };
 
-type Round = {
-	readonly held: HeldLease;
-	readonly hosts: readonly Host[];
-	readonly targets: ReadonlyMap<string, TargetRow>;
-};
-
-type PhaseMark = {readonly name: string; readonly since: number};
-
-const actionsPerRound = 6;
-
-/** Age up to which a reading counts a replica as ready, in milliseconds. */
-const peerFreshMs = 1500;
-
-/** Gives the orders of one engine group while this daemon holds its lease. */
+/** Runs the rounds of one group's orders, one at a time. */
 export class OrderTask extends Task<'tick'> {
 	readonly #options: OrderTaskOptions;
-	readonly #controllers = new Map<string, EngineController>();
-	readonly #phases = new Map<string, PhaseMark>();
-	#token = '';
-	#reservation: ReservationObservation | undefined;
+	readonly #orders: GroupOrders;
 	#round: Promise<void> | undefined;
 
 	constructor(options: OrderTaskOptions) {
 		super(options.log);
 		this.#options = options;
+		this.#orders = new GroupOrders(options);
 	}
 
 	/** Starts the rounds. */
@@ -71,171 +36,9 @@
 
 	async #runRound(): Promise<void> {
 		try {
-			const held = this.#options.lease();
-			if (held !== undefined) {
-				await this.#serve(held);
-			}
+			await this.#orders.runRound();
 		} catch (error) {
 			this.log.error('A round of orders failed.', error, {group: this.#options.group});
 		}
 	}
-
-	async #serve(held: HeldLease): Promise<void> {
-		if (held.token !== this.#token) {
-			this.#token = held.token;
-			this.#controllers.clear();
-			this.#phases.clear();
-		}
-
-		const hosts = this.#options.hosts();
-		const targets = await this.#readTargets(hosts);
-		const round: Round = {held, hosts, targets};
-		if (targets.size > 0) {
-			await Promise.all(hosts.map(async host => this.#controller(host, held).read(host.address)));
-		}
-
-		// One upstream after another: each decision sees the phases that the ones before it have written.
-		const current = new Map(targets);
-		for (const host of hosts) {
-			const target = current.get(host.id);
-			const controller = this.#controller(host, held);
-			if (target !== undefined) {
-				const moved = await this.#advance(host, target, {...round, targets: current});
-				if (moved !== undefined) {
-					current.set(host.id, {...target, body: {...target.body, phase: moved}});
-				}
-			} else if (controller.isUnresolved) {
-				await this.#resolve(controller, host);
-			}
-		}
-	}
-
-	#controller(host: Host, held: HeldLease): EngineController {
-		const controller = this.#controllers.get(host.id) ?? new EngineController(this.#options, held, host);
-		this.#controllers.set(host.id, controller);
-		return controller;
-	}
-
-	async #readTargets(hosts: readonly Host[]): Promise<ReadonlyMap<string, TargetRow>> {
-		const ids = new Set(hosts.map(host => host.id));
-		const isOwn = (target: TargetRow) => ids.has(target.upstream);
-		if (!this.#options.targets().some(target => isOwn(target))) {
-			return new Map();
-		}
-
-		const rows = await readTargets(this.#options.table);
-		return new Map(rows.orDefault([]).filter(target => isOwn(target)).map(target => [target.upstream, target]));
-	}
-
-	/** Settles what an earlier holder has left, without a plan. */
-	async #resolve(controller: EngineController, host: Host): Promise<void> {
-		for (let count = 0; count < actionsPerRound && controller.isUnresolved; count += 1) {
-			if (!await controller.step()) {
-				return;
-			}
-		}
-
-		if (controller.isUnresolved) {
-			await controller.read(host.address);
-		}
-	}
-
-	/** Moves one upstream of a plan on; returns its new phase when it changed. */
-	async #advance(host: Host, target: TargetRow, round: Round): Promise<TargetRow['body']['phase'] | undefined> {
-		const row = await this.#options.table.get(planKey(target.body.planId));
-		const plan = row.orDefault(undefined);
-		if (plan === undefined) {
-			return undefined;
-		}
-
-		const planRow = parsePlanRow(plan);
-		const controller = this.#controller(host, round.held);
-		for (let count = 0; count < actionsPerRound; count += 1) {
-			const facts = await this.#collectFacts(host, target, planRow, round);
-			const decision = decideTarget(facts, this.#options.clock.now(), this.#options.plan);
-			const isWritten = await this.#record(decision, {
-				target, plan: planRow, facts, held: round.held,
-			});
-			if (decision.kind !== 'wait') {
-				this.log.info('An upstream of a plan moves on.', {upstream: host.id, decision, isWritten});
-				return isWritten && decision.kind === 'move' ? decision.phase : undefined;
-			}
-
-			const goal = decision.goal === undefined ? undefined : {...decision.goal, planCheck: checkPlan(planRow)};
-			if (isWritten || !await controller.step(goal)) {
-				return undefined;
-			}
-		}
-
-		return undefined;
-	}
-
-	async #record(
-		decision: TargetDecision,
-		context: {readonly target: TargetRow; readonly plan: PlanRow; readonly facts: TargetFacts; readonly held: HeldLease},
-	): Promise<boolean> {
-		// The lease row may have been renewed since the round began.
-		const held = this.#options.lease();
-		const {group, table} = this.#options;
-		return held?.token === context.held.token && writeDecision(table, decision, {
-			...context, held, group, reservation: this.#reservation ?? {revision: 0, load: '', since: 0},
-		});
-	}
-
-	async #collectFacts(host: Host, target: TargetRow, plan: PlanRow, round: Round): Promise<TargetFacts> {
-		const engine = this.#controller(host, round.held).facts;
-		const base = {upstream: host.id, plan: plan.body, engine};
-		const action = plan.body.steps[currentStep(plan.body, host.id)]?.action;
-		return {
-			...base,
-			target: target.body,
-			phaseSince: this.#markPhase(target),
-			readyPeers: this.#countReadyPeers(host, round),
-			isGroupBusy: [...round.targets.values()].some(other =>
-				other.upstream !== host.id && ['draining', 'changing', 'undraining'].includes(other.body.phase)),
-			isReplacementReady: action?.kind === 'replace' && await this.#isReplacementReady(action.replacement, host, engine.reading?.state.model),
-			reservation: action?.kind === 'load' && target.body.phase === 'draining' ? await this.#decideLoad(loadName(base)) : 'wait',
-		};
-	}
-
-	#markPhase({upstream, body}: TargetRow): number {
-		const name = `${body.planId} ${body.phase}`;
-		const last = this.#phases.get(upstream);
-		const mark = last?.name === name ? last : {name, since: this.#options.clock.now()};
-		this.#phases.set(upstream, mark);
-		return mark.since;
-	}
-
-	#countReadyPeers(host: Host, {hosts, targets, held}: Round): number {
-		const model = this.#controller(host, held).facts.reading?.state.model ?? host.serves;
-		const oldest = this.#options.clock.now() - peerFreshMs;
-		return hosts.filter(peer => {
-			const {reading} = this.#controller(peer, held).facts;
-			const state = reading !== undefined && reading.startedAt >= oldest ? reading.state : undefined;
-			const phase = targets.get(peer.id)?.body.phase ?? 'waiting';
-			return peer.id !== host.id && peer.state === 'live' && phase === 'waiting'
-				&& state?.phase === 'ready' && !state.draining && state.model === model;
-		}).length;
-	}
-
-	async #isReplacementReady(id: string, host: Host, model: string | undefined): Promise<boolean> {
-		const replacement = this.#options.allHosts().find(candidate => candidate.id === id);
-		if (replacement?.state !== 'live' || replacement.availabilityZone !== host.availabilityZone) {
-			return false;
-		}
-
-		const state = await this.#options.engine.readState(replacement.address);
-		return state.map(value => value.phase === 'ready' && !value.draining && value.model === model).orDefault(false);
-	}
-
-	async #decideLoad(load: string) {
-		const row = await this.#options.table.get(reservationKey);
-		const now = this.#options.clock.now();
-		row.ifRight(value => {
-			this.#reservation = observeReservation(this.#reservation, value, now);
-		});
-		return row.isLeft() || this.#reservation === undefined
-			? 'wait' as const
-			: decideReservation(this.#reservation, load, now, this.#options.spacingMs);
-	}
 }
--- a/src/process/orders/reservation.ts
+++ b/src/process/orders/reservation.ts
@@ -4,6 +4,9 @@
 /** Time between the starts of two loads from the weight store, in milliseconds. */
 export const loadSpacingMs = 5000;
 
+/** Part of the spacing within which a reserved load must start; the next reservation waits for all of it. */
+const holdShare = 0.5;
+
 /** Key of the row that spaces loads from the weight store across the fleet. */
 export const reservationKey: RowKey = {partition: 'reservation', sort: 'weight-store'};
 
@@ -41,9 +44,10 @@
 	now: number,
 	spacingMs: number,
 ): ReservationDecision {
-	if (observation.load === load) {
+	const age = now - observation.since;
+	if (observation.load === load && age < spacingMs * holdShare) {
 		return 'held';
 	}
 
-	return observation.revision === 0 || now - observation.since >= spacingMs ? 'take' : 'wait';
+	return observation.revision === 0 || age >= spacingMs ? 'take' : 'wait';
 }
