--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -2,6 +2,7 @@
 import {closeAbruptly, listen} from '../connection/http-listener.ts';
 import {createUpstreamClient} from '../connection/upstream-client.ts';
 import {DynamoTable} from '../platform/dynamo-table.ts';
+import {HttpEngine} from '../platform/engine.ts';
 import {HttpHostList, type Host} from '../platform/host-list.ts';
 import {HttpObjectStore, type ObjectStore} from '../platform/object-store.ts';
 import {OpenAdmission} from '../request/admission.ts';
@@ -20,6 +21,7 @@
 import {PlatformClaimStore} from './claims/platform-claim-store.ts';
 import {groupedWrites, WriteBatcher} from './claims/write-batcher.ts';
 import {parseAddress, type Address} from './address.ts';
+import {Authority, type AuthorityTimes} from './authority.ts';
 import {SystemClock} from './clock.ts';
 import {NoPeerConfigurationSource} from './configuration/peer-configuration-source.ts';
 import {ConfigurationTask} from './configuration-task.ts';
@@ -35,13 +37,21 @@
 	readonly address: Address;
 	/** True once configuration and hosts are known. */
 	readonly isReady: () => boolean;
+	/** Leases and orders of this daemon. */
+	readonly authority: Authority;
+};
+
+/** Durations that tests shorten. */
+export type DaemonTuning = {
+	/** @default authorityTimes */
+	readonly authorityTimes?: AuthorityTimes;
 };
 
 /** Limit on the memory that all request bodies hold together. */
 const heldBodyBytes = 64 * 1024 * 1024;
 
 /** Constructs the daemon from its parts and starts it. */
-export async function createDaemon(settings: Settings, log: Log): Promise<Daemon> {
+export async function createDaemon(settings: Settings, log: Log, tuning: DaemonTuning = {}): Promise<Daemon> {
 	const resources = new AsyncDisposableStack();
 	const table = resources.use(new DynamoTable({
 		endpoint: settings.platform.table,
@@ -58,6 +68,16 @@
 		peers: new NoPeerConfigurationSource(),
 		isPoller: () => true,
 	}));
+	const authority = resources.use(new Authority({
+		log: log.part('authority'),
+		table,
+		clock,
+		engine: new HttpEngine(),
+		daemon: settings.daemon.id,
+		availabilityZone: settings.daemon['availability-zone'],
+		hosts: () => hostList.hosts,
+		times: tuning.authorityTimes,
+	}));
 	const dispatcher = resources.adopt(createUpstreamClient(), async client => client.destroy());
 	const traces = resources.use(createTraces(settings.daemon.id, settings.traces.endpoint));
 	const isReady = () => configuration.isLoaded && hostList.hosts.length > 0;
@@ -72,7 +92,7 @@
 		bodyLimits: {bodyBytes: settings.limits['body-bytes'], budget: new ByteBudget(heldBodyBytes)},
 		keys: () => configuration.keys,
 		models: () => [...new Set(liveHosts().filter(host => host.kind === 'engine').map(host => host.serves))].toSorted(),
-		upstreams: call => liveHosts().filter(host => serves(host, call)),
+		upstreams: call => liveHosts().filter(host => !authority.draining.has(host.id) && serves(host, call)),
 		isReady,
 		isUnrepeatableRoute: demand => isUnrepeatable(configuration.contracts.get(demand.customer), demand),
 		admission: new OpenAdmission(),
@@ -89,12 +109,14 @@
 	});
 	hostList.run();
 	configuration.run();
+	authority.run();
 	const address = await listen(server, parseAddress(settings.daemon.listen));
 	resources.defer(async () => closeAbruptly(server));
 	log.info('Daemon started.', {id: settings.daemon.id, address});
 	return {
 		address,
 		isReady,
+		authority,
 		[Symbol.asyncDispose]: async () => resources.disposeAsync(),
 	};
 }
