Know the daemons of a deployment by heartbeats and news

Cause: the daemons do not know each other, so a sign seen by one does not reach the others and nobody notices a dead member.

Change: a pure membership machine with a digest of heartbeat sequences, suspect after 3 s and dead after 6 s, gateways between availability zones, news bounded in bytes, number and memory, and marks of leaving upstreams. The peer protocol runs over connect-es on HTTP/2.

--- /dev/null
+++ b/bench/control-cost.ts
@@ -0,0 +1,129 @@
+import process from 'node:process';
+import {MembershipSimulation} from './simulation/membership-simulation.ts';
+import {atMost, type Measure, type Measurement} from './measure.ts';
+
+type Deployment = {readonly zones: number; readonly daemonsPerZone: number};
+
+type Cost = {
+	readonly members: number;
+	/** Sent and received by the busiest daemon. */
+	readonly bytesPerSecond: number;
+	readonly spreadMs: number;
+	readonly deathKnownMs: number;
+	readonly processorShare: number;
+	readonly heapBytes: number;
+};
+
+const deployments: readonly Deployment[] = [
+	{zones: 2, daemonsPerZone: 4},
+	{zones: 4, daemonsPerZone: 16},
+	{zones: 12, daemonsPerZone: 35},
+];
+const seed = 1;
+const settleMs = 8000;
+const measuredSeconds = 10;
+/** Fills the part of each message that is left to usage news. */
+const usageItemsPerSecond = 20;
+const limitMs = 30_000;
+const bytesPerSecondBound = 13_000;
+const spreadBoundMs = 3000;
+/** A lease is taken over within 15 s of the death of its holder. */
+const deathKnownBoundMs = 15_000;
+const processorShareBound = 0.02;
+const heapBound = 256 * 1024 * 1024;
+
+const costs = new Map<Deployment, Cost>();
+
+/** Bytes and delays of the control traffic in virtual time. */
+export const controlCost: Measure = {
+	name: 'control cost',
+	deterministic: true,
+	run: async () => [...deployments.flatMap(deployment => describeTraffic(resolveCost(deployment))), describeSlope()],
+};
+
+/** Processor time and memory of the control traffic on this machine. */
+export const controlProcessorCost: Measure = {
+	name: 'control processor cost',
+	deterministic: false,
+	run: async () => deployments.flatMap(deployment => describeProcessor(resolveCost(deployment))),
+};
+
+function describeTraffic({members, bytesPerSecond, spreadMs, deathKnownMs}: Cost): readonly Measurement[] {
+	return [
+		atMost(`control bytes of the busiest daemon, ${members} members`, bytesPerSecond, 'B/s', {bound: bytesPerSecondBound}),
+		atMost(`spread of a leaving mark, ${members} members`, spreadMs, 'ms', {bound: spreadBoundMs}),
+		atMost(`death known everywhere, ${members} members`, deathKnownMs, 'ms', {bound: deathKnownBoundMs}),
+	];
+}
+
+function describeSlope(): Measurement {
+	const [, middle, last] = deployments.map(deployment => resolveCost(deployment)) as [Cost, Cost, Cost];
+	const slope = (last.bytesPerSecond - middle.bytesPerSecond) / (last.members - middle.members);
+	return {
+		name: 'control bytes per added member, 64 to 420 members', value: slope, unit: 'B/s', ok: true,
+	};
+}
+
+function describeProcessor({members, processorShare, heapBytes}: Cost): readonly Measurement[] {
+	return [
+		atMost(`control processor share of a daemon, ${members} members`, processorShare, 'cores', {bound: processorShareBound}),
+		atMost(`control heap of a daemon, ${members} members`, heapBytes, 'B', {bound: heapBound}),
+	];
+}
+
+function resolveCost(deployment: Deployment): Cost {
+	const cost = costs.get(deployment) ?? measureCost(deployment);
+	costs.set(deployment, cost);
+	return cost;
+}
+
+function measureCost(deployment: Deployment): Cost {
+	const heapAtStart = process.memoryUsage().heapUsed;
+	const simulation = new MembershipSimulation({...deployment, seed});
+	const {daemons} = simulation;
+	simulation.run(settleMs);
+	const bytesAtStart = daemons.map(daemon => daemon.bytes);
+	const processorAtStart = process.cpuUsage();
+	for (let second = 0; second < measuredSeconds; second += 1) {
+		announceUsage(simulation);
+		simulation.run(1000);
+	}
+
+	const processor = process.cpuUsage(processorAtStart);
+	const bytes = daemons.map((daemon, index) => daemon.bytes - bytesAtStart[index]!);
+	return {
+		members: daemons.length,
+		bytesPerSecond: Math.max(...bytes) / measuredSeconds,
+		processorShare: (processor.user + processor.system) / 1e6 / measuredSeconds / daemons.length,
+		heapBytes: Math.max(0, process.memoryUsage().heapUsed - heapAtStart) / daemons.length,
+		spreadMs: measureSpread(simulation),
+		deathKnownMs: measureDeath(simulation),
+	};
+}
+
+function announceUsage({daemons, now}: MembershipSimulation): void {
+	for (const [index, {membership}] of daemons.entries()) {
+		for (let item = 0; item < usageItemsPerSecond; item += 1) {
+			const customer = `customer-${(index * usageItemsPerSecond) + item}`;
+			membership.announce({
+				case: 'customerUsage', value: {
+					customer, tokens: 12_000n, waitingTokens: 3000n, intervalMs: 1000,
+				},
+			}, now);
+		}
+	}
+}
+
+function measureSpread(simulation: MembershipSimulation): number {
+	const [witness] = simulation.daemons;
+	witness!.membership.leavingSeen({upstream: 'engine', leaving: true, signAt: simulation.now}, simulation.now);
+	simulation.flush(witness!);
+	return simulation.runUntil(() => simulation.daemons.every(({membership}) => membership.isLeaving('engine')), limitMs) ?? limitMs;
+}
+
+function measureDeath(simulation: MembershipSimulation): number {
+	const [, victim, ...others] = simulation.daemons;
+	simulation.kill(victim!);
+	const isKnown = () => others.every(({membership}) => membership.member(victim!.id)?.condition === 'dead');
+	return simulation.runUntil(isKnown, limitMs) ?? limitMs;
+}
--- /dev/null
+++ b/src/connection/peer-clients.ts
@@ -0,0 +1,96 @@
+import {createClient, type Client, type Interceptor} from '@connectrpc/connect';
+import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
+import {PeerService} from '../generated/peer_pb.js';
+import type {PeerAuthority} from './peer-authority.ts';
+
+/** Typed client of one peer. */
+export type PeerClient = Client<typeof PeerService>;
+
+type Connection = {
+	readonly client: PeerClient;
+	readonly session: Http2SessionManager;
+	failures: number;
+};
+
+const maxConnections = 256;
+const maxAnswerBytes = 64 * 1024 * 1024;
+/** A connection that was idle for longer is verified by a ping before it is used. */
+const pingIntervalMs = 2000;
+const pingTimeoutMs = 500;
+const idleTimeoutMs = 60_000;
+/** Failed calls after which a connection is replaced, as it may have gone silent. */
+const maxFailures = 2;
+
+/** Connections to peers; one for each peer, replaced when it goes silent. */
+export class PeerClients implements AsyncDisposable {
+	readonly #connections = new Map<string, Connection>();
+	readonly #interceptor: Interceptor;
+
+	constructor(authority: PeerAuthority) {
+		this.#interceptor = next => async request => {
+			for (const [name, value] of Object.entries(authority.sign())) {
+				request.header.set(name, value);
+			}
+
+			return next(request);
+		};
+	}
+
+	/** Calls a peer; a peer that fails twice in a row gets a new connection. */
+	async call<Result>(peerUrl: string, timeoutMs: number, send: (client: PeerClient, options: {readonly timeoutMs: number}) => Promise<Result>): Promise<Result> {
+		const connection = this.#connect(peerUrl);
+		try {
+			const result = await send(connection.client, {timeoutMs});
+			connection.failures = 0;
+			return result;
+		} catch (error) {
+			connection.failures += 1;
+			if (connection.failures >= maxFailures) {
+				this.#drop(peerUrl, connection);
+			}
+
+			throw error;
+		}
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		for (const [peerUrl, connection] of this.#connections) {
+			this.#drop(peerUrl, connection);
+		}
+	}
+
+	#connect(peerUrl: string): Connection {
+		const known = this.#connections.get(peerUrl);
+		if (known !== undefined) {
+			this.#connections.delete(peerUrl);
+			this.#connections.set(peerUrl, known);
+			return known;
+		}
+
+		const session = new Http2SessionManager(peerUrl, {
+			pingIntervalMs, pingTimeoutMs, idleConnectionTimeoutMs: idleTimeoutMs,
+		});
+		const transport = createConnectTransport({
+			baseUrl: peerUrl, httpVersion: '2', sessionManager: session, readMaxBytes: maxAnswerBytes, interceptors: [this.#interceptor],
+		});
+		const connection = {client: createClient(PeerService, transport), session, failures: 0};
+		this.#connections.set(peerUrl, connection);
+		this.#evict();
+		return connection;
+	}
+
+	#evict(): void {
+		if (this.#connections.size > maxConnections) {
+			const [[peerUrl, connection]] = this.#connections as unknown as [[string, Connection]];
+			this.#drop(peerUrl, connection);
+		}
+	}
+
+	#drop(peerUrl: string, connection: Connection): void {
+		if (this.#connections.get(peerUrl) === connection) {
+			this.#connections.delete(peerUrl);
+		}
+
+		connection.session.abort();
+	}
+}
--- /dev/null
+++ b/src/connection/peer-server.ts
@@ -0,0 +1,106 @@
+import {createServer, type Http2Server, type ServerHttp2Session} from 'node:http2';
+import type {AddressInfo} from 'node:net';
+import {
+	Code, ConnectError, type ConnectRouter, type Interceptor,
+} from '@connectrpc/connect';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {
+	PeerService, type HeartbeatRequest, type HeartbeatResponse, type PullChangesResponse,
+} from '../generated/peer_pb.js';
+import type {Address} from '../process/address.ts';
+import type {PeerAuthority} from './peer-authority.ts';
+
+/** What the peer protocol asks of the rest of the daemon. */
+export type PeerHandlers = {
+	readonly heartbeat: (request: HeartbeatRequest) => Promise<HeartbeatResponse>;
+	/** Absent while the daemon keeps no configuration changes. */
+	readonly pullChanges?: (sinceVersion: number) => Promise<PullChangesResponse>;
+	/** JSON document of the daemon's state. */
+	readonly status: () => Promise<string>;
+};
+
+/** A heartbeat has 1,200 bytes of news and a digest of at most a hundred members. */
+const maxRequestBytes = 65_536;
+const maxAnswerBytes = 64 * 1024 * 1024;
+const maxConnections = 2048;
+const maxStreamsPerConnection = 32;
+const maxCallMs = 10_000;
+
+/** Server of the peer protocol on its own address. */
+export class PeerServer implements AsyncDisposable {
+	readonly #server: Http2Server;
+	readonly #sessions = new Set<ServerHttp2Session>();
+
+	constructor(handlers: PeerHandlers, authority: PeerAuthority) {
+		const handler = connectNodeAdapter({
+			routes(router) {
+				addRoutes(router, handlers);
+			},
+			interceptors: [createGuard(authority)],
+			readMaxBytes: maxRequestBytes,
+			writeMaxBytes: maxAnswerBytes,
+			maxTimeoutMs: maxCallMs,
+		});
+		this.#server = createServer({settings: {maxConcurrentStreams: maxStreamsPerConnection}}, (request, response) => {
+			handler(request, response);
+		});
+		this.#server.maxConnections = maxConnections;
+		this.#server.on('session', session => {
+			this.#sessions.add(session);
+			session.once('close', () => {
+				this.#sessions.delete(session);
+			});
+			session.on('error', () => {
+				session.destroy();
+			});
+		});
+	}
+
+	/** Binds the server and resolves with the bound address. */
+	async listen(address: Address): Promise<Address> {
+		const {promise, resolve, reject} = Promise.withResolvers<void>();
+		this.#server.once('error', reject);
+		this.#server.listen(address.port, address.host, resolve);
+		await promise;
+		this.#server.off('error', reject);
+		return {host: address.host, port: (this.#server.address() as AddressInfo).port};
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		const {promise, resolve} = Promise.withResolvers<void>();
+		this.#server.close(() => {
+			resolve();
+		});
+		for (const session of this.#sessions) {
+			session.destroy();
+		}
+
+		await promise;
+	}
+}
+
+function addRoutes(router: ConnectRouter, handlers: PeerHandlers): void {
+	router.service(PeerService, {
+		heartbeat: async request => handlers.heartbeat(request),
+		async pullChanges(request) {
+			if (handlers.pullChanges === undefined) {
+				throw new ConnectError('No changes are kept.', Code.Unavailable);
+			}
+
+			return handlers.pullChanges(Number(request.sinceVersion));
+		},
+		async status() {
+			return {body: await handlers.status()};
+		},
+	});
+}
+
+function createGuard(authority: PeerAuthority): Interceptor {
+	return next => async request => {
+		if (!authority.accepts(request.header)) {
+			throw new ConnectError('The peer is not known.', Code.Unauthenticated);
+		}
+
+		return next(request);
+	};
+}
--- /dev/null
+++ b/src/process/membership-task.ts
@@ -0,0 +1,203 @@
+import type {PeerClients} from '../connection/peer-clients.ts';
+import type {ProbeResult} from '../connection/probe.ts';
+import type {HeartbeatRequest, HeartbeatResponse, Phase} from '../generated/peer_pb.js';
+import type {Host} from '../platform/host-list.ts';
+import type {Clock} from './clock.ts';
+import type {Log} from './log.ts';
+import {decodeHeartbeat, encodeRequest, encodeResponse} from './membership/heartbeat-codec.ts';
+import type {
+	Heartbeat, Member, MembershipEvent, OutgoingHeartbeat,
+} from './membership/member.ts';
+import {heartbeatIntervalMs, type Membership} from './membership/membership.ts';
+import type {NewsItem} from './membership/news-queue.ts';
+import {Task} from './task.ts';
+
+type Message
+	= | {readonly kind: 'tick'}
+		| {readonly kind: 'hosts'; readonly hosts: readonly Host[]}
+		| {readonly kind: 'heartbeat'; readonly heartbeat: Heartbeat; readonly respond: (answer: Heartbeat) => void}
+		| {readonly kind: 'answer'; readonly answer: Heartbeat}
+		| {readonly kind: 'announce'; readonly item: NewsItem}
+		| {readonly kind: 'leaving'; readonly upstream: string; readonly leaving: boolean}
+		| {readonly kind: 'phase'; readonly phase: Phase}
+		| {readonly kind: 'version'; readonly version: number};
+
+/** What the task needs from the rest of the daemon. */
+export type MembershipTaskOptions = {
+	readonly log: Log;
+	readonly clock: Clock;
+	readonly membership: Membership;
+	readonly clients: PeerClients;
+	/** Asks an upstream for its health on a new connection. */
+	readonly probe: (upstream: string) => Promise<ProbeResult>;
+};
+
+const answerTimeoutMs = 1000;
+
+/** Keeps the membership of the deployment: sends heartbeats, answers those of peers and reports events. */
+export class MembershipTask extends Task<Message> {
+	readonly #options: MembershipTaskOptions;
+	readonly #listeners: Array<(event: MembershipEvent) => void> = [];
+
+	constructor(options: MembershipTaskOptions) {
+		super(options.log);
+		this.#options = options;
+	}
+
+	/** Members other than this daemon. */
+	get members(): readonly Member[] {
+		return this.#options.membership.members;
+	}
+
+	/** Raised by each start of the daemon. */
+	get incarnation(): number {
+		return this.#options.membership.incarnation;
+	}
+
+	/** Calls a listener with each event, inside the task. */
+	subscribe(listener: (event: MembershipEvent) => void): void {
+		this.#listeners.push(listener);
+	}
+
+	/** Starts heartbeats, one round each second. */
+	run(): void {
+		this.start({message: {kind: 'tick'}, intervalMs: heartbeatIntervalMs});
+	}
+
+	/** Tells peers an item of news. */
+	announce(item: NewsItem): void {
+		this.post({kind: 'announce', item});
+	}
+
+	/** Reports a sign that an upstream leaves, or has returned. */
+	leavingSeen(upstream: string, leaving: boolean): void {
+		this.post({kind: 'leaving', upstream, leaving});
+	}
+
+	/** Takes in a host list that has been read. */
+	hostsSeen(hosts: readonly Host[]): void {
+		this.post({kind: 'hosts', hosts});
+	}
+
+	/** True while an upstream must get no new work. */
+	isLeaving(upstream: string): boolean {
+		return this.#options.membership.isLeaving(upstream);
+	}
+
+	/** Tells peers the lifecycle phase. */
+	setPhase(phase: Phase): void {
+		this.post({kind: 'phase', phase});
+	}
+
+	/** Sets the configuration version that heartbeats carry. */
+	setConfigurationVersion(version: number): void {
+		this.post({kind: 'version', version});
+	}
+
+	/** Answers a peer's heartbeat. */
+	async answer(request: HeartbeatRequest): Promise<HeartbeatResponse> {
+		const {promise, resolve} = Promise.withResolvers<Heartbeat>();
+		this.post({kind: 'heartbeat', heartbeat: decodeHeartbeat(request), respond: resolve});
+		return encodeResponse(await promise);
+	}
+
+	protected receive(message: Message): void {
+		const {membership, clock} = this.#options;
+		const now = clock.now();
+		this.#handle(message, now);
+		for (const event of membership.takeEvents()) {
+			this.#report(event);
+		}
+
+		this.#send(membership.takeUrgent(now));
+	}
+
+	#handle(message: Message, now: number): void {
+		const {membership} = this.#options;
+		switch (message.kind) {
+			case 'tick': {
+				this.#send(membership.tick(now));
+				this.#probe(membership.probesDue(now));
+				return;
+			}
+
+			case 'hosts': {
+				membership.hostsSeen(message.hosts.filter(host => host.kind === 'daemon').map(host => ({
+					id: host.id, availabilityZone: host.availabilityZone, peerUrl: `http://${host.address}`,
+				})), now);
+				membership.upstreamsSeen(message.hosts.filter(host => host.kind !== 'daemon').map(host => ({
+					id: host.id, availabilityZone: host.availabilityZone, isLeaving: host.state === 'leaving',
+				})), now);
+				return;
+			}
+
+			case 'heartbeat': {
+				message.respond(membership.receive(message.heartbeat, now));
+				return;
+			}
+
+			case 'answer': {
+				membership.receiveAnswer(message.answer, now);
+				return;
+			}
+
+			case 'leaving': {
+				membership.leavingSeen({upstream: message.upstream, leaving: message.leaving, signAt: now}, now);
+				return;
+			}
+
+			case 'announce': {
+				membership.announce(message.item, now);
+				return;
+			}
+
+			case 'phase': {
+				membership.setPhase(message.phase, now);
+				return;
+			}
+
+			case 'version': {
+				membership.setConfigurationVersion(message.version);
+			}
+		}
+	}
+
+	#report(event: MembershipEvent): void {
+		if (event.kind === 'member' && event.previous !== undefined) {
+			const {id, condition} = event.member;
+			this.log.info('A member changed its condition.', {id, condition, previous: event.previous});
+		}
+
+		for (const listener of this.#listeners) {
+			listener(event);
+		}
+	}
+
+	#probe(upstreams: readonly string[]): void {
+		for (const upstream of upstreams) {
+			void this.#probeReturn(upstream);
+		}
+	}
+
+	async #probeReturn(upstream: string): Promise<void> {
+		if (await this.#options.probe(upstream) === 'healthy') {
+			this.leavingSeen(upstream, false);
+		}
+	}
+
+	#send(messages: readonly OutgoingHeartbeat[]): void {
+		for (const message of messages) {
+			void this.#exchange(message);
+		}
+	}
+
+	async #exchange({memberId, peerUrl, heartbeat}: OutgoingHeartbeat): Promise<void> {
+		try {
+			const answer = await this.#options.clients.call(peerUrl, answerTimeoutMs, async (client, options) =>
+				client.heartbeat(encodeRequest(heartbeat), options));
+			this.post({kind: 'answer', answer: decodeHeartbeat(answer)});
+		} catch (error) {
+			this.log.debug('A heartbeat was not answered.', {memberId, message: String(error)});
+		}
+	}
+}
--- /dev/null
+++ b/src/process/membership/heartbeat-targets.ts
@@ -0,0 +1,109 @@
+import type {Random} from '../random.ts';
+import type {Member} from './member.ts';
+import type {MemberTable} from './member-table.ts';
+import {rankByRendezvous} from './rendezvous.ts';
+
+const fanout = 3;
+const maxSuspectsProbed = 2;
+const zonesPerInterval = 2;
+const probersPerUpstream = 2;
+
+type Self = {
+	readonly id: string;
+	readonly availabilityZone: string;
+	readonly random: Random;
+};
+
+/** Selects the members to which this daemon sends. */
+export class HeartbeatTargets {
+	readonly #self: Self;
+	readonly #table: MemberTable;
+
+	constructor(self: Self, table: MemberTable) {
+		this.#self = self;
+		this.#table = table;
+	}
+
+	/** Ids of the members that get a heartbeat in this interval. */
+	forInterval(): readonly string[] {
+		const targets = new Set(this.#random(this.#living()));
+		for (const id of this.#pick(this.#local(member => member.condition === 'suspect'), maxSuspectsProbed)) {
+			targets.add(id);
+		}
+
+		// A member that is dead to this daemon may consider this daemon dead as well; one of them has to try.
+		for (const id of this.#pick(this.#local(member => member.condition === 'dead'), 1)) {
+			targets.add(id);
+		}
+
+		if (this.#isGateway()) {
+			for (const zone of this.#pick(this.#table.otherZones, zonesPerInterval)) {
+				targets.add(this.#remoteTarget(zone));
+			}
+		}
+
+		return [...targets];
+	}
+
+	/** Ids of the members that get urgent news; gateways carry news of their own zone to all other zones. */
+	forUrgent(isLocalNews: boolean): readonly string[] {
+		const {id, availabilityZone} = this.#self;
+		const gateways = this.#table.gateways(availabilityZone, id);
+		const targets = new Set([...this.#random(this.#living()), ...gateways]);
+		if (isLocalNews && gateways.includes(id)) {
+			for (const zone of this.#table.otherZones) {
+				for (const gateway of this.#table.gateways(zone)) {
+					targets.add(gateway);
+				}
+			}
+		}
+
+		return [...targets];
+	}
+
+	/** True when this daemon is one of the two of the upstream's zone that probe it. */
+	isProber(upstream: string, zone: string | undefined): boolean {
+		const {id, availabilityZone} = this.#self;
+		const living = this.#table.members
+			.filter(member => member.availabilityZone === zone && member.condition !== 'dead')
+			.map(member => member.id);
+		const candidates = zone === availabilityZone ? [...living, id] : living;
+		return candidates.length === 0 || rankByRendezvous(`probe ${upstream}`, candidates).slice(0, probersPerUpstream).includes(id);
+	}
+
+	#isGateway(): boolean {
+		const {id, availabilityZone} = this.#self;
+		return this.#table.gateways(availabilityZone, id).includes(id);
+	}
+
+	/** One gateway of the zone, and at times any member, as both gateways may be unreachable. */
+	#remoteTarget(zone: string): string {
+		const gateways = this.#table.gateways(zone);
+		const members = this.#table.members.filter(member => member.availabilityZone === zone).map(member => member.id);
+		const candidates = this.#self.random.integer(4) === 0 ? members : gateways;
+		return candidates[this.#self.random.integer(candidates.length)]!;
+	}
+
+	#living(): readonly string[] {
+		return this.#local(member => member.condition !== 'dead');
+	}
+
+	#local(isWanted: (member: Member) => boolean): readonly string[] {
+		const zone = this.#self.availabilityZone;
+		return this.#table.members.filter(member => member.availabilityZone === zone && isWanted(member)).map(member => member.id);
+	}
+
+	#random(ids: readonly string[]): readonly string[] {
+		return this.#pick(ids, fanout);
+	}
+
+	#pick(values: readonly string[], count: number): readonly string[] {
+		const rest = [...values];
+		const picked: string[] = [];
+		while (picked.length < count && rest.length > 0) {
+			picked.push(...rest.splice(this.#self.random.integer(rest.length), 1));
+		}
+
+		return picked;
+	}
+}
--- /dev/null
+++ b/src/process/membership/leaving-marks.ts
@@ -0,0 +1,119 @@
+/** An upstream as the host list names it. */
+export type ListedUpstream = {
+	readonly id: string;
+	readonly availabilityZone: string;
+	readonly isLeaving: boolean;
+};
+
+/** A sign that an upstream is leaving, or that it has returned. */
+export type LeavingSign = {
+	readonly upstream: string;
+	readonly leaving: boolean;
+	/** Time of the sign in milliseconds of this daemon's monotonic clock. */
+	readonly signAt: number;
+};
+
+type Mark = LeavingSign & {
+	/** True when this daemon saw the sign itself and repeats it. */
+	readonly isOwn: boolean;
+	repeatedAt: number;
+	probedAt: number;
+};
+
+/** Signs of opposite meaning within this time cannot be ordered across daemons; leaving wins. */
+const orderToleranceMs = 250;
+const repeatIntervalMs = 10_000;
+const probeIntervalMs = 2000;
+const maxMarks = 4096;
+
+/** Marks of leaving upstreams; the newest sign counts, whoever saw it. */
+export class LeavingMarks {
+	readonly #marks = new Map<string, Mark>();
+	#listed: ReadonlyMap<string, ListedUpstream> = new Map();
+
+	/** Signs in force. */
+	get signs(): readonly LeavingSign[] {
+		return [...this.#marks.values()];
+	}
+
+	/** True while the newest sign says that the upstream leaves. */
+	isLeaving(upstream: string): boolean {
+		return this.#marks.get(upstream)?.leaving === true;
+	}
+
+	/** Takes in a sign; returns true when it changes the mark. */
+	take(sign: LeavingSign, isOwn: boolean): boolean {
+		const known = this.#marks.get(sign.upstream);
+		if ((known?.leaving ?? false) === sign.leaving) {
+			if (known !== undefined && sign.signAt > known.signAt) {
+				this.#set({
+					...known, signAt: sign.signAt, isOwn: known.isOwn || isOwn,
+				});
+			}
+
+			return false;
+		}
+
+		if (known !== undefined && !isNewer(sign, known)) {
+			return false;
+		}
+
+		this.#set({
+			...sign, isOwn, repeatedAt: sign.signAt, probedAt: sign.signAt,
+		});
+		return true;
+	}
+
+	/** Takes in the host list; only a change of the listed state is a sign, as the list lags. */
+	list(upstreams: readonly ListedUpstream[], now: number): readonly LeavingSign[] {
+		const previous = this.#listed;
+		this.#listed = new Map(upstreams.map(upstream => [upstream.id, upstream]));
+		for (const upstream of this.#marks.keys()) {
+			if (!this.#listed.has(upstream) && previous.has(upstream)) {
+				this.#marks.delete(upstream);
+			}
+		}
+
+		return upstreams
+			.filter(upstream => upstream.isLeaving !== (previous.get(upstream.id)?.isLeaving ?? false))
+			.map(upstream => ({upstream: upstream.id, leaving: upstream.isLeaving, signAt: now}));
+	}
+
+	/** Returns the own signs that are due to be repeated, for daemons that missed them. */
+	repeatsDue(now: number, all = false): readonly LeavingSign[] {
+		const due = [...this.#marks.values()].filter(mark =>
+			mark.isOwn && mark.leaving && (all || now - mark.repeatedAt >= repeatIntervalMs));
+		for (const mark of due) {
+			mark.repeatedAt = now;
+		}
+
+		return due;
+	}
+
+	/** Returns the leaving upstreams that this daemon is to probe for their return. */
+	probesDue(now: number, isProber: (upstream: string, availabilityZone: string | undefined) => boolean): readonly string[] {
+		const due = [...this.#marks.values()].filter(mark =>
+			mark.leaving
+			&& now - mark.probedAt >= probeIntervalMs
+			&& this.#listed.get(mark.upstream)?.isLeaving !== true
+			&& isProber(mark.upstream, this.#listed.get(mark.upstream)?.availabilityZone));
+		for (const mark of due) {
+			mark.probedAt = now;
+		}
+
+		return due.map(mark => mark.upstream);
+	}
+
+	#set(mark: Mark): void {
+		this.#marks.delete(mark.upstream);
+		this.#marks.set(mark.upstream, mark);
+		if (this.#marks.size > maxMarks) {
+			const [oldest] = this.#marks.keys();
+			this.#marks.delete(oldest!);
+		}
+	}
+}
+
+function isNewer(sign: LeavingSign, known: LeavingSign): boolean {
+	return sign.leaving ? sign.signAt > known.signAt - orderToleranceMs : sign.signAt > known.signAt + orderToleranceMs;
+}
--- /dev/null
+++ b/src/process/membership/member-table.ts
@@ -0,0 +1,261 @@
+import {Phase} from '../../generated/peer_pb.js';
+import type {
+	Digest, Heartbeat, Member, MemberCondition, MembershipEvent,
+} from './member.ts';
+import {hash32, rankByRendezvous} from './rendezvous.ts';
+
+/** Silence after which a member of the own availability zone is probed directly. */
+export const suspectAfterMs = 3000;
+/** Silence after which a member of the own availability zone is dead. */
+export const deadAfterMs = 6000;
+/** Silence of all members of another zone after which the zone is cut off. */
+const zoneDeadAfterMs = 9000;
+/** Silence of one member of another zone; its death is known sooner as news, this is the limit when the news is lost. */
+const remoteDeadAfterMs = 60_000;
+const remoteSuspectAfterMs = 30_000;
+const gatewaysPerZone = 2;
+const maxMembers = 2048;
+const maxLocalDigest = 48;
+const maxRemoteDigestWithinZone = 28;
+const maxRemoteDigestAcrossZones = 8;
+
+type MemberRecord = {-readonly [Key in keyof Member]: Member[Key]} & {
+	readonly hash: number;
+	isListed: boolean;
+};
+
+/** Member as the host list names it. */
+export type ListedMember = Pick<Member, 'id' | 'availabilityZone' | 'peerUrl'>;
+
+/** Members other than this daemon, with the evidence that they live. */
+export class MemberTable {
+	readonly #zone: string;
+	readonly #report: (event: MembershipEvent) => void;
+	readonly #records = new Map<string, MemberRecord>();
+	/** Undefined marks a hash that two ids share; such members are known by direct contact only. */
+	readonly #byHash = new Map<number, MemberRecord | undefined>();
+	readonly #gatewayCache = new Map<string, readonly string[]>();
+	#zoneCache: readonly string[] | undefined;
+	#digestOffset = 0;
+
+	constructor(zone: string, report: (event: MembershipEvent) => void) {
+		this.#zone = zone;
+		this.#report = report;
+	}
+
+	/** Members in no particular order. */
+	get members(): readonly Member[] {
+		return [...this.#records.values()];
+	}
+
+	/** Names of the other availability zones. */
+	get otherZones(): readonly string[] {
+		this.#zoneCache ??= [...new Set(this.members.map(member => member.availabilityZone))].filter(zone => zone !== this.#zone);
+		return this.#zoneCache;
+	}
+
+	get(id: string): Member | undefined {
+		return this.#records.get(id);
+	}
+
+	/** Members of a zone that are not dead; the whole zone when all are. */
+	reachable(zone: string): readonly Member[] {
+		const members = this.members.filter(member => member.availabilityZone === zone);
+		const living = members.filter(member => member.condition !== 'dead');
+		return living.length > 0 ? living : members;
+	}
+
+	/** Ids of the gateways of a zone; `self` takes part in its own zone. */
+	gateways(zone: string, self?: string): readonly string[] {
+		const cached = this.#gatewayCache.get(zone);
+		if (cached !== undefined) {
+			return cached;
+		}
+
+		const ids = this.reachable(zone).filter(member => self === undefined || member.condition !== 'dead').map(member => member.id);
+		const gateways = rankByRendezvous(`gateway ${zone}`, self === undefined ? ids : [...ids, self]).slice(0, gatewaysPerZone);
+		this.#gatewayCache.set(zone, gateways);
+		return gateways;
+	}
+
+	/** Takes in the daemons of a host list; members that are dead and no longer listed are forgotten. */
+	list(listed: readonly ListedMember[], now: number): void {
+		const ids = new Set(listed.map(member => member.id));
+		for (const record of this.#records.values()) {
+			record.isListed = ids.has(record.id);
+			if (!record.isListed && record.condition === 'dead') {
+				this.#forget(record);
+			}
+		}
+
+		for (const member of listed) {
+			const record = this.#records.get(member.id) ?? this.#add(member, now);
+			if (record?.incarnation === 0) {
+				record.peerUrl = member.peerUrl;
+			}
+
+			if (record !== undefined) {
+				record.isListed = true;
+			}
+		}
+	}
+
+	/** Takes in a message that came from the member itself; returns false for a message of an earlier start. */
+	hear(heartbeat: Heartbeat, now: number): boolean {
+		const known = this.#records.get(heartbeat.daemonId) ?? this.#add({
+			id: heartbeat.daemonId, availabilityZone: heartbeat.availabilityZone, peerUrl: heartbeat.peerUrl,
+		}, now);
+		if (known === undefined || heartbeat.incarnation < known.incarnation) {
+			return false;
+		}
+
+		const changes = heartbeat.configurationVersion > known.configurationVersion;
+		known.incarnation = heartbeat.incarnation;
+		known.peerUrl = heartbeat.peerUrl;
+		known.phase = heartbeat.phase;
+		known.configurationVersion = Math.max(known.configurationVersion, heartbeat.configurationVersion);
+		known.sequence = Math.max(known.sequence, heartbeat.sequence);
+		known.evidenceAt = now;
+		this.#turn(known, 'alive');
+		if (changes) {
+			this.#report({kind: 'version', member: {...known}});
+		}
+
+		return true;
+	}
+
+	/** Takes in evidence of life through another member. */
+	learn(id: string, sequence: number, now: number): void {
+		const record = this.#records.get(id);
+		if (record !== undefined) {
+			this.#advance(record, sequence, now);
+		}
+	}
+
+	/** Takes in a digest; `self` answers for the hash of this daemon. */
+	learnDigest(digest: Digest, now: number): void {
+		for (const [index, hash] of digest.members.entries()) {
+			const record = this.#byHash.get(hash);
+			const sequence = digest.sequences[index];
+			if (record !== undefined && sequence !== undefined) {
+				this.#advance(record, sequence, now);
+			}
+		}
+	}
+
+	/** Takes in news of a member's state; a death is refuted by evidence of a higher sequence or by fresh evidence. */
+	learnState(state: {readonly id: string; readonly sequence: number; readonly alive: boolean; readonly phase: Phase}, now: number): void {
+		const record = this.#records.get(state.id);
+		if (record === undefined || state.sequence < record.sequence) {
+			return;
+		}
+
+		if (state.alive) {
+			record.phase = state.phase;
+			this.#advance(record, state.sequence, now);
+		} else if (record.availabilityZone !== this.#zone || now - record.evidenceAt >= suspectAfterMs) {
+			record.sequence = state.sequence;
+			this.#turn(record, 'dead');
+		}
+	}
+
+	/** Moves silent members to suspect and dead. */
+	expire(now: number): void {
+		const zoneEvidence = new Map<string, number>();
+		for (const {availabilityZone, evidenceAt} of this.#records.values()) {
+			zoneEvidence.set(availabilityZone, Math.max(evidenceAt, zoneEvidence.get(availabilityZone) ?? evidenceAt));
+		}
+
+		for (const record of this.#records.values()) {
+			const isLocal = record.availabilityZone === this.#zone;
+			const silence = now - record.evidenceAt;
+			const isCutOff = !isLocal && now - zoneEvidence.get(record.availabilityZone)! >= zoneDeadAfterMs;
+			if (isCutOff || silence >= (isLocal ? deadAfterMs : remoteDeadAfterMs)) {
+				this.#turn(record, 'dead');
+			} else if (silence >= (isLocal ? suspectAfterMs : remoteSuspectAfterMs) && record.condition === 'alive') {
+				this.#turn(record, 'suspect');
+			}
+		}
+	}
+
+	/** Does not count time in which this daemon itself did not run as silence of the others. */
+	excusePause(pausedMs: number): void {
+		for (const record of this.#records.values()) {
+			if (record.condition !== 'dead') {
+				record.evidenceAt += pausedMs;
+			}
+		}
+	}
+
+	/** Sequences for one message: the own zone and a rotating part of the other zones. */
+	digest(targetZone: string): Digest {
+		const maxRemoteDigest = targetZone === this.#zone ? maxRemoteDigestWithinZone : maxRemoteDigestAcrossZones;
+		const living = this.members.filter(member => member.sequence > 0 && member.condition !== 'dead');
+		const local = living.filter(member => member.availabilityZone === this.#zone);
+		const remote = living.filter(member => member.availabilityZone !== this.#zone);
+		const chosen = [...this.#rotate(local, maxLocalDigest), ...this.#rotate(remote, maxRemoteDigest)];
+		this.#digestOffset += maxRemoteDigest;
+		return {
+			members: chosen.map(member => (member as MemberRecord).hash),
+			sequences: chosen.map(member => member.sequence),
+		};
+	}
+
+	#rotate(members: readonly Member[], limit: number): readonly Member[] {
+		if (members.length <= limit) {
+			return members;
+		}
+
+		const start = this.#digestOffset % members.length;
+		return [...members.slice(start), ...members.slice(0, start)].slice(0, limit);
+	}
+
+	#advance(record: MemberRecord, sequence: number, now: number): void {
+		if (sequence > record.sequence) {
+			record.sequence = sequence;
+			record.evidenceAt = now;
+			this.#turn(record, 'alive');
+		}
+	}
+
+	#turn(record: MemberRecord, condition: MemberCondition): void {
+		if (record.condition !== condition) {
+			const previous = record.condition;
+			record.condition = condition;
+			this.#gatewayCache.delete(record.availabilityZone);
+			this.#report({kind: 'member', member: {...record}, previous});
+		}
+	}
+
+	#add(member: ListedMember, now: number): MemberRecord | undefined {
+		if (this.#records.size >= maxMembers) {
+			return undefined;
+		}
+
+		const hash = hash32(member.id);
+		const record: MemberRecord = {
+			...member,
+			hash,
+			incarnation: 0,
+			sequence: 0,
+			phase: Phase.UNSPECIFIED,
+			configurationVersion: 0,
+			condition: 'alive',
+			evidenceAt: now,
+			isListed: false,
+		};
+		this.#records.set(member.id, record);
+		this.#gatewayCache.delete(member.availabilityZone);
+		this.#zoneCache = undefined;
+		this.#byHash.set(hash, this.#byHash.has(hash) ? undefined : record);
+		this.#report({kind: 'member', member: {...record}, previous: undefined});
+		return record;
+	}
+
+	#forget(record: MemberRecord): void {
+		this.#records.delete(record.id);
+		this.#gatewayCache.delete(record.availabilityZone);
+		this.#zoneCache = undefined;
+		this.#byHash.delete(record.hash);
+	}
+}
--- /dev/null
+++ b/src/process/membership/membership.ts
@@ -0,0 +1,292 @@
+import {Phase, type News, type UpstreamLeaving} from '../../generated/peer_pb.js';
+import {HeartbeatTargets} from './heartbeat-targets.ts';
+import {LeavingMarks, type LeavingSign, type ListedUpstream} from './leaving-marks.ts';
+import type {
+	Heartbeat, Member, MembershipEvent, MembershipOptions, OutgoingHeartbeat,
+} from './member.ts';
+import {createStateItem} from './member-state.ts';
+import {
+	deadAfterMs, MemberTable, suspectAfterMs, type ListedMember,
+} from './member-table.ts';
+import {NewsOutbox} from './news-outbox.ts';
+import type {NewsItem} from './news-queue.ts';
+import {hash32} from './rendezvous.ts';
+
+/** Interval between heartbeats. */
+export const heartbeatIntervalMs = 1000;
+/** A process that has run for longer does not raise its incarnation above a successor with the same id. */
+const youthMs = 30_000;
+/** After a pause of this process, messages that waited in its sockets carry wrong ages. */
+const staleNewsMs = 500;
+/** Daemons of other zones that started since do not know of a death. */
+const deathRepeatMs = 8000;
+const maxDeathsRepeated = 16;
+
+/** Members of the deployment and their news, as a state machine: input and time go in, heartbeats and events come out. */
+export class Membership {
+	readonly #options: MembershipOptions;
+	readonly #table: MemberTable;
+	readonly #targets: HeartbeatTargets;
+	readonly #outbox: NewsOutbox;
+	readonly #marks = new LeavingMarks();
+	#hasNewcomer = false;
+	#deathsRepeatedAt = 0;
+	#events: MembershipEvent[] = [];
+	#incarnation: number;
+	#sequence: number;
+	#phase = Phase.STARTING;
+	#configurationVersion = 0;
+	#startedAt: number | undefined;
+	#lastTickAt: number | undefined;
+	#distrustNewsUntil = 0;
+
+	constructor(options: MembershipOptions) {
+		this.#options = options;
+		this.#table = new MemberTable(options.availabilityZone, event => {
+			this.#record(event);
+		});
+		this.#targets = new HeartbeatTargets(options, this.#table);
+		this.#incarnation = options.incarnation;
+		this.#sequence = Math.floor(options.incarnation / heartbeatIntervalMs);
+		this.#outbox = new NewsOutbox(options.id, options.incarnation);
+	}
+
+	/** Members other than this daemon. */
+	get members(): readonly Member[] {
+		return this.#table.members;
+	}
+
+	/** Member with an id. */
+	member(id: string): Member | undefined {
+		return this.#table.get(id);
+	}
+
+	/** Raised by each start. */
+	get incarnation(): number {
+		return this.#incarnation;
+	}
+
+	/** True when this daemon carries news to other availability zones. */
+	get isGateway(): boolean {
+		const {id, availabilityZone} = this.#options;
+		return this.#table.gateways(availabilityZone, id).includes(id);
+	}
+
+	/** Takes in the daemons of the host list; an empty list keeps the last one in use. */
+	hostsSeen(listed: readonly ListedMember[], now: number): void {
+		const others = listed.filter(member => member.id !== this.#options.id);
+		if (listed.length > 0) {
+			this.#table.list(others, now);
+		}
+	}
+
+	/** Sets the configuration version that heartbeats carry. */
+	setConfigurationVersion(version: number): void {
+		this.#configurationVersion = Math.max(this.#configurationVersion, version);
+	}
+
+	/** Sets the lifecycle phase; peers learn it with the next messages. */
+	setPhase(phase: Phase, now: number): void {
+		this.#phase = phase;
+		this.announce(createStateItem(this.#self()), now);
+	}
+
+	/** Puts an item of news of this daemon in line. */
+	announce(item: NewsItem, now: number): void {
+		this.#outbox.announce(item, now);
+	}
+
+	/** Takes in the upstreams of the host list. */
+	upstreamsSeen(upstreams: readonly ListedUpstream[], now: number): void {
+		for (const sign of this.#marks.list(upstreams, now)) {
+			this.leavingSeen(sign, now);
+		}
+	}
+
+	/** Takes in a sign that this daemon saw itself; a change is told to all others at once. */
+	leavingSeen(sign: LeavingSign, now: number): void {
+		if (this.#marks.take(sign, true)) {
+			this.#tell(sign, now);
+		}
+	}
+
+	/** True while an upstream must get no new work. */
+	isLeaving(upstream: string): boolean {
+		return this.#marks.isLeaving(upstream);
+	}
+
+	/** Signs of leaving and returned upstreams in force. */
+	get leavingSigns(): readonly LeavingSign[] {
+		return this.#marks.signs;
+	}
+
+	/** Returns leaving upstreams that this daemon is to probe; two daemons of the upstream's zone do so. */
+	probesDue(now: number): readonly string[] {
+		return this.#marks.probesDue(now, (upstream, zone) => this.#targets.isProber(upstream, zone));
+	}
+
+	/** Starts an interval: returns the heartbeats to be sent. */
+	tick(now: number): readonly OutgoingHeartbeat[] {
+		this.#startedAt ??= now;
+		const gap = now - (this.#lastTickAt ?? now);
+		this.#lastTickAt = now;
+		if (gap > suspectAfterMs) {
+			this.#distrustNewsUntil = now + staleNewsMs;
+			this.#table.excusePause(gap - heartbeatIntervalMs);
+		}
+
+		this.#sequence += 1;
+		this.#table.expire(now);
+		for (const sign of this.#marks.repeatsDue(now, this.#hasNewcomer)) {
+			this.#tell(sign, now);
+		}
+
+		if (this.isGateway && (this.#hasNewcomer || now - this.#deathsRepeatedAt >= deathRepeatMs)) {
+			this.#repeatDeaths(now);
+		}
+
+		this.#hasNewcomer = false;
+		return this.#address(this.#targets.forInterval(), zone => this.#compose(zone, now));
+	}
+
+	/** Takes in a peer's heartbeat and returns the answer. */
+	receive(heartbeat: Heartbeat, now: number): Heartbeat {
+		this.#take(heartbeat, now);
+		const knownIncarnation = this.#table.get(heartbeat.daemonId)?.incarnation ?? heartbeat.incarnation;
+		return {...this.#compose(heartbeat.availabilityZone, now), knownIncarnation};
+	}
+
+	/** Takes in the answer to a heartbeat. */
+	receiveAnswer(answer: Heartbeat, now: number): void {
+		const {knownIncarnation = 0} = answer;
+		const isYoung = now - (this.#startedAt ?? now) < youthMs;
+		if (knownIncarnation > this.#incarnation && isYoung) {
+			this.#incarnation = knownIncarnation + 1;
+			this.#outbox.raise(this.#incarnation);
+		}
+
+		this.#take(answer, now);
+	}
+
+	/** Returns messages that carry urgent news and do not wait for the next interval. */
+	takeUrgent(now: number): readonly OutgoingHeartbeat[] {
+		const urgent = this.#outbox.takeUrgent();
+		if (urgent.length === 0) {
+			return [];
+		}
+
+		const heartbeat = this.#compose(this.#options.availabilityZone, now);
+		return this.#address(this.#targets.forUrgent(urgent.includes(true)), () => heartbeat);
+	}
+
+	/** Returns the events since the last call. */
+	takeEvents(): readonly MembershipEvent[] {
+		const events = this.#events;
+		this.#events = [];
+		return events;
+	}
+
+	#take(heartbeat: Heartbeat, now: number): void {
+		if (heartbeat.daemonId === this.#options.id || !this.#table.hear(heartbeat, now)) {
+			return;
+		}
+
+		this.#learnOwnSequence(heartbeat);
+		this.#table.learnDigest(heartbeat.digest, now);
+		if (now >= this.#distrustNewsUntil) {
+			for (const news of heartbeat.news) {
+				this.#takeNews(news, now);
+			}
+		}
+	}
+
+	/** Peers may know a higher sequence when this daemon restarted with its wall clock set back. */
+	#learnOwnSequence({digest}: Heartbeat): void {
+		const index = digest.members.indexOf(hash32(this.#options.id));
+		this.#sequence = Math.max(this.#sequence, digest.sequences[index] ?? 0);
+	}
+
+	#takeNews(news: News, now: number): void {
+		if (!this.#outbox.note(news)) {
+			return;
+		}
+
+		if (news.item.case === 'memberState') {
+			const {daemonId: id, sequence, alive, phase} = news.item.value;
+			this.#table.learnState({
+				id, sequence, alive, phase,
+			}, now);
+		} else if (news.item.case === 'upstreamLeaving' && !this.#learnLeaving(news.item.value, now)) {
+			// Every daemon may see the same sign; only the first news of it is forwarded.
+			return;
+		}
+
+		const zone = this.#table.get(news.origin)?.availabilityZone ?? this.#options.availabilityZone;
+		this.#outbox.forward(news, zone === this.#options.availabilityZone, now);
+		this.#events.push({kind: 'news', news});
+	}
+
+	#learnLeaving({upstream, leaving, ageMs}: UpstreamLeaving, now: number): boolean {
+		return this.#marks.take({upstream, leaving, signAt: now - Number(ageMs)}, false);
+	}
+
+	#tell({upstream, leaving, signAt}: LeavingSign, now: number): void {
+		const ageMs = BigInt(Math.max(0, Math.round(now - signAt)));
+		this.announce({case: 'upstreamLeaving', value: {upstream, leaving, ageMs}}, now);
+	}
+
+	#record(event: MembershipEvent): void {
+		this.#events.push(event);
+		if (event.kind !== 'member' || event.member.availabilityZone !== this.#options.availabilityZone) {
+			return;
+		}
+
+		const {member, previous} = event;
+		this.#hasNewcomer ||= previous === undefined || previous === 'dead';
+		const isChange = member.condition === 'dead' || previous === 'dead';
+		if (isChange && this.isGateway) {
+			this.announce(createStateItem(member), this.#lastTickAt ?? 0);
+		}
+	}
+
+	#repeatDeaths(now: number): void {
+		this.#deathsRepeatedAt = now;
+		const dead = this.#table.members.filter(member =>
+			member.condition === 'dead' && member.availabilityZone === this.#options.availabilityZone);
+		for (const member of dead.slice(0, maxDeathsRepeated)) {
+			this.announce(createStateItem(member), now);
+		}
+	}
+
+	#self() {
+		return {
+			id: this.#options.id,
+			incarnation: this.#incarnation,
+			sequence: this.#sequence,
+			phase: this.#phase,
+			condition: 'alive' as const,
+		};
+	}
+
+	#address(ids: readonly string[], compose: (zone: string) => Heartbeat): readonly OutgoingHeartbeat[] {
+		return ids.flatMap(id => {
+			const member = this.#table.get(id);
+			return member === undefined ? [] : [{memberId: id, peerUrl: member.peerUrl, heartbeat: compose(member.availabilityZone)}];
+		});
+	}
+
+	#compose(targetZone: string, now: number): Heartbeat {
+		const isWithinZone = targetZone === this.#options.availabilityZone;
+		return {
+			daemonId: this.#options.id,
+			incarnation: this.#incarnation,
+			availabilityZone: this.#options.availabilityZone,
+			sequence: this.#sequence,
+			configurationVersion: this.#configurationVersion,
+			phase: this.#phase,
+			peerUrl: this.#options.peerUrl,
+			digest: this.#table.digest(targetZone),
+			news: this.#outbox.select({isGateway: this.isGateway, isWithinZone}, now),
+		};
+	}
+}
--- /dev/null
+++ b/src/process/membership/news-queue.ts
@@ -0,0 +1,171 @@
+import {clone, toBinary, type MessageInitShape} from '@bufbuild/protobuf';
+import {NewsSchema, type News} from '../../generated/peer_pb.js';
+
+/** Content of an item of news. */
+export type NewsItem = Exclude<NonNullable<MessageInitShape<typeof NewsSchema>['item']>, {readonly case?: undefined}>;
+
+type ItemCase = NewsItem['case'];
+
+type Entry = {
+	readonly news: News;
+	readonly key: string;
+	readonly priority: number;
+	readonly bytes: number;
+	/** Time at which the item was received or announced. */
+	readonly since: number;
+	/** Order of arrival; among equals the oldest goes first. */
+	readonly order: number;
+	sends: number;
+};
+
+type SeenCounters = {highest: bigint; readonly recent: Set<bigint>};
+
+const maxItems = 512;
+const maxOrigins = 2048;
+const counterWindow = 256;
+/** Tag, length and growth of the relative times while an item waits. */
+const framingBytes = 8;
+
+/** Lower goes first; leaving upstreams have a deadline of 3 s. */
+const priorities: Readonly<Record<ItemCase, number>> = {
+	upstreamLeaving: 0,
+	crashingRequest: 1,
+	memberState: 2,
+	customerUsage: 3,
+};
+
+/** True for news that is forwarded at once instead of with the next heartbeat. */
+export function isUrgent(item: News['item']): boolean {
+	return item.case === 'upstreamLeaving' || item.case === 'crashingRequest';
+}
+
+/** News to be forwarded: deduplicated by origin and counter, bounded in number, ordered by priority. */
+export class NewsQueue {
+	readonly #entries = new Map<string, Entry>();
+	readonly #seen = new Map<string, SeenCounters>();
+	#order = 0;
+
+	/** Number of items that wait. */
+	get size(): number {
+		return this.#entries.size;
+	}
+
+	/** Takes note of an item; returns false when it is a duplicate or too old to tell. */
+	note(news: News): boolean {
+		return news.item.case !== undefined && this.#isNew(news.origin, news.counter);
+	}
+
+	/** Puts an item in line to be forwarded while it has hops left. */
+	keep(news: News, now: number): void {
+		if (news.hops > 0) {
+			this.#keep(news, now);
+		}
+	}
+
+	/** Selects items for one message; each item is selected at most `maxSends` times. */
+	select(limits: {readonly maxBytes: number; readonly maxBulkBytes: number; readonly maxSends: number}, now: number): readonly News[] {
+		const selected: News[] = [];
+		let bytes = 0;
+		for (const entry of this.#inOrder()) {
+			const limit = entry.priority === priorities.customerUsage ? limits.maxBulkBytes : limits.maxBytes;
+			if (bytes + entry.bytes > limit) {
+				continue;
+			}
+
+			bytes += entry.bytes;
+			selected.push(forward(entry, now));
+			entry.sends += 1;
+			if (entry.sends >= limits.maxSends) {
+				this.#entries.delete(entry.key);
+			}
+		}
+
+		return selected;
+	}
+
+	#inOrder(): readonly Entry[] {
+		return [...this.#entries.values()].toSorted((a, b) =>
+			a.priority - b.priority || a.sends - b.sends || a.order - b.order);
+	}
+
+	#keep(news: News, now: number): void {
+		const key = keyOf(news);
+		this.#order += 1;
+		this.#entries.set(key, {
+			news,
+			key,
+			priority: priorities[news.item.case!],
+			bytes: toBinary(NewsSchema, news).length + framingBytes,
+			since: now,
+			order: this.#order,
+			sends: 0,
+		});
+		if (this.#entries.size > maxItems) {
+			const last = this.#inOrder().at(-1)!;
+			this.#entries.delete(last.key);
+		}
+	}
+
+	#isNew(origin: string, counter: bigint): boolean {
+		const seen = this.#seen.get(origin) ?? {highest: counter - 1n, recent: new Set<bigint>()};
+		this.#seen.delete(origin);
+		this.#seen.set(origin, seen);
+		if (this.#seen.size > maxOrigins) {
+			const [oldest] = this.#seen.keys();
+			this.#seen.delete(oldest!);
+		}
+
+		if (seen.recent.has(counter) || counter + BigInt(counterWindow) <= seen.highest) {
+			return false;
+		}
+
+		seen.recent.add(counter);
+		seen.highest = counter > seen.highest ? counter : seen.highest;
+		if (seen.recent.size > counterWindow) {
+			const [first] = seen.recent;
+			seen.recent.delete(first!);
+		}
+
+		return true;
+	}
+}
+
+/** Newer news with the same key replaces older news that still waits. */
+function keyOf({origin, item}: News): string {
+	switch (item.case) {
+		case 'upstreamLeaving': {
+			return `leaving ${item.value.upstream}`;
+		}
+
+		case 'crashingRequest': {
+			return `crash ${origin} ${item.value.fingerprint}`;
+		}
+
+		case 'memberState': {
+			return `member ${item.value.daemonId}`;
+		}
+
+		case 'customerUsage': {
+			return `usage ${origin} ${item.value.customer}`;
+		}
+
+		case undefined: {
+			return '';
+		}
+	}
+}
+
+/** Copies an item with one hop less and with its relative times moved on by the time it has waited. */
+function forward({news, since}: Entry, now: number): News {
+	const copy = clone(NewsSchema, news);
+	const waited = BigInt(Math.max(0, Math.round(now - since)));
+	copy.hops -= 1;
+	if (copy.item.case === 'upstreamLeaving') {
+		copy.item.value.ageMs += waited;
+	} else if (copy.item.case === 'crashingRequest') {
+		const {refusedForMs} = copy.item.value;
+		copy.item.value.refusedForMs = refusedForMs === 0n ? 0n : (refusedForMs > waited ? refusedForMs - waited : 1n);
+	}
+
+	return copy;
+}
