--- /dev/null
+++ b/src/connection/upstream-connection.ts
@@ -0,0 +1,177 @@
+import {Client, DecoratorHandler, type Dispatcher} from 'undici';
+import {probeThrough, type ProbeResult} from './probe.ts';
+
+/** Limit on connecting to an upstream of the same deployment. */
+const connectTimeoutMs = 1000;
+/** Engines close connections that are idle for 2 s; closing first avoids a request on a closing connection. */
+const idleTimeoutMs = 1500;
+const tcpKeepAliveDelayMs = 5000;
+const answerHeadLimitBytes = 64 * 1024;
+
+/** What a connection reports about the request that it carries. */
+export type ConnectionEvents = {
+	readonly onHead: (status: number, headers: Readonly<Record<string, unknown>>) => void;
+	readonly onError: (error: Error) => void;
+	readonly onEnd: () => void;
+};
+
+/** Reason with which a connection that went silent is closed. */
+export class SilentConnectionError extends Error {
+	readonly code = 'UPSTREAM_SILENT';
+
+	constructor() {
+		super('The connection went silent while a new one to the same upstream works.');
+	}
+}
+
+/** One connection to an upstream; it carries one request at a time. */
+export class UpstreamConnection {
+	readonly #client: Client;
+	readonly #now: () => number;
+	#openedAt: number;
+	#lastByteAt: number;
+	#isBusy = false;
+	#isTrusted = true;
+	#deadlineAt = Infinity;
+	#hasHead = false;
+
+	constructor(origin: string, now: () => number, onClosed: (connection: UpstreamConnection) => void) {
+		this.#now = now;
+		this.#openedAt = now();
+		this.#lastByteAt = this.#openedAt;
+		this.#client = new Client(origin, {
+			pipelining: 1,
+			connect: {timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs},
+			keepAliveTimeout: idleTimeoutMs,
+			keepAliveMaxTimeout: idleTimeoutMs,
+			maxHeaderSize: answerHeadLimitBytes,
+		});
+		this.#client.on('connect', () => {
+			this.#openedAt = now();
+		});
+		this.#client.on('disconnect', () => {
+			onClosed(this);
+		});
+	}
+
+	/** Time at which the connection was opened. */
+	get openedAt(): number {
+		return this.#openedAt;
+	}
+
+	/** True while the connection carries a request. */
+	get isBusy(): boolean {
+		return this.#isBusy;
+	}
+
+	/** False once the connection must carry no further request. */
+	get isTrusted(): boolean {
+		return this.#isTrusted;
+	}
+
+	/** Time of the last byte received, or of the start of the request that waits for one. */
+	get lastByteAt(): number {
+		return this.#lastByteAt;
+	}
+
+	/** True when the request waits for its first byte for longer than its limit. */
+	get isOverdue(): boolean {
+		return this.#isBusy && !this.#hasHead && this.#now() >= this.#deadlineAt;
+	}
+
+	/** Reserves the connection for one request. */
+	reserve(): void {
+		this.#isBusy = true;
+		this.#hasHead = false;
+		this.#deadlineAt = Infinity;
+		this.#lastByteAt = this.#now();
+	}
+
+	/** Sends a request on the reserved connection. */
+	send(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, firstByteMs: number, events: ConnectionEvents): void {
+		const observer = new Observer(handler, {
+			onStart: () => {
+				this.#lastByteAt = this.#now();
+				this.#deadlineAt = this.#lastByteAt + firstByteMs;
+			},
+			onHead: (status, headers) => {
+				this.#lastByteAt = this.#now();
+				this.#hasHead = true;
+				events.onHead(status, headers);
+			},
+			onData: () => {
+				this.#lastByteAt = this.#now();
+			},
+			onError: error => {
+				this.#isTrusted = false;
+				events.onError(error);
+			},
+			onEnd: () => {
+				this.#isBusy = false;
+				this.#lastByteAt = this.#now();
+				events.onEnd();
+			},
+		});
+		this.#client.dispatch(options, observer);
+	}
+
+	/** Asks the upstream for its health over this connection, which is idle. */
+	async probe(): Promise<ProbeResult> {
+		this.reserve();
+		const result = await probeThrough(this.#client);
+		this.#isBusy = false;
+		this.#lastByteAt = this.#now();
+		return result;
+	}
+
+	/** Keeps further requests off the connection. */
+	distrust(): void {
+		this.#isTrusted = false;
+	}
+
+	/** Closes the connection; a request on it ends with the reason. */
+	async close(reason: Error | undefined = null): Promise<void> {
+		this.#isTrusted = false;
+		await this.#client.destroy(reason);
+	}
+}
+
+type ObserverEvents = ConnectionEvents & {readonly onStart: () => void; readonly onData: () => void};
+
+/** Reports the course of a request before the request's own handler acts on it. */
+class Observer implements Dispatcher.DispatchHandler {
+	readonly #inner: Dispatcher.DispatchHandler;
+	readonly #events: ObserverEvents;
+
+	constructor(handler: Dispatcher.DispatchHandler, events: ObserverEvents) {
+		// The decorator also takes handlers of the client library's earlier interface.
+		this.#inner = new DecoratorHandler(handler);
+		this.#events = events;
+	}
+
+	onRequestStart(...[controller, context]: Parameters<NonNullable<Dispatcher.DispatchHandler['onRequestStart']>>): void {
+		this.#events.onStart();
+		this.#inner.onRequestStart?.(controller, context);
+	}
+
+	onResponseStart(...[controller, status, headers, message]: Parameters<NonNullable<Dispatcher.DispatchHandler['onResponseStart']>>): void {
+		this.#events.onHead(status, headers);
+		this.#inner.onResponseStart?.(controller, status, headers, message);
+	}
+
+	onResponseData(...[controller, chunk]: Parameters<NonNullable<Dispatcher.DispatchHandler['onResponseData']>>): void {
+		this.#events.onData();
+		this.#inner.onResponseData?.(controller, chunk);
+	}
+
+	onResponseEnd(...[controller, trailers]: Parameters<NonNullable<Dispatcher.DispatchHandler['onResponseEnd']>>): void {
+		this.#events.onEnd();
+		this.#inner.onResponseEnd?.(controller, trailers);
+	}
+
+	onResponseError(...[controller, error]: Parameters<NonNullable<Dispatcher.DispatchHandler['onResponseError']>>): void {
+		this.#events.onError(error);
+		this.#events.onEnd();
+		this.#inner.onResponseError?.(controller, error);
+	}
+}
--- a/src/process/host-list-poller.ts
+++ b/src/process/host-list-poller.ts
@@ -1,3 +1,4 @@
+import {performance} from 'node:perf_hooks';
 import type {Host, HostList} from '../platform/host-list.ts';
 import type {Log} from './log.ts';
 import {Task} from './task.ts';
@@ -13,6 +14,8 @@
 export class HostListPoller extends Task<Message> {
 	readonly #list: HostList;
 	#hosts: readonly Host[] = [];
+	readonly #listeners: Array<(hosts: readonly Host[]) => void> = [];
+	#readAt: number | undefined;
 	#reading = false;
 
 	constructor(log: Log, list: HostList) {
@@ -25,6 +28,16 @@
 		return this.#hosts;
 	}
 
+	/** Time of the last successful read on the monotonic clock, in milliseconds. */
+	get readAt(): number | undefined {
+		return this.#readAt;
+	}
+
+	/** Calls a listener with each list that is read. */
+	subscribe(listener: (hosts: readonly Host[]) => void): void {
+		this.#listeners.push(listener);
+	}
+
 	/** Starts polling at once and then each second. */
 	run(): void {
 		this.start({message: {kind: 'poll'}, intervalMs: pollIntervalMs});
@@ -38,7 +51,7 @@
 			}
 
 			case 'read': {
-				this.#hosts = message.hosts;
+				this.#take(message.hosts);
 				return;
 			}
 
@@ -48,6 +61,20 @@
 		}
 	}
 
+	/** An empty list after a full one is a fault of the list, as a deployment does not lose all hosts at once. */
+	#take(hosts: readonly Host[]): void {
+		if (hosts.length === 0 && this.#hosts.length > 0) {
+			this.log.warn('The host list is empty; the last one stays in use.');
+			return;
+		}
+
+		this.#readAt = performance.now();
+		this.#hosts = hosts;
+		for (const listener of this.#listeners) {
+			listener(hosts);
+		}
+	}
+
 	async #read(): Promise<void> {
 		if (this.#reading) {
 			return;
--- /dev/null
+++ b/src/process/lifecycle.ts
@@ -0,0 +1,93 @@
+import type {Server} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+import type {Log} from './log.ts';
+
+/** Phase of the daemon's life. */
+export type LifecyclePhase = 'starting' | 'ready' | 'draining' | 'stopped';
+
+/** What the lifecycle needs from the rest of the daemon. */
+export type LifecycleOptions = {
+	readonly log: Log;
+	/** Time that the balancer needs to notice that the daemon is not ready. */
+	readonly balancerDelayMs: number;
+	/** True once configuration and hosts are known. */
+	readonly isPrepared: () => boolean;
+	/** Told when the phase turns to draining. */
+	readonly onDraining: () => void;
+};
+
+/** Releases something that another daemon may take over, such as a lease. */
+export type DrainHook = {
+	readonly name: string;
+	readonly run: () => Promise<void>;
+};
+
+const idleCheckMs = 50;
+
+/** Readiness of the daemon and its graceful shutdown. */
+export class Lifecycle {
+	readonly #options: LifecycleOptions;
+	readonly #hooks: DrainHook[] = [];
+	#drained: Promise<void> | undefined;
+	#isStopped = false;
+
+	constructor(options: LifecycleOptions) {
+		this.#options = options;
+	}
+
+	get phase(): LifecyclePhase {
+		if (this.#isStopped) {
+			return 'stopped';
+		}
+
+		if (this.#drained !== undefined) {
+			return 'draining';
+		}
+
+		return this.#options.isPrepared() ? 'ready' : 'starting';
+	}
+
+	/** Adds a hook that runs once the daemon accepts no more requests. */
+	onDrain(hook: DrainHook): void {
+		this.#hooks.push(hook);
+	}
+
+	/** Drains the server; a second call waits for the same drain and does not shorten it. */
+	async drain(server: Server): Promise<void> {
+		this.#drained ??= this.#drain(server);
+		return this.#drained;
+	}
+
+	async #drain(server: Server): Promise<void> {
+		const {log, balancerDelayMs, onDraining} = this.#options;
+		log.info('The daemon drains.', {balancerDelayMs});
+		onDraining();
+		await delay(balancerDelayMs);
+		const closed = closeServer(server);
+		await Promise.all(this.#hooks.map(async hook => this.#run(hook)));
+		await closed;
+		this.#isStopped = true;
+		log.info('All requests have ended.');
+	}
+
+	async #run(hook: DrainHook): Promise<void> {
+		try {
+			await hook.run();
+		} catch (error) {
+			this.#options.log.error('A step of the shutdown failed.', error, {name: hook.name});
+		}
+	}
+}
+
+/** Stops accepting connections and waits for all requests in flight; connections close as they fall idle. */
+async function closeServer(server: Server): Promise<void> {
+	const {promise, resolve} = Promise.withResolvers<void>();
+	const timer = setInterval(() => {
+		server.closeIdleConnections();
+	}, idleCheckMs);
+	server.close(() => {
+		resolve();
+	});
+	await promise;
+	clearInterval(timer);
+}
--- a/src/process/membership-task.ts
+++ b/src/process/membership-task.ts
@@ -9,6 +9,7 @@
 	Heartbeat, Member, MembershipEvent, OutgoingHeartbeat,
 } from './membership/member.ts';
 import {heartbeatIntervalMs, type Membership} from './membership/membership.ts';
+import type {LeavingSign} from './membership/leaving-marks.ts';
 import type {NewsItem} from './membership/news-queue.ts';
 import {Task} from './task.ts';
 
@@ -84,6 +85,16 @@
 		return this.#options.membership.isLeaving(upstream);
 	}
 
+	/** Raised by each change of a leaving mark. */
+	get leavingVersion(): number {
+		return this.#options.membership.leavingVersion;
+	}
+
+	/** Signs of leaving and returned upstreams in force. */
+	get leavingSigns(): readonly LeavingSign[] {
+		return this.#options.membership.leavingSigns;
+	}
+
 	/** Tells peers the lifecycle phase. */
 	setPhase(phase: Phase): void {
 		this.post({kind: 'phase', phase});
--- a/src/process/membership/leaving-marks.ts
+++ b/src/process/membership/leaving-marks.ts
@@ -29,8 +29,14 @@
 /** Marks of leaving upstreams; the newest sign counts, whoever saw it. */
 export class LeavingMarks {
 	readonly #marks = new Map<string, Mark>();
+	#version = 0;
 	#listed: ReadonlyMap<string, ListedUpstream> = new Map();
 
+	/** Raised by each change of a mark. */
+	get version(): number {
+		return this.#version;
+	}
+
 	/** Signs in force. */
 	get signs(): readonly LeavingSign[] {
 		return [...this.#marks.values()];
@@ -71,6 +77,7 @@
 		for (const upstream of this.#marks.keys()) {
 			if (!this.#listed.has(upstream) && previous.has(upstream)) {
 				this.#marks.delete(upstream);
+				this.#version += 1;
 			}
 		}
 
@@ -105,6 +112,7 @@
 	}
 
 	#set(mark: Mark): void {
+		this.#version += 1;
 		this.#marks.delete(mark.upstream);
 		this.#marks.set(mark.upstream, mark);
 		if (this.#marks.size > maxMarks) {
--- a/src/process/membership/membership.ts
+++ b/src/process/membership/membership.ts
@@ -115,6 +115,11 @@
 		return this.#marks.isLeaving(upstream);
 	}
 
+	/** Raised by each change of a leaving mark. */
+	get leavingVersion(): number {
+		return this.#marks.version;
+	}
+
 	/** Signs of leaving and returned upstreams in force. */
 	get leavingSigns(): readonly LeavingSign[] {
 		return this.#marks.signs;
--- /dev/null
+++ b/src/process/upstream-directory.ts
@@ -0,0 +1,77 @@
+import type {Host, HostState} from '../platform/host-list.ts';
+import type {Call} from '../request/call.ts';
+
+/** An upstream with the state that this daemon knows, which is newer than the listed one. */
+export type Upstream = Host & {
+	/** `leaving` as soon as any daemon has seen a sign of it. */
+	readonly state: HostState;
+};
+
+/** What the directory reads from the rest of the daemon. */
+export type UpstreamDirectoryOptions = {
+	/** Hosts of the last list read. */
+	readonly hosts: () => readonly Host[];
+	/** True while the newest sign says that the upstream leaves. */
+	readonly isLeaving: (upstream: string) => boolean;
+	/** Raised by each change of what `isLeaving` returns. */
+	readonly leavingVersion: () => number;
+};
+
+/** Upstreams by model or plain service, with their availability zone and present state. */
+export class UpstreamDirectory {
+	readonly #options: UpstreamDirectoryOptions;
+	#indexed: readonly Host[] = [];
+	#indexedVersion = -1;
+	#live: ReadonlyMap<string, readonly Upstream[]> = new Map();
+	#byOrigin: ReadonlyMap<string, Host> = new Map();
+
+	constructor(options: UpstreamDirectoryOptions) {
+		this.#options = options;
+	}
+
+	/** All upstreams, live and leaving. */
+	get upstreams(): readonly Upstream[] {
+		return this.#options.hosts().filter(host => host.kind !== 'daemon').map(host => this.#describe(host));
+	}
+
+	/** Upstreams that may get new work for a call. */
+	find(call: Call): readonly Upstream[] {
+		this.#index();
+		return this.#live.get(nameOf(call)) ?? [];
+	}
+
+	/** Upstream at a base URL. */
+	at(origin: string): Host | undefined {
+		this.#index();
+		return this.#byOrigin.get(origin);
+	}
+
+	/** Base URL of an upstream. */
+	originOf(id: string): string | undefined {
+		const host = this.#options.hosts().find(candidate => candidate.kind !== 'daemon' && candidate.id === id);
+		return host === undefined ? undefined : `http://${host.address}`;
+	}
+
+	/** A mark decides alone: a listed state has been taken in as a sign, and older than a newer sign it has no say. */
+	#describe(host: Host): Upstream {
+		return {...host, state: this.#options.isLeaving(host.id) ? 'leaving' : 'live'};
+	}
+
+	#index(): void {
+		const hosts = this.#options.hosts();
+		const version = this.#options.leavingVersion();
+		if (hosts === this.#indexed && version === this.#indexedVersion) {
+			return;
+		}
+
+		const {upstreams} = this;
+		this.#indexed = hosts;
+		this.#indexedVersion = version;
+		this.#live = Map.groupBy(upstreams.filter(upstream => upstream.state === 'live'), upstream => `${upstream.kind} ${upstream.serves}`);
+		this.#byOrigin = new Map(upstreams.map(host => [`http://${host.address}`, host]));
+	}
+}
+
+function nameOf(call: Call): string {
+	return call.kind === 'model' ? `engine ${call.model}` : `service ${call.service}`;
+}
