Wire membership, upstream directory, connection pool and lifecycle

Cause: daemons filter the lagging host list directly, poll the configuration alone and stop abruptly.

Change: the daemon serves the peer protocol, takes its upstreams from marks and list together, pulls configuration from peers with two pollers a zone, sends work through the pool and drains on SIGTERM. Heartbeats carry the lifecycle phase. An empty host list after a full one is ignored.

Conclusion: the parts run in the daemon; their failure cases get tests next.

--- a/src/connection/upstream-connection.ts
+++ b/src/connection/upstream-connection.ts
@@ -17,8 +17,6 @@
 
 /** Reason with which a connection that went silent is closed. */
 export class SilentConnectionError extends Error {
-	readonly code = 'UPSTREAM_SILENT';
-
 	constructor() {
 		super('The connection went silent while a new one to the same upstream works.');
 	}
@@ -130,7 +128,7 @@
 	}
 
 	/** Closes the connection; a request on it ends with the reason. */
-	async close(reason: Error | undefined = null): Promise<void> {
+	async close(reason: Error = new Error('The connection was closed.')): Promise<void> {
 		this.#isTrusted = false;
 		await this.#client.destroy(reason);
 	}
--- a/src/demo/local-deployment.ts
+++ b/src/demo/local-deployment.ts
@@ -79,10 +79,16 @@
 		for (let index = 0; index < daemonsPerZone; index += 1) {
 			const id = `daemon-${availabilityZone}-${index}`;
 			const settings = createSettings(id, availabilityZone, platformPort, hostsPort);
-			daemons.push(resources.use(await createDaemon(settings, log.part(id))));
+			const daemon = resources.use(await createDaemon(settings, log.part(id)));
+			daemons.push(daemon);
+			list.push(createHost({
+				kind: 'daemon', id, availabilityZone, serves: '',
+			}, daemon.peerAddress.port));
 		}
 	}
 
+	hosts.setHosts(list);
+
 	return {
 		daemons,
 		platform,
--- a/src/process/cli/serve-command.ts
+++ b/src/process/cli/serve-command.ts
@@ -32,5 +32,6 @@
 	const log = createLog(settings.logs.level);
 	await using daemon = await createDaemon(settings, log);
 	await waitForTermination();
+	await daemon.drain();
 	log.info('Daemon stops.', {address: daemon.address});
 }
--- a/src/process/lifecycle.ts
+++ b/src/process/lifecycle.ts
@@ -1,5 +1,6 @@
 import type {Server} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
+import {Phase} from '../generated/peer_pb.js';
 import type {Log} from './log.ts';
 
 /** Phase of the daemon's life. */
@@ -22,7 +23,12 @@
 	readonly run: () => Promise<void>;
 };
 
+const peerPhases: Readonly<Record<LifecyclePhase, Phase>> = {
+	starting: Phase.STARTING, ready: Phase.READY, draining: Phase.DRAINING, stopped: Phase.DRAINING,
+};
 const idleCheckMs = 50;
+/** A hook may wait for the platform's table, which may be down; what it holds then expires by itself. */
+const hookTimeoutMs = 10_000;
 
 /** Readiness of the daemon and its graceful shutdown. */
 export class Lifecycle {
@@ -47,6 +53,11 @@
 		return this.#options.isPrepared() ? 'ready' : 'starting';
 	}
 
+	/** Phase as peers are told. */
+	get peerPhase(): Phase {
+		return peerPhases[this.phase];
+	}
+
 	/** Adds a hook that runs once the daemon accepts no more requests. */
 	onDrain(hook: DrainHook): void {
 		this.#hooks.push(hook);
@@ -72,7 +83,7 @@
 
 	async #run(hook: DrainHook): Promise<void> {
 		try {
-			await hook.run();
+			await Promise.race([hook.run(), rejectAfter(hookTimeoutMs)]);
 		} catch (error) {
 			this.#options.log.error('A step of the shutdown failed.', error, {name: hook.name});
 		}
@@ -91,3 +102,8 @@
 	await promise;
 	clearInterval(timer);
 }
+
+async function rejectAfter(milliseconds: number): Promise<never> {
+	await delay(milliseconds, undefined, {ref: false});
+	throw new Error(`No end within ${milliseconds} ms.`);
+}
--- a/src/process/membership-task.ts
+++ b/src/process/membership-task.ts
@@ -20,7 +20,7 @@
 		| {readonly kind: 'answer'; readonly answer: Heartbeat}
 		| {readonly kind: 'announce'; readonly item: NewsItem}
 		| {readonly kind: 'leaving'; readonly upstream: string; readonly leaving: boolean}
-		| {readonly kind: 'phase'; readonly phase: Phase}
+		| {readonly kind: 'phase'}
 		| {readonly kind: 'version'; readonly version: number};
 
 /** What the task needs from the rest of the daemon. */
@@ -29,6 +29,8 @@
 	readonly clock: Clock;
 	readonly membership: Membership;
 	readonly clients: PeerClients;
+	/** Lifecycle phase that peers are told. */
+	readonly phase: () => Phase;
 	/** Asks an upstream for its health on a new connection. */
 	readonly probe: (upstream: string) => Promise<ProbeResult>;
 };
@@ -38,6 +40,7 @@
 /** Keeps the membership of the deployment: sends heartbeats, answers those of peers and reports events. */
 export class MembershipTask extends Task<Message> {
 	readonly #options: MembershipTaskOptions;
+	#phase: Phase | undefined;
 	readonly #listeners: Array<(event: MembershipEvent) => void> = [];
 
 	constructor(options: MembershipTaskOptions) {
@@ -55,6 +58,11 @@
 		return this.#options.membership.incarnation;
 	}
 
+	/** True when this daemon is among the first ones of its availability zone for a topic, by rendezvous hash over the living. */
+	isAmongFirst(topic: string, count: number): boolean {
+		return this.#options.membership.isAmongFirst(topic, count);
+	}
+
 	/** Calls a listener with each event, inside the task. */
 	subscribe(listener: (event: MembershipEvent) => void): void {
 		this.#listeners.push(listener);
@@ -95,9 +103,9 @@
 		return this.#options.membership.leavingSigns;
 	}
 
-	/** Tells peers the lifecycle phase. */
-	setPhase(phase: Phase): void {
-		this.post({kind: 'phase', phase});
+	/** Tells peers a change of the lifecycle phase without waiting for the next interval. */
+	noticePhase(): void {
+		this.post({kind: 'phase'});
 	}
 
 	/** Sets the configuration version that heartbeats carry. */
@@ -127,6 +135,7 @@
 		const {membership} = this.#options;
 		switch (message.kind) {
 			case 'tick': {
+				this.#updatePhase(now);
 				this.#send(membership.tick(now));
 				this.#probe(membership.probesDue(now));
 				return;
@@ -163,7 +172,7 @@
 			}
 
 			case 'phase': {
-				membership.setPhase(message.phase, now);
+				this.#updatePhase(now);
 				return;
 			}
 
@@ -173,6 +182,14 @@
 		}
 	}
 
+	#updatePhase(now: number): void {
+		const phase = this.#options.phase();
+		if (phase !== this.#phase) {
+			this.#phase = phase;
+			this.#options.membership.setPhase(phase, now);
+		}
+	}
+
 	#report(event: MembershipEvent): void {
 		if (event.kind === 'member' && event.previous !== undefined) {
 			const {id, condition} = event.member;
--- a/src/process/membership/heartbeat-targets.ts
+++ b/src/process/membership/heartbeat-targets.ts
@@ -6,7 +6,6 @@
 const fanout = 3;
 const maxSuspectsProbed = 2;
 const zonesPerInterval = 2;
-const probersPerUpstream = 2;
 
 type Self = {
 	readonly id: string;
@@ -61,14 +60,14 @@
 		return [...targets];
 	}
 
-	/** True when this daemon is one of the two of the upstream's zone that probe it. */
-	isProber(upstream: string, zone: string | undefined): boolean {
+	/** True when this daemon is among the first ones of a zone for a topic, or when nobody lives there. */
+	isAmongFirst(topic: string, zone: string | undefined, count: number): boolean {
 		const {id, availabilityZone} = this.#self;
 		const living = this.#table.members
 			.filter(member => member.availabilityZone === zone && member.condition !== 'dead')
 			.map(member => member.id);
 		const candidates = zone === availabilityZone ? [...living, id] : living;
-		return candidates.length === 0 || rankByRendezvous(`probe ${upstream}`, candidates).slice(0, probersPerUpstream).includes(id);
+		return candidates.length === 0 || rankByRendezvous(topic, candidates).slice(0, count).includes(id);
 	}
 
 	#isGateway(): boolean {
--- a/src/process/membership/membership.ts
+++ b/src/process/membership/membership.ts
@@ -18,6 +18,7 @@
 const youthMs = 30_000;
 /** After a pause of this process, messages that waited in its sockets carry wrong ages. */
 const staleNewsMs = 500;
+const probersPerUpstream = 2;
 /** Daemons of other zones that started since do not know of a death. */
 const deathRepeatMs = 8000;
 const maxDeathsRepeated = 16;
@@ -72,6 +73,11 @@
 		return this.#table.gateways(availabilityZone, id).includes(id);
 	}
 
+	/** True when this daemon is among the first ones of its zone for a topic. */
+	isAmongFirst(topic: string, count: number): boolean {
+		return this.#targets.isAmongFirst(topic, this.#options.availabilityZone, count);
+	}
+
 	/** Takes in the daemons of the host list; an empty list keeps the last one in use. */
 	hostsSeen(listed: readonly ListedMember[], now: number): void {
 		const others = listed.filter(member => member.id !== this.#options.id);
@@ -127,7 +133,7 @@
 
 	/** Returns leaving upstreams that this daemon is to probe; two daemons of the upstream's zone do so. */
 	probesDue(now: number): readonly string[] {
-		return this.#marks.probesDue(now, (upstream, zone) => this.#targets.isProber(upstream, zone));
+		return this.#marks.probesDue(now, (upstream, zone) => this.#targets.isAmongFirst(`probe ${upstream}`, zone, probersPerUpstream));
 	}
 
 	/** Starts an interval: returns the heartbeats to be sent. */
--- /dev/null
+++ b/src/process/status-sections.ts
@@ -0,0 +1,67 @@
+import process from 'node:process';
+import {performance} from 'node:perf_hooks';
+import type {Settings} from '../version/settings.ts';
+import type {ConfigurationTask} from './configuration-task.ts';
+import type {HostListPoller} from './host-list-poller.ts';
+import type {Lifecycle} from './lifecycle.ts';
+import type {MembershipTask} from './membership-task.ts';
+import type {StatusRegistry} from './status-registry.ts';
+import type {UpstreamDirectory} from './upstream-directory.ts';
+
+/** Parts whose state the status shows. */
+export type StatusSources = {
+	readonly settings: Settings;
+	readonly hostList: HostListPoller;
+	readonly directory: UpstreamDirectory;
+	readonly membership: MembershipTask;
+	readonly lifecycle: Lifecycle;
+	readonly configuration: ConfigurationTask;
+};
+
+/** Adds the sections that every daemon has. */
+export function provideStatus(status: StatusRegistry, sources: StatusSources): void {
+	const {settings, hostList, directory, membership, lifecycle, configuration} = sources;
+	status.provide('daemon', () => ({
+		id: settings.daemon.id,
+		availabilityZone: settings.daemon['availability-zone'],
+		incarnation: membership.incarnation,
+		phase: lifecycle.phase,
+		residentBytes: process.memoryUsage.rss(),
+	}));
+	status.provide('configuration', () => ({version: configuration.version}));
+	status.provide('hosts', () => ({
+		listAgeMs: hostList.readAt === undefined ? undefined : Math.round(performance.now() - hostList.readAt),
+		members: membership.members.map(({id, availabilityZone, condition, incarnation, configurationVersion, peerUrl}) => ({
+			id, availabilityZone, condition, incarnation, configurationVersion, peerUrl,
+		})),
+	}));
+	status.provide('upstreams', () => directory.upstreams.map(({id, kind, serves, availabilityZone, address, state}) => ({
+		id, kind, serves, availabilityZone, address, state,
+	})));
+	status.provide('refused', () => describeRefusals(sources));
+}
+
+/** What this daemon refuses now, each with its reason. */
+function describeRefusals({hostList, directory, lifecycle, configuration}: StatusSources): ReadonlyArray<{readonly what: string; readonly why: string}> {
+	const refusals = [];
+	if (!configuration.isLoaded) {
+		refusals.push({what: 'all requests', why: 'No configuration has been read.'});
+	}
+
+	if (hostList.hosts.length === 0) {
+		refusals.push({what: 'all requests', why: 'No host list has been read.'});
+	}
+
+	if (lifecycle.phase === 'draining') {
+		refusals.push({what: 'new connections', why: 'The daemon drains.'});
+	}
+
+	const names = Map.groupBy(directory.upstreams, upstream => `${upstream.kind} ${upstream.serves}`);
+	for (const [name, upstreams] of names) {
+		if (upstreams.every(upstream => upstream.state === 'leaving')) {
+			refusals.push({what: name, why: 'All its upstreams are leaving.'});
+		}
+	}
+
+	return refusals;
+}
--- a/src/process/upstream-directory.ts
+++ b/src/process/upstream-directory.ts
@@ -34,8 +34,14 @@
 		return this.#options.hosts().filter(host => host.kind !== 'daemon').map(host => this.#describe(host));
 	}
 
+	/** Models that some live engine serves, in order. */
+	get models(): readonly string[] {
+		const engines = this.upstreams.filter(upstream => upstream.kind === 'engine' && upstream.state === 'live');
+		return [...new Set(engines.map(engine => engine.serves))].toSorted();
+	}
+
 	/** Upstreams that may get new work for a call. */
-	find(call: Call): readonly Upstream[] {
+	serving(call: Call): readonly Upstream[] {
 		this.#index();
 		return this.#live.get(nameOf(call)) ?? [];
 	}
@@ -46,12 +52,6 @@
 		return this.#byOrigin.get(origin);
 	}
 
-	/** Base URL of an upstream. */
-	originOf(id: string): string | undefined {
-		const host = this.#options.hosts().find(candidate => candidate.kind !== 'daemon' && candidate.id === id);
-		return host === undefined ? undefined : `http://${host.address}`;
-	}
-
 	/** A mark decides alone: a listed state has been taken in as a sign, and older than a newer sign it has no say. */
 	#describe(host: Host): Upstream {
 		return {...host, state: this.#options.isLeaving(host.id) ? 'leaving' : 'live'};
