Model leases, orders and plans in fake time under faults

Cause: a fault in the lease (a write that met an unavailable table left the candidate waiting for good) shows only under schedules of faults. Change: fake time, table, engines and daemons that run the production code; the lease fault is fixed.

--- /dev/null
+++ b/bench/simulation/authority/fake-daemon.ts
@@ -0,0 +1,185 @@
+import type {Host} from '../../../src/platform/host-list.ts';
+import {groupName} from '../../../src/process/lease/candidates.ts';
+import {LeaseClient} from '../../../src/process/lease/lease-client.ts';
+import {
+	leaseTimes, type HeldLease, type LeaseEvent, type LeaseGuards,
+} from '../../../src/process/lease/lease-machine.ts';
+import {createLog} from '../../../src/process/log.ts';
+import {GroupOrders} from '../../../src/process/orders/group-orders.ts';
+import {intentTimes, type IntentGuards} from '../../../src/process/orders/intent-machine.ts';
+import {settleMs, type PlanGuards} from '../../../src/process/orders/plan-machine.ts';
+import {drainingUpstreams, type TargetRow} from '../../../src/process/orders/plan-row.ts';
+import {readTargets} from '../../../src/process/orders/plan-store.ts';
+import {loadSpacingMs} from '../../../src/process/orders/reservation.ts';
+import type {EngineProcess, FakeEngine} from './fake-engine.ts';
+import type {FakeTable} from './fake-table.ts';
+import type {Actor, SkewedClock, World} from './world.ts';
+
+/** Safety rules of the daemon's decisions. */
+export type DaemonGuards = {
+	readonly lease: LeaseGuards;
+	readonly intent: IntentGuards;
+	readonly plan: PlanGuards;
+};
+
+/** Parts of a daemon that the schedule of faults reaches. */
+export type DaemonParts = {
+	readonly world: World;
+	readonly id: string;
+	readonly availabilityZone: string;
+	readonly actor: Actor;
+	readonly clock: SkewedClock;
+	readonly table: FakeTable;
+	readonly engine: FakeEngine;
+	readonly engines: ReadonlyMap<string, EngineProcess>;
+	readonly hosts: readonly Host[];
+	readonly guards: DaemonGuards;
+	/** Called when the daemon has gained a lease. */
+	readonly onGrant: (daemon: FakeDaemon, held: HeldLease) => void;
+};
+
+const leaseTickMs = 500;
+const roundMs = 500;
+const boardMs = 2000;
+const trafficMs = 900;
+const requestMs = 5000;
+const log = createLog('error', 'hidden');
+
+/** A daemon's leases, orders and routing, in fake time. */
+export class FakeDaemon {
+	readonly parts: DaemonParts;
+	#lease: LeaseClient;
+	#orders: GroupOrders;
+	#targets: readonly TargetRow[] = [];
+	#grants = 0;
+	#reported: string | undefined;
+
+	constructor(parts: DaemonParts) {
+		this.parts = parts;
+		this.#lease = this.#createLease();
+		this.#orders = this.#createOrders();
+		this.#start();
+	}
+
+	/** The lease while the daemon believes that it holds it. */
+	get held(): HeldLease | undefined {
+		return this.#lease.held;
+	}
+
+	/** Kills the daemon and starts it again after a time in milliseconds. */
+	restart(downMs: number): void {
+		this.parts.actor.kill();
+		this.#lease = this.#createLease();
+		this.#targets = [];
+		this.parts.actor.after(downMs, () => {
+			this.#orders = this.#createOrders();
+			this.#start();
+		});
+	}
+
+	/** Gives the lease up as a graceful stop does, and starts again after a time in milliseconds. */
+	stop(downMs: number): void {
+		this.#lease.handle({kind: 'candidacy', isCandidate: false});
+		this.parts.actor.after(downMs, () => {
+			this.#lease.handle({kind: 'candidacy', isCandidate: true});
+		});
+	}
+
+	#createLease(): LeaseClient {
+		const {table, clock, id, guards, availabilityZone, actor} = this.parts;
+		const {epoch} = actor;
+		const client: LeaseClient = new LeaseClient({
+			table,
+			clock,
+			group: groupName('m', availabilityZone),
+			daemon: id,
+			times: leaseTimes,
+			guards: guards.lease,
+			post: event => {
+				if (epoch === actor.epoch) {
+					this.#deliver(client, event);
+				}
+			},
+		});
+		return client;
+	}
+
+	#deliver(client: LeaseClient, event: LeaseEvent): void {
+		client.handle(event);
+		const {held} = client;
+		if (held !== undefined && held.token !== this.#reported) {
+			this.#reported = held.token;
+			this.parts.onGrant(this, held);
+		}
+	}
+
+	#createOrders(): GroupOrders {
+		const {table, clock, engine, availabilityZone, hosts, guards} = this.parts;
+		return new GroupOrders({
+			log,
+			table,
+			clock,
+			engine,
+			group: groupName('m', availabilityZone),
+			lease: () => this.#lease.held,
+			hosts: () => hosts.filter(host => host.availabilityZone === availabilityZone),
+			allHosts: () => hosts,
+			targets: () => this.#targets,
+			intent: {times: intentTimes, guards: guards.intent},
+			plan: {settleMs, guards: guards.plan},
+			spacingMs: loadSpacingMs,
+		});
+	}
+
+	#start(): void {
+		this.#lease.handle({kind: 'candidacy', isCandidate: true});
+		const {actor, world} = this.parts;
+		this.#repeat(leaseTickMs, () => {
+			this.#grants += 1;
+			this.#deliver(this.#lease, {kind: 'tick', token: `${this.parts.id}-${actor.epoch}-${this.#grants}`});
+		});
+		this.#repeat(boardMs, () => {
+			void this.#readBoard();
+		});
+		this.#repeat(trafficMs, () => {
+			this.#sendRequest(world.random.integer(requestMs));
+		});
+		this.#runRounds(this.#orders);
+	}
+
+	#repeat(intervalMs: number, step: () => void): void {
+		step();
+		this.parts.actor.after(intervalMs, () => {
+			this.#repeat(intervalMs, step);
+		});
+	}
+
+	#runRounds(orders: GroupOrders): void {
+		const run = async () => {
+			await orders.runRound();
+			this.parts.actor.after(roundMs, () => {
+				void run();
+			});
+		};
+
+		void run();
+	}
+
+	async #readBoard(): Promise<void> {
+		const targets = await readTargets(this.parts.table);
+		targets.ifRight(rows => {
+			this.#targets = rows;
+		});
+	}
+
+	/** Routes a request to an upstream of the zone that does not drain, as far as this daemon knows. */
+	#sendRequest(durationMs: number): void {
+		const {hosts, availabilityZone, engines, world} = this.parts;
+		const draining = drainingUpstreams(this.#targets);
+		const open = hosts.filter(host => host.availabilityZone === availabilityZone && !draining.has(host.id));
+		const host = open[world.random.integer(Math.max(1, open.length))];
+		if (host !== undefined) {
+			engines.get(host.address)?.startRequest(durationMs);
+		}
+	}
+}
--- /dev/null
+++ b/bench/simulation/authority/fake-engine.ts
@@ -0,0 +1,226 @@
+import {Left, Right, type Either} from 'purify-ts';
+import {
+	Engine, type EngineState, type Order, type OrderOutcome,
+} from '../../../src/platform/engine.ts';
+import {EngineOrders, type AcceptedOrder} from '../../../src/stand-ins/engine/engine-orders.ts';
+import type {Actor, World} from './world.ts';
+
+const idleLimitMs = 2000;
+const timeoutMs = 2000;
+const changeMs = 2000;
+const restartMs = 1500;
+
+/** Connections to engines. */
+export type Network = {
+	/** Upper limit of the extra time to connect, in milliseconds. */
+	connectMs: number;
+};
+
+type EngineServerOptions = {
+	readonly enforcesFencing: boolean;
+	readonly closesIdle: boolean;
+};
+
+/** An engine in fake time: it accepts connections and requests in order, also those that came while it was paused. */
+export class EngineProcess {
+	readonly orders: EngineOrders;
+	crashesInChange = false;
+	readonly #world: World;
+	readonly #options: EngineServerOptions;
+	#pausedUntil = 0;
+	#downUntil = 0;
+	#epoch = 0;
+	#inFlight = 0;
+
+	constructor(world: World, options: EngineServerOptions) {
+		this.#world = world;
+		this.#options = options;
+		this.orders = new EngineOrders({model: 'm', enforcesFencing: options.enforcesFencing, changeMs});
+	}
+
+	/** Orders that the engine has accepted. */
+	get accepted(): readonly AcceptedOrder[] {
+		return this.orders.accepted;
+	}
+
+	/** Changes when the engine crashes, which ends its connections. */
+	get epoch(): number {
+		return this.#epoch;
+	}
+
+	get isDown(): boolean {
+		return this.#world.now < this.#downUntil;
+	}
+
+	/** State with the requests in flight. */
+	get state(): EngineState {
+		return {...this.orders.state(this.#world.now), inFlight: this.#inFlight};
+	}
+
+	/** Time until a paused engine goes on. */
+	get pauseLeft(): number {
+		return Math.max(0, this.#pausedUntil - this.#world.now);
+	}
+
+	pause(durationMs: number): void {
+		this.#pausedUntil = Math.max(this.#pausedUntil, this.#world.now + durationMs);
+	}
+
+	crash(): void {
+		this.#epoch += 1;
+		this.#inFlight = 0;
+		this.#downUntil = this.#world.now + restartMs;
+		this.orders.crash(this.#world.now);
+	}
+
+	/** Starts a request if the engine takes work. */
+	startRequest(durationMs: number): void {
+		const {draining, phase} = this.state;
+		if (this.isDown || draining || phase === 'changing') {
+			return;
+		}
+
+		const epoch = this.#epoch;
+		this.#inFlight += 1;
+		this.#world.after(durationMs, () => {
+			this.#inFlight -= epoch === this.#epoch ? 1 : 0;
+		});
+	}
+
+	/** Takes an order on a connection accepted at a time; `undefined` when the engine has closed it. */
+	receive(order: Order, acceptedAt: number): 'accepted' | 'refused' | undefined {
+		if (this.isDown || (this.#options.closesIdle && this.#world.now - acceptedAt > idleLimitMs)) {
+			return undefined;
+		}
+
+		const wasChanging = this.orders.isChanging(this.#world.now);
+		const answer = this.orders.receive(order, this.#inFlight, this.#world.now);
+		if (!wasChanging && this.orders.isChanging(this.#world.now)) {
+			this.#epoch += this.#inFlight > 0 ? 1 : 0;
+			this.#inFlight = 0;
+			this.#crashLater();
+		}
+
+		return answer === 'refused' ? 'refused' : 'accepted';
+	}
+
+	#crashLater(): void {
+		if (this.crashesInChange) {
+			this.#world.after(changeMs / 2, () => {
+				this.crash();
+			});
+		}
+	}
+}
+
+/** What all processes share on their way to the engines. */
+export type FakeEngineOptions = {
+	readonly world: World;
+	readonly engines: ReadonlyMap<string, EngineProcess>;
+	readonly network: Network;
+	readonly checksAfterConnect: boolean;
+};
+
+/** Access of one process to the engines. */
+export class FakeEngine extends Engine {
+	/** Cuts this process off from all engines. */
+	isCut = false;
+	/** Pauses the process between the check and the write of its next order, for a time in milliseconds. */
+	pauseAtWriteMs = 0;
+	readonly #world: World;
+	readonly #actor: Actor;
+	readonly #engines: ReadonlyMap<string, EngineProcess>;
+	readonly #network: Network;
+	readonly #checksAfterConnect: boolean;
+
+	constructor(actor: Actor, {world, engines, network, checksAfterConnect}: FakeEngineOptions) {
+		super();
+		this.#world = world;
+		this.#actor = actor;
+		this.#engines = engines;
+		this.#network = network;
+		this.#checksAfterConnect = checksAfterConnect;
+	}
+
+	async readState(address: string): Promise<Either<string, EngineState>> {
+		const {promise, resolve} = Promise.withResolvers<Either<string, EngineState>>();
+		const engine = this.#engines.get(address)!;
+		this.#actor.after(timeoutMs, () => {
+			resolve(Left('timeout'));
+		});
+		this.#world.after(this.#connectTime(), () => {
+			if (this.isCut || engine.isDown) {
+				return;
+			}
+
+			this.#world.after(engine.pauseLeft, () => {
+				const result = engine.isDown ? Left('down') : Right(engine.state);
+				this.#actor.after(this.#way(), () => {
+					resolve(result);
+				});
+			});
+		});
+		return promise;
+	}
+
+	async sendOrder(address: string, order: Order, isAuthorized: () => boolean): Promise<OrderOutcome> {
+		const {promise, resolve} = Promise.withResolvers<OrderOutcome>();
+		const engine = this.#engines.get(address)!;
+		const wasAuthorized = isAuthorized();
+		const notSent = () => {
+			resolve({kind: 'not-sent', message: 'not connected or not authorized'});
+		};
+
+		this.#actor.after(timeoutMs, () => {
+			resolve({kind: 'unknown', message: 'timeout'});
+		});
+		this.#world.after(this.#connectTime(), () => {
+			if (this.isCut || engine.isDown) {
+				this.#actor.after(this.#way(), notSent);
+				return;
+			}
+
+			const {epoch} = engine;
+			const acceptedAt = this.#world.now + engine.pauseLeft;
+			this.#actor.after(this.#way(), () => {
+				if (!(this.#checksAfterConnect ? isAuthorized() : wasAuthorized)) {
+					notSent();
+					return;
+				}
+
+				this.#actor.pause(this.pauseAtWriteMs);
+				this.pauseAtWriteMs = 0;
+				this.#actor.after(0, () => {
+					this.#write(engine, order, {epoch, acceptedAt}, resolve);
+				});
+			});
+		});
+		return promise;
+	}
+
+	#write(
+		engine: EngineProcess,
+		order: Order,
+		connection: {readonly epoch: number; readonly acceptedAt: number},
+		resolve: (outcome: OrderOutcome) => void,
+	): void {
+		this.#world.after(this.#way(), () => {
+			this.#world.after(engine.pauseLeft, () => {
+				const answer = connection.epoch === engine.epoch ? engine.receive(order, connection.acceptedAt) : undefined;
+				this.#actor.after(this.#way(), () => {
+					resolve(answer === undefined
+						? {kind: 'unknown', message: 'closed'}
+						: (answer === 'refused' ? {kind: 'refused', status: 409} : {kind: 'accepted'}));
+				});
+			});
+		});
+	}
+
+	#connectTime(): number {
+		return this.#way() + (this.#network.connectMs === 0 ? 0 : this.#world.random.integer(this.#network.connectMs));
+	}
+
+	#way(): number {
+		return 1 + this.#world.random.integer(5);
+	}
+}
--- /dev/null
+++ b/bench/simulation/authority/fake-table.ts
@@ -0,0 +1,140 @@
+import {Left, Right, type Either} from 'purify-ts';
+import {
+	Table, type Row, type RowKey, type RowWrite, type StoreFailure,
+} from '../../../src/platform/table.ts';
+import {leaseKey, parseLeaseRow} from '../../../src/process/lease/lease-row.ts';
+import type {Intent} from '../../../src/process/orders/intent-row.ts';
+import {MemoryTable} from '../../../src/stand-ins/platform/memory-table.ts';
+import type {Actor, World} from './world.ts';
+
+/** Faults of the table, set while it runs. */
+export type TableFaults = {
+	isDown: boolean;
+	losesAnswers: boolean;
+	/** Applies writes after their callers have given up. */
+	isLate: boolean;
+};
+
+/** Record of writes for the invariants. */
+export type WriteLog = {
+	/** Times at which the reservation was written. */
+	readonly reservations: number[];
+	/** Orders that were recorded after a later grant of the same lease. */
+	staleRecords: number;
+};
+
+/** The platform's table, which all processes share. */
+export type SharedTable = {
+	readonly rows: MemoryTable;
+	readonly faults: TableFaults;
+	readonly log: WriteLog;
+	/** Writes that carry no lease check; for mutation checks. */
+	readonly dropsLeaseChecks: boolean;
+};
+
+const timeoutMs = 2000;
+const lateMs = 5000;
+
+/** Access of one process to the table. */
+export class FakeTable extends Table {
+	/** Cuts this process off. */
+	isCut = false;
+	readonly #world: World;
+	readonly #actor: Actor;
+	readonly #shared: SharedTable;
+
+	constructor(world: World, actor: Actor, shared: SharedTable) {
+		super();
+		this.#world = world;
+		this.#actor = actor;
+		this.#shared = shared;
+	}
+
+	async get(key: RowKey): Promise<Either<StoreFailure, Row | undefined>> {
+		return this.#call(async () => this.#shared.rows.get(key), false);
+	}
+
+	async query(
+		partition: string,
+		options: {readonly after?: string; readonly limit?: number} = {},
+	): Promise<Either<StoreFailure, readonly Row[]>> {
+		return this.#call(async () => this.#shared.rows.query(partition, options), false);
+	}
+
+	async write(writes: readonly RowWrite[]): Promise<Either<StoreFailure, void>> {
+		const {rows, dropsLeaseChecks} = this.#shared;
+		const kept = dropsLeaseChecks ? writes.filter(({kind, key}) => kind !== 'check' || key.partition !== 'lease') : writes;
+		return this.#call(async () => {
+			const result = await rows.write(kept);
+			if (result.isRight()) {
+				await this.#record(kept);
+			}
+
+			return result;
+		}, true);
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		// The rows belong to the world.
+	}
+
+	async #record(writes: readonly RowWrite[]): Promise<void> {
+		const {log, rows} = this.#shared;
+		for (const write of writes) {
+			if (write.key.partition === 'reservation') {
+				log.reservations.push(this.#world.now);
+			}
+
+			if (write.key.partition === 'intent' && write.kind === 'put') {
+				const {group, fencing, phase} = JSON.parse(write.body) as Intent;
+				const lease = await rows.get(leaseKey(group));
+				const current = lease.orDefault(undefined);
+				const isStale = current !== undefined && parseLeaseRow(current).body.fencing > fencing;
+				log.staleRecords += isStale && phase === 'pending' ? 1 : 0;
+			}
+		}
+	}
+
+	async #call<Value>(apply: () => Promise<Either<StoreFailure, Value>>, isWrite: boolean): Promise<Either<StoreFailure, Value>> {
+		const {promise, resolve} = Promise.withResolvers<Either<StoreFailure, Value>>();
+		const {faults} = this.#shared;
+		const {random} = this.#world;
+		const answer = (delayMs: number, result: Either<StoreFailure, Value> | Promise<Either<StoreFailure, Value>>) => {
+			this.#actor.after(delayMs, () => {
+				resolve(result);
+			});
+		};
+
+		const way = 1 + random.integer(10);
+		if (faults.isDown || this.isCut) {
+			const isSilent = random.integer(2) === 0;
+			answer(isSilent ? timeoutMs : way, Left({kind: isSilent ? 'unknown' : 'unavailable', message: 'down'}));
+		} else if (isWrite && faults.isLate && random.integer(2) === 0) {
+			this.#world.after(way + random.integer(lateMs), () => {
+				void apply();
+			});
+			answer(timeoutMs, Left({kind: 'unknown', message: 'late'}));
+		} else {
+			const isLost = isWrite && faults.losesAnswers && random.integer(2) === 0;
+			this.#world.after(way, () => {
+				const result = apply();
+				answer(isLost ? timeoutMs : way, isLost ? Left({kind: 'unknown', message: 'lost'}) : result);
+			});
+		}
+
+		return promise;
+	}
+}
+
+/** Creates an empty table. */
+export function createSharedTable(dropsLeaseChecks: boolean): SharedTable {
+	return {
+		rows: new MemoryTable(), faults: {isDown: false, losesAnswers: false, isLate: false}, log: {reservations: [], staleRecords: 0}, dropsLeaseChecks,
+	};
+}
+
+/** Unwraps a result of the shared rows, which never fail to be read. */
+export async function readRows(shared: SharedTable, partition: string): Promise<readonly Row[]> {
+	const rows = await shared.rows.query(partition);
+	return rows.caseOf<Either<never, readonly Row[]>>({Left: () => Right([]), Right: list => Right(list)}).extract();
+}
--- /dev/null
+++ b/bench/simulation/authority/faults.ts
@@ -0,0 +1,133 @@
+import type {FakeDaemon} from './fake-daemon.ts';
+import type {EngineProcess, Network} from './fake-engine.ts';
+import type {SharedTable} from './fake-table.ts';
+import type {World} from './world.ts';
+
+/** Kinds of faults. */
+export const faultKinds = [
+	'daemon-paused',
+	'daemon-paused-before-write',
+	'daemon-killed',
+	'daemon-stopped',
+	'daemon-cut-from-table',
+	'daemon-cut-from-engines',
+	'table-down',
+	'table-loses-answers',
+	'table-late',
+	'engine-crashes',
+	'engine-crashes-in-change',
+	'engine-paused',
+	'connections-slow',
+] as const;
+
+/** Kind of a fault. */
+export type FaultKind = (typeof faultKinds)[number];
+
+/** A fault of a schedule; times in milliseconds. */
+export type Fault = {
+	readonly kind: FaultKind;
+	readonly at: number;
+	readonly durationMs: number;
+	/** Selects the daemon or the engine; a daemon fault with 0 hits the holder of the first zone. */
+	readonly target: number;
+};
+
+/** What faults act on. */
+export type FaultScene = {
+	readonly world: World;
+	readonly daemons: readonly FakeDaemon[];
+	readonly engines: readonly EngineProcess[];
+	readonly table: SharedTable;
+	readonly network: Network;
+};
+
+/** Upper limit of the time to connect while connections are slow, in milliseconds; below the time limit of a call. */
+const slowConnectMs = 1900;
+
+/** Starts a fault at its time and ends it after its duration. */
+export function scheduleFault(scene: FaultScene, fault: Fault): void {
+	scene.world.after(fault.at, () => {
+		const end = startFault(scene, fault);
+		scene.world.after(fault.durationMs, end);
+	});
+}
+
+function startFault(scene: FaultScene, fault: Fault): () => void {
+	if (fault.kind === 'connections-slow') {
+		scene.network.connectMs = slowConnectMs;
+		return () => {
+			scene.network.connectMs = 0;
+		};
+	}
+
+	if (fault.kind.startsWith('daemon')) {
+		return startDaemonFault(selectDaemon(scene, fault.target), fault);
+	}
+
+	return fault.kind.startsWith('table')
+		? startTableFault(scene.table, fault)
+		: startEngineFault(scene.engines[fault.target % scene.engines.length]!, fault);
+}
+
+function selectDaemon({daemons}: FaultScene, target: number): FakeDaemon {
+	const holder = daemons.find(daemon => daemon.held !== undefined);
+	return target === 0 && holder !== undefined ? holder : daemons[target % daemons.length]!;
+}
+
+function startDaemonFault(daemon: FakeDaemon, {kind, durationMs}: Fault): () => void {
+	const {actor, engine, table} = daemon.parts;
+	switch (kind) {
+		case 'daemon-paused': {
+			actor.pause(durationMs);
+
+			break;
+		}
+
+		case 'daemon-killed': {
+			daemon.restart(durationMs);
+
+			break;
+		}
+
+		case 'daemon-stopped': {
+			daemon.stop(durationMs);
+
+			break;
+		}
+	// No default
+	}
+
+	engine.pauseAtWriteMs = kind === 'daemon-paused-before-write' ? durationMs : engine.pauseAtWriteMs;
+	table.isCut ||= kind === 'daemon-cut-from-table';
+	engine.isCut ||= kind === 'daemon-cut-from-engines';
+
+	return () => {
+		table.isCut = false;
+		engine.isCut = false;
+	};
+}
+
+function startTableFault({faults}: SharedTable, {kind}: Fault): () => void {
+	faults.isDown ||= kind === 'table-down';
+	faults.losesAnswers ||= kind === 'table-loses-answers';
+	faults.isLate ||= kind === 'table-late';
+	return () => {
+		faults.isDown = false;
+		faults.losesAnswers = false;
+		faults.isLate = false;
+	};
+}
+
+function startEngineFault(engine: EngineProcess, {kind, durationMs}: Fault): () => void {
+	if (kind === 'engine-crashes') {
+		engine.crash();
+	} else if (kind === 'engine-paused') {
+		engine.pause(durationMs);
+	} else {
+		engine.crashesInChange = true;
+	}
+
+	return () => {
+		engine.crashesInChange = false;
+	};
+}
--- /dev/null
+++ b/bench/simulation/authority/schedule.ts
@@ -0,0 +1,194 @@
+import type {Host} from '../../../src/platform/host-list.ts';
+import {type HeldLease, leaseGuards} from '../../../src/process/lease/lease-machine.ts';
+import {intentGuards} from '../../../src/process/orders/intent-machine.ts';
+import {planGuards} from '../../../src/process/orders/plan-machine.ts';
+import {
+	parsePlanRow, parseTargetRow, type PlanBody, type TargetRow,
+} from '../../../src/process/orders/plan-row.ts';
+import {cancelPlan, createPlan, submitPlan} from '../../../src/process/orders/plan-store.ts';
+import type {PlanStep} from '../../../src/version/fleet-plan.ts';
+import {FakeDaemon, type DaemonGuards} from './fake-daemon.ts';
+import {EngineProcess, FakeEngine, type FakeEngineOptions} from './fake-engine.ts';
+import {
+	createSharedTable, FakeTable, readRows, type SharedTable,
+} from './fake-table.ts';
+import {scheduleFault, type Fault} from './faults.ts';
+import {Actor, SkewedClock, World} from './world.ts';
+
+/** One run of the model: faults, operators and the seed of everything else. */
+export type Schedule = {
+	readonly seed: number;
+	readonly enforcesFencing: boolean;
+	readonly faults: readonly Fault[];
+	/** Time at which a second operator submits a conflicting plan; none when absent. */
+	readonly rivalAt?: number;
+	/** Time at which the first plan is cancelled; never when absent. */
+	readonly cancelAt?: number;
+};
+
+/** Safety rules in force; mutation checks switch one off. */
+export type Guards = DaemonGuards & {
+	readonly checksLeaseInTransactions: boolean;
+	readonly checksAfterConnect: boolean;
+	readonly closesIdleConnections: boolean;
+};
+
+/** All rules on. */
+export const allGuards: Guards = {
+	lease: leaseGuards,
+	intent: intentGuards,
+	plan: planGuards,
+	checksLeaseInTransactions: true,
+	checksAfterConnect: true,
+	closesIdleConnections: true,
+};
+
+/** A grant of a lease, with the daemons that held the same lease at that moment. */
+export type Grant = {
+	readonly group: string;
+	readonly fencing: number;
+	readonly holders: number;
+};
+
+/** What a run has recorded. */
+export type History = {
+	readonly grants: readonly Grant[];
+	readonly engines: readonly EngineProcess[];
+	readonly plans: readonly PlanBody[];
+	/** Upstreams that plans still hold at the end, without those left drained. */
+	readonly waiting: readonly TargetRow[];
+	readonly reservations: readonly number[];
+	/** Orders that were recorded after a later grant of the same lease. */
+	readonly staleRecords: number;
+	readonly submissions: ReadonlyArray<{readonly id: string; readonly outcome: string}>;
+	readonly endedAt: number;
+};
+
+const zones = ['zone-a', 'zone-b'];
+const daemonsPerZone = [2, 1];
+const enginesPerZone = 2;
+const submitAt = 1000;
+const stepMs = 5000;
+/** Time after the last fault within which every plan must be over; a successor needs up to 15 s and an engine about 10 s. */
+const recoveryMs = 150_000;
+
+/** Runs a schedule to the end of its plans and returns what happened. */
+export async function runSchedule(schedule: Schedule, guards: Guards = allGuards): Promise<History> {
+	const world = new World(schedule.seed);
+	const table = createSharedTable(!guards.checksLeaseInTransactions);
+	const engines = new Map<string, EngineProcess>();
+	const hosts: Host[] = [];
+	for (const availabilityZone of zones) {
+		for (let index = 0; index < enginesPerZone; index += 1) {
+			const id = `${availabilityZone}-${index}`;
+			hosts.push({
+				kind: 'engine', id, address: id, availabilityZone, state: 'live', serves: 'm', enforcesFencing: schedule.enforcesFencing,
+			});
+			engines.set(id, new EngineProcess(world, {enforcesFencing: schedule.enforcesFencing, closesIdle: guards.closesIdleConnections}));
+		}
+	}
+
+	const network: FakeEngineOptions = {
+		world, engines, network: {connectMs: 0}, checksAfterConnect: guards.checksAfterConnect,
+	};
+	const grants: Grant[] = [];
+	const daemons: FakeDaemon[] = [];
+	const onGrant = (daemon: FakeDaemon, held: HeldLease) => {
+		const group = daemon.parts.availabilityZone;
+		const holders = daemons.filter(other => other.parts.availabilityZone === group && other.held !== undefined);
+		grants.push({group, fencing: held.fencing, holders: holders.length});
+	};
+
+	for (const [zone, count] of daemonsPerZone.entries()) {
+		for (let index = 0; index < count; index += 1) {
+			const actor = new Actor(world);
+			daemons.push(new FakeDaemon({
+				world,
+				id: `${zones[zone]}-${index}`,
+				availabilityZone: zones[zone]!,
+				actor,
+				// Clocks start anywhere and differ in speed by up to 1%.
+				clock: new SkewedClock(world, world.random.integer(1_000_000), 0.99 + (world.random.integer(20) / 1000)),
+				table: new FakeTable(world, actor, table),
+				engine: new FakeEngine(actor, network),
+				engines,
+				hosts,
+				guards,
+				onGrant,
+			}));
+		}
+	}
+
+	for (const fault of schedule.faults) {
+		scheduleFault({
+			world, daemons, engines: [...engines.values()], table, network: network.network,
+		}, fault);
+	}
+
+	const submissions = startOperators(world, table, schedule);
+	const lastFault = Math.max(0, ...schedule.faults.map(fault => fault.at + fault.durationMs));
+	const end = await runToEnd(world, table, lastFault);
+	return {
+		grants, engines: [...engines.values()], ...end, reservations: table.log.reservations, staleRecords: table.log.staleRecords, submissions: submissions.results, endedAt: world.now,
+	};
+}
+
+function startOperators(world: World, table: SharedTable, {seed, rivalAt, cancelAt}: Schedule) {
+	const results: Array<{id: string; outcome: string}> = [];
+	const submit = (at: number, id: string, steps: readonly PlanStep[]) => {
+		const actor = new Actor(world);
+		const access = new FakeTable(world, actor, table);
+		actor.after(at, () => {
+			void submitPlan(access, createPlan(id, {name: id, author: id, steps})).then(result => {
+				results.push({id, outcome: result.caseOf<string>({Left: failure => failure.kind, Right: () => 'submitted'})});
+			});
+		});
+	};
+
+	submit(submitAt, 'first', createSteps(seed));
+	if (rivalAt !== undefined) {
+		submit(rivalAt, 'rival', [{action: {kind: 'role', role: 'prefill'}, upstreams: ['zone-a-1'], line: 1}]);
+	}
+
+	if (cancelAt !== undefined) {
+		const actor = new Actor(world);
+		const access = new FakeTable(world, actor, table);
+		actor.after(cancelAt, () => {
+			void cancelPlan(access, 'first');
+		});
+	}
+
+	return {results};
+}
+
+function createSteps(seed: number): readonly PlanStep[] {
+	const load: PlanStep = {action: {kind: 'load', version: '2'}, upstreams: ['zone-a-0', 'zone-b-0'], line: 1};
+	const role: PlanStep = {action: {kind: 'role', role: 'decode'}, upstreams: ['zone-a-1'], line: 2};
+	const drain: PlanStep = {action: {kind: 'drain'}, upstreams: ['zone-a-0'], line: 3};
+	const undrain: PlanStep = {action: {kind: 'undrain'}, upstreams: ['zone-a-0'], line: 4};
+	const reload: PlanStep = {action: {kind: 'load', version: '3'}, upstreams: ['zone-a-1', 'zone-a-0'], line: 5};
+	return [[load, role], [drain, undrain, role], [reload], [{...load, upstreams: ['zone-a-0', 'zone-a-1', 'zone-b-1']}], [drain]][seed % 5]!;
+}
+
+async function runToEnd(world: World, table: SharedTable, lastFault: number) {
+	const limit = Math.max(lastFault, submitAt) + recoveryMs;
+	let end = await readEnd(table);
+	for (let time = stepMs; time <= limit && (time <= lastFault + stepMs || end.plans.length === 0 || end.waiting.length > 0); time += stepMs) {
+		await world.runUntil(time);
+		end = await readEnd(table);
+	}
+
+	return end;
+}
+
+async function readEnd(table: SharedTable) {
+	const planRows = await readRows(table, 'plan');
+	const targetRows = await readRows(table, 'plan-target');
+	const plans = planRows.map(row => parsePlanRow(row).body);
+	const targets = targetRows.map(row => parseTargetRow(row));
+	const isRunning = (id: string) => plans.some(plan => plan.id === id && plan.state === 'running');
+	const waiting = targets.filter(({body}) => body.phase !== 'drained' || isRunning(body.planId));
+	// A plan that was cancelled between draining and undraining leaves its zone with one replica, which no other plan may take.
+	const isBlocked = targets.length > waiting.length && waiting.every(({body}) => body.note.startsWith('It is the last ready replica'));
+	return {plans, waiting: isBlocked ? [] : waiting};
+}
--- a/src/process/lease/lease-machine.ts
+++ b/src/process/lease/lease-machine.ts
@@ -238,7 +238,7 @@
 	if (failure === 'unavailable') {
 		const postponed = held === undefined ? undefined : {...held, renewAt: Math.max(held.renewAt, retryAt)};
 		return {
-			...state, claim: undefined, held: postponed, nextReadAt: retryAt,
+			...next, claim: undefined, held: postponed, nextReadAt: retryAt,
 		};
 	}
 
--- a/src/process/lease/lease-task.ts
+++ b/src/process/lease/lease-task.ts
@@ -1,13 +1,13 @@
 import {randomUUID} from 'node:crypto';
-import type {StoreFailure, Table} from '../../platform/table.ts';
+import {setTimeout as delay} from 'node:timers/promises';
+import type {Table} from '../../platform/table.ts';
 import type {Clock} from '../clock.ts';
 import type {Log} from '../log.ts';
 import {Task} from '../task.ts';
+import {LeaseClient} from './lease-client.ts';
 import {
-	currentLease, decideLease, initialLease, leaseGuards, leaseTimes,
-	type HeldLease, type LeaseCommand, type LeaseEvent, type LeaseOptions, type LeaseState, type LeaseTimes,
+	leaseGuards, leaseTimes, type HeldLease, type LeaseEvent, type LeaseTimes,
 } from './lease-machine.ts';
-import {leaseKey, parseLeaseRow} from './lease-row.ts';
 
 /** What a lease task needs. */
 export type LeaseTaskOptions = {
@@ -18,8 +18,6 @@
 	readonly group: string;
 	/** @default leaseTimes */
 	readonly times?: LeaseTimes;
-	/** Called when the lease is gained, with the tenure, or lost, with nothing. */
-	readonly onChange?: (held: HeldLease | undefined) => void;
 };
 
 const ticksPerRenewal = 10;
@@ -27,82 +25,51 @@
 
 /** Keeps one lease while this daemon is a candidate for it. */
 export class LeaseTask extends Task<LeaseEvent> {
-	readonly #task: LeaseTaskOptions;
-	readonly #options: LeaseOptions;
-	#state: LeaseState = initialLease;
+	readonly #options: LeaseTaskOptions;
+	readonly #times: LeaseTimes;
+	readonly #client: LeaseClient;
 	#reported: HeldLease | undefined;
 
-	constructor(task: LeaseTaskOptions) {
-		super(task.log);
-		this.#task = task;
-		this.#options = {daemon: task.daemon, times: task.times ?? leaseTimes, guards: leaseGuards};
+	constructor(options: LeaseTaskOptions) {
+		super(options.log);
+		this.#options = options;
+		this.#times = options.times ?? leaseTimes;
+		this.#client = new LeaseClient({
+			...options,
+			times: this.#times,
+			guards: leaseGuards,
+			post: event => {
+				this.post(event);
+			},
+		});
 	}
 
 	/** The lease while it is valid now on the monotonic clock. */
 	get held(): HeldLease | undefined {
-		return currentLease(this.#state, this.#task.clock.now());
+		return this.#client.held;
 	}
 
 	/** Starts the ticks of the lease. */
 	run(): void {
-		const {renewalMs} = this.#options.times;
-		this.start({message: {kind: 'tick', token: ''}, intervalMs: Math.max(1, Math.round(renewalMs / ticksPerRenewal))});
+		this.start({message: {kind: 'tick', token: ''}, intervalMs: Math.max(1, Math.round(this.#times.renewalMs / ticksPerRenewal))});
 	}
 
-	/** Gives the lease up; resolves once the release is written, or after the time limit in milliseconds. */
+	/** Gives the lease up; resolves once the release is settled, or after the time limit in milliseconds. */
 	async resign(limitMs: number): Promise<void> {
+		const {clock} = this.#options;
 		this.post({kind: 'candidacy', isCandidate: false});
 		this.post({kind: 'tick', token: ''});
-		const deadline = this.#task.clock.now() + limitMs;
-		while (this.#isBusy() && this.#task.clock.now() < deadline) {
-			const {promise, resolve} = Promise.withResolvers<void>();
-			setTimeout(resolve, releasePollMs);
-			await promise;
+		for (const deadline = clock.now() + limitMs; this.#client.isBusy && clock.now() < deadline;) {
+			await delay(releasePollMs);
 		}
 	}
 
 	protected receive(message: LeaseEvent): void {
-		const event = message.kind === 'tick' ? {...message, token: randomUUID()} : message;
-		const {state, command} = decideLease(this.#state, event, this.#task.clock.now(), this.#options);
-		this.#state = state;
-		this.#report();
-		if (command !== undefined) {
-			void this.#send(command);
-		}
-	}
-
-	#isBusy(): boolean {
-		return this.#state.held !== undefined || this.#state.inFlight !== undefined || this.#state.claim !== undefined;
-	}
-
-	#report(): void {
+		this.#client.handle(message.kind === 'tick' ? {...message, token: randomUUID()} : message);
 		const {held} = this;
-		if (held?.token === this.#reported?.token) {
-			return;
+		if (held?.token !== this.#reported?.token) {
+			this.#reported = held;
+			this.log.info(held === undefined ? 'The lease has ended.' : 'The lease is held.', {group: this.#options.group, fencing: held?.fencing});
 		}
-
-		this.#reported = held;
-		this.log.info(held === undefined ? 'The lease has ended.' : 'The lease is held.', {group: this.#task.group, fencing: held?.fencing});
-		this.#task.onChange?.(held);
-	}
-
-	async #send(command: LeaseCommand): Promise<void> {
-		const {table, group} = this.#task;
-		const key = leaseKey(group);
-		const toFailed = ({kind}: StoreFailure): LeaseEvent => ({kind: 'failed', failure: kind});
-		if (command.kind === 'read') {
-			const result = await table.get(key);
-			this.post(result.caseOf<LeaseEvent>({
-				Left: toFailed,
-				Right: row => ({kind: 'read', row: row === undefined ? undefined : parseLeaseRow(row)}),
-			}));
-			return;
-		}
-
-		const body = JSON.stringify(command.body);
-		const result = await table.write([{
-			kind: 'put', key, expected: command.expected, body,
-		}]);
-		this.post(result.caseOf<LeaseEvent>({Left: toFailed, Right: () => ({kind: 'written'})}));
 	}
 }
