--- a/bench/simulation/authority/fake-engine.ts
+++ b/bench/simulation/authority/fake-engine.ts
@@ -7,7 +7,7 @@
 
 const idleLimitMs = 2000;
 const timeoutMs = 2000;
-const changeMs = 2000;
+const changeMs = 6000;
 const restartMs = 1500;
 
 /** Connections to engines. */
@@ -16,6 +16,8 @@
 	connectMs: number;
 };
 
+type Connection = {readonly epoch: number; readonly acceptedAt: number};
+
 type EngineServerOptions = {
 	readonly enforcesFencing: boolean;
 	readonly closesIdle: boolean;
@@ -25,6 +27,8 @@
 export class EngineProcess {
 	readonly orders: EngineOrders;
 	crashesInChange = false;
+	/** Pauses the engine when the next order's connection is opened, for a time in milliseconds. */
+	pauseAtConnectMs = 0;
 	readonly #world: World;
 	readonly #options: EngineServerOptions;
 	#pausedUntil = 0;
@@ -166,42 +170,56 @@
 	async sendOrder(address: string, order: Order, isAuthorized: () => boolean): Promise<OrderOutcome> {
 		const {promise, resolve} = Promise.withResolvers<OrderOutcome>();
 		const engine = this.#engines.get(address)!;
-		const wasAuthorized = isAuthorized();
-		const notSent = () => {
-			resolve({kind: 'not-sent', message: 'not connected or not authorized'});
-		};
-
 		this.#actor.after(timeoutMs, () => {
 			resolve({kind: 'unknown', message: 'timeout'});
 		});
-		this.#world.after(this.#connectTime(), () => {
-			if (this.isCut || engine.isDown) {
-				this.#actor.after(this.#way(), notSent);
-				return;
+		const check = (next: () => void) => {
+			if (isAuthorized()) {
+				this.#actor.pause(this.pauseAtWriteMs);
+				this.pauseAtWriteMs = 0;
+				this.#actor.after(0, next);
+			} else {
+				resolve({kind: 'not-sent', message: 'not authorized'});
 			}
+		};
+
+		if (this.#checksAfterConnect) {
+			this.#connect(engine, resolve, connection => {
+				check(() => {
+					this.#write(engine, order, connection, resolve);
+				});
+			});
+		} else {
+			check(() => {
+				this.#connect(engine, resolve, connection => {
+					this.#write(engine, order, connection, resolve);
+				});
+			});
+		}
+
+		return promise;
+	}
 
-			const {epoch} = engine;
-			const acceptedAt = this.#world.now + engine.pauseLeft;
+	#connect(engine: EngineProcess, resolve: (outcome: OrderOutcome) => void, next: (connection: Connection) => void): void {
+		this.#world.after(this.#connectTime(), () => {
+			engine.pause(engine.pauseAtConnectMs);
+			engine.pauseAtConnectMs = 0;
+			const connection = {epoch: engine.epoch, acceptedAt: this.#world.now + engine.pauseLeft};
+			const isOpen = !this.isCut && !engine.isDown;
 			this.#actor.after(this.#way(), () => {
-				if (!(this.#checksAfterConnect ? isAuthorized() : wasAuthorized)) {
-					notSent();
-					return;
+				if (isOpen) {
+					next(connection);
+				} else {
+					resolve({kind: 'not-sent', message: 'not connected'});
 				}
-
-				this.#actor.pause(this.pauseAtWriteMs);
-				this.pauseAtWriteMs = 0;
-				this.#actor.after(0, () => {
-					this.#write(engine, order, {epoch, acceptedAt}, resolve);
-				});
 			});
 		});
-		return promise;
 	}
 
 	#write(
 		engine: EngineProcess,
 		order: Order,
-		connection: {readonly epoch: number; readonly acceptedAt: number},
+		connection: Connection,
 		resolve: (outcome: OrderOutcome) => void,
 	): void {
 		this.#world.after(this.#way(), () => {
--- a/bench/simulation/authority/faults.ts
+++ b/bench/simulation/authority/faults.ts
@@ -17,6 +17,7 @@
 	'engine-crashes',
 	'engine-crashes-in-change',
 	'engine-paused',
+	'engine-paused-at-connect',
 	'connections-slow',
 ] as const;
 
@@ -74,33 +75,47 @@
 	return target === 0 && holder !== undefined ? holder : daemons[target % daemons.length]!;
 }
 
-function startDaemonFault(daemon: FakeDaemon, {kind, durationMs}: Fault): () => void {
-	const {actor, engine, table} = daemon.parts;
-	switch (kind) {
-		case 'daemon-paused': {
-			actor.pause(durationMs);
-
-			break;
-		}
-
-		case 'daemon-killed': {
-			daemon.restart(durationMs);
-
-			break;
-		}
-
-		case 'daemon-stopped': {
-			daemon.stop(durationMs);
-
-			break;
-		}
-	// No default
-	}
+type Start<Target> = (target: Target, durationMs: number) => void;
+
+const daemonFaults: Partial<Record<FaultKind, Start<FakeDaemon>>> = {
+	'daemon-paused'({parts}, durationMs) {
+		parts.actor.pause(durationMs);
+	},
+	'daemon-paused-before-write'({parts}, durationMs) {
+		parts.engine.pauseAtWriteMs = durationMs;
+	},
+	'daemon-killed'(daemon, durationMs) {
+		daemon.restart(durationMs);
+	},
+	'daemon-stopped'(daemon, durationMs) {
+		daemon.stop(durationMs);
+	},
+	'daemon-cut-from-table'({parts}) {
+		parts.table.isCut = true;
+	},
+	'daemon-cut-from-engines'({parts}) {
+		parts.engine.isCut = true;
+	},
+};
 
-	engine.pauseAtWriteMs = kind === 'daemon-paused-before-write' ? durationMs : engine.pauseAtWriteMs;
-	table.isCut ||= kind === 'daemon-cut-from-table';
-	engine.isCut ||= kind === 'daemon-cut-from-engines';
+const engineFaults: Partial<Record<FaultKind, Start<EngineProcess>>> = {
+	'engine-crashes'(engine) {
+		engine.crash();
+	},
+	'engine-crashes-in-change'(engine) {
+		engine.crashesInChange = true;
+	},
+	'engine-paused'(engine, durationMs) {
+		engine.pause(durationMs);
+	},
+	'engine-paused-at-connect'(engine, durationMs) {
+		engine.pauseAtConnectMs = durationMs;
+	},
+};
 
+function startDaemonFault(daemon: FakeDaemon, {kind, durationMs}: Fault): () => void {
+	daemonFaults[kind]?.(daemon, durationMs);
+	const {engine, table} = daemon.parts;
 	return () => {
 		table.isCut = false;
 		engine.isCut = false;
@@ -119,14 +134,7 @@
 }
 
 function startEngineFault(engine: EngineProcess, {kind, durationMs}: Fault): () => void {
-	if (kind === 'engine-crashes') {
-		engine.crash();
-	} else if (kind === 'engine-paused') {
-		engine.pause(durationMs);
-	} else {
-		engine.crashesInChange = true;
-	}
-
+	engineFaults[kind]?.(engine, durationMs);
 	return () => {
 		engine.crashesInChange = false;
 	};
--- a/bench/simulation/authority/world.ts
+++ b/bench/simulation/authority/world.ts
@@ -4,7 +4,7 @@
 type Event = {readonly at: number; readonly order: number; readonly run: () => void};
 
 /** Microtask turns in which the continuations of one event finish; more turns change nothing but the speed. */
-const turnsPerEvent = 30;
+const turnsPerEvent = 20;
 
 /** Fake time in which events run one after another; the same seed gives the same history. */
 export class World {
