--- a/src/demo/local-deployment.ts
+++ b/src/demo/local-deployment.ts
@@ -41,6 +41,8 @@
 	readonly hosts: HostsServer;
 	readonly engines: readonly EngineServer[];
 	readonly services: readonly ServiceServer[];
+	/** Settings file text of a further daemon. */
+	readonly settingsText: (id: string, availabilityZone: string) => string;
 	/** Base URLs of the daemons. */
 	readonly urls: readonly string[];
 };
@@ -78,11 +80,12 @@
 
 	const hosts = resources.use(new HostsServer(list));
 	const {port: hostsPort} = await hosts.listen(loopback);
+	const settingsText = (id: string, availabilityZone: string) => createSettingsText(id, availabilityZone, platformPort, hostsPort);
 	const daemons: Daemon[] = [];
 	for (const availabilityZone of availabilityZones) {
 		for (let index = 0; index < daemonsPerZone; index += 1) {
 			const id = `daemon-${availabilityZone}-${index}`;
-			const settings = createSettings(id, availabilityZone, platformPort, hostsPort);
+			const settings = createSettings(settingsText(id, availabilityZone));
 			daemons.push(resources.use(await createDaemon(settings, log.part(id), options.tuning)));
 		}
 	}
@@ -93,6 +96,7 @@
 		hosts,
 		engines,
 		services,
+		settingsText,
 		urls: daemons.map(({address}) => `http://${address.host}:${address.port}`),
 		[Symbol.asyncDispose]: async () => resources.disposeAsync(),
 	};
@@ -104,8 +108,8 @@
 	};
 }
 
-function createSettings(id: string, availabilityZone: string, platformPort: number, hostsPort: number): Settings {
-	const text = [
+function createSettingsText(id: string, availabilityZone: string, platformPort: number, hostsPort: number): string {
+	return [
 		'[daemon]',
 		`id = ${id}`,
 		`availability-zone = ${availabilityZone}`,
@@ -118,6 +122,9 @@
 		'[shutdown]',
 		'balancer-delay-ms = 0',
 	].join('\n');
+}
+
+function createSettings(text: string): Settings {
 	return parseSettings(text, 'local deployment').caseOf({
 		Left(findings) {
 			throw new Error(findings.map(finding => finding.message).join('; '));
