Find silent connections and print a daemon's status

Cause: nothing tells a silent connection from a slow answer, and operators cannot see what a daemon knows.

Change: silent busy connections are compared with a new connection and with the idle connection that answered last; only evidence from both, or the limit of a live stream (3.5 s), closes them. Idle connections are verified before reuse after 250 ms. The stand-ins' silent fault also holds back answers that have begun.

Conclusion: found within 5 s, and a booking of 3 s is not cut. An unstreamed answer without an idle connection to compare is cut only after 30 s.

--- a/src/connection/upstream-connection.ts
+++ b/src/connection/upstream-connection.ts
@@ -30,8 +30,9 @@
 	#lastByteAt: number;
 	#isBusy = false;
 	#isTrusted = true;
-	#deadlineAt = Infinity;
-	#hasHead = false;
+	#isInDoubt = false;
+	#silenceMs = Infinity;
+	#controller: Dispatcher.DispatchController | undefined;
 
 	constructor(origin: string, now: () => number, onClosed: (connection: UpstreamConnection) => void) {
 		this.#now = now;
@@ -67,34 +68,48 @@
 		return this.#isTrusted;
 	}
 
-	/** Time of the last byte received, or of the start of the request that waits for one. */
+	/** Time of the last byte received, or of the start of the request that waits for one, in milliseconds. */
 	get lastByteAt(): number {
 		return this.#lastByteAt;
 	}
 
-	/** True when the request waits for its first byte for longer than its limit. */
+	/** Time without a byte while a request waits for one; an answer that its reader holds back is not silent. */
+	get silentMs(): number {
+		if (this.#controller?.paused === true) {
+			this.#lastByteAt = this.#now();
+		}
+
+		return this.#isBusy ? this.#now() - this.#lastByteAt : 0;
+	}
+
+	/** True when the request has been silent for longer than its own limit. */
 	get isOverdue(): boolean {
-		return this.#isBusy && !this.#hasHead && this.#now() >= this.#deadlineAt;
+		return this.silentMs >= this.#silenceMs;
+	}
+
+	/** True when a younger connection to the same upstream has gone silent. */
+	get isInDoubt(): boolean {
+		return this.#isInDoubt;
 	}
 
 	/** Reserves the connection for one request. */
 	reserve(): void {
 		this.#isBusy = true;
-		this.#hasHead = false;
-		this.#deadlineAt = Infinity;
+		this.#silenceMs = Infinity;
+		this.#controller = undefined;
 		this.#lastByteAt = this.#now();
 	}
 
 	/** Sends a request on the reserved connection. */
-	send(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, firstByteMs: number, events: ConnectionEvents): void {
+	send(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, silenceMs: number, events: ConnectionEvents): void {
 		const observer = new Observer(handler, {
-			onStart: () => {
+			onStart: controller => {
 				this.#lastByteAt = this.#now();
-				this.#deadlineAt = this.#lastByteAt + firstByteMs;
+				this.#silenceMs = silenceMs;
+				this.#controller = controller;
 			},
 			onHead: (status, headers) => {
 				this.#lastByteAt = this.#now();
-				this.#hasHead = true;
 				events.onHead(status, headers);
 			},
 			onData: () => {
@@ -122,6 +137,12 @@
 		return result;
 	}
 
+	/** Marks the connection as probably silent, because a younger one is. */
+	doubt(): void {
+		this.#isInDoubt = true;
+		this.#isTrusted = false;
+	}
+
 	/** Keeps further requests off the connection. */
 	distrust(): void {
 		this.#isTrusted = false;
@@ -134,7 +155,7 @@
 	}
 }
 
-type ObserverEvents = ConnectionEvents & {readonly onStart: () => void; readonly onData: () => void};
+type ObserverEvents = ConnectionEvents & {readonly onStart: (controller: Dispatcher.DispatchController) => void; readonly onData: () => void};
 
 /** Reports the course of a request before the request's own handler acts on it. */
 class Observer implements Dispatcher.DispatchHandler {
@@ -148,7 +169,7 @@
 	}
 
 	onRequestStart(...[controller, context]: Parameters<NonNullable<Dispatcher.DispatchHandler['onRequestStart']>>): void {
-		this.#events.onStart();
+		this.#events.onStart(controller);
 		this.#inner.onRequestStart?.(controller, context);
 	}
 
--- a/src/connection/upstream-host.ts
+++ b/src/connection/upstream-host.ts
@@ -13,8 +13,9 @@
 	readonly silentSeen: (origin: string, closed: number) => void;
 };
 
-/** Silence on a busy connection after which the host is checked. */
-const suspectAfterMs = 2500;
+/** Silence on a busy connection after which the host is checked; idle connections live for 1.5 s, so that some are left to compare. */
+const suspectAfterMs = 1000;
+const checkIntervalMs = 2500;
 /** An idle connection is verified before a request when it has been idle for longer. */
 const verifyAfterIdleMs = 250;
 const verifyTimeoutMs = 250;
@@ -42,21 +43,21 @@
 	}
 
 	/** Sends a request on a connection that is known to work, or on a new one. */
-	send(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, firstByteMs: number): void {
+	send(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, silenceMs: number): void {
 		const idle = this.#youngestIdle();
 		if (idle === undefined || this.#now() - idle.lastByteAt < verifyAfterIdleMs) {
 			const connection = idle ?? this.#open();
 			connection.reserve();
-			this.#sendOn(connection, options, handler, firstByteMs);
+			this.#sendOn(connection, options, handler, silenceMs);
 		} else {
-			void this.#sendVerified(idle, options, handler, firstByteMs);
+			void this.#sendVerified(idle, options, handler, silenceMs);
 		}
 	}
 
 	/** Checks the host when a busy connection has been silent for long. */
 	async check(): Promise<void> {
-		const suspects = this.#busy().filter(connection => this.#now() - connection.lastByteAt >= suspectAfterMs);
-		const isDue = this.#now() - this.#checkedAt >= suspectAfterMs || suspects.some(connection => connection.isOverdue);
+		const suspects = this.#busy().filter(connection => connection.silentMs >= suspectAfterMs);
+		const isDue = this.#now() - this.#checkedAt >= checkIntervalMs || suspects.some(connection => connection.isOverdue);
 		if (suspects.length === 0 || this.#isChecking || !isDue) {
 			return;
 		}
@@ -76,25 +77,26 @@
 	}
 
 	/** A request whose idle connection does not answer at once goes on over a new one. */
-	async #sendVerified(idle: UpstreamConnection, options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, firstByteMs: number): Promise<void> {
+	async #sendVerified(idle: UpstreamConnection, options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, silenceMs: number): Promise<void> {
+		const aliveAt = idle.lastByteAt;
 		const probe = idle.probe();
 		const quick = await Promise.race([probe, delay(verifyTimeoutMs, undefined, {ref: false})]);
 		if (quick !== undefined && quick !== 'silent' && idle.isTrusted) {
 			idle.reserve();
-			this.#sendOn(idle, options, handler, firstByteMs);
+			this.#sendOn(idle, options, handler, silenceMs);
 			return;
 		}
 
 		const fresh = this.#open();
 		fresh.reserve();
-		this.#sendOn(fresh, options, handler, firstByteMs);
+		this.#sendOn(fresh, options, handler, silenceMs);
 		if (await probe === 'silent') {
-			await this.#compareIdle(idle);
+			await this.#compareIdle(idle, aliveAt);
 		}
 	}
 
-	#sendOn(connection: UpstreamConnection, options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, firstByteMs: number): void {
-		connection.send(options, handler, firstByteMs, {
+	#sendOn(connection: UpstreamConnection, options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, silenceMs: number): void {
+		connection.send(options, handler, silenceMs, {
 			onHead: (status, headers) => {
 				if (isLeavingAnswer(status, headers)) {
 					this.#observer.leavingSeen(this.#origin);
@@ -112,39 +114,42 @@
 	}
 
 	/** Compares an idle connection that did not answer with a new one. */
-	async #compareIdle(idle: UpstreamConnection): Promise<void> {
+	async #compareIdle(idle: UpstreamConnection, aliveAt: number): Promise<void> {
 		idle.distrust();
-		const result = await this.#probeNew();
-		await (result === 'silent' ? idle.close() : this.#convict(idle.openedAt, [idle]));
+		await (await this.#probeNew() === 'silent' ? idle.close() : this.#closeSilent([idle], aliveAt));
 	}
 
-	/** Compares busy connections that are silent with a new connection, and with idle ones of their age. */
+	/** Compares busy connections that are silent with a new connection, and with the idle one that answered last. */
 	async #compare(suspects: readonly UpstreamConnection[]): Promise<void> {
-		const idle = this.#idle();
-		const [fresh, ...siblings] = await Promise.all([
-			this.#probeNew(),
-			...idle.map(async connection => ({connection, result: await connection.probe()})),
-		]);
+		const [sibling] = this.#idle().toSorted((a, b) => b.lastByteAt - a.lastByteAt);
+		const aliveAt = sibling?.lastByteAt ?? -Infinity;
+		const [fresh, siblingResult] = await Promise.all([this.#probeNew(), sibling?.probe()]);
 		if (fresh === 'silent') {
 			return;
 		}
 
-		const silent = siblings.filter(({result}) => result === 'silent').map(({connection}) => connection);
-		const youngestSilent = Math.max(-Infinity, ...silent.map(connection => connection.openedAt));
-		const convicted = suspects.filter(connection =>
-			connection.isBusy
-			&& this.#now() - connection.lastByteAt >= suspectAfterMs
-			&& (connection.isOverdue || connection.openedAt <= youngestSilent));
-		const closed = [...silent, ...convicted];
-		if (closed.length > 0) {
-			await this.#convict(Math.max(...closed.map(connection => connection.openedAt)), closed);
+		const silentSiblings = sibling !== undefined && siblingResult === 'silent' ? [sibling] : [];
+		const doubtUntil = silentSiblings.length > 0 ? aliveAt : -Infinity;
+		const closed = suspects.filter(connection =>
+			connection.silentMs >= suspectAfterMs
+			&& (connection.isOverdue || connection.isInDoubt || connection.openedAt <= doubtUntil));
+		if (closed.length + silentSiblings.length > 0) {
+			await this.#closeSilent([...closed, ...silentSiblings], doubtUntil);
 		}
 	}
 
-	/** Closes silent connections and keeps new requests off all connections of their age or older. */
-	async #convict(openedAt: number, closed: readonly UpstreamConnection[]): Promise<void> {
+	/**
+	Closes silent connections and keeps new requests off all connections of their age or older.
+
+	Busy connections opened up to `doubtUntil` are closed as well if they stay silent: an idle connection that worked at
+	that time and does not answer now shows that connections of its age are lost, while a silent request alone may be slow.
+	*/
+	async #closeSilent(closed: readonly UpstreamConnection[], doubtUntil: number): Promise<void> {
+		const youngest = Math.max(...closed.map(connection => connection.openedAt));
 		for (const connection of this.#connections) {
-			if (connection.openedAt <= openedAt) {
+			if (connection.openedAt <= doubtUntil) {
+				connection.doubt();
+			} else if (connection.openedAt <= youngest) {
 				connection.distrust();
 			}
 		}
--- a/src/connection/upstream-pool.ts
+++ b/src/connection/upstream-pool.ts
@@ -4,12 +4,12 @@
 
 /** Dispatch options that the pool understands in addition to those of the client library. */
 export type PoolDispatchOptions = Dispatcher.DispatchOptions & {
-	/** Wait for the first byte after which a new connection is compared with the old one, and the old one is closed if only the new one answers. */
-	readonly firstByteMs?: number;
+	/** Silence, in milliseconds, after which a connection is closed if a new one to the same upstream works. @default 30_000 */
+	readonly silenceMs?: number;
 };
 
-/** Long enough for answers that come in one piece; silence of several connections is found sooner by their comparison. */
-const defaultFirstByteMs = 30_000;
+/** Long enough for answers that come in one piece, which cannot be told from silence; an idle connection of the same age tells sooner. */
+const defaultSilenceMs = 30_000;
 const checkIntervalMs = 250;
 
 /** Connections to upstreams, each with an age; those that go silent are closed while the upstream stays in service. */
@@ -32,7 +32,7 @@
 		const origin = String(options.origin);
 		const host = this.#hosts.get(origin) ?? new UpstreamHost(origin, () => this.#clock.now(), this.#observer);
 		this.#hosts.set(origin, host);
-		host.send(options, handler, options.firstByteMs ?? defaultFirstByteMs);
+		host.send(options, handler, options.silenceMs ?? defaultSilenceMs);
 		return true;
 	}
 
--- a/src/main.ts
+++ b/src/main.ts
@@ -8,6 +8,7 @@
 import {keyCommand} from './process/cli/key-command.ts';
 import {serveCommand} from './process/cli/serve-command.ts';
 import {standInCommand} from './process/cli/stand-in-command.ts';
+import {statusCommand} from './process/cli/status-command.ts';
 
 async function main(): Promise<void> {
 	await yargs(hideBin(process.argv))
@@ -17,6 +18,7 @@
 		.command(contractCommand)
 		.command(keyCommand)
 		.command(standInCommand)
+		.command(statusCommand)
 		.command(demoCommand)
 		.demandCommand(1, 'A command is needed.')
 		.strict()
--- a/src/process/cli/demo-command.ts
+++ b/src/process/cli/demo-command.ts
@@ -19,7 +19,8 @@
 		await using deployment = await createLocalDeployment({log: createLog('warn')});
 		await waitUntilReady(deployment);
 		if (stay) {
-			console.log(`Daemons: ${deployment.urls.join(' ')}\nBearer key: ${demoKey}`);
+			const peers = deployment.daemons.map(({peerAddress}) => `${peerAddress.host}:${peerAddress.port}`);
+			console.log(`Daemons: ${deployment.urls.join(' ')}\nPeers: ${peers.join(' ')}\nBearer key: ${demoKey}`);
 			await waitForTermination();
 			return;
 		}
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -13,6 +13,8 @@
 	readonly body: Uint8Array;
 	/** Limit on the wait for the answer's head, in milliseconds. */
 	readonly headTimeoutMs: number;
+	/** Silence after which the connection is compared with a new one, in milliseconds; see the upstream pool. */
+	readonly silenceMs?: number;
 };
 
 /** How an attempt ended. */
--- a/src/request/dispatch.ts
+++ b/src/request/dispatch.ts
@@ -55,6 +55,8 @@
 };
 
 const defaultTimeoutMs = 60_000;
+/** A live stream is found silent within 5 s, with the time for a probe. */
+const steadySilenceMs = 3500;
 const attemptLimit = 16;
 let lastAttemptId = 0;
 
@@ -202,6 +204,7 @@
 			path: demand.call.path,
 			body: demand.body,
 			headTimeoutMs: this.#options.headTimeoutMs ?? defaultTimeoutMs,
+			...(isSteady(demand) ? {silenceMs: steadySilenceMs} : {}),
 			headers: {
 				...selectRequestHeaders(head.headers),
 				...traceHeaders,
@@ -212,3 +215,8 @@
 		};
 	}
 }
+
+/** True when the answer flows without long gaps; other answers come in one piece or wait in the engine's queue. */
+function isSteady({call, serviceClass}: RequestDemand): boolean {
+	return call.kind === 'model' && call.stream && serviceClass === 'live';
+}
--- a/src/stand-ins/stand-in-server.ts
+++ b/src/stand-ins/stand-in-server.ts
@@ -32,6 +32,8 @@
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
 	readonly #silenced = new WeakSet();
+	/** Socket of the request that sets the faults; its own answer is still sent. */
+	#faultSocket: Socket | undefined;
 	#faults: Faults;
 
 	constructor(faults: Faults) {
@@ -51,11 +53,19 @@
 		this.#faults = {...this.#faults, ...faults};
 		if (faults.silent === true) {
 			for (const socket of this.#sockets) {
-				this.#silenced.add(socket);
+				this.#silence(socket);
 			}
 		}
 	}
 
+	/** Holds back answers that have begun as well; requests that come later are not answered. */
+	#silence(socket: Socket): void {
+		if (socket !== this.#faultSocket) {
+			this.#silenced.add(socket);
+			socket.cork();
+		}
+	}
+
 	/** Binds the server and resolves with its address. */
 	async listen(address: Address): Promise<Address> {
 		this.#server.on('connection', socket => {
@@ -107,7 +117,10 @@
 
 	async #handleFaults(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		if (request.method === 'PUT') {
-			this.setFaults(JSON.parse(await readText(request)) as Partial<Faults>);
+			const faults = JSON.parse(await readText(request)) as Partial<Faults>;
+			this.#faultSocket = request.socket;
+			this.setFaults(faults);
+			this.#faultSocket = undefined;
 		}
 
 		sendAnswer(response, {status: 200, body: this.#faults});
--- /dev/null
+++ b/test/connection/silent-connections.test.ts
@@ -0,0 +1,89 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {describe, expect, it} from 'vitest';
+import {request} from 'undici';
+import {
+	createLocalDeployment, demoKey, demoModels, demoService, type LocalDeployment,
+} from '../../src/demo/local-deployment.ts';
+import {waitUntilReady} from '../../src/demo/mixed-load.ts';
+import {createLog} from '../../src/process/log.ts';
+
+const findLimitMs = 5000;
+const atOnceMs = 1500;
+
+describe.concurrent('silent connections', () => {
+	it('end a live stream in flight within 5 s, while new requests to the same upstream go on at once', async () => {
+		await using deployment = await start();
+		const inFlight = complete(deployment, 4000);
+		await delay(300);
+		deployment.engines[0]!.setFaults({silent: true});
+		const start = performance.now();
+		const next = await complete(deployment, 4);
+		expect(next).toMatchObject({status: 200, isWhole: true});
+		expect(performance.now() - start).toBeLessThan(atOnceMs);
+		expect(await inFlight).toMatchObject({isWhole: false});
+		expect(performance.now() - start).toBeLessThan(findLimitMs);
+	});
+
+	it('end an unrepeatable request in flight as unknown within 5 s, and run the next one on a new connection', async () => {
+		await using deployment = await start();
+		const [service] = deployment.services;
+		await Promise.all([book(deployment), book(deployment)]);
+		service!.setFaults({slowMs: 20_000});
+		const inFlight = book(deployment);
+		await delay(100);
+		service!.setFaults({silent: true, slowMs: 0});
+		const start = performance.now();
+		expect(await inFlight).toMatchObject({status: 502, ran: 'unknown'});
+		expect(performance.now() - start).toBeLessThan(findLimitMs);
+		expect(await book(deployment)).toMatchObject({status: 200, ran: 'yes'});
+	});
+
+	it('are not reused after an idle time, so that a booking does not end as unknown', async () => {
+		await using deployment = await start();
+		const [service] = deployment.services;
+		await Promise.all([book(deployment), book(deployment), book(deployment)]);
+		await delay(400);
+		service!.setFaults({silent: true});
+		const start = performance.now();
+		expect(await book(deployment)).toMatchObject({status: 200, ran: 'yes'});
+		expect(performance.now() - start).toBeLessThan(atOnceMs);
+	});
+
+	it('are not assumed for a slow answer, so that a slow booking is not cut', async () => {
+		await using deployment = await start();
+		const [service] = deployment.services;
+		await Promise.all([book(deployment), book(deployment)]);
+		service!.setFaults({slowMs: 3000});
+		expect(await book(deployment)).toMatchObject({status: 200, ran: 'yes'});
+	});
+});
+
+async function start(): Promise<LocalDeployment> {
+	const deployment = await createLocalDeployment({availabilityZones: ['zone-a'], log: createLog('error', 'hidden')});
+	await waitUntilReady(deployment);
+	return deployment;
+}
+
+async function complete(deployment: LocalDeployment, tokens: number) {
+	const response = await post(deployment, '/v1/chat/completions', {
+		model: demoModels[0], stream: true, max_tokens: tokens, messages: [{role: 'user', content: 'check'}],
+	});
+	try {
+		const text = await response.body.text();
+		return {status: response.statusCode, isWhole: text.endsWith('data: [DONE]\n\n')};
+	} catch {
+		return {status: response.statusCode, isWhole: false};
+	}
+}
+
+async function book(deployment: LocalDeployment) {
+	const response = await post(deployment, `/services/${demoService}/bookings`, {run: 1});
+	await response.body.dump();
+	return {status: response.statusCode, ran: response.headers['wagtailtack-ran']};
+}
+
+async function post(deployment: LocalDeployment, path: string, body: unknown) {
+	return request(deployment.urls[0]! + path, {
+		method: 'POST', headers: {authorization: `Bearer ${demoKey}`}, body: JSON.stringify(body),
+	});
+}
