--- a/src/process/membership/heartbeat-targets.ts
+++ b/src/process/membership/heartbeat-targets.ts
@@ -23,9 +23,14 @@
 		this.#table = table;
 	}
 
+	/** Ids of the members of the own zone that are not dead. */
+	get living(): readonly string[] {
+		return this.#local(member => member.condition !== 'dead');
+	}
+
 	/** Ids of the members that get a heartbeat in this interval. */
 	forInterval(): readonly string[] {
-		const targets = new Set(this.#random(this.#living()));
+		const targets = new Set(this.#random(this.living));
 		for (const id of this.#pick(this.#local(member => member.condition === 'suspect'), maxSuspectsProbed)) {
 			targets.add(id);
 		}
@@ -48,7 +53,7 @@
 	forUrgent(isLocalNews: boolean): readonly string[] {
 		const {id, availabilityZone} = this.#self;
 		const gateways = this.#table.gateways(availabilityZone, id);
-		const targets = new Set([...this.#random(this.#living()), ...gateways]);
+		const targets = new Set([...this.#random(this.living), ...gateways]);
 		if (isLocalNews && gateways.includes(id)) {
 			for (const zone of this.#table.otherZones) {
 				for (const gateway of this.#table.gateways(zone)) {
@@ -83,10 +88,6 @@
 		return candidates[this.#self.random.integer(candidates.length)]!;
 	}
 
-	#living(): readonly string[] {
-		return this.#local(member => member.condition !== 'dead');
-	}
-
 	#local(isWanted: (member: Member) => boolean): readonly string[] {
 		const zone = this.#self.availabilityZone;
 		return this.#table.members.filter(member => member.availabilityZone === zone && isWanted(member)).map(member => member.id);
--- a/src/process/membership/membership.ts
+++ b/src/process/membership/membership.ts
@@ -73,6 +73,11 @@
 		return this.#table.gateways(availabilityZone, id).includes(id);
 	}
 
+	/** Ids of the members of the own zone that are not dead. */
+	get livingInZone(): readonly string[] {
+		return this.#targets.living;
+	}
+
 	/** True when this daemon is among the first ones of its zone for a topic. */
 	isAmongFirst(topic: string, count: number): boolean {
 		return this.#targets.isAmongFirst(topic, this.#options.availabilityZone, count);
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -7,16 +7,25 @@
 import {probeUpstream} from '../connection/probe.ts';
 import {UpstreamPool} from '../connection/upstream-pool.ts';
 import {DynamoTable} from '../platform/dynamo-table.ts';
+import {HttpEngine} from '../platform/engine.ts';
 import {HttpHostList} from '../platform/host-list.ts';
-import {HttpObjectStore} from '../platform/object-store.ts';
+import {HttpObjectStore, type ObjectStore} from '../platform/object-store.ts';
 import {OpenAdmission} from '../request/admission.ts';
 import {ByteBudget} from '../request/byte-budget.ts';
-import {AbsentClaimStore} from '../request/claim-store.ts';
+import type {ClaimStore} from '../request/claim-store.ts';
 import {EmptyCrashRegister} from '../request/crash-register.ts';
 import {RetryBudget} from '../request/retry-budget.ts';
 import {LeastOutstandingRouter} from '../request/router.ts';
+import type {RequestDemand} from '../request/request-demand.ts';
+import type {Table} from '../platform/table.ts';
+import {resolveRoute, type Contract} from '../version/contract.ts';
 import type {Settings} from '../version/settings.ts';
+import {ClaimSettler} from './claims/claim-settler.ts';
+import {ClaimSweeper} from './claims/claim-sweeper.ts';
+import {PlatformClaimStore} from './claims/platform-claim-store.ts';
+import {groupedWrites, WriteBatcher} from './claims/write-batcher.ts';
 import {parseAddress, type Address} from './address.ts';
+import {Authority, type AuthorityTimes} from './authority.ts';
 import {SystemClock} from './clock.ts';
 import {PeerConfigurationClient} from './configuration/peer-configuration-client.ts';
 import {ConfigurationTask} from './configuration-task.ts';
@@ -44,6 +53,14 @@
 	readonly isReady: () => boolean;
 	/** Stops accepting requests and resolves when all in flight have ended. */
 	readonly drain: () => Promise<void>;
+	/** Leases and orders of this daemon. */
+	readonly authority: Authority;
+};
+
+/** Durations that tests shorten. */
+export type DaemonTuning = {
+	/** @default authorityTimes */
+	readonly authorityTimes?: AuthorityTimes;
 };
 
 /** Limit on the memory that all request bodies hold together. */
@@ -53,7 +70,7 @@
 const maxSeed = 2 ** 31;
 
 /** Constructs the daemon from its parts and starts it. */
-export async function createDaemon(settings: Settings, log: Log): Promise<Daemon> {
+export async function createDaemon(settings: Settings, log: Log, tuning: DaemonTuning = {}): Promise<Daemon> {
 	const resources = new AsyncDisposableStack();
 	const clock = new SystemClock();
 	const table = resources.use(new DynamoTable({
@@ -61,6 +78,8 @@
 		tableName: settings.platform['table-name'],
 	}));
 	const hostList = resources.use(new HostListPoller(log.part('hosts'), new HttpHostList(settings.platform.hosts)));
+	const objects = new HttpObjectStore(settings.platform.objects);
+	const incarnation = Date.now();
 	const clients = resources.use(new PeerClients(new OpenPeerAuthority()));
 	const answerers = Promise.withResolvers<PeerAnswerers>();
 	const peerServer = resources.use(new PeerServer(createPeerHandlers(answerers.promise), new OpenPeerAuthority()));
@@ -81,7 +100,7 @@
 			id: settings.daemon.id,
 			availabilityZone: settings.daemon['availability-zone'],
 			peerUrl: `http://${peerAddress.host}:${peerAddress.port}`,
-			incarnation: Date.now(),
+			incarnation,
 			random: new SeededRandom(randomInt(maxSeed)),
 		}),
 		phase: () => lifecycle.peerPhase,
@@ -99,13 +118,25 @@
 		log: log.part('configuration'),
 		clock,
 		table,
-		objects: new HttpObjectStore(settings.platform.objects),
+		objects,
 		peers: new PeerConfigurationClient(() => membership.members, clients),
 		isPoller: () => membership.isAmongFirst('configuration', configurationPollers),
 		onApplied(version) {
 			membership.setConfigurationVersion(version);
 		},
 	}));
+	const authority = resources.use(new Authority({
+		log: log.part('authority'),
+		table,
+		clock,
+		engine: new HttpEngine(),
+		daemon: settings.daemon.id,
+		availabilityZone: settings.daemon['availability-zone'],
+		hosts: () => hostList.hosts,
+		members: () => membership.livingInZone,
+		times: tuning.authorityTimes,
+	}));
+	lifecycle.onDrain({name: 'leases', run: async () => authority[Symbol.asyncDispose]()});
 	const markLeaving = (origin: string) => {
 		const upstream = directory.at(origin);
 		if (upstream !== undefined) {
@@ -133,11 +164,13 @@
 		bodyLimits: {bodyBytes: settings.limits['body-bytes'], budget: new ByteBudget(heldBodyBytes)},
 		keys: () => configuration.keys,
 		models: () => directory.models,
-		upstreams: call => directory.serving(call),
+		upstreams: call => directory.serving(call).filter(({id}) => !authority.draining.has(id)),
 		isReady,
-		isUnrepeatableRoute: () => false,
+		isUnrepeatableRoute: demand => isUnrepeatable(configuration.contracts.get(demand.customer), demand),
 		admission: new OpenAdmission(),
-		claimStore: new AbsentClaimStore(),
+		claimStore: createClaimStore(resources, {
+			log, table, objects, membership, daemon: `${settings.daemon.id}@${incarnation}`,
+		}),
 		crashRegister: new EmptyCrashRegister(),
 		router: new LeastOutstandingRouter(),
 		retryBudget: new RetryBudget(),
@@ -166,6 +199,7 @@
 	membership.run();
 	hostList.run();
 	configuration.run();
+	authority.run();
 	const address = await listen(server, parseAddress(settings.daemon.listen));
 	resources.defer(async () => closeAbruptly(server));
 	log.info('Daemon started.', {id: settings.daemon.id, address, peerAddress});
@@ -173,7 +207,39 @@
 		address,
 		peerAddress,
 		isReady,
+		authority,
 		drain: async () => lifecycle.drain(server),
 		[Symbol.asyncDispose]: async () => resources.disposeAsync(),
 	};
 }
+
+/** Creates the claims and what runs for them in the background. */
+function createClaimStore(
+	resources: AsyncDisposableStack,
+	{log, table, objects, daemon, membership}: {
+		readonly log: Log;
+		readonly table: Table;
+		readonly objects: ObjectStore;
+		readonly daemon: string;
+		readonly membership: MembershipTask;
+	},
+): ClaimStore {
+	const claimLog = log.part('claims');
+	const batcher = new WriteBatcher(table, groupedWrites);
+	const settler = resources.use(new ClaimSettler({
+		log: claimLog, table, objects, batcher,
+	}));
+	const now = () => Date.now();
+	const sweeper = resources.use(new ClaimSweeper({
+		log: claimLog, table, objects, isSweeper: () => membership.isAmongFirst('claim sweeper', 1), now,
+	}));
+	sweeper.run();
+	return new PlatformClaimStore({
+		table, objects, batcher, settler, daemon, isLive: name => name === daemon || membership.isLive(name), now,
+	});
+}
+
+function isUnrepeatable(contract: Contract | undefined, {method, call}: RequestDemand): boolean {
+	const path = call.kind === 'service' ? `/services/${call.service}${call.path}` : call.path;
+	return contract !== undefined && (resolveRoute(contract, method, path)?.unrepeatable ?? false);
+}
--- a/src/request/caller-error.ts
+++ b/src/request/caller-error.ts
@@ -22,6 +22,11 @@
 /** Limit on the wait for an error event to reach the caller before its connection is destroyed. */
 const flushLimitMs = 1000;
 
+/** Run state of an upstream's answer; an upstream's own failure says nothing about how far it came with the request. */
+export function toRunState(status: number): RunState {
+	return status >= 500 ? 'unknown' : 'yes';
+}
+
 /** Creates an error for a request that was not run. */
 export function createRefusal(status: number, code: string, message: string, retryAfterS?: number): CallerError {
 	return {
--- a/src/stand-ins/stand-in-server.ts
+++ b/src/stand-ins/stand-in-server.ts
@@ -58,14 +58,6 @@
 		}
 	}
 
-	/** Holds back answers that have begun as well; requests that come later are not answered. */
-	#silence(socket: Socket): void {
-		if (socket !== this.#faultSocket) {
-			this.#silenced.add(socket);
-			socket.cork();
-		}
-	}
-
 	/** Binds the server and resolves with its address. */
 	async listen(address: Address): Promise<Address> {
 		this.#server.on('connection', socket => {
@@ -89,6 +81,14 @@
 	/** Answers one request that no fault has taken. */
 	protected abstract serve(request: IncomingMessage, response: ServerResponse): Promise<void>;
 
+	/** Holds back answers that have begun as well; requests that come later are not answered. */
+	#silence(socket: Socket): void {
+		if (socket !== this.#faultSocket) {
+			this.#silenced.add(socket);
+			socket.cork();
+		}
+	}
+
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		response.on('error', () => {
 			response.destroy();
--- a/test/connection/silent-connections.test.ts
+++ b/test/connection/silent-connections.test.ts
@@ -12,7 +12,7 @@
 
 describe.concurrent('silent connections', () => {
 	it('end a live stream in flight within 5 s, while new requests to the same upstream go on at once', async () => {
-		await using deployment = await start();
+		await using deployment = await startDeployment();
 		const inFlight = complete(deployment, 4000);
 		await delay(300);
 		deployment.engines[0]!.setFaults({silent: true});
@@ -25,7 +25,7 @@
 	});
 
 	it('end an unrepeatable request in flight as unknown within 5 s, and run the next one on a new connection', async () => {
-		await using deployment = await start();
+		await using deployment = await startDeployment();
 		const [service] = deployment.services;
 		await Promise.all([book(deployment), book(deployment)]);
 		service!.setFaults({slowMs: 20_000});
@@ -39,7 +39,7 @@
 	});
 
 	it('are not reused after an idle time, so that a booking does not end as unknown', async () => {
-		await using deployment = await start();
+		await using deployment = await startDeployment();
 		const [service] = deployment.services;
 		await Promise.all([book(deployment), book(deployment), book(deployment)]);
 		await delay(400);
@@ -50,7 +50,7 @@
 	});
 
 	it('are not assumed for a slow answer, so that a slow booking is not cut', async () => {
-		await using deployment = await start();
+		await using deployment = await startDeployment();
 		const [service] = deployment.services;
 		await Promise.all([book(deployment), book(deployment)]);
 		service!.setFaults({slowMs: 3000});
@@ -58,7 +58,7 @@
 	});
 });
 
-async function start(): Promise<LocalDeployment> {
+async function startDeployment(): Promise<LocalDeployment> {
 	const deployment = await createLocalDeployment({availabilityZones: ['zone-a'], log: createLog('error', 'hidden')});
 	await waitUntilReady(deployment);
 	return deployment;
