--- a/src/process/membership-task.ts
+++ b/src/process/membership-task.ts
@@ -63,11 +63,6 @@
 		return this.#options.membership.livingInZone;
 	}
 
-	/** True while a daemon, named by its id and incarnation as `ID@INCARNATION`, is not dead. */
-	isLive(name: string): boolean {
-		return this.members.some(({id, incarnation, condition}) => condition !== 'dead' && name === `${id}@${incarnation}`);
-	}
-
 	/** True when this daemon is among the first ones of its availability zone for a topic, by rendezvous hash over the living. */
 	isAmongFirst(topic: string, count: number): boolean {
 		return this.#options.membership.isAmongFirst(topic, count);
--- a/test/request/retries.test.ts
+++ b/test/request/retries.test.ts
@@ -57,6 +57,10 @@
 			async release(): Promise<void> {
 				log.push('release');
 			}
+
+			async abandon(): Promise<void> {
+				log.push('abandon');
+			}
 		}();
 	}
 }
@@ -239,7 +243,7 @@
 
 	it.each<{name: string; first: RawAnswer | 'closed'; log: readonly string[]}>([
 		{name: 'released when it was not sent', first: 'closed', log: ['claim booking-1', 'release']},
-		{name: 'kept when it may have run', first: close, log: ['claim booking-1']},
+		{name: 'kept when it may have run', first: close, log: ['claim booking-1', 'abandon']},
 	])('has its claim $name', async ({first, log}) => {
 		await using upstreams = await createUpstreams(first === 'closed' ? [] : [first], service);
 		const hosts = first === 'closed' ? [await createClosedHost('closed', service)] : upstreams.list.map(upstream => upstream.host);
