Test a graceful stop and a rolling restart with real processes

Change: a test sends SIGTERM twice to a daemon with five long streams, and another restarts three daemons in turn under load behind a balancer that respects readiness.

Conclusion: a planned stop interrupts no request in these cases.

--- a/src/demo/local-deployment.ts
+++ b/src/demo/local-deployment.ts
@@ -41,6 +41,8 @@
 	readonly hosts: HostsServer;
 	readonly engines: readonly EngineServer[];
 	readonly services: readonly ServiceServer[];
+	readonly platformUrl: string;
+	readonly hostsUrl: string;
 	/** Base URLs of the daemons. */
 	readonly urls: readonly string[];
 };
@@ -99,6 +101,8 @@
 		hosts,
 		engines,
 		services,
+		platformUrl: `http://127.0.0.1:${platformPort}`,
+		hostsUrl: `http://127.0.0.1:${hostsPort}`,
 		urls: daemons.map(({address}) => `http://${address.host}:${address.port}`),
 		[Symbol.asyncDispose]: async () => resources.disposeAsync(),
 	};
--- /dev/null
+++ b/test/process/lifecycle.test.ts
@@ -0,0 +1,122 @@
+import {once} from 'node:events';
+import {setTimeout as delay} from 'node:timers/promises';
+import {describe, expect, it} from 'vitest';
+import {Agent, request, type Dispatcher} from 'undici';
+import {demoKey, demoModels, demoService} from '../../src/demo/local-deployment.ts';
+import {isReady, SpawnedDeployment} from '../fixtures/spawned-deployment.ts';
+
+const balancerDelayMs = 400;
+const balancerPollMs = 50;
+
+describe.concurrent('a daemon that is stopped', () => {
+	it('cuts no long stream when SIGTERM comes twice, so that a planned stop interrupts no request', async () => {
+		await using deployment = await SpawnedDeployment.create(['a1'], balancerDelayMs);
+		const {url, child} = deployment.daemons.get('a1')!;
+		const streams = Array.from({length: 5}, async () => stream(url, 500));
+		await delay(300);
+		const start = performance.now();
+		const exit = once(child, 'exit');
+		child.kill('SIGTERM');
+		await delay(100);
+		expect(await isReady(url), 'readiness').toBe(false);
+		expect(await stream(url, 2), 'a request within the balancer delay').toBe(true);
+		child.kill('SIGTERM');
+		expect(await Promise.all(streams)).toEqual([true, true, true, true, true]);
+		expect(performance.now() - start).toBeGreaterThan(2 * balancerDelayMs);
+		expect(await exit).toEqual([0, null]);
+	});
+
+	it('fails no request of a rolling restart under load while the balancer respects readiness', async () => {
+		const ids = ['a1', 'a2', 'a3'];
+		await using deployment = await SpawnedDeployment.create(ids, balancerDelayMs);
+		const load = new BalancedLoad(deployment);
+		const running = load.run();
+		for (const id of ids) {
+			expect(await deployment.stop(id)).toBe(0);
+			await deployment.start(id);
+		}
+
+		load.stop();
+		await running;
+		expect(load.failures).toEqual([]);
+		expect(load.succeeded).toBeGreaterThan(100);
+	});
+});
+
+/** Sends streams and bookings in turn to daemons that a balancer sees ready. */
+class BalancedLoad {
+	readonly failures: string[] = [];
+	succeeded = 0;
+	readonly #deployment: SpawnedDeployment;
+	readonly #agent = new Agent();
+	#ready: readonly string[] = [];
+	#isStopped = false;
+
+	constructor(deployment: SpawnedDeployment) {
+		this.#deployment = deployment;
+	}
+
+	stop(): void {
+		this.#isStopped = true;
+	}
+
+	async run(): Promise<void> {
+		const pending: Array<Promise<void>> = [];
+		await this.#poll();
+		const polling = this.#keepPolling();
+		for (let index = 0; !this.#isStopped; index += 1) {
+			pending.push(this.#send(this.#ready[index % this.#ready.length]!, index));
+			await delay(10);
+		}
+
+		await Promise.all(pending);
+		await polling;
+		await this.#agent.close();
+	}
+
+	async #keepPolling(): Promise<void> {
+		while (!this.#isStopped) {
+			await delay(balancerPollMs);
+			await this.#poll();
+		}
+	}
+
+	async #poll(): Promise<void> {
+		const urls = [...this.#deployment.daemons.values()].map(({url}) => url);
+		const states = await Promise.all(urls.map(async url => isReady(url)));
+		this.#ready = urls.filter((_, index) => states[index]);
+	}
+
+	async #send(url: string, index: number): Promise<void> {
+		try {
+			const isWhole = index % 5 === 0 ? await book(url, this.#agent) : await stream(url, 8, this.#agent);
+			this.succeeded += isWhole ? 1 : 0;
+			if (!isWhole) {
+				this.failures.push(`${index} at ${url}`);
+			}
+		} catch (error) {
+			this.failures.push(`${index} at ${url}: ${String(error)}`);
+		}
+	}
+}
+
+async function stream(url: string, tokens: number, dispatcher?: Dispatcher): Promise<boolean> {
+	const body = JSON.stringify({
+		model: demoModels[0], stream: true, max_tokens: tokens, messages: [{role: 'user', content: 'check'}],
+	});
+	const response = await post(`${url}/v1/chat/completions`, body, dispatcher);
+	const text = await response.body.text();
+	return response.statusCode === 200 && text.endsWith('data: [DONE]\n\n');
+}
+
+async function book(url: string, dispatcher?: Dispatcher): Promise<boolean> {
+	const response = await post(`${url}/services/${demoService}/bookings`, '{"run":1}', dispatcher);
+	await response.body.dump();
+	return response.statusCode === 200;
+}
+
+async function post(url: string, body: string, dispatcher?: Dispatcher): Promise<Dispatcher.ResponseData> {
+	return request(url, {
+		method: 'POST', headers: {authorization: `Bearer ${demoKey}`}, body, ...(dispatcher === undefined ? {} : {dispatcher}),
+	});
+}
