--- a/src/demo/local-deployment.ts
+++ b/src/demo/local-deployment.ts
@@ -43,6 +43,8 @@
 	readonly services: readonly ServiceServer[];
 	/** Settings file text of a further daemon. */
 	readonly settingsText: (id: string, availabilityZone: string) => string;
+	readonly platformUrl: string;
+	readonly hostsUrl: string;
 	/** Base URLs of the daemons. */
 	readonly urls: readonly string[];
 };
@@ -103,6 +105,8 @@
 		engines,
 		services,
 		settingsText,
+		platformUrl: `http://127.0.0.1:${platformPort}`,
+		hostsUrl: `http://127.0.0.1:${hostsPort}`,
 		urls: daemons.map(({address}) => `http://${address.host}:${address.port}`),
 		[Symbol.asyncDispose]: async () => resources.disposeAsync(),
 	};
--- a/src/main.ts
+++ b/src/main.ts
@@ -9,6 +9,7 @@
 import {planCommand} from './process/cli/plan-command.ts';
 import {serveCommand} from './process/cli/serve-command.ts';
 import {standInCommand} from './process/cli/stand-in-command.ts';
+import {statusCommand} from './process/cli/status-command.ts';
 
 async function main(): Promise<void> {
 	await yargs(hideBin(process.argv))
@@ -19,6 +20,7 @@
 		.command(keyCommand)
 		.command(planCommand)
 		.command(standInCommand)
+		.command(statusCommand)
 		.command(demoCommand)
 		.demandCommand(1, 'A command is needed.')
 		.strict()
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -90,7 +90,9 @@
 	const {hostList} = base;
 	const peers = await createPeers(base);
 	const {configuration, directory, lifecycle, membership} = peers;
-	const authority = createAuthority(base, tuning);
+	const authority = createAuthority(base, peers, tuning);
+	lifecycle.onDrain({name: 'leases', run: async () => authority[Symbol.asyncDispose]()});
+	peers.status.provide('leases', () => authority.heldGroups);
 	const front = createFront(base, peers, authority);
 	const server = createCallerServer({headerBytes: settings.limits['header-bytes']}, (request, response) => {
 		if (lifecycle.phase === 'draining') {
@@ -220,7 +222,7 @@
 	}));
 }
 
-function createAuthority({resources, settings, log, table, clock, hostList}: Base, tuning: DaemonTuning): Authority {
+function createAuthority({resources, settings, log, table, clock, hostList}: Base, {membership}: Peers, tuning: DaemonTuning): Authority {
 	return resources.use(new Authority({
 		log: log.part('authority'),
 		table,
@@ -229,6 +231,7 @@
 		daemon: settings.daemon.id,
 		availabilityZone: settings.daemon['availability-zone'],
 		hosts: () => hostList.hosts,
+		members: () => membership.livingInZone,
 		times: tuning.authorityTimes,
 	}));
 }
