Read the host list again only when it has changed, and measure slopes

Cause: each daemon read the whole host list each second; at 163 B a host the 12,420 hosts to design for would cost 2.0 MB/s against a limit of 13 KB/s. Change: the list is asked for with If-None-Match; npm run capacity measures how costs grow with size (three sizes each, least squares, residuals). Conclusion: cost of the list follows changes. A changed list is still sent whole, which is the next limit.

--- /dev/null
+++ b/bench/capacity/main.ts
@@ -0,0 +1,19 @@
+/**
+Measures how the cost of each part grows with its size, and prints one slope as a JSON object a line.
+*/
+import {configurationSlopes} from './configuration.ts';
+import {hostSlopes} from './hosts.ts';
+import {leaseSlopes} from './leases.ts';
+import {membershipSlopes} from './membership.ts';
+import {measureSlope} from './slope.ts';
+
+const measures = [
+	...membershipSlopes,
+	...hostSlopes,
+	...configurationSlopes,
+	...leaseSlopes,
+];
+
+for (const measure of measures) {
+	console.log(JSON.stringify(await measureSlope(measure)));
+}
--- a/src/platform/host-list.ts
+++ b/src/platform/host-list.ts
@@ -27,6 +27,7 @@
 }
 
 const readTimeoutMs = 2000;
+const notModified = 304;
 
 const targetGroups = z.array(z.object({
 	targets: z.array(z.string()),
@@ -40,9 +41,13 @@
 	}),
 }));
 
-/** Host list behind the Prometheus HTTP service-discovery JSON. */
+/** A list as last read, with the tag by which the server recognises it. */
+type Version = {readonly etag: string; readonly hosts: readonly Host[]};
+
+/** Host list behind the Prometheus HTTP service-discovery JSON; an unchanged list is not sent again. */
 export class HttpHostList extends HostList {
 	readonly #url: string;
+	#last: Version | undefined;
 
 	constructor(url: string) {
 		super();
@@ -51,19 +56,33 @@
 
 	async read(): Promise<Either<string, readonly Host[]>> {
 		try {
-			const response = await request(this.#url, {signal: AbortSignal.timeout(readTimeoutMs)});
-			const groups = targetGroups.parse(await response.body.json());
-			return Right(groups.flatMap(group => group.targets.map(address => ({
-				kind: group.labels.kind,
-				address,
-				id: group.labels.id,
-				availabilityZone: group.labels.availability_zone,
-				state: group.labels.state,
-				serves: group.labels.serves,
-				enforcesFencing: group.labels.fencing === 'enforced',
-			}))));
+			const response = await request(this.#url, {
+				signal: AbortSignal.timeout(readTimeoutMs),
+				headers: this.#last === undefined ? {} : {'if-none-match': this.#last.etag},
+			});
+			if (response.statusCode === notModified && this.#last !== undefined) {
+				await response.body.dump();
+				return Right(this.#last.hosts);
+			}
+
+			const hosts = parseHosts(await response.body.json());
+			const etag = response.headers.etag?.toString();
+			this.#last = etag === undefined ? undefined : {etag, hosts};
+			return Right(hosts);
 		} catch (error) {
 			return Left(error instanceof Error ? error.message : String(error));
 		}
 	}
 }
+
+function parseHosts(document: unknown): readonly Host[] {
+	return targetGroups.parse(document).flatMap(group => group.targets.map(address => ({
+		kind: group.labels.kind,
+		address,
+		id: group.labels.id,
+		availabilityZone: group.labels.availability_zone,
+		state: group.labels.state,
+		serves: group.labels.serves,
+		enforcesFencing: group.labels.fencing === 'enforced',
+	})));
+}
--- a/src/stand-ins/hosts/hosts-server.ts
+++ b/src/stand-ins/hosts/hosts-server.ts
@@ -1,3 +1,4 @@
+import {createHash} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Host} from '../../platform/host-list.ts';
 import {
@@ -36,7 +37,11 @@
 			this.setHosts(JSON.parse(await readText(request)) as readonly Host[]);
 		}
 
-		sendAnswer(response, {status: 200, body: this.#visible().map(host => toTargetGroup(host))});
+		const body = this.#visible().map(host => toTargetGroup(host));
+		const etag = `"${createHash('sha256').update(JSON.stringify(body)).digest('base64url')}"`;
+		sendAnswer(response, request.headers['if-none-match'] === etag
+			? {status: 304, headers: {etag}}
+			: {status: 200, headers: {etag}, body});
 	}
 
 	#visible(): readonly Host[] {
@@ -46,7 +51,8 @@
 	}
 }
 
-function toTargetGroup(host: Host): Record<string, unknown> {
+/** Converts a host to an entry of the Prometheus HTTP service-discovery JSON. */
+export function toTargetGroup(host: Host): Record<string, unknown> {
 	return {
 		targets: [host.address],
 		labels: {
