Measure the cost of the data path against a bare pass-through

Cause: the bounds on the data path were not measured.

Change: a benchmark runs the daemon, a bare pass-through and no server in turn, each in a process of its own between a token source and callers.

--- /dev/null
+++ b/bench/path-cost.ts
@@ -0,0 +1,128 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	atLeast, atMost, type Measure, type Measurement,
+} from './measure.ts';
+import {startWorker, type Worker} from './path-cost/messages.ts';
+
+type Mode = 'baseline' | 'daemon' | 'direct';
+
+type Ports = {
+	readonly enginePort: number;
+	readonly platformPort: number;
+	readonly hostsPort: number;
+};
+
+type Run = {
+	readonly tokensPerSecond: number;
+	readonly failures: number;
+	readonly firstTokenP99Ms: number;
+	readonly cpuUsPerToken: number;
+	/** Processor time per wall time; 1 is one core. */
+	readonly cores: number;
+	readonly residentMegabytes: number;
+};
+
+type Load = {
+	readonly streams: number;
+	/** Tokens of each stream. */
+	readonly tokens: number;
+};
+
+const targetTokensPerSecond = 21_400;
+const targetStreams = 814;
+const residentBoundMegabytes = 256;
+const cpuRatioBound = 1.5;
+const addedFirstTokenBoundMs = 5;
+/** Tokens of an answer at design size: 9 million tokens in 26,000 requests a second. */
+const answerTokens = 346;
+/** Short answers give enough first tokens for a p99. */
+const shortAnswerTokens = 60;
+const warmUpMs = 1500;
+const measureMs = 3000;
+const rounds = 3;
+/** Streams emit a token each 38 ms; a load that is offered in full may fall short by the rounding of its window. */
+const fullShare = 0.99;
+
+/** Processor time, memory and first token of the data path, against a bare pass-through and no server at all. */
+export const pathCost: Measure = {
+	name: 'path-cost',
+	deterministic: false,
+	async run() {
+		const load = {streams: targetStreams, tokens: answerTokens};
+		const baselines: Run[] = [];
+		const daemons: Run[] = [];
+		for (let round = 0; round < rounds; round += 1) {
+			baselines.push(await runOnce('baseline', load));
+			daemons.push(await runOnce('daemon', load));
+		}
+
+		const cpu = median(daemons.map(run => run.cpuUsPerToken));
+		const baselineCpu = median(baselines.map(run => run.cpuUsPerToken));
+		const worst = daemons.toSorted((a, b) => b.residentMegabytes - a.residentMegabytes)[0]!;
+		return [
+			atMost('path cpu per token', round3(cpu), 'us', {bound: round3(baselineCpu * cpuRatioBound), baseline: round3(baselineCpu)}),
+			atLeast('path tokens', Math.round(median(daemons.map(run => run.tokensPerSecond))), 'tokens/s', {bound: Math.round(targetTokensPerSecond * fullShare)}),
+			atMost('path cores', round3(median(daemons.map(run => run.cores))), 'cores', {bound: 1, baseline: round3(median(baselines.map(run => run.cores)))}),
+			atMost('path resident memory', Math.round(worst.residentMegabytes), 'MB', {bound: residentBoundMegabytes, baseline: Math.round(median(baselines.map(run => run.residentMegabytes)))}),
+			atMost('path failures', sum(daemons.map(run => run.failures)), 'streams', {bound: 0}),
+			await measureFirstToken(cpu),
+		];
+	},
+};
+
+/** Measures at half of the load at which the daemon would use one core. */
+async function measureFirstToken(cpuUsPerToken: number): Promise<Measurement> {
+	const tokensPerSecondAtSaturation = 1_000_000 / cpuUsPerToken;
+	const streams = Math.round(targetStreams * tokensPerSecondAtSaturation / 2 / targetTokensPerSecond);
+	const load = {streams, tokens: shortAnswerTokens};
+	const added: number[] = [];
+	const direct: number[] = [];
+	for (let round = 0; round < rounds; round += 1) {
+		const without = await runOnce('direct', load);
+		const through = await runOnce('daemon', load);
+		direct.push(without.firstTokenP99Ms);
+		added.push(through.firstTokenP99Ms - without.firstTokenP99Ms);
+	}
+
+	return atMost('path added first token p99', round3(median(added)), 'ms', {bound: addedFirstTokenBoundMs, baseline: round3(median(direct))});
+}
+
+export async function runOnce(mode: Mode, load: Load): Promise<Run> {
+	await using upstream = startWorker('./upstream-process.ts');
+	await using server = startWorker('./server-process.ts');
+	await using callers = startWorker('./load-process.ts');
+	const ports = await upstream.ask<Ports>({kind: 'start'});
+	const port = mode === 'direct' ? ports.enginePort : await startServer(server, mode, ports);
+	const {rampMs} = await callers.ask<{readonly rampMs: number}>({kind: 'start', port, ...load});
+	await delay(rampMs + warmUpMs);
+	await server.ask({kind: 'begin'});
+	await callers.ask({kind: 'begin'});
+	await delay(measureMs);
+	const cost = await server.ask<{readonly cpuMs: number; readonly wallMs: number; readonly highestResidentBytes: number}>({kind: 'end'});
+	const result = await callers.ask<{readonly tokens: number; readonly failures: number; readonly firstTokenP99Ms: number}>({kind: 'end'});
+	return {
+		tokensPerSecond: result.tokens * 1000 / cost.wallMs,
+		failures: result.failures,
+		firstTokenP99Ms: result.firstTokenP99Ms,
+		cpuUsPerToken: cost.cpuMs * 1000 / result.tokens,
+		cores: cost.cpuMs / cost.wallMs,
+		residentMegabytes: cost.highestResidentBytes / 1_000_000,
+	};
+}
+
+async function startServer(server: Worker, mode: Mode, ports: Ports): Promise<number> {
+	const {port} = await server.ask<{readonly port: number}>({kind: 'start', mode, ...ports});
+	return port;
+}
+
+function median(values: readonly number[]): number {
+	return values.toSorted((a, b) => a - b)[Math.floor(values.length / 2)]!;
+}
+
+function sum(values: readonly number[]): number {
+	return values.reduce((total, value) => total + value, 0);
+}
+
+function round3(value: number): number {
+	return Math.round(value * 1000) / 1000;
+}
--- /dev/null
+++ b/bench/path-cost/messages.ts
@@ -0,0 +1,47 @@
+import {fork, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import process from 'node:process';
+
+/** Request of the benchmark to one of its processes. */
+export type Command = {readonly kind: string} & Readonly<Record<string, unknown>>;
+
+/** A process of the benchmark that answers one command at a time. */
+export type Worker = AsyncDisposable & {
+	readonly ask: <Reply>(command: Command) => Promise<Reply>;
+};
+
+/** Starts a module of this folder as a process of its own, so that its processor time can be told apart. */
+export function startWorker(module: string, environment: Readonly<Record<string, string>> = {}): Worker {
+	const child: ChildProcess = fork(new URL(module, import.meta.url), {env: {...process.env, ...environment}});
+	return {
+		async ask<Reply>(command: Command): Promise<Reply> {
+			const {promise, resolve, reject} = Promise.withResolvers<Reply>();
+			const fail = () => {
+				reject(new Error(`${module} ended before it answered "${command.kind}"`));
+			};
+
+			child.once('exit', fail);
+			child.once('message', resolve as (reply: unknown) => void);
+			child.send(command);
+			const reply = await promise;
+			child.off('exit', fail);
+			return reply;
+		},
+		async [Symbol.asyncDispose]() {
+			const exit = once(child, 'exit');
+			child.kill('SIGKILL');
+			await exit;
+		},
+	};
+}
+
+/** Answers commands in a started process. */
+export function answerCommands(handlers: Readonly<Record<string, (command: Command) => unknown>>): void {
+	const answer = async (command: Command) => {
+		process.send!(await handlers[command.kind]!(command) ?? {});
+	};
+
+	process.on('message', (command: Command) => {
+		void answer(command);
+	});
+}
