Start the measure of the path once all streams run

Cause: callers that arrived within a second met a cold server, and first tokens of up to 4.5 s were counted. Change: callers arrive one by one, and the measure waits for all of them.

--- a/bench/path-cost/load-process.ts
+++ b/bench/path-cost/load-process.ts
@@ -1,5 +1,6 @@
 /** Process of the callers: streams on raw sockets, each followed by the next on the same connection. */
 import {connect, type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {build as buildHistogram, type Histogram} from 'hdr-histogram-js';
 import {SeededRandom} from '../../src/process/random.ts';
 import {answerCommands, type Command} from './messages.ts';
@@ -14,12 +15,16 @@
 const endMark = 'data: [DONE]';
 const lastChunk = '0\r\n\r\n';
 const microsecondsPerMs = 1000;
+/** Callers arrive one by one, so that the start of a cold server is not part of the measure. */
+const rampStepMs = 4;
+const pollIntervalMs = 20;
 
 const sockets = new Set<Socket>();
 const random = new SeededRandom(1);
 let firstTokenUs: Histogram = buildHistogram();
 let tokens = 0;
 let failures = 0;
+let running = 0;
 
 function send(socket: Socket, count: number): void {
 	const body = JSON.stringify({
@@ -36,14 +41,18 @@
 		socket.setNoDelay(true);
 		let sentMs = performance.now();
 		let isWaiting = true;
+		let isFirst = true;
 		let tail = '';
 		send(socket, 1 + random.integer(count));
 		socket.on('data', (chunk: Uint8Array) => {
 			const text = new TextDecoder('latin1').decode(chunk);
 			const events = text.split('data: {').length - 1;
 			tokens += events;
+			failures += text.startsWith('HTTP/1.1 ') && !text.startsWith('HTTP/1.1 200') ? 1 : 0;
 			if (isWaiting && events > 0) {
 				isWaiting = false;
+				running += isFirst ? 1 : 0;
+				isFirst = false;
 				firstTokenUs.recordValue((performance.now() - sentMs) * microsecondsPerMs);
 			}
 
@@ -64,12 +73,15 @@
 answerCommands({
 	start(command: Command) {
 		const load = command as unknown as Load & Command;
-		const rampMs = load.streams;
 		for (let index = 0; index < load.streams; index += 1) {
-			openStream(load, index * rampMs / load.streams);
+			openStream(load, index * rampStepMs);
+		}
+	},
+	/** Answers once each stream has had a token. */
+	async running({streams}: Command) {
+		while (running < Number(streams)) {
+			await delay(pollIntervalMs);
 		}
-
-		return {rampMs};
 	},
 	begin() {
 		tokens = 0;
