Keep the young generation of a daemon's heap small

Cause: V8 grows the young generation to 48 MB under a relay load, for buffers that live for milliseconds; the daemon had 304 MB resident. Change: the growth factor is set to 1 when serve starts. The maximum size cannot be changed once the process runs.

--- a/bench/path-cost/server-process.ts
+++ b/bench/path-cost/server-process.ts
@@ -4,6 +4,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {Agent} from 'undici';
 import {listen} from '../../src/connection/http-listener.ts';
+import {limitYoungGeneration} from '../../src/process/heap.ts';
 import {createLog} from '../../src/process/log.ts';
 import {createDaemon} from '../../src/process/wiring.ts';
 import {parseSettings} from '../../src/version/settings.ts';
@@ -45,6 +46,8 @@
 }
 
 async function startDaemon({platformPort, hostsPort}: Command) {
+	// As `wagtailtack serve` does.
+	limitYoungGeneration();
 	const text = [
 		'[daemon]',
 		'id = bench',
--- a/src/process/cli/serve-command.ts
+++ b/src/process/cli/serve-command.ts
@@ -2,6 +2,7 @@
 import type {CommandModule} from 'yargs';
 import {formatFinding} from '../../version/finding.ts';
 import {readSettings, type Settings} from '../../version/settings.ts';
+import {limitYoungGeneration} from '../heap.ts';
 import {createLog} from '../log.ts';
 import {createDaemon} from '../wiring.ts';
 import {exitCode} from './exit-code.ts';
@@ -29,6 +30,7 @@
 };
 
 async function serve(settings: Settings): Promise<void> {
+	limitYoungGeneration();
 	const log = createLog(settings.logs.level);
 	await using daemon = await createDaemon(settings, log);
 	await waitForTermination();
