--- a/src/process/authority.ts
+++ b/src/process/authority.ts
@@ -39,8 +39,8 @@
 	readonly daemon: string;
 	readonly availabilityZone: string;
 	readonly hosts: () => readonly Host[];
-	/** Live daemons of the availability zone. @default the daemons of the host list */
-	readonly members?: () => readonly string[];
+	/** Live daemons of the availability zone. */
+	readonly members: () => readonly string[];
 	/** @default authorityTimes */
 	readonly times?: AuthorityTimes;
 };
@@ -56,6 +56,7 @@
 	readonly #times: AuthorityTimes;
 	readonly #board: PlanBoard;
 	readonly #groups = new Map<string, GroupTasks>();
+	#resigned: Promise<void> | undefined;
 
 	constructor(options: AuthorityOptions) {
 		super(options.log);
@@ -80,8 +81,18 @@
 		this.start({message: 'poll', intervalMs: groupPollMs});
 	}
 
+	/** Stops giving orders, then gives the leases up, so that no order follows the release of a lease. */
+	async resign(): Promise<void> {
+		this.#resigned ??= this.#resign();
+		return this.#resigned;
+	}
+
 	protected receive(): void {
-		const {hosts, availabilityZone, daemon, members = () => this.#listedMembers()} = this.#options;
+		if (this.#resigned !== undefined) {
+			return;
+		}
+
+		const {hosts, availabilityZone, daemon, members} = this.#options;
 		const engines = hosts().filter(host => host.kind === 'engine' && host.availabilityZone === availabilityZone);
 		const zoneMembers = [...new Set([...members(), daemon])];
 		const names = new Set(engines.map(host => groupName(host.serves, availabilityZone)));
@@ -96,22 +107,18 @@
 		}
 	}
 
-	/** Stops orders first, so that none follows the release of a lease. */
 	protected override async release(): Promise<void> {
+		await this.resign();
+		await this.#board[Symbol.asyncDispose]();
+	}
+
+	async #resign(): Promise<void> {
 		const groups = [...this.#groups.values()];
 		await Promise.all(groups.map(async ({orders}) => orders[Symbol.asyncDispose]()));
 		await Promise.all(groups.map(async ({lease}) => {
 			await lease.resign(resignLimitMs);
 			await lease[Symbol.asyncDispose]();
 		}));
-		await this.#board[Symbol.asyncDispose]();
-	}
-
-	#listedMembers(): readonly string[] {
-		const {hosts, availabilityZone} = this.#options;
-		return hosts()
-			.filter(host => host.kind === 'daemon' && host.availabilityZone === availabilityZone && host.state === 'live')
-			.map(host => host.id);
 	}
 
 	#startGroup(group: string): GroupTasks {
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -1,37 +1,61 @@
+import {randomInt} from 'node:crypto';
 import {createCallerServer} from '../connection/caller-server.ts';
 import {closeAbruptly, listen} from '../connection/http-listener.ts';
-import {createUpstreamClient} from '../connection/upstream-client.ts';
+import {OpenPeerAuthority} from '../connection/peer-authority.ts';
+import {PeerClients} from '../connection/peer-clients.ts';
+import {PeerServer} from '../connection/peer-server.ts';
+import {probeUpstream} from '../connection/probe.ts';
+import {UpstreamPool} from '../connection/upstream-pool.ts';
 import {DynamoTable} from '../platform/dynamo-table.ts';
 import {HttpEngine} from '../platform/engine.ts';
-import {HttpHostList, type Host} from '../platform/host-list.ts';
-import {HttpObjectStore} from '../platform/object-store.ts';
+import {HttpHostList} from '../platform/host-list.ts';
+import {HttpObjectStore, type ObjectStore} from '../platform/object-store.ts';
 import {OpenAdmission} from '../request/admission.ts';
 import {ByteBudget} from '../request/byte-budget.ts';
-import type {Call} from '../request/call.ts';
-import {AbsentClaimStore} from '../request/claim-store.ts';
+import type {ClaimStore} from '../request/claim-store.ts';
 import {EmptyCrashRegister} from '../request/crash-register.ts';
 import {RetryBudget} from '../request/retry-budget.ts';
 import {LeastOutstandingRouter} from '../request/router.ts';
+import type {RequestDemand} from '../request/request-demand.ts';
+import type {Table} from '../platform/table.ts';
+import {resolveRoute, type Contract} from '../version/contract.ts';
 import type {Settings} from '../version/settings.ts';
+import {ClaimSettler} from './claims/claim-settler.ts';
+import {ClaimSweeper} from './claims/claim-sweeper.ts';
+import {PlatformClaimStore} from './claims/platform-claim-store.ts';
+import {groupedWrites, WriteBatcher} from './claims/write-batcher.ts';
 import {parseAddress, type Address} from './address.ts';
 import {Authority, type AuthorityTimes} from './authority.ts';
-import {SystemClock} from './clock.ts';
-import {NoPeerConfigurationSource} from './configuration/peer-configuration-source.ts';
+import {SystemClock, type Clock} from './clock.ts';
+import {PeerConfigurationClient} from './configuration/peer-configuration-client.ts';
 import {ConfigurationTask} from './configuration-task.ts';
 import {HostListPoller} from './host-list-poller.ts';
+import {Lifecycle} from './lifecycle.ts';
 import type {Log} from './log.ts';
+import type {Member} from './membership/member.ts';
+import {Membership} from './membership/membership.ts';
+import {MembershipTask} from './membership-task.ts';
 import {Metrics} from './metrics.ts';
+import {createPeerHandlers, type PeerAnswerers} from './peer-handlers.ts';
+import {SeededRandom} from './random.ts';
 import {RequestFront} from './request-front.ts';
+import {provideStatus} from './status-sections.ts';
+import {StatusRegistry} from './status-registry.ts';
 import {createTraces} from './traces.ts';
+import {UpstreamDirectory} from './upstream-directory.ts';
 
 /** A running daemon. */
 export type Daemon = AsyncDisposable & {
 	/** Address at which callers are served. */
 	readonly address: Address;
+	/** Address of the peer protocol. */
+	readonly peerAddress: Address;
 	/** True once configuration and hosts are known. */
 	readonly isReady: () => boolean;
 	/** Leases and orders of this daemon. */
 	readonly authority: Authority;
+	/** Stops accepting requests and resolves when all in flight have ended. */
+	readonly drain: () => Promise<void>;
 };
 
 /** Durations that tests shorten. */
@@ -40,79 +64,260 @@
 	readonly authorityTimes?: AuthorityTimes;
 };
 
+/** What most parts of the daemon are built from. */
+type Base = {
+	readonly resources: AsyncDisposableStack;
+	readonly settings: Settings;
+	readonly log: Log;
+	readonly clock: Clock;
+	readonly table: Table;
+	readonly objects: ObjectStore;
+	readonly hostList: HostListPoller;
+	/** Wall time at which the daemon started, in milliseconds. */
+	readonly incarnation: number;
+};
+
 /** Limit on the memory that all request bodies hold together. */
 const heldBodyBytes = 64 * 1024 * 1024;
+/** Daemons of a zone that read the configuration's head each second. */
+const configurationPollers = 2;
+const maxSeed = 2 ** 31;
 
 /** Constructs the daemon from its parts and starts it. */
 export async function createDaemon(settings: Settings, log: Log, tuning: DaemonTuning = {}): Promise<Daemon> {
 	const resources = new AsyncDisposableStack();
-	const table = resources.use(new DynamoTable({
-		endpoint: settings.platform.table,
-		tableName: settings.platform['table-name'],
-	}));
-	const hostList = resources.use(new HostListPoller(log.part('hosts'), new HttpHostList(settings.platform.hosts)));
-	const clock = new SystemClock();
-	const configuration = resources.use(new ConfigurationTask({
+	const base = createBase(resources, settings, log);
+	const {hostList} = base;
+	const peers = await createPeers(base);
+	const {configuration, directory, lifecycle, membership} = peers;
+	const authority = createAuthority(base, peers, tuning);
+	const front = createFront(base, peers, authority);
+	const server = createCallerServer({headerBytes: settings.limits['header-bytes']}, (request, response) => {
+		if (lifecycle.phase === 'draining') {
+			response.setHeader('connection', 'close');
+		}
+
+		void front.handle(request, response);
+	});
+	provideStatus(peers.status, {
+		settings, hostList, directory, membership, lifecycle, configuration,
+	});
+	peers.answer({membership, configuration, status: peers.status});
+	membership.run();
+	hostList.run();
+	configuration.run();
+	authority.run();
+	const address = await listen(server, parseAddress(settings.daemon.listen));
+	resources.defer(async () => closeAbruptly(server));
+	log.info('Daemon started.', {id: settings.daemon.id, address, peerAddress: peers.address});
+	return {
+		address,
+		peerAddress: peers.address,
+		isReady: () => lifecycle.phase === 'ready',
+		authority,
+		drain: async () => lifecycle.drain(server),
+		[Symbol.asyncDispose]: async () => resources.disposeAsync(),
+	};
+}
+
+function createBase(resources: AsyncDisposableStack, settings: Settings, log: Log): Base {
+	return {
+		resources,
+		settings,
+		log,
+		clock: new SystemClock(),
+		table: resources.use(new DynamoTable({
+			endpoint: settings.platform.table,
+			tableName: settings.platform['table-name'],
+		})),
+		objects: new HttpObjectStore(settings.platform.objects),
+		hostList: resources.use(new HostListPoller(log.part('hosts'), new HttpHostList(settings.platform.hosts))),
+		incarnation: Date.now(),
+	};
+}
+
+/** What a daemon shares with its peers: membership, configuration and its own phase. */
+type Peers = {
+	readonly address: Address;
+	readonly membership: MembershipTask;
+	readonly configuration: ConfigurationTask;
+	readonly directory: UpstreamDirectory;
+	readonly lifecycle: Lifecycle;
+	readonly status: StatusRegistry;
+	/** Starts answering peers. */
+	readonly answer: (answerers: PeerAnswerers) => void;
+};
+
+async function createPeers(base: Base): Promise<Peers> {
+	const {resources, settings, log, clock, table, objects, hostList} = base;
+	const clients = resources.use(new PeerClients(new OpenPeerAuthority()));
+	const answerers = Promise.withResolvers<PeerAnswerers>();
+	const peerServer = resources.use(new PeerServer(createPeerHandlers(answerers.promise), new OpenPeerAuthority()));
+	const address = await peerServer.listen(parseAddress(settings.daemon['peer-listen']));
+	const lifecycle = new Lifecycle({
+		log: log.part('lifecycle'),
+		balancerDelayMs: settings.shutdown['balancer-delay-ms'],
+		isPrepared: () => configuration.isLoaded && hostList.hosts.length > 0,
+		onDraining() {
+			membership.noticePhase();
+		},
+	});
+	const membership = createMembership(base, {address, clients, lifecycle});
+	const configuration: ConfigurationTask = resources.use(new ConfigurationTask({
 		log: log.part('configuration'),
 		clock,
 		table,
-		objects: new HttpObjectStore(settings.platform.objects),
-		peers: new NoPeerConfigurationSource(),
-		isPoller: () => true,
+		objects,
+		peers: new PeerConfigurationClient(() => membership.members, clients),
+		isPoller: () => membership.isAmongFirst('configuration', configurationPollers),
+		onApplied(version) {
+			membership.setConfigurationVersion(version);
+		},
+	}));
+	hostList.subscribe(hosts => {
+		membership.hostsSeen(hosts);
+	});
+	membership.subscribe(event => {
+		if (event.kind === 'version') {
+			configuration.noticePeers();
+		}
+	});
+	return {
+		address,
+		membership,
+		configuration,
+		directory: new UpstreamDirectory({
+			hosts: () => hostList.hosts,
+			isLeaving: upstream => membership.isLeaving(upstream),
+			leavingVersion: () => membership.leavingVersion,
+		}),
+		lifecycle,
+		status: new StatusRegistry(),
+		answer: answerers.resolve,
+	};
+}
+
+function createMembership(
+	{resources, settings, log, clock, hostList, incarnation}: Base,
+	{address, clients, lifecycle}: {readonly address: Address; readonly clients: PeerClients; readonly lifecycle: Lifecycle},
+): MembershipTask {
+	return resources.use(new MembershipTask({
+		log: log.part('membership'),
+		clock,
+		clients,
+		membership: new Membership({
+			id: settings.daemon.id,
+			availabilityZone: settings.daemon['availability-zone'],
+			peerUrl: `http://${address.host}:${address.port}`,
+			incarnation,
+			random: new SeededRandom(randomInt(maxSeed)),
+		}),
+		phase: () => lifecycle.peerPhase,
+		async probe(upstream) {
+			const host = hostList.hosts.find(({id}) => id === upstream);
+			return host === undefined ? 'silent' : probeUpstream(`http://${host.address}`);
+		},
 	}));
+}
+
+function createAuthority(
+	{resources, settings, log, table, clock, hostList}: Base,
+	{membership, lifecycle}: Peers,
+	tuning: DaemonTuning,
+): Authority {
+	const availabilityZone = settings.daemon['availability-zone'];
 	const authority = resources.use(new Authority({
 		log: log.part('authority'),
 		table,
 		clock,
 		engine: new HttpEngine(),
 		daemon: settings.daemon.id,
-		availabilityZone: settings.daemon['availability-zone'],
+		availabilityZone,
 		hosts: () => hostList.hosts,
+		members: () => membership.members
+			.filter(member => member.availabilityZone === availabilityZone && member.condition !== 'dead')
+			.map(member => member.id),
 		times: tuning.authorityTimes,
 	}));
-	const dispatcher = resources.adopt(createUpstreamClient(), async client => client.destroy());
+	lifecycle.onDrain({name: 'leases', run: async () => authority.resign()});
+	return authority;
+}
+
+function createUpstreamPool({resources, clock, log}: Base, {directory, membership}: Peers): UpstreamPool {
+	const poolLog = log.part('connections');
+	const markLeaving = (origin: string) => {
+		const upstream = directory.at(origin);
+		if (upstream !== undefined) {
+			membership.leavingSeen(upstream.id, true);
+		}
+	};
+
+	return resources.use(new UpstreamPool(clock, {
+		leavingSeen: markLeaving,
+		refused: markLeaving,
+		silentSeen(origin, closed) {
+			poolLog.warn('Silent connections were closed.', {origin, closed});
+		},
+	}));
+}
+
+function createFront(base: Base, peers: Peers, authority: Authority): RequestFront {
+	const {resources, settings, log, clock} = base;
+	const {configuration, directory, lifecycle} = peers;
 	const traces = resources.use(createTraces(settings.daemon.id, settings.traces.endpoint));
-	const isReady = () => configuration.isLoaded && hostList.hosts.length > 0;
-	const liveHosts = () => hostList.hosts.filter(host => host.state === 'live');
 	const metrics = new Metrics();
-	const front = new RequestFront({
+	return new RequestFront({
 		log: log.part('front'),
 		clock,
-		dispatcher,
+		dispatcher: createUpstreamPool(base, peers),
 		metrics,
 		tracer: traces.tracer,
 		bodyLimits: {bodyBytes: settings.limits['body-bytes'], budget: new ByteBudget(heldBodyBytes)},
 		keys: () => configuration.keys,
-		models: () => [...new Set(liveHosts().filter(host => host.kind === 'engine').map(host => host.serves))].toSorted(),
-		upstreams: call => liveHosts().filter(host => !authority.draining.has(host.id) && serves(host, call)),
-		isReady,
-		isUnrepeatableRoute: () => false,
+		models: () => directory.models,
+		upstreams: call => directory.serving(call).filter(({id}) => !authority.draining.has(id)),
+		isReady: () => lifecycle.phase === 'ready',
+		isUnrepeatableRoute: demand => isUnrepeatable(configuration.contracts.get(demand.customer), demand),
 		admission: new OpenAdmission(),
-		claimStore: new AbsentClaimStore(),
+		claimStore: createClaimStore(base, peers),
 		crashRegister: new EmptyCrashRegister(),
 		router: new LeastOutstandingRouter(),
 		retryBudget: new RetryBudget(),
 		listeners: [metrics],
 	});
-	const server = createCallerServer({headerBytes: settings.limits['header-bytes']}, (request, response) => {
-		void front.handle(request, response);
+}
+
+/** Creates the claims and what runs for them in the background. */
+function createClaimStore(
+	{resources, settings, log, table, objects, incarnation}: Base,
+	{membership}: Peers,
+): ClaimStore {
+	const daemon = toClaimOwner(settings.daemon.id, incarnation);
+	const claimLog = log.part('claims');
+	const batcher = new WriteBatcher(table, groupedWrites);
+	const settler = resources.use(new ClaimSettler({
+		log: claimLog, table, objects, batcher,
+	}));
+	const now = () => Date.now();
+	const sweeper = resources.use(new ClaimSweeper({
+		log: claimLog, table, objects, isSweeper: () => membership.isAmongFirst('claims', 1), now,
+	}));
+	sweeper.run();
+	return new PlatformClaimStore({
+		table, objects, batcher, settler, daemon, isLive: name => name === daemon || membership.members.some(isOwner(name)), now,
 	});
-	hostList.run();
-	configuration.run();
-	authority.run();
-	const address = await listen(server, parseAddress(settings.daemon.listen));
-	resources.defer(async () => closeAbruptly(server));
-	log.info('Daemon started.', {id: settings.daemon.id, address});
-	return {
-		address,
-		isReady,
-		authority,
-		[Symbol.asyncDispose]: async () => resources.disposeAsync(),
-	};
 }
 
-function serves(host: Host, call: Call): boolean {
-	return call.kind === 'model'
-		? host.kind === 'engine' && host.serves === call.model
-		: host.kind === 'service' && host.serves === call.service;
+function isUnrepeatable(contract: Contract | undefined, {method, call}: RequestDemand): boolean {
+	const path = call.kind === 'service' ? `/services/${call.service}${call.path}` : call.path;
+	return contract !== undefined && (resolveRoute(contract, method, path)?.unrepeatable ?? false);
+}
+
+/** Name of one run of a daemon; a restarted daemon does not own the claims of its former run. */
+function toClaimOwner(id: string, incarnation: number): string {
+	return `${id}@${incarnation}`;
+}
+
+function isOwner(name: string): (member: Member) => boolean {
+	return ({id, incarnation, condition}) => condition !== 'dead' && toClaimOwner(id, incarnation) === name;
 }
--- a/src/request/claim-store.ts
+++ b/src/request/claim-store.ts
@@ -24,6 +24,9 @@
 
 	/** Gives the claim up; only called when no byte of the request has reached an upstream. */
 	abstract release(): Promise<void>;
+
+	/** Records that the request may have run and that its answer is not known; it is never dispatched again. */
+	abstract abandon(): Promise<void>;
 }
 
 /** Result of a claim: the right to dispatch, or the answer of an earlier dispatch. */
