--- a/src/process/orders/engine-controller.ts
+++ b/src/process/orders/engine-controller.ts
@@ -55,14 +55,15 @@
 		return this.#facts.intent === undefined || this.#facts.intent.body?.phase === 'pending';
 	}
 
-	/** Reads the engine's state at its present address. */
-	async read(address = this.#address): Promise<void> {
+	/** Reads the engine's state at its present address; false when it does not answer. */
+	async read(address = this.#address): Promise<boolean> {
 		this.#address = address;
 		const startedAt = this.#options.clock.now();
 		const state = await this.#options.engine.readState(address);
 		state.ifRight(value => {
 			this.#facts = recordReading(this.#facts, {state: value, startedAt, answeredAt: this.#options.clock.now()});
 		});
+		return state.isRight();
 	}
 
 	/** Takes one action towards a goal; true when another action may follow at once. */
@@ -71,7 +72,8 @@
 			...this.#options.intent, tenure: this.#tenure, now: this.#options.clock.now(),
 		});
 		switch (action.kind) {
-			case 'none': {
+			case 'none':
+			case 'wait': {
 				return false;
 			}
 
@@ -85,8 +87,7 @@
 			}
 
 			case 'read-engine': {
-				await this.read();
-				return false;
+				return this.read();
 			}
 
 			case 'write': {
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -91,7 +91,6 @@
 	const peers = await createPeers(base);
 	const {configuration, directory, lifecycle, membership} = peers;
 	const authority = createAuthority(base, peers, tuning);
-	lifecycle.onDrain({name: 'leases', run: async () => authority[Symbol.asyncDispose]()});
 	peers.status.provide('leases', () => authority.heldGroups);
 	const front = createFront(base, peers, authority);
 	const server = createCallerServer({headerBytes: settings.limits['header-bytes']}, (request, response) => {
@@ -222,8 +221,12 @@
 	}));
 }
 
-function createAuthority({resources, settings, log, table, clock, hostList}: Base, {membership}: Peers, tuning: DaemonTuning): Authority {
-	return resources.use(new Authority({
+function createAuthority(
+	{resources, settings, log, table, clock, hostList}: Base,
+	{membership, lifecycle}: Peers,
+	tuning: DaemonTuning,
+): Authority {
+	const authority = resources.use(new Authority({
 		log: log.part('authority'),
 		table,
 		clock,
@@ -234,6 +237,8 @@
 		members: () => membership.livingInZone,
 		times: tuning.authorityTimes,
 	}));
+	lifecycle.onDrain({name: 'leases', run: async () => authority.resign()});
+	return authority;
 }
 
 function createUpstreamPool({resources, clock, log}: Base, {directory, membership}: Peers): UpstreamPool {
--- a/src/stand-ins/engine/order-endpoint.ts
+++ b/src/stand-ins/engine/order-endpoint.ts
@@ -118,7 +118,7 @@
 
 		sendAnswer(response, {
 			status: 503,
-			headers: {'wagtailtack-leaving': 'true', 'wagtailtack-ran': 'no', connection: 'close'},
+			headers: {'wagtailtack-ran': 'no'},
 			body: {error: {code: 'engine_draining', message: 'the engine takes no new work'}},
 		});
 		return true;
--- a/test/process/holder-succession.test.ts
+++ b/test/process/holder-succession.test.ts
@@ -48,7 +48,7 @@
 		const daemon = processes.use(await spawnProgram(['test/fixtures/authority-daemon.ts'], deployment.settingsText(id, zone)));
 		daemons.set(id, daemon);
 	}));
-	const first = await waitFor(async () => readLease(deployment, 1));
+	await waitFor(async () => readLease(deployment, 1));
 	const engines = deployment.engines.slice(0, 2);
 	const upstreams = [`${model}-${zone}-0`, `${model}-${zone}-1`];
 	const submitted = await submitPlan(deployment.platform.table, createPlan('p1', {
@@ -56,6 +56,8 @@
 	}));
 	expect(submitted.isRight()).toBe(true);
 	await waitFor(async () => (engines[0]!.orders.accepted.length > 0 ? true : undefined));
+	// The lease may have moved while the test waited on a busy machine.
+	const first = await waitFor(async () => readLease(deployment, 1));
 	const start = performance.now();
 	daemons.get(first.holder)!.child.kill(signal);
 	const second = await waitFor(async () => readLease(deployment, first.fencing + 1));
