--- /dev/null
+++ b/src/process/crashes/crash-row-task.ts
@@ -0,0 +1,165 @@
+import {z} from 'zod';
+import type {Row, RowKey, Table} from '../../platform/table.ts';
+import type {Log} from '../log.ts';
+import {Task} from '../task.ts';
+import type {CrashNews} from './crash-suspicion.ts';
+
+/** What the task needs from the rest of the daemon. */
+export type CrashRowTaskOptions = {
+	readonly log: Log;
+	readonly table: Table;
+	/** Takes in what other daemons have condemned. */
+	readonly learn: (news: CrashNews) => void;
+	/** Called each second. */
+	readonly tick: () => void;
+	/** True while this daemon is the one that deletes expired rows. */
+	readonly isSweeper: () => boolean;
+	/** Wall time in milliseconds. */
+	readonly now: () => number;
+};
+
+type Message
+	= | {readonly kind: 'tick'}
+		| {readonly kind: 'read'; readonly rows: readonly Row[]}
+		| {readonly kind: 'failed'; readonly message: string}
+		| {readonly kind: 'news'; readonly news: CrashNews};
+
+/** State of a row that is to be written; `refusedUntil` 0 deletes it. */
+type WantedRow = {readonly fingerprint: string; readonly refusedUntil: number};
+
+const tickIntervalMs = 1000;
+const ticksPerRead = 30;
+const rowLimit = 1000;
+const condemningReason = 'in flight in at least two crashes of upstreams';
+const rowSchema = z.object({fingerprint: z.string(), refusedUntil: z.number()});
+
+/** Keeps condemned requests in the platform's table, for daemons that start later or miss the news. */
+export class CrashRowTask extends Task<Message> {
+	readonly #options: CrashRowTaskOptions;
+	readonly #wanted = new Map<string, WantedRow>();
+	#ticks = 0;
+	#isWriting = false;
+
+	constructor(options: CrashRowTaskOptions) {
+		super(options.log);
+		this.#options = options;
+	}
+
+	/** Starts reading at once and then at each interval. */
+	run(): void {
+		this.start({message: {kind: 'tick'}, intervalMs: tickIntervalMs});
+	}
+
+	/** Records this daemon's own conclusions. */
+	record(news: CrashNews): void {
+		this.post({kind: 'news', news});
+	}
+
+	protected receive(message: Message): void {
+		switch (message.kind) {
+			case 'tick': {
+				this.#tick();
+				return;
+			}
+
+			case 'read': {
+				this.#learn(message.rows);
+				return;
+			}
+
+			case 'failed': {
+				this.log.warn('Condemned requests cannot be read or written.', {message: message.message});
+				return;
+			}
+
+			case 'news': {
+				this.#want(message.news);
+			}
+		}
+	}
+
+	#tick(): void {
+		this.#options.tick();
+		if (this.#ticks % ticksPerRead === 0) {
+			void this.#read();
+		}
+
+		this.#ticks += 1;
+		void this.#writeWanted();
+	}
+
+	#want(news: CrashNews): void {
+		if (news.kind === 'condemned') {
+			const {fingerprint, refusedForMs} = news;
+			this.#wanted.set(fingerprint, {fingerprint, refusedUntil: this.#options.now() + refusedForMs});
+		} else if (news.kind === 'cleared') {
+			this.#wanted.set(news.fingerprint, {fingerprint: news.fingerprint, refusedUntil: 0});
+		}
+	}
+
+	#learn(rows: readonly Row[]): void {
+		const now = this.#options.now();
+		for (const row of rows) {
+			const {fingerprint, refusedUntil} = rowSchema.parse(JSON.parse(row.body));
+			if (refusedUntil > now && this.#wanted.get(fingerprint)?.refusedUntil !== 0) {
+				this.#options.learn({kind: 'condemned', fingerprint, refusedForMs: refusedUntil - now});
+			} else if (refusedUntil <= now && this.#options.isSweeper()) {
+				this.#wanted.set(fingerprint, {fingerprint, refusedUntil: 0});
+			}
+		}
+	}
+
+	async #read(): Promise<void> {
+		const rows = await this.#options.table.query('crash', {limit: rowLimit});
+		rows.caseOf({
+			Left: failure => {
+				this.post({kind: 'failed', message: failure.kind});
+			},
+			Right: found => {
+				this.post({kind: 'read', rows: found});
+			},
+		});
+	}
+
+	/** Writes what is wanted; what fails stays wanted until the next tick. */
+	async #writeWanted(): Promise<void> {
+		if (this.#isWriting) {
+			return;
+		}
+
+		this.#isWriting = true;
+		try {
+			for (const row of this.#wanted.values()) {
+				if (await this.#write(row) && this.#wanted.get(row.fingerprint) === row) {
+					this.#wanted.delete(row.fingerprint);
+				}
+			}
+		} catch (error) {
+			this.post({kind: 'failed', message: String(error)});
+		}
+
+		this.#isWriting = false;
+	}
+
+	async #write({fingerprint, refusedUntil}: WantedRow): Promise<boolean> {
+		const {table} = this.#options;
+		const key: RowKey = {partition: 'crash', sort: fingerprint};
+		const read = await table.get(key);
+		if (read.isLeft()) {
+			return false;
+		}
+
+		const expected = read.toMaybe().extract()?.revision ?? 0;
+		if (refusedUntil === 0 && expected === 0) {
+			return true;
+		}
+
+		const body = JSON.stringify({fingerprint, refusedUntil, reason: condemningReason});
+		const written = await table.write([refusedUntil === 0
+			? {kind: 'delete', key, expected}
+			: {
+				kind: 'put', key, expected, body,
+			}]);
+		return written.isRight();
+	}
+}
