Keep requests that crash upstreams away on every daemon

Cause: the register of crashing requests was not in the daemon.

Change: the register listens to attempts, tells peers by CrashingRequest news (with the upstream and the age of the crash, so that several reports of one crash count once) and keeps condemned requests in crash rows; only daemons that have seen a crash themselves tell others. A refused request with an idempotency key is told unknown, as its key may have run.

Conclusion: a daemon that starts later refuses as well.

--- a/src/process/crashes/crash-ledger.ts
+++ b/src/process/crashes/crash-ledger.ts
@@ -94,6 +94,11 @@
 		return this.#recordsOf.get(fingerprint)?.length ?? 0;
 	}
 
+	/** True when this daemon has seen a crash with the request itself. */
+	hasSeen(fingerprint: string): boolean {
+		return this.#records.some(record => record.isOwn && record.fingerprints.has(fingerprint));
+	}
+
 	/** Place of a contested request among all of them, in an order that daemons share. */
 	rankOf(fingerprint: string): number {
 		return [...this.#recordsOf]
--- a/src/process/crashes/crash-suspicion.ts
+++ b/src/process/crashes/crash-suspicion.ts
@@ -34,6 +34,9 @@
 
 /** Time within which the attempts of a crashed upstream lose their connections, in milliseconds. */
 const episodeMs = 2000;
+
+/** Most requests of one crash that are reported to peers, for the bound on control traffic. */
+const reportLimit = 32;
 const completedLimit = 10_000;
 
 /** All checks. */
@@ -196,7 +199,7 @@
 		}
 
 		this.#ledger.addOwn(upstream, now, suspects);
-		for (const fingerprint of suspects) {
+		for (const fingerprint of [...suspects].slice(0, reportLimit)) {
 			this.#news.push({
 				kind: 'suspected', fingerprint, upstream, ageMs: 0,
 			});
@@ -207,11 +210,12 @@
 
 	#evaluate(now: number): void {
 		const {condemned, lifted} = this.#ledger.evaluate(now);
-		for (const fingerprint of condemned) {
+		// All daemons draw the same conclusions; only those that have seen a crash themselves spread them.
+		for (const fingerprint of condemned.filter(name => this.#ledger.hasSeen(name))) {
 			this.#news.push({kind: 'condemned', fingerprint, refusedForMs: refusalMs});
 		}
 
-		for (const fingerprint of lifted) {
+		for (const fingerprint of lifted.filter(name => this.#ledger.hasSeen(name))) {
 			this.#news.push({kind: 'cleared', fingerprint});
 		}
 	}
--- a/src/process/membership/news-queue.ts
+++ b/src/process/membership/news-queue.ts
@@ -138,7 +138,7 @@
 		}
 
 		case 'crashingRequest': {
-			return `crash ${origin} ${item.value.fingerprint}`;
+			return `crash ${origin} ${item.value.fingerprint} ${item.value.upstream}`;
 		}
 
 		case 'memberState': {
@@ -163,7 +163,8 @@
 	if (copy.item.case === 'upstreamLeaving') {
 		copy.item.value.ageMs += waited;
 	} else if (copy.item.case === 'crashingRequest') {
-		const {refusedForMs} = copy.item.value;
+		const {refusedForMs, upstream} = copy.item.value;
+		copy.item.value.ageMs += upstream === '' ? 0n : waited;
 		copy.item.value.refusedForMs = refusedForMs === 0n ? 0n : (refusedForMs > waited ? refusedForMs - waited : 1n);
 	}
 
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -13,7 +13,7 @@
 import {OpenAdmission} from '../request/admission.ts';
 import {ByteBudget} from '../request/byte-budget.ts';
 import type {ClaimStore} from '../request/claim-store.ts';
-import {EmptyCrashRegister} from '../request/crash-register.ts';
+import type {CrashRegister} from '../request/crash-register.ts';
 import {RetryBudget} from '../request/retry-budget.ts';
 import {LeastOutstandingRouter} from '../request/router.ts';
 import type {RequestDemand} from '../request/request-demand.ts';
@@ -24,6 +24,9 @@
 import {ClaimSweeper} from './claims/claim-sweeper.ts';
 import {PlatformClaimStore} from './claims/platform-claim-store.ts';
 import {groupedWrites, WriteBatcher} from './claims/write-batcher.ts';
+import {decodeCrashNews, encodeCrashNews} from './crashes/crash-news.ts';
+import {CrashRowTask} from './crashes/crash-row-task.ts';
+import {UpstreamCrashRegister} from './crashes/upstream-crash-register.ts';
 import {parseAddress, type Address} from './address.ts';
 import {Authority, type AuthorityTimes} from './authority.ts';
 import {SystemClock, type Clock} from './clock.ts';
@@ -270,7 +273,7 @@
 		isUnrepeatableRoute: demand => isUnrepeatable(configuration.contracts.get(demand.customer), demand),
 		admission: new OpenAdmission(),
 		claimStore: createClaimStore(base, peers),
-		crashRegister: new EmptyCrashRegister(),
+		crashRegister: createCrashRegister(base, peers),
 		router: new LeastOutstandingRouter(),
 		retryBudget: new RetryBudget(),
 		listeners: [metrics],
@@ -298,6 +301,36 @@
 	});
 }
 
+/** Creates the register of requests that crash upstreams, which hears of the crashes at other daemons. */
+function createCrashRegister({resources, log, clock, table}: Base, {membership}: Peers): CrashRegister {
+	const register = new UpstreamCrashRegister({
+		clock,
+		announce(news) {
+			membership.announce(encodeCrashNews(news));
+			rows.record(news);
+		},
+	});
+	const rows = resources.use(new CrashRowTask({
+		log: log.part('crashes'),
+		table,
+		learn(news) {
+			register.learn(news);
+		},
+		tick() {
+			register.tick();
+		},
+		isSweeper: () => membership.isAmongFirst('crashes', 1),
+		now: () => Date.now(),
+	}));
+	membership.subscribe(event => {
+		if (event.kind === 'news' && event.news.item.case === 'crashingRequest') {
+			register.learn(decodeCrashNews(event.news.item.value));
+		}
+	});
+	rows.run();
+	return register;
+}
+
 function isUnrepeatable(contract: Contract | undefined, {method, call}: RequestDemand): boolean {
 	const path = call.kind === 'service' ? `/services/${call.service}${call.path}` : call.path;
 	return contract !== undefined && (resolveRoute(contract, method, path)?.unrepeatable ?? false);
--- a/src/request/request-pipeline.ts
+++ b/src/request/request-pipeline.ts
@@ -50,12 +50,13 @@
 	/** Runs one request; an error is returned and not yet sent to the caller. */
 	async run(request: PipelineRequest): Promise<PipelineOutcome> {
 		const {intake: {demand, head}, trace} = request;
+		const {idempotencyKey} = head;
 		const condemned = this.#options.crashRegister.check(demand);
 		if (condemned !== undefined) {
-			return createFailure(condemned);
+			// An earlier submission with the same key may be the one that ran.
+			return createFailure(idempotencyKey === undefined ? condemned : {...condemned, ran: 'unknown'});
 		}
 
-		const {idempotencyKey} = head;
 		if (idempotencyKey === undefined) {
 			return this.#admit(request);
 		}
--- /dev/null
+++ b/test/process/crashes/crash-register.test.ts
@@ -0,0 +1,147 @@
+import {create} from '@bufbuild/protobuf';
+import {
+	afterEach, beforeEach, describe, expect, it, vi,
+} from 'vitest';
+import {CrashingRequestSchema} from '../../../src/generated/peer_pb.js';
+import type {Host} from '../../../src/platform/host-list.ts';
+import {ManualClock} from '../../../src/process/clock.ts';
+import {decodeCrashNews, encodeCrashNews} from '../../../src/process/crashes/crash-news.ts';
+import {CrashRowTask} from '../../../src/process/crashes/crash-row-task.ts';
+import type {CrashNews} from '../../../src/process/crashes/crash-suspicion.ts';
+import {UpstreamCrashRegister} from '../../../src/process/crashes/upstream-crash-register.ts';
+import {createLog} from '../../../src/process/log.ts';
+import type {AttemptEnd, AttemptStart} from '../../../src/request/attempt-listener.ts';
+import type {RequestDemand} from '../../../src/request/request-demand.ts';
+import {MemoryTable} from '../../../src/stand-ins/platform/memory-table.ts';
+import {succeed} from '../../either.ts';
+import {FaultyTable, type CallFault} from '../../fixtures/faulty-table.ts';
+
+const demand: RequestDemand = {
+	requestId: 'r',
+	customer: 'tuul',
+	method: 'POST',
+	call: {
+		kind: 'model', model: 'press', path: '/v1/completions', stream: false,
+	},
+	serviceClass: 'live',
+	fingerprint: 'p',
+	body: new Uint8Array(),
+};
+
+function attempt(attemptId: number, upstream: string): AttemptStart {
+	const host: Host = {
+		kind: 'engine', address: '', id: upstream, availabilityZone: '', state: 'live', serves: 'press', enforcesFencing: true,
+	};
+	return {
+		attemptId, demand, upstream: host, startMs: 0,
+	};
+}
+
+describe('UpstreamCrashRegister', () => {
+	function runTwice(end: Omit<AttemptEnd, 'ran' | 'totalMs'>) {
+		const clock = new ManualClock();
+		const news: CrashNews[] = [];
+		const register = new UpstreamCrashRegister({
+			clock,
+			announce(item) {
+				news.push(item);
+			},
+		});
+		for (const [index, upstream] of ['u1', 'u2'].entries()) {
+			register.attemptStarted(attempt(index, upstream));
+			register.attemptEnded(attempt(index, upstream), {...end, ran: 'unknown', totalMs: 10});
+		}
+
+		const first = register.check(demand);
+		clock.advance(2000);
+		register.tick();
+		return {first, settled: register.check(demand), news};
+	}
+
+	it('withholds and then refuses a request that two upstreams crashed under', () => {
+		const {first, settled, news} = runTwice({outcome: 'connection_lost', isLeaving: false});
+		expect(first).toMatchObject({status: 503, code: 'request_under_suspicion', ran: 'no'});
+		expect(settled).toMatchObject({status: 422, code: 'request_crashes_upstreams', ran: 'no'});
+		expect(news.map(item => item.kind)).toEqual(['suspected', 'suspected', 'condemned']);
+	});
+
+	// A refusal, a time-out or a cancellation is no crash; it must not get a request refused.
+	it.each<[string, Omit<AttemptEnd, 'ran' | 'totalMs'>]>([
+		['a refusal with 503', {outcome: 'connection_lost', status: 503, isLeaving: false}],
+		['a leaving upstream', {outcome: 'connection_lost', isLeaving: true}],
+		['a time-out', {outcome: 'timed_out', isLeaving: false}],
+		['a cancellation', {outcome: 'cancelled', isLeaving: false}],
+		['an unreachable upstream', {outcome: 'not_sent', isLeaving: false}],
+	])('does not count %s', (_, end) => {
+		const {first, settled, news} = runTwice(end);
+		expect([first, settled, news]).toEqual([undefined, undefined, []]);
+	});
+});
+
+describe('crash news', () => {
+	it.each<CrashNews>([
+		{
+			kind: 'suspected', fingerprint: 'p', upstream: 'u1', ageMs: 40,
+		},
+		{kind: 'condemned', fingerprint: 'p', refusedForMs: 600_000},
+		{kind: 'cleared', fingerprint: 'p'},
+	])('carries $kind to peers', news => {
+		const item = encodeCrashNews(news);
+		expect(item.case === 'crashingRequest' && decodeCrashNews(create(CrashingRequestSchema, item.value))).toEqual(news);
+	});
+});
+
+describe('CrashRowTask', () => {
+	beforeEach(() => {
+		vi.useFakeTimers();
+	});
+
+	afterEach(() => {
+		vi.useRealTimers();
+	});
+
+	// A daemon that starts during the 10 minutes, or misses the news, must refuse as well.
+	it('brings a condemned request to a daemon that starts later, through a store outage', async () => {
+		const table = new MemoryTable();
+		const faults: CallFault[] = ['unavailable', 'none', 'unavailable', 'lost-after'];
+		await using writer = createTask(new FaultyTable(table, () => faults.shift() ?? 'none'), []);
+		writer.record({kind: 'condemned', fingerprint: 'p', refusedForMs: 600_000});
+		await vi.advanceTimersByTimeAsync(5000);
+		expect(await succeed(table.query('crash'))).toHaveLength(1);
+		const learned: CrashNews[] = [];
+		await using reader = createTask(table, learned);
+		await vi.advanceTimersByTimeAsync(100);
+		expect(learned).toMatchObject([{kind: 'condemned', fingerprint: 'p'}]);
+		writer.record({kind: 'cleared', fingerprint: 'p'});
+		await vi.advanceTimersByTimeAsync(2000);
+		expect(await succeed(table.query('crash'))).toHaveLength(0);
+		expect(reader).toBeDefined();
+	});
+
+	it('deletes expired rows', async () => {
+		const table = new MemoryTable();
+		await table.write([{
+			kind: 'put', key: {partition: 'crash', sort: 'p'}, expected: 0, body: JSON.stringify({fingerprint: 'p', refusedUntil: 1}),
+		}]);
+		const learned: CrashNews[] = [];
+		await using task = createTask(table, learned);
+		await vi.advanceTimersByTimeAsync(2000);
+		expect(await succeed(table.query('crash'))).toHaveLength(0);
+		expect([learned, task]).toEqual([[], task]);
+	});
+
+	function createTask(table: ConstructorParameters<typeof CrashRowTask>[0]['table'], learned: CrashNews[]): CrashRowTask {
+		const task = new CrashRowTask({
+			log: createLog('error', 'hidden'),
+			table,
+			learn(news) {
+				learned.push(news);
+			},
+			tick: () => undefined,
+			isSweeper: () => true,
+			now: () => Date.now(),
+		});
+		task.run();
+		return task;
+	}
+});
