Keep serving in an availability zone that is cut off

Cause: requests in a cut-off zone wait for connections to other zones, and nothing shows that the zone serves, refuses and comes back as it should.

Change: upstreams of a zone whose members are all dead and to which the last connection failed are used only when there are no others. Connectivity, table and host list can be cut per daemon in tests; the membership can run faster in tests. The test cuts one of three zones and brings it back.

--- a/src/connection/peer-clients.ts
+++ b/src/connection/peer-clients.ts
@@ -1,6 +1,9 @@
-import {createClient, type Client, type Interceptor} from '@connectrpc/connect';
+import {
+	Code, ConnectError, createClient, type Client, type Interceptor,
+} from '@connectrpc/connect';
 import {createConnectTransport, Http2SessionManager} from '@connectrpc/connect-node';
 import {PeerService} from '../generated/peer_pb.js';
+import {NetworkConnectivity, type Connectivity} from './connectivity.ts';
 import type {PeerAuthority} from './peer-authority.ts';
 
 /** Typed client of one peer. */
@@ -26,7 +29,10 @@
 	readonly #connections = new Map<string, Connection>();
 	readonly #interceptor: Interceptor;
 
-	constructor(authority: PeerAuthority) {
+	readonly #connectivity: Connectivity;
+
+	constructor(authority: PeerAuthority, connectivity: Connectivity = new NetworkConnectivity()) {
+		this.#connectivity = connectivity;
 		this.#interceptor = next => async request => {
 			for (const [name, value] of Object.entries(authority.sign())) {
 				request.header.set(name, value);
@@ -38,6 +44,10 @@
 
 	/** Calls a peer; a peer that fails twice in a row gets a new connection. */
 	async call<Result>(peerUrl: string, timeoutMs: number, send: (client: PeerClient, options: {readonly timeoutMs: number}) => Promise<Result>): Promise<Result> {
+		if (!this.#connectivity.reaches(peerUrl)) {
+			throw new ConnectError('The peer is not reached.', Code.Unavailable);
+		}
+
 		const connection = this.#connect(peerUrl);
 		try {
 			const result = await send(connection.client, {timeoutMs});
--- a/src/connection/upstream-connection.ts
+++ b/src/connection/upstream-connection.ts
@@ -2,7 +2,7 @@
 import {probeThrough, type ProbeResult} from './probe.ts';
 
 /** Limit on connecting to an upstream of the same deployment. */
-const connectTimeoutMs = 1000;
+export const connectTimeoutMs = 1000;
 /** Engines close connections that are idle for 2 s; closing first avoids a request on a closing connection. */
 const idleTimeoutMs = 1500;
 const tcpKeepAliveDelayMs = 5000;
@@ -15,6 +15,12 @@
 	readonly onEnd: () => void;
 };
 
+/** What a connection reports about its socket. */
+export type SocketEvents = {
+	readonly onOpened: () => void;
+	readonly onClosed: (connection: UpstreamConnection) => void;
+};
+
 /** Reason with which a connection that went silent is closed. */
 export class SilentConnectionError extends Error {
 	constructor() {
@@ -34,7 +40,7 @@
 	#silenceMs = Infinity;
 	#controller: Dispatcher.DispatchController | undefined;
 
-	constructor(origin: string, now: () => number, onClosed: (connection: UpstreamConnection) => void) {
+	constructor(origin: string, now: () => number, socket: SocketEvents) {
 		this.#now = now;
 		this.#openedAt = now();
 		this.#lastByteAt = this.#openedAt;
@@ -47,9 +53,10 @@
 		});
 		this.#client.on('connect', () => {
 			this.#openedAt = now();
+			socket.onOpened();
 		});
 		this.#client.on('disconnect', () => {
-			onClosed(this);
+			socket.onClosed(this);
 		});
 	}
 
--- a/src/connection/upstream-host.ts
+++ b/src/connection/upstream-host.ts
@@ -5,6 +5,10 @@
 
 /** Receives what connections reveal about an upstream; calls are synchronous. */
 export type UpstreamObserver = {
+	/** A connection was established. */
+	readonly reached: (origin: string) => void;
+	/** A connection could not be established in time. */
+	readonly unreached: (origin: string) => void;
 	/** An answer said that the upstream takes no new work. */
 	readonly leavingSeen: (origin: string) => void;
 	/** A connection was refused and a probe failed as well. */
@@ -20,6 +24,7 @@
 const verifyAfterIdleMs = 250;
 const verifyTimeoutMs = 250;
 const maxIdleConnections = 64;
+const unreachedCodes: ReadonlySet<string> = new Set(['UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH']);
 
 /** All connections to one upstream. */
 export class UpstreamHost {
@@ -103,8 +108,11 @@
 				}
 			},
 			onError: error => {
-				if ((error as {readonly code?: string}).code === 'ECONNREFUSED') {
+				const {code = ''} = error as {readonly code?: string};
+				if (code === 'ECONNREFUSED') {
 					void this.#probeRefusal();
+				} else if (unreachedCodes.has(code)) {
+					this.#observer.unreached(this.#origin);
 				}
 			},
 			onEnd: () => {
@@ -189,8 +197,13 @@
 	}
 
 	#open(): UpstreamConnection {
-		const connection = new UpstreamConnection(this.#origin, this.#now, closed => {
-			this.#forget(closed);
+		const connection = new UpstreamConnection(this.#origin, this.#now, {
+			onOpened: () => {
+				this.#observer.reached(this.#origin);
+			},
+			onClosed: closed => {
+				this.#forget(closed);
+			},
 		});
 		this.#connections.add(connection);
 		return connection;
--- a/src/connection/upstream-pool.ts
+++ b/src/connection/upstream-pool.ts
@@ -1,5 +1,7 @@
-import {Dispatcher} from 'undici';
+import {DecoratorHandler, Dispatcher, errors} from 'undici';
 import type {Clock} from '../process/clock.ts';
+import {NetworkConnectivity, type Connectivity} from './connectivity.ts';
+import {connectTimeoutMs} from './upstream-connection.ts';
 import {UpstreamHost, type UpstreamObserver} from './upstream-host.ts';
 
 /** Dispatch options that the pool understands in addition to those of the client library. */
@@ -19,8 +21,11 @@
 	readonly #hosts = new Map<string, UpstreamHost>();
 	readonly #timer: NodeJS.Timeout;
 
-	constructor(clock: Clock, observer: UpstreamObserver) {
+	readonly #connectivity: Connectivity;
+
+	constructor(clock: Clock, observer: UpstreamObserver, connectivity: Connectivity = new NetworkConnectivity()) {
 		super();
+		this.#connectivity = connectivity;
 		this.#clock = clock;
 		this.#observer = observer;
 		this.#timer = setInterval(() => {
@@ -30,6 +35,11 @@
 
 	override dispatch(options: PoolDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
 		const origin = String(options.origin);
+		if (!this.#connectivity.reaches(origin)) {
+			this.#timeOut(origin, handler);
+			return true;
+		}
+
 		const host = this.#hosts.get(origin) ?? new UpstreamHost(origin, () => this.#clock.now(), this.#observer);
 		this.#hosts.set(origin, host);
 		host.send(options, handler, options.silenceMs ?? defaultSilenceMs);
@@ -42,6 +52,14 @@
 		await Promise.all([...this.#hosts.values()].map(async host => host.close()));
 	}
 
+	#timeOut(origin: string, handler: Dispatcher.DispatchHandler): void {
+		setTimeout(() => {
+			this.#observer.unreached(origin);
+			const error = new errors.ConnectTimeoutError('The upstream is not reached.');
+			(new DecoratorHandler(handler) as Dispatcher.DispatchHandler).onResponseError?.(undefined as never, error);
+		}, connectTimeoutMs);
+	}
+
 	#check(): void {
 		for (const [origin, host] of this.#hosts) {
 			if (host.size === 0) {
--- a/src/demo/local-deployment.ts
+++ b/src/demo/local-deployment.ts
@@ -18,6 +18,8 @@
 	readonly enginesPerZone?: number;
 	/** @default {} */
 	readonly tuning?: DaemonTuning;
+	/** Tuning of the daemons of an availability zone, in place of `tuning`. */
+	readonly tuningOf?: (availabilityZone: string) => DaemonTuning;
 	/** How the engines take orders. @default {} */
 	readonly engineOrders?: EngineOptions['orders'];
 	readonly log: Log;
@@ -85,7 +87,7 @@
 		for (let index = 0; index < daemonsPerZone; index += 1) {
 			const id = `daemon-${availabilityZone}-${index}`;
 			const settings = createSettings(id, availabilityZone, platformPort, hostsPort);
-			const daemon = resources.use(await createDaemon(settings, log.part(id), options.tuning));
+			const daemon = resources.use(await createDaemon(settings, log.part(id), options.tuningOf?.(availabilityZone) ?? options.tuning));
 			daemons.push(daemon);
 			list.push(createHost({
 				kind: 'daemon', id, availabilityZone, serves: '',
--- a/src/process/membership-task.ts
+++ b/src/process/membership-task.ts
@@ -29,6 +29,8 @@
 	readonly clock: Clock;
 	readonly membership: Membership;
 	readonly clients: PeerClients;
+	/** Factor by which all durations of the membership are divided, for tests. @default 1 */
+	readonly speed?: number;
 	/** Lifecycle phase that peers are told. */
 	readonly phase: () => Phase;
 	/** Asks an upstream for its health on a new connection. */
@@ -43,9 +45,12 @@
 	#phase: Phase | undefined;
 	readonly #listeners: Array<(event: MembershipEvent) => void> = [];
 
+	readonly #speed: number;
+
 	constructor(options: MembershipTaskOptions) {
 		super(options.log);
 		this.#options = options;
+		this.#speed = options.speed ?? 1;
 	}
 
 	/** Members other than this daemon. */
@@ -58,6 +63,12 @@
 		return this.#options.membership.incarnation;
 	}
 
+	/** True when an availability zone has members and all are dead. */
+	isZoneSilent(zone: string): boolean {
+		const members = this.members.filter(member => member.availabilityZone === zone);
+		return members.length > 0 && members.every(member => member.condition === 'dead');
+	}
+
 	/** Ids of the members of the own availability zone that are not dead, without this daemon. */
 	get livingInZone(): readonly string[] {
 		return this.#options.membership.livingInZone;
@@ -75,7 +86,7 @@
 
 	/** Starts heartbeats, one round each second. */
 	run(): void {
-		this.start({message: {kind: 'tick'}, intervalMs: heartbeatIntervalMs});
+		this.start({message: {kind: 'tick'}, intervalMs: heartbeatIntervalMs / this.#speed});
 	}
 
 	/** Tells peers an item of news. */
@@ -127,7 +138,7 @@
 
 	protected receive(message: Message): void {
 		const {membership, clock} = this.#options;
-		const now = clock.now();
+		const now = clock.now() * this.#speed;
 		this.#handle(message, now);
 		for (const event of membership.takeEvents()) {
 			this.#report(event);
--- a/src/process/membership/member-state.ts
+++ b/src/process/membership/member-state.ts
@@ -1,5 +1,6 @@
-import type {Member} from './member.ts';
+import type {Digest, Member} from './member.ts';
 import type {NewsItem} from './news-queue.ts';
+import {hash32} from './rendezvous.ts';
 
 /** Creates the news of a member's state. */
 export function createStateItem(member: Pick<Member, 'id' | 'incarnation' | 'sequence' | 'phase' | 'condition'>): NewsItem {
@@ -14,3 +15,8 @@
 		},
 	};
 }
+
+/** Sequence of a daemon in a digest; peers know a higher one than the daemon itself when its wall clock was set back. */
+export function sequenceOf(id: string, digest: Digest): number | undefined {
+	return digest.sequences[digest.members.indexOf(hash32(id))];
+}
--- a/src/process/membership/membership.ts
+++ b/src/process/membership/membership.ts
@@ -4,13 +4,12 @@
 import type {
 	Heartbeat, Member, MembershipEvent, MembershipOptions, OutgoingHeartbeat,
 } from './member.ts';
-import {createStateItem} from './member-state.ts';
+import {createStateItem, sequenceOf} from './member-state.ts';
 import {
 	deadAfterMs, MemberTable, suspectAfterMs, type ListedMember,
 } from './member-table.ts';
 import {NewsOutbox} from './news-outbox.ts';
 import type {NewsItem} from './news-queue.ts';
-import {hash32} from './rendezvous.ts';
 
 /** Interval between heartbeats. */
 export const heartbeatIntervalMs = 1000;
@@ -99,7 +98,9 @@
 	/** Sets the lifecycle phase; peers learn it with the next messages. */
 	setPhase(phase: Phase, now: number): void {
 		this.#phase = phase;
-		this.announce(createStateItem(this.#self()), now);
+		this.announce(createStateItem({
+			id: this.#options.id, incarnation: this.#incarnation, sequence: this.#sequence, phase, condition: 'alive',
+		}), now);
 	}
 
 	/** Puts an item of news of this daemon in line. */
@@ -207,7 +208,7 @@
 			return;
 		}
 
-		this.#learnOwnSequence(heartbeat);
+		this.#sequence = Math.max(this.#sequence, sequenceOf(this.#options.id, heartbeat.digest) ?? 0);
 		this.#table.learnDigest(heartbeat.digest, now);
 		if (now >= this.#distrustNewsUntil) {
 			for (const news of heartbeat.news) {
@@ -216,12 +217,6 @@
 		}
 	}
 
-	/** Peers may know a higher sequence when this daemon restarted with its wall clock set back. */
-	#learnOwnSequence({digest}: Heartbeat): void {
-		const index = digest.members.indexOf(hash32(this.#options.id));
-		this.#sequence = Math.max(this.#sequence, digest.sequences[index] ?? 0);
-	}
-
 	#takeNews(news: News, now: number): void {
 		if (!this.#outbox.note(news)) {
 			return;
@@ -274,16 +269,6 @@
 		}
 	}
 
-	#self() {
-		return {
-			id: this.#options.id,
-			incarnation: this.#incarnation,
-			sequence: this.#sequence,
-			phase: this.#phase,
-			condition: 'alive' as const,
-		};
-	}
-
 	#address(ids: readonly string[], compose: (zone: string) => Heartbeat): readonly OutgoingHeartbeat[] {
 		return ids.flatMap(id => {
 			const member = this.#table.get(id);
--- a/src/process/upstream-directory.ts
+++ b/src/process/upstream-directory.ts
@@ -15,6 +15,8 @@
 	readonly isLeaving: (upstream: string) => boolean;
 	/** Raised by each change of what `isLeaving` returns. */
 	readonly leavingVersion: () => number;
+	/** True when all members of an availability zone are dead. */
+	readonly isZoneSilent: (zone: string) => boolean;
 };
 
 /** Upstreams by model or plain service, with their availability zone and present state. */
@@ -23,6 +25,8 @@
 	#indexed: readonly Host[] = [];
 	#indexedVersion = -1;
 	#live: ReadonlyMap<string, readonly Upstream[]> = new Map();
+	/** Zones to which the last connection failed. */
+	readonly #unreached = new Set<string>();
 	#byOrigin: ReadonlyMap<string, Host> = new Map();
 
 	constructor(options: UpstreamDirectoryOptions) {
@@ -40,10 +44,29 @@
 		return [...new Set(engines.map(engine => engine.serves))].toSorted();
 	}
 
-	/** Upstreams that may get new work for a call. */
+	/** Upstreams that may get new work for a call; those of a zone that is cut off come into play when there are no others. */
 	serving(call: Call): readonly Upstream[] {
 		this.#index();
-		return this.#live.get(nameOf(call)) ?? [];
+		const live = this.#live.get(nameOf(call)) ?? [];
+		const cutOff = [...this.#unreached].filter(zone => this.#options.isZoneSilent(zone));
+		if (cutOff.length === 0) {
+			return live;
+		}
+
+		const reached = live.filter(upstream => !cutOff.includes(upstream.availabilityZone));
+		return reached.length > 0 ? reached : live;
+	}
+
+	/** Takes in whether a connection to an upstream was established; the last one counts for its zone. */
+	noteConnection(origin: string, isReached: boolean): void {
+		const zone = this.at(origin)?.availabilityZone;
+		if (zone !== undefined) {
+			if (isReached) {
+				this.#unreached.delete(zone);
+			} else {
+				this.#unreached.add(zone);
+			}
+		}
 	}
 
 	/** Upstream at a base URL. */
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -1,6 +1,7 @@
 import {randomInt} from 'node:crypto';
 import {createCallerServer} from '../connection/caller-server.ts';
 import {closeAbruptly, listen} from '../connection/http-listener.ts';
+import type {Connectivity} from '../connection/connectivity.ts';
 import {OpenPeerAuthority} from '../connection/peer-authority.ts';
 import {PeerClients} from '../connection/peer-clients.ts';
 import {PeerServer} from '../connection/peer-server.ts';
@@ -8,7 +9,7 @@
 import {UpstreamPool} from '../connection/upstream-pool.ts';
 import {DynamoTable} from '../platform/dynamo-table.ts';
 import {HttpEngine} from '../platform/engine.ts';
-import {HttpHostList} from '../platform/host-list.ts';
+import {HttpHostList, type HostList} from '../platform/host-list.ts';
 import {HttpObjectStore, type ObjectStore} from '../platform/object-store.ts';
 import {OpenAdmission} from '../request/admission.ts';
 import {ByteBudget} from '../request/byte-budget.ts';
@@ -58,10 +59,18 @@
 	readonly drain: () => Promise<void>;
 };
 
-/** Durations that tests shorten. */
+/** Durations that tests shorten, and interfaces at which they cause faults. */
 export type DaemonTuning = {
 	/** @default authorityTimes */
 	readonly authorityTimes?: AuthorityTimes;
+	/** Factor by which the durations of the membership are divided. @default 1 */
+	readonly membershipSpeed?: number;
+	/** Peers and upstreams that the daemon reaches. @default all */
+	readonly connectivity?: Connectivity;
+	/** Wraps the platform's table. */
+	readonly wrapTable?: (table: Table) => Table;
+	/** Wraps the host list. */
+	readonly wrapHostList?: (list: HostList) => HostList;
 };
 
 /** What most parts of the daemon are built from. */
@@ -75,6 +84,7 @@
 	readonly hostList: HostListPoller;
 	/** Wall time at which the daemon started, in milliseconds. */
 	readonly incarnation: number;
+	readonly tuning: DaemonTuning;
 };
 
 /** Limit on the memory that all request bodies hold together. */
@@ -86,11 +96,11 @@
 /** Constructs the daemon from its parts and starts it. */
 export async function createDaemon(settings: Settings, log: Log, tuning: DaemonTuning = {}): Promise<Daemon> {
 	const resources = new AsyncDisposableStack();
-	const base = createBase(resources, settings, log);
+	const base = createBase(resources, settings, log, tuning);
 	const {hostList} = base;
 	const peers = await createPeers(base);
 	const {configuration, directory, lifecycle, membership} = peers;
-	const authority = createAuthority(base, peers, tuning);
+	const authority = createAuthority(base, peers);
 	lifecycle.onDrain({name: 'leases', run: async () => authority[Symbol.asyncDispose]()});
 	peers.status.provide('leases', () => authority.heldGroups);
 	const front = createFront(base, peers, authority);
@@ -122,19 +132,22 @@
 	};
 }
 
-function createBase(resources: AsyncDisposableStack, settings: Settings, log: Log): Base {
+function createBase(resources: AsyncDisposableStack, settings: Settings, log: Log, tuning: DaemonTuning): Base {
+	const table = resources.use(new DynamoTable({
+		endpoint: settings.platform.table,
+		tableName: settings.platform['table-name'],
+	}));
+	const hostList = new HttpHostList(settings.platform.hosts);
 	return {
 		resources,
 		settings,
 		log,
 		clock: new SystemClock(),
-		table: resources.use(new DynamoTable({
-			endpoint: settings.platform.table,
-			tableName: settings.platform['table-name'],
-		})),
+		table: tuning.wrapTable?.(table) ?? table,
 		objects: new HttpObjectStore(settings.platform.objects),
-		hostList: resources.use(new HostListPoller(log.part('hosts'), new HttpHostList(settings.platform.hosts))),
+		hostList: resources.use(new HostListPoller(log.part('hosts'), tuning.wrapHostList?.(hostList) ?? hostList)),
 		incarnation: Date.now(),
+		tuning,
 	};
 }
 
@@ -152,7 +165,7 @@
 
 async function createPeers(base: Base): Promise<Peers> {
 	const {resources, settings, log, clock, table, objects, hostList} = base;
-	const clients = resources.use(new PeerClients(new OpenPeerAuthority()));
+	const clients = resources.use(new PeerClients(new OpenPeerAuthority(), base.tuning.connectivity));
 	const answerers = Promise.withResolvers<PeerAnswerers>();
 	const peerServer = resources.use(new PeerServer(createPeerHandlers(answerers.promise), new OpenPeerAuthority()));
 	const address = await peerServer.listen(parseAddress(settings.daemon['peer-listen']));
@@ -192,6 +205,7 @@
 			hosts: () => hostList.hosts,
 			isLeaving: upstream => membership.isLeaving(upstream),
 			leavingVersion: () => membership.leavingVersion,
+			isZoneSilent: zone => membership.isZoneSilent(zone),
 		}),
 		lifecycle,
 		status: new StatusRegistry(),
@@ -200,7 +214,7 @@
 }
 
 function createMembership(
-	{resources, settings, log, clock, hostList, incarnation}: Base,
+	{resources, settings, log, clock, hostList, incarnation, tuning}: Base,
 	{address, clients, lifecycle}: {readonly address: Address; readonly clients: PeerClients; readonly lifecycle: Lifecycle},
 ): MembershipTask {
 	return resources.use(new MembershipTask({
@@ -214,6 +228,7 @@
 			incarnation,
 			random: new SeededRandom(randomInt(maxSeed)),
 		}),
+		speed: tuning.membershipSpeed,
 		phase: () => lifecycle.peerPhase,
 		async probe(upstream) {
 			const host = hostList.hosts.find(({id}) => id === upstream);
@@ -222,7 +237,7 @@
 	}));
 }
 
-function createAuthority({resources, settings, log, table, clock, hostList}: Base, {membership}: Peers, tuning: DaemonTuning): Authority {
+function createAuthority({resources, settings, log, table, clock, hostList, tuning}: Base, {membership}: Peers): Authority {
 	return resources.use(new Authority({
 		log: log.part('authority'),
 		table,
@@ -236,7 +251,7 @@
 	}));
 }
 
-function createUpstreamPool({resources, clock, log}: Base, {directory, membership}: Peers): UpstreamPool {
+function createUpstreamPool({resources, clock, log, tuning}: Base, {directory, membership}: Peers): UpstreamPool {
 	const poolLog = log.part('connections');
 	const markLeaving = (origin: string) => {
 		const upstream = directory.at(origin);
@@ -246,12 +261,18 @@
 	};
 
 	return resources.use(new UpstreamPool(clock, {
+		reached(origin) {
+			directory.noteConnection(origin, true);
+		},
+		unreached(origin) {
+			directory.noteConnection(origin, false);
+		},
 		leavingSeen: markLeaving,
 		refused: markLeaving,
 		silentSeen(origin, closed) {
 			poolLog.warn('Silent connections were closed.', {origin, closed});
 		},
-	}));
+	}, tuning.connectivity));
 }
 
 function createFront(base: Base, peers: Peers, authority: Authority): RequestFront {
--- /dev/null
+++ b/test/process/cut-off-zone.test.ts
@@ -0,0 +1,141 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {Left} from 'purify-ts';
+import {
+	describe, expect, it, vi,
+} from 'vitest';
+import {request} from 'undici';
+import {Connectivity} from '../../src/connection/connectivity.ts';
+import {
+	createLocalDeployment, demoKey, demoModels, demoService, type LocalDeployment,
+} from '../../src/demo/local-deployment.ts';
+import {waitUntilReady} from '../../src/demo/mixed-load.ts';
+import {HostList, type Host} from '../../src/platform/host-list.ts';
+import {createLog} from '../../src/process/log.ts';
+import type {DaemonTuning} from '../../src/process/wiring.ts';
+import {FaultyTable} from '../fixtures/faulty-table.ts';
+import {conditionOf} from '../fixtures/peer-status.ts';
+
+const zones = ['zone-a', 'zone-b', 'zone-c'];
+const daemonsPerZone = 2;
+const membershipSpeed = 4;
+/** 9 s for a zone and the interval of the heartbeats, at the speed of the test, with room for a busy machine. */
+const deathLimitMs = 6000;
+const returnLimitMs = 6000;
+
+/** Cut zones; consulted by the transports between daemons and upstreams, the table and the host list. */
+class PartitionTable {
+	readonly cutZones = new Set<string>();
+	/** Calls from a zone to addresses of other zones and to the platform. */
+	calls = 0;
+	/** Hosts by which an address is assigned to its zone. */
+	hosts: () => readonly Host[] = () => [];
+
+	tuningOf(zone: string): DaemonTuning {
+		return {
+			membershipSpeed,
+			connectivity: this.#connectivityOf(zone),
+			wrapTable: table => new FaultyTable(table, () => this.#isCut(zone, undefined) ? 'unavailable' : 'none'),
+			wrapHostList: list => new CutHostList(list, () => this.#isCut(zone, undefined)),
+		};
+	}
+
+	#connectivityOf(zone: string): Connectivity {
+		const zoneOf = (url: string) => this.hosts().find(host => url === `http://${host.address}`)?.availabilityZone;
+		const isCut = (url: string) => this.#isCut(zone, zoneOf(url));
+		return new class extends Connectivity {
+			reaches(url: string): boolean {
+				return !isCut(url);
+			}
+		}();
+	}
+
+	#isCut(from: string, to: string | undefined): boolean {
+		if (from === to) {
+			return false;
+		}
+
+		this.calls += 1;
+		return this.cutZones.has(from) || (to !== undefined && this.cutZones.has(to));
+	}
+}
+
+class CutHostList extends HostList {
+	readonly #inner: HostList;
+	readonly #isCut: () => boolean;
+
+	constructor(inner: HostList, isCut: () => boolean) {
+		super();
+		this.#inner = inner;
+		this.#isCut = isCut;
+	}
+
+	async read() {
+		return this.#isCut() ? Left('cut off') : this.#inner.read();
+	}
+}
+
+describe('an availability zone that is cut off', () => {
+	it('serves locally, refuses what needs the platform as not run, and comes back without a storm', async () => {
+		const partition = new PartitionTable();
+		await using deployment = await createLocalDeployment({
+			availabilityZones: zones, daemonsPerZone, log: createLog('error', 'hidden'), tuningOf: zone => partition.tuningOf(zone),
+		});
+		partition.hosts = () => deployment.hosts.hosts;
+		await waitUntilReady(deployment);
+		await seesCondition(deployment, 'alive', returnLimitMs);
+		const usualCalls = await countCalls(partition);
+
+		partition.cutZones.add('zone-a');
+		await seesCondition(deployment, 'dead', deathLimitMs);
+		// The first requests may meet upstreams of other zones, which are then left out.
+		await Promise.all(Array.from({length: 10}, async () => complete(deployment.urls[0]!)));
+		await delay(1500);
+		const answers = await Promise.all(Array.from({length: 20}, async () => complete(deployment.urls[0]!)));
+		expect(answers.filter(({status}) => status === 200)).toHaveLength(20);
+		expect(await book(deployment.urls[0]!)).toMatchObject({status: 503, ran: 'no'});
+		expect(deployment.daemons[0]!.isReady()).toBe(true);
+
+		partition.cutZones.clear();
+		await seesCondition(deployment, 'alive', returnLimitMs);
+		expect(await countCalls(partition), 'calls across zones after the return').toBeLessThan(2 * usualCalls);
+		expect(await book(deployment.urls[0]!)).toMatchObject({status: 200, ran: 'yes'});
+	});
+});
+
+async function countCalls(partition: PartitionTable): Promise<number> {
+	const before = partition.calls;
+	await delay(1000);
+	return partition.calls - before;
+}
+
+/** Waits until daemons inside and outside of zone-a see each other in a condition. */
+async function seesCondition({daemons}: LocalDeployment, condition: string, timeout: number): Promise<void> {
+	const inside = daemons[0]!;
+	const outside = daemons[daemonsPerZone]!;
+	await vi.waitFor(async () => {
+		expect(await conditionOf(addressOf(inside), 'daemon-zone-b-0')).toBe(condition);
+		expect(await conditionOf(addressOf(outside), 'daemon-zone-a-0')).toBe(condition);
+	}, {timeout, interval: 100});
+}
+
+function addressOf({peerAddress: {host, port}}: LocalDeployment['daemons'][number]): string {
+	return `${host}:${port}`;
+}
+
+async function complete(url: string) {
+	return post(`${url}/v1/chat/completions`, {
+		model: demoModels[0], stream: true, max_tokens: 2, messages: [{role: 'user', content: 'check'}],
+	});
+}
+
+async function book(url: string) {
+	return post(`${url}/services/${demoService}/bookings`, {run: 1}, {'idempotency-key': `run-${performance.now()}`});
+}
+
+async function post(url: string, body: unknown, headers: Readonly<Record<string, string>> = {}) {
+	const response = await request(url, {
+		method: 'POST', headers: {authorization: `Bearer ${demoKey}`, ...headers}, body: JSON.stringify(body),
+	});
+	const text = await response.body.text();
+	return {status: response.statusCode, ran: response.headers['wagtailtack-ran'], text};
+}
