--- a/test/process/lifecycle.test.ts
+++ b/test/process/lifecycle.test.ts
@@ -7,6 +7,8 @@
 
 const balancerDelayMs = 400;
 const balancerPollMs = 50;
+/** A balancer that cannot tell sends nothing, so that a slow test process does not send to a daemon that has closed. */
+const freshnessMs = balancerDelayMs / 2;
 
 describe.concurrent('a daemon that is stopped', () => {
 	it('cuts no long stream when SIGTERM comes twice, so that a planned stop interrupts no request', async () => {
@@ -50,6 +52,7 @@
 	readonly #deployment: SpawnedDeployment;
 	readonly #agent = new Agent();
 	#ready: readonly string[] = [];
+	#polledAt = 0;
 	#isStopped = false;
 
 	constructor(deployment: SpawnedDeployment) {
@@ -65,7 +68,11 @@
 		await this.#poll();
 		const polling = this.#keepPolling();
 		for (let index = 0; !this.#isStopped; index += 1) {
-			pending.push(this.#send(this.#ready[index % this.#ready.length]!, index));
+			const isFresh = performance.now() - this.#polledAt < freshnessMs;
+			if (isFresh && this.#ready.length > 0) {
+				pending.push(this.#send(this.#ready[index % this.#ready.length]!, index));
+			}
+
 			await delay(10);
 		}
 
@@ -82,9 +89,11 @@
 	}
 
 	async #poll(): Promise<void> {
+		const start = performance.now();
 		const urls = [...this.#deployment.daemons.values()].map(({url}) => url);
 		const states = await Promise.all(urls.map(async url => isReady(url)));
 		this.#ready = urls.filter((_, index) => states[index]);
+		this.#polledAt = start;
 	}
 
 	async #send(url: string, index: number): Promise<void> {
--- /dev/null
+++ b/test/process/upstream-leaving.test.ts
@@ -0,0 +1,88 @@
+import {
+	describe, expect, it, vi,
+} from 'vitest';
+import {request} from 'undici';
+import {
+	createLocalDeployment, demoKey, demoModels, type LocalDeployment,
+} from '../../src/demo/local-deployment.ts';
+import {waitUntilReady} from '../../src/demo/mixed-load.ts';
+import type {Host} from '../../src/platform/host-list.ts';
+import {createLog} from '../../src/process/log.ts';
+import {conditionOf, readStatus} from '../fixtures/peer-status.ts';
+
+const leaveLimitMs = 3000;
+const returnLimitMs = 8000;
+const knownLimitMs = 5000;
+const listLagMs = 60_000;
+const [model] = demoModels;
+const upstream = `${model}-zone-a-0`;
+
+describe.concurrent('an upstream that leaves', () => {
+	it('is known at all daemons within 3 s of a 503 at one, although the list lags, and is back after its return', async () => {
+		await using deployment = await start();
+		deployment.engines[0]!.setFaults({leaving: true});
+		await workAt(deployment, 0);
+		await seesState(deployment, 'leaving', leaveLimitMs);
+		deployment.engines[0]!.setFaults({leaving: false});
+		await seesState(deployment, 'live', returnLimitMs);
+	});
+
+	it('is known at all daemons within 3 s of a refused connection and a failed probe, so that no work goes to a dead host', async () => {
+		await using deployment = await start();
+		await deployment.engines[0]![Symbol.asyncDispose]();
+		await workAt(deployment, 1);
+		await seesState(deployment, 'leaving', leaveLimitMs);
+	});
+
+	it('is known by the list alone, and returns with the list', async () => {
+		await using deployment = await start(0);
+		setListed(deployment, 'leaving');
+		await seesState(deployment, 'leaving', leaveLimitMs);
+		setListed(deployment, 'live');
+		await seesState(deployment, 'live', returnLimitMs);
+	});
+});
+
+async function start(lagMs = listLagMs): Promise<LocalDeployment> {
+	const deployment = await createLocalDeployment({log: createLog('error', 'hidden')});
+	await waitUntilReady(deployment);
+	await vi.waitFor(async () => {
+		for (const address of addressesOf(deployment)) {
+			for (const zone of ['zone-a', 'zone-b', 'zone-c']) {
+				expect(await conditionOf(address, `daemon-${zone}-0`)).not.toBe('dead');
+			}
+
+			const {hosts} = await readStatus(address);
+			expect(hosts.members).toHaveLength(2);
+		}
+	}, {timeout: knownLimitMs, interval: 50});
+	deployment.hosts.setFaults({lagMs});
+	return deployment;
+}
+
+/** Sends enough requests to one daemon that each engine of the model gets some. */
+async function workAt({urls}: LocalDeployment, index: number): Promise<void> {
+	await Promise.all(Array.from({length: 12}, async () => {
+		const response = await request(`${urls[index]}/v1/completions`, {
+			method: 'POST', headers: {authorization: `Bearer ${demoKey}`}, body: JSON.stringify({model, prompt: 'check', max_tokens: 2}),
+		});
+		await response.body.dump();
+	}));
+}
+
+function setListed({hosts}: LocalDeployment, state: Host['state']): void {
+	hosts.setHosts(hosts.hosts.map(host => host.id === upstream ? {...host, state} : host));
+}
+
+function addressesOf({daemons}: LocalDeployment): readonly string[] {
+	return daemons.map(({peerAddress: {host, port}}) => `${host}:${port}`);
+}
+
+async function seesState(deployment: LocalDeployment, state: string, timeout: number): Promise<void> {
+	await vi.waitFor(async () => {
+		for (const address of addressesOf(deployment)) {
+			const {upstreams} = await readStatus(address);
+			expect(upstreams.find(({id}) => id === upstream)?.state).toBe(state);
+		}
+	}, {timeout, interval: 50});
+}
