--- a/bench/capacity/hosts.ts
+++ b/bench/capacity/hosts.ts
@@ -36,7 +36,7 @@
 			const lists = [createHosts(size), createHosts(size)] as const;
 			let turn = 0;
 			const directory = new UpstreamDirectory({
-				hosts: () => lists[turn % 2]!, isLeaving: () => false, leavingVersion: () => 0,
+				hosts: () => lists[turn % 2]!, isLeaving: () => false, isZoneSilent: () => false, leavingVersion: () => 0,
 			});
 			return measureTime(() => {
 				turn += 1;
