Ask the other daemons before a keyed request is said not to have run

Cause: with the table down, a daemon answered Wagtailtack-Ran: no to a resend of a booking that another daemon had run. Ruled out: answering unknown always, which hides that a first try is safe to repeat. Change: peer call FindClaim; a daemon says no only if no member can have dispatched the key. The check no longer makes the exception: no is wrong when any daemon had run the key before the request was sent. A guard switches the question off, and the check then fails. Conclusion: no is now true for resends as well.

--- a/src/process/claims/platform-claim-store.ts
+++ b/src/process/claims/platform-claim-store.ts
@@ -9,6 +9,8 @@
 import {
 	claimLifetimeMs, parseClaimRecord, recordAnswer, resolveClaim, restoreAnswer, type ClaimPhase, type ClaimRecord, type ClaimResolution, type RecordedAnswer,
 } from '../../request/claim.ts';
+import type {DispatchRecord} from './dispatch-record.ts';
+import type {DispatchWitnesses} from './dispatch-witnesses.ts';
 import type {ClaimSettler, Settlement} from './claim-settler.ts';
 import type {WriteBatcher} from './write-batcher.ts';
 
@@ -20,6 +22,8 @@
 	readonly releasesClaims: boolean;
 	/** A claim that may still be applied is fenced in the background. */
 	readonly fencesOpenClaims: boolean;
+	/** Other daemons are asked before a request is said not to have run. */
+	readonly asksWitnesses: boolean;
 };
 
 /** What the store needs from the rest of the daemon. */
@@ -35,19 +39,22 @@
 	readonly now: () => number;
 	/** @default a random UUID */
 	readonly createToken?: () => string;
+	/** Claims that this daemon may have dispatched. */
+	readonly dispatches: DispatchRecord;
+	/** Asked before a request is said not to have run while the table cannot tell. */
+	readonly witnesses: DispatchWitnesses;
 	readonly guards?: ClaimGuards;
 };
 
 const attemptLimit = 4;
-const rememberedKeys = 10_000;
-const allGuards: ClaimGuards = {readsBackByToken: true, releasesClaims: true, fencesOpenClaims: true};
+const allGuards: ClaimGuards = {
+	readsBackByToken: true, releasesClaims: true, fencesOpenClaims: true, asksWitnesses: true,
+};
 
 /** Claims in the platform's table. */
 export class PlatformClaimStore extends ClaimStore {
 	readonly #options: PlatformClaimStoreOptions;
 	readonly #guards: ClaimGuards;
-	/** Keys that this daemon may have dispatched, oldest first. */
-	readonly #dispatched = new Set<string>();
 
 	constructor(options: PlatformClaimStoreOptions) {
 		super();
@@ -85,7 +92,7 @@
 			this.#options.settler.defer({key, record: {...record, phase: 'released'}, revision});
 		}
 
-		return Left(this.#refuse(key));
+		return Left(await this.#refuse(key));
 	}
 
 	#createRecord({digest}: ClaimRequest): ClaimRecord {
@@ -137,29 +144,27 @@
 
 	#grant(settlement: Settlement): ClaimGrant {
 		const name = settlement.key.sort;
-		this.#dispatched.add(name);
-		if (this.#dispatched.size > rememberedKeys) {
-			const [oldest = name] = this.#dispatched;
-			this.#dispatched.delete(oldest);
-		}
-
-		const {settler} = this.#options;
+		const {settler, dispatches} = this.#options;
+		dispatches.add(name);
 		return {
 			kind: 'granted',
 			claim: new PlatformClaim(settlement, settler, async () => {
-				this.#dispatched.delete(name);
+				dispatches.remove(name);
 				await (this.#guards.releasesClaims ? settler.settle(withPhase(settlement, 'released')) : undefined);
 			}),
 		};
 	}
 
-	/** This submission was not dispatched; a key that this daemon has dispatched before may nevertheless have run. */
-	#refuse({sort}: RowKey): CallerError {
+	/** This submission was not dispatched; an earlier one with the same key may nevertheless have run, here or elsewhere. */
+	async #refuse({sort}: RowKey): Promise<CallerError> {
+		const {dispatches, witnesses} = this.#options;
+		const mayHaveRun = dispatches.mayContain(sort)
+			|| (this.#guards.asksWitnesses && await witnesses.mayHaveDispatched(sort));
 		return {
 			status: 503,
 			code: 'claims_unavailable',
 			message: 'The request cannot be claimed now.',
-			ran: this.#dispatched.has(sort) ? 'unknown' : 'no',
+			ran: mayHaveRun ? 'unknown' : 'no',
 			retryAfterS: 1,
 		};
 	}
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -23,6 +23,8 @@
 import type {Settings} from '../version/settings.ts';
 import {ClaimSettler} from './claims/claim-settler.ts';
 import {ClaimSweeper} from './claims/claim-sweeper.ts';
+import {DispatchRecord} from './claims/dispatch-record.ts';
+import {PeerWitnesses} from './claims/dispatch-witnesses.ts';
 import {PlatformClaimStore} from './claims/platform-claim-store.ts';
 import {groupedWrites, WriteBatcher} from './claims/write-batcher.ts';
 import {decodeCrashNews, encodeCrashNews} from './crashes/crash-news.ts';
@@ -116,7 +118,9 @@
 	provideStatus(peers.status, {
 		settings, hostList, directory, membership, lifecycle, configuration,
 	});
-	peers.answer({membership, configuration, status: peers.status});
+	peers.answer({
+		membership, configuration, status: peers.status, dispatches: peers.dispatches,
+	});
 	membership.run();
 	hostList.run();
 	configuration.run();
@@ -161,6 +165,9 @@
 	readonly directory: UpstreamDirectory;
 	readonly lifecycle: Lifecycle;
 	readonly status: StatusRegistry;
+	readonly clients: PeerClients;
+	/** Claims that this daemon may have dispatched. */
+	readonly dispatches: DispatchRecord;
 	/** Starts answering peers. */
 	readonly answer: (answerers: PeerAnswerers) => void;
 };
@@ -211,6 +218,8 @@
 		}),
 		lifecycle,
 		status: new StatusRegistry(),
+		clients,
+		dispatches: new DispatchRecord(),
 		answer: answerers.resolve,
 	};
 }
@@ -310,8 +319,8 @@
 
 /** Creates the claims and what runs for them in the background. */
 function createClaimStore(
-	{resources, settings, log, table, objects, incarnation}: Base,
-	{membership}: Peers,
+	{resources, settings, log, clock, table, objects, incarnation}: Base,
+	{membership, clients, dispatches}: Peers,
 ): ClaimStore {
 	const daemon = toClaimOwner(settings.daemon.id, incarnation);
 	const claimLog = log.part('claims');
@@ -324,8 +333,22 @@
 		log: claimLog, table, objects, isSweeper: () => membership.isAmongFirst('claims', 1), now,
 	}));
 	sweeper.run();
+	const witnesses = new PeerWitnesses({clock, clients, members: () => membership.members});
+	membership.subscribe(event => {
+		if (event.kind === 'member') {
+			witnesses.notice(event.member);
+		}
+	});
 	return new PlatformClaimStore({
-		table, objects, batcher, settler, daemon, isLive: name => name === daemon || membership.members.some(isOwner(name)), now,
+		table,
+		objects,
+		batcher,
+		settler,
+		daemon,
+		isLive: name => name === daemon || membership.members.some(isOwner(name)),
+		now,
+		dispatches,
+		witnesses,
 	});
 }
 
--- a/test/process/claims/claim-parts.test.ts
+++ b/test/process/claims/claim-parts.test.ts
@@ -2,6 +2,8 @@
 import {describe, expect, it} from 'vitest';
 import {ClaimSettler} from '../../../src/process/claims/claim-settler.ts';
 import {ClaimSweeper} from '../../../src/process/claims/claim-sweeper.ts';
+import {DispatchRecord} from '../../../src/process/claims/dispatch-record.ts';
+import {NoWitnesses} from '../../../src/process/claims/dispatch-witnesses.ts';
 import {PlatformClaimStore, toClaimKey} from '../../../src/process/claims/platform-claim-store.ts';
 import {groupedWrites, WriteBatcher} from '../../../src/process/claims/write-batcher.ts';
 import {createLog} from '../../../src/process/log.ts';
@@ -38,7 +40,7 @@
 		log, table: faulty, objects, batcher, wait: async () => Promise.withResolvers<void>().promise,
 	});
 	const store = new PlatformClaimStore({
-		table: faulty, objects, batcher, settler, daemon: 'a1', isLive: () => true, now: () => 0,
+		table: faulty, objects, batcher, settler, daemon: 'a1', isLive: () => true, now: () => 0, dispatches: new DispatchRecord(), witnesses: new NoWitnesses(),
 	});
 	return {
 		store, settler, table, objects, faults,
--- a/test/process/claims/platform-claim-store.test.ts
+++ b/test/process/claims/platform-claim-store.test.ts
@@ -21,12 +21,14 @@
 const rounds = fc.array(round, {minLength: 1, maxLength: 6});
 const fault = fc.constantFrom<CallFault>('none', 'none', 'none', 'unavailable', 'lost-before', 'lost-after', 'late');
 const faults = fc.array(fault, {maxLength: 40});
-const allGuards: ClaimGuards = {readsBackByToken: true, releasesClaims: true, fencesOpenClaims: true};
+const allGuards: ClaimGuards = {
+	readsBackByToken: true, releasesClaims: true, fencesOpenClaims: true, asksWitnesses: true,
+};
 
-/** A reply says `no` wrongly when the key has run, as far as the daemon that says it can know. */
-function isFalseNo({ran, code, daemon, executedBy, wasDispatched}: Reply): boolean {
-	const isKnown = code === 'claims_unavailable' ? executedBy.includes(daemon) : executedBy.length > 0;
-	return ran === 'no' && (wasDispatched || isKnown);
+/** A reply says `no` wrongly when the key had run, at any daemon, before the request was sent. */
+function isFalseNo({ran, code, hadRun, hadRunBefore, wasDispatched}: Reply): boolean {
+	// While the table cannot be read, another daemon may run the key between the question and the reply.
+	return ran === 'no' && (wasDispatched || (code === 'claims_unavailable' ? hadRunBefore : hadRun));
 }
 
 /** A key that was only ever refused as not run must run when it is sent again after the faults. */
@@ -94,6 +96,7 @@
 		['readsBackByToken', 'ran twice'],
 		['releasesClaims', 'blocked after no'],
 		['fencesOpenClaims', 'blocked after no'],
+		['asksWitnesses', 'false no'],
 	])('without the guard %s shows "%s"', async (guard, violation) => {
 		await expect(checkSchedules([violation], {...allGuards, [guard]: false})).rejects.toThrow('Property failed');
 	});
