--- a/src/process/membership-task.ts
+++ b/src/process/membership-task.ts
@@ -58,6 +58,11 @@
 		return this.#options.membership.incarnation;
 	}
 
+	/** Ids of the members of the own availability zone that are not dead, without this daemon. */
+	get livingInZone(): readonly string[] {
+		return this.#options.membership.livingInZone;
+	}
+
 	/** True when this daemon is among the first ones of its availability zone for a topic, by rendezvous hash over the living. */
 	isAmongFirst(topic: string, count: number): boolean {
 		return this.#options.membership.isAmongFirst(topic, count);
--- a/src/process/orders/intent-machine.ts
+++ b/src/process/orders/intent-machine.ts
@@ -10,7 +10,7 @@
 };
 
 /** Durations in production. */
-export const intentTimes: IntentTimes = {quietMs: 2100, freshMs: 300};
+export const intentTimes: IntentTimes = {quietMs: 2100, freshMs: 1000};
 
 /** Safety rules of orders; only mutation checks switch one off. */
 export type IntentGuards = {
@@ -86,6 +86,8 @@
 		| {readonly kind: 'blocked'; readonly reason: string}
 		| {readonly kind: 'read-intent'}
 		| {readonly kind: 'read-engine'}
+		/** A later reading may show more. */
+		| {readonly kind: 'wait'}
 		| {readonly kind: 'write'; readonly expected: number; readonly intent: Intent}
 		| {readonly kind: 'send'; readonly intent: Intent};
 
@@ -151,10 +153,14 @@
 		return {kind: 'none'};
 	}
 
-	if (!isCurrent(facts, context) || !isQuiet(facts, context) || !mayChange(facts, goal.wanted, context)) {
+	if (!isCurrent(facts, context)) {
 		return {kind: 'read-engine'};
 	}
 
+	if (!isQuiet(facts, context) || !mayChange(facts, goal.wanted, context)) {
+		return {kind: 'wait'};
+	}
+
 	const {orderId, wanted, planId} = goal;
 	return {
 		kind: 'write',
@@ -183,18 +189,22 @@
 	}
 
 	if (reading !== undefined && reading.startedAt >= since && reading.state.orderId === body.orderId) {
-		return reading.state.phase === 'ready' ? close('done') : {kind: 'read-engine'};
+		return reading.state.phase === 'ready' ? close('done') : readOrWait(facts, context);
 	}
 
 	if (!isCurrent(facts, context) || !isQuiet(facts, context)) {
-		return {kind: 'read-engine'};
+		return readOrWait(facts, context);
 	}
 
 	if (!isOwn || !mayChange(facts, body.wanted, context)) {
-		return isSettled(facts, context) ? close('superseded') : {kind: 'read-engine'};
+		return isSettled(facts, context) ? close('superseded') : {kind: 'wait'};
 	}
 
-	return !isSent || isSettled(facts, context) ? {kind: 'send', intent: body} : {kind: 'read-engine'};
+	return !isSent || isSettled(facts, context) ? {kind: 'send', intent: body} : {kind: 'wait'};
+}
+
+function readOrWait(facts: EngineFacts, context: IntentContext): IntentAction {
+	return {kind: isCurrent(facts, context) ? 'wait' : 'read-engine'};
 }
 
 function isCurrent({reading}: EngineFacts, {times, now}: IntentContext): boolean {
