Read a claimed answer on when its caller leaves while it is paused

Cause: a claimed request is not cancelled when its caller goes, but a paused answer waited for a drain that does not come, until the stall limit. Change: the close of the response resumes the answer as a drain does.

--- a/src/request/relay.ts
+++ b/src/request/relay.ts
@@ -94,9 +94,18 @@
 		return this.#options.response.write(bytes);
 	}
 
-	/** Calls back once the caller has drained. */
+	/** Calls back once the caller has drained or gone. */
 	onceDrained(callback: () => void): void {
-		this.#options.response.once('drain', callback);
+		const {response} = this.#options;
+		const finish = () => {
+			response.off('drain', finish);
+			response.off('close', finish);
+			callback();
+		};
+
+		// The answer of a claimed request is read on when its caller has gone.
+		response.once('drain', finish);
+		response.once('close', finish);
 	}
 
 	/** Ends a whole answer. */
