--- a/src/demo/local-deployment.ts
+++ b/src/demo/local-deployment.ts
@@ -18,6 +18,8 @@
 	readonly enginesPerZone?: number;
 	/** @default {} */
 	readonly tuning?: DaemonTuning;
+	/** Tuning of the daemons of an availability zone, in place of `tuning`. */
+	readonly tuningOf?: (availabilityZone: string) => DaemonTuning;
 	/** How the engines take orders. @default {} */
 	readonly engineOrders?: EngineOptions['orders'];
 	readonly log: Log;
@@ -43,8 +45,6 @@
 	readonly services: readonly ServiceServer[];
 	/** Settings file text of a further daemon. */
 	readonly settingsText: (id: string, availabilityZone: string) => string;
-	readonly platformUrl: string;
-	readonly hostsUrl: string;
 	/** Base URLs of the daemons. */
 	readonly urls: readonly string[];
 };
@@ -88,7 +88,7 @@
 		for (let index = 0; index < daemonsPerZone; index += 1) {
 			const id = `daemon-${availabilityZone}-${index}`;
 			const settings = createSettings(settingsText(id, availabilityZone));
-			const daemon = resources.use(await createDaemon(settings, log.part(id), options.tuning));
+			const daemon = resources.use(await createDaemon(settings, log.part(id), options.tuningOf?.(availabilityZone) ?? options.tuning));
 			daemons.push(daemon);
 			list.push(createHost({
 				kind: 'daemon', id, availabilityZone, serves: '',
@@ -105,8 +105,6 @@
 		engines,
 		services,
 		settingsText,
-		platformUrl: `http://127.0.0.1:${platformPort}`,
-		hostsUrl: `http://127.0.0.1:${hostsPort}`,
 		urls: daemons.map(({address}) => `http://${address.host}:${address.port}`),
 		[Symbol.asyncDispose]: async () => resources.disposeAsync(),
 	};
