--- a/bench/simulation/authority/faults.ts
+++ b/bench/simulation/authority/faults.ts
@@ -11,6 +11,7 @@
 	'daemon-stopped',
 	'daemon-cut-from-table',
 	'daemon-cut-from-engines',
+	'zone-cut-from-table',
 	'table-down',
 	'table-loses-answers',
 	'table-late',
@@ -61,6 +62,10 @@
 		};
 	}
 
+	if (fault.kind === 'zone-cut-from-table') {
+		return cutZone(scene, fault);
+	}
+
 	if (fault.kind.startsWith('daemon')) {
 		return startDaemonFault(selectDaemon(scene, fault.target), fault);
 	}
@@ -70,6 +75,21 @@
 		: startEngineFault(scene.engines[fault.target % scene.engines.length]!, fault);
 }
 
+/** Cuts all daemons of a zone off from the table; they still reach their engines. */
+function cutZone({daemons}: FaultScene, {target}: Fault): () => void {
+	const zone = daemons[target % daemons.length]!.parts.availabilityZone;
+	const tables = daemons.filter(({parts}) => parts.availabilityZone === zone).map(({parts}) => parts.table);
+	for (const table of tables) {
+		table.isCut = true;
+	}
+
+	return () => {
+		for (const table of tables) {
+			table.isCut = false;
+		}
+	};
+}
+
 function selectDaemon({daemons}: FaultScene, target: number): FakeDaemon {
 	const holder = daemons.find(daemon => daemon.held !== undefined);
 	return target === 0 && holder !== undefined ? holder : daemons[target % daemons.length]!;
--- a/bench/simulation/authority/schedule.ts
+++ b/bench/simulation/authority/schedule.ts
@@ -166,8 +166,9 @@
 	const role: PlanStep = {action: {kind: 'role', role: 'decode'}, upstreams: ['zone-a-1'], line: 2};
 	const drain: PlanStep = {action: {kind: 'drain'}, upstreams: ['zone-a-0'], line: 3};
 	const undrain: PlanStep = {action: {kind: 'undrain'}, upstreams: ['zone-a-0'], line: 4};
+	const replace: PlanStep = {action: {kind: 'replace', replacement: 'zone-a-1'}, upstreams: ['zone-a-0'], line: 6};
 	const reload: PlanStep = {action: {kind: 'load', version: '3'}, upstreams: ['zone-a-1', 'zone-a-0'], line: 5};
-	return [[load, role], [drain, undrain, role], [reload], [{...load, upstreams: ['zone-a-0', 'zone-a-1', 'zone-b-1']}], [drain]][seed % 5]!;
+	return [[load, role], [drain, undrain, role], [reload], [{...load, upstreams: ['zone-a-0', 'zone-a-1', 'zone-b-1']}], [drain], [replace, undrain]][seed % 6]!;
 }
 
 async function runToEnd(world: World, table: SharedTable, lastFault: number) {
--- a/src/process/task.ts
+++ b/src/process/task.ts
@@ -14,6 +14,7 @@
 	readonly #stop: () => void;
 	readonly #stopped: Stream<void>;
 	#finished: Promise<void> = Promise.resolve();
+	#disposed: Promise<void> | undefined;
 
 	constructor(log: Log) {
 		this.log = log;
@@ -39,9 +40,8 @@
 
 	/** Stops the mailbox and releases what the task owns. */
 	async [Symbol.asyncDispose](): Promise<void> {
-		this.#stop();
-		await this.#finished;
-		await this.release();
+		this.#disposed ??= this.#dispose();
+		await this.#disposed;
 	}
 
 	/** Releases sockets and timers; called once after the last message. */
@@ -52,6 +52,12 @@
 	/** Handles one message; input and output that take time report back by another message. */
 	protected abstract receive(message: Message): void;
 
+	async #dispose(): Promise<void> {
+		this.#stop();
+		await this.#finished;
+		await this.release();
+	}
+
 	#handle(message: Message): void {
 		try {
 			this.receive(message);
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -91,6 +91,9 @@
 	const peers = await createPeers(base);
 	const {configuration, directory, lifecycle, membership} = peers;
 	const authority = createAuthority(base, peers, tuning);
+	lifecycle.onDrain({name: 'leases', run: async () => authority.resign()});
+	peers.status.provide('leases', () => authority.heldGroups);
+	peers.status.provide('drainingForPlans', () => [...authority.draining]);
 	const front = createFront(base, peers, authority);
 	const server = createCallerServer({headerBytes: settings.limits['header-bytes']}, (request, response) => {
 		if (lifecycle.phase === 'draining') {
@@ -220,27 +223,18 @@
 	}));
 }
 
-function createAuthority(
-	{resources, settings, log, table, clock, hostList}: Base,
-	{membership, lifecycle}: Peers,
-	tuning: DaemonTuning,
-): Authority {
-	const availabilityZone = settings.daemon['availability-zone'];
-	const authority = resources.use(new Authority({
+function createAuthority({resources, settings, log, table, clock, hostList}: Base, {membership}: Peers, tuning: DaemonTuning): Authority {
+	return resources.use(new Authority({
 		log: log.part('authority'),
 		table,
 		clock,
 		engine: new HttpEngine(),
 		daemon: settings.daemon.id,
-		availabilityZone,
+		availabilityZone: settings.daemon['availability-zone'],
 		hosts: () => hostList.hosts,
-		members: () => membership.members
-			.filter(member => member.availabilityZone === availabilityZone && member.condition !== 'dead')
-			.map(member => member.id),
+		members: () => membership.livingInZone,
 		times: tuning.authorityTimes,
 	}));
-	lifecycle.onDrain({name: 'leases', run: async () => authority.resign()});
-	return authority;
 }
 
 function createUpstreamPool({resources, clock, log}: Base, {directory, membership}: Peers): UpstreamPool {
