Carry out role changes that daemons decide on as plans

Cause: role decisions need the same drain, replica and authority rules as operators' plans. Change: Authority.changeRole records a plan with one step; its row is deleted with its last part, so that the table does not grow. Conclusion: one path gives all orders.

--- a/src/process/authority.ts
+++ b/src/process/authority.ts
@@ -1,6 +1,9 @@
-import type {Engine} from '../platform/engine.ts';
+import {randomUUID} from 'node:crypto';
+import type {Either} from 'purify-ts';
+import type {Engine, EngineRole} from '../platform/engine.ts';
 import type {Host} from '../platform/host-list.ts';
 import type {Table} from '../platform/table.ts';
+import type {PlanStep} from '../version/fleet-plan.ts';
 import type {Clock} from './clock.ts';
 import {groupName, selectCandidates} from './lease/candidates.ts';
 import {leaseTimes, type LeaseTimes} from './lease/lease-machine.ts';
@@ -10,6 +13,8 @@
 import {OrderTask} from './orders/order-task.ts';
 import {boardPollMs, PlanBoard} from './orders/plan-board.ts';
 import {planGuards, settleMs} from './orders/plan-machine.ts';
+import type {PlanBody} from './orders/plan-row.ts';
+import {createPlan, submitPlan, type PlanFailure} from './orders/plan-store.ts';
 import {loadSpacingMs} from './orders/reservation.ts';
 import {Task} from './task.ts';
 
@@ -81,6 +86,14 @@
 		this.start({message: 'poll', intervalMs: groupPollMs});
 	}
 
+	/** Records a role change that a daemon has decided on; the holder of the engine's group carries it out like a plan of an operator. */
+	async changeRole(upstream: string, role: EngineRole): Promise<Either<PlanFailure, PlanBody>> {
+		const {table, daemon} = this.#options;
+		const step: PlanStep = {action: {kind: 'role', role}, upstreams: [upstream], line: 1};
+		const plan = createPlan(`role-${randomUUID()}`, {name: 'role-change', author: daemon, steps: [step]});
+		return submitPlan(table, {...plan, isAutomatic: true});
+	}
+
 	/** Stops giving orders, then gives the leases up, so that no order follows the release of a lease. */
 	async resign(): Promise<void> {
 		this.#resigned ??= this.#resign();
--- a/src/process/orders/plan-executor.ts
+++ b/src/process/orders/plan-executor.ts
@@ -73,11 +73,14 @@
 	const parts = body.steps.reduce((sum, step) => sum + step.upstreams.length, 0);
 	const next: PlanBody = {...body, finished, state: finished.length === parts ? 'done' : 'running'};
 	const hasMoreSteps = currentStep(next, target.upstream) !== -1;
+	const isDropped = next.state === 'done' && body.isAutomatic;
 	const keeps = phase === 'drained' || hasMoreSteps;
 	return [
-		{
-			kind: 'put', key: planKey(body.id), expected: plan.revision, body: JSON.stringify(next),
-		},
+		isDropped
+			? {kind: 'delete', key: planKey(body.id), expected: plan.revision}
+			: {
+				kind: 'put', key: planKey(body.id), expected: plan.revision, body: JSON.stringify(next),
+			},
 		keeps ? putTarget(target, {...target.body, phase: phase === 'drained' ? 'drained' : 'waiting', note: ''}) : releaseTarget(target),
 		checkLease(group, held),
 	];
--- a/src/process/orders/plan-row.ts
+++ b/src/process/orders/plan-row.ts
@@ -25,6 +25,8 @@
 	/** Finished parts, each `STEP/UPSTREAM`. */
 	finished: z.array(z.string()).readonly(),
 	state: z.enum(['running', 'done', 'cancelled']),
+	/** True for a plan that a daemon made; its row is deleted when it is done. */
+	isAutomatic: z.boolean().default(false),
 }).readonly();
 
 const targetBody = z.object({
@@ -51,7 +53,7 @@
 /** A plan-target row as read. */
 export type TargetRow = {readonly upstream: string; readonly revision: number; readonly body: TargetBody};
 
-/** Key of a plan row. Plan rows are never deleted. */
+/** Key of a plan row. The id of a deleted row never comes back, because a daemon's plans have random ids. */
 export function planKey(id: string): RowKey {
 	return {partition: 'plan', sort: id};
 }
--- a/src/process/orders/plan-store.ts
+++ b/src/process/orders/plan-store.ts
@@ -29,7 +29,7 @@
 /** Creates the row of a plan; the same content and id give the same row, so that a repeated submission is recognised. */
 export function createPlan(id: string, plan: FleetPlan): PlanBody {
 	return {
-		id, ...plan, digest: createHash('sha256').update(JSON.stringify(plan)).digest('hex'), finished: [], state: 'running',
+		id, ...plan, digest: createHash('sha256').update(JSON.stringify(plan)).digest('hex'), finished: [], state: 'running', isAutomatic: false,
 	};
 }
 
--- a/test/process/fleet-plan.test.ts
+++ b/test/process/fleet-plan.test.ts
@@ -1,4 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {Right} from 'purify-ts';
 import {request} from 'undici';
 import {
 	afterAll, beforeAll, describe, expect, it,
@@ -8,7 +9,10 @@
 } from '../../src/demo/local-deployment.ts';
 import {waitUntilReady} from '../../src/demo/mixed-load.ts';
 import {createLog} from '../../src/process/log.ts';
-import {createPlan, showPlan, submitPlan} from '../../src/process/orders/plan-store.ts';
+import {planKey} from '../../src/process/orders/plan-row.ts';
+import {
+	createPlan, readTargets, showPlan, submitPlan,
+} from '../../src/process/orders/plan-store.ts';
 import type {PlanStep} from '../../src/version/fleet-plan.ts';
 import {shortIdleLimitMs, shortTimes} from '../fixtures/short-times.ts';
 
@@ -59,6 +63,23 @@
 		expect(Math.abs(loads[0]! - loads[1]!)).toBeGreaterThanOrEqual(shortTimes.spacingMs);
 	});
 
+	it('carries out a role change of a daemon and leaves no row behind, so that the table does not grow with them', async () => {
+		const {table} = deployment.platform;
+		const made = await deployment.daemons[0]!.authority.changeRole(upstreams[0]!, 'prefill');
+		const {id} = made.unsafeCoerce();
+		const exists = async () => {
+			const row = await table.get(planKey(id));
+			return row.orDefault(undefined) !== undefined;
+		};
+
+		while (await exists()) {
+			await delay(20);
+		}
+
+		expect(deployment.engines[0]!.orders.state(performance.now())).toMatchObject({role: 'prefill', draining: false});
+		expect(await readTargets(table)).toEqual(Right([]));
+	});
+
 	async function streamUntil(isOver: () => Promise<boolean>): Promise<readonly string[]> {
 		const results: Array<Promise<string>> = [];
 		for (let index = 0; !await isOver(); index += 1) {
