--- a/test/process/fleet-plan.test.ts
+++ b/test/process/fleet-plan.test.ts
@@ -8,6 +8,7 @@
 	createLocalDeployment, demoKey, demoModels, type LocalDeployment,
 } from '../../src/demo/local-deployment.ts';
 import {waitUntilReady} from '../../src/demo/mixed-load.ts';
+import type {EngineRole} from '../../src/platform/engine.ts';
 import {createLog} from '../../src/process/log.ts';
 import {planKey} from '../../src/process/orders/plan-row.ts';
 import {
@@ -64,21 +65,39 @@
 	});
 
 	it('carries out a role change of a daemon and leaves no row behind, so that the table does not grow with them', async () => {
-		const {table} = deployment.platform;
-		const made = await deployment.daemons[0]!.authority.changeRole(upstreams[0]!, 'prefill');
-		const {id} = made.unsafeCoerce();
+		await changeRole(upstreams[0]!, 'prefill');
+		expect(deployment.engines[0]!.orders.state(performance.now())).toMatchObject({role: 'prefill', draining: false});
+		expect(await readTargets(deployment.platform.table)).toEqual(Right([]));
+	});
+
+	it('repeats a change in which the engine crashed, so that a lost change is not taken for done', async () => {
+		const engine = deployment.engines[1]!;
+		engine.setFaults({crashInChange: true, restartMs: 300});
+		const changed = changeRole(upstreams[1]!, 'prefill');
+		while (engine.crashes === 0) {
+			await delay(20);
+		}
+
+		engine.setFaults({crashInChange: false});
+		await changed;
+		expect(engine.orders.state(performance.now())).toMatchObject({role: 'prefill', draining: false});
+		const changes = engine.orders.accepted.filter(order => order.wanted.role === 'prefill');
+		expect(changes.map(order => order.readyAt === undefined)).toEqual([true, false]);
+		expect(changes.filter(order => order.cutRequests > 0)).toEqual([]);
+	});
+
+	async function changeRole(upstream: string, role: EngineRole): Promise<void> {
+		const made = await deployment.daemons[0]!.authority.changeRole(upstream, role);
+		const key = planKey(made.unsafeCoerce().id);
 		const exists = async () => {
-			const row = await table.get(planKey(id));
+			const row = await deployment.platform.table.get(key);
 			return row.orDefault(undefined) !== undefined;
 		};
 
 		while (await exists()) {
 			await delay(20);
 		}
-
-		expect(deployment.engines[0]!.orders.state(performance.now())).toMatchObject({role: 'prefill', draining: false});
-		expect(await readTargets(table)).toEqual(Right([]));
-	});
+	}
 
 	async function streamUntil(isOver: () => Promise<boolean>): Promise<readonly string[]> {
 		const results: Array<Promise<string>> = [];
