--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -107,6 +107,7 @@
 	const {configuration, directory, lifecycle, membership} = peers;
 	const authority = createAuthority(base, peers);
 	peers.status.provide('leases', () => authority.heldGroups);
+	peers.status.provide('drainingForPlans', () => [...authority.draining]);
 	const front = createFront(base, peers, authority);
 	const server = createCallerServer({headerBytes: settings.limits['header-bytes']}, (request, response) => {
 		if (lifecycle.phase === 'draining') {
