--- a/test/process/administration.test.ts
+++ b/test/process/administration.test.ts
@@ -82,6 +82,23 @@
 		expect(result.extract()).toEqual({kind: 'refused', message});
 	});
 
+	// Change rows that are never deleted fill the table; ones deleted too early make every daemon read everything.
+	it('keeps the last thousand changes below a snapshot', async () => {
+		const objects = new MemoryObjectStore();
+		const owner = new Administration(table, objects);
+		let base = 0;
+		for (let count = 2; count <= 1200; count += 1) {
+			const {version} = await succeed(owner.putContract(operator, contractOf(count), {base, changeId: `c${count}`}));
+			base = version;
+		}
+
+		const changes = await succeed(table.query('change'));
+		expect(changes[0]?.key.sort).toBe('000000000201');
+		expect(changes).toHaveLength(1000);
+		expect(await succeed(table.query('change-id'))).toHaveLength(1000);
+		expect(await succeed(objects.get('snapshot/000000001200'))).toBeDefined();
+	});
+
 	it('refuses a revoked operator', async () => {
 		await succeed(administration.putKey(operator, {kind: 'operator', name: 'ben', state: 'active'}, 'ben', 'k1'));
 		await succeed(administration.revokeKey(operator, hashKey('ben'), 'k2'));
