--- a/src/process/claims/claim-settler.ts
+++ b/src/process/claims/claim-settler.ts
@@ -29,6 +29,9 @@
 type Attempt = {readonly kind: 'settled'} | {readonly kind: 'open'; readonly settlement: Settlement};
 
 const retryIntervalMs = 1000;
+
+/** Most ends in one round, so that the end of an outage brings no surge of writes. */
+const endsPerRound = 100;
 const defaultShutdownMs = 10_000;
 const heldBytesLimit = 32 * 1024 * 1024;
 
@@ -64,9 +67,9 @@
 		void this.#retry();
 	}
 
-	/** Tries each open end once. */
+	/** Tries the ends that have been open longest once. */
 	async retryOnce(): Promise<void> {
-		await Promise.all([...this.#open].map(async settlement => {
+		await Promise.all([...this.#open].slice(0, endsPerRound).map(async settlement => {
 			const attempt = await this.#attempt(settlement);
 			this.#drop(settlement);
 			if (attempt.kind === 'open') {
--- a/test/process/claims/claim-parts.test.ts
+++ b/test/process/claims/claim-parts.test.ts
@@ -129,6 +129,22 @@
 		expect(await extract(store.claim(request))).toMatchObject({kind: 'answered'});
 	});
 
+	// Thousands of open ends after an outage must not meet a store of several hundred writes a second at once.
+	it('is one of at most 100 that are written in one round', async () => {
+		const {store, settler, faults} = createStore();
+		const grants = [];
+		for (let index = 0; index < 250; index += 1) {
+			grants.push(await succeed(store.claim({...request, idempotencyKey: String(index)})));
+		}
+
+		faults.push(...Array.from({length: 250}, () => 'unavailable' as const));
+		await Promise.all(grants.map(async grant => grant.kind === 'granted' ? grant.claim.complete(answer) : undefined));
+		faults.length = 0;
+		expect(settler.open).toBe(250);
+		await settler.retryOnce();
+		expect(settler.open).toBe(150);
+	});
+
 	it('answers that it ran while its stored body cannot be read', async () => {
 		const {store, objects, table} = createStore();
 		const held = await claim(store);
