--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,12 +3,14 @@
 import {claims} from './claims.ts';
 import {controlCost, controlProcessorCost} from './control-cost.ts';
 import type {Measure} from './measure.ts';
+import {pathCost} from './path-cost.ts';
 
 /** All measures, in the order in which they are printed. */
 const measures: readonly Measure[] = [
 	controlCost,
 	controlProcessorCost,
 	claims,
+	pathCost,
 ];
 
 const onlyDeterministic = process.argv.includes('--deterministic');
--- a/src/connection/upstream-pool.ts
+++ b/src/connection/upstream-pool.ts
@@ -1,15 +1,17 @@
-import {Dispatcher} from 'undici';
+import {DecoratorHandler, Dispatcher, errors} from 'undici';
 import type {Clock} from '../process/clock.ts';
+import {NetworkConnectivity, type Connectivity} from './connectivity.ts';
+import {connectTimeoutMs} from './upstream-connection.ts';
 import {UpstreamHost, type UpstreamObserver} from './upstream-host.ts';
 
 /** Dispatch options that the pool understands in addition to those of the client library. */
 export type PoolDispatchOptions = Dispatcher.DispatchOptions & {
-	/** Wait for the first byte after which a new connection is compared with the old one, and the old one is closed if only the new one answers. */
-	readonly firstByteMs?: number;
+	/** Silence, in milliseconds, after which a connection is closed if a new one to the same upstream works. @default 30_000 */
+	readonly silenceMs?: number;
 };
 
-/** Long enough for answers that come in one piece; silence of several connections is found sooner by their comparison. */
-const defaultFirstByteMs = 30_000;
+/** Long enough for answers that come in one piece, which cannot be told from silence; an idle connection of the same age tells sooner. */
+const defaultSilenceMs = 30_000;
 const checkIntervalMs = 250;
 
 /** Connections to upstreams, each with an age; those that go silent are closed while the upstream stays in service. */
@@ -19,8 +21,11 @@
 	readonly #hosts = new Map<string, UpstreamHost>();
 	readonly #timer: NodeJS.Timeout;
 
-	constructor(clock: Clock, observer: UpstreamObserver) {
+	readonly #connectivity: Connectivity;
+
+	constructor(clock: Clock, observer: UpstreamObserver, connectivity: Connectivity = new NetworkConnectivity()) {
 		super();
+		this.#connectivity = connectivity;
 		this.#clock = clock;
 		this.#observer = observer;
 		this.#timer = setInterval(() => {
@@ -30,9 +35,14 @@
 
 	override dispatch(options: PoolDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
 		const origin = String(options.origin);
+		if (!this.#connectivity.reaches(origin)) {
+			this.#timeOut(origin, handler);
+			return true;
+		}
+
 		const host = this.#hosts.get(origin) ?? new UpstreamHost(origin, () => this.#clock.now(), this.#observer);
 		this.#hosts.set(origin, host);
-		host.send(options, handler, options.firstByteMs ?? defaultFirstByteMs);
+		host.send(options, handler, options.silenceMs ?? defaultSilenceMs);
 		return true;
 	}
 
@@ -42,6 +52,14 @@
 		await Promise.all([...this.#hosts.values()].map(async host => host.close()));
 	}
 
+	#timeOut(origin: string, handler: Dispatcher.DispatchHandler): void {
+		setTimeout(() => {
+			this.#observer.unreached(origin);
+			const error = new errors.ConnectTimeoutError('The upstream is not reached.');
+			(new DecoratorHandler(handler) as Dispatcher.DispatchHandler).onResponseError?.(undefined as never, error);
+		}, connectTimeoutMs);
+	}
+
 	#check(): void {
 		for (const [origin, host] of this.#hosts) {
 			if (host.size === 0) {
--- a/test/process/authority/guards.test.ts
+++ b/test/process/authority/guards.test.ts
@@ -69,7 +69,14 @@
 	{
 		guard: 'an order that cuts work goes only to a drained engine',
 		guards: {intent: {...intent, needsDrain: false}},
-		faults: [{kind: 'daemon-cut-from-table'}, {kind: 'engine-crashes-in-change'}],
+		faults: [
+			{
+				kind: 'daemon-cut-from-table', at: [0, 4000], durationMs: [20_000, 30_000], target: [1, 1],
+			},
+			{
+				kind: 'engine-crashes-in-change', at: [0, 4000], durationMs: [20_000, 30_000], target: [0, 1],
+			},
+		],
 		expected: 'requests-cut',
 	},
 	{
