--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import {readKnownRed} from '../test/known-red.ts';
+import {claims} from './claims.ts';
 import {controlCost, controlProcessorCost} from './control-cost.ts';
 import type {Measure} from './measure.ts';
 import {pathCost} from './path-cost.ts';
@@ -8,6 +9,7 @@
 const measures: readonly Measure[] = [
 	controlCost,
 	controlProcessorCost,
+	claims,
 	pathCost,
 ];
 
