--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
 import {readKnownRed} from '../test/known-red.ts';
 import {controlCost, controlProcessorCost} from './control-cost.ts';
 import type {Measure} from './measure.ts';
+import {pathCost} from './path-cost.ts';
 import {peerProtocol} from './peer-protocol.ts';
 
 /** All measures, in the order in which they are printed. */
@@ -9,6 +10,7 @@
 	controlCost,
 	controlProcessorCost,
 	peerProtocol,
+	pathCost,
 ];
 
 const onlyDeterministic = process.argv.includes('--deterministic');
