--- a/src/process/membership-task.ts
+++ b/src/process/membership-task.ts
@@ -69,7 +69,7 @@
 		return members.length > 0 && members.every(member => member.condition === 'dead');
 	}
 
-	/** Ids of the members of the own availability zone that are not dead, without this daemon. */
+	/** Ids of the members of the own availability zone that are neither dead nor draining, without this daemon. */
 	get livingInZone(): readonly string[] {
 		return this.#options.membership.livingInZone;
 	}
--- a/src/process/membership/membership.ts
+++ b/src/process/membership/membership.ts
@@ -72,9 +72,9 @@
 		return this.#table.gateways(availabilityZone, id).includes(id);
 	}
 
-	/** Ids of the members of the own zone that are not dead. */
+	/** Ids of the members of the own zone that are neither dead nor draining. */
 	get livingInZone(): readonly string[] {
-		return this.#targets.living;
+		return this.#targets.living.filter(id => this.#table.get(id)?.phase !== Phase.DRAINING);
 	}
 
 	/** True when this daemon is among the first ones of its zone for a topic. */
--- a/src/process/status-sections.ts
+++ b/src/process/status-sections.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import {performance} from 'node:perf_hooks';
+import {Phase} from '../generated/peer_pb.js';
 import type {Settings} from '../version/settings.ts';
 import type {ConfigurationTask} from './configuration-task.ts';
 import type {HostListPoller} from './host-list-poller.ts';
@@ -31,8 +32,8 @@
 	status.provide('configuration', () => ({version: configuration.version}));
 	status.provide('hosts', () => ({
 		listAgeMs: hostList.readAt === undefined ? undefined : Math.round(performance.now() - hostList.readAt),
-		members: membership.members.map(({id, availabilityZone, condition, incarnation, configurationVersion, peerUrl}) => ({
-			id, availabilityZone, condition, incarnation, configurationVersion, peerUrl,
+		members: membership.members.map(({id, availabilityZone, condition, phase, incarnation, configurationVersion, peerUrl}) => ({
+			id, availabilityZone, condition, phase: Phase[phase].toLowerCase(), incarnation, configurationVersion, peerUrl,
 		})),
 	}));
 	status.provide('upstreams', () => directory.upstreams.map(({id, kind, serves, availabilityZone, address, state}) => ({
--- a/test/process/lifecycle.test.ts
+++ b/test/process/lifecycle.test.ts
@@ -1,8 +1,11 @@
 import {once} from 'node:events';
 import {setTimeout as delay} from 'node:timers/promises';
-import {describe, expect, it} from 'vitest';
+import {
+	describe, expect, it, vi,
+} from 'vitest';
 import {Agent, request, type Dispatcher} from 'undici';
 import {demoKey, demoModels, demoService} from '../../src/demo/local-deployment.ts';
+import {readStatus} from '../fixtures/peer-status.ts';
 import {isReady, SpawnedDeployment} from '../fixtures/spawned-deployment.ts';
 
 const balancerDelayMs = 400;
@@ -28,6 +31,23 @@
 		expect(await exit).toEqual([0, null]);
 	});
 
+	it('is draining to its peers during the balancer delay, so that they count on it no more', async () => {
+		await using deployment = await SpawnedDeployment.create(['a1', 'a2'], 3000);
+		const peer = deployment.daemons.get('a2')!.peerAddress!;
+		const phase = async () => {
+			const {hosts} = await readStatus(peer);
+			return hosts.members.find(({id}) => id === 'a1')?.phase;
+		};
+
+		await vi.waitFor(async () => {
+			expect(await phase()).toBe('ready');
+		}, {timeout: 5000});
+		deployment.daemons.get('a1')!.child.kill('SIGTERM');
+		await vi.waitFor(async () => {
+			expect(await phase()).toBe('draining');
+		}, {timeout: 2500});
+	});
+
 	it('fails no request of a rolling restart under load while the balancer respects readiness', async () => {
 		const ids = ['a1', 'a2', 'a3'];
 		await using deployment = await SpawnedDeployment.create(ids, balancerDelayMs);
