--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,12 +4,14 @@
 import {controlCost, controlProcessorCost} from './control-cost.ts';
 import type {Measure} from './measure.ts';
 import {pathCost} from './path-cost.ts';
+import {peerProtocol} from './peer-protocol.ts';
 
 /** All measures, in the order in which they are printed. */
 const measures: readonly Measure[] = [
 	controlCost,
 	controlProcessorCost,
 	claims,
+	peerProtocol,
 	pathCost,
 ];
 
