Weigh upstreams by fresh latency more than by late reports

Cause: with 24 daemons and 100 engines a daemon's own work is too small a part of the load, and reports that are 2 s old send work to engines that have filled since. The latency of own streams is fresh and shows the batch size.

The fourth power and four choices did not help.

--- /dev/null
+++ b/bench/simulation/daemon-model.ts
@@ -0,0 +1,327 @@
+import {Admission} from '../../src/process/admission/admission.ts';
+import {costSlots, costTokens, isLongWork} from '../../src/process/admission/cost.ts';
+import type {AdmissionDecision, Ticket} from '../../src/process/admission/ticket.ts';
+import {LoadTable, type RoutedRequest} from '../../src/process/load/load-table.ts';
+import type {Upstream} from '../../src/process/load/upstream-load.ts';
+import type {Random} from '../../src/process/random.ts';
+import {Allotments, type CustomerUsage} from '../../src/process/shares/allotments.ts';
+import {HedgePolicy} from '../../src/request/hedge.ts';
+import type {EngineRole} from '../../src/stand-ins/engine/engine-work.ts';
+import {PlainQueue} from './plain-queue.ts';
+import type {Policy, SimulatedRequest} from './scenario.ts';
+
+/** An attempt of a request at an engine. */
+export type Attempt = {
+	readonly id: string;
+	readonly flight: Flight;
+	readonly engine: string;
+	readonly sentAt: number;
+	readonly part: 'whole' | 'prefill' | 'decode';
+	readonly resumedTokens: number;
+	hasOutput: boolean;
+	/** Tokens seen at the last observation. */
+	seen: number;
+};
+
+/** A request that a daemon has taken. */
+export type Flight = {
+	readonly request: SimulatedRequest;
+	readonly ticket: Ticket;
+	readonly attempts: Map<string, Attempt>;
+	attemptCount: number;
+	generated: number;
+	firstTokenAt: number | undefined;
+};
+
+/** What a simulated daemon does to the outside. */
+export type DaemonPort = {
+	readonly send: (attempt: Attempt) => void;
+	readonly cancel: (attempt: Attempt) => void;
+	readonly refuse: (request: SimulatedRequest) => void;
+	readonly done: (flight: Flight) => void;
+	readonly transferMs: (promptTokens: number) => number;
+	readonly later: (delayMs: number, run: () => void) => void;
+};
+
+/** Settings of a simulated daemon. */
+export type DaemonOptions = {
+	readonly index: number;
+	readonly availabilityZone: string;
+	readonly policy: Policy;
+	readonly random: Random;
+	readonly daemons: number;
+	readonly share: (customer: string) => number;
+	readonly isSplit: boolean;
+	readonly queueMs: number;
+};
+
+const usualTokensSmoothing = 0.01;
+const firstUsualTokens = 64;
+const patientDeadlineMs = 28_800_000;
+
+/** A daemon that sees only its own requests and late news. */
+export class DaemonModel {
+	readonly allotments: Allotments;
+	readonly loads: LoadTable;
+	readonly flights = new Map<string, Flight>();
+	hedges = 0;
+	extraTokens = 0;
+	servedTokens = 0;
+	preemptions = 0;
+	readonly #options: DaemonOptions;
+	readonly #port: DaemonPort;
+	readonly #admission: Admission | PlainQueue;
+	readonly #hedge = new HedgePolicy();
+	readonly #attempts = new Map<string, Attempt>();
+	#engines: ReadonlyArray<{readonly id: string; readonly role: EngineRole; readonly zone: string}> = [];
+	#turn = 0;
+	#usualTokens = firstUsualTokens;
+	#now = 0;
+
+	constructor(options: DaemonOptions, port: DaemonPort) {
+		this.#options = options;
+		this.#port = port;
+		this.loads = new LoadTable({availabilityZone: options.availabilityZone, random: options.random});
+		this.allotments = new Allotments({share: options.share});
+		this.allotments.setDaemons(options.daemons);
+		this.#admission = options.policy.admission === 'fair'
+			? new Admission(0, {weight: customer => this.allotments.weight(this.#now, customer)})
+			: new PlainQueue(0);
+	}
+
+	/** Takes the engines and their roles as far as they are known. */
+	setEngines(now: number, engines: ReadonlyArray<{readonly id: string; readonly role: EngineRole; readonly zone: string; readonly isAway: boolean}>): void {
+		this.#engines = engines.filter(({isAway}) => !isAway);
+		this.loads.setUpstreams(now, this.#engines.map(({id, role, zone}): Upstream => ({
+			id, availabilityZone: zone, group: this.#options.isSplit ? role : 'model',
+		})));
+	}
+
+	/** Takes a request of a caller. */
+	arrive(now: number, request: SimulatedRequest): void {
+		this.#now = now;
+		const tokens = costTokens(request.promptTokens, request.outputTokens);
+		const isLong = isLongWork(tokens, this.#usualTokens);
+		this.#usualTokens += (Math.min(tokens, this.#usualTokens * 4) - this.#usualTokens) * usualTokensSmoothing;
+		this.allotments.arrive(now, request.customer, tokens);
+		const ticket: Ticket = {
+			id: request.id,
+			customer: request.customer,
+			workClass: request.workClass,
+			tokens,
+			slots: costSlots(request.promptTokens),
+			isLong,
+			arrivedAt: request.at,
+			startBy: request.at + (request.workClass === 'live' ? this.#options.queueMs : patientDeadlineMs),
+		};
+		const flight = {
+			request, ticket, attempts: new Map(), attemptCount: 0, generated: 0, firstTokenAt: undefined,
+		};
+		this.flights.set(request.id, flight);
+		this.#apply(now, this.#admission.offer(now, ticket));
+	}
+
+	/** Takes the first token of an attempt. */
+	firstToken(now: number, id: string): void {
+		const attempt = this.#attempts.get(id);
+		if (attempt === undefined) {
+			return;
+		}
+
+		attempt.hasOutput = true;
+		const {flight} = attempt;
+		const waitedMs = now - attempt.sentAt;
+		this.loads.firstToken(now, id, attempt.engine, waitedMs);
+		this.#hedge.served(flight.ticket.tokens, waitedMs - prefillMs(flight.request));
+		flight.firstTokenAt ??= now;
+
+		for (const other of flight.attempts.values()) {
+			if (other !== attempt && !other.hasOutput) {
+				this.#drop(now, other);
+				this.#port.cancel(other);
+			}
+		}
+
+		this.#apply(now, this.#admission.firstToken(now, flight.ticket.id));
+	}
+
+	/** Takes the end of an attempt. */
+	finished(now: number, id: string): void {
+		const attempt = this.#attempts.get(id);
+		if (attempt === undefined) {
+			return;
+		}
+
+		const {flight} = attempt;
+		this.#drop(now, attempt);
+		if (attempt.part === 'prefill' && flight.request.outputTokens > 1) {
+			flight.generated = 1;
+			this.#port.later(this.#port.transferMs(flight.request.promptTokens), () => {
+				this.#send(this.#now, flight, 'decode');
+			});
+			return;
+		}
+
+		this.#end(now, flight);
+	}
+
+	/** Sends an attempt again whose engine took no work. */
+	rejected(now: number, attempt: Attempt): void {
+		this.#drop(now, attempt);
+		this.#send(now, attempt.flight, attempt.part);
+	}
+
+	/** Takes the tokens that running streams of an engine have generated since the last observation. */
+	observe(now: number, engine: string, progress: ReadonlyMap<string, number>, intervalMs: number): void {
+		let tokens = 0;
+		let streams = 0;
+		for (const [id, generated] of progress) {
+			const attempt = this.#attempts.get(id);
+			if (attempt !== undefined && generated > 0) {
+				tokens += attempt.seen === 0 ? 0 : generated - attempt.seen;
+				streams += attempt.seen === 0 ? 0 : 1;
+				attempt.seen = generated;
+			}
+		}
+
+		if (streams > 0) {
+			this.loads.observe(now, engine, tokens, streams * intervalMs);
+		}
+	}
+
+	/** Expires, resizes and hedges; called at a short interval. */
+	tick(now: number, totalSlots: number): void {
+		this.#now = now;
+		this.#apply(now, this.#admission.resize(now, totalSlots * this.allotments.roomPart(now)));
+		this.#apply(now, this.#admission.tick(now));
+		if (this.#options.policy.hedging) {
+			this.#hedgeSlow(now);
+		}
+	}
+
+	/** News of this daemon's demand. */
+	news(now: number): readonly CustomerUsage[] {
+		return this.allotments.news(now, customer => this.#admission.waitingTokens(customer));
+	}
+
+	#apply(now: number, decisions: readonly AdmissionDecision[]): void {
+		this.#now = now;
+		for (const {kind, ticket} of decisions) {
+			const flight = this.flights.get(ticket.id);
+			if (flight === undefined) {
+				continue;
+			}
+
+			switch (kind) {
+				case 'grant': {
+					this.#send(now, flight, this.#options.isSplit ? 'prefill' : 'whole');
+					break;
+				}
+
+				case 'refuse': {
+					this.flights.delete(ticket.id);
+					this.#port.refuse(flight.request);
+					break;
+				}
+
+				case 'preempt': {
+					this.preemptions += 1;
+					this.#preempt(now, flight);
+				}
+			}
+		}
+	}
+
+	#send(now: number, flight: Flight, part: Attempt['part']): void {
+		const tried = new Set(flight.attempts.values().map(({engine}) => engine));
+		const engine = this.#choose(now, flight, part, tried);
+		if (engine === undefined) {
+			this.#port.later(retryMs, () => {
+				if (this.flights.has(flight.request.id)) {
+					this.#send(this.#now, flight, part);
+				}
+			});
+			return;
+		}
+
+		flight.attemptCount += 1;
+		const attempt: Attempt = {
+			id: `${flight.request.id}/${flight.attemptCount}`, flight, engine, sentAt: now, part, resumedTokens: flight.generated, hasOutput: false, seen: 0,
+		};
+		flight.attempts.set(attempt.id, attempt);
+		this.#attempts.set(attempt.id, attempt);
+		this.loads.start(now, attempt.id, engine, this.#routed(flight, part));
+		this.#port.send(attempt);
+	}
+
+	#choose(now: number, flight: Flight, part: Attempt['part'], excluded: ReadonlySet<string>): string | undefined {
+		if (this.#options.policy.routing === 'load') {
+			return this.loads.choose(now, {...this.#routed(flight, part), excluded});
+		}
+
+		const engines = this.#engines.filter(({role}) => part === 'whole' || role === part);
+		this.#turn += 1;
+		return engines[this.#turn % engines.length]?.id;
+	}
+
+	#routed({request, ticket, generated}: Flight, part: Attempt['part']): RoutedRequest {
+		return {
+			group: part === 'whole' ? 'model' : part,
+			promptTokens: part === 'decode' ? 0 : request.promptTokens + generated,
+			outputTokens: part === 'prefill' ? 1 : request.outputTokens - generated,
+			isLong: ticket.isLong && part !== 'decode',
+			prefix: request.prefix,
+			prefixTokens: request.prefixTokens,
+		};
+	}
+
+	#preempt(now: number, flight: Flight): void {
+		for (const attempt of flight.attempts.values()) {
+			flight.generated = Math.max(flight.generated, attempt.seen);
+			this.#drop(now, attempt);
+			this.#port.cancel(attempt);
+		}
+
+		this.#apply(now, this.#admission.offer(now, flight.ticket));
+	}
+
+	#hedgeSlow(now: number): void {
+		for (const attempt of this.#attempts.values()) {
+			const {flight} = attempt;
+			const {request, ticket} = flight;
+			const candidate = {
+				isRepeatable: attempt.part !== 'decode',
+				hasOutput: attempt.hasOutput,
+				attempts: flight.attempts.size,
+				tokens: ticket.tokens,
+				waitedMs: now - attempt.sentAt,
+				prefillMs: prefillMs(request),
+			};
+			if (request.workClass === 'live' && this.#hedge.shouldHedge(candidate)) {
+				this.hedges += 1;
+				this.extraTokens += ticket.tokens;
+				this.#send(now, flight, attempt.part);
+			}
+		}
+	}
+
+	#drop(now: number, attempt: Attempt): void {
+		this.loads.finish(now, attempt.id, attempt.engine);
+		this.#attempts.delete(attempt.id);
+		attempt.flight.attempts.delete(attempt.id);
+	}
+
+	#end(now: number, flight: Flight): void {
+		this.servedTokens += flight.ticket.tokens;
+		this.flights.delete(flight.request.id);
+		this.#port.done(flight);
+		this.#apply(now, this.#admission.finish(now, flight.ticket));
+	}
+}
+
+const retryMs = 20;
+const prefillMsPerToken = 0.08;
+
+function prefillMs({promptTokens}: SimulatedRequest): number {
+	return promptTokens * prefillMsPerToken;
+}
--- /dev/null
+++ b/bench/simulation/timeline.ts
@@ -0,0 +1,41 @@
+import TinyQueue from 'tinyqueue';
+
+type Entry = {
+	readonly at: number;
+	readonly order: number;
+	readonly run: () => void;
+};
+
+/** Virtual time in milliseconds, with actions that are due at a time. */
+export class Timeline {
+	readonly #queue = new TinyQueue<Entry>([], (a, b) => a.at - b.at || a.order - b.order);
+	#now = 0;
+	#order = 0;
+
+	get now(): number {
+		return this.#now;
+	}
+
+	/** Runs an action at a time; actions of the same time run in the order in which they were added. */
+	at(at: number, run: () => void): void {
+		this.#order += 1;
+		this.#queue.push({at: Math.max(at, this.#now), order: this.#order, run});
+	}
+
+	/** Runs an action at each interval, from a first time on. */
+	every(first: number, intervalMs: number, run: () => void): void {
+		this.at(first, () => {
+			run();
+			this.every(first + intervalMs, intervalMs, run);
+		});
+	}
+
+	/** Runs all actions up to a time. */
+	runUntil(end: number): void {
+		for (let entry = this.#queue.peek(); entry !== undefined && entry.at <= end; entry = this.#queue.peek()) {
+			this.#queue.pop();
+			this.#now = entry.at;
+			entry.run();
+		}
+	}
+}
--- /dev/null
+++ b/bench/simulation/workload.ts
@@ -0,0 +1,56 @@
+import {SeededRandom, type Random} from '../../src/process/random.ts';
+import type {SimulatedRequest} from './scenario.ts';
+
+/** Sizes of requests of one kind. */
+export type RequestShape = {
+	readonly promptTokens: number;
+	readonly outputTokens: number;
+};
+
+/** Requests of one customer with arrivals at random times. */
+export type Source = {
+	readonly customer: string;
+	readonly workClass?: 'live' | 'patient';
+	readonly fromMs: number;
+	readonly toMs: number;
+	/** Requests in a second at a time. */
+	readonly rate: (at: number) => number;
+	readonly shape: (at: number, random: Random) => RequestShape;
+	/** Names of shared prompt prefixes to draw from. @default 0 */
+	readonly prefixes?: number;
+	/** Part of the prompt that is the shared prefix. @default 0.5 */
+	readonly prefixPart?: number;
+};
+
+/** Creates the requests of all sources, in order of time, spread over the daemons. */
+export function createRequests(seed: number, daemons: number, sources: readonly Source[]): readonly SimulatedRequest[] {
+	const requests = sources.flatMap((source, index) => createSourceRequests(new SeededRandom(seed + (1000 * (index + 1))), daemons, source, index));
+	return requests.toSorted((a, b) => a.at - b.at);
+}
+
+function createSourceRequests(random: Random, daemons: number, source: Source, index: number): readonly SimulatedRequest[] {
+	const {customer, workClass = 'live', fromMs, toMs, rate, shape, prefixes = 0, prefixPart = 0.5} = source;
+	const requests: SimulatedRequest[] = [];
+	for (let at = fromMs + gapMs(random, rate(fromMs)); at < toMs; at += gapMs(random, rate(at))) {
+		const size = shape(at, random);
+		const prefix = prefixes === 0
+			? {}
+			: {
+				prefix: `${customer}-${random.integer(prefixes)}`, prefixTokens: Math.floor(size.promptTokens * prefixPart),
+			};
+		requests.push({
+			id: `${index}-${requests.length}`, at, daemon: random.integer(daemons), customer, workClass, ...size, ...prefix,
+		});
+	}
+
+	return requests;
+}
+
+/** Draws a size around a mean, from a third of it to about three times it. */
+export function spread(random: Random, mean: number): number {
+	return Math.max(1, Math.round(mean * (0.33 + (0.67 * -Math.log(1 - (random.next() * 0.97))))));
+}
+
+function gapMs(random: Random, perSecond: number): number {
+	return -Math.log(1 - random.next()) * 1000 / Math.max(perSecond, 0.001);
+}
--- a/src/process/load/load-table.ts
+++ b/src/process/load/load-table.ts
@@ -22,7 +22,7 @@
 export type LoadTableOptions = {
 	readonly availabilityZone: string;
 	readonly random: Random;
-	/** Upstreams drawn for each decision. @default 3 */
+	/** Upstreams drawn for each decision. @default 2 */
 	readonly choices?: number;
 	/** Tokens of load above which another zone is considered. @default 1500 */
 	readonly spillTokens?: number;
@@ -60,7 +60,7 @@
 
 	constructor(options: LoadTableOptions) {
 		this.#options = {
-			choices: 3, spillTokens: 1500, spillPenaltyTokens: 300, ...options,
+			choices: 2, spillTokens: 1500, spillPenaltyTokens: 300, ...options,
 		};
 	}
 
@@ -194,7 +194,7 @@
 			return Infinity;
 		}
 
-		const slowness = Math.max(1, (load.msPerToken ?? 0) / group.usualMsPerToken);
+		const slowness = ((load.msPerToken ?? group.usualMsPerToken) / group.usualMsPerToken) ** 3;
 		const overdueMs = Math.max(overdueFloorMs, this.#usualFirstTokenMs * overdueRatio);
 		const overdue = Math.max(1, load.oldestAwaitingMs(now) / overdueMs);
 		return (load.tokens(now, group.meanForeign) + tokens) * slowness * overdue * overdue / readiness;
--- a/src/process/load/upstream-load.ts
+++ b/src/process/load/upstream-load.ts
@@ -29,7 +29,7 @@
 };
 
 /** Time after which a report counts for 1/e of its deviation from the mean of the group. */
-const reportAgeMs = 4000;
+const reportAgeMs = 800;
 /** Time constant of the latency per token. */
 const latencyTimeConstantMs = 1000;
 const slowStartMs = 10_000;
--- a/src/stand-ins/engine/engine-server.ts
+++ b/src/stand-ins/engine/engine-server.ts
@@ -9,7 +9,8 @@
 import {parseCompletionInput} from './completion-input.ts';
 import {createWork, runCompletion} from './completions.ts';
 import {EngineDriver} from './engine-driver.ts';
-import {EngineModel, type EngineModelOptions} from './engine-model.ts';
+import {EngineModel} from './engine-model.ts';
+import type {EngineModelOptions} from './engine-options.ts';
 import {KvStore, type KvExport} from './kv-store.ts';
 import {LoadReport} from './load-report.ts';
 
