--- a/bench/simulation/fleet.ts
+++ b/bench/simulation/fleet.ts
@@ -7,6 +7,8 @@
 export type EngineSpecification = {
 	readonly id: string;
 	readonly availabilityZone: string;
+	/** Model or plain service. @default 'model' */
+	readonly group?: string;
 	readonly options?: EngineModelOptions;
 };
 
@@ -17,6 +19,7 @@
 export class SimulatedEngine {
 	readonly id: string;
 	readonly availabilityZone: string;
+	readonly group: string;
 	readonly model: EngineModel;
 	readonly #timeline: Timeline;
 	readonly #listener: FleetListener;
@@ -26,6 +29,7 @@
 		this.#timeline = timeline;
 		this.#listener = listener;
 		this.id = specification.id;
+		this.group = specification.group ?? 'model';
 		this.availabilityZone = specification.availabilityZone;
 		this.model = new EngineModel(specification.options);
 	}
--- a/bench/simulation/workload.ts
+++ b/bench/simulation/workload.ts
@@ -11,6 +11,8 @@
 export type Source = {
 	readonly customer: string;
 	readonly workClass?: 'live' | 'patient';
+	/** Model or plain service. @default 'model' */
+	readonly group?: string;
 	readonly fromMs: number;
 	readonly toMs: number;
 	/** Requests in a second at a time. */
@@ -29,7 +31,7 @@
 }
 
 function createSourceRequests(random: Random, daemons: number, source: Source, index: number): readonly SimulatedRequest[] {
-	const {customer, workClass = 'live', fromMs, toMs, rate, shape, prefixes = 0, prefixPart = 0.5} = source;
+	const {customer, workClass = 'live', group = 'model', fromMs, toMs, rate, shape, prefixes = 0, prefixPart = 0.5} = source;
 	const requests: SimulatedRequest[] = [];
 	for (let at = fromMs + gapMs(random, rate(fromMs)); at < toMs; at += gapMs(random, rate(at))) {
 		const size = shape(at, random);
@@ -39,7 +41,7 @@
 				prefix: `${customer}-${random.integer(prefixes)}`, prefixTokens: Math.floor(size.promptTokens * prefixPart),
 			};
 		requests.push({
-			id: `${index}-${requests.length}`, at, daemon: random.integer(daemons), customer, workClass, ...size, ...prefix,
+			id: `${index}-${requests.length}`, at, daemon: random.integer(daemons), customer, workClass, group, ...size, ...prefix,
 		});
 	}
 
--- a/src/process/load/load-table.ts
+++ b/src/process/load/load-table.ts
@@ -39,6 +39,8 @@
 	readonly otherLong: readonly UpstreamLoad[];
 	meanForeign: number;
 	usualMsPerToken: number;
+	/** Smoothed time to the first token. */
+	usualFirstTokenMs: number;
 	refreshedAt: number;
 };
 
@@ -49,6 +51,9 @@
 const overdueRatio = 3;
 const overdueFloorMs = 300;
 const usualFirstTokenWeight = 0.02;
+/** Longer waits count as this multiple of the usual one, so that one straggler does not change what is usual. */
+const mostUsualRatio = 5;
+const firstUsualFirstTokenMs = 200;
 
 /** Load of the upstreams as one daemon sees it, and the routing decisions that follow from it. */
 export class LoadTable {
@@ -56,7 +61,6 @@
 	readonly #loads = new Map<string, UpstreamLoad>();
 	readonly #groups = new Map<string, Group>();
 	readonly #residency = new PrefixResidency();
-	#usualFirstTokenMs = 200;
 
 	constructor(options: LoadTableOptions) {
 		this.#options = {
@@ -64,11 +68,6 @@
 		};
 	}
 
-	/** Smoothed time to the first token over all upstreams. */
-	get usualFirstTokenMs(): number {
-		return this.#usualFirstTokenMs;
-	}
-
 	/** Replaces the upstreams; a new or returned one begins with a slow start unless the table was empty. */
 	setUpstreams(now: number, upstreams: readonly Upstream[]): void {
 		const isFirst = this.#loads.size === 0;
@@ -124,8 +123,13 @@
 
 	/** Notes the first token of an attempt after its wait in milliseconds. */
 	firstToken(now: number, attempt: string, upstream: string, waitedMs: number): void {
-		this.#loads.get(upstream)?.firstToken(now, attempt);
-		this.#usualFirstTokenMs += (Math.min(waitedMs, 5 * this.#usualFirstTokenMs) - this.#usualFirstTokenMs) * usualFirstTokenWeight;
+		const load = this.#loads.get(upstream);
+		load?.firstToken(now, attempt);
+		const group = this.#groups.get(load?.upstream.group ?? '');
+		if (group !== undefined) {
+			const usual = group.usualFirstTokenMs;
+			group.usualFirstTokenMs += (Math.min(waitedMs, usual * mostUsualRatio) - usual) * usualFirstTokenWeight;
+		}
 	}
 
 	/** Ends an attempt. */
@@ -195,7 +199,7 @@
 		}
 
 		const slowness = ((load.msPerToken ?? group.usualMsPerToken) / group.usualMsPerToken) ** 3;
-		const overdueMs = Math.max(overdueFloorMs, this.#usualFirstTokenMs * overdueRatio);
+		const overdueMs = Math.max(overdueFloorMs, group.usualFirstTokenMs * overdueRatio);
 		const overdue = Math.max(1, load.oldestAwaitingMs(now) / overdueMs);
 		return (load.tokens(now, group.meanForeign) + tokens) * slowness * overdue * overdue / readiness;
 	}
@@ -242,6 +246,7 @@
 		otherLong: all.filter(load => !isLocal(load) && takesLong(load)),
 		meanForeign: 0,
 		usualMsPerToken: 1,
+		usualFirstTokenMs: firstUsualFirstTokenMs,
 		refreshedAt: -Infinity,
 	};
 }
--- a/src/process/shares/allotments.ts
+++ b/src/process/shares/allotments.ts
@@ -2,7 +2,7 @@
 
 /** Demand of one customer at one daemon, as exchanged between daemons. */
 export type CustomerUsage = {
-	/** Customer, or `allCustomers` for the sum. */
+	/** Customer; the sum over the customers of a model or service is told as `*` and its name. */
 	readonly customer: string;
 	/** Tokens that arrived in the interval. */
 	readonly tokens: number;
@@ -11,8 +11,7 @@
 	readonly intervalMs: number;
 };
 
-/** Name under which the demand of all customers is exchanged. */
-export const allCustomers = '*';
+const groupPrefix = '*';
 
 /** Demand of a customer at this daemon and at the others. */
 type Demand = {
@@ -54,10 +53,10 @@
 		this.#daemons = Math.max(1, count);
 	}
 
-	/** Counts demand of a customer that arrives at this daemon. */
-	arrive(now: number, customer: string, tokens: number): void {
+	/** Counts demand of a customer for a model or service that arrives at this daemon. */
+	arrive(now: number, customer: string, group: string, tokens: number): void {
 		this.#demand(customer).own.add(now, tokens);
-		this.#demand(allCustomers).own.add(now, tokens);
+		this.#demand(groupPrefix + group).own.add(now, tokens);
 	}
 
 	/** Takes news of another daemon's demand; late news counts from when it was sent. */
@@ -68,16 +67,18 @@
 		}
 	}
 
-	/** News for the other daemons: the sum, and the customers with the highest demand. */
+	/** News for the other daemons: the sums, and the customers with the highest demand. */
 	news(now: number, waitingTokens: (customer: string) => number): readonly CustomerUsage[] {
 		this.#forgetIdle(now);
 		const usages = [...this.#demands].map(([customer, {own}]) => ({
 			customer, tokens: own.perMs(now) * ownDemandMs, waitingTokens: waitingTokens(customer), intervalMs: ownDemandMs,
 		}));
-		return usages
+		const sums = usages.filter(({customer}) => customer.startsWith(groupPrefix));
+		const customers = usages
+			.filter(({customer, tokens}) => !customer.startsWith(groupPrefix) && tokens > 0)
 			.toSorted((a, b) => b.tokens - a.tokens)
-			.slice(0, this.#options.toldCustomers + 1)
-			.filter(({tokens, waitingTokens}) => tokens > 0 || waitingTokens > 0);
+			.slice(0, this.#options.toldCustomers);
+		return [...sums, ...customers];
 	}
 
 	/** Weight of a customer in this daemon's queues. */
@@ -85,9 +86,9 @@
 		return this.#options.share(customer) * this.#daemons * this.#part(now, customer);
 	}
 
-	/** Part of the room of all upstreams that this daemon may use. */
-	roomPart(now: number): number {
-		return this.#part(now, allCustomers);
+	/** Part of the room of a model's or service's upstreams that this daemon may use. */
+	roomPart(now: number, group: string): number {
+		return this.#part(now, groupPrefix + group);
 	}
 
 	#demand(customer: string): Demand {
