--- a/src/stand-ins/engine/engine-server.ts
+++ b/src/stand-ins/engine/engine-server.ts
@@ -13,6 +13,8 @@
 import type {EngineModelOptions} from './engine-options.ts';
 import {KvStore, type KvExport} from './kv-store.ts';
 import {LoadReport} from './load-report.ts';
+import type {EngineOrders} from './engine-orders.ts';
+import {OrderEndpoint, type OrderEndpointOptions, type OrderFaults} from './order-endpoint.ts';
 
 /** Model and speed of the engine stand-in. */
 export type EngineOptions = {
@@ -20,10 +22,12 @@
 	readonly model: string;
 	/** Speed and memory. @default a step of 5 ms and 0.05 ms a prompt token */
 	readonly speed?: EngineModelOptions;
+	/** How the engine takes orders. @default {} */
+	readonly orders?: Partial<OrderEndpointOptions>;
 };
 
 /** Faults of an engine. */
-export type EngineFaults = CommonFaults & PublicationFaults & {
+export type EngineFaults = CommonFaults & PublicationFaults & OrderFaults & {
 	/** Multiplies the time of each step. */
 	readonly slowdown: number;
 	/** Age of the reported load, in milliseconds. */
@@ -48,6 +52,7 @@
 	restartMs: 1000,
 	leaving: false,
 	truncateAfterTokens: 0,
+	crashInChange: false,
 };
 
 const defaultSpeed: EngineModelOptions = {stepBaseMs: 5, stepPerSequenceMs: 0.1, prefillMsPerToken: 0.05};
@@ -61,6 +66,7 @@
 	readonly #cacheEvents = new CacheEventLog(this.#clock);
 	readonly #kv = new KvStore();
 	readonly #report: LoadReport;
+	readonly #orders: OrderEndpoint;
 	#driver: EngineDriver;
 	#crashes = 0;
 
@@ -69,6 +75,13 @@
 		this.#options = options;
 		this.#driver = this.#createDriver();
 		this.#report = new LoadReport(this.#clock, () => this.#driver.load);
+		this.#orders = new OrderEndpoint({model: options.model, ...options.orders});
+		this.#orders.attach(this.server);
+	}
+
+	/** Orders that the engine has accepted and refused. */
+	get orders(): EngineOrders {
+		return this.#orders.orders;
 	}
 
 	/** Number of crashes so far. */
@@ -86,6 +99,7 @@
 	/** Ends all requests and connections and refuses service for the restart time. */
 	crash(): void {
 		this.#crashes += 1;
+		this.#orders.orders.crash(this.#clock.now());
 		this.#driver[Symbol.dispose]();
 		this.#driver = this.#createDriver();
 		this.setFaults({down: true});
@@ -97,11 +111,22 @@
 
 	override async [Symbol.asyncDispose](): Promise<void> {
 		this.#report[Symbol.dispose]();
+		this.#orders[Symbol.dispose]();
 		this.#driver[Symbol.dispose]();
 		await super[Symbol.asyncDispose]();
 	}
 
 	protected async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const isHandled = await this.#orders.handle(request, response, {
+			faults: this.faults,
+			crash: () => {
+				this.crash();
+			},
+		});
+		if (isHandled) {
+			return;
+		}
+
 		const {pathname, searchParams} = new URL(request.url ?? '/', 'http://engine');
 		switch (`${request.method} ${pathname}`) {
 			case 'GET /healthz': {
