--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,9 +1,15 @@
 import process from 'node:process';
 import {readKnownRed} from '../test/known-red.ts';
 import type {Measure} from './measure.ts';
+import {headOfLine} from './measures/head-of-line.ts';
+import {overload} from './measures/overload.ts';
+import {stragglers} from './measures/stragglers.ts';
 
 /** All measures, in the order in which they are printed. */
 const measures: readonly Measure[] = [
+	overload,
+	headOfLine,
+	stragglers,
 ];
 
 const onlyDeterministic = process.argv.includes('--deterministic');
--- /dev/null
+++ b/bench/measures/deployment.ts
@@ -0,0 +1,91 @@
+import {zones, createEngines, type Scenario} from '../simulation/scenario.ts';
+import type {EngineSpecification} from '../simulation/fleet.ts';
+import {spread, type RequestShape, type Source} from '../simulation/workload.ts';
+
+/** A deployment that experiments run on. */
+export type Deployment = {
+	readonly name: string;
+	readonly engines: readonly EngineSpecification[];
+	readonly engineCount: number;
+	readonly daemons: number;
+	/** Mean size of live work. */
+	readonly shape: RequestShape;
+	/** Live requests in a second that one engine serves within the latency targets. */
+	readonly engineRate: number;
+};
+
+const deskOptions = {
+	stepBaseMs: 4, stepPerSequenceMs: 0.5, maxSequences: 16,
+};
+
+/** Plain service of a deployment. */
+export const deskGroup = 'desk';
+
+function createDesks(count: number): readonly EngineSpecification[] {
+	return Array.from({length: count}, (_, index) => ({
+		id: `desk-${index}`, availabilityZone: zones[index % zones.length]!, group: deskGroup, options: deskOptions,
+	}));
+}
+
+/** Carton works: 8 press replicas and 3 order desks behind 6 daemons. */
+export const tuul: Deployment = {
+	name: 'tuul',
+	engines: [...createEngines(8), ...createDesks(3)],
+	engineCount: 8,
+	daemons: 6,
+	shape: {promptTokens: 1000, outputTokens: 30},
+	engineRate: 15,
+};
+
+/** Sound archive: 13 description replicas and 3 licensing desks behind 8 daemons. */
+export const clochan: Deployment = {
+	name: 'clochan',
+	engines: [...createEngines(13), ...createDesks(3)],
+	engineCount: 13,
+	daemons: 8,
+	shape: {promptTokens: 400, outputTokens: 40},
+	engineRate: 23,
+};
+
+/** Larger fleet: 100 replicas behind 24 daemons. */
+export const fleet100: Deployment = {
+	name: 'fleet-100',
+	engines: createEngines(100),
+	engineCount: 100,
+	daemons: 24,
+	shape: {promptTokens: 400, outputTokens: 40},
+	engineRate: 23,
+};
+
+/** All deployments of the experiments. */
+export const deployments: readonly Deployment[] = [tuul, clochan, fleet100];
+
+/** Live work at a part of the deployment's capacity that may change over time. */
+export function liveWork(deployment: Deployment, customer: string, toMs: number, load: (at: number) => number): Source {
+	const {shape, engineCount, engineRate} = deployment;
+	return {
+		customer,
+		fromMs: 0,
+		toMs,
+		rate: at => load(at) * engineCount * engineRate,
+		shape: (_at, random) => ({
+			promptTokens: spread(random, shape.promptTokens), outputTokens: spread(random, shape.outputTokens),
+		}),
+		prefixes: 20,
+		prefixPart: 0.3,
+	};
+}
+
+/** Calls of the plain service, where a deployment has one. */
+export function deskWork(deployment: Deployment, toMs: number): readonly Source[] {
+	return deployment.engines.some(({group}) => group === deskGroup)
+		? [{
+			customer: 'desk', group: deskGroup, fromMs: 0, toMs, rate: () => 60, shape: () => ({promptTokens: 20, outputTokens: 1}),
+		}]
+		: [];
+}
+
+/** Parts of a scenario that a deployment gives. */
+export function deploymentScenario(deployment: Deployment): Pick<Scenario, 'engines' | 'daemons'> {
+	return {engines: deployment.engines, daemons: deployment.daemons};
+}
--- /dev/null
+++ b/bench/measures/head-of-line.ts
@@ -0,0 +1,55 @@
+import {atMost, type Measure, type Measurement} from '../measure.ts';
+import {latencyQuantile, type RequestRecord} from '../simulation/outcome.ts';
+import {fullPolicy, type Policy} from '../simulation/scenario.ts';
+import {simulate} from '../simulation/simulation.ts';
+import {createRequests, type Source} from '../simulation/workload.ts';
+import {
+	deploymentScenario, deployments, deskWork, liveWork, type Deployment,
+} from './deployment.ts';
+
+const seed = 31;
+const loadMs = 40_000;
+const warmUpMs = 5000;
+const shortLoad = 0.45;
+const longPart = 0.01;
+const longRatio = 50;
+const bound = 1.2;
+
+/** M3: p99 of short live work with 1% of jobs 50 times longer, relative to its p99 without them. */
+export const headOfLine: Measure = {
+	name: 'head-of-line',
+	deterministic: true,
+	run: async () => deployments.flatMap(deployment => measure(deployment)),
+};
+
+function measure(deployment: Deployment): readonly Measurement[] {
+	const baselinePolicy: Policy = {
+		...fullPolicy, routing: 'round-robin', admission: 'plain', hedging: false,
+	};
+	const without = shortRecords(deployment, fullPolicy, false);
+	const withLong = shortRecords(deployment, fullPolicy, true);
+	const baselineWithout = shortRecords(deployment, baselinePolicy, false);
+	const baselineWith = shortRecords(deployment, baselinePolicy, true);
+	return (['first-token', 'whole'] as const).map(kind => atMost(
+		`M3 ${deployment.name} ${kind} p99 of short work with long jobs`,
+		latencyQuantile(withLong, 99, kind) / latencyQuantile(without, 99, kind),
+		'ratio',
+		{bound, baseline: latencyQuantile(baselineWith, 99, kind) / latencyQuantile(baselineWithout, 99, kind)},
+	));
+}
+
+function shortRecords(deployment: Deployment, policy: Policy, hasLong: boolean): readonly RequestRecord[] {
+	const short = liveWork(deployment, 'short', loadMs, () => shortLoad);
+	const long: Source = {
+		...liveWork(deployment, 'long', loadMs, () => shortLoad * longPart),
+		shape: () => ({
+			promptTokens: deployment.shape.promptTokens * longRatio, outputTokens: deployment.shape.outputTokens * longRatio,
+		}),
+		prefixes: 0,
+	};
+	const sources = [short, ...deskWork(deployment, loadMs), ...(hasLong ? [long] : [])];
+	const {records} = simulate({
+		...deploymentScenario(deployment), seed, policy, endMs: loadMs + 10_000, requests: createRequests(seed, deployment.daemons, sources),
+	});
+	return records.filter(({request}) => request.customer === 'short' && request.at >= warmUpMs);
+}
--- a/bench/simulation/daemon-model.ts
+++ b/bench/simulation/daemon-model.ts
@@ -1,5 +1,6 @@
 import {Admission} from '../../src/process/admission/admission.ts';
 import {costSlots, costTokens, isLongWork} from '../../src/process/admission/cost.ts';
+import {RoomLimit} from '../../src/process/admission/room-limit.ts';
 import type {AdmissionDecision, Ticket} from '../../src/process/admission/ticket.ts';
 import {LoadTable, type RoutedRequest} from '../../src/process/load/load-table.ts';
 import type {Upstream} from '../../src/process/load/upstream-load.ts';
@@ -7,6 +8,7 @@
 import {Allotments, type CustomerUsage} from '../../src/process/shares/allotments.ts';
 import {HedgePolicy} from '../../src/request/hedge.ts';
 import type {EngineRole} from '../../src/stand-ins/engine/engine-work.ts';
+import {betweenTokensTargetMs} from './outcome.ts';
 import {PlainQueue} from './plain-queue.ts';
 import type {Policy, SimulatedRequest} from './scenario.ts';
 
@@ -59,6 +61,8 @@
 type GroupState = {
 	readonly admission: Admission | PlainQueue;
 	readonly hedge: HedgePolicy;
+	readonly limit: RoomLimit;
+	room: number;
 	usualTokens: number;
 };
 
@@ -202,11 +206,14 @@
 	}
 
 	/** Expires, resizes and hedges; called at a short interval. */
-	tick(now: number, totalSlots: ReadonlyMap<string, number>): void {
+	tick(now: number, readyEngines: ReadonlyMap<string, number>): void {
 		this.#now = now;
-		for (const [group, slots] of totalSlots) {
-			const {admission} = this.#group({group});
-			this.#apply(now, admission.resize(now, slots * this.allotments.roomPart(now, group)));
+		for (const [name, engines] of readyEngines) {
+			const group = this.#group({group: name});
+			const {admission, limit} = group;
+			limit.update(now, this.loads.usualMsPerToken(this.#options.isSplit ? 'decode' : name), admission.usedSlots / group.room);
+			group.room = engines * limit.slots * this.allotments.roomPart(now, name);
+			this.#apply(now, admission.resize(now, group.room));
 			this.#apply(now, admission.tick(now));
 		}
 
@@ -228,7 +235,13 @@
 			const admission = this.#options.policy.admission === 'fair'
 				? new Admission(0, {weight: customer => this.allotments.weight(this.#now, customer)})
 				: new PlainQueue(0);
-			group = {admission, hedge: new HedgePolicy(), usualTokens: firstUsualTokens};
+			group = {
+				admission,
+				hedge: new HedgePolicy(),
+				limit: new RoomLimit({betweenTokensMs: betweenTokensTargetMs}),
+				room: 1,
+				usualTokens: firstUsualTokens,
+			};
 			this.#groups.set(name, group);
 		}
 
--- a/bench/simulation/plain-queue.ts
+++ b/bench/simulation/plain-queue.ts
@@ -12,6 +12,10 @@
 		this.#room = roomSlots;
 	}
 
+	get usedSlots(): number {
+		return this.#used;
+	}
+
 	offer(_now: number, ticket: Ticket): readonly AdmissionDecision[] {
 		this.#queue.push(ticket);
 		return this.#decide();
--- a/bench/simulation/scenario.ts
+++ b/bench/simulation/scenario.ts
@@ -61,8 +61,6 @@
 	readonly isSplit?: boolean;
 	/** Time that live work may wait for admission. @default 500 */
 	readonly queueMs?: number;
-	/** Slots of one engine. @default 24 */
-	readonly engineSlots?: number;
 	/** Time without service during a role change. @default 5000 */
 	readonly changeMs?: number;
 };
--- a/bench/simulation/simulation.ts
+++ b/bench/simulation/simulation.ts
@@ -20,7 +20,6 @@
 const observationMs = 250;
 const planIntervalMs = 1000;
 const kvTransferMsPerPiece = 2;
-const defaultEngineSlots = 24;
 
 /** Rates of an engine in one role, as an operator measures them. */
 export const roleRates = {prefillTokensPerMs: 4096 / (12 + (4096 * 0.04)), decodeTokensPerMs: 40 / (12 + (40 * 0.25))};
@@ -87,9 +86,9 @@
 	#startPeriodicWork(): void {
 		const {policy} = this.#scenario;
 		this.#timeline.every(0, tickMs, () => {
-			const slots = this.#totalSlots;
+			const ready = this.#readyEngines;
 			for (const daemon of this.#daemons) {
-				daemon.tick(this.#timeline.now, slots);
+				daemon.tick(this.#timeline.now, ready);
 			}
 		});
 		this.#timeline.every(observationMs, observationMs, () => {
@@ -108,15 +107,14 @@
 		}
 	}
 
-	/** Slots of the ready engines of each group. */
-	get #totalSlots(): ReadonlyMap<string, number> {
-		const slots = new Map<string, number>();
+	/** Ready engines of each group. */
+	get #readyEngines(): ReadonlyMap<string, number> {
+		const counts = new Map<string, number>();
 		for (const {group, model} of this.#engines) {
-			const ready = model.phase === 'ready' ? this.#scenario.engineSlots ?? defaultEngineSlots : 0;
-			slots.set(group, (slots.get(group) ?? 0) + ready);
+			counts.set(group, (counts.get(group) ?? 0) + (model.phase === 'ready' ? 1 : 0));
 		}
 
-		return slots;
+		return counts;
 	}
 
 	#arrive(request: SimulatedRequest): void {
--- a/src/process/load/load-table.ts
+++ b/src/process/load/load-table.ts
@@ -1,5 +1,5 @@
 import type {Random} from '../random.ts';
-import {ejectOutliers, median} from './outliers.ts';
+import {LoadGroup, type Preference} from './load-group.ts';
 import {PrefixResidency, type CacheEventBatch} from './prefix-residency.ts';
 import {
 	UpstreamLoad, type LoadReport, type RequestSize, type Upstream,
@@ -30,36 +30,22 @@
 	readonly spillPenaltyTokens?: number;
 };
 
-type Group = {
-	/** Upstreams in a fixed order that is the same at every daemon. */
-	readonly all: readonly UpstreamLoad[];
-	readonly zoneShort: readonly UpstreamLoad[];
-	readonly zoneLong: readonly UpstreamLoad[];
-	readonly otherShort: readonly UpstreamLoad[];
-	readonly otherLong: readonly UpstreamLoad[];
-	meanForeign: number;
-	usualMsPerToken: number;
-	/** Smoothed time to the first token. */
-	usualFirstTokenMs: number;
-	refreshedAt: number;
+type Choice = {
+	readonly load: UpstreamLoad;
+	readonly score: number;
 };
 
-const refreshMs = 200;
-/** Part of a group that takes long work first; the same upstreams at every daemon, so that short work avoids them. */
-const longPart = 0.25;
+/** Fresh latency shows the batch size of an upstream, which late reports do not. */
+const latencyExponent = 3;
 /** Wait for a first token, as a multiple of the usual one, from which an upstream is avoided. */
 const overdueRatio = 3;
-const overdueFloorMs = 300;
-const usualFirstTokenWeight = 0.02;
-/** Longer waits count as this multiple of the usual one, so that one straggler does not change what is usual. */
-const mostUsualRatio = 5;
-const firstUsualFirstTokenMs = 200;
+const overdueFloorMs = 100;
 
 /** Load of the upstreams as one daemon sees it, and the routing decisions that follow from it. */
 export class LoadTable {
 	readonly #options: Required<LoadTableOptions>;
 	readonly #loads = new Map<string, UpstreamLoad>();
-	readonly #groups = new Map<string, Group>();
+	readonly #groups = new Map<string, LoadGroup>();
 	readonly #residency = new PrefixResidency();
 
 	constructor(options: LoadTableOptions) {
@@ -85,10 +71,15 @@
 			}
 		}
 
-		this.#groups.clear();
 		const byGroup = Map.groupBy(this.#loads.values(), ({upstream}) => upstream.group);
+		for (const name of this.#groups.keys()) {
+			if (!byGroup.has(name)) {
+				this.#groups.delete(name);
+			}
+		}
+
 		for (const [name, loads] of byGroup) {
-			this.#groups.set(name, createGroup(loads, this.#options.availabilityZone));
+			this.#groups.set(name, new LoadGroup(loads, this.#options.availabilityZone, this.#groups.get(name)));
 		}
 	}
 
@@ -99,23 +90,21 @@
 			return undefined;
 		}
 
-		this.#refresh(now, group);
-		const {spillTokens, spillPenaltyTokens} = this.#options;
+		group.refresh(now);
 		const {isLong = false} = request;
-		const local = this.#best(now, group, isLong ? group.zoneLong : group.zoneShort, request);
-		if (local !== undefined && local.score <= spillTokens) {
-			return local.load.upstream.id;
-		}
+		const best = this.#bestWithSpill(now, group, request, isLong ? 'long' : 'short');
+		return (best ?? this.#anyOf(group, request))?.upstream.id;
+	}
 
-		const other = this.#best(now, group, isLong ? group.otherLong : group.otherShort, request);
-		const spills = other !== undefined && (local === undefined || other.score + spillPenaltyTokens < local.score);
-		const best = (spills ? other : local)?.load ?? this.#anyOf(group, request);
-		return best?.upstream.id;
+	/** Smoothed time per generated token that is usual for the upstreams of a model. */
+	usualMsPerToken(group: string): number | undefined {
+		return this.#groups.get(group)?.usualMsPerToken;
 	}
 
 	/** Counts an attempt at an upstream. */
 	start(now: number, attempt: string, upstream: string, request: RoutedRequest): void {
 		this.#loads.get(upstream)?.start(now, attempt, request);
+		this.#groups.get(request.group)?.countWork(now, request.promptTokens + request.outputTokens, request.isLong ?? false);
 		if (request.prefix !== undefined) {
 			this.#residency.sent(request.prefix, upstream);
 		}
@@ -125,11 +114,7 @@
 	firstToken(now: number, attempt: string, upstream: string, waitedMs: number): void {
 		const load = this.#loads.get(upstream);
 		load?.firstToken(now, attempt);
-		const group = this.#groups.get(load?.upstream.group ?? '');
-		if (group !== undefined) {
-			const usual = group.usualFirstTokenMs;
-			group.usualFirstTokenMs += (Math.min(waitedMs, usual * mostUsualRatio) - usual) * usualFirstTokenWeight;
-		}
+		this.#groups.get(load?.upstream.group ?? '')?.observeFirstToken(waitedMs);
 	}
 
 	/** Ends an attempt. */
@@ -162,8 +147,21 @@
 		return this.#loads.get(upstream)?.isEjected(now) ?? false;
 	}
 
-	#best(now: number, group: Group, from: readonly UpstreamLoad[], request: RoutedRequest) {
-		let best: {readonly load: UpstreamLoad; readonly score: number} | undefined;
+	/** Best upstream of the zone, or of another zone when the zone's upstreams are above the spill limit. */
+	#bestWithSpill(now: number, group: LoadGroup, request: RoutedRequest, preferred: Preference): UpstreamLoad | undefined {
+		const {spillTokens, spillPenaltyTokens} = this.#options;
+		const local = this.#best(now, group, group.local(preferred), request);
+		if (local !== undefined && local.score <= spillTokens) {
+			return local.load;
+		}
+
+		const other = this.#best(now, group, group.remote(preferred), request);
+		const spills = other !== undefined && (local === undefined || other.score + spillPenaltyTokens < local.score);
+		return (spills ? other : local)?.load;
+	}
+
+	#best(now: number, group: LoadGroup, from: readonly UpstreamLoad[], request: RoutedRequest): Choice | undefined {
+		let best: Choice | undefined;
 		const consider = (load: UpstreamLoad | undefined, saved: number) => {
 			if (load === undefined || request.excluded?.has(load.upstream.id) === true) {
 				return;
@@ -192,61 +190,21 @@
 	}
 
 	/** Tokens ahead of a request, stretched by the upstream's latency and readiness; infinite while ejected. */
-	#score(now: number, group: Group, load: UpstreamLoad, tokens: number): number {
+	#score(now: number, group: LoadGroup, load: UpstreamLoad, tokens: number): number {
 		const readiness = load.readiness(now);
 		if (readiness === 0) {
 			return Infinity;
 		}
 
-		const slowness = ((load.msPerToken ?? group.usualMsPerToken) / group.usualMsPerToken) ** 3;
+		const usual = group.usualMsPerToken ?? 1;
+		const slowness = (load.msPerToken === undefined ? 1 : load.msPerToken / usual) ** latencyExponent;
 		const overdueMs = Math.max(overdueFloorMs, group.usualFirstTokenMs * overdueRatio);
 		const overdue = Math.max(1, load.oldestAwaitingMs(now) / overdueMs);
 		return (load.tokens(now, group.meanForeign) + tokens) * slowness * overdue * overdue / readiness;
 	}
 
-	#anyOf(group: Group, request: RoutedRequest): UpstreamLoad | undefined {
+	#anyOf(group: LoadGroup, request: RoutedRequest): UpstreamLoad | undefined {
 		const allowed = group.all.filter(({upstream}) => request.excluded?.has(upstream.id) !== true);
 		return allowed[this.#options.random.integer(allowed.length)];
 	}
-
-	#refresh(now: number, group: Group): void {
-		if (now - group.refreshedAt < refreshMs) {
-			return;
-		}
-
-		group.refreshedAt = now;
-		ejectOutliers(now, group.all);
-		let foreign = 0;
-		for (const {foreignTokens} of group.all) {
-			foreign += foreignTokens;
-		}
-
-		group.meanForeign = foreign / group.all.length;
-		group.usualMsPerToken = median(group.all.flatMap(({msPerToken}) => msPerToken ?? [])) ?? 1;
-	}
-}
-
-function createGroup(loads: readonly UpstreamLoad[], availabilityZone: string): Group {
-	const all = loads.toSorted((a, b) => a.upstream.id < b.upstream.id ? -1 : 1);
-	const long = new Set<UpstreamLoad>();
-	for (const zoneLoads of Map.groupBy(all, ({upstream}) => upstream.availabilityZone).values()) {
-		const count = zoneLoads.length === 1 ? 0 : Math.max(1, Math.round(zoneLoads.length * longPart));
-		for (const load of zoneLoads.slice(0, count)) {
-			long.add(load);
-		}
-	}
-
-	const isLocal = ({upstream}: UpstreamLoad) => upstream.availabilityZone === availabilityZone;
-	const takesLong = (load: UpstreamLoad) => long.size === 0 || long.has(load);
-	return {
-		all,
-		zoneShort: all.filter(load => isLocal(load)),
-		zoneLong: all.filter(load => isLocal(load) && takesLong(load)),
-		otherShort: all.filter(load => !isLocal(load)),
-		otherLong: all.filter(load => !isLocal(load) && takesLong(load)),
-		meanForeign: 0,
-		usualMsPerToken: 1,
-		usualFirstTokenMs: firstUsualFirstTokenMs,
-		refreshedAt: -Infinity,
-	};
 }
--- a/src/process/load/upstream-load.ts
+++ b/src/process/load/upstream-load.ts
@@ -32,6 +32,8 @@
 const reportAgeMs = 800;
 /** Time constant of the latency per token. */
 const latencyTimeConstantMs = 1000;
+/** Age from which a latency no longer counts; the next request is then a probe. */
+const observationAgeMs = 10_000;
 const slowStartMs = 10_000;
 /** Part of the usual work that an upstream gets at the start of its slow start. */
 const slowStartFloor = 0.1;
@@ -150,8 +152,13 @@
 		this.#ejectionMs = Math.min(lastEjectionMs, this.#ejectionMs * 2);
 	}
 
-	/** Forgets earlier ejections after a long time of normal latency. */
+	/** Forgets latency that is too old to judge by, and earlier ejections after a long time of normal latency. */
 	recover(now: number): void {
+		const isOld = now - this.#observedAt > observationAgeMs || this.#observedAt < this.#returnedAt;
+		if (isOld && !this.isEjected(now)) {
+			this.#msPerToken = undefined;
+		}
+
 		if (now > this.#returnedAt + (2 * slowStartMs)) {
 			this.#ejectionMs = firstEjectionMs;
 		}
