--- a/bench/measures/head-of-line.ts
+++ b/bench/measures/head-of-line.ts
@@ -8,8 +8,10 @@
 } from './deployment.ts';
 
 const seed = 31;
-const loadMs = 40_000;
-const warmUpMs = 5000;
+/** Run length of the deployment with the fewest engines; larger ones see as many requests in less time. */
+const longestLoadMs = 160_000;
+const warmUpMs = 10_000;
+const leastLoadMs = 30_000;
 const shortLoad = 0.45;
 const longPart = 0.01;
 const longRatio = 50;
@@ -39,6 +41,7 @@
 }
 
 function shortRecords(deployment: Deployment, policy: Policy, hasLong: boolean): readonly RequestRecord[] {
+	const loadMs = Math.max(leastLoadMs, longestLoadMs * 8 / deployment.engineCount);
 	const short = liveWork(deployment, 'short', loadMs, () => shortLoad);
 	const long: Source = {
 		...liveWork(deployment, 'long', loadMs, () => shortLoad * longPart),
--- a/bench/simulation/daemon-model.ts
+++ b/bench/simulation/daemon-model.ts
@@ -119,7 +119,7 @@
 		const group = this.#group(request);
 		const isLong = isLongWork(tokens, group.usualTokens);
 		group.usualTokens += (Math.min(tokens, group.usualTokens * 4) - group.usualTokens) * usualTokensSmoothing;
-		this.allotments.arrive(now, request.customer, groupOf(request), tokens);
+		this.allotments.arrive(now, request.customer, groupOf(request), tokens, isLong);
 		const ticket: Ticket = {
 			id: request.id,
 			customer: request.customer,
@@ -211,6 +211,8 @@
 		for (const [name, engines] of readyEngines) {
 			const group = this.#group({group: name});
 			const {admission, limit} = group;
+			this.loads.setLongPart(now, this.#options.isSplit ? 'prefill' : name, this.allotments.longPart(now, name));
+			if (process.env.DBG && now % 5000 === 0 && name === "model") console.log(now, this.#options.index, limit.slots.toFixed(1), group.room.toFixed(1), admission.usedSlots.toFixed(1), JSON.stringify((admission as any).dbg?.()), this.loads.usualMsPerToken(name)?.toFixed(1));
 			limit.update(now, this.loads.usualMsPerToken(this.#options.isSplit ? 'decode' : name), admission.usedSlots / group.room);
 			group.room = engines * limit.slots * this.allotments.roomPart(now, name);
 			this.#apply(now, admission.resize(now, group.room));
@@ -292,7 +294,7 @@
 		const attempt: Attempt = {
 			id: `${flight.request.id}/${flight.attemptCount}`, flight, engine, sentAt: now, part, resumedTokens: flight.generated, hasOutput: false, seen: 0,
 		};
-		flight.attempts.set(attempt.id, attempt);
+		flight.attempts.set(attempt.id, attempt); (flight as any).eng = engine; (flight as any).sent ??= now;
 		this.#attempts.set(attempt.id, attempt);
 		this.loads.start(now, attempt.id, engine, this.#routed(flight, part));
 		this.#port.send(attempt);
@@ -342,7 +344,7 @@
 				waitedMs: now - attempt.sentAt,
 				prefillMs: prefillMs(request),
 			};
-			if (request.workClass === 'live' && this.#group(request).hedge.shouldHedge(candidate)) {
+			if (request.workClass === 'live' && !ticket.isLong && this.#group(request).hedge.shouldHedge(candidate)) {
 				this.hedges += 1;
 				this.extraTokens += ticket.tokens;
 				this.#send(now, flight, attempt.part);
@@ -359,7 +361,7 @@
 	#end(now: number, flight: Flight): void {
 		this.servedTokens += flight.ticket.tokens;
 		this.flights.delete(flight.request.id);
-		this.#port.done(flight);
+		(flight as any).lastEngine = (flight as any).eng + " " + (flight.attemptCount) + " w" + Math.round(((flight as any).sent - flight.request.at)/50)*50; this.#port.done(flight);
 		this.#apply(now, this.#group(flight.request).admission.finish(now, flight.ticket));
 	}
 }
--- a/src/process/admission/admission.ts
+++ b/src/process/admission/admission.ts
@@ -10,7 +10,7 @@
 	readonly weight: (customer: string) => number;
 	/** Tickets of one customer that may wait in one lane. @default 1000 */
 	readonly queueLimit?: number;
-	/** Part of the room that long live work may take. @default 0.4 */
+	/** Part of the room that long live work may take. @default 0.3 */
 	readonly longPart?: number;
 	/** Part of the room that is kept for short live work. @default 0.15 */
 	readonly reservedPart?: number;
@@ -22,7 +22,7 @@
 
 const defaults = {
 	queueLimit: 1000,
-	longPart: 0.4,
+	longPart: 0.3,
 	reservedPart: 0.15,
 	ageingPart: 0.05,
 	ageingMs: 10_000,
@@ -31,6 +31,9 @@
 const lanes: readonly Lane[] = ['short', 'long', 'patient'];
 const longestRetryAfterS = 30;
 const rateMs = 1000;
+const usualUsedMs = 1000;
+/** Largest room of a burst, relative to the allotment. */
+const mostBurst = 1.5;
 /** Time after which the rate of a lane is known well enough to refuse work by it. */
 const rateWarmUpMs = 500;
 /** Keeps the expected wait finite in a lane that is not served. */
@@ -57,6 +60,11 @@
 	/** Patient tickets that run, oldest first. */
 	readonly #patient = new Map<string, Running>();
 	#room: number;
+	/** Long tickets whose prompts are being processed. */
+	#longPrefills = 0;
+	/** Slots in use, smoothed over a second. */
+	#usualUsed = 0;
+	#smoothedAt = 0;
 
 	constructor(roomSlots: number, options: AdmissionOptions) {
 		this.#room = roomSlots;
@@ -64,6 +72,7 @@
 	}
 
 	/** Slots in use. */
+	dbg() { return this.#used; }
 	get usedSlots(): number {
 		return this.#used.short + this.#used.long + this.#used.patient;
 	}
@@ -101,7 +110,9 @@
 			return [];
 		}
 
-		this.#used[laneOf(running.ticket)] += 1 - running.slots;
+		const lane = laneOf(running.ticket);
+		this.#used[lane] += 1 - running.slots;
+		this.#longPrefills -= lane === 'long' ? 1 : 0;
 		running.slots = 1;
 		return this.decide(now);
 	}
@@ -123,6 +134,8 @@
 
 	/** Refuses tickets whose deadline has passed and grants what fits; call it every 100 ms or so. */
 	tick(now: number): readonly AdmissionDecision[] {
+		this.#usualUsed += (this.usedSlots - this.#usualUsed) * Math.min(1, (now - this.#smoothedAt) / usualUsedMs);
+		this.#smoothedAt = now;
 		const expired = lanes.flatMap(lane => this.#queues[lane].takeWhere(({startBy}) => startBy < now));
 		return [...expired.map(ticket => this.#refuse(now, ticket, 'deadline')), ...this.decide(now)];
 	}
@@ -153,23 +166,30 @@
 		}
 
 		this.#used[lane] += ticket.slots;
+		this.#longPrefills += lane === 'long' && ticket.slots > 1 ? 1 : 0;
 		this.#rates[lane].add(now, ticket.tokens);
 		decisions.push({kind: 'grant', ticket});
 	}
 
+	/** Room for a burst: above the allotment while less than the allotment was used in the last second. */
+	get #burstRoom(): number {
+		return this.#room * Math.min(mostBurst, Math.max(1, 2 - (this.#usualUsed / this.#room)));
+	}
+
 	#fits(now: number, lane: Lane, ticket: Ticket): boolean {
 		const {longPart, reservedPart, ageingPart, ageingMs} = this.#options;
-		const used = this.usedSlots;
+		const longRoom = this.#room * longPart;
+		// A long prompt larger than its part of the room is processed alone and takes that part, not more.
+		const used = this.#used.short + this.#used.patient + Math.min(this.#used.long, longRoom);
 		const {slots} = ticket;
 		switch (lane) {
 			case 'short': {
-				return used === 0 || used + slots <= this.#room;
+				return used === 0 || used + slots <= this.#burstRoom;
 			}
 
-			// A long ticket larger than its part of the room runs alone in its lane.
 			case 'long': {
-				const fitsPart = this.#used.long === 0 || this.#used.long + slots <= this.#room * longPart;
-				return fitsPart && (used === 0 || used + Math.min(slots, this.#room * longPart) <= this.#room * (1 - reservedPart));
+				const fitsPart = this.#longPrefills === 0 || this.#used.long + slots <= longRoom;
+				return fitsPart && (used === 0 || used + Math.min(slots, longRoom) <= this.#room * (1 - reservedPart));
 			}
 
 			case 'patient': {
@@ -187,7 +207,7 @@
 		}
 
 		const floor = this.#room * this.#options.ageingPart;
-		const missing = this.usedSlots + ticket.slots - this.#room;
+		const missing = this.usedSlots + ticket.slots - this.#burstRoom;
 		if (this.#used.patient - floor < missing) {
 			return false;
 		}
@@ -210,7 +230,9 @@
 			return false;
 		}
 
-		this.#used[laneOf(running.ticket)] -= running.slots;
+		const lane = laneOf(running.ticket);
+		this.#used[lane] -= running.slots;
+		this.#longPrefills -= lane === 'long' && running.slots > 1 ? 1 : 0;
 		this.#running.delete(id);
 		this.#patient.delete(id);
 		return true;
--- a/src/process/admission/room-limit.ts
+++ b/src/process/admission/room-limit.ts
@@ -15,6 +15,10 @@
 const intervalMs = 500;
 const growth = 1.03;
 const strongestCut = 0.9;
+/** Part of the room in use below which the room is not the cause of slow tokens. */
+const usedEnoughPart = 0.7;
+/** Part of the way back to the first slots in one interval while the room is not used. */
+const drift = 0.05;
 /** Part of the room in use from which more room would be used. */
 const exhaustedPart = 0.9;
 
@@ -43,9 +47,11 @@
 		}
 
 		this.#updatedAt = now;
-		const {betweenTokensMs, leastSlots, mostSlots} = this.#options;
+		const {betweenTokensMs, firstSlots, leastSlots, mostSlots} = this.#options;
 		const ratio = usualMsPerToken / (betweenTokensMs * targetPart);
-		if (ratio > 1) {
+		if (usedPart < usedEnoughPart) {
+			this.#slots += (firstSlots - this.#slots) * drift;
+		} else if (ratio > 1) {
 			this.#slots *= Math.max(strongestCut, 1 / ratio);
 		} else if (usedPart >= exhaustedPart) {
 			this.#slots *= growth;
--- a/src/process/load/load-group.ts
+++ b/src/process/load/load-group.ts
@@ -1,4 +1,3 @@
-import {Rate} from '../rate.ts';
 import {ejectOutliers, median} from './outliers.ts';
 import type {UpstreamLoad} from './upstream-load.ts';
 
@@ -6,7 +5,8 @@
 export type Preference = 'short' | 'long';
 
 const refreshMs = 200;
-const workTimeConstantMs = 20_000;
+const longPartMs = 20_000;
+const firstLongPart = 0.2;
 /** Part of the work from which long work gets its own upstreams. */
 const leastLongPart = 0.02;
 /** Upstreams kept for long work, relative to its part of the work; below 1 because long work also uses waiting time. */
@@ -24,12 +24,13 @@
 	/** Upstreams in an order that is the same at every daemon. */
 	readonly all: readonly UpstreamLoad[];
 	readonly #availabilityZone: string;
-	readonly #shortWork: Rate;
-	readonly #longWork: Rate;
+	/** Smoothed part of long work in the demand at all daemons. */
+	#longPart = 0;
+	#longPartAt: number | undefined;
 	#local: Pool = {short: [], long: []};
 	#remote: Pool = {short: [], long: []};
 	#longCount = 0;
-	#meanForeign = 0;
+	#usualForeign = 0;
 	#usualMsPerToken: number | undefined;
 	#usualFirstTokenMs = firstUsualFirstTokenMs;
 	#refreshedAt = -Infinity;
@@ -37,23 +38,19 @@
 	constructor(loads: readonly UpstreamLoad[], availabilityZone: string, previous?: LoadGroup) {
 		this.all = loads.toSorted((a, b) => a.upstream.id < b.upstream.id ? -1 : 1);
 		this.#availabilityZone = availabilityZone;
-		this.#shortWork = previous?.shortWork ?? new Rate(workTimeConstantMs);
-		this.#longWork = previous?.longWork ?? new Rate(workTimeConstantMs);
+		this.#longPart = previous?.longPart ?? 0;
 		this.#usualFirstTokenMs = previous?.usualFirstTokenMs ?? firstUsualFirstTokenMs;
 		this.#divide(0);
 	}
 
-	get shortWork(): Rate {
-		return this.#shortWork;
+	/** Smoothed part of long work in the demand at all daemons. */
+	get longPart(): number {
+		return this.#longPart;
 	}
 
-	get longWork(): Rate {
-		return this.#longWork;
-	}
-
-	/** Mean of the outstanding tokens of other daemons. */
-	get meanForeign(): number {
-		return this.#meanForeign;
+	/** Median of the outstanding tokens of other daemons. */
+	get usualForeign(): number {
+		return this.#usualForeign;
 	}
 
 	/** Median time per generated token; undefined until one was seen. */
@@ -76,9 +73,11 @@
 		return this.#remote[preference];
 	}
 
-	/** Counts work, to divide the upstreams. */
-	countWork(now: number, tokens: number, isLong: boolean): void {
-		(isLong ? this.#longWork : this.#shortWork).add(now, tokens);
+	/** Takes the part of long work in the demand at all daemons, to divide the upstreams. */
+	setLongPart(now: number, part: number): void {
+		const weight = Math.min(1, (now - (this.#longPartAt ?? now)) / longPartMs);
+		this.#longPart += (part - this.#longPart) * weight;
+		this.#longPartAt = now;
 	}
 
 	/** Takes the wait for a first token. */
@@ -95,17 +94,11 @@
 
 		this.#refreshedAt = now;
 		ejectOutliers(now, this.all);
-		let foreign = 0;
-		for (const {foreignTokens} of this.all) {
-			foreign += foreignTokens;
-		}
-
-		this.#meanForeign = foreign / this.all.length;
+		// The median is not moved by the few upstreams that process long prompts.
+		this.#usualForeign = median(this.all.map(({foreignTokens}) => foreignTokens)) ?? 0;
 		this.#usualMsPerToken = median(this.all.flatMap(({msPerToken}) => msPerToken ?? []));
-		const long = this.#longWork.perMs(now);
-		const part = long / Math.max(long + this.#shortWork.perMs(now), 1e-9);
-		const wanted = part < leastLongPart ? 0 : this.all.length * Math.min(mostLongPart, part * longScale);
-		// Half an upstream of difference is needed for a change, so that the division does not flap.
+		const wanted = this.#longPart < leastLongPart ? 0 : Math.max(1, this.all.length * Math.min(mostLongPart, this.#longPart * longScale));
+		// A difference of 0.75 upstreams is needed for a change, so that the division does not flap.
 		if (Math.abs(wanted - this.#longCount) > 0.75) {
 			this.#divide(Math.round(wanted));
 		}
@@ -113,7 +106,9 @@
 
 	#divide(longCount: number): void {
 		this.#longCount = this.all.length < 2 ? 0 : longCount;
-		const isLong = (_load: UpstreamLoad, index: number) => this.#longCount === 0 || index < this.#longCount;
+		// Long work goes to the same upstreams at every daemon even before its part of the demand is known.
+		const longUpstreams = Math.max(this.#longCount, Math.ceil(this.all.length * firstLongPart));
+		const isLong = (_load: UpstreamLoad, index: number) => index < longUpstreams;
 		const isShort = (_load: UpstreamLoad, index: number) => index >= this.#longCount;
 		const isLocal = (load: UpstreamLoad) => load.upstream.availabilityZone === this.#availabilityZone;
 		const long = this.all.filter((load, index) => isLong(load, index));
--- a/src/process/load/load-table.ts
+++ b/src/process/load/load-table.ts
@@ -26,7 +26,7 @@
 	readonly choices?: number;
 	/** Tokens of load above which another zone is considered. @default 1500 */
 	readonly spillTokens?: number;
-	/** Tokens of load that another zone must save. @default 300 */
+	/** Tokens of load that another zone must save. @default 100 */
 	readonly spillPenaltyTokens?: number;
 };
 
@@ -35,6 +35,8 @@
 	readonly score: number;
 };
 
+/** Pool whose upstreams are all compared, because two draws from it often meet the same loaded ones. */
+const smallPool = 4;
 /** Fresh latency shows the batch size of an upstream, which late reports do not. */
 const latencyExponent = 3;
 /** Wait for a first token, as a multiple of the usual one, from which an upstream is avoided. */
@@ -50,7 +52,7 @@
 
 	constructor(options: LoadTableOptions) {
 		this.#options = {
-			choices: 2, spillTokens: 1500, spillPenaltyTokens: 300, ...options,
+			choices: 2, spillTokens: 1500, spillPenaltyTokens: 100, ...options,
 		};
 	}
 
@@ -104,7 +106,6 @@
 	/** Counts an attempt at an upstream. */
 	start(now: number, attempt: string, upstream: string, request: RoutedRequest): void {
 		this.#loads.get(upstream)?.start(now, attempt, request);
-		this.#groups.get(request.group)?.countWork(now, request.promptTokens + request.outputTokens, request.isLong ?? false);
 		if (request.prefix !== undefined) {
 			this.#residency.sent(request.prefix, upstream);
 		}
@@ -127,6 +128,11 @@
 		this.#loads.get(upstream)?.observe(now, tokens, streamMs);
 	}
 
+	/** Takes the part of long work in the demand for a model at all daemons. */
+	setLongPart(now: number, group: string, part: number): void {
+		this.#groups.get(group)?.setLongPart(now, part);
+	}
+
 	/** Takes a load report, which may be late. */
 	report(upstream: string, report: LoadReport): void {
 		this.#loads.get(upstream)?.report(report);
@@ -173,8 +179,12 @@
 			}
 		};
 
-		for (let draw = 0; draw < this.#options.choices; draw += 1) {
-			consider(from[this.#options.random.integer(from.length)], 0);
+		const {choices, random} = this.#options;
+		const draws = from.length <= smallPool ? from.length : choices;
+		const first = random.integer(from.length);
+		const stride = draws === from.length ? 1 : 1 + random.integer(from.length - 1);
+		for (let draw = 0; draw < draws; draw += 1) {
+			consider(from[(first + (draw * stride)) % from.length], 0);
 		}
 
 		const affine = request.prefix === undefined ? [] : this.#residency.upstreams(request.prefix);
@@ -200,7 +210,7 @@
 		const slowness = (load.msPerToken === undefined ? 1 : load.msPerToken / usual) ** latencyExponent;
 		const overdueMs = Math.max(overdueFloorMs, group.usualFirstTokenMs * overdueRatio);
 		const overdue = Math.max(1, load.oldestAwaitingMs(now) / overdueMs);
-		return (load.tokens(now, group.meanForeign) + tokens) * slowness * overdue * overdue / readiness;
+		return (load.tokens(now, group.usualForeign) + tokens) * slowness * overdue * overdue / readiness;
 	}
 
 	#anyOf(group: LoadGroup, request: RoutedRequest): UpstreamLoad | undefined {
--- a/src/process/load/upstream-load.ts
+++ b/src/process/load/upstream-load.ts
@@ -28,7 +28,7 @@
 	tokens: number;
 };
 
-/** Time after which a report counts for 1/e of its deviation from the mean of the group. */
+/** Time after which a report counts for 1/e of its deviation from the usual load of the group. */
 const reportAgeMs = 800;
 /** Time constant of the latency per token. */
 const latencyTimeConstantMs = 1000;
@@ -120,10 +120,10 @@
 		this.#observedAt = now;
 	}
 
-	/** Estimated outstanding tokens of all daemons; old reports fade into the mean of the group. */
-	tokens(now: number, meanForeign: number): number {
+	/** Estimated outstanding tokens of all daemons; old reports fade into the usual load of the group. */
+	tokens(now: number, usualForeign: number): number {
 		const weight = Math.exp((this.#reportedAt - now) / reportAgeMs);
-		return this.#own + (this.#foreign * weight) + (meanForeign * (1 - weight));
+		return this.#own + (this.#foreign * weight) + (usualForeign * (1 - weight));
 	}
 
 	/** Age of the oldest attempt without a first token. */
--- a/src/process/shares/allotments.ts
+++ b/src/process/shares/allotments.ts
@@ -2,7 +2,7 @@
 
 /** Demand of one customer at one daemon, as exchanged between daemons. */
 export type CustomerUsage = {
-	/** Customer; the sum over the customers of a model or service is told as `*` and its name. */
+	/** Customer; the sum over the customers of a model or service is told as `*` and its name, that of long work with ` long` added. */
 	readonly customer: string;
 	/** Tokens that arrived in the interval. */
 	readonly tokens: number;
@@ -12,6 +12,7 @@
 };
 
 const groupPrefix = '*';
+const longSuffix = ' long';
 
 /** Demand of a customer at this daemon and at the others. */
 type Demand = {
@@ -32,10 +33,10 @@
 	readonly toldCustomers?: number;
 };
 
-const ownDemandMs = 800;
+const ownDemandMs = 1200;
 const recomputeMs = 200;
-/** Part of an equal allotment that a daemon without demand keeps, so that its first requests do not wait. */
-const floorPart = 0.25;
+/** Part that is divided evenly, so that the first requests of an idle daemon do not wait and noise moves little room. */
+const evenPart = 0.25;
 const idleMs = 10_000;
 
 /** Divides shares and room among the live daemons by where the demand is; what is idle at one daemon is lent to others. */
@@ -54,9 +55,10 @@
 	}
 
 	/** Counts demand of a customer for a model or service that arrives at this daemon. */
-	arrive(now: number, customer: string, group: string, tokens: number): void {
+	arrive(now: number, customer: string, group: string, tokens: number, isLong = false): void {
 		this.#demand(customer).own.add(now, tokens);
-		this.#demand(groupPrefix + group).own.add(now, tokens);
+		// Rare long work must not move the room of a model to the daemon that happens to take it.
+		this.#demand(groupPrefix + group + (isLong ? longSuffix : '')).own.add(now, tokens);
 	}
 
 	/** Takes news of another daemon's demand; late news counts from when it was sent. */
@@ -91,6 +93,26 @@
 		return this.#part(now, groupPrefix + group);
 	}
 
+	/** Part of long work in the demand for a model at all daemons. */
+	longPart(now: number, group: string): number {
+		const long = this.#total(now, groupPrefix + group + longSuffix);
+		return long === 0 ? 0 : long / (long + this.#total(now, groupPrefix + group));
+	}
+
+	#total(now: number, name: string): number {
+		const demand = this.#demands.get(name);
+		if (demand === undefined) {
+			return 0;
+		}
+
+		let total = demand.own.perMs(now);
+		for (const {tokensPerMs, at} of demand.others.values()) {
+			total += now - at <= this.#options.newsAgeMs ? tokensPerMs : 0;
+		}
+
+		return total;
+	}
+
 	#demand(customer: string): Demand {
 		let demand = this.#demands.get(customer);
 		if (demand === undefined) {
@@ -132,8 +154,8 @@
 		const ownDemand = own.perMs(now);
 		const known = Math.min(1, (heard + 1) * equal);
 		const total = ownDemand + othersDemand;
-		const part = total === 0 ? known / (heard + 1) : known * ownDemand / total;
-		return Math.min(1, Math.max(part, floorPart * equal));
+		const even = known / (heard + 1);
+		return total === 0 ? even : (evenPart * even) + ((1 - evenPart) * known * ownDemand / total);
 	}
 
 	#forgetIdle(now: number): void {
