--- a/bench/measures/head-of-line.ts
+++ b/bench/measures/head-of-line.ts
@@ -15,6 +15,7 @@
 const shortLoad = 0.45;
 const longPart = 0.01;
 const longRatio = 50;
+const queueMs = 2000;
 const bound = 1.2;
 
 /** M3: p99 of short live work with 1% of jobs 50 times longer, relative to its p99 without them. */
@@ -52,7 +53,7 @@
 	};
 	const sources = [short, ...deskWork(deployment, loadMs), ...(hasLong ? [long] : [])];
 	const {records} = simulate({
-		...deploymentScenario(deployment), seed, policy, endMs: loadMs + 10_000, requests: createRequests(seed, deployment.daemons, sources),
+		...deploymentScenario(deployment), seed, policy, endMs: loadMs + 10_000, queueMs, requests: createRequests(seed, deployment.daemons, sources),
 	});
 	return records.filter(({request}) => request.customer === 'short' && request.at >= warmUpMs);
 }
--- a/bench/simulation/daemon-model.ts
+++ b/bench/simulation/daemon-model.ts
@@ -212,7 +212,6 @@
 			const group = this.#group({group: name});
 			const {admission, limit} = group;
 			this.loads.setLongPart(now, this.#options.isSplit ? 'prefill' : name, this.allotments.longPart(now, name));
-			if (process.env.DBG && now % 5000 === 0 && name === "model") console.log(now, this.#options.index, limit.slots.toFixed(1), group.room.toFixed(1), admission.usedSlots.toFixed(1), JSON.stringify((admission as any).dbg?.()), this.loads.usualMsPerToken(name)?.toFixed(1));
 			limit.update(now, this.loads.usualMsPerToken(this.#options.isSplit ? 'decode' : name), admission.usedSlots / group.room);
 			group.room = engines * limit.slots * this.allotments.roomPart(now, name);
 			this.#apply(now, admission.resize(now, group.room));
@@ -294,7 +293,7 @@
 		const attempt: Attempt = {
 			id: `${flight.request.id}/${flight.attemptCount}`, flight, engine, sentAt: now, part, resumedTokens: flight.generated, hasOutput: false, seen: 0,
 		};
-		flight.attempts.set(attempt.id, attempt); (flight as any).eng = engine; (flight as any).sent ??= now;
+		flight.attempts.set(attempt.id, attempt);
 		this.#attempts.set(attempt.id, attempt);
 		this.loads.start(now, attempt.id, engine, this.#routed(flight, part));
 		this.#port.send(attempt);
@@ -361,7 +360,7 @@
 	#end(now: number, flight: Flight): void {
 		this.servedTokens += flight.ticket.tokens;
 		this.flights.delete(flight.request.id);
-		(flight as any).lastEngine = (flight as any).eng + " " + (flight.attemptCount) + " w" + Math.round(((flight as any).sent - flight.request.at)/50)*50; this.#port.done(flight);
+		this.#port.done(flight);
 		this.#apply(now, this.#group(flight.request).admission.finish(now, flight.ticket));
 	}
 }
--- a/bench/simulation/simulation.ts
+++ b/bench/simulation/simulation.ts
@@ -222,7 +222,7 @@
 
 	#record({request, firstTokenAt}: Flight): void {
 		const record = this.#recordById.get(request.id)!;
-		record.firstTokenAt = firstTokenAt; (record as any).engine = (arguments[0] as any).lastEngine;
+		record.firstTokenAt = firstTokenAt;
 		record.finishedAt = this.#timeline.now;
 	}
 
--- a/src/process/admission/admission.ts
+++ b/src/process/admission/admission.ts
@@ -72,7 +72,6 @@
 	}
 
 	/** Slots in use. */
-	dbg() { return this.#used; }
 	get usedSlots(): number {
 		return this.#used.short + this.#used.long + this.#used.patient;
 	}
--- a/src/process/load/load-table.ts
+++ b/src/process/load/load-table.ts
@@ -24,7 +24,7 @@
 	readonly random: Random;
 	/** Upstreams drawn for each decision. @default 2 */
 	readonly choices?: number;
-	/** Tokens of load above which another zone is considered. @default 1500 */
+	/** Tokens of load above which another zone is considered. @default 1000 */
 	readonly spillTokens?: number;
 	/** Tokens of load that another zone must save. @default 100 */
 	readonly spillPenaltyTokens?: number;
@@ -38,7 +38,7 @@
 /** Pool whose upstreams are all compared, because two draws from it often meet the same loaded ones. */
 const smallPool = 4;
 /** Fresh latency shows the batch size of an upstream, which late reports do not. */
-const latencyExponent = 3;
+const latencyExponent = 2;
 /** Wait for a first token, as a multiple of the usual one, from which an upstream is avoided. */
 const overdueRatio = 3;
 const overdueFloorMs = 100;
@@ -52,7 +52,7 @@
 
 	constructor(options: LoadTableOptions) {
 		this.#options = {
-			choices: 2, spillTokens: 1500, spillPenaltyTokens: 100, ...options,
+			choices: 2, spillTokens: 1000, spillPenaltyTokens: 100, ...options,
 		};
 	}
 
