Charge prompts the room that their prefill takes

Cause: at the start of a flood or crest the room filled with prompts at once, and each engine then had a second of prefill work in its queue. A slot now covers 250 prompt tokens (2000 before). Room above the allotment for bursts is removed: it made floods worse and did not help short work.

Cutting the room by the time to the first token did not change this and is left out.

--- a/bench/simulation/daemon-model.ts
+++ b/bench/simulation/daemon-model.ts
@@ -119,7 +119,9 @@
 		const group = this.#group(request);
 		const isLong = isLongWork(tokens, group.usualTokens);
 		group.usualTokens += (Math.min(tokens, group.usualTokens * 4) - group.usualTokens) * usualTokensSmoothing;
-		this.allotments.arrive(now, request.customer, groupOf(request), tokens, isLong);
+		this.allotments.arrive(now, {
+			customer: request.customer, group: groupOf(request), tokens, isLong,
+		});
 		const ticket: Ticket = {
 			id: request.id,
 			customer: request.customer,
--- a/src/process/admission/admission.ts
+++ b/src/process/admission/admission.ts
@@ -31,9 +31,6 @@
 const lanes: readonly Lane[] = ['short', 'long', 'patient'];
 const longestRetryAfterS = 30;
 const rateMs = 1000;
-const usualUsedMs = 1000;
-/** Largest room of a burst, relative to the allotment. */
-const mostBurst = 1.5;
 /** Time after which the rate of a lane is known well enough to refuse work by it. */
 const rateWarmUpMs = 500;
 /** Keeps the expected wait finite in a lane that is not served. */
@@ -62,9 +59,6 @@
 	#room: number;
 	/** Long tickets whose prompts are being processed. */
 	#longPrefills = 0;
-	/** Slots in use, smoothed over a second. */
-	#usualUsed = 0;
-	#smoothedAt = 0;
 
 	constructor(roomSlots: number, options: AdmissionOptions) {
 		this.#room = roomSlots;
@@ -133,8 +127,6 @@
 
 	/** Refuses tickets whose deadline has passed and grants what fits; call it every 100 ms or so. */
 	tick(now: number): readonly AdmissionDecision[] {
-		this.#usualUsed += (this.usedSlots - this.#usualUsed) * Math.min(1, (now - this.#smoothedAt) / usualUsedMs);
-		this.#smoothedAt = now;
 		const expired = lanes.flatMap(lane => this.#queues[lane].takeWhere(({startBy}) => startBy < now));
 		return [...expired.map(ticket => this.#refuse(now, ticket, 'deadline')), ...this.decide(now)];
 	}
@@ -170,11 +162,6 @@
 		decisions.push({kind: 'grant', ticket});
 	}
 
-	/** Room for a burst: above the allotment while less than the allotment was used in the last second. */
-	get #burstRoom(): number {
-		return this.#room * Math.min(mostBurst, Math.max(1, 2 - (this.#usualUsed / this.#room)));
-	}
-
 	#fits(now: number, lane: Lane, ticket: Ticket): boolean {
 		const {longPart, reservedPart, ageingPart, ageingMs} = this.#options;
 		const longRoom = this.#room * longPart;
@@ -183,7 +170,7 @@
 		const {slots} = ticket;
 		switch (lane) {
 			case 'short': {
-				return used === 0 || used + slots <= this.#burstRoom;
+				return used === 0 || used + slots <= this.#room;
 			}
 
 			case 'long': {
@@ -206,7 +193,7 @@
 		}
 
 		const floor = this.#room * this.#options.ageingPart;
-		const missing = this.usedSlots + ticket.slots - this.#burstRoom;
+		const missing = this.usedSlots + ticket.slots - this.#room;
 		if (this.#used.patient - floor < missing) {
 			return false;
 		}
--- a/src/process/admission/cost.ts
+++ b/src/process/admission/cost.ts
@@ -1,7 +1,7 @@
 /** Time of a prompt token relative to the time of a generated token. */
 const prefillWeight = 0.06;
 /** Prompt tokens that take as much room as one generating request. */
-const slotPromptTokens = 2000;
+const slotPromptTokens = 250;
 /** Cost from which a request counts as long, as a multiple of the usual cost. */
 const longRatio = 10;
 
--- a/src/process/shares/allotments.ts
+++ b/src/process/shares/allotments.ts
@@ -11,6 +11,15 @@
 	readonly intervalMs: number;
 };
 
+/** Work that arrives at this daemon. */
+export type Arrival = {
+	readonly customer: string;
+	/** Model or plain service. */
+	readonly group: string;
+	readonly tokens: number;
+	readonly isLong: boolean;
+};
+
 const groupPrefix = '*';
 const longSuffix = ' long';
 
@@ -55,7 +64,7 @@
 	}
 
 	/** Counts demand of a customer for a model or service that arrives at this daemon. */
-	arrive(now: number, customer: string, group: string, tokens: number, isLong = false): void {
+	arrive(now: number, {customer, group, tokens, isLong}: Arrival): void {
 		this.#demand(customer).own.add(now, tokens);
 		// Rare long work must not move the room of a model to the daemon that happens to take it.
 		this.#demand(groupPrefix + group + (isLong ? longSuffix : '')).own.add(now, tokens);
