--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,15 +1,20 @@
 import process from 'node:process';
 import {readKnownRed} from '../test/known-red.ts';
+import {controlCost, controlProcessorCost} from './control-cost.ts';
 import type {Measure} from './measure.ts';
 import {headOfLine} from './measures/head-of-line.ts';
 import {overload} from './measures/overload.ts';
+import {shifts} from './measures/shifts.ts';
 import {stragglers} from './measures/stragglers.ts';
 
 /** All measures, in the order in which they are printed. */
 const measures: readonly Measure[] = [
+	shifts,
 	overload,
 	headOfLine,
 	stragglers,
+	controlCost,
+	controlProcessorCost,
 ];
 
 const onlyDeterministic = process.argv.includes('--deterministic');
--- a/bench/simulation/outcome.ts
+++ b/bench/simulation/outcome.ts
@@ -20,6 +20,8 @@
 	readonly roleChanges: number;
 	/** Times of role changes. */
 	readonly roleChangeTimes: readonly number[];
+	/** Zones of the changed engines, in the same order. */
+	readonly roleChangeZones: readonly string[];
 	readonly hedges: number;
 	/** Tokens of hedges and moves, as a part of the tokens served. */
 	readonly extraPart: number;
--- a/bench/simulation/simulation.ts
+++ b/bench/simulation/simulation.ts
@@ -37,6 +37,7 @@
 	readonly #planners: readonly RolePlanner[];
 	readonly #owners = new Map<string, DaemonModel>();
 	readonly #roleChangeTimes: number[] = [];
+	readonly #roleChangeZones: string[] = [];
 	#wantedPrefill: number | undefined;
 
 	constructor(scenario: Scenario) {
@@ -273,8 +274,10 @@
 			? this.#planners.flatMap(planner => planner.plan(now, engines))
 			: this.#followSchedule();
 		for (const {id, role} of changes) {
+			const engine = this.#engineById.get(id)!;
 			this.#roleChangeTimes.push(now);
-			this.#engineById.get(id)?.changeRole(role);
+			this.#roleChangeZones.push(engine.availabilityZone);
+			engine.changeRole(role);
 		}
 
 		if (changes.length > 0) {
@@ -317,6 +320,7 @@
 			records: this.#records,
 			roleChanges: this.#roleChangeTimes.length,
 			roleChangeTimes: this.#roleChangeTimes,
+			roleChangeZones: this.#roleChangeZones,
 			hedges: sum(daemon => daemon.hedges),
 			extraPart: sum(daemon => daemon.extraTokens) / Math.max(1, sum(daemon => daemon.servedTokens)),
 			preemptions: sum(daemon => daemon.preemptions),
--- /dev/null
+++ b/src/connection/upstream-host.ts
@@ -0,0 +1,235 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import type {Dispatcher} from 'undici';
+import {isLeavingAnswer, type ProbeResult} from './probe.ts';
+import {SilentConnectionError, UpstreamConnection} from './upstream-connection.ts';
+
+/** Receives what connections reveal about an upstream; calls are synchronous. */
+export type UpstreamObserver = {
+	/** An answer said that the upstream takes no new work. */
+	readonly leavingSeen: (origin: string) => void;
+	/** A connection was refused and a probe failed as well. */
+	readonly refused: (origin: string) => void;
+	/** Connections went silent while new ones work; counts those closed. */
+	readonly silentSeen: (origin: string, closed: number) => void;
+};
+
+/** Silence on a busy connection after which the host is checked; idle connections live for 1.5 s, so that some are left to compare. */
+const suspectAfterMs = 1000;
+const checkIntervalMs = 2500;
+/** An idle connection is verified before a request when it has been idle for longer. */
+const verifyAfterIdleMs = 250;
+const verifyTimeoutMs = 250;
+const maxIdleConnections = 64;
+
+/** All connections to one upstream. */
+export class UpstreamHost {
+	readonly #origin: string;
+	readonly #now: () => number;
+	readonly #observer: UpstreamObserver;
+	readonly #connections = new Set<UpstreamConnection>();
+	#isChecking = false;
+	#checkedAt = -Infinity;
+	#isProbingRefusal = false;
+
+	constructor(origin: string, now: () => number, observer: UpstreamObserver) {
+		this.#origin = origin;
+		this.#now = now;
+		this.#observer = observer;
+	}
+
+	/** Number of open connections. */
+	get size(): number {
+		return this.#connections.size;
+	}
+
+	/** Sends a request on a connection that is known to work, or on a new one. */
+	send(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, silenceMs: number): void {
+		const idle = this.#youngestIdle();
+		if (idle === undefined || this.#now() - idle.lastByteAt < verifyAfterIdleMs) {
+			const connection = idle ?? this.#open();
+			connection.reserve();
+			this.#sendOn(connection, options, handler, silenceMs);
+		} else {
+			void this.#sendVerified(idle, options, handler, silenceMs);
+		}
+	}
+
+	/** Checks the host when a busy connection has been silent for long. */
+	async check(): Promise<void> {
+		const suspects = this.#busy().filter(connection => connection.silentMs >= suspectAfterMs);
+		const isDue = this.#now() - this.#checkedAt >= checkIntervalMs || suspects.some(connection => connection.isOverdue);
+		if (suspects.length === 0 || this.#isChecking || !isDue) {
+			return;
+		}
+
+		this.#isChecking = true;
+		this.#checkedAt = this.#now();
+		try {
+			await this.#compare(suspects);
+		} finally {
+			this.#isChecking = false;
+		}
+	}
+
+	/** Closes all connections. */
+	async close(): Promise<void> {
+		await Promise.all([...this.#connections].map(async connection => connection.close()));
+	}
+
+	/** A request whose idle connection does not answer at once goes on over a new one. */
+	async #sendVerified(idle: UpstreamConnection, options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, silenceMs: number): Promise<void> {
+		const aliveAt = idle.lastByteAt;
+		const probe = idle.probe();
+		const quick = await Promise.race([probe, delay(verifyTimeoutMs, undefined, {ref: false})]);
+		if (quick !== undefined && quick !== 'silent' && idle.isTrusted) {
+			idle.reserve();
+			this.#sendOn(idle, options, handler, silenceMs);
+			return;
+		}
+
+		const fresh = this.#open();
+		fresh.reserve();
+		this.#sendOn(fresh, options, handler, silenceMs);
+		if (await probe === 'silent') {
+			await this.#compareIdle(idle, aliveAt);
+		}
+	}
+
+	#sendOn(connection: UpstreamConnection, options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, silenceMs: number): void {
+		connection.send(options, handler, silenceMs, {
+			onHead: (status, headers) => {
+				if (isLeavingAnswer(status, headers)) {
+					this.#observer.leavingSeen(this.#origin);
+				}
+			},
+			onError: error => {
+				if ((error as {readonly code?: string}).code === 'ECONNREFUSED') {
+					void this.#probeRefusal();
+				}
+			},
+			onEnd: () => {
+				this.#release(connection);
+			},
+		});
+	}
+
+	/** Compares an idle connection that did not answer with a new one. */
+	async #compareIdle(idle: UpstreamConnection, aliveAt: number): Promise<void> {
+		idle.distrust();
+		await (await this.#probeNew() === 'silent' ? idle.close() : this.#closeSilent([idle], aliveAt));
+	}
+
+	/** Compares busy connections that are silent with a new connection, and with the idle one that answered last. */
+	async #compare(suspects: readonly UpstreamConnection[]): Promise<void> {
+		const [sibling] = this.#idle().toSorted((a, b) => b.lastByteAt - a.lastByteAt);
+		const aliveAt = sibling?.lastByteAt ?? -Infinity;
+		const [fresh, siblingResult] = await Promise.all([this.#probeNew(), sibling?.probe()]);
+		if (fresh === 'silent') {
+			return;
+		}
+
+		const silentSiblings = sibling !== undefined && siblingResult === 'silent' ? [sibling] : [];
+		const doubtUntil = silentSiblings.length > 0 ? aliveAt : -Infinity;
+		const closed = suspects.filter(connection =>
+			connection.silentMs >= suspectAfterMs
+			&& (connection.isOverdue || connection.isInDoubt || connection.openedAt <= doubtUntil));
+		if (closed.length + silentSiblings.length > 0) {
+			await this.#closeSilent([...closed, ...silentSiblings], doubtUntil);
+		}
+	}
+
+	/**
+	Closes silent connections and keeps new requests off all connections of their age or older.
+
+	Busy connections opened up to `doubtUntil` are closed as well if they stay silent: an idle connection that worked at
+	that time and does not answer now shows that connections of its age are lost, while a silent request alone may be slow.
+	*/
+	async #closeSilent(closed: readonly UpstreamConnection[], doubtUntil: number): Promise<void> {
+		const youngest = Math.max(...closed.map(connection => connection.openedAt));
+		for (const connection of this.#connections) {
+			if (connection.openedAt <= doubtUntil) {
+				connection.doubt();
+			} else if (connection.openedAt <= youngest) {
+				connection.distrust();
+			}
+		}
+
+		const unused = this.#idle().filter(connection => !connection.isTrusted && !closed.includes(connection));
+		this.#observer.silentSeen(this.#origin, closed.length);
+		await Promise.all([
+			...closed.map(async connection => connection.close(new SilentConnectionError())),
+			...unused.map(async connection => connection.close()),
+		]);
+	}
+
+	/** Probes over a new connection, which stays open for requests when it works. */
+	async #probeNew(): Promise<ProbeResult> {
+		const connection = this.#open();
+		const result = await connection.probe();
+		if (result === 'silent') {
+			await connection.close();
+		}
+
+		return result;
+	}
+
+	async #probeRefusal(): Promise<void> {
+		if (this.#isProbingRefusal) {
+			return;
+		}
+
+		this.#isProbingRefusal = true;
+		const result = await this.#probeNew();
+		this.#isProbingRefusal = false;
+		if (result === 'silent') {
+			this.#observer.refused(this.#origin);
+		} else if (result === 'leaving') {
+			this.#observer.leavingSeen(this.#origin);
+		}
+	}
+
+	#open(): UpstreamConnection {
+		const connection = new UpstreamConnection(this.#origin, this.#now, closed => {
+			this.#forget(closed);
+		});
+		this.#connections.add(connection);
+		return connection;
+	}
+
+	/** A closed connection is not opened again, so that its age stays that of its socket. */
+	#forget(connection: UpstreamConnection): void {
+		this.#connections.delete(connection);
+		connection.distrust();
+		if (!connection.isBusy) {
+			void connection.close();
+		}
+	}
+
+	#release(connection: UpstreamConnection): void {
+		if (!connection.isTrusted || !this.#connections.has(connection) || this.#idle().length > maxIdleConnections) {
+			this.#connections.delete(connection);
+			setImmediate(() => {
+				void connection.close();
+			});
+		}
+	}
+
+	#youngestIdle(): UpstreamConnection | undefined {
+		let youngest: UpstreamConnection | undefined;
+		for (const connection of this.#connections) {
+			if (!connection.isBusy && connection.isTrusted && (youngest === undefined || connection.lastByteAt > youngest.lastByteAt)) {
+				youngest = connection;
+			}
+		}
+
+		return youngest;
+	}
+
+	#idle(): readonly UpstreamConnection[] {
+		return [...this.#connections].filter(connection => !connection.isBusy);
+	}
+
+	#busy(): readonly UpstreamConnection[] {
+		return [...this.#connections].filter(connection => connection.isBusy);
+	}
+}
--- a/src/demo/local-deployment.ts
+++ b/src/demo/local-deployment.ts
@@ -1,7 +1,7 @@
 import type {Host} from '../platform/host-list.ts';
 import type {Log} from '../process/log.ts';
-import {createDaemon, type Daemon} from '../process/wiring.ts';
-import {EngineServer} from '../stand-ins/engine/engine-server.ts';
+import {createDaemon, type Daemon, type DaemonTuning} from '../process/wiring.ts';
+import {EngineServer, type EngineOptions} from '../stand-ins/engine/engine-server.ts';
 import {HostsServer} from '../stand-ins/hosts/hosts-server.ts';
 import {PlatformServer} from '../stand-ins/platform/platform-server.ts';
 import {ServiceServer} from '../stand-ins/service/service-server.ts';
@@ -16,6 +16,10 @@
 	readonly daemonsPerZone?: number;
 	/** Engines of each model in each availability zone. @default 1 */
 	readonly enginesPerZone?: number;
+	/** @default {} */
+	readonly tuning?: DaemonTuning;
+	/** How the engines take orders. @default {} */
+	readonly engineOrders?: EngineOptions['orders'];
 	readonly log: Log;
 };
 
@@ -37,6 +41,10 @@
 	readonly hosts: HostsServer;
 	readonly engines: readonly EngineServer[];
 	readonly services: readonly ServiceServer[];
+	/** Settings file text of a further daemon. */
+	readonly settingsText: (id: string, availabilityZone: string) => string;
+	readonly platformUrl: string;
+	readonly hostsUrl: string;
 	/** Base URLs of the daemons. */
 	readonly urls: readonly string[];
 };
@@ -55,7 +63,7 @@
 		for (const model of demoModels) {
 			for (let index = 0; index < enginesPerZone; index += 1) {
 				const id = `${model}-${availabilityZone}-${index}`;
-				const engine = resources.use(new EngineServer({id, model}));
+				const engine = resources.use(new EngineServer({id, model, orders: options.engineOrders}));
 				const {port} = await engine.listen(loopback);
 				engines.push(engine);
 				list.push(createHost({
@@ -74,21 +82,31 @@
 
 	const hosts = resources.use(new HostsServer(list));
 	const {port: hostsPort} = await hosts.listen(loopback);
+	const settingsText = (id: string, availabilityZone: string) => createSettingsText(id, availabilityZone, platformPort, hostsPort);
 	const daemons: Daemon[] = [];
 	for (const availabilityZone of availabilityZones) {
 		for (let index = 0; index < daemonsPerZone; index += 1) {
 			const id = `daemon-${availabilityZone}-${index}`;
-			const settings = createSettings(id, availabilityZone, platformPort, hostsPort);
-			daemons.push(resources.use(await createDaemon(settings, log.part(id))));
+			const settings = createSettings(settingsText(id, availabilityZone));
+			const daemon = resources.use(await createDaemon(settings, log.part(id), options.tuning));
+			daemons.push(daemon);
+			list.push(createHost({
+				kind: 'daemon', id, availabilityZone, serves: '',
+			}, daemon.peerAddress.port));
 		}
 	}
 
+	hosts.setHosts(list);
+
 	return {
 		daemons,
 		platform,
 		hosts,
 		engines,
 		services,
+		settingsText,
+		platformUrl: `http://127.0.0.1:${platformPort}`,
+		hostsUrl: `http://127.0.0.1:${hostsPort}`,
 		urls: daemons.map(({address}) => `http://${address.host}:${address.port}`),
 		[Symbol.asyncDispose]: async () => resources.disposeAsync(),
 	};
@@ -100,8 +118,8 @@
 	};
 }
 
-function createSettings(id: string, availabilityZone: string, platformPort: number, hostsPort: number): Settings {
-	const text = [
+function createSettingsText(id: string, availabilityZone: string, platformPort: number, hostsPort: number): string {
+	return [
 		'[daemon]',
 		`id = ${id}`,
 		`availability-zone = ${availabilityZone}`,
@@ -114,6 +132,9 @@
 		'[shutdown]',
 		'balancer-delay-ms = 0',
 	].join('\n');
+}
+
+function createSettings(text: string): Settings {
 	return parseSettings(text, 'local deployment').caseOf({
 		Left(findings) {
 			throw new Error(findings.map(finding => finding.message).join('; '));
--- a/src/main.ts
+++ b/src/main.ts
@@ -6,8 +6,10 @@
 import {demoCommand} from './process/cli/demo-command.ts';
 import {exitCode} from './process/cli/exit-code.ts';
 import {keyCommand} from './process/cli/key-command.ts';
+import {planCommand} from './process/cli/plan-command.ts';
 import {serveCommand} from './process/cli/serve-command.ts';
 import {standInCommand} from './process/cli/stand-in-command.ts';
+import {statusCommand} from './process/cli/status-command.ts';
 
 async function main(): Promise<void> {
 	await yargs(hideBin(process.argv))
@@ -16,7 +18,9 @@
 		.command(checkCommand)
 		.command(contractCommand)
 		.command(keyCommand)
+		.command(planCommand)
 		.command(standInCommand)
+		.command(statusCommand)
 		.command(demoCommand)
 		.demandCommand(1, 'A command is needed.')
 		.strict()
--- a/src/request/relay.ts
+++ b/src/request/relay.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
-import {abortEventStream, ranHeader, type CallerError} from './caller-error.ts';
+import {
+	abortEventStream, ranHeader, toRunState, type CallerError,
+} from './caller-error.ts';
 import {EventStreamGuard, type StreamFault} from './event-stream-guard.ts';
 import {selectAnswerHeaders} from './headers.ts';
 import type {StoredAnswer} from './claim-store.ts';
@@ -133,8 +135,7 @@
 		response.writeHead(status, {
 			...selectAnswerHeaders(headers),
 			'x-request-id': requestId,
-			// An upstream's own failure says nothing about how far it came with the request.
-			[ranHeader]: status >= 500 ? 'unknown' : 'yes',
+			[ranHeader]: toRunState(status),
 		});
 	}
 }
--- a/src/request/request-pipeline.ts
+++ b/src/request/request-pipeline.ts
@@ -1,6 +1,6 @@
 import type {ServerResponse} from 'node:http';
 import type {Admission, RequestUsage, Ticket} from './admission.ts';
-import {ranHeader, type CallerError} from './caller-error.ts';
+import {ranHeader, toRunState, type CallerError} from './caller-error.ts';
 import {joinSignals, type CancelReason} from './cancellation.ts';
 import type {Claim, ClaimStore, StoredAnswer} from './claim-store.ts';
 import {Dispatch, type DispatchOptions, type DispatchOutcome} from './dispatch.ts';
@@ -75,6 +75,8 @@
 		const outcome = await this.#admit(request, claim);
 		if (outcome.error?.ran === 'no') {
 			await claim.release();
+		} else if (outcome.error !== undefined) {
+			await claim.abandon();
 		}
 
 		return outcome;
@@ -135,10 +137,7 @@
 	/** Records the answer of a claimed request before its end is sent, so that a caller with a whole answer can resend. */
 	async #finish(relay: AnswerRelay, claim?: Claim): Promise<void> {
 		const kept = claim === undefined ? undefined : relay.takeKept();
-		if (kept !== undefined) {
-			await claim?.complete(kept);
-		}
-
+		await (kept === undefined ? claim?.abandon() : claim?.complete(kept));
 		relay.end();
 	}
 
@@ -170,7 +169,7 @@
 
 function sendStoredAnswer({intake, response}: PipelineRequest, answer: StoredAnswer): PipelineOutcome {
 	response.writeHead(answer.status, {
-		...answer.headers, 'x-request-id': intake.head.requestId, [ranHeader]: 'yes', 'content-length': answer.body.length,
+		...answer.headers, 'x-request-id': intake.head.requestId, [ranHeader]: toRunState(answer.status), 'content-length': answer.body.length,
 	});
 	response.end(answer.body);
 	return {attempts: 0, answerBytes: answer.body.length};
--- a/test/version/contract.test.ts
+++ b/test/version/contract.test.ts
@@ -52,6 +52,7 @@
 		const contract = parseContract(valid, 'c.ini').unsafeCoerce();
 		expect(resolveRoute(contract, 'POST', '/services/orders/bookings/7?x=1')?.unrepeatable).toBe(true);
 		expect(resolveRoute(contract, 'POST', '/services/orders/bookingsheet')?.path).toBe('/services/orders');
+		expect(resolveRoute(contract, 'POST', '/services//orders/x/../%62ookings')?.unrepeatable).toBe(true);
 		expect(resolveRoute(contract, 'GET', '/services/orders/bookings')).toBeUndefined();
 	});
 });
