--- a/bench/simulation/simulation.ts
+++ b/bench/simulation/simulation.ts
@@ -268,7 +268,7 @@
 	#planRoles(): void {
 		const {now} = this.#timeline;
 		const engines = this.#engines.map(({id, availabilityZone, model}) => ({
-			id, availabilityZone, role: model.role, isAway: model.phase !== 'ready',
+			id, availabilityZone, role: model.targetRole, isAway: model.phase !== 'ready',
 		}));
 		const changes = this.#scenario.policy.roles === 'planned'
 			? this.#planners.flatMap(planner => planner.plan(now, engines))
--- a/src/process/roles/role-planner.ts
+++ b/src/process/roles/role-planner.ts
@@ -7,6 +7,7 @@
 export type PlannedEngine = {
 	readonly id: string;
 	readonly availabilityZone: string;
+	/** Role that it has, or will have after a change in progress. */
 	readonly role: Role;
 	/** True while it drains or changes role, or is down. */
 	readonly isAway: boolean;
--- a/src/stand-ins/engine/engine-model.ts
+++ b/src/stand-ins/engine/engine-model.ts
@@ -37,6 +37,11 @@
 		return this.#role;
 	}
 
+	/** Role after a change that was ordered, or the present one. */
+	get targetRole(): EngineRole {
+		return this.#nextRole ?? this.#role;
+	}
+
 	/** Ready, finishing its work before a role change, or changing. */
 	get phase(): 'ready' | 'draining' | 'changing' {
 		if (this.#changeEnd !== undefined) {
