Limit the room by the first token too, and plan roles from shorter averages

Cause: with prefill and decode on different engines the room followed only the time between tokens, so that an overloaded prefill stage collected a queue and no answer was on time. The slow average of 15 s held role changes back for 15 s each; 2.5 s and 6 s agree on a shift sooner and do not react to noise.

--- a/bench/simulation/daemon-model.ts
+++ b/bench/simulation/daemon-model.ts
@@ -1,6 +1,6 @@
 import {Admission} from '../../src/process/admission/admission.ts';
 import {costSlots, costTokens, isLongWork} from '../../src/process/admission/cost.ts';
-import {RoomLimit} from '../../src/process/admission/room-limit.ts';
+import {RoomLimit, type UsualLatency} from '../../src/process/admission/room-limit.ts';
 import type {AdmissionDecision, Ticket} from '../../src/process/admission/ticket.ts';
 import {LoadTable, type RoutedRequest} from '../../src/process/load/load-table.ts';
 import type {Upstream} from '../../src/process/load/upstream-load.ts';
@@ -8,7 +8,7 @@
 import {Allotments, type CustomerUsage} from '../../src/process/shares/allotments.ts';
 import {HedgePolicy} from '../../src/request/hedge.ts';
 import type {EngineRole} from '../../src/stand-ins/engine/engine-work.ts';
-import {betweenTokensTargetMs} from './outcome.ts';
+import {betweenTokensTargetMs, firstTokenTargetMs} from './outcome.ts';
 import {PlainQueue} from './plain-queue.ts';
 import type {Policy, SimulatedRequest} from './scenario.ts';
 
@@ -214,7 +214,7 @@
 			const group = this.#group({group: name});
 			const {admission, limit} = group;
 			this.loads.setLongPart(now, this.#options.isSplit ? 'prefill' : name, this.allotments.longPart(now, name));
-			limit.update(now, this.loads.usualMsPerToken(this.#options.isSplit ? 'decode' : name), admission.usedSlots / group.room);
+			limit.update(now, this.#usualLatency(name), admission.usedSlots / group.room);
 			group.room = engines * limit.slots * this.allotments.roomPart(now, name);
 			this.#apply(now, admission.resize(now, group.room));
 			this.#apply(now, admission.tick(now));
@@ -241,7 +241,7 @@
 			group = {
 				admission,
 				hedge: new HedgePolicy(),
-				limit: new RoomLimit({betweenTokensMs: betweenTokensTargetMs}),
+				limit: new RoomLimit({betweenTokensMs: betweenTokensTargetMs, firstTokenMs: firstTokenTargetMs}),
 				room: 1,
 				usualTokens: firstUsualTokens,
 			};
@@ -251,6 +251,13 @@
 		return group;
 	}
 
+	/** With a split, first tokens come from one role and the others from the other. */
+	#usualLatency(group: string): UsualLatency {
+		return this.#options.isSplit
+			? {msPerToken: this.loads.usualLatency('decode').msPerToken, firstTokenMs: this.loads.usualLatency('prefill').firstTokenMs}
+			: this.loads.usualLatency(group);
+	}
+
 	#apply(now: number, decisions: readonly AdmissionDecision[]): void {
 		this.#now = now;
 		for (const {kind, ticket} of decisions) {
--- a/src/process/load/load-table.ts
+++ b/src/process/load/load-table.ts
@@ -1,3 +1,4 @@
+import type {UsualLatency} from '../admission/room-limit.ts';
 import type {Random} from '../random.ts';
 import {LoadGroup, type Preference} from './load-group.ts';
 import {PrefixResidency, type CacheEventBatch} from './prefix-residency.ts';
@@ -98,9 +99,10 @@
 		return (best ?? this.#anyOf(group, request))?.upstream.id;
 	}
 
-	/** Smoothed time per generated token that is usual for the upstreams of a model. */
-	usualMsPerToken(group: string): number | undefined {
-		return this.#groups.get(group)?.usualMsPerToken;
+	/** Latencies that are usual for the upstreams of a model. */
+	usualLatency(group: string): UsualLatency {
+		const known = this.#groups.get(group);
+		return {msPerToken: known?.usualMsPerToken, firstTokenMs: known?.usualFirstTokenMs ?? 0};
 	}
 
 	/** Counts an attempt at an upstream. */
--- a/src/process/roles/role-planner.ts
+++ b/src/process/roles/role-planner.ts
@@ -35,12 +35,12 @@
 	readonly leastGain?: number;
 	/** Part of an engine's capacity that can be used within the latency targets. @default 0.8 */
 	readonly usablePart?: number;
-	/** Largest part of all engines that is away at a time. @default 0.25 */
+	/** Largest part of all engines that is away at a time. @default 0.34 */
 	readonly awayPart?: number;
 };
 
-const fastMs = 4000;
-const slowMs = 15_000;
+const fastMs = 2500;
+const slowMs = 6000;
 const warmUpMs = 5000;
 
 type Demand = {
@@ -57,7 +57,7 @@
 
 	constructor(options: RolePlannerOptions) {
 		this.#options = {
-			horizonMs: 60_000, leastGain: 0.04, usablePart: 0.8, awayPart: 0.25, ...options,
+			horizonMs: 60_000, leastGain: 0.04, usablePart: 0.8, awayPart: 0.34, ...options,
 		};
 	}
 
