--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
 import {readKnownRed} from '../test/known-red.ts';
 import {controlCost, controlProcessorCost} from './control-cost.ts';
 import type {Measure} from './measure.ts';
+import {decisionCost} from './measures/decision-cost.ts';
 import {headOfLine} from './measures/head-of-line.ts';
 import {overload} from './measures/overload.ts';
 import {shifts} from './measures/shifts.ts';
@@ -13,6 +14,7 @@
 	overload,
 	headOfLine,
 	stragglers,
+	decisionCost,
 	controlCost,
 	controlProcessorCost,
 ];
--- /dev/null
+++ b/bench/measures/decision-cost.ts
@@ -0,0 +1,136 @@
+import {performance} from 'node:perf_hooks';
+import {Admission} from '../../src/process/admission/admission.ts';
+import {costSlots, costTokens} from '../../src/process/admission/cost.ts';
+import type {Ticket} from '../../src/process/admission/ticket.ts';
+import {LoadTable} from '../../src/process/load/load-table.ts';
+import {SeededRandom} from '../../src/process/random.ts';
+import {Allotments} from '../../src/process/shares/allotments.ts';
+import {HedgePolicy} from '../../src/request/hedge.ts';
+import {atMost, type Measure, type Measurement} from '../measure.ts';
+import {zones} from '../simulation/scenario.ts';
+
+const replicas = 1000;
+const models = 17;
+const customers = 10_000;
+const fewCustomers = 10;
+const rounds = 5;
+const requestsInRound = 20_000;
+const inFlight = 2000;
+const usBound = 20;
+/** Growth that counts as none: the spread of repeated runs. */
+const growthBound = 1.25;
+
+/** Processor time of all decisions for a request, at the design size. */
+export const decisionCost: Measure = {
+	name: 'decision-cost',
+	deterministic: false,
+	async run(): Promise<readonly Measurement[]> {
+		const few = medianCostUs(fewCustomers);
+		const many = medianCostUs(customers);
+		return [
+			atMost('decision cost for a request', many, 'us', {bound: usBound, baseline: few}),
+			atMost('decision cost growth from 10 to 10000 customers', many / few, 'ratio', {bound: growthBound, baseline: 1}),
+		];
+	},
+};
+
+function medianCostUs(customerCount: number): number {
+	const workload = new DecisionWorkload(customerCount);
+	workload.run(requestsInRound);
+	const costs = Array.from({length: rounds}, () => {
+		const start = performance.now();
+		workload.run(requestsInRound);
+		return (performance.now() - start) * 1000 / requestsInRound;
+	});
+	return costs.toSorted((a, b) => a - b)[Math.floor(rounds / 2)]!;
+}
+
+/** Requests that pass through every decision; each one that ends makes room for a waiting one. */
+class DecisionWorkload {
+	readonly #random = new SeededRandom(51);
+	readonly #loads = new LoadTable({availabilityZone: zones[0], random: this.#random});
+	readonly #allotments = new Allotments({share: () => 1});
+	readonly #admissions: readonly Admission[];
+	readonly #hedge = new HedgePolicy();
+	readonly #running: Array<{readonly ticket: Ticket; readonly upstream: string; readonly model: number}> = [];
+	readonly #customers: number;
+	#now = 0;
+	#count = 0;
+	#refreshedAt = 0;
+	#toldAt = 0;
+
+	constructor(customerCount: number) {
+		this.#customers = customerCount;
+		this.#loads.setUpstreams(0, Array.from({length: replicas}, (_, index) => ({
+			id: `engine-${index}`, availabilityZone: zones[index % zones.length]!, group: `model-${index % models}`,
+		})));
+		this.#admissions = Array.from({length: models}, () => new Admission(inFlight * 3 / models, {
+			weight: customer => this.#allotments.weight(this.#now, customer),
+		}));
+	}
+
+	run(requests: number): void {
+		for (let index = 0; index < requests; index += 1) {
+			this.#now += 0.2;
+			this.#arrive();
+			if (this.#running.length >= inFlight) {
+				this.#finish();
+			}
+
+			if (this.#now - this.#refreshedAt >= 25) {
+				this.#refreshedAt = this.#now;
+				this.#tick();
+			}
+		}
+	}
+
+	#arrive(): void {
+		this.#count += 1;
+		const model = this.#random.integer(models);
+		const customer = `customer-${this.#random.integer(this.#customers)}`;
+		const tokens = costTokens(400, 40);
+		this.#allotments.arrive(this.#now, {
+			customer, group: `model-${model}`, tokens, isLong: false,
+		});
+		const ticket: Ticket = {
+			id: String(this.#count), customer, workClass: 'live', tokens, slots: costSlots(400), isLong: false, arrivedAt: this.#now, startBy: this.#now + 2000,
+		};
+		this.#apply(model, this.#admissions[model]!.offer(this.#now, ticket));
+	}
+
+	#apply(model: number, decisions: ReturnType<Admission['offer']>): void {
+		for (const {kind, ticket} of decisions) {
+			if (kind !== 'grant') {
+				continue;
+			}
+
+			const request = {
+				group: `model-${model}`, promptTokens: 400, outputTokens: 40, prefix: `prefix-${this.#random.integer(2000)}`, prefixTokens: 100,
+			};
+			const upstream = this.#loads.choose(this.#now, request)!;
+			this.#loads.start(this.#now, ticket.id, upstream, request);
+			this.#running.push({ticket, upstream, model});
+		}
+	}
+
+	#finish(): void {
+		const {ticket, upstream, model} = this.#running.shift()!;
+		this.#loads.firstToken(this.#now, ticket.id, upstream, 50);
+		this.#hedge.served(ticket.tokens, 20);
+		this.#loads.observe(this.#now, upstream, 10, 200);
+		this.#apply(model, this.#admissions[model]!.firstToken(this.#now, ticket.id));
+		this.#loads.finish(this.#now, ticket.id, upstream);
+		this.#apply(model, this.#admissions[model]!.finish(this.#now, ticket));
+	}
+
+	#tick(): void {
+		for (const [model, admission] of this.#admissions.entries()) {
+			this.#apply(model, admission.tick(this.#now));
+		}
+
+		if (this.#now - this.#toldAt >= 500) {
+			this.#toldAt = this.#now;
+			this.#allotments.news(this.#now, customer => this.#admissions[0]!.waitingTokens(customer));
+		}
+	}
+}
--- a/src/process/shares/allotments.ts
+++ b/src/process/shares/allotments.ts
@@ -30,6 +30,9 @@
 	/** Part of the demand that is at this daemon, and when it was computed. */
 	part: number;
 	computedAt: number;
+	/** Tokens since the last news, when they belong to the present interval. */
+	recentTokens: number;
+	interval: number;
 };
 
 /** Options of the allotments. */
@@ -47,11 +50,22 @@
 /** Part that is divided evenly, so that the first requests of an idle daemon do not wait and noise moves little room. */
 const evenPart = 0.25;
 const idleMs = 10_000;
+const idleScanSteps = 100;
+const leastTokensPerMs = 1e-6;
+/** A customer may be among the highest when its part of the recent demand is above 1 in this number. */
+const candidateRatio = 64;
 
 /** Divides shares and room among the live daemons by where the demand is; what is idle at one daemon is lent to others. */
 export class Allotments {
 	readonly #options: Required<AllotmentsOptions>;
 	readonly #demands = new Map<string, Demand>();
+	/** Names of the sums over customers. */
+	readonly #sums = new Set<string>();
+	/** Customers with a large part of the demand since the last news. */
+	readonly #candidates = new Set<string>();
+	#recentTokens = 0;
+	#interval = 0;
+	#idleScan: Iterator<[string, Demand]> | undefined;
 	#daemons = 1;
 
 	constructor(options: AllotmentsOptions) {
@@ -65,9 +79,13 @@
 
 	/** Counts demand of a customer for a model or service that arrives at this daemon. */
 	arrive(now: number, {customer, group, tokens, isLong}: Arrival): void {
-		this.#demand(customer).own.add(now, tokens);
+		const demand = this.#demand(customer);
+		demand.own.add(now, tokens);
+		this.#noteRecent(customer, demand, tokens);
 		// Rare long work must not move the room of a model to the daemon that happens to take it.
-		this.#demand(groupPrefix + group + (isLong ? longSuffix : '')).own.add(now, tokens);
+		const sum = groupPrefix + group + (isLong ? longSuffix : '');
+		this.#demand(sum).own.add(now, tokens);
+		this.#sums.add(sum);
 	}
 
 	/** Takes news of another daemon's demand; late news counts from when it was sent. */
@@ -81,15 +99,20 @@
 	/** News for the other daemons: the sums, and the customers with the highest demand. */
 	news(now: number, waitingTokens: (customer: string) => number): readonly CustomerUsage[] {
 		this.#forgetIdle(now);
-		const usages = [...this.#demands].map(([customer, {own}]) => ({
-			customer, tokens: own.perMs(now) * ownDemandMs, waitingTokens: waitingTokens(customer), intervalMs: ownDemandMs,
-		}));
-		const sums = usages.filter(({customer}) => customer.startsWith(groupPrefix));
-		const customers = usages
-			.filter(({customer, tokens}) => !customer.startsWith(groupPrefix) && tokens > 0)
+		const usage = (customer: string): CustomerUsage => ({
+			customer,
+			tokens: (this.#demands.get(customer)?.own.perMs(now) ?? 0) * ownDemandMs,
+			waitingTokens: waitingTokens(customer),
+			intervalMs: ownDemandMs,
+		});
+		const customers = [...this.#candidates]
+			.map(customer => usage(customer))
 			.toSorted((a, b) => b.tokens - a.tokens)
 			.slice(0, this.#options.toldCustomers);
-		return [...sums, ...customers];
+		this.#candidates.clear();
+		this.#interval += 1;
+		this.#recentTokens = 0;
+		return [...[...this.#sums].map(sum => usage(sum)), ...customers];
 	}
 
 	/** Weight of a customer in this daemon's queues. */
@@ -126,7 +149,7 @@
 		let demand = this.#demands.get(customer);
 		if (demand === undefined) {
 			demand = {
-				own: new Rate(ownDemandMs), others: new Map(), part: 1 / this.#daemons, computedAt: -Infinity,
+				own: new Rate(ownDemandMs), others: new Map(), part: 1 / this.#daemons, computedAt: -Infinity, recentTokens: 0, interval: 0,
 			};
 			this.#demands.set(customer, demand);
 		}
@@ -167,11 +190,35 @@
 		return total === 0 ? even : (evenPart * even) + ((1 - evenPart) * known * ownDemand / total);
 	}
 
+	/** Keeps the customers that may be among the highest, so that news need not look at all of them. */
+	#noteRecent(customer: string, demand: Demand, tokens: number): void {
+		if (demand.interval !== this.#interval) {
+			demand.interval = this.#interval;
+			demand.recentTokens = 0;
+		}
+
+		demand.recentTokens += tokens;
+		this.#recentTokens += tokens;
+		if (demand.recentTokens * candidateRatio > this.#recentTokens) {
+			this.#candidates.add(customer);
+		}
+	}
+
+	/** Forgets customers without demand, a few in each call. */
 	#forgetIdle(now: number): void {
-		for (const [customer, {own, others}] of this.#demands) {
+		for (let step = 0; step < idleScanSteps; step += 1) {
+			this.#idleScan ??= this.#demands.entries();
+			const next = this.#idleScan.next();
+			if (next.done === true) {
+				this.#idleScan = undefined;
+				return;
+			}
+
+			const [name, {own, others}] = next.value;
 			const hasOthers = others.values().some(({at}) => now - at < idleMs);
-			if (own.perMs(now) < 1e-6 && !hasOthers) {
-				this.#demands.delete(customer);
+			if (own.perMs(now) < leastTokensPerMs && !hasOthers) {
+				this.#demands.delete(name);
+				this.#sums.delete(name);
 			}
 		}
 	}
