--- a/src/process/rate.ts
+++ b/src/process/rate.ts
@@ -1,3 +1,6 @@
+/** Shortest time over which a rate is taken, as a part of the time constant, so that the first counts do not look like a flood. */
+const leastSeenPart = 0.25;
+
 /** Exponentially smoothed rate of a quantity, in units per millisecond. */
 export class Rate {
 	readonly #timeConstantMs: number;
@@ -22,7 +25,7 @@
 			return 0;
 		}
 
-		const seen = 1 - Math.exp((this.#since - now - 1) / this.#timeConstantMs);
+		const seen = 1 - Math.exp(-Math.max(leastSeenPart, (now - this.#since) / this.#timeConstantMs));
 		return this.#value * this.#fade(now) / (this.#timeConstantMs * seen);
 	}
 
