--- /dev/null
+++ b/src/process/load/load-poller.ts
@@ -0,0 +1,85 @@
+import type {Dispatcher} from 'undici';
+import type {Host} from '../../platform/host-list.ts';
+import type {Clock} from '../clock.ts';
+import type {Log} from '../log.ts';
+import {Task} from '../task.ts';
+import type {LoadTable} from './load-table.ts';
+
+/** What the poller needs from the rest of the daemon. */
+export type LoadPollerOptions = {
+	readonly log: Log;
+	readonly clock: Clock;
+	readonly dispatcher: Dispatcher;
+	readonly loads: LoadTable;
+	/** Upstreams whose reports are read. */
+	readonly upstreams: () => readonly Host[];
+};
+
+type Message
+	= | {readonly kind: 'poll'}
+		| {readonly kind: 'read'; readonly upstream: string; readonly outstandingTokens: number; readonly measuredAt: number};
+
+const pollIntervalMs = 1000;
+const readTimeoutMs = 900;
+/** Reports read at a time; the others follow in turn, so that the cost does not grow with the fleet. */
+const readsInPoll = 16;
+/** Usual lag of a report. */
+const reportLagMs = 2000;
+const outstandingPattern = /^engine_outstanding_tokens (?<tokens>[\d.]+)/mv;
+
+/** Reads the load reports of engines in turn; a report that cannot be read is left out. */
+export class LoadPoller extends Task<Message> {
+	readonly #options: LoadPollerOptions;
+	#turn = 0;
+
+	constructor(options: LoadPollerOptions) {
+		super(options.log);
+		this.#options = options;
+	}
+
+	/** Starts reading at once and then each second. */
+	run(): void {
+		this.start({message: {kind: 'poll'}, intervalMs: pollIntervalMs});
+	}
+
+	protected receive(message: Message): void {
+		switch (message.kind) {
+			case 'poll': {
+				this.#poll();
+				return;
+			}
+
+			case 'read': {
+				const {upstream, outstandingTokens, measuredAt} = message;
+				this.#options.loads.report(upstream, {outstandingTokens, measuredAt});
+			}
+		}
+	}
+
+	#poll(): void {
+		const engines = this.#options.upstreams().filter(({kind}) => kind === 'engine');
+		const count = Math.min(readsInPoll, engines.length);
+		for (let index = 0; index < count; index += 1) {
+			void this.#read(engines[(this.#turn + index) % engines.length]!);
+		}
+
+		this.#turn += count;
+	}
+
+	async #read({id, address}: Host): Promise<void> {
+		const measuredAt = this.#options.clock.now() - reportLagMs;
+		try {
+			const {body} = await this.#options.dispatcher.request({
+				origin: `http://${address}`, path: '/metrics', method: 'GET', signal: AbortSignal.timeout(readTimeoutMs),
+			});
+			const tokens = outstandingPattern.exec(await body.text())?.groups?.tokens;
+			if (tokens !== undefined) {
+				this.post({
+					kind: 'read', upstream: id, outstandingTokens: Number(tokens), measuredAt,
+				});
+			}
+		} catch {
+			// A report that cannot be read leaves the last one, which fades.
+		}
+	}
+}
--- /dev/null
+++ b/src/process/load/load-router.ts
@@ -0,0 +1,97 @@
+import type {Host} from '../../platform/host-list.ts';
+import type {AttemptEnd, AttemptStart} from '../../request/attempt-listener.ts';
+import type {RequestDemand} from '../../request/request-demand.ts';
+import {Router} from '../../request/router.ts';
+import type {Clock} from '../clock.ts';
+import {type LoadTable, type RoutedRequest} from './load-table.ts';
+import {estimateSize} from './request-size.ts';
+
+/** What the router needs from the rest of the daemon. */
+export type LoadRouterOptions = {
+	readonly clock: Clock;
+	readonly loads: LoadTable;
+	/** Upstreams that are live as far as this daemon knows. */
+	readonly upstreams: () => readonly Host[];
+};
+
+const syncMs = 200;
+/** Draws before the first usable candidate is taken, for candidates that are much fewer than the group. */
+const mostDraws = 4;
+
+/** Routes by the load table, and feeds it with the attempts. */
+export class LoadRouter extends Router {
+	readonly #options: LoadRouterOptions;
+	readonly #requests = new Map<number, RoutedRequest>();
+	#syncedAt = -Infinity;
+	#known = '';
+
+	constructor(options: LoadRouterOptions) {
+		super();
+		this.#options = options;
+	}
+
+	choose(demand: RequestDemand, candidates: readonly Host[]): Host | undefined {
+		const now = this.#options.clock.now();
+		this.#sync(now);
+		const request = toRouted(demand);
+		const excluded = new Set<string>();
+		for (let draw = 0; draw < mostDraws; draw += 1) {
+			const id = this.#options.loads.choose(now, {...request, excluded});
+			const host = candidates.find(candidate => candidate.id === id);
+			if (id === undefined || host !== undefined) {
+				return host ?? candidates[0];
+			}
+
+			excluded.add(id);
+		}
+
+		return candidates[0];
+	}
+
+	attemptStarted({attemptId, demand, upstream, startMs}: AttemptStart): void {
+		const request = toRouted(demand);
+		this.#requests.set(attemptId, request);
+		this.#options.loads.start(startMs, String(attemptId), upstream.id, request);
+	}
+
+	override attemptAnswered({attemptId, upstream, startMs}: AttemptStart): void {
+		const now = this.#options.clock.now();
+		this.#options.loads.firstToken(now, String(attemptId), upstream.id, now - startMs);
+	}
+
+	attemptEnded({attemptId, upstream}: AttemptStart, {outcome, firstByteMs, totalMs}: AttemptEnd): void {
+		const now = this.#options.clock.now();
+		const request = this.#requests.get(attemptId);
+		this.#requests.delete(attemptId);
+		this.#options.loads.finish(now, String(attemptId), upstream.id);
+		if (outcome === 'complete' && request !== undefined) {
+			// Without a stream the whole answer comes with the first byte.
+			const streamMs = Math.max(totalMs - (firstByteMs ?? 0), 0);
+			const isStreamed = streamMs > totalMs / 2;
+			this.#options.loads.observe(now, upstream.id, request.outputTokens, isStreamed ? streamMs : totalMs);
+		}
+	}
+
+	/** Takes changes of the upstreams; the table keeps what it knows of those that stay. */
+	#sync(now: number): void {
+		if (now - this.#syncedAt < syncMs) {
+			return;
+		}
+
+		this.#syncedAt = now;
+		const upstreams = this.#options.upstreams();
+		const known = upstreams.map(({id, serves}) => `${id} ${serves}`).join('\n');
+		if (known !== this.#known) {
+			this.#known = known;
+			this.#options.loads.setUpstreams(now, upstreams.map(({id, availabilityZone, kind, serves}) => ({
+				id, availabilityZone, group: `${kind} ${serves}`,
+			})));
+		}
+	}
+}
+
+function toRouted(demand: RequestDemand): RoutedRequest {
+	const {call} = demand;
+	const group = call.kind === 'model' ? `engine ${call.model}` : `service ${call.service}`;
+	return {group, ...estimateSize(demand)};
+}
--- /dev/null
+++ b/src/process/load/request-size.ts
@@ -0,0 +1,33 @@
+import {Buffer} from 'node:buffer';
+import type {RequestDemand} from '../../request/request-demand.ts';
+import type {RequestSize} from './upstream-load.ts';
+
+const bytesPerToken = 4;
+const defaultOutputTokens = 128;
+const serviceSize: RequestSize = {promptTokens: 16, outputTokens: 1};
+const limitFields = ['"max_tokens"', '"max_completion_tokens"'];
+/** Bytes after a field's name that may hold its value. */
+const valueBytes = 24;
+
+/** Estimates the size of a request without parsing its body. */
+export function estimateSize({call, body}: Pick<RequestDemand, 'call' | 'body'>): RequestSize {
+	if (call.kind === 'service') {
+		return serviceSize;
+	}
+
+	return {promptTokens: Math.ceil(body.length / bytesPerToken), outputTokens: readOutputLimit(body) ?? defaultOutputTokens};
+}
+
+function readOutputLimit(body: Uint8Array): number | undefined {
+	const bytes = Buffer.from(body.buffer, body.byteOffset, body.byteLength);
+	for (const field of limitFields) {
+		const start = bytes.lastIndexOf(field);
+		if (start !== -1) {
+			const value = bytes.toString('latin1', start + field.length, start + field.length + valueBytes);
+			const digits = /^\s*:\s*(?<digits>\d+)/v.exec(value)?.groups?.digits;
+			return digits === undefined ? undefined : Math.max(1, Number(digits));
+		}
+	}
+
+	return undefined;
+}
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -1,4 +1,5 @@
 import {randomInt} from 'node:crypto';
+import {Agent} from 'undici';
 import {createCallerServer} from '../connection/caller-server.ts';
 import {closeAbruptly, listen} from '../connection/http-listener.ts';
 import type {Connectivity} from '../connection/connectivity.ts';
@@ -16,7 +17,6 @@
 import type {ClaimStore} from '../request/claim-store.ts';
 import type {CrashRegister} from '../request/crash-register.ts';
 import {RetryBudget} from '../request/retry-budget.ts';
-import {LeastOutstandingRouter} from '../request/router.ts';
 import type {RequestDemand} from '../request/request-demand.ts';
 import type {Table} from '../platform/table.ts';
 import {resolveRoute, type Contract} from '../version/contract.ts';
@@ -35,6 +35,9 @@
 import {ConfigurationTask} from './configuration-task.ts';
 import {HostListPoller} from './host-list-poller.ts';
 import {Lifecycle} from './lifecycle.ts';
+import {LoadPoller} from './load/load-poller.ts';
+import {LoadRouter} from './load/load-router.ts';
+import {LoadTable} from './load/load-table.ts';
 import type {Log} from './log.ts';
 import type {Member} from './membership/member.ts';
 import {Membership} from './membership/membership.ts';
@@ -302,12 +305,27 @@
 		admission: new OpenAdmission(),
 		claimStore: createClaimStore(base, peers),
 		crashRegister: createCrashRegister(base, peers),
-		router: new LeastOutstandingRouter(),
+		router: createRouter(base, peers),
 		retryBudget: new RetryBudget(),
 		listeners: [metrics],
 	});
 }
 
+/** Creates routing by load, with the reports of the engines. */
+function createRouter({resources, settings, log, clock}: Base, {directory}: Peers): LoadRouter {
+	const dispatcher = resources.adopt(new Agent(), async agent => agent.destroy());
+	const loads = new LoadTable({
+		availabilityZone: settings.daemon['availability-zone'],
+		random: new SeededRandom(randomInt(maxSeed)),
+	});
+	const upstreams = () => directory.upstreams.filter(({state}) => state === 'live');
+	const poller = resources.use(new LoadPoller({
+		log: log.part('load'), clock, dispatcher, loads, upstreams,
+	}));
+	poller.run();
+	return new LoadRouter({clock, loads, upstreams});
+}
+
 /** Creates the claims and what runs for them in the background. */
 function createClaimStore(
 	{resources, settings, log, table, objects, incarnation}: Base,
--- a/src/request/attempt-listener.ts
+++ b/src/request/attempt-listener.ts
@@ -28,6 +28,11 @@
 
 /** Receives the start and the end of each attempt; calls are synchronous and must not throw. */
 export abstract class AttemptListener {
+	/** Called at the first byte of the answer. */
+	attemptAnswered(_attempt: AttemptStart): void {
+		// Most listeners need only the start and the end.
+	}
+
 	abstract attemptStarted(attempt: AttemptStart): void;
 
 	abstract attemptEnded(attempt: AttemptStart, end: AttemptEnd): void;
--- a/src/request/dispatch.ts
+++ b/src/request/dispatch.ts
@@ -160,7 +160,7 @@
 		}
 
 		const result = await trace.hop('attempt', async ({span, headers}) => {
-			const sent = await this.#send(upstream, headers);
+			const sent = await this.#send(start, headers);
 			span.setAttributes({upstream: upstream.id, outcome: sent.outcome, ran: sent.ran});
 			return sent;
 		});
@@ -177,8 +177,9 @@
 		}
 	}
 
-	async #send(upstream: Host, traceHeaders: Readonly<Record<string, string>>): Promise<AttemptResult> {
+	async #send(start: AttemptStart, traceHeaders: Readonly<Record<string, string>>): Promise<AttemptResult> {
 		const {relay, signal} = this.#request;
+		const {upstream} = start;
 		return runAttempt(this.#options.dispatcher, this.#createUpstreamRequest(upstream, traceHeaders), {
 			relay,
 			signal,
@@ -189,6 +190,9 @@
 			},
 			onFirstByte: () => {
 				this.#firstByteMs = this.#options.clock.now();
+				for (const listener of this.#listeners) {
+					listener.attemptAnswered(start);
+				}
 			},
 		});
 	}
