--- /dev/null
+++ b/test/process/load/routing-over-sockets.test.ts
@@ -0,0 +1,71 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {performance} from 'node:perf_hooks';
+import {request} from 'undici';
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {
+	createLocalDeployment, demoKey, demoModels, type LocalDeployment,
+} from '../../../src/demo/local-deployment.ts';
+import {waitUntilReady} from '../../../src/demo/mixed-load.ts';
+import {createLog} from '../../../src/process/log.ts';
+
+describe('routing over sockets', () => {
+	let deployment: LocalDeployment;
+
+	beforeEach(async () => {
+		deployment = await createLocalDeployment({
+			availabilityZones: ['zone-a'], enginesPerZone: 4, log: createLog('error', 'hidden'),
+		});
+		await waitUntilReady(deployment);
+	});
+
+	afterEach(async () => {
+		await deployment[Symbol.asyncDispose]();
+	});
+
+	// Guards against stragglers that keep their part of the work while their load reports are late.
+	it('avoids an engine that is slowed ten times', async () => {
+		deployment.engines[0]!.setFaults({slowdown: 10, reportLagMs: 2000});
+		await runChecks(60);
+		const times = await runChecks(60);
+		const slow = times.filter(time => time > 500).length;
+		// A quarter of the requests would be slow without the measure.
+		expect(slow).toBeLessThanOrEqual(3);
+	});
+
+	// Guards against short work that waits behind a long prompt on the same engine.
+	it('answers short work while an engine processes long prompts', async () => {
+		await runChecks(20);
+		const long = complete('long '.repeat(16_000), 4);
+		await delay(50);
+		const times = await runChecks(60);
+		expect(times.toSorted((a, b) => a - b)[57]).toBeLessThan(500);
+		await long;
+	});
+
+	/** Times in milliseconds of short requests, sent at a steady pace. */
+	async function runChecks(count: number): Promise<readonly number[]> {
+		const pending: Array<Promise<number>> = [];
+		for (let index = 0; index < count; index += 1) {
+			pending.push(complete('check', 16));
+			await delay(20);
+		}
+
+		return Promise.all(pending);
+	}
+
+	async function complete(content: string, maxTokens: number): Promise<number> {
+		const start = performance.now();
+		const {body, statusCode} = await request(`${deployment.urls[0]!}/v1/chat/completions`, {
+			method: 'POST',
+			headers: {authorization: `Bearer ${demoKey}`},
+			body: JSON.stringify({
+				model: demoModels[0], stream: true, max_tokens: maxTokens, messages: [{role: 'user', content}],
+			}),
+		});
+		await body.text();
+		expect(statusCode).toBe(200);
+		return performance.now() - start;
+	}
+});
