--- /dev/null
+++ b/test/process/roles/role-planner.test.ts
@@ -0,0 +1,77 @@
+import {describe, expect, it} from 'vitest';
+import {SeededRandom} from '../../../src/process/random.ts';
+import {RolePlanner, type PlannedEngine} from '../../../src/process/roles/role-planner.ts';
+import {isSplitBetter} from '../../../src/process/roles/split.ts';
+
+describe('the role planner', () => {
+	// Guards against a mix that stays without enough engines in one role.
+	it('moves one engine at a time towards the role that lacks capacity', () => {
+		const planner = createPlanner();
+		feed(planner, 0, 10_000, () => ({prompt: 100, output: 1}));
+		expect(planner.plan(10_000, createEngines(1))).toMatchObject([{role: 'prefill'}]);
+		expect(planner.plan(10_001, createEngines(2, 1))).toEqual([]);
+	});
+
+	// Guards against role changes in response to noise around a mix that the roles serve.
+	it('makes no change for noise', () => {
+		const planner = createPlanner();
+		const random = new SeededRandom(8);
+		let changes = 0;
+		for (let now = 0; now < 120_000; now += 1000) {
+			feed(planner, now, now + 1000, () => ({prompt: 30 * (0.5 + random.next()), output: 2.5 * (0.5 + random.next())}));
+			changes += planner.plan(now + 1000, createEngines(3)).length;
+		}
+
+		expect(changes).toBe(0);
+	});
+
+	// Guards against too many engines that are away at a time.
+	it('respects the limit on engines away', () => {
+		const planner = createPlanner();
+		feed(planner, 0, 10_000, () => ({prompt: 100, output: 1}));
+		expect(planner.plan(10_000, createEngines(1, 3))).toEqual([]);
+	});
+
+	// Guards against a change that costs more during its absence than it gains.
+	it('does not change when it does not pay back', () => {
+		const planner = createPlanner({horizonMs: 1000});
+		feed(planner, 0, 10_000, () => ({prompt: 70, output: 8}));
+		expect(planner.plan(10_000, createEngines(3))).toEqual([]);
+	});
+});
+
+describe('the choice of a split', () => {
+	// Guards against a transfer that costs more than it saves, and against prompts that stall the streams of decode engines.
+	it.each([
+		[{
+			promptTokens: 50, prefillWaitMs: 0, transferMs: 2, wholeWaitMs: 500,
+		}, false],
+		[{
+			promptTokens: 2000, prefillWaitMs: 100, transferMs: 4, wholeWaitMs: 150,
+		}, true],
+		[{
+			promptTokens: 2000, prefillWaitMs: 2000, transferMs: 4, wholeWaitMs: 150,
+		}, false],
+	])('for %o: %s', (input, expected) => {
+		expect(isSplitBetter(input)).toBe(expected);
+	});
+});
+
+function createPlanner(change: {readonly horizonMs?: number} = {}): RolePlanner {
+	return new RolePlanner({
+		availabilityZone: 'z', prefillTokensPerMs: 20, decodeTokensPerMs: 1.5, changeMs: 8000, ...change,
+	});
+}
+
+function createEngines(prefill: number, away = 0): readonly PlannedEngine[] {
+	return Array.from({length: 8}, (_, index) => ({
+		id: `e${index}`, availabilityZone: 'z', role: index < prefill ? 'prefill' as const : 'decode' as const, isAway: index < away,
+	}));
+}
+
+function feed(planner: RolePlanner, from: number, to: number, perMs: () => {readonly prompt: number; readonly output: number}): void {
+	for (let now = from; now < to; now += 100) {
+		const {prompt, output} = perMs();
+		planner.arrive(now, prompt * 100, output * 100);
+	}
+}
