--- a/bench/simulation/outcome.ts
+++ b/bench/simulation/outcome.ts
@@ -48,14 +48,13 @@
 	return records.filter(record => isOnTime(record)).length * 1000 / durationMs;
 }
 
-/** Quantile of a latency in milliseconds; unfinished requests count as the longest. */
+/** Quantile of a latency in milliseconds; refused and unfinished requests count as the longest. */
 export function latencyQuantile(records: readonly RequestRecord[], percentile: number, kind: 'first-token' | 'whole' = 'first-token'): number {
 	const histogram = build({highestTrackableValue: unfinishedMs * 10, numberOfSignificantValueDigits: 3});
 	for (const {request, firstTokenAt, finishedAt, isRefused} of records) {
-		if (!isRefused) {
-			const end = kind === 'whole' ? finishedAt : firstTokenAt;
-			histogram.recordValue(Math.round((end === undefined ? unfinishedMs : end - request.at) * 10));
-		}
+		const end = kind === 'whole' ? finishedAt : firstTokenAt;
+		const latencyMs = isRefused || end === undefined ? unfinishedMs : end - request.at;
+		histogram.recordValue(Math.round(latencyMs * 10));
 	}
 
 	return histogram.getValueAtPercentile(percentile) / 10;
