Tell the failure of a rack from requests that crash upstreams

Cause: a request sent again from one host of a failing rack to another was in two crashes and was refused for 10 minutes.

Change: two crashes are not enough while other upstreams crash within 2 s for a reason that no likely request gives; a third one is.

--- a/src/process/crashes/crash-ledger.ts
+++ b/src/process/crashes/crash-ledger.ts
@@ -7,6 +7,8 @@
 	readonly condemnsOnlyOne: boolean;
 	/** A request is condemned only if nothing explains its crashes better for some time. */
 	readonly waitsForExplanation: boolean;
+	/** Two crashes are not enough while other upstreams crash without a known reason. */
+	readonly expectsWideFailures: boolean;
 };
 
 type CrashRecord = {
@@ -25,6 +27,9 @@
 
 /** Reports of one upstream within this time are of the same crash, in milliseconds. */
 const sameCrashMs = 500;
+
+/** Crashes of several upstreams within this time may have one cause outside the requests, in milliseconds. */
+const wideFailureMs = 2000;
 const recordLimit = 300;
 
 /** Crashes after which a request is condemned, unless others were in the same ones. */
@@ -194,10 +199,20 @@
 	/** Requests that were in several crashes, not always beside the same other one, and that no other likely ones explain. */
 	#findLikely(): ReadonlySet<string> {
 		const repeated = [...this.#recordsOf].filter(([, records]) => records.length >= condemningCrashes);
-		const likely = new Map(repeated.filter(([name, records]) => !this.#guards.condemnsOnlyOne || isAlone(name, records)));
+		const alone = new Map(repeated.filter(([name, records]) => !this.#guards.condemnsOnlyOne || isAlone(name, records)));
+		const likely = new Map([...alone].filter(([name, records]) => records.length > condemningCrashes || !this.#isWidespread(name, records, alone)));
 		return new Set([...likely.keys()].filter(name => !this.#isExplained(name, likely)));
 	}
 
+	/** True when other upstreams crashed at the same time for no known reason, as in the failure of a rack. */
+	#isWidespread(name: string, records: readonly CrashRecord[], alone: ReadonlyMap<string, readonly CrashRecord[]>): boolean {
+		return this.#guards.expectsWideFailures && this.#records.some(other =>
+			!other.fingerprints.has(name)
+			&& records.some(({at, upstream}) => upstream !== other.upstream && Math.abs(at - other.at) <= wideFailureMs)
+			&& ![...other.fingerprints].some(fingerprint => this.#condemnedUntil.has(fingerprint)
+				|| alone.get(fingerprint)?.every(({fingerprints}) => !fingerprints.has(name)) === true));
+	}
+
 	#isExplained(name: string, likely: ReadonlyMap<string, readonly CrashRecord[]>): boolean {
 		const records = likely.get(name)!;
 		return this.#guards.waitsForExplanation && records.length < certainCrashes && records.every(record => [...record.fingerprints].some(other =>
--- a/src/process/crashes/crash-suspicion.ts
+++ b/src/process/crashes/crash-suspicion.ts
@@ -41,7 +41,7 @@
 
 /** All checks. */
 export const allSuspicionGuards: SuspicionGuards = {
-	condemnsOnlyOne: true, waitsForExplanation: true, separatesSuspects: true, clearsCompleted: true,
+	condemnsOnlyOne: true, waitsForExplanation: true, expectsWideFailures: true, separatesSuspects: true, clearsCompleted: true,
 };
 
 /** Finds requests that crash upstreams among those that were in flight with them; all times are monotonic milliseconds. */
--- a/test/process/crashes/crash-suspicion.test.ts
+++ b/test/process/crashes/crash-suspicion.test.ts
@@ -95,6 +95,16 @@
 		expect(suspicion.standingOf('a', 3100)).toBe(standing);
 	});
 
+	// A rack fails: requests that were sent again to another of its hosts were in two crashes without any fault of theirs.
+	it.each([[true, 'contested'], [false, 'condemned']])('with the guard expectsWideFailures %s finds a request in two of three crashes %s', (expectsWideFailures, standing) => {
+		const suspicion = new CrashSuspicion({...allSuspicionGuards, expectsWideFailures});
+		crash(suspicion, 'u1', ['a', 'b', 'c'], 0);
+		crash(suspicion, 'u2', ['a', 'd'], 300);
+		crash(suspicion, 'u3', ['b', 'e'], 500);
+		suspicion.tick(510 + settledMs);
+		expect(['a', 'b'].map(name => suspicion.standingOf(name, 2600))).toEqual([standing, standing]);
+	});
+
 	it('leaves the candidates untouched while nothing has crashed', () => {
 		const candidates = [{id: 'u1'}, {id: 'u2'}];
 		expect(new CrashSuspicion().select('a', candidates, 0)).toBe(candidates);
@@ -135,7 +145,7 @@
 	// Shows that the schedules above would catch logic without the guard.
 	it.each<[keyof SuspicionGuards, Omit<CrashScheduleOptions, 'seed'>, 'condemned' | 'crashes']>([
 		['condemnsOnlyOne', one, 'condemned'],
-		['waitsForExplanation', {...one, culprits: 2}, 'condemned'],
+		['waitsForExplanation', {...one, daemons: 4}, 'condemned'],
 		['separatesSuspects', {...one, arrivalMs: 5}, 'crashes'],
 	])('without the guard %s fails', (guard, options, failure) => {
 		const {crashes, condemnedInnocents} = runAll({...options, guards: {...allSuspicionGuards, [guard]: false}});
