--- a/src/version/contract.ts
+++ b/src/version/contract.ts
@@ -100,6 +100,10 @@
 
 /** Finds the rule that covers a request: the one with the longest path. */
 export function resolveRoute(contract: Contract, method: string, path: string): RouteRule | undefined {
+	if (contract.routes.length === 0) {
+		return undefined;
+	}
+
 	const plain = normalizePath(path);
 	const matching = contract.routes.filter(rule => rule.methods.includes(method) && isCovered(plain, rule.path));
 	return matching.toSorted((a, b) => b.path.length - a.path.length)[0];
