--- a/src/process/lease/lease-client.ts
+++ b/src/process/lease/lease-client.ts
@@ -1,4 +1,4 @@
-import type {StoreFailure, Table} from '../../platform/table.ts';
+import type {Row, StoreFailure, Table} from '../../platform/table.ts';
 import type {Clock} from '../clock.ts';
 import {
 	currentLease, decideLease, initialLease,
@@ -51,7 +51,7 @@
 			const result = await table.get(key);
 			post(result.caseOf<LeaseEvent>({
 				Left: toFailed,
-				Right: row => ({kind: 'read', row: row === undefined ? undefined : parseLeaseRow(row)}),
+				Right: row => toRead(row),
 			}));
 			return;
 		}
@@ -63,3 +63,12 @@
 		post(result.caseOf<LeaseEvent>({Left: toFailed, Right: () => ({kind: 'written'})}));
 	}
 }
+
+/** A row that cannot be parsed is as good as one that cannot be read: nobody takes over from it. */
+function toRead(row: Row | undefined): LeaseEvent {
+	try {
+		return {kind: 'read', row: row === undefined ? undefined : parseLeaseRow(row)};
+	} catch {
+		return {kind: 'failed', failure: 'unavailable'};
+	}
+}
--- a/src/process/load/upstream-load.ts
+++ b/src/process/load/upstream-load.ts
@@ -28,10 +28,12 @@
 	tokens: number;
 };
 
-/** Time after which a report counts for 1/e of its deviation from the mean of the group. */
-const reportAgeMs = 4000;
+/** Time after which a report counts for 1/e of its deviation from the usual load of the group. */
+const reportAgeMs = 800;
 /** Time constant of the latency per token. */
 const latencyTimeConstantMs = 1000;
+/** Age from which a latency no longer counts; the next request is then a probe. */
+const observationAgeMs = 10_000;
 const slowStartMs = 10_000;
 /** Part of the usual work that an upstream gets at the start of its slow start. */
 const slowStartFloor = 0.1;
@@ -118,10 +120,10 @@
 		this.#observedAt = now;
 	}
 
-	/** Estimated outstanding tokens of all daemons; old reports fade into the mean of the group. */
-	tokens(now: number, meanForeign: number): number {
+	/** Estimated outstanding tokens of all daemons; old reports fade into the usual load of the group. */
+	tokens(now: number, usualForeign: number): number {
 		const weight = Math.exp((this.#reportedAt - now) / reportAgeMs);
-		return this.#own + (this.#foreign * weight) + (meanForeign * (1 - weight));
+		return this.#own + (this.#foreign * weight) + (usualForeign * (1 - weight));
 	}
 
 	/** Age of the oldest attempt without a first token. */
@@ -150,8 +152,13 @@
 		this.#ejectionMs = Math.min(lastEjectionMs, this.#ejectionMs * 2);
 	}
 
-	/** Forgets earlier ejections after a long time of normal latency. */
+	/** Forgets latency that is too old to judge by, and earlier ejections after a long time of normal latency. */
 	recover(now: number): void {
+		const isOld = now - this.#observedAt > observationAgeMs || this.#observedAt < this.#returnedAt;
+		if (isOld && !this.isEjected(now)) {
+			this.#msPerToken = undefined;
+		}
+
 		if (now > this.#returnedAt + (2 * slowStartMs)) {
 			this.#ejectionMs = firstEjectionMs;
 		}
--- a/src/process/shares/allotments.ts
+++ b/src/process/shares/allotments.ts
@@ -2,7 +2,7 @@
 
 /** Demand of one customer at one daemon, as exchanged between daemons. */
 export type CustomerUsage = {
-	/** Customer, or `allCustomers` for the sum. */
+	/** Customer; the sum over the customers of a model or service is told as `*` and its name, that of long work with ` long` added. */
 	readonly customer: string;
 	/** Tokens that arrived in the interval. */
 	readonly tokens: number;
@@ -11,8 +11,17 @@
 	readonly intervalMs: number;
 };
 
-/** Name under which the demand of all customers is exchanged. */
-export const allCustomers = '*';
+/** Work that arrives at this daemon. */
+export type Arrival = {
+	readonly customer: string;
+	/** Model or plain service. */
+	readonly group: string;
+	readonly tokens: number;
+	readonly isLong: boolean;
+};
+
+const groupPrefix = '*';
+const longSuffix = ' long';
 
 /** Demand of a customer at this daemon and at the others. */
 type Demand = {
@@ -21,6 +30,9 @@
 	/** Part of the demand that is at this daemon, and when it was computed. */
 	part: number;
 	computedAt: number;
+	/** Tokens since the last news, when they belong to the present interval. */
+	recentTokens: number;
+	interval: number;
 };
 
 /** Options of the allotments. */
@@ -33,16 +45,27 @@
 	readonly toldCustomers?: number;
 };
 
-const ownDemandMs = 800;
+const ownDemandMs = 1200;
 const recomputeMs = 200;
-/** Part of an equal allotment that a daemon without demand keeps, so that its first requests do not wait. */
-const floorPart = 0.25;
+/** Part that is divided evenly, so that the first requests of an idle daemon do not wait and noise moves little room. */
+const evenPart = 0.25;
 const idleMs = 10_000;
+const idleScanSteps = 100;
+const leastTokensPerMs = 1e-6;
+/** A customer may be among the highest when its part of the recent demand is above 1 in this number. */
+const candidateRatio = 64;
 
 /** Divides shares and room among the live daemons by where the demand is; what is idle at one daemon is lent to others. */
 export class Allotments {
 	readonly #options: Required<AllotmentsOptions>;
 	readonly #demands = new Map<string, Demand>();
+	/** Names of the sums over customers. */
+	readonly #sums = new Set<string>();
+	/** Customers with a large part of the demand since the last news. */
+	readonly #candidates = new Set<string>();
+	#recentTokens = 0;
+	#interval = 0;
+	#idleScan: Iterator<[string, Demand]> | undefined;
 	#daemons = 1;
 
 	constructor(options: AllotmentsOptions) {
@@ -54,10 +77,15 @@
 		this.#daemons = Math.max(1, count);
 	}
 
-	/** Counts demand of a customer that arrives at this daemon. */
-	arrive(now: number, customer: string, tokens: number): void {
-		this.#demand(customer).own.add(now, tokens);
-		this.#demand(allCustomers).own.add(now, tokens);
+	/** Counts demand of a customer for a model or service that arrives at this daemon. */
+	arrive(now: number, {customer, group, tokens, isLong}: Arrival): void {
+		const demand = this.#demand(customer);
+		demand.own.add(now, tokens);
+		this.#noteRecent(customer, demand, tokens);
+		// Rare long work must not move the room of a model to the daemon that happens to take it.
+		const sum = groupPrefix + group + (isLong ? longSuffix : '');
+		this.#demand(sum).own.add(now, tokens);
+		this.#sums.add(sum);
 	}
 
 	/** Takes news of another daemon's demand; late news counts from when it was sent. */
@@ -68,16 +96,23 @@
 		}
 	}
 
-	/** News for the other daemons: the sum, and the customers with the highest demand. */
+	/** News for the other daemons: the sums, and the customers with the highest demand. */
 	news(now: number, waitingTokens: (customer: string) => number): readonly CustomerUsage[] {
 		this.#forgetIdle(now);
-		const usages = [...this.#demands].map(([customer, {own}]) => ({
-			customer, tokens: own.perMs(now) * ownDemandMs, waitingTokens: waitingTokens(customer), intervalMs: ownDemandMs,
-		}));
-		return usages
+		const usage = (customer: string): CustomerUsage => ({
+			customer,
+			tokens: (this.#demands.get(customer)?.own.perMs(now) ?? 0) * ownDemandMs,
+			waitingTokens: waitingTokens(customer),
+			intervalMs: ownDemandMs,
+		});
+		const customers = [...this.#candidates]
+			.map(customer => usage(customer))
 			.toSorted((a, b) => b.tokens - a.tokens)
-			.slice(0, this.#options.toldCustomers + 1)
-			.filter(({tokens, waitingTokens}) => tokens > 0 || waitingTokens > 0);
+			.slice(0, this.#options.toldCustomers);
+		this.#candidates.clear();
+		this.#interval += 1;
+		this.#recentTokens = 0;
+		return [...[...this.#sums].map(sum => usage(sum)), ...customers];
 	}
 
 	/** Weight of a customer in this daemon's queues. */
@@ -85,16 +120,36 @@
 		return this.#options.share(customer) * this.#daemons * this.#part(now, customer);
 	}
 
-	/** Part of the room of all upstreams that this daemon may use. */
-	roomPart(now: number): number {
-		return this.#part(now, allCustomers);
+	/** Part of the room of a model's or service's upstreams that this daemon may use. */
+	roomPart(now: number, group: string): number {
+		return this.#part(now, groupPrefix + group);
+	}
+
+	/** Part of long work in the demand for a model at all daemons. */
+	longPart(now: number, group: string): number {
+		const long = this.#total(now, groupPrefix + group + longSuffix);
+		return long === 0 ? 0 : long / (long + this.#total(now, groupPrefix + group));
+	}
+
+	#total(now: number, name: string): number {
+		const demand = this.#demands.get(name);
+		if (demand === undefined) {
+			return 0;
+		}
+
+		let total = demand.own.perMs(now);
+		for (const {tokensPerMs, at} of demand.others.values()) {
+			total += now - at <= this.#options.newsAgeMs ? tokensPerMs : 0;
+		}
+
+		return total;
 	}
 
 	#demand(customer: string): Demand {
 		let demand = this.#demands.get(customer);
 		if (demand === undefined) {
 			demand = {
-				own: new Rate(ownDemandMs), others: new Map(), part: 1 / this.#daemons, computedAt: -Infinity,
+				own: new Rate(ownDemandMs), others: new Map(), part: 1 / this.#daemons, computedAt: -Infinity, recentTokens: 0, interval: 0,
 			};
 			this.#demands.set(customer, demand);
 		}
@@ -131,15 +186,39 @@
 		const ownDemand = own.perMs(now);
 		const known = Math.min(1, (heard + 1) * equal);
 		const total = ownDemand + othersDemand;
-		const part = total === 0 ? known / (heard + 1) : known * ownDemand / total;
-		return Math.min(1, Math.max(part, floorPart * equal));
+		const even = known / (heard + 1);
+		return total === 0 ? even : (evenPart * even) + ((1 - evenPart) * known * ownDemand / total);
+	}
+
+	/** Keeps the customers that may be among the highest, so that news need not look at all of them. */
+	#noteRecent(customer: string, demand: Demand, tokens: number): void {
+		if (demand.interval !== this.#interval) {
+			demand.interval = this.#interval;
+			demand.recentTokens = 0;
+		}
+
+		demand.recentTokens += tokens;
+		this.#recentTokens += tokens;
+		if (demand.recentTokens * candidateRatio > this.#recentTokens) {
+			this.#candidates.add(customer);
+		}
 	}
 
+	/** Forgets customers without demand, a few in each call. */
 	#forgetIdle(now: number): void {
-		for (const [customer, {own, others}] of this.#demands) {
-			const hasOthers = others.values().some(({at}) => now - at < idleMs);
-			if (own.perMs(now) < 1e-6 && !hasOthers) {
-				this.#demands.delete(customer);
+		for (let step = 0; step < idleScanSteps; step += 1) {
+			this.#idleScan ??= this.#demands.entries();
+			const next = this.#idleScan.next();
+			if (next.done === true) {
+				this.#idleScan = undefined;
+				return;
+			}
+
+			const [name, {own, others}] = next.value;
+			// An idle daemon goes on telling its sums, because silence does not count as idleness.
+			const hasOthers = this.#sums.has(name) || others.values().some(({at}) => now - at < idleMs);
+			if (own.perMs(now) < leastTokensPerMs && !hasOthers) {
+				this.#demands.delete(name);
 			}
 		}
 	}
--- a/src/stand-ins/stand-in-settings.ts
+++ b/src/stand-ins/stand-in-settings.ts
@@ -4,6 +4,7 @@
 import type {Finding} from '../version/finding.ts';
 import {parseIniDocument} from '../version/ini-document.ts';
 import {validateSections} from '../version/ini-schema.ts';
+import {defaultChangeMs} from './engine/engine-orders.ts';
 import {EngineServer} from './engine/engine-server.ts';
 import {parseHostsSettings} from './hosts/hosts-settings.ts';
 import {HostsServer} from './hosts/hosts-server.ts';
@@ -38,6 +39,9 @@
 			'prefill-ms-per-token': z.coerce.number().min(0).default(0.05),
 			'max-sequences': z.coerce.number().int().positive().default(64),
 			'kv-pieces': z.coerce.number().int().positive().default(400),
+			fencing: z.enum(['enforced', 'ignored']).default('enforced'),
+			'change-ms': z.coerce.number().int().min(0).default(defaultChangeMs),
+			version: z.string().min(1).default('1'),
 		}),
 	},
 	service: {service: z.object({listen})},
@@ -70,6 +74,9 @@
 						maxSequences: engine['max-sequences'],
 						kvPieces: engine['kv-pieces'],
 					},
+					orders: {
+						enforcesFencing: engine.fencing === 'enforced', changeMs: engine['change-ms'], version: engine.version,
+					},
 				}),
 				address: parseAddress(engine.listen),
 			}));
--- a/test/process/fleet-plan.test.ts
+++ b/test/process/fleet-plan.test.ts
@@ -1,4 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {Right} from 'purify-ts';
 import {request} from 'undici';
 import {
 	afterAll, beforeAll, describe, expect, it,
@@ -7,8 +8,12 @@
 	createLocalDeployment, demoKey, demoModels, type LocalDeployment,
 } from '../../src/demo/local-deployment.ts';
 import {waitUntilReady} from '../../src/demo/mixed-load.ts';
+import type {EngineRole} from '../../src/platform/engine.ts';
 import {createLog} from '../../src/process/log.ts';
-import {createPlan, showPlan, submitPlan} from '../../src/process/orders/plan-store.ts';
+import {planKey} from '../../src/process/orders/plan-row.ts';
+import {
+	createPlan, readTargets, showPlan, submitPlan,
+} from '../../src/process/orders/plan-store.ts';
 import type {PlanStep} from '../../src/version/fleet-plan.ts';
 import {shortIdleLimitMs, shortTimes} from '../fixtures/short-times.ts';
 
@@ -59,6 +64,41 @@
 		expect(Math.abs(loads[0]! - loads[1]!)).toBeGreaterThanOrEqual(shortTimes.spacingMs);
 	});
 
+	it('carries out a role change of a daemon and leaves no row behind, so that the table does not grow with them', async () => {
+		await changeRole(upstreams[0]!, 'prefill');
+		expect(deployment.engines[0]!.orders.state(performance.now())).toMatchObject({role: 'prefill', draining: false});
+		expect(await readTargets(deployment.platform.table)).toEqual(Right([]));
+	});
+
+	it('repeats a change in which the engine crashed, so that a lost change is not taken for done', async () => {
+		const engine = deployment.engines[1]!;
+		engine.setFaults({crashInChange: true, restartMs: 300});
+		const changed = changeRole(upstreams[1]!, 'prefill');
+		while (engine.crashes === 0) {
+			await delay(20);
+		}
+
+		engine.setFaults({crashInChange: false});
+		await changed;
+		expect(engine.orders.state(performance.now())).toMatchObject({role: 'prefill', draining: false});
+		const changes = engine.orders.accepted.filter(order => order.wanted.role === 'prefill');
+		expect(changes.map(order => order.readyAt === undefined)).toEqual([true, false]);
+		expect(changes.filter(order => order.cutRequests > 0)).toEqual([]);
+	});
+
+	async function changeRole(upstream: string, role: EngineRole): Promise<void> {
+		const made = await deployment.daemons[0]!.authority.changeRole(upstream, role);
+		const key = planKey(made.unsafeCoerce().id);
+		const exists = async () => {
+			const row = await deployment.platform.table.get(key);
+			return row.orDefault(undefined) !== undefined;
+		};
+
+		while (await exists()) {
+			await delay(20);
+		}
+	}
+
 	async function streamUntil(isOver: () => Promise<boolean>): Promise<readonly string[]> {
 		const results: Array<Promise<string>> = [];
 		for (let index = 0; !await isOver(); index += 1) {
