--- a/bench/path-cost/server-process.ts
+++ b/bench/path-cost/server-process.ts
@@ -58,6 +58,8 @@
 		`table = http://127.0.0.1:${String(platformPort)}`,
 		`objects = http://127.0.0.1:${String(platformPort)}/objects`,
 		`hosts = http://127.0.0.1:${String(hostsPort)}/hosts`,
+		'[limits]',
+		'engine-slots = 10000',
 		'[logs]',
 		'level = error',
 	].join('\n');
--- /dev/null
+++ b/src/process/admission/admission-task.ts
@@ -0,0 +1,24 @@
+import type {Log} from '../log.ts';
+import {Task} from '../task.ts';
+import type {FairAdmission} from './fair-admission.ts';
+
+const tickIntervalMs = 50;
+
+/** Lets admission act on the passing of time. */
+export class AdmissionTask extends Task<'tick'> {
+	readonly #admission: FairAdmission;
+
+	constructor(log: Log, admission: FairAdmission) {
+		super(log);
+		this.#admission = admission;
+	}
+
+	/** Starts the ticks. */
+	run(): void {
+		this.start({message: 'tick', intervalMs: tickIntervalMs});
+	}
+
+	protected receive(): void {
+		this.#admission.tick();
+	}
+}
--- /dev/null
+++ b/src/process/admission/fair-admission.ts
@@ -0,0 +1,231 @@
+import {Left, Right, type Either} from 'purify-ts';
+import {Admission as RequestAdmission, type Ticket as RequestTicket} from '../../request/admission.ts';
+import {AttemptListener, type AttemptStart} from '../../request/attempt-listener.ts';
+import {createRefusal, type CallerError} from '../../request/caller-error.ts';
+import type {RequestDemand} from '../../request/request-demand.ts';
+import type {Contract} from '../../version/contract.ts';
+import type {Clock} from '../clock.ts';
+import {estimateSize} from '../load/request-size.ts';
+import {Admission} from './admission.ts';
+import {costSlots, costTokens, isLongWork} from './cost.ts';
+import {RoomLimit, type UsualLatency} from './room-limit.ts';
+import type {AdmissionDecision, Ticket} from './ticket.ts';
+
+/** What admission reads from the rest of the daemon. */
+export type FairAdmissionOptions = {
+	readonly clock: Clock;
+	readonly contract: (customer: string) => Contract | undefined;
+	/** Latencies that are usual for the engines of a model. */
+	readonly usualLatency: (model: string) => UsualLatency;
+	/** Requests that one engine runs until the room is fitted to the token pace. */
+	readonly engineSlots: number;
+	/** Engines that serve a model. */
+	readonly engines: (model: string) => number;
+	/** Live daemons of the deployment, this one included. */
+	readonly daemons: () => number;
+};
+
+type ModelState = {
+	readonly admission: Admission;
+	readonly limit: RoomLimit;
+	usualTokens: number;
+	room: number;
+};
+
+type Waiting = {
+	readonly model: string;
+	readonly preemption: AbortController;
+	readonly settle: (answer: Either<CallerError, RequestTicket>) => void;
+};
+
+const defaultTargets = {firstTokenMs: 740, betweenTokensMs: 38, queueMs: 2000};
+const defaultPatientDeadlineS = 28_800;
+/** Growth of the room above the setting at most. */
+const mostSlotsRatio = 4;
+const firstUsualTokens = 64;
+const usualTokensSmoothing = 0.01;
+/** Largest cost that moves the usual cost, as a multiple of it. */
+const mostUsualRatio = 4;
+
+/** Admits requests to models by share, class and size, with the room divided evenly among the daemons. */
+export class FairAdmission extends RequestAdmission {
+	/** Returns the room of a prompt at the first byte of its answer. */
+	readonly listener: AttemptListener;
+	readonly #options: FairAdmissionOptions;
+	readonly #models = new Map<string, ModelState>();
+	readonly #waiting = new Map<string, Waiting>();
+	readonly #ids = new WeakMap<RequestDemand, string>();
+	#count = 0;
+
+	constructor(options: FairAdmissionOptions) {
+		super();
+		this.#options = options;
+		this.listener = new FirstByteListener(demand => {
+			this.#answered(demand);
+		});
+	}
+
+	async acquire(demand: RequestDemand, signal: AbortSignal): Promise<Either<CallerError, RequestTicket>> {
+		const {call, serviceClass} = demand;
+		if (call.kind === 'service') {
+			return Right({
+				enginePriority: serviceClass === 'live' ? 0 : 1,
+				release() {
+					// Plain services have no queue here.
+				},
+			});
+		}
+
+		const {promise, resolve} = Promise.withResolvers<Either<CallerError, RequestTicket>>();
+		const now = this.#options.clock.now();
+		const ticket = this.#createTicket(now, demand, call.model);
+		const drop = () => {
+			this.#finish(call.model, ticket);
+			resolve(Left(createRefusal(503, 'cancelled_in_queue', 'The request ended before it was admitted.')));
+		};
+
+		this.#waiting.set(ticket.id, {
+			model: call.model,
+			preemption: new AbortController(),
+			settle(answer) {
+				signal.removeEventListener('abort', drop);
+				resolve(answer);
+			},
+		});
+		signal.addEventListener('abort', drop, {once: true});
+		this.#apply(this.#model(call.model).admission.offer(now, ticket));
+		return promise;
+	}
+
+	/** Fits the room, refuses expired requests and grants what fits; called every 50 ms. */
+	tick(): void {
+		const now = this.#options.clock.now();
+		for (const [name, model] of this.#models) {
+			model.limit.update(now, this.#options.usualLatency(name), model.admission.usedSlots / model.room);
+			model.room = this.#room(name, model.limit);
+			this.#apply(model.admission.resize(now, model.room));
+			this.#apply(model.admission.tick(now));
+		}
+	}
+
+	#room(name: string, limit: RoomLimit): number {
+		return Math.max(1, limit.slots * this.#options.engines(name) / Math.max(1, this.#options.daemons()));
+	}
+
+	#model(name: string): ModelState {
+		let model = this.#models.get(name);
+		if (model === undefined) {
+			const limit = new RoomLimit({
+				...defaultTargets, firstSlots: this.#options.engineSlots, mostSlots: this.#options.engineSlots * mostSlotsRatio,
+			});
+			const room = this.#room(name, limit);
+			const weight = (customer: string) => this.#options.contract(customer)?.share ?? 1;
+			model = {
+				admission: new Admission(room, {weight}), limit, usualTokens: firstUsualTokens, room,
+			};
+			this.#models.set(name, model);
+		}
+
+		return model;
+	}
+
+	#createTicket(now: number, demand: RequestDemand, name: string): Ticket {
+		const {promptTokens, outputTokens} = estimateSize(demand);
+		const {customer, serviceClass} = demand;
+		const model = this.#model(name);
+		const tokens = costTokens(promptTokens, outputTokens);
+		const isLong = isLongWork(tokens, model.usualTokens);
+		model.usualTokens += (Math.min(tokens, model.usualTokens * mostUsualRatio) - model.usualTokens) * usualTokensSmoothing;
+		const contract = this.#options.contract(customer);
+		const patienceMs = serviceClass === 'live'
+			? contract?.live.queueMs ?? defaultTargets.queueMs
+			: (contract?.patient.deadlineS ?? defaultPatientDeadlineS) * 1000;
+		this.#count += 1;
+		const id = String(this.#count);
+		this.#ids.set(demand, id);
+		return {
+			id,
+			customer,
+			workClass: serviceClass,
+			tokens,
+			slots: costSlots(promptTokens),
+			isLong,
+			arrivedAt: now,
+			startBy: Math.min(now + patienceMs, demand.deadlineMs ?? Infinity),
+		};
+	}
+
+	#apply(decisions: readonly AdmissionDecision[]): void {
+		for (const decision of decisions) {
+			const {ticket} = decision;
+			const waiting = this.#waiting.get(ticket.id);
+			switch (decision.kind) {
+				case 'grant': {
+					waiting?.settle(Right(this.#createGrant(ticket, waiting)));
+					break;
+				}
+
+				case 'refuse': {
+					this.#waiting.delete(ticket.id);
+					waiting?.settle(Left(createQueueRefusal(decision.reason, decision.retryAfterS)));
+					break;
+				}
+
+				case 'preempt': {
+					this.#waiting.delete(ticket.id);
+					waiting?.preemption.abort();
+				}
+			}
+		}
+	}
+
+	#createGrant(ticket: Ticket, {model, preemption}: Waiting): RequestTicket {
+		return {
+			enginePriority: ticket.workClass === 'live' ? 0 : 1,
+			...(ticket.workClass === 'patient' ? {preempted: preemption.signal} : {}),
+			release: () => {
+				this.#finish(model, ticket);
+			},
+		};
+	}
+
+	#finish(name: string, ticket: Ticket): void {
+		this.#waiting.delete(ticket.id);
+		this.#apply(this.#model(name).admission.finish(this.#options.clock.now(), ticket));
+	}
+
+	#answered(demand: RequestDemand): void {
+		const id = this.#ids.get(demand);
+		const model = this.#models.get(demand.call.kind === 'model' ? demand.call.model : '');
+		if (id !== undefined && model !== undefined) {
+			this.#apply(model.admission.firstToken(this.#options.clock.now(), id));
+		}
+	}
+}
+
+class FirstByteListener extends AttemptListener {
+	readonly #answered: (demand: RequestDemand) => void;
+
+	constructor(answered: (demand: RequestDemand) => void) {
+		super();
+		this.#answered = answered;
+	}
+
+	attemptStarted(): void {
+		// Admission counts requests, not attempts.
+	}
+
+	attemptEnded(): void {
+		// The request's ticket is released by the pipeline.
+	}
+
+	override attemptAnswered({demand}: AttemptStart): void {
+		this.#answered(demand);
+	}
+}
+
+function createQueueRefusal(reason: 'queue_full' | 'deadline', retryAfterS: number): CallerError {
+	return reason === 'queue_full'
+		? createRefusal(429, 'queue_full', 'Too many requests of this customer wait.', retryAfterS)
+		: createRefusal(503, 'deadline_not_met', 'The request cannot be admitted in the time that it may wait.', retryAfterS);
+}
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -12,7 +12,6 @@
 import {HttpEngine} from '../platform/engine.ts';
 import {HttpHostList, type HostList} from '../platform/host-list.ts';
 import {HttpObjectStore, type ObjectStore} from '../platform/object-store.ts';
-import {OpenAdmission} from '../request/admission.ts';
 import {ByteBudget} from '../request/byte-budget.ts';
 import type {ClaimStore} from '../request/claim-store.ts';
 import type {CrashRegister} from '../request/crash-register.ts';
@@ -21,6 +20,8 @@
 import type {Table} from '../platform/table.ts';
 import {resolveRoute, type Contract} from '../version/contract.ts';
 import type {Settings} from '../version/settings.ts';
+import {AdmissionTask} from './admission/admission-task.ts';
+import {FairAdmission} from './admission/fair-admission.ts';
 import {ClaimSettler} from './claims/claim-settler.ts';
 import {ClaimSweeper} from './claims/claim-sweeper.ts';
 import {PlatformClaimStore} from './claims/platform-claim-store.ts';
@@ -290,6 +291,7 @@
 	const {configuration, directory, lifecycle} = peers;
 	const traces = resources.use(createTraces(settings.daemon.id, settings.traces.endpoint));
 	const metrics = new Metrics();
+	const {router, admission} = createLoadControl(base, peers);
 	return new RequestFront({
 		log: log.part('front'),
 		clock,
@@ -302,17 +304,17 @@
 		upstreams: call => directory.serving(call).filter(({id}) => !authority.draining.has(id)),
 		isReady: () => lifecycle.phase === 'ready',
 		isUnrepeatableRoute: demand => isUnrepeatable(configuration.contracts.get(demand.customer), demand),
-		admission: new OpenAdmission(),
+		admission,
 		claimStore: createClaimStore(base, peers),
 		crashRegister: createCrashRegister(base, peers),
-		router: createRouter(base, peers),
+		router,
 		retryBudget: new RetryBudget(),
-		listeners: [metrics],
+		listeners: [metrics, admission.listener],
 	});
 }
 
-/** Creates routing by load, with the reports of the engines. */
-function createRouter({resources, settings, log, clock}: Base, {directory}: Peers): LoadRouter {
+/** Creates routing by load and admission, with the reports of the engines. */
+function createLoadControl({resources, settings, log, clock}: Base, {directory, membership, configuration}: Peers) {
 	const dispatcher = resources.adopt(new Agent(), async agent => agent.destroy());
 	const loads = new LoadTable({
 		availabilityZone: settings.daemon['availability-zone'],
@@ -322,8 +324,20 @@
 	const poller = resources.use(new LoadPoller({
 		log: log.part('load'), clock, dispatcher, loads, upstreams,
 	}));
+	const admission = new FairAdmission({
+		clock,
+		engineSlots: settings.limits['engine-slots'],
+		contract: customer => configuration.contracts.get(customer),
+		usualLatency: model => loads.usualLatency(`engine ${model}`),
+		engines: model => directory.serving({
+			kind: 'model', model, path: '', stream: false,
+		}).length,
+		daemons: () => 1 + membership.members.filter(({condition}) => condition !== 'dead').length,
+	});
+	const admissionTask = resources.use(new AdmissionTask(log.part('admission'), admission));
 	poller.run();
-	return new LoadRouter({clock, loads, upstreams});
+	admissionTask.run();
+	return {router: new LoadRouter({clock, loads, upstreams}), admission};
 }
 
 /** Creates the claims and what runs for them in the background. */
--- a/src/version/settings.ts
+++ b/src/version/settings.ts
@@ -37,6 +37,7 @@
 	limits: z.object({
 		'body-bytes': integer(kibibyte, 256 * kibibyte * kibibyte).default(4 * kibibyte * kibibyte),
 		'header-bytes': integer(kibibyte, kibibyte * kibibyte).default(16 * kibibyte),
+		'engine-slots': integer(1, 100_000).default(64),
 	}),
 	shutdown: z.object({
 		'balancer-delay-ms': integer(0, 600_000).default(5000),
