--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import {readKnownRed} from '../test/known-red.ts';
+import {claims} from './claims.ts';
 import {controlCost, controlProcessorCost} from './control-cost.ts';
 import type {Measure} from './measure.ts';
 import {decisionCost} from './measures/decision-cost.ts';
@@ -8,6 +9,7 @@
 import {shifts} from './measures/shifts.ts';
 import {stragglers} from './measures/stragglers.ts';
 import {pathCost} from './path-cost.ts';
+import {peerProtocol} from './peer-protocol.ts';
 
 /** All measures, in the order in which they are printed. */
 const measures: readonly Measure[] = [
@@ -18,6 +20,8 @@
 	decisionCost,
 	controlCost,
 	controlProcessorCost,
+	claims,
+	peerProtocol,
 	pathCost,
 ];
 
--- a/src/process/orders/plan-board.ts
+++ b/src/process/orders/plan-board.ts
@@ -64,11 +64,16 @@
 		}
 
 		this.#isReading = true;
-		const result = await readTargets(this.#table);
-		this.#isReading = false;
-		this.post(result.caseOf<Message>({
-			Left: failure => ({kind: 'failed', failure}),
-			Right: targets => ({kind: 'read', targets}),
-		}));
+		try {
+			const result = await readTargets(this.#table);
+			this.post(result.caseOf<Message>({
+				Left: failure => ({kind: 'failed', failure}),
+				Right: targets => ({kind: 'read', targets}),
+			}));
+		} catch (error) {
+			this.log.error('A plan row cannot be parsed.', error);
+		} finally {
+			this.#isReading = false;
+		}
 	}
 }
