--- a/test/connection/order-channel.test.ts
+++ b/test/connection/order-channel.test.ts
@@ -1,5 +1,7 @@
 import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
 import {readFile} from 'node:fs/promises';
+import {createServer, type AddressInfo} from 'node:net';
 import process from 'node:process';
 import {fileURLToPath} from 'node:url';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -58,6 +60,32 @@
 	expect(result).toEqual({outcome: 'refused', accepted: ['new'], role: 'decode'});
 });
 
+it.concurrent('an order leaves in one write after the check and its connection is closed, so that no part of it can follow a pause', async () => {
+	const chunks: string[] = [];
+	const {promise: closed, resolve} = Promise.withResolvers<void>();
+	const server = createServer(socket => {
+		socket.setEncoding('utf8');
+		socket.on('data', (chunk: string) => {
+			chunks.push(chunk);
+			socket.write('HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n');
+		});
+		socket.once('close', () => {
+			resolve();
+		});
+	});
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	const outcome = await sendOrder(`127.0.0.1:${port}`, {orderId: 'o', fencing: 7, wanted: {role: 'decode'}}, {
+		isAuthorized: () => chunks.length === 0,
+	});
+	await closed;
+	server.close();
+	expect(outcome.kind).toBe('accepted');
+	expect(chunks).toHaveLength(1);
+	expect(chunks[0]).toMatch(/^PUT \/state HTTP\/1\.1\r\n.*fencing-number: 7\r\norder-id: o\r\n.*\r\n\r\n\{"role":"decode"\}$/sv);
+});
+
 it.concurrent('an order is not sent when the lease has ended while the connection was opened', async () => {
 	await using engine = new EngineServer({id: 'e', model: 'm'});
 	const {host, port} = await engine.listen({host: '127.0.0.1', port: 0});
