Read what has arrived before an idle connection is closed

Cause: on a busy machine the engine stand-in closed a connection at an idle limit of 300 ms although a request had arrived, and the plan test saw one 502. Conclusion: the cut was made by the stand-in, not by the plan.

--- a/src/stand-ins/engine/idle-limit.ts
+++ b/src/stand-ins/engine/idle-limit.ts
@@ -74,9 +74,15 @@
 
 		clearTimeout(watch.timer);
 		watch.isBusy = false;
-		watch.since = performance.now();
+		const since = performance.now();
+		watch.since = since;
 		watch.timer = setTimeout(() => {
-			socket.destroy();
+			// What has arrived while the process was busy is read before the connection is closed.
+			setImmediate(() => {
+				if (!watch.isBusy && watch.since === since) {
+					socket.destroy();
+				}
+			});
 		}, this.#limitMs);
 	}
 }
