--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,13 +1,27 @@
 import process from 'node:process';
 import {readKnownRed} from '../test/known-red.ts';
+import {claims} from './claims.ts';
 import {controlCost, controlProcessorCost} from './control-cost.ts';
 import type {Measure} from './measure.ts';
+import {decisionCost} from './measures/decision-cost.ts';
+import {headOfLine} from './measures/head-of-line.ts';
+import {overload} from './measures/overload.ts';
+import {shifts} from './measures/shifts.ts';
+import {stragglers} from './measures/stragglers.ts';
 import {pathCost} from './path-cost.ts';
+import {peerProtocol} from './peer-protocol.ts';
 
 /** All measures, in the order in which they are printed. */
 const measures: readonly Measure[] = [
+	shifts,
+	overload,
+	headOfLine,
+	stragglers,
+	decisionCost,
 	controlCost,
 	controlProcessorCost,
+	claims,
+	peerProtocol,
 	pathCost,
 ];
 
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -1,4 +1,5 @@
 import {randomInt} from 'node:crypto';
+import {Agent} from 'undici';
 import {createCallerServer} from '../connection/caller-server.ts';
 import {closeAbruptly, listen} from '../connection/http-listener.ts';
 import type {Connectivity} from '../connection/connectivity.ts';
@@ -16,13 +17,14 @@
 import type {ClaimStore} from '../request/claim-store.ts';
 import type {CrashRegister} from '../request/crash-register.ts';
 import {RetryBudget} from '../request/retry-budget.ts';
-import {LeastOutstandingRouter} from '../request/router.ts';
 import type {RequestDemand} from '../request/request-demand.ts';
 import type {Table} from '../platform/table.ts';
 import {resolveRoute, type Contract} from '../version/contract.ts';
 import type {Settings} from '../version/settings.ts';
 import {ClaimSettler} from './claims/claim-settler.ts';
 import {ClaimSweeper} from './claims/claim-sweeper.ts';
+import {DispatchRecord} from './claims/dispatch-record.ts';
+import {PeerWitnesses} from './claims/dispatch-witnesses.ts';
 import {PlatformClaimStore} from './claims/platform-claim-store.ts';
 import {groupedWrites, WriteBatcher} from './claims/write-batcher.ts';
 import {decodeCrashNews, encodeCrashNews} from './crashes/crash-news.ts';
@@ -35,6 +37,9 @@
 import {ConfigurationTask} from './configuration-task.ts';
 import {HostListPoller} from './host-list-poller.ts';
 import {Lifecycle} from './lifecycle.ts';
+import {LoadPoller} from './load/load-poller.ts';
+import {LoadRouter} from './load/load-router.ts';
+import {LoadTable} from './load/load-table.ts';
 import type {Log} from './log.ts';
 import type {Member} from './membership/member.ts';
 import {Membership} from './membership/membership.ts';
@@ -117,7 +122,9 @@
 	provideStatus(peers.status, {
 		settings, hostList, directory, membership, lifecycle, configuration,
 	});
-	peers.answer({membership, configuration, status: peers.status});
+	peers.answer({
+		membership, configuration, status: peers.status, dispatches: peers.dispatches,
+	});
 	membership.run();
 	hostList.run();
 	configuration.run();
@@ -162,6 +169,9 @@
 	readonly directory: UpstreamDirectory;
 	readonly lifecycle: Lifecycle;
 	readonly status: StatusRegistry;
+	readonly clients: PeerClients;
+	/** Claims that this daemon may have dispatched. */
+	readonly dispatches: DispatchRecord;
 	/** Starts answering peers. */
 	readonly answer: (answerers: PeerAnswerers) => void;
 };
@@ -212,6 +222,8 @@
 		}),
 		lifecycle,
 		status: new StatusRegistry(),
+		clients,
+		dispatches: new DispatchRecord(),
 		answer: answerers.resolve,
 	};
 }
@@ -303,16 +315,31 @@
 		admission: new OpenAdmission(),
 		claimStore: createClaimStore(base, peers),
 		crashRegister: createCrashRegister(base, peers),
-		router: new LeastOutstandingRouter(),
+		router: createRouter(base, peers),
 		retryBudget: new RetryBudget(),
 		listeners: [metrics],
 	});
 }
 
+/** Creates routing by load, with the reports of the engines. */
+function createRouter({resources, settings, log, clock}: Base, {directory}: Peers): LoadRouter {
+	const dispatcher = resources.adopt(new Agent(), async agent => agent.destroy());
+	const loads = new LoadTable({
+		availabilityZone: settings.daemon['availability-zone'],
+		random: new SeededRandom(randomInt(maxSeed)),
+	});
+	const upstreams = () => directory.upstreams.filter(({state}) => state === 'live');
+	const poller = resources.use(new LoadPoller({
+		log: log.part('load'), clock, dispatcher, loads, upstreams,
+	}));
+	poller.run();
+	return new LoadRouter({clock, loads, upstreams});
+}
+
 /** Creates the claims and what runs for them in the background. */
 function createClaimStore(
-	{resources, settings, log, table, objects, incarnation}: Base,
-	{membership}: Peers,
+	{resources, settings, log, clock, table, objects, incarnation}: Base,
+	{membership, clients, dispatches}: Peers,
 ): ClaimStore {
 	const daemon = toClaimOwner(settings.daemon.id, incarnation);
 	const claimLog = log.part('claims');
@@ -325,8 +352,22 @@
 		log: claimLog, table, objects, isSweeper: () => membership.isAmongFirst('claims', 1), now,
 	}));
 	sweeper.run();
+	const witnesses = new PeerWitnesses({clock, clients, members: () => membership.members});
+	membership.subscribe(event => {
+		if (event.kind === 'member') {
+			witnesses.notice(event.member);
+		}
+	});
 	return new PlatformClaimStore({
-		table, objects, batcher, settler, daemon, isLive: name => name === daemon || membership.members.some(isOwner(name)), now,
+		table,
+		objects,
+		batcher,
+		settler,
+		daemon,
+		isLive: name => name === daemon || membership.members.some(isOwner(name)),
+		now,
+		dispatches,
+		witnesses,
 	});
 }
 
