--- a/bench/control-cost.ts
+++ b/bench/control-cost.ts
@@ -38,14 +38,18 @@
 export const controlCost: Measure = {
 	name: 'control cost',
 	deterministic: true,
-	run: async () => [...deployments.flatMap(deployment => describeTraffic(resolveCost(deployment))), describeSlope()],
+	run: async () => [...deployments.flatMap(deployment => describeTraffic(resolveCost(deployment))), describeSlope('control bytes', 'B/s', cost => cost.bytesPerSecond)],
 };
 
 /** Processor time and memory of the control traffic on this machine. */
 export const controlProcessorCost: Measure = {
 	name: 'control processor cost',
 	deterministic: false,
-	run: async () => deployments.flatMap(deployment => describeProcessor(resolveCost(deployment))),
+	run: async () => [
+		...deployments.flatMap(deployment => describeProcessor(resolveCost(deployment))),
+		describeSlope('control processor share', 'cores', cost => cost.processorShare),
+		describeSlope('control heap', 'B', cost => cost.heapBytes),
+	],
 };
 
 function describeTraffic({members, bytesPerSecond, spreadMs, deathKnownMs}: Cost): readonly Measurement[] {
@@ -56,11 +60,11 @@
 	];
 }
 
-function describeSlope(): Measurement {
+function describeSlope(name: string, unit: string, read: (cost: Cost) => number): Measurement {
 	const [, middle, last] = deployments.map(deployment => resolveCost(deployment)) as [Cost, Cost, Cost];
-	const slope = (last.bytesPerSecond - middle.bytesPerSecond) / (last.members - middle.members);
+	const slope = (read(last) - read(middle)) / (last.members - middle.members);
 	return {
-		name: 'control bytes per added member, 64 to 420 members', value: slope, unit: 'B/s', ok: true,
+		name: `${name} per added member, 64 to 420 members`, value: slope, unit, ok: true,
 	};
 }
 
