--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import {readKnownRed} from '../test/known-red.ts';
+import {claims} from './claims.ts';
 import {controlCost, controlProcessorCost} from './control-cost.ts';
 import type {Measure} from './measure.ts';
 import {pathCost} from './path-cost.ts';
@@ -10,6 +11,7 @@
 	controlCost,
 	controlProcessorCost,
 	peerProtocol,
+	claims,
 	pathCost,
 ];
 
--- a/bench/peer-protocol.ts
+++ b/bench/peer-protocol.ts
@@ -35,6 +35,7 @@
 async function measureExchanges(): Promise<readonly Measurement[]> {
 	await using server = new PeerServer({
 		heartbeat: async () => create(HeartbeatResponseSchema, {daemonId: 'daemon-zone-a-0', digest}),
+		findClaim: async () => false,
 		status: async () => '{}',
 	}, new OpenPeerAuthority());
 	const {port} = await server.listen({host: '127.0.0.1', port: 0});
--- a/src/stand-ins/engine/engine-server.ts
+++ b/src/stand-ins/engine/engine-server.ts
@@ -73,10 +73,10 @@
 	constructor(options: EngineOptions, faults: Partial<EngineFaults> = {}) {
 		super({...healthy, ...faults});
 		this.#options = options;
+		this.#orders = new OrderEndpoint({model: options.model, role: options.speed?.role, ...options.orders});
+		this.#orders.attach(this.server);
 		this.#driver = this.#createDriver();
 		this.#report = new LoadReport(this.#clock, () => this.#driver.load);
-		this.#orders = new OrderEndpoint({model: options.model, ...options.orders});
-		this.#orders.attach(this.server);
 	}
 
 	/** Orders that the engine has accepted and refused. */
@@ -122,6 +122,10 @@
 			crash: () => {
 				this.crash();
 			},
+			applyChange: () => {
+				this.#driver[Symbol.dispose]();
+				this.#driver = this.#createDriver();
+			},
 		});
 		if (isHandled) {
 			return;
@@ -148,7 +152,7 @@
 			}
 
 			case 'GET /v1/models': {
-				sendAnswer(response, {status: 200, body: {object: 'list', data: [{id: this.#options.model, object: 'model'}]}});
+				sendAnswer(response, {status: 200, body: {object: 'list', data: [{id: this.orders.state(this.#clock.now()).model, object: 'model'}]}});
 				return;
 			}
 
@@ -216,7 +220,9 @@
 	}
 
 	#createDriver(): EngineDriver {
-		const model = new EngineModel({...defaultSpeed, ...this.#options.speed, tokenEvents: true});
+		const model = new EngineModel({
+			...defaultSpeed, ...this.#options.speed, role: this.orders.state(this.#clock.now()).role, tokenEvents: true,
+		});
 		const driver = new EngineDriver(model, this.#clock, event => {
 			this.#cacheEvents.record(event);
 		});
--- a/test/connection/silent-peers.test.ts
+++ b/test/connection/silent-peers.test.ts
@@ -68,6 +68,7 @@
 function createPeerServer(authority: PeerAuthority = new OpenPeerAuthority()): PeerServer {
 	return new PeerServer({
 		heartbeat: async () => create(HeartbeatResponseSchema, {daemonId: 'peer'}),
+		findClaim: async () => false,
 		status: async () => '{}',
 	}, authority);
 }
