Test the request path over the connection pool that the daemon uses

Cause: the tests of the path ran over a client that the daemon no longer uses, so a fault of the pool would not show there.

--- a/src/connection/upstream-pool.ts
+++ b/src/connection/upstream-pool.ts
@@ -47,6 +47,10 @@
 	}
 
 	/** Closes all connections; requests on them end with an error. */
+	override async destroy(): Promise<void> {
+		await this[Symbol.asyncDispose]();
+	}
+
 	async [Symbol.asyncDispose](): Promise<void> {
 		clearInterval(this.#timer);
 		await Promise.all([...this.#hosts.values()].map(async host => host.close()));
--- a/test/request/front-fixture.ts
+++ b/test/request/front-fixture.ts
@@ -2,7 +2,7 @@
 import {trace} from '@opentelemetry/api';
 import {createCallerServer, type CallerServerOptions} from '../../src/connection/caller-server.ts';
 import {closeAbruptly, listen} from '../../src/connection/http-listener.ts';
-import {createUpstreamClient} from '../../src/connection/upstream-client.ts';
+import {UpstreamPool} from '../../src/connection/upstream-pool.ts';
 import type {Host} from '../../src/platform/host-list.ts';
 import {SystemClock} from '../../src/process/clock.ts';
 import {hashKey} from '../../src/process/key-directory.ts';
@@ -29,13 +29,21 @@
 /** Key that the fixture knows. */
 export const fixtureKey = 'fixture-key';
 
+const ignore = () => {
+	// The front is tested without a membership.
+};
+
+const unobserved = {
+	reached: ignore, unreached: ignore, leavingSeen: ignore, refused: ignore, silentSeen: ignore,
+};
+
 /** Starts a front; options override the defaults. */
 export async function createFront(
 	hosts: readonly Host[],
 	options: Partial<RequestFrontOptions> = {},
 	serverOptions: Partial<CallerServerOptions> = {},
 ): Promise<FrontFixture> {
-	const dispatcher = createUpstreamClient();
+	const dispatcher = new UpstreamPool(new SystemClock(), unobserved);
 	const metrics = new Metrics();
 	const front = new RequestFront({
 		log: createLog('error', 'hidden'),
@@ -76,7 +84,7 @@
 		metrics,
 		async [Symbol.asyncDispose]() {
 			await closeAbruptly(server);
-			await dispatcher.destroy();
+			await dispatcher[Symbol.asyncDispose]();
 		},
 	};
 }
