--- a/bench/capacity/main.ts
+++ b/bench/capacity/main.ts
@@ -5,6 +5,7 @@
 import {hostSlopes} from './hosts.ts';
 import {leaseSlopes} from './leases.ts';
 import {membershipSlopes} from './membership.ts';
+import {routingSlopes} from './routing.ts';
 import {measureSlope} from './slope.ts';
 
 const measures = [
@@ -12,6 +13,7 @@
 	...hostSlopes,
 	...configurationSlopes,
 	...leaseSlopes,
+	...routingSlopes,
 ];
 
 for (const measure of measures) {
