--- a/src/connection/peer-server.ts
+++ b/src/connection/peer-server.ts
@@ -15,6 +15,8 @@
 	readonly heartbeat: (request: HeartbeatRequest) => Promise<HeartbeatResponse>;
 	/** Absent while the daemon keeps no configuration changes. */
 	readonly pullChanges?: (sinceVersion: number) => Promise<PullChangesResponse>;
+	/** True when this daemon may have dispatched the request of a claim. */
+	readonly findClaim: (name: string) => Promise<boolean>;
 	/** JSON document of the daemon's state. */
 	readonly status: () => Promise<string>;
 };
@@ -89,6 +91,9 @@
 
 			return handlers.pullChanges(Number(request.sinceVersion));
 		},
+		async findClaim({name}) {
+			return {mayHaveRun: await handlers.findClaim(name)};
+		},
 		async status() {
 			return {body: await handlers.status()};
 		},
--- /dev/null
+++ b/src/process/claims/dispatch-record.ts
@@ -0,0 +1,32 @@
+const defaultLimit = 10_000;
+
+/** Names of the claims that this daemon may have dispatched, oldest first. */
+export class DispatchRecord {
+	readonly #names = new Set<string>();
+	readonly #limit: number;
+	#hasForgotten = false;
+
+	/** Keeps at most `limit` names. @default 10000 */
+	constructor(limit = defaultLimit) {
+		this.#limit = limit;
+	}
+
+	add(name: string): void {
+		this.#names.add(name);
+		if (this.#names.size > this.#limit) {
+			const [oldest = name] = this.#names;
+			this.#names.delete(oldest);
+			this.#hasForgotten = true;
+		}
+	}
+
+	/** Removes a name whose request was not sent after all. */
+	remove(name: string): void {
+		this.#names.delete(name);
+	}
+
+	/** False only when this daemon has certainly not dispatched the claim since it started. */
+	mayContain(name: string): boolean {
+		return this.#names.has(name) || this.#hasForgotten;
+	}
+}
--- a/src/process/peer-handlers.ts
+++ b/src/process/peer-handlers.ts
@@ -1,6 +1,7 @@
 import {create} from '@bufbuild/protobuf';
 import type {PeerHandlers} from '../connection/peer-server.ts';
 import {PullChangesResponseSchema} from '../generated/peer_pb.js';
+import type {DispatchRecord} from './claims/dispatch-record.ts';
 import type {ConfigurationTask} from './configuration-task.ts';
 import type {MembershipTask} from './membership-task.ts';
 import type {StatusRegistry} from './status-registry.ts';
@@ -10,6 +11,7 @@
 	readonly membership: MembershipTask;
 	readonly configuration: ConfigurationTask;
 	readonly status: StatusRegistry;
+	readonly dispatches: DispatchRecord;
 };
 
 /** Connects the peer protocol to the parts that answer it. */
@@ -28,6 +30,10 @@
 				entries: entries.map(entry => ({...entry, version: BigInt(entry.version)})),
 			});
 		},
+		async findClaim(name) {
+			const {dispatches} = await answerers;
+			return dispatches.mayContain(name);
+		},
 		async status() {
 			const {status} = await answerers;
 			return JSON.stringify(status.read());
