--- a/src/process/load/load-table.ts
+++ b/src/process/load/load-table.ts
@@ -1,5 +1,6 @@
+import type {UsualLatency} from '../admission/room-limit.ts';
 import type {Random} from '../random.ts';
-import {ejectOutliers, median} from './outliers.ts';
+import {LoadGroup, type Preference} from './load-group.ts';
 import {PrefixResidency, type CacheEventBatch} from './prefix-residency.ts';
 import {
 	UpstreamLoad, type LoadReport, type RequestSize, type Upstream,
@@ -22,53 +23,40 @@
 export type LoadTableOptions = {
 	readonly availabilityZone: string;
 	readonly random: Random;
-	/** Upstreams drawn for each decision. @default 3 */
+	/** Upstreams drawn for each decision. @default 2 */
 	readonly choices?: number;
-	/** Tokens of load above which another zone is considered. @default 1500 */
+	/** Tokens of load above which another zone is considered. @default 1000 */
 	readonly spillTokens?: number;
-	/** Tokens of load that another zone must save. @default 300 */
+	/** Tokens of load that another zone must save. @default 100 */
 	readonly spillPenaltyTokens?: number;
 };
 
-type Group = {
-	/** Upstreams in a fixed order that is the same at every daemon. */
-	readonly all: readonly UpstreamLoad[];
-	readonly zoneShort: readonly UpstreamLoad[];
-	readonly zoneLong: readonly UpstreamLoad[];
-	readonly otherShort: readonly UpstreamLoad[];
-	readonly otherLong: readonly UpstreamLoad[];
-	meanForeign: number;
-	usualMsPerToken: number;
-	refreshedAt: number;
+type Choice = {
+	readonly load: UpstreamLoad;
+	readonly score: number;
 };
 
-const refreshMs = 200;
-/** Part of a group that takes long work first; the same upstreams at every daemon, so that short work avoids them. */
-const longPart = 0.25;
+/** Pool whose upstreams are all compared, because two draws from it often meet the same loaded ones. */
+const smallPool = 4;
+/** Fresh latency shows the batch size of an upstream, which late reports do not. */
+const latencyExponent = 2;
 /** Wait for a first token, as a multiple of the usual one, from which an upstream is avoided. */
 const overdueRatio = 3;
-const overdueFloorMs = 300;
-const usualFirstTokenWeight = 0.02;
+const overdueFloorMs = 100;
 
 /** Load of the upstreams as one daemon sees it, and the routing decisions that follow from it. */
 export class LoadTable {
 	readonly #options: Required<LoadTableOptions>;
 	readonly #loads = new Map<string, UpstreamLoad>();
-	readonly #groups = new Map<string, Group>();
+	readonly #groups = new Map<string, LoadGroup>();
 	readonly #residency = new PrefixResidency();
-	#usualFirstTokenMs = 200;
 
 	constructor(options: LoadTableOptions) {
 		this.#options = {
-			choices: 3, spillTokens: 1500, spillPenaltyTokens: 300, ...options,
+			choices: 2, spillTokens: 1000, spillPenaltyTokens: 100, ...options,
 		};
 	}
 
-	/** Smoothed time to the first token over all upstreams. */
-	get usualFirstTokenMs(): number {
-		return this.#usualFirstTokenMs;
-	}
-
 	/** Replaces the upstreams; a new or returned one begins with a slow start unless the table was empty. */
 	setUpstreams(now: number, upstreams: readonly Upstream[]): void {
 		const isFirst = this.#loads.size === 0;
@@ -86,10 +74,15 @@
 			}
 		}
 
-		this.#groups.clear();
 		const byGroup = Map.groupBy(this.#loads.values(), ({upstream}) => upstream.group);
+		for (const name of this.#groups.keys()) {
+			if (!byGroup.has(name)) {
+				this.#groups.delete(name);
+			}
+		}
+
 		for (const [name, loads] of byGroup) {
-			this.#groups.set(name, createGroup(loads, this.#options.availabilityZone));
+			this.#groups.set(name, new LoadGroup(loads, this.#options.availabilityZone, this.#groups.get(name)));
 		}
 	}
 
@@ -100,18 +93,16 @@
 			return undefined;
 		}
 
-		this.#refresh(now, group);
-		const {spillTokens, spillPenaltyTokens} = this.#options;
+		group.refresh(now);
 		const {isLong = false} = request;
-		const local = this.#best(now, group, isLong ? group.zoneLong : group.zoneShort, request);
-		if (local !== undefined && local.score <= spillTokens) {
-			return local.load.upstream.id;
-		}
+		const best = this.#bestWithSpill(now, group, request, isLong ? 'long' : 'short');
+		return (best ?? this.#anyOf(group, request))?.upstream.id;
+	}
 
-		const other = this.#best(now, group, isLong ? group.otherLong : group.otherShort, request);
-		const spills = other !== undefined && (local === undefined || other.score + spillPenaltyTokens < local.score);
-		const best = (spills ? other : local)?.load ?? this.#anyOf(group, request);
-		return best?.upstream.id;
+	/** Latencies that are usual for the upstreams of a model. */
+	usualLatency(group: string): UsualLatency {
+		const known = this.#groups.get(group);
+		return {msPerToken: known?.usualMsPerToken, firstTokenMs: known?.usualFirstTokenMs ?? 0};
 	}
 
 	/** Counts an attempt at an upstream. */
@@ -124,8 +115,9 @@
 
 	/** Notes the first token of an attempt after its wait in milliseconds. */
 	firstToken(now: number, attempt: string, upstream: string, waitedMs: number): void {
-		this.#loads.get(upstream)?.firstToken(now, attempt);
-		this.#usualFirstTokenMs += (Math.min(waitedMs, 5 * this.#usualFirstTokenMs) - this.#usualFirstTokenMs) * usualFirstTokenWeight;
+		const load = this.#loads.get(upstream);
+		load?.firstToken(now, attempt);
+		this.#groups.get(load?.upstream.group ?? '')?.observeFirstToken(waitedMs);
 	}
 
 	/** Ends an attempt. */
@@ -138,6 +130,11 @@
 		this.#loads.get(upstream)?.observe(now, tokens, streamMs);
 	}
 
+	/** Takes the part of long work in the demand for a model at all daemons. */
+	setLongPart(now: number, group: string, part: number): void {
+		this.#groups.get(group)?.setLongPart(now, part);
+	}
+
 	/** Takes a load report, which may be late. */
 	report(upstream: string, report: LoadReport): void {
 		this.#loads.get(upstream)?.report(report);
@@ -158,8 +155,21 @@
 		return this.#loads.get(upstream)?.isEjected(now) ?? false;
 	}
 
-	#best(now: number, group: Group, from: readonly UpstreamLoad[], request: RoutedRequest) {
-		let best: {readonly load: UpstreamLoad; readonly score: number} | undefined;
+	/** Best upstream of the zone, or of another zone when the zone's upstreams are above the spill limit. */
+	#bestWithSpill(now: number, group: LoadGroup, request: RoutedRequest, preferred: Preference): UpstreamLoad | undefined {
+		const {spillTokens, spillPenaltyTokens} = this.#options;
+		const local = this.#best(now, group, group.local(preferred), request);
+		if (local !== undefined && local.score <= spillTokens) {
+			return local.load;
+		}
+
+		const other = this.#best(now, group, group.remote(preferred), request);
+		const spills = other !== undefined && (local === undefined || other.score + spillPenaltyTokens < local.score);
+		return (spills ? other : local)?.load;
+	}
+
+	#best(now: number, group: LoadGroup, from: readonly UpstreamLoad[], request: RoutedRequest): Choice | undefined {
+		let best: Choice | undefined;
 		const consider = (load: UpstreamLoad | undefined, saved: number) => {
 			if (load === undefined || request.excluded?.has(load.upstream.id) === true) {
 				return;
@@ -171,8 +181,12 @@
 			}
 		};
 
-		for (let draw = 0; draw < this.#options.choices; draw += 1) {
-			consider(from[this.#options.random.integer(from.length)], 0);
+		const {choices, random} = this.#options;
+		const draws = from.length <= smallPool ? from.length : choices;
+		const first = random.integer(from.length);
+		const stride = draws === from.length ? 1 : 1 + random.integer(from.length - 1);
+		for (let draw = 0; draw < draws; draw += 1) {
+			consider(from[(first + (draw * stride)) % from.length], 0);
 		}
 
 		const affine = request.prefix === undefined ? [] : this.#residency.upstreams(request.prefix);
@@ -188,60 +202,21 @@
 	}
 
 	/** Tokens ahead of a request, stretched by the upstream's latency and readiness; infinite while ejected. */
-	#score(now: number, group: Group, load: UpstreamLoad, tokens: number): number {
+	#score(now: number, group: LoadGroup, load: UpstreamLoad, tokens: number): number {
 		const readiness = load.readiness(now);
 		if (readiness === 0) {
 			return Infinity;
 		}
 
-		const slowness = Math.max(1, (load.msPerToken ?? 0) / group.usualMsPerToken);
-		const overdueMs = Math.max(overdueFloorMs, this.#usualFirstTokenMs * overdueRatio);
+		const usual = group.usualMsPerToken ?? 1;
+		const slowness = (load.msPerToken === undefined ? 1 : load.msPerToken / usual) ** latencyExponent;
+		const overdueMs = Math.max(overdueFloorMs, group.usualFirstTokenMs * overdueRatio);
 		const overdue = Math.max(1, load.oldestAwaitingMs(now) / overdueMs);
-		return (load.tokens(now, group.meanForeign) + tokens) * slowness * overdue * overdue / readiness;
+		return (load.tokens(now, group.usualForeign) + tokens) * slowness * overdue * overdue / readiness;
 	}
 
-	#anyOf(group: Group, request: RoutedRequest): UpstreamLoad | undefined {
+	#anyOf(group: LoadGroup, request: RoutedRequest): UpstreamLoad | undefined {
 		const allowed = group.all.filter(({upstream}) => request.excluded?.has(upstream.id) !== true);
 		return allowed[this.#options.random.integer(allowed.length)];
 	}
-
-	#refresh(now: number, group: Group): void {
-		if (now - group.refreshedAt < refreshMs) {
-			return;
-		}
-
-		group.refreshedAt = now;
-		ejectOutliers(now, group.all);
-		let foreign = 0;
-		for (const {foreignTokens} of group.all) {
-			foreign += foreignTokens;
-		}
-
-		group.meanForeign = foreign / group.all.length;
-		group.usualMsPerToken = median(group.all.flatMap(({msPerToken}) => msPerToken ?? [])) ?? 1;
-	}
-}
-
-function createGroup(loads: readonly UpstreamLoad[], availabilityZone: string): Group {
-	const all = loads.toSorted((a, b) => a.upstream.id < b.upstream.id ? -1 : 1);
-	const long = new Set<UpstreamLoad>();
-	for (const zoneLoads of Map.groupBy(all, ({upstream}) => upstream.availabilityZone).values()) {
-		const count = zoneLoads.length === 1 ? 0 : Math.max(1, Math.round(zoneLoads.length * longPart));
-		for (const load of zoneLoads.slice(0, count)) {
-			long.add(load);
-		}
-	}
-
-	const isLocal = ({upstream}: UpstreamLoad) => upstream.availabilityZone === availabilityZone;
-	const takesLong = (load: UpstreamLoad) => long.size === 0 || long.has(load);
-	return {
-		all,
-		zoneShort: all.filter(load => isLocal(load)),
-		zoneLong: all.filter(load => isLocal(load) && takesLong(load)),
-		otherShort: all.filter(load => !isLocal(load)),
-		otherLong: all.filter(load => !isLocal(load) && takesLong(load)),
-		meanForeign: 0,
-		usualMsPerToken: 1,
-		refreshedAt: -Infinity,
-	};
 }
--- a/src/stand-ins/engine/order-endpoint.ts
+++ b/src/stand-ins/engine/order-endpoint.ts
@@ -22,6 +22,8 @@
 	readonly faults: OrderFaults;
 	/** Stops the engine for its restart time. */
 	readonly crash: () => void;
+	/** Takes up a new state once a change has ended. */
+	readonly applyChange: () => void;
 };
 
 /** HTTP side of an engine's orders: `/state`, and `/orders` with the record for invariant checks. */
@@ -30,7 +32,7 @@
 	readonly #idleLimit: IdleLimit;
 	readonly #options: OrderEndpointOptions;
 	readonly #work = new Set<ServerResponse>();
-	#crash: NodeJS.Timeout | undefined;
+	#timer: NodeJS.Timeout | undefined;
 
 	constructor(options: OrderEndpointOptions) {
 		this.#options = options;
@@ -69,7 +71,7 @@
 	}
 
 	[Symbol.dispose](): void {
-		clearTimeout(this.#crash);
+		clearTimeout(this.#timer);
 	}
 
 	async #put(request: IncomingMessage, response: ServerResponse, context: Context): Promise<void> {
@@ -97,9 +99,10 @@
 			response.destroy();
 		}
 
-		if (context.faults.crashInChange) {
-			this.#crash = setTimeout(context.crash, (this.#options.changeMs ?? defaultChangeMs) / 2);
-		}
+		const {changeMs = defaultChangeMs} = this.#options;
+		this.#timer = context.faults.crashInChange
+			? setTimeout(context.crash, changeMs / 2)
+			: setTimeout(context.applyChange, changeMs);
 	}
 
 	#report(now: number): EngineState {
