--- a/test/connection/silent-connections.test.ts
+++ b/test/connection/silent-connections.test.ts
@@ -1,5 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {describe, expect, it} from 'vitest';
+import {
+	describe, expect, it, vi,
+} from 'vitest';
 import {request} from 'undici';
 import {
 	createLocalDeployment, demoKey, demoModels, demoService, type LocalDeployment,
@@ -9,12 +11,15 @@
 
 const findLimitMs = 5000;
 const atOnceMs = 1500;
+const arrival = {timeout: 5000, interval: 10};
 
 describe.concurrent('silent connections', () => {
 	it('end a live stream in flight within 5 s, while new requests to the same upstream go on at once', async () => {
 		await using deployment = await startDeployment();
 		const inFlight = complete(deployment, 4000);
-		await delay(300);
+		await vi.waitFor(() => {
+			expect(deployment.engines[0]!.inFlight).toBe(1);
+		}, arrival);
 		deployment.engines[0]!.setFaults({silent: true});
 		const start = performance.now();
 		const next = await complete(deployment, 4);
@@ -30,7 +35,9 @@
 		await Promise.all([book(deployment), book(deployment)]);
 		service!.setFaults({slowMs: 20_000});
 		const inFlight = book(deployment);
-		await delay(100);
+		await vi.waitFor(() => {
+			expect(service!.inFlight).toBe(1);
+		}, arrival);
 		service!.setFaults({silent: true, slowMs: 0});
 		const start = performance.now();
 		expect(await inFlight).toMatchObject({status: 502, ran: 'unknown'});
