--- a/src/stand-ins/stand-in-server.ts
+++ b/src/stand-ins/stand-in-server.ts
@@ -32,6 +32,7 @@
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
 	readonly #silenced = new WeakSet();
+	#inFlight = 0;
 	/** Socket of the request that sets the faults; its own answer is still sent. */
 	#faultSocket: Socket | undefined;
 	#faults: Faults;
@@ -48,6 +49,11 @@
 		return this.#faults;
 	}
 
+	/** Requests that have arrived and have not been answered in full. */
+	get inFlight(): number {
+		return this.#inFlight;
+	}
+
 	/** Changes some faults; connections that are open now go silent when `silent` is set. */
 	setFaults(faults: Partial<Faults>): void {
 		this.#faults = {...this.#faults, ...faults};
@@ -90,6 +96,10 @@
 	}
 
 	async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		this.#inFlight += 1;
+		response.once('close', () => {
+			this.#inFlight -= 1;
+		});
 		response.on('error', () => {
 			response.destroy();
 		});
