Send a request that a leaving upstream refused to another one

Cause: a booking that a leaving service answered with 503 kept that 503 as its stored answer, so that each resend got the refusal. Only repeatable requests went on to another upstream, and only within the retry budget. Change: a 503 with Wagtailtack-Leaving: true counts as not sent; the request goes to another upstream, and the claim is released when there is none. Before: 503 for every resend. After: 200 from the other upstream; both cases are in the table of claimed requests.

--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -31,7 +31,7 @@
 	/** Ends the attempt: caller gone, deadline or preemption. */
 	readonly signal: AbortSignal;
 	/** Called on the head of the answer; true discards the answer so that another upstream is tried. */
-	readonly discards: (head: AnswerHead) => boolean;
+	readonly discards: (head: AnswerHead, isLeaving: boolean) => boolean;
 	/** Called on the first byte of the body. */
 	readonly onFirstByte: () => void;
 	/** Limit on the time that a caller may leave its stream undrained, in milliseconds. */
@@ -103,7 +103,7 @@
 		const head = {status, headers};
 		this.#status = status;
 		this.#isLeaving = status === 503 && headers[leavingHeader] === 'true';
-		this.#isDiscarded = this.#options.discards(head);
+		this.#isDiscarded = this.#options.discards(head, this.#isLeaving);
 		if (this.#isDiscarded) {
 			return;
 		}
@@ -134,7 +134,9 @@
 	}
 
 	onResponseEnd(): void {
-		if (this.#isDiscarded) {
+		if (this.#isDiscarded && this.#isLeaving) {
+			this.#end('not_sent', 'no', 'the upstream is leaving');
+		} else if (this.#isDiscarded) {
 			this.#end('connection_lost', 'unknown', 'the upstream refused the request');
 		} else if (this.#options.relay.isComplete) {
 			this.#end('complete', 'yes', '');
--- a/src/request/dispatch.ts
+++ b/src/request/dispatch.ts
@@ -184,7 +184,12 @@
 			relay,
 			signal,
 			callerStallMs: this.#options.callerStallMs ?? defaultTimeoutMs,
-			discards: ({status}) => {
+			discards: ({status}, isLeaving) => {
+				if (isLeaving) {
+					// A leaving upstream takes no new work, so the request has not run and may go to another one.
+					return true;
+				}
+
 				this.#isRetryGranted = status === 503 && this.#isRepeatable && this.#takeBudget(upstream);
 				return this.#isRetryGranted;
 			},
--- a/test/request/retries.test.ts
+++ b/test/request/retries.test.ts
@@ -224,6 +224,8 @@
 	});
 });
 
+const leaving: RawAnswer = socket => socket.write('HTTP/1.1 503 Service Unavailable\r\nwagtailtack-leaving: true\r\ncontent-length: 0\r\n\r\n');
+
 describe('a claimed request', () => {
 	const headers = {'idempotency-key': 'booking-1'};
 
@@ -254,6 +256,23 @@
 		expect(claimStore.log).toEqual(log);
 	});
 
+	// Guards against a booking that is lost because the refusal of a leaving service is kept as its answer.
+	it.each<{name: string; answers: readonly RawAnswer[]; ran: string; log: readonly string[]}>([
+		{
+			name: 'runs at another upstream', answers: [leaving, answer], ran: 'yes', log: ['claim booking-1', 'complete'],
+		},
+		{
+			name: 'is released when all are leaving', answers: [leaving, leaving], ran: 'no', log: ['claim booking-1', 'release'],
+		},
+	])('$name after a leaving one has refused it', async ({answers, ran, log}) => {
+		await using upstreams = await createUpstreams(answers, service);
+		const claimStore = new MemoryClaimStore();
+		await using fixture = await createFront(upstreams.list.map(upstream => upstream.host), {claimStore});
+		const response = await send(fixture, service, headers);
+		expect(response.headers.get('wagtailtack-ran')).toBe(ran);
+		expect(claimStore.log).toEqual(log);
+	});
+
 	// Guards against a booking whose outcome can never be known because its caller hung up.
 	it('is recorded when its caller has gone', async () => {
 		const {promise: mayAnswer, resolve: release} = Promise.withResolvers<void>();
