--- a/test/process/cut-off-zone.test.ts
+++ b/test/process/cut-off-zone.test.ts
@@ -92,7 +92,10 @@
 		await delay(1500);
 		const answers = await Promise.all(Array.from({length: 20}, async () => complete(deployment.urls[0]!)));
 		expect(answers.filter(({status}) => status === 200)).toHaveLength(20);
+		const executions = countExecutions(deployment);
+		// The daemons of the other zones cannot be asked whether one of them has run the key.
 		expect(await book(deployment.urls[0]!)).toMatchObject({status: 503, ran: 'unknown'});
+		expect(countExecutions(deployment), 'bookings that reached a service').toBe(executions);
 		expect(deployment.daemons[0]!.isReady()).toBe(true);
 
 		partition.cutZones.clear();
@@ -102,6 +105,10 @@
 	});
 });
 
+function countExecutions({services}: LocalDeployment): number {
+	return services.reduce((sum, service) => sum + service.executions.length, 0);
+}
+
 async function countCalls(partition: PartitionTable): Promise<number> {
 	const before = partition.calls;
 	await delay(1000);
