Export the coordination parts from src/index.ts

Cause: the design names src/index.ts as the entry of the library, but the file was missing, and a program could reach the parts only by their paths. Change: named exports by part, from leases to ports, with Either, Left and Right for implementations of the ports. Doc comments of the parts state units and errors where they did not; no behaviour changes. Conclusion: one import gives each part; the membership is exported without its task, whose transport is the daemon's peer protocol.

--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,119 @@
+// Lease and fencing
+export {candidatesPerGroup, groupName, selectCandidates} from './process/lease/candidates.ts';
+export {LeaseClient, type LeaseClientOptions} from './process/lease/lease-client.ts';
+export {
+	currentLease, decideLease, initialLease, leaseGuards, leaseTimes,
+	type HeldLease, type LeaseCommand, type LeaseDecision, type LeaseEvent, type LeaseGuards, type LeaseOptions, type LeaseState, type LeaseTimes,
+} from './process/lease/lease-machine.ts';
+export {
+	leaseKey, parseLeaseRow, type LeaseBody, type LeaseRow,
+} from './process/lease/lease-row.ts';
+export {LeaseTask, type LeaseTaskOptions} from './process/lease/lease-task.ts';
+
+// Intents
+export {EngineController, type ControllerOptions, type PlannedGoal} from './process/orders/engine-controller.ts';
+export {
+	createFacts, decideIntent, intentGuards, intentTimes, isReached, recordIntent, recordReading, recordSend,
+	type EngineFacts, type EngineReading, type Goal, type IntentAction, type IntentContext, type IntentGuards, type IntentOptions, type IntentTimes, type Tenure,
+} from './process/orders/intent-machine.ts';
+export {
+	intentKey, isDisruptive, parseIntentRow, type Intent, type IntentRow,
+} from './process/orders/intent-row.ts';
+
+// Claims
+export {ClaimSettler, type ClaimSettlerOptions, type Settlement} from './process/claims/claim-settler.ts';
+export {DispatchRecord} from './process/claims/dispatch-record.ts';
+export {DispatchWitnesses, NoWitnesses} from './process/claims/dispatch-witnesses.ts';
+export {
+	PlatformClaimStore, toClaimKey, type ClaimGuards, type PlatformClaimStoreOptions,
+} from './process/claims/platform-claim-store.ts';
+export {
+	groupedWrites, singleWrites, WriteBatcher, type GroupCommit, type WriteOutcome,
+} from './process/claims/write-batcher.ts';
+export type {CallerError, RunState} from './request/caller-error.ts';
+export {
+	Claim, ClaimStore, type ClaimGrant, type ClaimRequest, type StoredAnswer,
+} from './request/claim-store.ts';
+export type {ClaimPhase, ClaimRecord, RecordedAnswer} from './request/claim.ts';
+
+// Versioned configuration
+export {
+	ConfigurationMachine, otherIntervalMs, pollerIntervalMs, pullTimeoutMs, type Acceptance, type MachineGuards, type PeerPull,
+} from './process/configuration/configuration-machine.ts';
+export type {PeerConfiguration} from './process/configuration/peer-configuration-source.ts';
+export {TableConfigurationSource, type TableRead} from './process/configuration/table-configuration-source.ts';
+export {
+	entryKinds, type ConfigurationDifference, type ConfigurationEntry, type EntryKind,
+} from './version/configuration.ts';
+
+// Membership
+export {Phase, type News} from './generated/peer_pb.js';
+export type {LeavingSign, ListedUpstream} from './process/membership/leaving-marks.ts';
+export type {ListedMember} from './process/membership/member-table.ts';
+export type {
+	Digest, Heartbeat, Member, MemberCondition, MembershipEvent, MembershipOptions, OutgoingHeartbeat,
+} from './process/membership/member.ts';
+export {heartbeatIntervalMs, Membership} from './process/membership/membership.ts';
+export type {NewsItem} from './process/membership/news-queue.ts';
+export {rankByRendezvous} from './process/membership/rendezvous.ts';
+
+// Weighted shares
+export {
+	Allotments, type AllotmentsOptions, type Arrival, type CustomerUsage,
+} from './process/shares/allotments.ts';
+
+// Admission
+export {Admission, type AdmissionOptions} from './process/admission/admission.ts';
+export {costSlots, costTokens, isLongWork} from './process/admission/cost.ts';
+export type {UsualLatency} from './process/admission/room-limit.ts';
+export {
+	laneOf, type AdmissionDecision, type Lane, type Ticket, type WorkClass,
+} from './process/admission/ticket.ts';
+
+// Routing
+export {LoadTable, type LoadTableOptions, type RoutedRequest} from './process/load/load-table.ts';
+export type {CacheEventBatch} from './process/load/prefix-residency.ts';
+export type {LoadReport, RequestSize, Upstream} from './process/load/upstream-load.ts';
+
+// Retry budget and hedging
+export {
+	ExtraWorkBudget, HedgePolicy, type HedgeCandidate, type HedgeOptions,
+} from './request/hedge.ts';
+export {RetryBudget, retryShare, type RetryPayer} from './request/retry-budget.ts';
+
+// Role planning
+export {
+	RolePlanner, type PlannedEngine, type Role, type RoleChange, type RolePlannerOptions,
+} from './process/roles/role-planner.ts';
+export {isSplitBetter, type SplitInput} from './process/roles/split.ts';
+
+// Crash register
+export {
+	refusalMs, settleMs, type LedgerGuards, type Standing,
+} from './process/crashes/crash-ledger.ts';
+export {
+	allSuspicionGuards, CrashSuspicion, type CrashNews, type FlightEnd, type SuspicionGuards,
+} from './process/crashes/crash-suspicion.ts';
+export type {Flight} from './process/crashes/flight-board.ts';
+
+// Ports, clock, random numbers and tasks
+export {Left, Right, type Either} from 'purify-ts';
+export {DynamoTable} from './platform/dynamo-table.ts';
+export {
+	Engine, engineRoles, HttpEngine, type EngineRole, type EngineState, type Order, type OrderOutcome, type WantedState,
+} from './platform/engine.ts';
+export {
+	HostList, HttpHostList, type Host, type HostState,
+} from './platform/host-list.ts';
+export {
+	HttpObjectStore, ObjectStore, type ObjectCondition, type ObjectFailure, type StoredObject,
+} from './platform/object-store.ts';
+export {
+	Table, type Row, type RowKey, type RowWrite, type StoreFailure,
+} from './platform/table.ts';
+export {Clock, ManualClock, SystemClock} from './process/clock.ts';
+export {
+	createLog, Log, logLevels, type LogFields, type LogLevel,
+} from './process/log.ts';
+export {Random, SeededRandom} from './process/random.ts';
+export {Task} from './process/task.ts';
--- a/src/process/admission/admission.ts
+++ b/src/process/admission/admission.ts
@@ -41,7 +41,7 @@
 	slots: number;
 };
 
-/** Decides when requests run: live before patient work, customers by share, short work never behind long work. */
+/** Decides when requests run: live before patient work, customers by share, short work never behind long work; `now` in milliseconds. */
 export class Admission {
 	readonly #options: Required<AdmissionOptions>;
 	readonly #queues: Readonly<Record<Lane, FairQueue>> = {
--- a/src/process/admission/ticket.ts
+++ b/src/process/admission/ticket.ts
@@ -12,8 +12,9 @@
 	readonly slots: number;
 	/** True for work that must not hold up short live work. */
 	readonly isLong: boolean;
+	/** Monotonic time in milliseconds. */
 	readonly arrivedAt: number;
-	/** Time by which the request must be admitted. */
+	/** Monotonic time by which the request must be admitted, in milliseconds. */
 	readonly startBy: number;
 };
 
--- a/src/process/claims/dispatch-record.ts
+++ b/src/process/claims/dispatch-record.ts
@@ -11,6 +11,7 @@
 		this.#limit = limit;
 	}
 
+	/** Adds a name; the oldest one is forgotten above the limit. */
 	add(name: string): void {
 		this.#names.add(name);
 		if (this.#names.size > this.#limit) {
--- a/src/process/claims/platform-claim-store.ts
+++ b/src/process/claims/platform-claim-store.ts
@@ -51,7 +51,7 @@
 	readsBackByToken: true, releasesClaims: true, fencesOpenClaims: true, asksWitnesses: true,
 };
 
-/** Claims in the platform's table. */
+/** Claims in the platform's table; a failure of the table is a refusal with status 503, a malformed row throws. */
 export class PlatformClaimStore extends ClaimStore {
 	readonly #options: PlatformClaimStoreOptions;
 	readonly #guards: ClaimGuards;
--- a/src/process/lease/lease-client.ts
+++ b/src/process/lease/lease-client.ts
@@ -15,7 +15,7 @@
 	readonly post: (event: LeaseEvent) => void;
 };
 
-/** Runs the lease machine against the table. */
+/** Runs the lease machine against the table; a failed call is delivered as an event of kind `failed`. */
 export class LeaseClient {
 	readonly #options: LeaseClientOptions;
 	#state: LeaseState = initialLease;
--- a/src/process/lease/lease-machine.ts
+++ b/src/process/lease/lease-machine.ts
@@ -39,7 +39,7 @@
 	readonly guards: LeaseGuards;
 };
 
-/** A lease as its holder knows it; times are on the holder's monotonic clock. */
+/** A lease as its holder knows it; times are milliseconds of the holder's monotonic clock. */
 export type HeldLease = {
 	readonly token: string;
 	readonly fencing: number;
@@ -87,12 +87,12 @@
 /** State of a candidate that has seen nothing yet. */
 export const initialLease: LeaseState = {isCandidate: false, nextReadAt: Number.NEGATIVE_INFINITY};
 
-/** Returns the lease while it is valid at a time of the holder's clock. */
+/** Returns the lease while it is valid at a time of the holder's clock, in milliseconds. */
 export function currentLease(state: LeaseState, now: number): HeldLease | undefined {
 	return state.held !== undefined && now < state.held.expiresAt ? state.held : undefined;
 }
 
-/** Decides what a candidate does at an event. */
+/** Decides what a candidate does at an event; `now` in milliseconds of its monotonic clock. */
 export function decideLease(state: LeaseState, event: LeaseEvent, now: number, options: LeaseOptions): LeaseDecision {
 	switch (event.kind) {
 		case 'tick': {
--- a/src/process/lease/lease-task.ts
+++ b/src/process/lease/lease-task.ts
@@ -23,7 +23,7 @@
 const ticksPerRenewal = 10;
 const releasePollMs = 20;
 
-/** Keeps one lease while this daemon is a candidate for it. */
+/** Keeps one lease while this daemon is a candidate for it; a call that the table fails is tried again. */
 export class LeaseTask extends Task<LeaseEvent> {
 	readonly #options: LeaseTaskOptions;
 	readonly #times: LeaseTimes;
--- a/src/process/load/load-table.ts
+++ b/src/process/load/load-table.ts
@@ -44,7 +44,7 @@
 const overdueRatio = 3;
 const overdueFloorMs = 100;
 
-/** Load of the upstreams as one daemon sees it, and the routing decisions that follow from it. */
+/** Load of the upstreams as one daemon sees it, and the routing decisions that follow from it; `now` in milliseconds. */
 export class LoadTable {
 	readonly #options: Required<LoadTableOptions>;
 	readonly #loads = new Map<string, UpstreamLoad>();
--- a/src/process/load/upstream-load.ts
+++ b/src/process/load/upstream-load.ts
@@ -42,6 +42,7 @@
 
 /** What one daemon knows about the load of one upstream. */
 export class UpstreamLoad {
+	/** Upstream whose load this is. */
 	readonly upstream: Upstream;
 	readonly #ownSamples = new Samples();
 	readonly #attempts = new Map<string, Attempt>();
@@ -141,6 +142,7 @@
 		return Math.min(1, slowStartFloor + ((1 - slowStartFloor) * (now - this.#returnedAt) / slowStartMs));
 	}
 
+	/** True while the upstream is out of routing; `now` in milliseconds. */
 	isEjected(now: number): boolean {
 		return now < this.#ejectedUntil;
 	}
--- a/src/process/log.ts
+++ b/src/process/log.ts
@@ -31,18 +31,22 @@
 		return new Log(this.#logger, part);
 	}
 
+	/** Logs what helps to find a fault. */
 	debug(message: string, fields: LogFields = {}): void {
 		this.#logger.debug(this.#prefix + message, fields);
 	}
 
+	/** Logs a change of state. */
 	info(message: string, fields: LogFields = {}): void {
 		this.#logger.info(this.#prefix + message, fields);
 	}
 
+	/** Logs a condition that an operator may have to act on. */
 	warn(message: string, fields: LogFields = {}): void {
 		this.#logger.warn(this.#prefix + message, fields);
 	}
 
+	/** Logs a failure with its cause. */
 	error(message: string, error: unknown, fields: LogFields = {}): void {
 		this.#logger.error(this.#prefix + message, error instanceof Error ? error : new Error(String(error)), fields);
 	}
--- a/src/process/membership/member-table.ts
+++ b/src/process/membership/member-table.ts
@@ -54,6 +54,7 @@
 		return this.#zoneCache;
 	}
 
+	/** Member with an id; `undefined` when it is not known. */
 	get(id: string): Member | undefined {
 		return this.#records.get(id);
 	}
--- a/src/process/membership/membership.ts
+++ b/src/process/membership/membership.ts
@@ -11,7 +11,7 @@
 import {NewsOutbox} from './news-outbox.ts';
 import type {NewsItem} from './news-queue.ts';
 
-/** Interval between heartbeats. */
+/** Interval between heartbeats, in milliseconds. */
 export const heartbeatIntervalMs = 1000;
 /** A process that has run for longer does not raise its incarnation above a successor with the same id. */
 const youthMs = 30_000;
@@ -22,7 +22,7 @@
 const deathRepeatMs = 8000;
 const maxDeathsRepeated = 16;
 
-/** Members of the deployment and their news, as a state machine: input and time go in, heartbeats and events come out. */
+/** Members of the deployment and their news, as a state machine: input and monotonic time in milliseconds go in, heartbeats and events come out. */
 export class Membership {
 	readonly #options: MembershipOptions;
 	readonly #table: MemberTable;
@@ -56,7 +56,7 @@
 		return this.#table.members;
 	}
 
-	/** Member with an id. */
+	/** Member with an id; `undefined` when it is not known. */
 	member(id: string): Member | undefined {
 		return this.#table.get(id);
 	}
--- a/src/process/orders/engine-controller.ts
+++ b/src/process/orders/engine-controller.ts
@@ -27,7 +27,7 @@
 /** A goal together with the plan row that must be unchanged when its order is recorded. */
 export type PlannedGoal = Goal & {readonly planCheck: RowWrite};
 
-/** Carries out the orders of one engine in one tenure. */
+/** Carries out the orders of one engine in one tenure; a malformed intent row throws, other failures are tried again. */
 export class EngineController {
 	readonly #options: ControllerOptions;
 	readonly #tenure: Tenure;
--- a/src/process/roles/role-planner.ts
+++ b/src/process/roles/role-planner.ts
@@ -48,7 +48,7 @@
 	readonly decode: number;
 };
 
-/** Plans role changes for the engines of one model in one availability zone, from the demand at all daemons. */
+/** Plans role changes for the engines of one model in one availability zone, from the demand at all daemons; `now` in milliseconds. */
 export class RolePlanner {
 	readonly #options: Required<RolePlannerOptions>;
 	readonly #fast = {prefill: new Rate(fastMs), decode: new Rate(fastMs)};
--- a/src/process/roles/split.ts
+++ b/src/process/roles/split.ts
@@ -3,9 +3,9 @@
 	readonly promptTokens: number;
 	/** Expected time until the prompt is processed by a prefill engine, queue included, in milliseconds. */
 	readonly prefillWaitMs: number;
-	/** Time to export and import the KV cache. */
+	/** Time to export and import the KV cache, in milliseconds. */
 	readonly transferMs: number;
-	/** Expected time until the prompt is processed by a decode engine, queue included. */
+	/** Expected time until the prompt is processed by a decode engine, queue included, in milliseconds. */
 	readonly wholeWaitMs: number;
 };
 
--- a/src/process/shares/allotments.ts
+++ b/src/process/shares/allotments.ts
@@ -55,7 +55,7 @@
 /** A customer may be among the highest when its part of the recent demand is above 1 in this number. */
 const candidateRatio = 64;
 
-/** Divides shares and room among the live daemons by where the demand is; what is idle at one daemon is lent to others. */
+/** Divides shares and room among the live daemons by where the demand is; what is idle at one daemon is lent to others; `now` in milliseconds. */
 export class Allotments {
 	readonly #options: Required<AllotmentsOptions>;
 	readonly #demands = new Map<string, Demand>();
