--- /dev/null
+++ b/examples/lease.ts
@@ -0,0 +1,47 @@
+/** Two candidates for one lease: the second takes over once the first is silent, with a higher fencing number. */
+import assert from 'node:assert/strict';
+import {randomUUID} from 'node:crypto';
+import {setImmediate as settle} from 'node:timers/promises';
+import {
+	LeaseClient, leaseGuards, leaseTimes, ManualClock,
+} from '../src/index.ts';
+import {MemoryTable} from '../src/stand-ins/platform/memory-table.ts';
+
+const tickMs = 250;
+const clock = new ManualClock();
+await using table = new MemoryTable();
+
+function createCandidate(daemon: string): LeaseClient {
+	const client: LeaseClient = new LeaseClient({
+		table, clock, daemon, group: 'press@zone-a', times: leaseTimes, guards: leaseGuards,
+		post(event) {
+			client.handle(event);
+		},
+	});
+	client.handle({kind: 'candidacy', isCandidate: true});
+	return client;
+}
+
+async function run(milliseconds: number, ...candidates: readonly LeaseClient[]): Promise<void> {
+	for (let passed = 0; passed < milliseconds; passed += tickMs) {
+		clock.advance(tickMs);
+		for (const candidate of candidates) {
+			candidate.handle({kind: 'tick', token: randomUUID()});
+			await settle();
+		}
+	}
+}
+
+/** Fencing numbers of the leases that are valid now. */
+function fencingNumbers(...candidates: readonly LeaseClient[]): ReadonlyArray<number | undefined> {
+	return candidates.map(({held}) => held?.fencing);
+}
+
+const first = createCandidate('a1');
+const second = createCandidate('a2');
+await run(10_000, first, second);
+assert.deepEqual(fencingNumbers(first, second), [1, undefined]);
+
+await run(leaseTimes.durationMs + leaseTimes.renewalMs + 1000, second);
+assert.deepEqual(fencingNumbers(first, second), [undefined, 2]);
+console.log('a2 took over; the fencing number rose from 1 to 2.');
--- /dev/null
+++ b/examples/ports.ts
@@ -0,0 +1,58 @@
+/** Conditional writes of the table and the object store, and a task that owns state and is reached by messages. */
+import assert from 'node:assert/strict';
+import {Buffer} from 'node:buffer';
+import {
+	createLog, SystemClock, Task, type Log, type RowWrite,
+} from '../src/index.ts';
+import {MemoryObjectStore} from '../src/stand-ins/platform/memory-object-store.ts';
+import {MemoryTable} from '../src/stand-ins/platform/memory-table.ts';
+
+const key = {partition: 'example', sort: 'row'};
+await using table = new MemoryTable();
+const write: RowWrite = {
+	kind: 'put', key, expected: 0, body: '{}',
+};
+const created = await table.write([write]);
+const repeated = await table.write([write]);
+const row = await table.get(key);
+assert.ok(created.isRight());
+assert.deepEqual(repeated.extract(), {kind: 'conflict', keys: [key]});
+assert.equal(row.unsafeCoerce()?.revision, 1);
+
+const objects = new MemoryObjectStore();
+const first = await objects.put('example', Buffer.from('one'), 'absent');
+const etag = first.unsafeCoerce();
+const second = await objects.put('example', Buffer.from('two'), {etag});
+const late = await objects.put('example', Buffer.from('three'), {etag});
+assert.ok(second.isRight());
+assert.deepEqual(late.extract(), {kind: 'conflict', name: 'example'});
+
+const ticksWanted = 3;
+
+class Counter extends Task<'tick'> {
+	readonly #finished = Promise.withResolvers<number>();
+	#count = 0;
+
+	constructor(log: Log) {
+		super(log);
+		this.start({message: 'tick', intervalMs: 5});
+	}
+
+	get finished(): Promise<number> {
+		return this.#finished.promise;
+	}
+
+	protected receive(): void {
+		this.#count += 1;
+		if (this.#count === ticksWanted) {
+			this.#finished.resolve(this.#count);
+		}
+	}
+}
+
+const clock = new SystemClock();
+const startedAt = clock.now();
+await using counter = new Counter(createLog('error', 'hidden').part('counter'));
+assert.equal(await counter.finished, ticksWanted);
+assert.ok(clock.now() > startedAt);
+console.log('Writes with an old revision or ETag were refused; the task handled its messages.');
--- /dev/null
+++ b/examples/retries.ts
@@ -0,0 +1,32 @@
+/** Retries are limited to a part of the live traffic, and hedges to a part of the work served. */
+import assert from 'node:assert/strict';
+import {HedgePolicy, RetryBudget, retryShare} from '../src/index.ts';
+
+const payer = {customer: 'tuul', upstream: 'e1'};
+const budget = new RetryBudget();
+const requests = 100;
+let retries = 0;
+for (let index = 0; index < requests; index += 1) {
+	budget.earn(payer);
+}
+
+while (budget.take(payer)) {
+	retries += 1;
+}
+
+// One token is there from the start, so that the first failure can be retried.
+assert.equal(retries, (requests * retryShare) + 1);
+
+const policy = new HedgePolicy();
+for (let index = 0; index < requests; index += 1) {
+	policy.served(200, 20);
+}
+
+const candidate = {
+	isRepeatable: true, hasOutput: false, attempts: 1, tokens: 600, waitedMs: policy.delayMs + 100, prefillMs: 50,
+};
+assert.ok(!policy.shouldHedge({...candidate, isRepeatable: false}));
+assert.ok(!policy.shouldHedge({...candidate, waitedMs: policy.delayMs}));
+assert.ok(policy.shouldHedge(candidate));
+assert.ok(!policy.shouldHedge(candidate));
+console.log(`${retries} retries for ${requests} requests; one hedge of 600 tokens for ${requests * 200} tokens served.`);
