Allow for the prefill of long prompts before a stream counts as silent

Cause: a live stream without a byte for 3.5 s was closed as silent when a new connection answered, so a prompt of 100,000 tokens (5 to 6 s of prefill) got 502. Found over sockets; before, no check had so long a prompt. Ruled out: the 30 s limit for all streams before the first byte, which would find a silent connection too late. Change: the limit grows by 0.25 ms a byte of the request. Before: 502 after the limit.

--- a/src/request/dispatch.ts
+++ b/src/request/dispatch.ts
@@ -57,6 +57,8 @@
 const defaultTimeoutMs = 60_000;
 /** A live stream is found silent within 5 s, with the time for a probe. */
 const steadySilenceMs = 3500;
+/** Prefill is silent; this allows for 1,000 prompt tokens a second at four bytes a token. */
+const silenceMsPerPromptByte = 0.25;
 const attemptLimit = 16;
 let lastAttemptId = 0;
 
@@ -213,7 +215,7 @@
 			path: demand.call.path,
 			body: demand.body,
 			headTimeoutMs: this.#options.headTimeoutMs ?? defaultTimeoutMs,
-			...(isSteady(demand) ? {silenceMs: steadySilenceMs} : {}),
+			...(isSteady(demand) ? {silenceMs: steadySilenceMs + (demand.body.length * silenceMsPerPromptByte)} : {}),
 			headers: {
 				...selectRequestHeaders(head.headers),
 				...traceHeaders,
--- a/test/process/load/routing-over-sockets.test.ts
+++ b/test/process/load/routing-over-sockets.test.ts
@@ -44,6 +44,11 @@
 		await long;
 	});
 
+	// Guards against a long press check that is cut because its prefill is silent for longer than a live stream may be.
+	it('answers a prompt whose prefill takes more than five seconds', async () => {
+		expect(await complete('x'.repeat(400_000), 4)).toBeGreaterThan(5000);
+	});
+
 	/** Times in milliseconds of short requests, sent at a steady pace. */
 	async function runChecks(count: number): Promise<readonly number[]> {
 		const pending: Array<Promise<number>> = [];
