Refuse a request whose claim row is malformed

Cause: a row that is not a claim made claim() reject with a parser's error, and the caller's connection was destroyed without a word. Change: 503 claims_unavailable with Wagtailtack-Ran: unknown. Before: rejection. After: refusal; tested with the body {}. Conclusion: a row of another version cannot take requests down.

--- a/src/process/claims/platform-claim-store.ts
+++ b/src/process/claims/platform-claim-store.ts
@@ -1,13 +1,15 @@
 import {randomUUID} from 'node:crypto';
-import {Left, Right, type Either} from 'purify-ts';
+import {Either, Left, Right} from 'purify-ts';
 import type {ObjectStore} from '../../platform/object-store.ts';
-import type {RowKey, StoreFailure, Table} from '../../platform/table.ts';
+import type {
+	Row, RowKey, StoreFailure, Table,
+} from '../../platform/table.ts';
 import type {CallerError} from '../../request/caller-error.ts';
 import {
 	Claim, ClaimStore, type ClaimGrant, type ClaimRequest, type StoredAnswer,
 } from '../../request/claim-store.ts';
 import {
-	claimLifetimeMs, parseClaimRecord, recordAnswer, resolveClaim, restoreAnswer, type ClaimPhase, type ClaimRecord, type ClaimResolution, type RecordedAnswer,
+	claimLifetimeMs, parseClaimRecord, recordAnswer, resolveClaim, restoreAnswer, type ClaimContext, type ClaimPhase, type ClaimRecord, type ClaimResolution, type RecordedAnswer,
 } from '../../request/claim.ts';
 import type {DispatchRecord} from './dispatch-record.ts';
 import type {DispatchWitnesses} from './dispatch-witnesses.ts';
@@ -51,7 +53,7 @@
 	readsBackByToken: true, releasesClaims: true, fencesOpenClaims: true, asksWitnesses: true,
 };
 
-/** Claims in the platform's table; a failure of the table is a refusal with status 503, a malformed row throws. */
+/** Claims in the platform's table; a failure of the table and a malformed row are refusals with status 503. */
 export class PlatformClaimStore extends ClaimStore {
 	readonly #options: PlatformClaimStoreOptions;
 	readonly #guards: ClaimGuards;
@@ -106,9 +108,10 @@
 	async #read(key: RowKey, {digest, token}: ClaimRecord): Promise<ClaimResolution | undefined> {
 		const {table, isLive, now} = this.#options;
 		const result = await readSafely(table, key);
-		return result.map(row => resolveClaim(row && {revision: row.revision, record: parseClaimRecord(row.body)}, {
+		const context: ClaimContext = {
 			digest, token, now: now(), isLive,
-		})).toMaybe().extract();
+		};
+		return result.map(row => row === undefined ? resolveClaim(undefined, context) : resolveRow(row, context)).toMaybe().extract();
 	}
 
 	async #resolve(
@@ -199,6 +202,18 @@
 	}
 }
 
+/** Another version or a fault wrote the row; what it stands for may have run. */
+const malformedClaim: CallerError = {
+	status: 503, code: 'claims_unavailable', message: 'The claim of this request cannot be read.', ran: 'unknown', retryAfterS: 1,
+};
+
+function resolveRow({revision, body}: Row, context: ClaimContext): ClaimResolution {
+	return Either.encase(() => parseClaimRecord(body)).caseOf<ClaimResolution>({
+		Left: () => ({kind: 'refused', error: malformedClaim}),
+		Right: record => resolveClaim({revision, record}, context),
+	});
+}
+
 const answerUnavailable: CallerError = {
 	status: 503, code: 'answer_unavailable', message: 'The request has run; its answer cannot be read now.', ran: 'yes', retryAfterS: 1,
 };
--- a/test/process/claims/claim-parts.test.ts
+++ b/test/process/claims/claim-parts.test.ts
@@ -107,6 +107,18 @@
 	});
 });
 
+describe('a claim row that is malformed', () => {
+	// Guards against a resend that is told nothing ran, or a daemon that fails, because of a row it does not understand.
+	it('refuses the request without saying that nothing ran', async () => {
+		const {store, table} = createStore();
+		await table.write([{
+			kind: 'put', key: toClaimKey(request), expected: 0, body: '{}',
+		}]);
+		const result = await store.claim(request);
+		expect(result.swap().toMaybe().extract()).toMatchObject({code: 'claims_unavailable', ran: 'unknown'});
+	});
+});
+
 describe('a completed claim', () => {
 	it.each([6, 200_000])('gives a resend the stored answer of %i bytes', async size => {
 		const {store} = createStore();
