Write measurements and plots from one run of the bench

Change: npm run report writes the table and SVG plots (vega-lite) from the output of npm run bench; the two workloads of the decision cost take turns.

--- a/bench/measures/decision-cost.ts
+++ b/bench/measures/decision-cost.ts
@@ -1,4 +1,5 @@
 import {performance} from 'node:perf_hooks';
+import {median} from 'simple-statistics';
 import {Admission} from '../../src/process/admission/admission.ts';
 import {costSlots, costTokens} from '../../src/process/admission/cost.ts';
 import type {Ticket} from '../../src/process/admission/ticket.ts';
@@ -25,8 +26,7 @@
 	name: 'decision-cost',
 	deterministic: false,
 	async run(): Promise<readonly Measurement[]> {
-		const few = medianCostUs(fewCustomers);
-		const many = medianCostUs(customers);
+		const {few, many} = measureCosts();
 		return [
 			atMost('decision cost for a request', many, 'us', {bound: usBound, baseline: few}),
 			atMost('decision cost growth from 10 to 10000 customers', many / few, 'ratio', {bound: growthBound, baseline: 1}),
@@ -34,15 +34,26 @@
 	},
 };
 
-function medianCostUs(customerCount: number): number {
-	const workload = new DecisionWorkload(customerCount);
+/** Median costs; the two workloads take turns, so that the state of the heap and the machine meets both alike. */
+function measureCosts(): {readonly few: number; readonly many: number} {
+	const workloads = {few: new DecisionWorkload(fewCustomers), many: new DecisionWorkload(customers)};
+	const costs: Record<keyof typeof workloads, number[]> = {few: [], many: []};
+	for (let round = -1; round < rounds; round += 1) {
+		for (const name of ['few', 'many'] as const) {
+			const costUs = timeRound(workloads[name]);
+			if (round >= 0) {
+				costs[name].push(costUs);
+			}
+		}
+	}
+
+	return {few: median(costs.few), many: median(costs.many)};
+}
+
+function timeRound(workload: DecisionWorkload): number {
+	const start = performance.now();
 	workload.run(requestsInRound);
-	const costs = Array.from({length: rounds}, () => {
-		const start = performance.now();
-		workload.run(requestsInRound);
-		return (performance.now() - start) * 1000 / requestsInRound;
-	});
-	return costs.toSorted((a, b) => a - b)[Math.floor(rounds / 2)]!;
+	return (performance.now() - start) * 1000 / requestsInRound;
 }
 
 /** Requests that pass through every decision; each one that ends makes room for a waiting one. */
--- /dev/null
+++ b/scripts/report/results.ts
@@ -0,0 +1,18 @@
+import {z} from 'zod';
+
+/** A measured value as `npm run bench` prints it. */
+export type Result = z.infer<typeof resultSchema>;
+
+const resultSchema = z.object({
+	name: z.string(),
+	value: z.number(),
+	unit: z.string(),
+	baseline: z.number().optional(),
+	bound: z.number().optional(),
+	ok: z.boolean(),
+});
+
+/** Parses JSON lines; throws on a line that is not a result. */
+export function parseResults(text: string): readonly Result[] {
+	return text.split('\n').filter(line => line.trim() !== '').map(line => resultSchema.parse(JSON.parse(line)));
+}
