Book with idempotency keys in the demo and count the runs

Cause: the main job sent bookings without keys and batch notes as live work, so that it showed neither claims nor classes. Change: keys, the patient class, and a check that as many bookings ran as were sent. Conclusion: npm start fails when a booking is lost or run twice.

--- a/src/demo/mixed-load.ts
+++ b/src/demo/mixed-load.ts
@@ -21,8 +21,10 @@
 	readonly name: string;
 	readonly path: string;
 	readonly body: unknown;
+	readonly headers?: Readonly<Record<string, string>>;
 };
 
+const bookingName = 'booking';
 const requestIntervalMs = 10;
 const pollIntervalMs = 20;
 
@@ -55,6 +57,14 @@
 	return [...rows].map(([name, row]) => ({name, ...row}));
 }
 
+/** Counts bookings that the services ran, and those that were sent; the two agree when none is lost or run twice. */
+export function countBookings(deployment: LocalDeployment, rows: readonly LoadRow[]): {readonly run: number; readonly sent: number} {
+	return {
+		run: deployment.services.reduce((sum, service) => sum + service.executions.length, 0),
+		sent: rows.find(({name}) => name === bookingName)?.sent ?? 0,
+	};
+}
+
 function createJob(index: number, random: SeededRandom): Job {
 	const kind = random.integer(10);
 	if (kind < 6) {
@@ -67,10 +77,14 @@
 
 	if (kind < 8) {
 		const body = {model: demoModels[1], max_tokens: 40, prompt: `notes ${index}`};
-		return {name: 'batch note', path: '/v1/completions', body};
+		return {
+			name: 'batch note', path: '/v1/completions', body, headers: {'wagtailtack-class': 'patient'},
+		};
 	}
 
-	return {name: 'booking', path: `/services/${demoService}/bookings`, body: {run: index}};
+	return {
+		name: bookingName, path: `/services/${demoService}/bookings`, body: {run: index}, headers: {'idempotency-key': `run-${index}`},
+	};
 }
 
 async function runJob(
@@ -82,7 +96,7 @@
 	try {
 		const response = await request(url + job.path, {
 			method: 'POST',
-			headers: {authorization: `Bearer ${demoKey}`, 'content-type': 'application/json'},
+			headers: {authorization: `Bearer ${demoKey}`, 'content-type': 'application/json', ...job.headers},
 			body: JSON.stringify(job.body),
 		});
 		row.firstByteMs.recordValue(performance.now() - start);
--- a/src/process/cli/demo-command.ts
+++ b/src/process/cli/demo-command.ts
@@ -1,7 +1,9 @@
 import process from 'node:process';
 import type {CommandModule} from 'yargs';
 import {createLocalDeployment, demoKey} from '../../demo/local-deployment.ts';
-import {runMixedLoad, waitUntilReady, type LoadRow} from '../../demo/mixed-load.ts';
+import {
+	countBookings, runMixedLoad, waitUntilReady, type LoadRow,
+} from '../../demo/mixed-load.ts';
 import {createLog} from '../log.ts';
 import {exitCode} from './exit-code.ts';
 import {waitForTermination} from './termination.ts';
@@ -27,7 +29,9 @@
 
 		const rows = await runMixedLoad(deployment, requests);
 		printReport(rows);
-		if (rows.some(row => row.succeeded < row.sent)) {
+		const bookings = countBookings(deployment, rows);
+		console.log(`Bookings sent ${bookings.sent}, run ${bookings.run}.`);
+		if (bookings.run !== bookings.sent || rows.some(row => row.succeeded < row.sent)) {
 			process.exitCode = exitCode.failure;
 		}
 	},
