Remove a configuration source that nothing uses

Cause: NoPeerConfigurationSource stood in for the peers until membership was wired; nothing has referred to it since. Conclusion: behaviour is as before.

--- a/src/process/configuration/peer-configuration-source.ts
+++ b/src/process/configuration/peer-configuration-source.ts
@@ -15,14 +15,3 @@
 	/** Pulls what a peer has above a version, within the source's own time limit; a failure is a short message. */
 	abstract pull(peer: string, since: number): Promise<Either<string, ConfigurationDifference>>;
 }
-
-/** No peers. */
-export class NoPeerConfigurationSource extends PeerConfigurationSource {
-	peers(): readonly PeerConfiguration[] {
-		return [];
-	}
-
-	async pull(): Promise<never> {
-		throw new Error('there are no peers');
-	}
-}
