--- a/bench/capacity/hosts.ts
+++ b/bench/capacity/hosts.ts
@@ -1,4 +1,4 @@
-import type {Host} from '../../src/platform/host-list.ts';
+import type {Host} from '../../src/ports/host-list.ts';
 import {UpstreamDirectory} from '../../src/process/upstream-directory.ts';
 import {toTargetGroup} from '../../src/stand-ins/hosts/hosts-server.ts';
 import {measureHeap, measureTime} from './resources.ts';
--- a/bench/claims.ts
+++ b/bench/claims.ts
@@ -1,5 +1,5 @@
 import {Left} from 'purify-ts';
-import type {RowWrite} from '../src/platform/table.ts';
+import type {RowWrite} from '../src/ports/table.ts';
 import {
 	groupedWrites, singleWrites, WriteBatcher, type GroupCommit,
 } from '../src/process/claims/write-batcher.ts';
--- a/bench/simulation/authority/fake-daemon.ts
+++ b/bench/simulation/authority/fake-daemon.ts
@@ -1,4 +1,4 @@
-import type {Host} from '../../../src/platform/host-list.ts';
+import type {Host} from '../../../src/ports/host-list.ts';
 import {groupName} from '../../../src/process/lease/candidates.ts';
 import {LeaseClient} from '../../../src/process/lease/lease-client.ts';
 import {
--- a/bench/simulation/authority/fake-engine.ts
+++ b/bench/simulation/authority/fake-engine.ts
@@ -1,7 +1,6 @@
 import {Left, Right, type Either} from 'purify-ts';
-import {
-	Engine, type EngineState, type Order, type OrderOutcome,
-} from '../../../src/platform/engine.ts';
+import {Engine, type EngineState} from '../../../src/ports/engine.ts';
+import {type Order, type OrderOutcome} from '../../../src/ports/order.ts';
 import {EngineOrders, type AcceptedOrder} from '../../../src/stand-ins/engine/engine-orders.ts';
 import type {Actor, World} from './world.ts';
 
--- a/bench/simulation/authority/fake-table.ts
+++ b/bench/simulation/authority/fake-table.ts
@@ -1,7 +1,7 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {
 	Table, type Row, type RowKey, type RowWrite, type StoreFailure,
-} from '../../../src/platform/table.ts';
+} from '../../../src/ports/table.ts';
 import {leaseKey, parseLeaseRow} from '../../../src/process/lease/lease-row.ts';
 import type {Intent} from '../../../src/process/orders/intent-row.ts';
 import {MemoryTable} from '../../../src/stand-ins/platform/memory-table.ts';
--- a/bench/simulation/authority/schedule.ts
+++ b/bench/simulation/authority/schedule.ts
@@ -1,4 +1,4 @@
-import type {Host} from '../../../src/platform/host-list.ts';
+import type {Host} from '../../../src/ports/host-list.ts';
 import {type HeldLease, leaseGuards} from '../../../src/process/lease/lease-machine.ts';
 import {intentGuards} from '../../../src/process/orders/intent-machine.ts';
 import {planGuards} from '../../../src/process/orders/plan-machine.ts';
--- /dev/null
+++ b/src/connection/links/caller-answer.ts
@@ -0,0 +1,79 @@
+import type {ServerResponse} from 'node:http';
+import type {CallerProtocol, Refusal} from '../../ports/caller-protocol.ts';
+
+/** Answer to one caller; exactly one of `sendWhole`, `refuse`, `end` and `abort` ends it. */
+export class CallerAnswer {
+	readonly #response: ServerResponse;
+	readonly #protocol: CallerProtocol;
+	readonly #requestId: string;
+	#sentBytes = 0;
+
+	constructor(response: ServerResponse, protocol: CallerProtocol, requestId: string) {
+		this.#response = response;
+		this.#protocol = protocol;
+		this.#requestId = requestId;
+	}
+
+	/** True once the head has been sent. */
+	get hasBegun(): boolean {
+		return this.#response.headersSent;
+	}
+
+	/** Bytes of the body sent so far. */
+	get sentBytes(): number {
+		return this.#sentBytes;
+	}
+
+	/** Bytes that the caller has not taken yet. */
+	get pendingBytes(): number {
+		return this.#response.writableLength;
+	}
+
+	/** Sends the head of a streamed answer. */
+	begin(status: number, headers: readonly string[]): void {
+		// The length of a stream is not known: another upstream may go on with it.
+		this.#response.writeHead(status, withoutLength(headers));
+		this.#response.flushHeaders();
+	}
+
+	/** Sends a part of a streamed answer. */
+	write(chunk: Uint8Array): void {
+		this.#sentBytes += chunk.length;
+		this.#response.write(chunk);
+	}
+
+	/** Ends a streamed answer as complete. */
+	end(): void {
+		this.#response.end();
+	}
+
+	/** Sends a whole answer. */
+	sendWhole(status: number, headers: readonly string[], body: Uint8Array): void {
+		this.#sentBytes += body.length;
+		this.#response.writeHead(status, [...withoutLength(headers), 'content-length', String(body.length)]);
+		this.#response.end(body);
+	}
+
+	/** Sends an answer of the daemon's own. */
+	refuse(refusal: Refusal): void {
+		const {status, headers, body} = this.#protocol.encodeRefusal(refusal, this.#requestId);
+		this.#response.writeHead(status, [...headers, 'content-length', String(Buffer.byteLength(body))]);
+		this.#response.end(body);
+	}
+
+	/** Breaks off a streamed answer, so that it does not look complete. */
+	abort(): void {
+		this.#response.destroy();
+	}
+}
+
+function withoutLength(headers: readonly string[]): string[] {
+	const kept: string[] = [];
+	for (let index = 0; index + 1 < headers.length; index += 2) {
+		if (headers[index]!.toLowerCase() !== 'content-length') {
+			kept.push(headers[index]!, headers[index + 1]!);
+		}
+	}
+
+	return kept;
+}
--- /dev/null
+++ b/src/connection/links/exchange.ts
@@ -0,0 +1,125 @@
+import type {Dispatcher} from 'undici';
+
+/** Why an exchange did not end with a whole answer. */
+export type ExchangeFailure = {
+	/** False only when no byte of the request can have reached the upstream. */
+	readonly wasSent: boolean;
+	/** `refused`: the connection was refused; `unreachable`: it was not established in time; `lost`: it broke; `cancelled`: the daemon ended it. */
+	readonly kind: 'refused' | 'unreachable' | 'lost' | 'cancelled';
+	readonly message: string;
+};
+
+/** Receives the course of one exchange; calls are synchronous and end with `onEnd` or `onFailed`. */
+export type ExchangeListener = {
+	/** The request is about to be written: from now on it may run. */
+	readonly onStarted: () => void;
+	readonly onHead: (status: number, headers: Readonly<Record<string, string | string[] | undefined>>) => void;
+	readonly onData: (chunk: Uint8Array) => void;
+	readonly onEnd: () => void;
+	readonly onFailed: (failure: ExchangeFailure) => void;
+};
+
+class ExchangeCancelledError extends Error {}
+
+const unreachableCodes: ReadonlySet<string> = new Set(['UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'ETIMEDOUT']);
+
+/** One request on one connection. */
+export class Exchange implements Dispatcher.DispatchHandler {
+	readonly #listener: ExchangeListener;
+	readonly #destroy: (reason: Error) => void;
+	#controller: Dispatcher.DispatchController | undefined;
+	#isStarted = false;
+	#isOver = false;
+	#isUnreachable = false;
+
+	constructor(listener: ExchangeListener, destroy: (reason: Error) => void) {
+		this.#listener = listener;
+		this.#destroy = destroy;
+	}
+
+	/** True once the request may have reached the upstream. */
+	get isStarted(): boolean {
+		return this.#isStarted;
+	}
+
+	/** True once the exchange has ended either way. */
+	get isOver(): boolean {
+		return this.#isOver;
+	}
+
+	/** Ends the exchange and closes its connection, which makes most upstreams stop the work. */
+	cancel(message: string): void {
+		if (!this.#isOver) {
+			this.#abort(new ExchangeCancelledError(message));
+		}
+	}
+
+	/** Ends the exchange if its connection has not been established yet. */
+	giveUpConnecting(message: string): void {
+		if (!this.#isStarted && !this.#isOver) {
+			this.#isUnreachable = true;
+			this.#abort(new Error(message));
+		}
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		this.#controller = controller;
+		if (this.#isStarted || this.#isOver) {
+			// The client library would write the request a second time on a new connection.
+			controller.abort(new ExchangeCancelledError('the request must not be written again'));
+			return;
+		}
+
+		this.#isStarted = true;
+		this.#listener.onStarted();
+	}
+
+	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: Readonly<Record<string, string | string[] | undefined>>): void {
+		if (!this.#isOver && status >= 200) {
+			this.#listener.onHead(status, headers);
+		}
+	}
+
+	onResponseData(_controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
+		if (!this.#isOver) {
+			this.#listener.onData(chunk);
+		}
+	}
+
+	onResponseEnd(): void {
+		if (!this.#isOver) {
+			this.#isOver = true;
+			this.#listener.onEnd();
+		}
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+		if (!this.#isOver) {
+			this.#isOver = true;
+			this.#listener.onFailed({wasSent: this.#isStarted, kind: this.#classify(error), message: error.message});
+		}
+	}
+
+	#abort(error: Error): void {
+		if (this.#controller === undefined) {
+			this.#destroy(error);
+		} else {
+			this.#controller.abort(error);
+		}
+
+		this.onResponseError(undefined as never, error);
+	}
+
+	#classify(error: Error): ExchangeFailure['kind'] {
+		if (error instanceof ExchangeCancelledError) {
+			return 'cancelled';
+		}
+
+		const {code = ''} = error as {readonly code?: string};
+		if (code === 'ECONNREFUSED') {
+			return 'refused';
+		}
+
+		return this.#isUnreachable || unreachableCodes.has(code) ? 'unreachable' : 'lost';
+	}
+}
--- /dev/null
+++ b/src/connection/links/upstream-call.ts
@@ -0,0 +1,76 @@
+import {Buffer} from 'node:buffer';
+import type {UpstreamAnswer, UpstreamProtocol, WireRequest} from '../../ports/upstream-protocol.ts';
+import type {Upstream} from '../../ports/upstream.ts';
+import type {ExchangeFailure} from './exchange.ts';
+import type {UpstreamLinks} from './upstream-links.ts';
+
+/** Outcome of a call whose answer is taken as a whole. */
+export type CallResult
+	= | {readonly kind: 'answered'; readonly answer: UpstreamAnswer; readonly body: Uint8Array}
+		| {readonly kind: 'failed'; readonly failure: ExchangeFailure};
+
+/** How a call is made. */
+export type CallOptions = {
+	readonly links: UpstreamLinks;
+	readonly protocol: UpstreamProtocol;
+	readonly upstream: Upstream;
+	readonly wire: WireRequest;
+	/** Limit on the whole call, in milliseconds. */
+	readonly timeoutMs: number;
+	readonly signal?: AbortSignal;
+};
+
+/** Largest answer that is taken as a whole. */
+const answerLimitBytes = 8 * 1024 * 1024;
+
+/** Makes a call and takes its answer as a whole; never rejects. */
+export async function callUpstream({links, protocol, upstream, wire, timeoutMs, signal}: CallOptions): Promise<CallResult> {
+	const {promise, resolve} = Promise.withResolvers<CallResult>();
+	const chunks: Uint8Array[] = [];
+	let size = 0;
+	let answer: UpstreamAnswer | undefined;
+	const exchange = links.send(upstream, wire, {
+		onStarted() {
+			// Only the outcome matters for a call taken as a whole.
+		},
+		onHead(status, headers) {
+			answer = protocol.decodeAnswer(status, headers);
+		},
+		onData(chunk) {
+			size += chunk.length;
+			if (size > answerLimitBytes) {
+				exchange.cancel('the answer is too large');
+				return;
+			}
+
+			// The library reuses the memory of a chunk.
+			chunks.push(Buffer.from(chunk));
+		},
+		onEnd() {
+			resolve(answer === undefined
+				? {kind: 'failed', failure: {wasSent: true, kind: 'lost', message: 'the answer has no head'}}
+				: {kind: 'answered', answer, body: Buffer.concat(chunks)});
+		},
+		onFailed(failure) {
+			resolve({kind: 'failed', failure});
+		},
+	});
+	const timer = setTimeout(() => {
+		exchange.cancel(`no answer within ${Math.round(timeoutMs)} ms`);
+	}, timeoutMs);
+	const cancel = () => {
+		exchange.cancel('the caller has gone');
+	};
+
+	signal?.addEventListener('abort', cancel);
+	if (signal?.aborted === true) {
+		cancel();
+	}
+
+	try {
+		return await promise;
+	} finally {
+		clearTimeout(timer);
+		signal?.removeEventListener('abort', cancel);
+	}
+}
--- /dev/null
+++ b/src/connection/links/upstream-links.ts
@@ -0,0 +1,155 @@
+import {Client} from 'undici';
+import type {WireRequest} from '../../ports/upstream-protocol.ts';
+import type {Upstream} from '../../ports/upstream.ts';
+import type {Clock} from '../../process/clock.ts';
+import {Exchange, type ExchangeListener} from './exchange.ts';
+
+/** Times of connections to upstreams, in milliseconds. */
+export type LinkTimes = {
+	/** Limit on establishing a connection within the deployment, where a round trip takes a few milliseconds. */
+	readonly connectMs: number;
+	/** A connection idle for longer is not used again, since the upstream may be closing it. */
+	readonly idleMs: number;
+};
+
+/** Times for hosts of one region. */
+export const linkTimes: LinkTimes = {connectMs: 400, idleMs: 2000};
+
+type Kept = {
+	readonly client: Client;
+	readonly idleSince: number;
+};
+
+const answerHeadLimitBytes = 64 * 1024;
+
+/** Connections to all upstreams; each carries one request at a time and is kept for the next one only after a whole answer. */
+export class UpstreamLinks implements AsyncDisposable {
+	readonly #clock: Clock;
+	readonly #times: LinkTimes;
+	readonly #idle = new Map<string, Kept[]>();
+	readonly #open = new Set<Client>();
+	#opened = 0;
+
+	constructor(clock: Clock, times: LinkTimes = linkTimes) {
+		this.#clock = clock;
+		this.#times = times;
+	}
+
+	/** Connections opened so far. */
+	get opened(): number {
+		return this.#opened;
+	}
+
+	/** Sends a request on an idle connection, or on a new one. */
+	send({id, address}: Upstream, {method, path, headers, body}: WireRequest, listener: ExchangeListener): Exchange {
+		const client = this.#takeIdle(id) ?? this.#connect(address);
+		const timer = setTimeout(() => {
+			exchange.giveUpConnecting(`no connection within ${this.#times.connectMs} ms`);
+		}, this.#times.connectMs);
+		const exchange = new Exchange({
+			...listener,
+			onStarted: () => {
+				clearTimeout(timer);
+				listener.onStarted();
+			},
+			onEnd: () => {
+				this.#keep(id, client);
+				listener.onEnd();
+			},
+			onFailed: failure => {
+				clearTimeout(timer);
+				this.#close(client);
+				listener.onFailed(failure);
+			},
+		}, reason => {
+			void client.destroy(reason);
+		});
+		try {
+			client.dispatch({
+				method: method as 'GET', path, headers: [...headers], body: body.length === 0 ? null : body, headersTimeout: 0, bodyTimeout: 0,
+			}, exchange);
+		} catch (error) {
+			exchange.onResponseError(undefined as never, error as Error);
+		}
+
+		return exchange;
+	}
+
+	/** Closes the idle connections of an upstream that is gone or whose connections went silent. */
+	forget(id: string): void {
+		for (const {client} of this.#idle.get(id) ?? []) {
+			this.#close(client);
+		}
+
+		this.#idle.delete(id);
+	}
+
+	/** Closes connections that have been idle for too long. */
+	sweep(): void {
+		const oldest = this.#clock.now() - this.#times.idleMs;
+		for (const [id, kept] of this.#idle) {
+			const live = kept.filter(({idleSince}) => idleSince >= oldest);
+			for (const {client} of kept.filter(({idleSince}) => idleSince < oldest)) {
+				this.#close(client);
+			}
+
+			if (live.length === 0) {
+				this.#idle.delete(id);
+			} else {
+				this.#idle.set(id, live);
+			}
+		}
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		await Promise.all([...this.#open].map(async client => client.destroy()));
+	}
+
+	#connect(address: string): Client {
+		this.#opened += 1;
+		const client = new Client(`http://${address}`, {
+			pipelining: 1,
+			connect: {timeout: this.#times.connectMs * 2},
+			keepAliveTimeout: this.#times.idleMs,
+			keepAliveMaxTimeout: this.#times.idleMs,
+			keepAliveTimeoutThreshold: 500,
+			maxHeaderSize: answerHeadLimitBytes,
+		});
+		this.#open.add(client);
+		client.on('disconnect', () => {
+			this.#close(client);
+		});
+		return client;
+	}
+
+	#takeIdle(id: string): Client | undefined {
+		const kept = this.#idle.get(id);
+		const oldest = this.#clock.now() - this.#times.idleMs;
+		for (let last = kept?.pop(); last !== undefined; last = kept?.pop()) {
+			if (this.#open.has(last.client) && last.idleSince >= oldest) {
+				return last.client;
+			}
+
+			this.#close(last.client);
+		}
+
+		return undefined;
+	}
+
+	/** The library closes a connection that is not to be kept right after its answer, which is then found on use. */
+	#keep(id: string, client: Client): void {
+		if (!this.#open.has(client)) {
+			return;
+		}
+
+		const kept = this.#idle.get(id) ?? [];
+		kept.push({client, idleSince: this.#clock.now()});
+		this.#idle.set(id, kept);
+	}
+
+	#close(client: Client): void {
+		if (this.#open.delete(client)) {
+			void client.destroy();
+		}
+	}
+}
--- a/src/connection/order-channel.ts
+++ b/src/connection/order-channel.ts
@@ -1,7 +1,7 @@
 import {request as createRequest} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {parseAddress} from '../process/address.ts';
-import type {Order, OrderOutcome} from '../platform/engine.ts';
+import type {Order, OrderOutcome} from '../ports/order.ts';
 
 /** Conditions under which an order is sent. */
 export type OrderChannelOptions = {
--- a/src/demo/local-deployment.ts
+++ b/src/demo/local-deployment.ts
@@ -1,4 +1,4 @@
-import type {Host} from '../platform/host-list.ts';
+import type {Host} from '../ports/host-list.ts';
 import type {Log} from '../process/log.ts';
 import {createDaemon, type Daemon, type DaemonTuning} from '../process/wiring.ts';
 import {EngineServer, type EngineOptions} from '../stand-ins/engine/engine-server.ts';
--- a/src/demo/seed-configuration.ts
+++ b/src/demo/seed-configuration.ts
@@ -1,5 +1,5 @@
-import type {ObjectStore} from '../platform/object-store.ts';
-import type {Table} from '../platform/table.ts';
+import type {ObjectStore} from '../ports/object-store.ts';
+import type {Table} from '../ports/table.ts';
 import {Administration} from '../process/administration/administration.ts';
 import {hashKey} from '../process/key-directory.ts';
 import {parseContract, type Contract} from '../version/contract.ts';
--- /dev/null
+++ b/src/fleet-main.ts
@@ -0,0 +1,56 @@
+/* eslint-disable import-x/no-unassigned-import -- These two must come before all other modules. */
+import './with-resolvers.ts';
+import './process/heap.ts';
+/* eslint-enable import-x/no-unassigned-import */
+import {readFile} from 'node:fs/promises';
+import process from 'node:process';
+import {platformSettingsPath, createPlatform} from '../platform/platform.ts';
+import {DecisionLog} from './process/fleet/decision-log.ts';
+import {FleetDaemon} from './process/fleet/fleet-daemon.ts';
+import {formatFinding} from './version/finding.ts';
+import {parseFleetSettings, type FleetSettings} from './version/fleet-settings.ts';
+
+async function main(): Promise<void> {
+	const path = platformSettingsPath(process.env);
+	const settings = parseFleetSettings(await readFile(path, 'utf8'), path);
+	await settings.caseOf({
+		async Left(findings) {
+			for (const finding of findings) {
+				console.error(formatFinding(finding));
+			}
+
+			process.exitCode = 1;
+		},
+		async Right(value) {
+			await serve(value);
+		},
+	});
+}
+
+async function serve(settings: FleetSettings): Promise<void> {
+	const log = new DecisionLog({daemon: settings.daemon.name});
+	const daemon = new FleetDaemon({
+		settings, platform: createPlatform(settings.store.address), log, seed: Math.floor(Math.random() * (2 ** 31)),
+	});
+	await daemon.start();
+	let isStopping = false;
+	process.on('SIGTERM', async () => {
+		if (!isStopping) {
+			isStopping = true;
+			await daemon.stop();
+			// Connections that are still open have no request on them.
+			// eslint-disable-next-line unicorn/no-process-exit
+			process.exit(0);
+		}
+	});
+	process.on('SIGHUP', () => {
+		log.write('process.reload', {});
+	});
+}
+
+// The daemon is bundled as CommonJS, which has no top-level await.
+// eslint-disable-next-line unicorn/prefer-top-level-await
+void main().catch((error: unknown) => {
+	console.error(error instanceof Error ? error.stack : String(error));
+	process.exitCode = 1;
+});
--- a/src/index.ts
+++ b/src/index.ts
@@ -98,19 +98,22 @@
 
 // Ports, clock, random numbers and tasks
 export {Left, Right, type Either} from 'purify-ts';
-export {DynamoTable} from './platform/dynamo-table.ts';
+export {DynamoTable} from './ports/dynamo-table.ts';
 export {
-	Engine, engineRoles, HttpEngine, type EngineRole, type EngineState, type Order, type OrderOutcome, type WantedState,
-} from './platform/engine.ts';
+	Engine, HttpEngine, type EngineState,
+} from './ports/engine.ts';
 export {
 	HostList, HttpHostList, type Host, type HostState,
-} from './platform/host-list.ts';
+} from './ports/host-list.ts';
+export {
+	engineRoles, type EngineRole, type Order, type OrderOutcome, type WantedState,
+} from './ports/order.ts';
 export {
 	HttpObjectStore, ObjectStore, type ObjectCondition, type ObjectFailure, type StoredObject,
-} from './platform/object-store.ts';
+} from './ports/object-store.ts';
 export {
 	Table, type Row, type RowKey, type RowWrite, type StoreFailure,
-} from './platform/table.ts';
+} from './ports/table.ts';
 export {Clock, ManualClock, SystemClock} from './process/clock.ts';
 export {
 	createLog, Log, logLevels, type LogFields, type LogLevel,
--- a/src/process/administration/administration.ts
+++ b/src/process/administration/administration.ts
@@ -1,7 +1,7 @@
 import {randomBytes} from 'node:crypto';
 import {EitherAsync, type Either} from 'purify-ts';
-import type {ObjectStore} from '../../platform/object-store.ts';
-import type {Row, Table} from '../../platform/table.ts';
+import type {ObjectStore} from '../../ports/object-store.ts';
+import type {Row, Table} from '../../ports/table.ts';
 import {
 	parseEntry, parseHolder, type ConfigurationEntry, type KeyHolder,
 } from '../../version/configuration.ts';
--- a/src/process/administration/change-plans.ts
+++ b/src/process/administration/change-plans.ts
@@ -1,7 +1,7 @@
 import {
 	EitherAsync, Left, Right, type Either,
 } from 'purify-ts';
-import type {Row, RowKey, Table} from '../../platform/table.ts';
+import type {Row, RowKey, Table} from '../../ports/table.ts';
 import {parseEntry, parseHolder, type KeyHolder} from '../../version/configuration.ts';
 import type {Contract} from '../../version/contract.ts';
 import {
--- a/src/process/administration/configuration-writer.ts
+++ b/src/process/administration/configuration-writer.ts
@@ -5,7 +5,7 @@
 import {z} from 'zod';
 import type {
 	Row, RowKey, RowWrite, StoreFailure, Table,
-} from '../../platform/table.ts';
+} from '../../ports/table.ts';
 import {
 	formatVersion, headKey, parseHead, toEntryKey, type ConfigurationEntry,
 } from '../../version/configuration.ts';
--- a/src/process/administration/snapshot-writer.ts
+++ b/src/process/administration/snapshot-writer.ts
@@ -1,6 +1,6 @@
 import {EitherAsync, type Either} from 'purify-ts';
-import type {ObjectFailure, ObjectStore} from '../../platform/object-store.ts';
-import type {StoreFailure, Table} from '../../platform/table.ts';
+import type {ObjectFailure, ObjectStore} from '../../ports/object-store.ts';
+import type {StoreFailure, Table} from '../../ports/table.ts';
 import {
 	entryKinds, formatSnapshot, headKey, parseEntry, parseHead, snapshotInterval, toSnapshotName, type ConfigurationDifference,
 } from '../../version/configuration.ts';
--- a/src/process/authority.ts
+++ b/src/process/authority.ts
@@ -1,8 +1,9 @@
 import {randomUUID} from 'node:crypto';
 import type {Either} from 'purify-ts';
-import type {Engine, EngineRole} from '../platform/engine.ts';
-import type {Host} from '../platform/host-list.ts';
-import type {Table} from '../platform/table.ts';
+import type {Engine} from '../ports/engine.ts';
+import type {EngineRole} from '../ports/order.ts';
+import type {Host} from '../ports/host-list.ts';
+import type {Table} from '../ports/table.ts';
 import type {PlanStep} from '../version/fleet-plan.ts';
 import type {Clock} from './clock.ts';
 import {groupName, selectCandidates} from './lease/candidates.ts';
--- a/src/process/claims/claim-settler.ts
+++ b/src/process/claims/claim-settler.ts
@@ -1,6 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import type {ObjectStore} from '../../platform/object-store.ts';
-import type {RowKey, Table} from '../../platform/table.ts';
+import type {ObjectStore} from '../../ports/object-store.ts';
+import type {RowKey, Table} from '../../ports/table.ts';
 import {parseClaimRecord, type ClaimRecord} from '../../request/claim.ts';
 import type {Log} from '../log.ts';
 import type {WriteBatcher} from './write-batcher.ts';
--- a/src/process/claims/claim-sweeper.ts
+++ b/src/process/claims/claim-sweeper.ts
@@ -1,5 +1,5 @@
-import type {ObjectStore} from '../../platform/object-store.ts';
-import type {Row, Table} from '../../platform/table.ts';
+import type {ObjectStore} from '../../ports/object-store.ts';
+import type {Row, Table} from '../../ports/table.ts';
 import {parseClaimRecord} from '../../request/claim.ts';
 import type {Log} from '../log.ts';
 import {Task} from '../task.ts';
--- a/src/process/claims/platform-claim-store.ts
+++ b/src/process/claims/platform-claim-store.ts
@@ -1,9 +1,9 @@
 import {randomUUID} from 'node:crypto';
 import {Either, Left, Right} from 'purify-ts';
-import type {ObjectStore} from '../../platform/object-store.ts';
+import type {ObjectStore} from '../../ports/object-store.ts';
 import type {
 	Row, RowKey, StoreFailure, Table,
-} from '../../platform/table.ts';
+} from '../../ports/table.ts';
 import type {CallerError} from '../../request/caller-error.ts';
 import {
 	Claim, ClaimStore, type ClaimGrant, type ClaimRequest, type StoredAnswer,
--- a/src/process/claims/write-batcher.ts
+++ b/src/process/claims/write-batcher.ts
@@ -1,5 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import type {RowWrite, StoreFailure, Table} from '../../platform/table.ts';
+import type {RowWrite, StoreFailure, Table} from '../../ports/table.ts';
 
 /** Result of one write; only `unknown` leaves open whether it was applied. */
 export type WriteOutcome = 'written' | StoreFailure['kind'];
--- a/src/process/cli/fleet-view.ts
+++ b/src/process/cli/fleet-view.ts
@@ -1,7 +1,7 @@
 import {EitherAsync, type Either} from 'purify-ts';
-import {HttpEngine, type EngineState} from '../../platform/engine.ts';
-import {HttpHostList, type Host} from '../../platform/host-list.ts';
-import type {Table} from '../../platform/table.ts';
+import {HttpEngine, type EngineState} from '../../ports/engine.ts';
+import {HttpHostList, type Host} from '../../ports/host-list.ts';
+import type {Table} from '../../ports/table.ts';
 import type {ChangeFailure} from '../administration/configuration-writer.ts';
 import {groupName} from '../lease/candidates.ts';
 import type {FleetView} from '../orders/plan-check.ts';
--- a/src/process/cli/operator-options.ts
+++ b/src/process/cli/operator-options.ts
@@ -4,9 +4,9 @@
 	EitherAsync, Left, Right, type Either,
 } from 'purify-ts';
 import type {Argv} from 'yargs';
-import {DynamoTable} from '../../platform/dynamo-table.ts';
-import {HttpObjectStore, type ObjectStore} from '../../platform/object-store.ts';
-import type {Table} from '../../platform/table.ts';
+import {DynamoTable} from '../../ports/dynamo-table.ts';
+import {HttpObjectStore, type ObjectStore} from '../../ports/object-store.ts';
+import type {Table} from '../../ports/table.ts';
 import {formatFinding} from '../../version/finding.ts';
 import {readPlatformSettings} from '../../version/settings.ts';
 import {authenticate, type Operator} from '../administration/change-plans.ts';
--- a/src/process/configuration-task.ts
+++ b/src/process/configuration-task.ts
@@ -1,5 +1,5 @@
-import type {ObjectStore} from '../platform/object-store.ts';
-import type {Table} from '../platform/table.ts';
+import type {ObjectStore} from '../ports/object-store.ts';
+import type {Table} from '../ports/table.ts';
 import {parseHolder, type ConfigurationDifference, type ConfigurationEntry} from '../version/configuration.ts';
 import type {Contract} from '../version/contract.ts';
 import type {Clock} from './clock.ts';
--- a/src/process/configuration/table-configuration-source.ts
+++ b/src/process/configuration/table-configuration-source.ts
@@ -1,6 +1,6 @@
 import {EitherAsync, Right, type Either} from 'purify-ts';
-import type {ObjectFailure, ObjectStore} from '../../platform/object-store.ts';
-import type {Row, StoreFailure, Table} from '../../platform/table.ts';
+import type {ObjectFailure, ObjectStore} from '../../ports/object-store.ts';
+import type {Row, StoreFailure, Table} from '../../ports/table.ts';
 import {
 	formatVersion, headKey, parseEntry, parseHead, parseSnapshot, snapshotInterval, toSnapshotName, type ConfigurationDifference,
 } from '../../version/configuration.ts';
--- a/src/process/crashes/crash-row-task.ts
+++ b/src/process/crashes/crash-row-task.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import type {Row, RowKey, Table} from '../../platform/table.ts';
+import type {Row, RowKey, Table} from '../../ports/table.ts';
 import type {Log} from '../log.ts';
 import {Task} from '../task.ts';
 import type {CrashNews} from './crash-suspicion.ts';
--- a/src/process/crashes/upstream-crash-register.ts
+++ b/src/process/crashes/upstream-crash-register.ts
@@ -1,4 +1,4 @@
-import type {Host} from '../../platform/host-list.ts';
+import type {Host} from '../../ports/host-list.ts';
 import type {AttemptEnd, AttemptStart} from '../../request/attempt-listener.ts';
 import {createRefusal, type CallerError} from '../../request/caller-error.ts';
 import {CrashRegister} from '../../request/crash-register.ts';
--- /dev/null
+++ b/src/process/fleet/fleet-daemon.ts
@@ -0,0 +1,231 @@
+import {createServer, type Server} from 'node:http';
+import {createCallerServer} from '../../connection/caller-server.ts';
+import {closeAbruptly, listen} from '../../connection/http-listener.ts';
+import {UpstreamLinks} from '../../connection/links/upstream-links.ts';
+import type {CallerProtocol} from '../../ports/caller-protocol.ts';
+import type {FeedRow, RowFeed} from '../../ports/row-feed.ts';
+import type {UpstreamProtocol} from '../../ports/upstream-protocol.ts';
+import type {Upstream} from '../../ports/upstream.ts';
+import type {FleetSettings} from '../../version/fleet-settings.ts';
+import {parseAddress} from '../address.ts';
+import {SystemClock} from '../clock.ts';
+import {SeededRandom} from '../random.ts';
+import {ConfigurationHolder, type ConfigurationDecoder} from './configuration-holder.ts';
+import {CrashSuspects} from './crash-suspects.ts';
+import type {DecisionLog} from './decision-log.ts';
+import {FleetDesk} from './fleet-desk.ts';
+import {FleetMetrics} from './fleet-metrics.ts';
+import {RetryAllowance} from './retry-allowance.ts';
+import {RouteFront} from './route-front.ts';
+import {createShutdownTimes, Shutdown} from './shutdown.ts';
+import {TableWatch, type WatchTimes} from './table-watch.ts';
+import {UpstreamRoster, type RosterEvent} from './upstream-roster.ts';
+import type {Either} from 'purify-ts';
+
+/** Access to the operator's platform. */
+export type Platform = {
+	readonly feed: RowFeed;
+	readonly callerProtocol: CallerProtocol;
+	readonly upstreamProtocol: UpstreamProtocol;
+	readonly tables: {readonly operator: string; readonly upstreams: string};
+	readonly configurationKey: string;
+	readonly decodeConfiguration: ConfigurationDecoder;
+	readonly decodeUpstream: (id: string, value: Uint8Array | undefined) => Either<string, Upstream>;
+};
+
+/** What the daemon is made of. */
+export type FleetDaemonOptions = {
+	readonly settings: FleetSettings;
+	readonly platform: Platform;
+	readonly log: DecisionLog;
+	readonly seed: number;
+};
+
+/** Upstreams write their entries all the time; the pause gathers them, and leaving takes effect within two seconds. */
+const rosterTimes: WatchTimes = {waitMs: 1000, pauseMs: 600};
+/** Configurations change seldom; the wait bounds how long a silent connection goes unnoticed. */
+const configurationTimes: WatchTimes = {waitMs: 2000, pauseMs: 0};
+const housekeepingMs = 250;
+const headerLimitBytes = 64 * 1024;
+const idleMarginMs = 2000;
+const mebibyte = 1024 * 1024;
+/** Part of the host's memory that request bodies may take. */
+const bodyShare = 0.2;
+
+/** One daemon on the operator's platform. */
+export class FleetDaemon implements AsyncDisposable {
+	readonly #options: FleetDaemonOptions;
+	readonly #clock = new SystemClock();
+	readonly #random: SeededRandom;
+	readonly #roster = new UpstreamRoster();
+	readonly #configuration: ConfigurationHolder;
+	readonly #links: UpstreamLinks;
+	readonly #desk: FleetDesk;
+	readonly #front: RouteFront;
+	readonly #shutdown: Shutdown;
+	readonly #metrics = new FleetMetrics();
+	readonly #watches: readonly TableWatch[];
+	readonly #callerServer: Server;
+	readonly #readinessServer: Server;
+	readonly #metricsServer: Server;
+	#isListed = false;
+	#housekeeping: NodeJS.Timeout | undefined;
+
+	constructor(options: FleetDaemonOptions) {
+		this.#options = options;
+		const {settings, platform, log, seed} = options;
+		this.#random = new SeededRandom(seed);
+		this.#configuration = new ConfigurationHolder(platform.configurationKey, platform.decodeConfiguration, log);
+		this.#links = new UpstreamLinks(this.#clock);
+		const clock = this.#clock;
+		this.#desk = new FleetDesk({
+			clock,
+			random: this.#random,
+			log,
+			roster: this.#roster,
+			availabilityZone: settings.daemon.availabilityZone,
+			services: () => this.#configuration.table?.services ?? new Map(),
+		});
+		const {retryRatio, retrySlack, retryWindowMs, graceMs} = settings.bounds;
+		const tools = {
+			clock,
+			links: this.#links,
+			protocol: platform.upstreamProtocol,
+			desk: this.#desk,
+			allowance: new RetryAllowance({ratio: retryRatio, slack: retrySlack, windowMs: retryWindowMs}),
+			crashes: new CrashSuspects(() => clock.now()),
+			log,
+		};
+		this.#front = new RouteFront({
+			tools,
+			protocol: platform.callerProtocol,
+			random: this.#random,
+			metrics: this.#metrics,
+			routes: () => this.#configuration.table,
+			isClosing: () => this.#shutdown.isClosing,
+			bodyBudgetBytes: settings.limits.memoryMb * mebibyte * bodyShare,
+		});
+		this.#shutdown = new Shutdown(clock, log, createShutdownTimes(graceMs), () => this.#front.openRequests);
+		this.#watches = [this.#watchConfiguration(), this.#watchUpstreams()];
+		this.#callerServer = createCallerServer({headerBytes: headerLimitBytes}, (request, response) => {
+			void this.#front.handle(request, response);
+		});
+		this.#readinessServer = createServer((request, response) => {
+			const isAsked = platform.callerProtocol.isReadinessPath(request.url ?? '/');
+			response.statusCode = isAsked ? (this.isReady ? 200 : 503) : 404;
+			response.end();
+		});
+		this.#metricsServer = createServer(async (_request, response) => {
+			const {contentType, text} = await this.#metrics.format();
+			response.setHeader('content-type', contentType);
+			response.end(text);
+		});
+		this.#metrics.watch({
+			openRequests: () => this.#front.openRequests,
+			upstreams: () => this.#roster.size,
+			connectionsOpened: () => this.#links.opened,
+			configurationVersion: () => this.#configuration.table?.version ?? 0,
+			logLinesLeftOut: () => log.leftOut,
+		});
+	}
+
+	/** True while the daemon takes new connections. */
+	get isReady(): boolean {
+		return this.#configuration.table !== undefined && this.#isListed && !this.#shutdown.hasStarted;
+	}
+
+	/** Opens the sockets and starts to follow the platform. */
+	async start(): Promise<void> {
+		const {settings: {daemon, listen: addresses}, log} = this.#options;
+		log.write('process.started', {availabilityZone: daemon.availabilityZone, callers: addresses.callers});
+		for (const watch of this.#watches) {
+			watch.start();
+		}
+
+		await listen(this.#callerServer, parseAddress(addresses.callers));
+		await listen(this.#readinessServer, parseAddress(addresses.readiness));
+		await listen(this.#metricsServer, {host: daemon.host, port: addresses.metricsPort});
+		this.#housekeeping = setInterval(() => {
+			this.#links.sweep();
+			this.#apply(this.#roster.expire(this.#clock.now()));
+		}, housekeepingMs);
+	}
+
+	/** Stops as planned; resolves when the process may end. */
+	async stop(): Promise<void> {
+		await this.#shutdown.run();
+		await this.#options.log.flush(100);
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		clearInterval(this.#housekeeping);
+		await this.#options.platform.feed[Symbol.asyncDispose]();
+		await Promise.all(this.#watches.map(async watch => watch[Symbol.asyncDispose]()));
+		await Promise.all([this.#callerServer, this.#readinessServer, this.#metricsServer].map(async server => closeAbruptly(server)));
+		await this.#links[Symbol.asyncDispose]();
+	}
+
+	#watchConfiguration(): TableWatch {
+		const {platform, log} = this.#options;
+		const accept = (rows: readonly FeedRow[]) => {
+			this.#configuration.accept(rows);
+			const limits = this.#configuration.table?.limits;
+			if (limits !== undefined) {
+				this.#callerServer.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
+				this.#callerServer.headersTimeout = limits.headerTimeoutMs + idleMarginMs;
+			}
+		};
+
+		return new TableWatch(platform.feed, platform.tables.operator, configurationTimes, {
+			onTable: accept,
+			onChanges: accept,
+			onLost() {
+				// What was known stays in force.
+			},
+			onReturned() {
+				// The next answer brings what has changed.
+			},
+		}, log, this.#random);
+	}
+
+	#watchUpstreams(): TableWatch {
+		const {platform, log} = this.#options;
+		const decode = ({key, value}: FeedRow): readonly Upstream[] => platform.decodeUpstream(key, value).caseOf({
+			Left: cause => {
+				log.write('upstream.invalidEntry', {upstream: key, cause});
+				return [];
+			},
+			Right: (upstream): readonly Upstream[] => [upstream],
+		});
+		return new TableWatch(platform.feed, platform.tables.upstreams, rosterTimes, {
+			onTable: rows => {
+				this.#isListed = true;
+				this.#apply(this.#roster.replace(rows.filter(({isRemoved}) => !isRemoved).flatMap(row => decode(row)), this.#clock.now()));
+			},
+			onChanges: rows => {
+				const now = this.#clock.now();
+				this.#apply(rows.flatMap(row => row.isRemoved ? this.#roster.remove(row.key, now) : decode(row).flatMap(upstream => this.#roster.set(upstream))));
+			},
+			onLost: () => {
+				this.#roster.storeLost();
+			},
+			onReturned: () => {
+				this.#roster.storeReturned(this.#clock.now());
+			},
+		}, log, this.#random);
+	}
+
+	#apply(events: readonly RosterEvent[]): void {
+		for (const {kind, upstream} of events) {
+			this.#options.log.write(`upstream.${kind}`, {
+				upstream: upstream.id, service: upstream.service, address: upstream.address, availabilityZone: upstream.availabilityZone, stage: upstream.stage, heartbeat: upstream.heartbeat,
+			});
+			if (kind === 'gone') {
+				this.#links.forget(upstream.id);
+				this.#desk.forget(upstream.id);
+			} else {
+				this.#desk.update(upstream);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/process/fleet/fleet-metrics.ts
@@ -0,0 +1,79 @@
+import {
+	Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+import type {DeliveryEnd} from '../../request/delivery/delivery.ts';
+import type {Route} from '../../version/routes/route-configuration.ts';
+
+/** Values that are read when metrics are asked for. */
+export type FleetGauges = {
+	readonly openRequests: () => number;
+	readonly upstreams: () => number;
+	readonly connectionsOpened: () => number;
+	readonly configurationVersion: () => number;
+	readonly logLinesLeftOut: () => number;
+};
+
+const secondsBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 4, 8];
+
+/** Metrics of one daemon on the operator's platform; labels have few values. */
+export class FleetMetrics {
+	readonly #registry = new Registry();
+	readonly #requests = new Counter({
+		name: 'wagtailtack_route_requests_total', help: 'Requests that ended, by kind of route and outcome', labelNames: ['kind', 'outcome'], registers: [this.#registry],
+	});
+
+	readonly #sends = new Counter({
+		name: 'wagtailtack_upstream_sends_total', help: 'Sends to upstreams, by kind of route', labelNames: ['kind'], registers: [this.#registry],
+	});
+
+	readonly #firstAnswer = new Histogram({
+		name: 'wagtailtack_first_answer_seconds', help: 'Time from arrival to the answer or its first event', labelNames: ['kind', 'priority'], buckets: secondsBuckets, registers: [this.#registry],
+	});
+
+	readonly #duration = new Histogram({
+		name: 'wagtailtack_route_request_seconds', help: 'Time from arrival to the end of a request', labelNames: ['kind'], buckets: secondsBuckets, registers: [this.#registry],
+	});
+
+	/** Adds gauges whose values are read at each scrape. */
+	watch({openRequests, upstreams, connectionsOpened, configurationVersion, logLinesLeftOut}: FleetGauges): void {
+		this.#addGauge('wagtailtack_route_open_requests', 'Requests that are being served', openRequests);
+		this.#addGauge('wagtailtack_upstreams', 'Upstreams that take work', upstreams);
+		this.#addGauge('wagtailtack_upstream_connections_opened', 'Connections opened to upstreams', connectionsOpened);
+		this.#addGauge('wagtailtack_configuration_version', 'Version of the configuration in force', configurationVersion);
+		this.#addGauge('wagtailtack_log_lines_left_out', 'Log lines left out to stay within bounds', logLinesLeftOut);
+	}
+
+	/** Counts a request that was delivered or given up. */
+	requestEnded({kind, priority}: Route, {outcome, sends, firstAnswerMs}: DeliveryEnd, totalMs: number): void {
+		this.#requests.inc({kind, outcome});
+		this.#sends.inc({kind}, sends);
+		this.#duration.observe({kind}, totalMs / 1000);
+		if (firstAnswerMs !== undefined) {
+			this.#firstAnswer.observe({kind, priority}, firstAnswerMs / 1000);
+		}
+	}
+
+	/** Counts a request that was refused before it was placed. */
+	requestRefused(kind: string, totalMs: number): void {
+		this.#requests.inc({kind: 'none', outcome: kind});
+		this.#duration.observe({kind: 'none'}, totalMs / 1000);
+	}
+
+	/** Formats all metrics as Prometheus text. */
+	async format(): Promise<{readonly contentType: string; readonly text: string}> {
+		return {contentType: this.#registry.contentType, text: await this.#registry.metrics()};
+	}
+
+	#addGauge(name: string, help: string, read: () => number): void {
+		// The registry keeps the gauge and calls it at each scrape.
+		// eslint-disable-next-line no-new
+		new Gauge({
+			name,
+			help,
+			registers: [this.#registry],
+			collect() {
+				this.set(read());
+			},
+		});
+	}
+}
--- /dev/null
+++ b/src/process/fleet/prompt-cache.ts
@@ -0,0 +1,52 @@
+import type {PromptPart} from '../../request/delivery/route-request.ts';
+
+/** Estimate of the prompt parts that one upstream keeps in its memory; the least recently used ones yield. */
+export class PromptCache {
+	readonly #parts = new Map<string, number>();
+	#tokens = 0;
+	#limit: number;
+
+	constructor(limitTokens: number) {
+		this.#limit = limitTokens;
+	}
+
+	/** Tokens kept, as estimated. */
+	get tokens(): number {
+		return this.#tokens;
+	}
+
+	/** Number of leading parts that are kept; a part counts only if all parts before it are kept too. */
+	keptParts(parts: readonly PromptPart[]): number {
+		const missing = parts.findIndex(({id}) => !this.#parts.has(id));
+		return missing === -1 ? parts.length : missing;
+	}
+
+	/** Tokens of the prompt that have to be read. */
+	missingTokens(parts: readonly PromptPart[]): number {
+		return parts.slice(this.keptParts(parts)).reduce((sum, {tokens}) => sum + tokens, 0);
+	}
+
+	/** Notes that the upstream has read or fetched a prompt. */
+	touch(parts: readonly PromptPart[]): void {
+		for (const {id, tokens} of parts) {
+			this.#tokens -= this.#parts.get(id) ?? 0;
+			this.#parts.delete(id);
+			this.#parts.set(id, tokens);
+			this.#tokens += tokens;
+		}
+
+		for (const [id, tokens] of this.#parts) {
+			if (this.#tokens <= this.#limit) {
+				return;
+			}
+
+			this.#parts.delete(id);
+			this.#tokens -= tokens;
+		}
+	}
+
+	/** Sets the memory that is there for parts. */
+	resize(limitTokens: number): void {
+		this.#limit = limitTokens;
+	}
+}
--- /dev/null
+++ b/src/process/fleet/table-watch.ts
@@ -0,0 +1,128 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import type {FeedFailure, FeedRow, RowFeed} from '../../ports/row-feed.ts';
+import type {Random} from '../random.ts';
+import type {DecisionLog} from './decision-log.ts';
+
+/** Pace of a watch, in milliseconds. */
+export type WatchTimes = {
+	/** Longest wait of one call; it also bounds how long a silent connection goes unnoticed. */
+	readonly waitMs: number;
+	/** Pause between calls, so that rows that change all the time are read together. */
+	readonly pauseMs: number;
+};
+
+/** Receives the rows of a table; calls are synchronous. */
+export type WatchListener = {
+	/** The whole table, at the start and after lost history. */
+	readonly onTable: (rows: readonly FeedRow[]) => void;
+	readonly onChanges: (rows: readonly FeedRow[]) => void;
+	readonly onLost: () => void;
+	/** The store answers again; called before the rows of that answer are delivered. */
+	readonly onReturned: () => void;
+};
+
+const shortestBackOffMs = 100;
+const longestBackOffMs = 600;
+
+/** Keeps up with one table of the platform by its change feed. */
+export class TableWatch implements AsyncDisposable {
+	readonly #feed: RowFeed;
+	readonly #table: string;
+	readonly #times: WatchTimes;
+	readonly #listener: WatchListener;
+	readonly #log: DecisionLog;
+	readonly #random: Random;
+	readonly #stop = new AbortController();
+	#version: number | undefined;
+	#failures = 0;
+	#running: Promise<void> = Promise.resolve();
+
+	constructor(feed: RowFeed, table: string, times: WatchTimes, listener: WatchListener, log: DecisionLog, random: Random) {
+		this.#feed = feed;
+		this.#table = table;
+		this.#times = times;
+		this.#listener = listener;
+		this.#log = log;
+		this.#random = random;
+	}
+
+	/** Starts watching. */
+	start(): void {
+		this.#running = this.#run();
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#stop.abort();
+		await this.#running;
+	}
+
+	async #run(): Promise<void> {
+		while (!this.#stop.signal.aborted) {
+			await this.#step();
+			await this.#pause(this.#failures === 0 ? this.#times.pauseMs : this.#backOffMs());
+		}
+	}
+
+	async #step(): Promise<void> {
+		const {waitMs} = this.#times;
+		const isWhole = this.#version === undefined;
+		const page = this.#version === undefined
+			? await this.#feed.read(this.#table)
+			: await this.#feed.changes(this.#table, this.#version, waitMs);
+		if (this.#stop.signal.aborted) {
+			return;
+		}
+
+		page.caseOf({
+			Left: failure => {
+				this.#fail(failure);
+			},
+			Right: ({rows, version}) => {
+				this.#succeed();
+				this.#version = version;
+				if (isWhole) {
+					this.#listener.onTable(rows);
+				} else if (rows.length > 0) {
+					this.#listener.onChanges(rows);
+				}
+			},
+		});
+	}
+
+	#succeed(): void {
+		if (this.#failures > 0) {
+			this.#log.write('store.regained', {table: this.#table, failures: this.#failures});
+			this.#listener.onReturned();
+		}
+
+		this.#failures = 0;
+	}
+
+	#fail({kind, message}: FeedFailure): void {
+		if (kind === 'history-lost') {
+			// The answer itself shows that the store is there.
+			this.#log.write('store.historyLost', {table: this.#table, version: this.#version});
+			this.#version = undefined;
+			return;
+		}
+
+		this.#failures += 1;
+		if (this.#failures === 1) {
+			this.#log.write('store.lost', {table: this.#table, kind, cause: message});
+			this.#listener.onLost();
+		}
+	}
+
+	#backOffMs(): number {
+		const bound = Math.min(longestBackOffMs, shortestBackOffMs * (2 ** (this.#failures - 1)));
+		return bound * (0.5 + (this.#random.next() / 2));
+	}
+
+	async #pause(ms: number): Promise<void> {
+		try {
+			await delay(ms, undefined, {signal: this.#stop.signal});
+		} catch {
+			// The watch is being stopped.
+		}
+	}
+}
--- /dev/null
+++ b/src/process/fleet/upstream-state.ts
@@ -0,0 +1,184 @@
+import type {Upstream} from '../../ports/upstream.ts';
+import type {StatedLoad} from '../../ports/upstream-protocol.ts';
+import type {SendEnd} from '../../request/delivery/upstream-desk.ts';
+import {PromptCache} from './prompt-cache.ts';
+
+/** A stated load counts less as it ages and not at all after this time, in milliseconds. */
+const statedLoadMs = 500;
+/** Weight of the newest observation in moving averages. */
+const smoothing = 0.2;
+const shortestAvoidanceMs = 300;
+const longestAvoidanceMs = 4000;
+/** An upstream whose connections are refused is gone or restarting; its next heartbeat tells. */
+const refusedAvoidanceMs = 2000;
+const slowestPace = 10;
+const fastestPace = 0.3;
+const neverAvoided = Number.NEGATIVE_INFINITY;
+
+/** Sends of one upstream that have not ended, as this daemon knows them. */
+type Outstanding = {
+	runs: number;
+	prefillTokens: number;
+	prefills: number;
+};
+
+/** What this daemon has learnt of one upstream: its own sends, the load it states, and how sends have ended. */
+export class UpstreamState {
+	readonly cache: PromptCache;
+	#upstream: Upstream;
+	readonly #outstanding: Outstanding = {runs: 0, prefillTokens: 0, prefills: 0};
+	#stated: {readonly load: StatedLoad; readonly at: number; readonly ownRuns: number} | undefined;
+	#pace = 1;
+	#failureShare = 0;
+	#consecutiveFailures = 0;
+	#avoidedUntil = neverAvoided;
+	/** Heartbeat that must be exceeded before an upstream that was refused or misdirected is used again. */
+	#awaitedHeartbeat = neverAvoided;
+
+	constructor(upstream: Upstream, cacheTokens: number) {
+		this.#upstream = upstream;
+		this.cache = new PromptCache(cacheTokens);
+	}
+
+	/** The upstream as last listed. */
+	get upstream(): Upstream {
+		return this.#upstream;
+	}
+
+	/** Own requests that run or wait there. */
+	get runs(): number {
+		return this.#outstanding.runs;
+	}
+
+	/** Own prompts that are being read there. */
+	get prefills(): number {
+		return this.#outstanding.prefills;
+	}
+
+	/** Tokens of own prompts that are being read there. */
+	get prefillTokens(): number {
+		return this.#outstanding.prefillTokens;
+	}
+
+	/** Time that work takes relative to what was predicted. */
+	get pace(): number {
+		return this.#pace;
+	}
+
+	/** Moving average of the share of sends that failed. */
+	get failureShare(): number {
+		return this.#failureShare;
+	}
+
+	/** Takes a newer entry of the list. */
+	update(upstream: Upstream): void {
+		if (upstream.stage !== this.#upstream.stage || upstream.startedAt !== this.#upstream.startedAt) {
+			this.#pace = 1;
+			this.#stated = undefined;
+		}
+
+		this.#upstream = upstream;
+	}
+
+	/** True while the upstream is used only if there is no other one. */
+	isAvoided(now: number): boolean {
+		return now < this.#avoidedUntil || this.isAbsent;
+	}
+
+	/** True while the address is refused or belongs to another upstream, as far as is known. */
+	get isAbsent(): boolean {
+		return this.#upstream.heartbeat <= this.#awaitedHeartbeat;
+	}
+
+	/** Requests of others that run or wait there, as far as a recent answer told. */
+	othersRuns(now: number): number {
+		if (this.#stated === undefined) {
+			return 0;
+		}
+
+		const {load, at, ownRuns} = this.#stated;
+		const weight = Math.max(0, 1 - ((now - at) / statedLoadMs));
+		return Math.max(0, load.running + load.waiting - ownRuns) * weight;
+	}
+
+	/** How long work takes on the upstream's host at the moment, relative to the usual 1. */
+	slowness(now: number): number {
+		if (this.#stated === undefined) {
+			return 1;
+		}
+
+		const weight = Math.max(0, 1 - ((now - this.#stated.at) / statedLoadMs));
+		return 1 + ((this.#stated.load.slowness - 1) * weight);
+	}
+
+	/** Takes the load that an answer states. */
+	observe(load: StatedLoad, now: number): void {
+		this.#stated = {load, at: now, ownRuns: this.#outstanding.runs + this.#outstanding.prefills};
+	}
+
+	/** Counts a run; the result is to be called at its end. */
+	beginRun(predictedMs: number): (end: SendEnd, now: number) => void {
+		this.#outstanding.runs += 1;
+		return (end, now) => {
+			this.#outstanding.runs -= 1;
+			this.#learn(end, predictedMs, now, false);
+		};
+	}
+
+	/** Counts a prompt that is being read; the result is to be called at its end. */
+	beginPrefill(tokens: number, predictedMs: number): (end: SendEnd, now: number) => void {
+		this.#outstanding.prefills += 1;
+		this.#outstanding.prefillTokens += tokens;
+		return (end, now) => {
+			this.#outstanding.prefills -= 1;
+			this.#outstanding.prefillTokens -= tokens;
+			this.#learn(end, predictedMs, now, true);
+		};
+	}
+
+	#learn({kind, elapsedMs, load}: SendEnd, predictedMs: number, now: number, isPaced: boolean): void {
+		if (load !== undefined) {
+			this.observe(load, now);
+		}
+
+		switch (kind) {
+			case 'served': {
+				this.#consecutiveFailures = 0;
+				this.#failureShare *= 1 - smoothing;
+				if (isPaced) {
+					const ratio = Math.min(slowestPace, Math.max(fastestPace, elapsedMs / Math.max(1, predictedMs)));
+					this.#pace += (ratio - this.#pace) * smoothing;
+				}
+
+				return;
+			}
+
+			case 'failed': {
+				// A failure of the upstream's own is a property of the request as often as of the upstream.
+				this.#failureShare += (1 - this.#failureShare) * smoothing;
+				return;
+			}
+
+			case 'cancelled': {
+				return;
+			}
+
+			case 'misdirected':
+			case 'refused': {
+				this.#awaitedHeartbeat = this.#upstream.heartbeat;
+				this.#avoidedUntil = Math.max(this.#avoidedUntil, now + (kind === 'refused' ? refusedAvoidanceMs : 0));
+				return;
+			}
+
+			case 'rejected':
+			case 'unreachable':
+			case 'lost':
+			case 'silent': {
+				this.#consecutiveFailures += 1;
+				this.#failureShare += (1 - this.#failureShare) * smoothing;
+				const avoidanceMs = Math.min(longestAvoidanceMs, shortestAvoidanceMs * (2 ** (this.#consecutiveFailures - 1)));
+				this.#avoidedUntil = Math.max(this.#avoidedUntil, now + avoidanceMs);
+			}
+		}
+	}
+}
--- a/src/process/host-list-poller.ts
+++ b/src/process/host-list-poller.ts
@@ -1,5 +1,5 @@
 import {performance} from 'node:perf_hooks';
-import type {Host, HostList} from '../platform/host-list.ts';
+import type {Host, HostList} from '../ports/host-list.ts';
 import type {Log} from './log.ts';
 import {Task} from './task.ts';
 
--- a/src/process/lease/lease-client.ts
+++ b/src/process/lease/lease-client.ts
@@ -1,4 +1,4 @@
-import type {Row, StoreFailure, Table} from '../../platform/table.ts';
+import type {Row, StoreFailure, Table} from '../../ports/table.ts';
 import type {Clock} from '../clock.ts';
 import {
 	currentLease, decideLease, initialLease,
--- a/src/process/lease/lease-row.ts
+++ b/src/process/lease/lease-row.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import type {Row, RowKey} from '../../platform/table.ts';
+import type {Row, RowKey} from '../../ports/table.ts';
 
 /** Body of a lease row. An empty holder means that the last holder has released the lease. */
 export type LeaseBody = {
--- a/src/process/lease/lease-task.ts
+++ b/src/process/lease/lease-task.ts
@@ -1,6 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {setTimeout as delay} from 'node:timers/promises';
-import type {Table} from '../../platform/table.ts';
+import type {Table} from '../../ports/table.ts';
 import type {Clock} from '../clock.ts';
 import type {Log} from '../log.ts';
 import {Task} from '../task.ts';
--- a/src/process/load/load-poller.ts
+++ b/src/process/load/load-poller.ts
@@ -1,5 +1,5 @@
 import type {Dispatcher} from 'undici';
-import type {Host} from '../../platform/host-list.ts';
+import type {Host} from '../../ports/host-list.ts';
 import type {Clock} from '../clock.ts';
 import type {Log} from '../log.ts';
 import {Task} from '../task.ts';
--- a/src/process/load/load-router.ts
+++ b/src/process/load/load-router.ts
@@ -1,4 +1,4 @@
-import type {Host} from '../../platform/host-list.ts';
+import type {Host} from '../../ports/host-list.ts';
 import type {AttemptEnd, AttemptStart} from '../../request/attempt-listener.ts';
 import type {RequestDemand} from '../../request/request-demand.ts';
 import {Router} from '../../request/router.ts';
--- a/src/process/membership-task.ts
+++ b/src/process/membership-task.ts
@@ -1,7 +1,7 @@
 import type {PeerClients} from '../connection/peer-clients.ts';
 import type {ProbeResult} from '../connection/probe.ts';
 import type {HeartbeatRequest, HeartbeatResponse, Phase} from '../generated/peer_pb.js';
-import type {Host} from '../platform/host-list.ts';
+import type {Host} from '../ports/host-list.ts';
 import type {Clock} from './clock.ts';
 import type {Log} from './log.ts';
 import {decodeHeartbeat, encodeRequest, encodeResponse} from './membership/heartbeat-codec.ts';
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -1,7 +1,7 @@
 import {
 	collectDefaultMetrics, Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
-import type {Host} from '../platform/host-list.ts';
+import type {Host} from '../ports/host-list.ts';
 import {AttemptListener, type AttemptEnd, type AttemptStart} from '../request/attempt-listener.ts';
 import type {RunState} from '../request/caller-error.ts';
 
--- a/src/process/orders/engine-controller.ts
+++ b/src/process/orders/engine-controller.ts
@@ -1,7 +1,7 @@
 import {randomUUID} from 'node:crypto';
-import type {Engine} from '../../platform/engine.ts';
-import type {Host} from '../../platform/host-list.ts';
-import type {RowWrite, Table} from '../../platform/table.ts';
+import type {Engine} from '../../ports/engine.ts';
+import type {Host} from '../../ports/host-list.ts';
+import type {RowWrite, Table} from '../../ports/table.ts';
 import type {Clock} from '../clock.ts';
 import type {HeldLease} from '../lease/lease-machine.ts';
 import {leaseKey} from '../lease/lease-row.ts';
--- a/src/process/orders/group-orders.ts
+++ b/src/process/orders/group-orders.ts
@@ -1,4 +1,4 @@
-import type {Host} from '../../platform/host-list.ts';
+import type {Host} from '../../ports/host-list.ts';
 import type {HeldLease} from '../lease/lease-machine.ts';
 import {EngineController, type ControllerOptions} from './engine-controller.ts';
 import {checkPlan, writeDecision} from './plan-executor.ts';
--- a/src/process/orders/intent-machine.ts
+++ b/src/process/orders/intent-machine.ts
@@ -1,4 +1,5 @@
-import type {EngineState, WantedState} from '../../platform/engine.ts';
+import type {EngineState} from '../../ports/engine.ts';
+import type {WantedState} from '../../ports/order.ts';
 import {isDisruptive, type Intent, type IntentRow} from './intent-row.ts';
 
 /** Durations of orders, in milliseconds. */
--- a/src/process/orders/intent-row.ts
+++ b/src/process/orders/intent-row.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
-import {engineRoles, type WantedState} from '../../platform/engine.ts';
-import type {Row, RowKey} from '../../platform/table.ts';
+import {engineRoles, type WantedState} from '../../ports/order.ts';
+import type {Row, RowKey} from '../../ports/table.ts';
 
 /** An order as it is recorded before it is sent; one row for each engine. */
 export type Intent = {
--- a/src/process/orders/plan-board.ts
+++ b/src/process/orders/plan-board.ts
@@ -1,4 +1,4 @@
-import type {StoreFailure, Table} from '../../platform/table.ts';
+import type {StoreFailure, Table} from '../../ports/table.ts';
 import type {Log} from '../log.ts';
 import {Task} from '../task.ts';
 import {drainingUpstreams, type TargetRow} from './plan-row.ts';
--- a/src/process/orders/plan-check.ts
+++ b/src/process/orders/plan-check.ts
@@ -1,5 +1,5 @@
-import type {EngineState} from '../../platform/engine.ts';
-import type {Host} from '../../platform/host-list.ts';
+import type {EngineState} from '../../ports/engine.ts';
+import type {Host} from '../../ports/host-list.ts';
 import type {FleetPlan, PlanAction, PlanStep} from '../../version/fleet-plan.ts';
 
 /** What a plan is checked against. */
--- a/src/process/orders/plan-executor.ts
+++ b/src/process/orders/plan-executor.ts
@@ -1,4 +1,4 @@
-import type {RowWrite, Table} from '../../platform/table.ts';
+import type {RowWrite, Table} from '../../ports/table.ts';
 import type {HeldLease} from '../lease/lease-machine.ts';
 import {leaseKey} from '../lease/lease-row.ts';
 import {loadName, type TargetDecision, type TargetFacts} from './plan-machine.ts';
--- a/src/process/orders/plan-machine.ts
+++ b/src/process/orders/plan-machine.ts
@@ -1,4 +1,4 @@
-import type {WantedState} from '../../platform/engine.ts';
+import type {WantedState} from '../../ports/order.ts';
 import type {PlanAction} from '../../version/fleet-plan.ts';
 import {isReached, type EngineFacts, type Goal} from './intent-machine.ts';
 import {
--- a/src/process/orders/plan-row.ts
+++ b/src/process/orders/plan-row.ts
@@ -1,6 +1,6 @@
 import {z} from 'zod';
-import {engineRoles} from '../../platform/engine.ts';
-import type {Row, RowKey} from '../../platform/table.ts';
+import {engineRoles} from '../../ports/order.ts';
+import type {Row, RowKey} from '../../ports/table.ts';
 
 const action = z.discriminatedUnion('kind', [
 	z.object({
--- a/src/process/orders/plan-store.ts
+++ b/src/process/orders/plan-store.ts
@@ -3,7 +3,7 @@
 import type {FleetPlan} from '../../version/fleet-plan.ts';
 import type {
 	Row, RowWrite, StoreFailure, Table,
-} from '../../platform/table.ts';
+} from '../../ports/table.ts';
 import {
 	parsePlanRow, parseTargetRow, planKey, targetKey, type PlanBody, type PlanRow, type TargetBody, type TargetRow,
 } from './plan-row.ts';
--- a/src/process/orders/reservation.ts
+++ b/src/process/orders/reservation.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import type {Row, RowKey} from '../../platform/table.ts';
+import type {Row, RowKey} from '../../ports/table.ts';
 
 /** Time between the starts of two loads from the weight store, in milliseconds. */
 export const loadSpacingMs = 5000;
--- a/src/process/upstream-directory.ts
+++ b/src/process/upstream-directory.ts
@@ -1,4 +1,4 @@
-import type {Host, HostState} from '../platform/host-list.ts';
+import type {Host, HostState} from '../ports/host-list.ts';
 import type {Call} from '../request/call.ts';
 
 /** An upstream with the state that this daemon knows, which is newer than the listed one. */
--- a/src/request/crash-register.ts
+++ b/src/request/crash-register.ts
@@ -1,4 +1,4 @@
-import type {Host} from '../platform/host-list.ts';
+import type {Host} from '../ports/host-list.ts';
 import {AttemptListener} from './attempt-listener.ts';
 import type {CallerError} from './caller-error.ts';
 import type {RequestDemand} from './request-demand.ts';
--- /dev/null
+++ b/src/request/delivery/delivery.ts
@@ -0,0 +1,164 @@
+import type {CallerAnswer} from '../../connection/links/caller-answer.ts';
+import type {ExchangeFailure} from '../../connection/links/exchange.ts';
+import type {UpstreamLinks} from '../../connection/links/upstream-links.ts';
+import type {Refusal} from '../../ports/caller-protocol.ts';
+import type {UpstreamAnswer, UpstreamProtocol} from '../../ports/upstream-protocol.ts';
+import type {Clock} from '../../process/clock.ts';
+import type {DecisionLog} from '../../process/fleet/decision-log.ts';
+import type {RetryAllowance} from '../../process/fleet/retry-allowance.ts';
+import type {CrashSuspects} from '../../process/fleet/crash-suspects.ts';
+import type {Route} from '../../version/routes/route-configuration.ts';
+import type {RouteRequest} from './route-request.ts';
+import type {Demand, PlacementRefusal, SendEnd, UpstreamDesk} from './upstream-desk.ts';
+
+/** What deliveries need from the rest of the daemon. */
+export type DeliveryTools = {
+	readonly clock: Clock;
+	readonly links: UpstreamLinks;
+	readonly protocol: UpstreamProtocol;
+	readonly desk: UpstreamDesk;
+	readonly allowance: RetryAllowance;
+	readonly crashes: CrashSuspects;
+	readonly log: DecisionLog;
+};
+
+/** One request on its way to upstreams. */
+export type DeliveryJob = {
+	readonly request: RouteRequest;
+	readonly route: Route;
+	readonly service: string;
+	readonly answer: CallerAnswer;
+	readonly arrivedAt: number;
+	/** Time by which the request must have ended, on the daemon's clock in milliseconds. */
+	readonly endAt: number;
+	/** Aborted with `caller_gone` or `deadline`. */
+	readonly signal: AbortSignal;
+};
+
+/** How a delivery ended; the caller's answer has been ended accordingly. */
+export type DeliveryEnd = {
+	readonly outcome: 'delivered' | 'refused' | 'failed' | 'brokenOff' | 'callerGone';
+	readonly reason: string;
+	/** Sends to upstreams that may have run the request. */
+	readonly runs: number;
+	/** All sends, those that only read the prompt included. */
+	readonly sends: number;
+	/** Time to the answer or its first event, in milliseconds. */
+	readonly firstAnswerMs: number | undefined;
+};
+
+/** Share of the caller's remaining time that it waits at most before it comes back. */
+const patientShare = 0.3;
+const shortestRetryMs = 50;
+/** Margin within which an upstream is told to stop before the daemon itself gives up. */
+const answerMarginMs = 20;
+
+/** State and steps that deliveries of all kinds share. */
+export abstract class Delivery {
+	protected readonly tools: DeliveryTools;
+	protected readonly job: DeliveryJob;
+	protected readonly tried = new Set<string>();
+	/** Sends that may have run. */
+	protected runs = 0;
+	protected sends = 0;
+	/** Sends that count against the shared allowance once the first one is made. */
+	protected arrivals = 0;
+	protected firstAnswerMs: number | undefined;
+
+	constructor(tools: DeliveryTools, job: DeliveryJob) {
+		this.tools = tools;
+		this.job = job;
+	}
+
+	/** Delivers the request; never rejects. */
+	abstract run(): Promise<DeliveryEnd>;
+
+	protected get remainingMs(): number {
+		return this.job.endAt - this.tools.clock.now();
+	}
+
+	protected get upstreamMs(): number {
+		return Math.max(1, this.remainingMs - answerMarginMs);
+	}
+
+	protected get demand(): Demand {
+		const {request, route, service, endAt, signal} = this.job;
+		return {
+			request, route, service, tried: this.tried, endAt, signal,
+		};
+	}
+
+	/** True when one more arrival at an upstream is allowed; the first arrival of a request is free. */
+	protected takeArrival(): boolean {
+		if (this.arrivals > 0 && !this.tools.allowance.take(this.job.service, this.tools.clock.now())) {
+			this.log('retry.denied', {service: this.job.service, arrivals: this.arrivals});
+			return false;
+		}
+
+		this.arrivals += 1;
+		return true;
+	}
+
+	protected log(event: string, fields: Readonly<Record<string, unknown>>): void {
+		this.tools.log.write(event, {request: this.job.request.id, ...fields});
+	}
+
+	protected end(outcome: DeliveryEnd['outcome'], reason: string): DeliveryEnd {
+		return {
+			outcome, reason, runs: this.runs, sends: this.sends, firstAnswerMs: this.firstAnswerMs,
+		};
+	}
+
+	protected markFirstAnswer(): void {
+		this.firstAnswerMs ??= this.tools.clock.now() - this.job.arrivedAt;
+	}
+
+	/** Ends a request that no upstream has run. */
+	protected refuse(message: string, retryAfterMs: number): DeliveryEnd {
+		if (this.isCallerGone) {
+			return this.end('callerGone', message);
+		}
+
+		const bound = Math.max(0, this.remainingMs * patientShare);
+		this.job.answer.refuse({
+			ran: 'notRun', kind: 'busy', message, retryAfterMs: Math.max(shortestRetryMs, Math.min(retryAfterMs, bound)),
+		});
+		return this.end('refused', message);
+	}
+
+	/** Ends a request that may have run. */
+	protected fail(kind: Extract<Refusal['kind'], 'badAnswer' | 'expired'>, message: string): DeliveryEnd {
+		if (this.isCallerGone) {
+			return this.end('callerGone', message);
+		}
+
+		this.job.answer.refuse({
+			ran: 'unknown', kind, message, retryAfterMs: undefined,
+		});
+		return this.end('failed', message);
+	}
+
+	/** Ends a request for which there is no place. */
+	protected refusePlacement({reason, retryAfterMs}: PlacementRefusal): DeliveryEnd {
+		return this.refuse(reason === 'noUpstream' ? 'No upstream is available.' : 'The service has no room in time.', retryAfterMs);
+	}
+
+	protected get isCallerGone(): boolean {
+		return this.job.signal.aborted && this.job.signal.reason === 'caller_gone';
+	}
+
+	/** True when an answer belongs to this request and is as its upstream wrote it. */
+	protected isOwn({requestId, status, isSigned, isEncoded, isNotRun}: UpstreamAnswer): boolean {
+		const isOwnId = requestId === undefined ? isNotRun : requestId === this.job.request.id;
+		return isOwnId && (status >= 300 || (isSigned && !isEncoded));
+	}
+}
+
+/** Classifies the failure of an exchange for the desk. */
+export function toSendEnd({kind, wasSent}: ExchangeFailure, elapsedMs: number): SendEnd {
+	if (kind === 'cancelled') {
+		return {kind: 'cancelled', elapsedMs};
+	}
+
+	return {kind: wasSent ? 'lost' : kind, elapsedMs};
+}
--- /dev/null
+++ b/src/request/delivery/event-splitter.ts
@@ -0,0 +1,47 @@
+import {Buffer} from 'node:buffer';
+
+/** One whole event of a stream. */
+export type StreamEvent = {
+	readonly bytes: Uint8Array;
+	/** Undefined for events without an id. */
+	readonly id: string | undefined;
+};
+
+const eventEnd = Buffer.from('\n\n');
+const idLine = /^id:[ ]?(.*)$/mv;
+/** An event that grows beyond this is no event. */
+const eventLimitBytes = 1024 * 1024;
+
+/** Splits a stream's bytes into whole events; an event that is cut off stays inside. */
+export class EventSplitter {
+	#pending: Buffer = Buffer.alloc(0);
+
+	/** Bytes of an event that has begun and not ended. */
+	get pendingBytes(): number {
+		return this.#pending.length;
+	}
+
+	/** True when the bytes cannot be events. */
+	get isOverflowing(): boolean {
+		return this.#pending.length > eventLimitBytes;
+	}
+
+	/** Takes a chunk and returns the events that it completes. */
+	accept(chunk: Uint8Array): readonly StreamEvent[] {
+		const bytes = this.#pending.length === 0 ? Buffer.from(chunk) : Buffer.concat([this.#pending, chunk]);
+		const events: StreamEvent[] = [];
+		let start = 0;
+		for (let end = bytes.indexOf(eventEnd, start); end !== -1; end = bytes.indexOf(eventEnd, start)) {
+			const event = bytes.subarray(start, end + eventEnd.length);
+			events.push({bytes: event, id: readId(event)});
+			start = end + eventEnd.length;
+		}
+
+		this.#pending = bytes.subarray(start);
+		return events;
+	}
+}
+
+function readId(event: Buffer): string | undefined {
+	return idLine.exec(event.toString('latin1'))?.[1]?.trim();
+}
--- a/src/request/dispatch.ts
+++ b/src/request/dispatch.ts
@@ -1,5 +1,5 @@
 import type {Dispatcher} from 'undici';
-import type {Host} from '../platform/host-list.ts';
+import type {Host} from '../ports/host-list.ts';
 import type {Clock} from '../process/clock.ts';
 import type {Ticket} from './admission.ts';
 import {runAttempt, type AttemptResult, type UpstreamRequest} from './attempt.ts';
--- a/src/stand-ins/engine/engine-orders.ts
+++ b/src/stand-ins/engine/engine-orders.ts
@@ -1,4 +1,5 @@
-import type {EngineRole, EngineState, WantedState} from '../../platform/engine.ts';
+import type {EngineState} from '../../ports/engine.ts';
+import type {EngineRole, WantedState} from '../../ports/order.ts';
 
 /** Time that a change of role, model, adapters or version takes, in milliseconds. */
 export const defaultChangeMs = 2000;
--- a/src/stand-ins/engine/order-endpoint.ts
+++ b/src/stand-ins/engine/order-endpoint.ts
@@ -1,5 +1,6 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {EngineState, WantedState} from '../../platform/engine.ts';
+import type {EngineState} from '../../ports/engine.ts';
+import type {WantedState} from '../../ports/order.ts';
 import {readText, sendAnswer} from '../stand-in-server.ts';
 import {
 	defaultChangeMs, EngineOrders, type EngineOrderOptions, type ReceivedOrder,
--- a/src/stand-ins/hosts/hosts-server.ts
+++ b/src/stand-ins/hosts/hosts-server.ts
@@ -1,6 +1,6 @@
 import {createHash} from 'node:crypto';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {Host} from '../../platform/host-list.ts';
+import type {Host} from '../../ports/host-list.ts';
 import {
 	noFaults, readText, sendAnswer, StandInServer, type CommonFaults,
 } from '../stand-in-server.ts';
--- a/src/stand-ins/hosts/hosts-settings.ts
+++ b/src/stand-ins/hosts/hosts-settings.ts
@@ -1,6 +1,6 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {z} from 'zod';
-import type {Host} from '../../platform/host-list.ts';
+import type {Host} from '../../ports/host-list.ts';
 import type {Finding} from '../../version/finding.ts';
 import type {IniDocument, IniSection} from '../../version/ini-document.ts';
 import {validateSection, validateSections} from '../../version/ini-schema.ts';
--- a/src/stand-ins/platform/dynamo-protocol.ts
+++ b/src/stand-ins/platform/dynamo-protocol.ts
@@ -1,4 +1,4 @@
-import type {RowKey, RowWrite} from '../../platform/table.ts';
+import type {RowKey, RowWrite} from '../../ports/table.ts';
 
 /** Attribute values of the DynamoDB JSON protocol that the table uses. */
 export type Attribute = {readonly S?: string; readonly N?: string};
--- a/src/stand-ins/platform/memory-object-store.ts
+++ b/src/stand-ins/platform/memory-object-store.ts
@@ -2,7 +2,7 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {
 	ObjectStore, type ObjectCondition, type ObjectFailure, type StoredObject,
-} from '../../platform/object-store.ts';
+} from '../../ports/object-store.ts';
 
 /** Object store in memory, with the semantics of the platform's object store. */
 export class MemoryObjectStore extends ObjectStore {
--- a/src/stand-ins/platform/memory-table.ts
+++ b/src/stand-ins/platform/memory-table.ts
@@ -1,7 +1,7 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {
 	Table, type Row, type RowKey, type RowWrite, type StoreFailure,
-} from '../../platform/table.ts';
+} from '../../ports/table.ts';
 
 const transactionLimit = 100;
 
--- a/src/stand-ins/platform/object-requests.ts
+++ b/src/stand-ins/platform/object-requests.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {ObjectCondition, ObjectStore} from '../../platform/object-store.ts';
+import type {ObjectCondition, ObjectStore} from '../../ports/object-store.ts';
 
 /** Prefix of the object store's paths. */
 export const objectPath = '/objects/';
--- a/src/stand-ins/platform/table-requests.ts
+++ b/src/stand-ins/platform/table-requests.ts
@@ -1,6 +1,6 @@
 import type {
 	Row, RowKey, RowWrite, StoreFailure, Table,
-} from '../../platform/table.ts';
+} from '../../ports/table.ts';
 import type {StandInAnswer} from '../stand-in-server.ts';
 import {
 	parseRowKey, parseRowWrite, type Item, type TransactItem,
--- a/src/version/configuration.ts
+++ b/src/version/configuration.ts
@@ -1,5 +1,5 @@
 import {z} from 'zod';
-import type {RowKey} from '../platform/table.ts';
+import type {RowKey} from '../ports/table.ts';
 
 /** Kinds of configuration entries. */
 export const entryKinds = ['contract', 'key'] as const;
--- a/src/version/fleet-plan.ts
+++ b/src/version/fleet-plan.ts
@@ -1,6 +1,6 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {z} from 'zod';
-import {engineRoles, type EngineRole} from '../platform/engine.ts';
+import {engineRoles, type EngineRole} from '../ports/order.ts';
 import type {Finding} from './finding.ts';
 import {parseIniDocument, type IniDocument, type IniSection} from './ini-document.ts';
 import {validateSection} from './ini-schema.ts';
--- a/test/platform/host-list.test.ts
+++ b/test/ports/host-list.test.ts
@@ -1,7 +1,7 @@
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
-import {HttpHostList, type Host} from '../../src/platform/host-list.ts';
+import {HttpHostList, type Host} from '../../src/ports/host-list.ts';
 import {HostsServer} from '../../src/stand-ins/hosts/hosts-server.ts';
 
 const engine: Host = {
--- a/test/platform/object-store-contract.test.ts
+++ b/test/ports/object-store-contract.test.ts
@@ -1,7 +1,7 @@
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
-import {HttpObjectStore, type ObjectStore} from '../../src/platform/object-store.ts';
+import {HttpObjectStore, type ObjectStore} from '../../src/ports/object-store.ts';
 import {MemoryObjectStore} from '../../src/stand-ins/platform/memory-object-store.ts';
 import {PlatformServer} from '../../src/stand-ins/platform/platform-server.ts';
 import {extract, succeed} from '../either.ts';
--- a/test/platform/table-contract.test.ts
+++ b/test/ports/table-contract.test.ts
@@ -2,10 +2,10 @@
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {request} from 'undici';
-import {DynamoTable} from '../../src/platform/dynamo-table.ts';
+import {DynamoTable} from '../../src/ports/dynamo-table.ts';
 import type {
 	RowKey, RowWrite, StoreFailure, Table,
-} from '../../src/platform/table.ts';
+} from '../../src/ports/table.ts';
 import {MemoryTable} from '../../src/stand-ins/platform/memory-table.ts';
 import {PlatformServer, type PlatformFaults} from '../../src/stand-ins/platform/platform-server.ts';
 import {extract, succeed} from '../either.ts';
--- a/test/process/administration.test.ts
+++ b/test/process/administration.test.ts
@@ -2,7 +2,7 @@
 import {
 	beforeEach, describe, expect, it,
 } from 'vitest';
-import type {Table} from '../../src/platform/table.ts';
+import type {Table} from '../../src/ports/table.ts';
 import {Administration} from '../../src/process/administration/administration.ts';
 import type {Operator} from '../../src/process/administration/change-plans.ts';
 import {ConfigurationWriter, type WriterGuards} from '../../src/process/administration/configuration-writer.ts';
--- a/test/process/configuration/configuration-task.test.ts
+++ b/test/process/configuration/configuration-task.test.ts
@@ -6,7 +6,7 @@
 import {seedConfiguration, seedOperatorKey} from '../../../src/demo/seed-configuration.ts';
 import {
 	type Row, type RowKey, type StoreFailure, Table,
-} from '../../../src/platform/table.ts';
+} from '../../../src/ports/table.ts';
 import {Administration} from '../../../src/process/administration/administration.ts';
 import {Clock} from '../../../src/process/clock.ts';
 import {ConfigurationTask} from '../../../src/process/configuration-task.ts';
--- a/test/process/crashes/crash-register.test.ts
+++ b/test/process/crashes/crash-register.test.ts
@@ -3,7 +3,7 @@
 	afterEach, beforeEach, describe, expect, it, vi,
 } from 'vitest';
 import {CrashingRequestSchema} from '../../../src/generated/peer_pb.js';
-import type {Host} from '../../../src/platform/host-list.ts';
+import type {Host} from '../../../src/ports/host-list.ts';
 import {ManualClock} from '../../../src/process/clock.ts';
 import {decodeCrashNews, encodeCrashNews} from '../../../src/process/crashes/crash-news.ts';
 import {CrashRowTask} from '../../../src/process/crashes/crash-row-task.ts';
--- a/test/process/cut-off-zone.test.ts
+++ b/test/process/cut-off-zone.test.ts
@@ -9,7 +9,7 @@
 	createLocalDeployment, demoKey, demoModels, demoService, type LocalDeployment,
 } from '../../src/demo/local-deployment.ts';
 import {waitUntilReady} from '../../src/demo/mixed-load.ts';
-import {HostList, type Host} from '../../src/platform/host-list.ts';
+import {HostList, type Host} from '../../src/ports/host-list.ts';
 import {createLog} from '../../src/process/log.ts';
 import type {DaemonTuning} from '../../src/process/wiring.ts';
 import {FaultyTable} from '../fixtures/faulty-table.ts';
--- a/test/process/fleet-plan.test.ts
+++ b/test/process/fleet-plan.test.ts
@@ -8,7 +8,7 @@
 	createLocalDeployment, demoKey, demoModels, type LocalDeployment,
 } from '../../src/demo/local-deployment.ts';
 import {waitUntilReady} from '../../src/demo/mixed-load.ts';
-import type {EngineRole} from '../../src/platform/engine.ts';
+import type {EngineRole} from '../../src/ports/order.ts';
 import {createLog} from '../../src/process/log.ts';
 import {planKey} from '../../src/process/orders/plan-row.ts';
 import {
--- a/test/process/orders/plan-store.test.ts
+++ b/test/process/orders/plan-store.test.ts
@@ -1,6 +1,6 @@
 import {Left, type Either} from 'purify-ts';
 import {describe, expect, it} from 'vitest';
-import type {RowWrite, StoreFailure} from '../../../src/platform/table.ts';
+import type {RowWrite, StoreFailure} from '../../../src/ports/table.ts';
 import {checkFleetPlan, type FleetView} from '../../../src/process/orders/plan-check.ts';
 import {
 	cancelPlan, createPlan, listPlans, readTargets, submitPlan,
--- a/test/process/upstream-leaving.test.ts
+++ b/test/process/upstream-leaving.test.ts
@@ -6,7 +6,7 @@
 	createLocalDeployment, demoKey, demoModels, type LocalDeployment,
 } from '../../src/demo/local-deployment.ts';
 import {waitUntilReady} from '../../src/demo/mixed-load.ts';
-import type {Host} from '../../src/platform/host-list.ts';
+import type {Host} from '../../src/ports/host-list.ts';
 import {createLog} from '../../src/process/log.ts';
 import {conditionOf, readStatus} from '../fixtures/peer-status.ts';
 
--- a/test/request/front-fixture.ts
+++ b/test/request/front-fixture.ts
@@ -3,7 +3,7 @@
 import {createCallerServer, type CallerServerOptions} from '../../src/connection/caller-server.ts';
 import {closeAbruptly, listen} from '../../src/connection/http-listener.ts';
 import {UpstreamPool} from '../../src/connection/upstream-pool.ts';
-import type {Host} from '../../src/platform/host-list.ts';
+import type {Host} from '../../src/ports/host-list.ts';
 import {SystemClock} from '../../src/process/clock.ts';
 import {hashKey} from '../../src/process/key-directory.ts';
 import {createLog} from '../../src/process/log.ts';
--- a/test/request/retries.test.ts
+++ b/test/request/retries.test.ts
@@ -1,6 +1,6 @@
 import {Right, type Either} from 'purify-ts';
 import {describe, expect, it} from 'vitest';
-import type {Host} from '../../src/platform/host-list.ts';
+import type {Host} from '../../src/ports/host-list.ts';
 import type {CallerError} from '../../src/request/caller-error.ts';
 import {
 	Claim, ClaimStore, type ClaimGrant, type ClaimRequest, type StoredAnswer,
--- a/test/request/upstream-fixture.ts
+++ b/test/request/upstream-fixture.ts
@@ -1,5 +1,5 @@
 import {createServer, type Server, type Socket} from 'node:net';
-import type {Host} from '../../src/platform/host-list.ts';
+import type {Host} from '../../src/ports/host-list.ts';
 
 /** Bytes and connections that a raw upstream has seen. */
 export type RawUpstream = AsyncDisposable & {
--- a/test/separate-processes.test.ts
+++ b/test/separate-processes.test.ts
@@ -2,8 +2,8 @@
 import {request} from 'undici';
 import {describe, expect, it} from 'vitest';
 import {seedConfiguration} from '../src/demo/seed-configuration.ts';
-import {DynamoTable} from '../src/platform/dynamo-table.ts';
-import {HttpObjectStore} from '../src/platform/object-store.ts';
+import {DynamoTable} from '../src/ports/dynamo-table.ts';
+import {HttpObjectStore} from '../src/ports/object-store.ts';
 import {spawnCommand} from './fixtures/spawned-process.ts';
 
 describe('separate processes', () => {
