Move engines to the prefill stage by orders of one lease holder

Cause: 5 of 13 engines read prompts, which binds; 953 of 1348 archive briefs failed at their caller's deadline.

--- a/bench/path-cost/server-process.ts
+++ b/bench/path-cost/server-process.ts
@@ -7,7 +7,7 @@
 // eslint-disable-next-line import-x/no-unassigned-import
 import '../../src/process/heap.ts';
 import {listen} from '../../src/connection/http-listener.ts';
-import {createLog} from '../../src/process/log.ts';
+import {createLog} from '../../src/process/create-log.ts';
 import {createDaemon} from '../../src/process/wiring.ts';
 import {parseSettings} from '../../src/version/settings.ts';
 import {answerCommands, type Command} from './messages.ts';
--- a/bench/simulation/authority/fake-daemon.ts
+++ b/bench/simulation/authority/fake-daemon.ts
@@ -4,7 +4,7 @@
 import {
 	leaseTimes, type HeldLease, type LeaseEvent, type LeaseGuards,
 } from '../../../src/process/lease/lease-machine.ts';
-import {createLog} from '../../../src/process/log.ts';
+import {createLog} from '../../../src/process/create-log.ts';
 import {GroupOrders} from '../../../src/process/orders/group-orders.ts';
 import {intentTimes, type IntentGuards} from '../../../src/process/orders/intent-machine.ts';
 import {settleMs, type PlanGuards} from '../../../src/process/orders/plan-machine.ts';
--- a/src/connection/links/exchange.ts
+++ b/src/connection/links/exchange.ts
@@ -11,6 +11,8 @@
 
 /** Receives the course of one exchange; calls are synchronous and end with `onEnd` or `onFailed`. */
 export type ExchangeListener = {
+	/** Asked right before the request is written; false ends the exchange with nothing sent. */
+	readonly mayStart?: () => boolean;
 	/** The request is about to be written: from now on it may run. */
 	readonly onStarted: () => void;
 	readonly onHead: (status: number, headers: Readonly<Record<string, string | string[] | undefined>>) => void;
@@ -70,6 +72,11 @@
 			return;
 		}
 
+		if (this.#listener.mayStart?.() === false) {
+			controller.abort(new ExchangeCancelledError('the request may not be sent any more'));
+			return;
+		}
+
 		this.#isStarted = true;
 		this.#listener.onStarted();
 	}
--- a/src/connection/links/upstream-call.ts
+++ b/src/connection/links/upstream-call.ts
@@ -18,18 +18,21 @@
 	/** Limit on the whole call, in milliseconds. */
 	readonly timeoutMs: number;
 	readonly signal?: AbortSignal;
+	/** Asked right before the request is written; false ends the call with nothing sent. */
+	readonly mayStart?: () => boolean;
 };
 
 /** Largest answer that is taken as a whole. */
 const answerLimitBytes = 8 * 1024 * 1024;
 
 /** Makes a call and takes its answer as a whole; never rejects. */
-export async function callUpstream({links, protocol, upstream, wire, timeoutMs, signal}: CallOptions): Promise<CallResult> {
+export async function callUpstream({links, protocol, upstream, wire, timeoutMs, signal, mayStart}: CallOptions): Promise<CallResult> {
 	const {promise, resolve} = Promise.withResolvers<CallResult>();
 	const chunks: Uint8Array[] = [];
 	let size = 0;
 	let answer: UpstreamAnswer | undefined;
 	const exchange = links.send(upstream, wire, {
+		...(mayStart === undefined ? {} : {mayStart}),
 		onStarted() {
 			// Only the outcome matters for a call taken as a whole.
 		},
--- a/src/index.ts
+++ b/src/index.ts
@@ -116,7 +116,8 @@
 } from './ports/table.ts';
 export {Clock, ManualClock, SystemClock} from './process/clock.ts';
 export {
-	createLog, Log, logLevels, type LogFields, type LogLevel,
+	Log, logLevels, type LogFields, type LogLevel, type LogTarget,
 } from './process/log.ts';
+export {createLog} from './process/create-log.ts';
 export {Random, SeededRandom} from './process/random.ts';
 export {Task} from './process/task.ts';
--- a/src/process/cli/demo-command.ts
+++ b/src/process/cli/demo-command.ts
@@ -4,7 +4,7 @@
 import {
 	countBookings, runMixedLoad, waitUntilReady, type LoadRow,
 } from '../../demo/mixed-load.ts';
-import {createLog} from '../log.ts';
+import {createLog} from '../create-log.ts';
 import {exitCode} from './exit-code.ts';
 import {waitForTermination} from './termination.ts';
 
--- a/src/process/cli/serve-command.ts
+++ b/src/process/cli/serve-command.ts
@@ -2,7 +2,7 @@
 import type {CommandModule} from 'yargs';
 import {formatFinding} from '../../version/finding.ts';
 import {readSettings, type Settings} from '../../version/settings.ts';
-import {createLog} from '../log.ts';
+import {createLog} from '../create-log.ts';
 import {createDaemon} from '../wiring.ts';
 import {exitCode} from './exit-code.ts';
 import {waitForTermination} from './termination.ts';
--- a/src/process/cli/stand-in-command.ts
+++ b/src/process/cli/stand-in-command.ts
@@ -3,7 +3,7 @@
 import type {CommandModule} from 'yargs';
 import {createStandIn, standInKinds, type StandInKind} from '../../stand-ins/stand-in-settings.ts';
 import {formatFinding} from '../../version/finding.ts';
-import {createLog} from '../log.ts';
+import {createLog} from '../create-log.ts';
 import {exitCode} from './exit-code.ts';
 import {waitForTermination} from './termination.ts';
 
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -1,14 +1,18 @@
 import {createServer, type Server} from 'node:http';
+import type {Either} from 'purify-ts';
 import {createCallerServer} from '../../connection/caller-server.ts';
 import {closeAbruptly, listen} from '../../connection/http-listener.ts';
 import {UpstreamLinks} from '../../connection/links/upstream-links.ts';
 import type {CallerProtocol} from '../../ports/caller-protocol.ts';
 import type {FeedRow, RowFeed} from '../../ports/row-feed.ts';
+import type {Table} from '../../ports/table.ts';
 import type {UpstreamProtocol} from '../../ports/upstream-protocol.ts';
 import type {Upstream} from '../../ports/upstream.ts';
 import type {FleetSettings} from '../../version/fleet-settings.ts';
 import {parseAddress} from '../address.ts';
-import {SystemClock} from '../clock.ts';
+import {SuspensionClock, SystemClock} from '../clock.ts';
+import {LeaseTask} from '../lease/lease-task.ts';
+import {Log} from '../log.ts';
 import {SeededRandom} from '../random.ts';
 import {ConfigurationHolder, type ConfigurationDecoder} from './configuration-holder.ts';
 import {CrashSuspects} from './crash-suspects.ts';
@@ -19,12 +23,13 @@
 import {RouteFront} from './route-front.ts';
 import {createShutdownTimes, Shutdown} from './shutdown.ts';
 import {TableWatch, type WatchTimes} from './table-watch.ts';
+import {createDirectorTimes, StageDirector, type StageGroup} from '../stages/stage-director.ts';
 import {UpstreamRoster, type RosterEvent} from './upstream-roster.ts';
-import type {Either} from 'purify-ts';
 
 /** Access to the operator's platform. */
 export type Platform = {
 	readonly feed: RowFeed;
+	readonly table: Table;
 	readonly callerProtocol: CallerProtocol;
 	readonly upstreamProtocol: UpstreamProtocol;
 	readonly tables: {readonly operator: string; readonly upstreams: string};
@@ -63,6 +68,8 @@
 	readonly #desk: FleetDesk;
 	readonly #front: RouteFront;
 	readonly #shutdown: Shutdown;
+	readonly #lease: LeaseTask;
+	readonly #director: StageDirector;
 	readonly #metrics = new FleetMetrics();
 	readonly #watches: readonly TableWatch[];
 	readonly #callerServer: Server;
@@ -106,6 +113,24 @@
 			bodyBudgetBytes: settings.limits.memoryMb * mebibyte * bodyShare,
 		});
 		this.#shutdown = new Shutdown(clock, log, createShutdownTimes(graceMs), () => this.#front.openRequests);
+		this.#lease = new LeaseTask({
+			log: createTaskLog(log), table: platform.table, clock: new SuspensionClock(), daemon: settings.daemon.name, group: 'stages',
+		});
+		this.#director = new StageDirector({
+			clock: new SuspensionClock(),
+			log,
+			links: this.#links,
+			protocol: platform.upstreamProtocol,
+			lease: {
+				held: () => this.#lease.held,
+				setCandidate: isCandidate => {
+					this.#lease.post({kind: 'candidacy', isCandidate});
+				},
+			},
+			daemon: settings.daemon.name,
+			groups: () => this.#stageGroups(),
+			times: createDirectorTimes(settings.bounds.leaseMs),
+		});
 		this.#watches = [this.#watchConfiguration(), this.#watchUpstreams()];
 		this.#callerServer = createCallerServer({headerBytes: headerLimitBytes}, (request, response) => {
 			void this.#front.handle(request, response);
@@ -148,7 +173,11 @@
 		this.#housekeeping = setInterval(() => {
 			this.#links.sweep();
 			this.#apply(this.#roster.expire(this.#clock.now()));
+			if (this.isReady) {
+				this.#director.tick();
+			}
 		}, housekeepingMs);
+		this.#lease.run();
 	}
 
 	/** Stops as planned; resolves when the process may end. */
@@ -159,12 +188,21 @@
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		clearInterval(this.#housekeeping);
+		await this.#lease[Symbol.asyncDispose]();
+		await this.#options.platform.table[Symbol.asyncDispose]();
 		await this.#options.platform.feed[Symbol.asyncDispose]();
 		await Promise.all(this.#watches.map(async watch => watch[Symbol.asyncDispose]()));
 		await Promise.all([this.#callerServer, this.#readinessServer, this.#metricsServer].map(async server => closeAbruptly(server)));
 		await this.#links[Symbol.asyncDispose]();
 	}
 
+	#stageGroups(): readonly StageGroup[] {
+		const services = [...this.#configuration.table?.services.values() ?? []];
+		return services.flatMap(({name, engine}) => engine === undefined
+			? []
+			: [{service: name, upstreams: this.#roster.serving(name), demand: {runs: this.#desk.countRuns(name), slots: engine.slots}}]);
+	}
+
 	#watchConfiguration(): TableWatch {
 		const {platform, log} = this.#options;
 		const accept = (rows: readonly FeedRow[]) => {
@@ -229,3 +267,21 @@
 		}
 	}
 }
+
+/** Passes the lines of tasks on to the log of decisions. */
+function createTaskLog(log: DecisionLog): Log {
+	const write = (message: string, fields: Readonly<Record<string, unknown>>) => {
+		log.write('task', {message, ...fields});
+	};
+
+	return new Log({
+		debug() {
+			// Lines for finding faults are for the tests of tasks.
+		},
+		info: write,
+		warn: write,
+		error(message, error, fields) {
+			write(message, {...fields, cause: error.message});
+		},
+	}, 'lease');
+}
--- a/src/process/fleet/fleet-desk.ts
+++ b/src/process/fleet/fleet-desk.ts
@@ -61,6 +61,15 @@
 		this.#states.delete(id);
 	}
 
+	/** Requests of a service that run or wait, on all its engines that generate. */
+	countRuns(service: string): number {
+		const now = this.#options.clock.now();
+		return this.#options.roster.serving(service).filter(({stage}) => stage === 'decode').reduce((sum, upstream) => {
+			const state = this.#state(upstream);
+			return sum + state.runs + state.othersRuns(now);
+		}, 0);
+	}
+
 	isModelService(service: string): boolean {
 		return this.#options.services().get(service)?.engine !== undefined;
 	}
--- a/src/process/lease/lease-row.ts
+++ b/src/process/lease/lease-row.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import {Codec, number, string} from 'purify-ts/Codec';
 import type {Row, RowKey} from '../../ports/table.ts';
 
 /** Body of a lease row. An empty holder means that the last holder has released the lease. */
@@ -12,11 +12,9 @@
 	readonly durationMs: number;
 };
 
-const leaseBody = z.object({
-	holder: z.string(),
-	token: z.string(),
-	fencing: z.number().int(),
-	durationMs: z.number(),
+// Daemons on small hosts parse leases too, and do without the larger schema library.
+const leaseBody = Codec.interface({
+	holder: string, token: string, fencing: number, durationMs: number,
 });
 
 /** A lease row as read. */
@@ -32,5 +30,10 @@
 
 /** Parses a lease row; throws when the body is not a lease. */
 export function parseLeaseRow(row: Row): LeaseRow {
-	return {revision: row.revision, body: leaseBody.parse(JSON.parse(row.body))};
+	const body: LeaseBody = leaseBody.decode(JSON.parse(row.body)).unsafeCoerce();
+	if (!Number.isInteger(body.fencing)) {
+		throw new TypeError('The fencing number is not an integer.');
+	}
+
+	return {revision: row.revision, body};
 }
--- /dev/null
+++ b/src/process/stages/stage-director.ts
@@ -0,0 +1,180 @@
+import {callUpstream} from '../../connection/links/upstream-call.ts';
+import type {UpstreamLinks} from '../../connection/links/upstream-links.ts';
+import type {Stage, Upstream} from '../../ports/upstream.ts';
+import type {EngineReport, UpstreamProtocol} from '../../ports/upstream-protocol.ts';
+import type {Clock} from '../clock.ts';
+import type {DecisionLog} from '../fleet/decision-log.ts';
+import type {HeldLease} from '../lease/lease-machine.ts';
+import {planStages, type StageChange, type StageDemand} from './stage-plan.ts';
+
+/** The lease that allows to give orders. */
+export type OrderLease = {
+	readonly held: () => HeldLease | undefined;
+	readonly setCandidate: (isCandidate: boolean) => void;
+};
+
+/** Engines of one service with the load of the service. */
+export type StageGroup = {
+	readonly service: string;
+	readonly upstreams: readonly Upstream[];
+	readonly demand: StageDemand;
+};
+
+/** Durations of the direction of stages, in milliseconds. */
+export type DirectorTimes = {
+	/** A plan must hold for so long before orders follow from it. */
+	readonly settleMs: number;
+	/** A new holder of the lease waits for so long, so that no two holders give orders in close turns. */
+	readonly turnMs: number;
+	/** Limit on one call to an engine. */
+	readonly callMs: number;
+	/** An engine is left alone for so long after an order, until its entry shows the outcome. */
+	readonly orderMs: number;
+	/** An engine whose answer was lost is left alone for so long, since the order may be carried out late. */
+	readonly doubtMs: number;
+};
+
+/** What the director needs. */
+export type StageDirectorOptions = {
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly links: UpstreamLinks;
+	readonly protocol: UpstreamProtocol;
+	readonly lease: OrderLease;
+	/** Name of this daemon, as holder of the lease. */
+	readonly daemon: string;
+	readonly groups: () => readonly StageGroup[];
+	readonly times: DirectorTimes;
+};
+
+/** Gaps between the lease's last possible order and the next holder's first one are at least the turn. */
+export function createDirectorTimes(leaseMs: number): DirectorTimes {
+	return {
+		settleMs: 1500, turnMs: leaseMs + 500, callMs: 600, orderMs: 6000, doubtMs: 15_000,
+	};
+}
+
+type Pending = {
+	readonly stage: Stage;
+	readonly until: number;
+};
+
+/** Orders that are under way at the same time once callers are being served. */
+const concurrentOrders = 2;
+/** The lease ends this long before the holder's view of it, so that an order on its way arrives in time. */
+const arrivalMarginMs = 1000;
+
+/** Gives orders so that the engines' stages follow the plan, only while it holds the lease. */
+export class StageDirector {
+	readonly #options: StageDirectorOptions;
+	readonly #pending = new Map<string, Pending>();
+	#plan = '';
+	#planSince = 0;
+	#isCandidate = false;
+
+	constructor(options: StageDirectorOptions) {
+		this.#options = options;
+	}
+
+	/** Compares the engines with the plan and takes the next step; to be called a few times a second. */
+	tick(): void {
+		const {clock, groups} = this.#options;
+		const now = clock.now();
+		for (const [id, {until}] of this.#pending) {
+			if (now >= until) {
+				this.#pending.delete(id);
+			}
+		}
+
+		const changes = groups().flatMap(({upstreams, demand}) => planStages(upstreams, demand)).filter(({upstream}) => !this.#pending.has(upstream.id));
+		const plan = changes.map(({upstream, stage}) => `${upstream.id} ${stage}`).join(',');
+		if (plan !== this.#plan) {
+			this.#plan = plan;
+			this.#planSince = now;
+		}
+
+		const isSettled = changes.length > 0 && now - this.#planSince >= this.#options.times.settleMs;
+		this.#stand(isSettled || this.#pending.size > 0);
+		if (isSettled && this.#mayOrder()) {
+			this.#order(changes);
+		}
+	}
+
+	/** The lease is sought only while there is something to order. */
+	#stand(isCandidate: boolean): void {
+		if (isCandidate !== this.#isCandidate) {
+			this.#isCandidate = isCandidate;
+			this.#options.lease.setCandidate(isCandidate);
+			this.#options.log.write('stages.candidate', {isCandidate, plan: this.#plan});
+		}
+	}
+
+	#mayOrder(): boolean {
+		const held = this.#options.lease.held();
+		const now = this.#options.clock.now();
+		// Nobody can have given an order before the first grant.
+		return held !== undefined && now < held.expiresAt - arrivalMarginMs && (held.fencing === 1 || now - held.grantedAt >= this.#options.times.turnMs);
+	}
+
+	#order(changes: readonly StageChange[]): void {
+		const {clock, times} = this.#options;
+		const isFirst = this.#options.lease.held()?.fencing === 1;
+		for (const change of isFirst ? changes : changes.slice(0, Math.max(0, concurrentOrders - this.#pending.size))) {
+			this.#pending.set(change.upstream.id, {stage: change.stage, until: clock.now() + times.orderMs});
+			void this.#orderOne(change);
+		}
+	}
+
+	async #orderOne({upstream, stage}: StageChange): Promise<void> {
+		const {clock, log, times} = this.#options;
+		const report = await this.#readReport(upstream);
+		const lease = this.#options.lease.held();
+		if (report === undefined || report.isBusy || report.stage === stage || lease === undefined || !this.#mayOrder()) {
+			log.write('stages.postponed', {upstream: upstream.id, stage, report, isHeld: lease !== undefined});
+			return;
+		}
+
+		const {links, protocol, daemon} = this.#options;
+		log.write('stages.ordered', {
+			upstream: upstream.id, address: upstream.address, stage, fencing: lease.fencing, acceptedOrders: report.acceptedOrders,
+		});
+		const result = await callUpstream({
+			links,
+			protocol,
+			upstream,
+			wire: protocol.encodeOrder({
+				upstream, stage, holder: daemon, fencing: lease.fencing, acceptedOrders: report.acceptedOrders,
+			}),
+			timeoutMs: times.callMs,
+			// The connection may have taken its time: the lease is checked again right before the order is written.
+			mayStart: () => this.#mayOrder() && this.#options.lease.held()?.token === lease.token,
+		});
+		const isDoubtful = result.kind === 'failed' && result.failure.wasSent;
+		if (isDoubtful) {
+			this.#pending.set(upstream.id, {stage, until: clock.now() + times.doubtMs});
+		}
+
+		log.write('stages.answered', {
+			upstream: upstream.id, stage, fencing: lease.fencing, ...(result.kind === 'answered' ? {status: result.answer.status} : {cause: result.failure.message, wasSent: result.failure.wasSent}),
+		});
+	}
+
+	async #readReport(upstream: Upstream): Promise<EngineReport | undefined> {
+		const {links, protocol, times, log} = this.#options;
+		const result = await callUpstream({
+			links, protocol, upstream, wire: protocol.encodeReportCall(upstream), timeoutMs: times.callMs,
+		});
+		if (result.kind === 'failed' || result.answer.status !== 200) {
+			log.write('stages.noReport', {upstream: upstream.id, cause: result.kind === 'failed' ? result.failure.message : `status ${result.answer.status}`});
+			return undefined;
+		}
+
+		return protocol.decodeReport(result.body).caseOf<EngineReport | undefined>({
+			Left(cause) {
+				log.write('stages.noReport', {upstream: upstream.id, cause});
+				return undefined;
+			},
+			Right: report => report,
+		});
+	}
+}
--- a/test/connection/silent-connections.test.ts
+++ b/test/connection/silent-connections.test.ts
@@ -7,7 +7,7 @@
 	createLocalDeployment, demoKey, demoModels, demoService, type LocalDeployment,
 } from '../../src/demo/local-deployment.ts';
 import {waitUntilReady} from '../../src/demo/mixed-load.ts';
-import {createLog} from '../../src/process/log.ts';
+import {createLog} from '../../src/process/create-log.ts';
 
 const findLimitMs = 5000;
 const atOnceMs = 1500;
--- a/test/demo/local-deployment.test.ts
+++ b/test/demo/local-deployment.test.ts
@@ -6,7 +6,7 @@
 	createLocalDeployment, demoKey, demoModels, demoService, type LocalDeployment,
 } from '../../src/demo/local-deployment.ts';
 import {waitUntilReady} from '../../src/demo/mixed-load.ts';
-import {createLog} from '../../src/process/log.ts';
+import {createLog} from '../../src/process/create-log.ts';
 
 describe('a local deployment', () => {
 	let deployment: LocalDeployment;
--- a/test/process/claims/claim-parts.test.ts
+++ b/test/process/claims/claim-parts.test.ts
@@ -6,7 +6,7 @@
 import {NoWitnesses} from '../../../src/process/claims/dispatch-witnesses.ts';
 import {PlatformClaimStore, toClaimKey} from '../../../src/process/claims/platform-claim-store.ts';
 import {groupedWrites, WriteBatcher} from '../../../src/process/claims/write-batcher.ts';
-import {createLog} from '../../../src/process/log.ts';
+import {createLog} from '../../../src/process/create-log.ts';
 import type {RowWrite, StoreFailure, Table} from '../../../src/ports/table.ts';
 import type {Claim} from '../../../src/request/claim-store.ts';
 import {claimLifetimeMs} from '../../../src/request/claim.ts';
--- a/test/process/claims/claims-over-sockets.test.ts
+++ b/test/process/claims/claims-over-sockets.test.ts
@@ -6,7 +6,7 @@
 	createLocalDeployment, demoKey, demoService, type LocalDeployment,
 } from '../../../src/demo/local-deployment.ts';
 import {waitUntilReady} from '../../../src/demo/mixed-load.ts';
-import {createLog} from '../../../src/process/log.ts';
+import {createLog} from '../../../src/process/create-log.ts';
 import type {PlatformFaults} from '../../../src/stand-ins/platform/platform-server.ts';
 
 describe('a booking with an idempotency key', () => {
--- a/test/process/claims/dispatch-witnesses.test.ts
+++ b/test/process/claims/dispatch-witnesses.test.ts
@@ -7,7 +7,7 @@
 	createLocalDeployment, demoKey, demoService, type LocalDeployment,
 } from '../../../src/demo/local-deployment.ts';
 import {waitUntilReady} from '../../../src/demo/mixed-load.ts';
-import {createLog} from '../../../src/process/log.ts';
+import {createLog} from '../../../src/process/create-log.ts';
 
 describe('a resend to another daemon while the table is down', () => {
 	let deployment: LocalDeployment;
--- a/test/process/cli/plan-command.test.ts
+++ b/test/process/cli/plan-command.test.ts
@@ -10,7 +10,7 @@
 } from 'vitest';
 import {createLocalDeployment, demoModels, type LocalDeployment} from '../../../src/demo/local-deployment.ts';
 import {seedOperatorKey} from '../../../src/demo/seed-configuration.ts';
-import {createLog} from '../../../src/process/log.ts';
+import {createLog} from '../../../src/process/create-log.ts';
 
 const first = `${demoModels[0]}-zone-a-0`;
 const second = `${demoModels[0]}-zone-a-1`;
--- a/test/process/configuration/configuration-over-sockets.test.ts
+++ b/test/process/configuration/configuration-over-sockets.test.ts
@@ -7,7 +7,7 @@
 import {seedOperatorKey} from '../../../src/demo/seed-configuration.ts';
 import {Administration} from '../../../src/process/administration/administration.ts';
 import {hashKey} from '../../../src/process/key-directory.ts';
-import {createLog} from '../../../src/process/log.ts';
+import {createLog} from '../../../src/process/create-log.ts';
 import {succeed} from '../../either.ts';
 
 const inForceWithinMs = 5000;
--- a/test/process/configuration/configuration-task.test.ts
+++ b/test/process/configuration/configuration-task.test.ts
@@ -13,7 +13,7 @@
 import {ConfigurationMachine} from '../../../src/process/configuration/configuration-machine.ts';
 import {PeerConfigurationSource} from '../../../src/process/configuration/peer-configuration-source.ts';
 import {hashKey} from '../../../src/process/key-directory.ts';
-import {createLog} from '../../../src/process/log.ts';
+import {createLog} from '../../../src/process/create-log.ts';
 import {MemoryObjectStore} from '../../../src/stand-ins/platform/memory-object-store.ts';
 import {MemoryTable} from '../../../src/stand-ins/platform/memory-table.ts';
 import type {ConfigurationDifference} from '../../../src/version/configuration.ts';
--- a/test/process/crashes/crash-register.test.ts
+++ b/test/process/crashes/crash-register.test.ts
@@ -9,7 +9,7 @@
 import {CrashRowTask} from '../../../src/process/crashes/crash-row-task.ts';
 import type {CrashNews} from '../../../src/process/crashes/crash-suspicion.ts';
 import {UpstreamCrashRegister} from '../../../src/process/crashes/upstream-crash-register.ts';
-import {createLog} from '../../../src/process/log.ts';
+import {createLog} from '../../../src/process/create-log.ts';
 import type {AttemptEnd, AttemptStart} from '../../../src/request/attempt-listener.ts';
 import type {RequestDemand} from '../../../src/request/request-demand.ts';
 import {MemoryTable} from '../../../src/stand-ins/platform/memory-table.ts';
--- a/test/process/crashes/crashes-over-sockets.test.ts
+++ b/test/process/crashes/crashes-over-sockets.test.ts
@@ -7,7 +7,7 @@
 	createLocalDeployment, demoKey, demoModels, type LocalDeployment,
 } from '../../../src/demo/local-deployment.ts';
 import {waitUntilReady} from '../../../src/demo/mixed-load.ts';
-import {createLog} from '../../../src/process/log.ts';
+import {createLog} from '../../../src/process/create-log.ts';
 
 const poison = 'a prompt that crashes the engine';
 const innocents = 20;
--- a/test/process/cut-off-zone.test.ts
+++ b/test/process/cut-off-zone.test.ts
@@ -10,7 +10,7 @@
 } from '../../src/demo/local-deployment.ts';
 import {waitUntilReady} from '../../src/demo/mixed-load.ts';
 import {HostList, type Host} from '../../src/ports/host-list.ts';
-import {createLog} from '../../src/process/log.ts';
+import {createLog} from '../../src/process/create-log.ts';
 import type {DaemonTuning} from '../../src/process/wiring.ts';
 import {FaultyTable} from '../fixtures/faulty-table.ts';
 import {conditionOf} from '../fixtures/peer-status.ts';
--- a/test/process/fleet-plan.test.ts
+++ b/test/process/fleet-plan.test.ts
@@ -9,7 +9,7 @@
 } from '../../src/demo/local-deployment.ts';
 import {waitUntilReady} from '../../src/demo/mixed-load.ts';
 import type {EngineRole} from '../../src/ports/order.ts';
-import {createLog} from '../../src/process/log.ts';
+import {createLog} from '../../src/process/create-log.ts';
 import {planKey} from '../../src/process/orders/plan-row.ts';
 import {
 	createPlan, readTargets, showPlan, submitPlan,
--- a/test/process/holder-succession.test.ts
+++ b/test/process/holder-succession.test.ts
@@ -4,7 +4,7 @@
 import {groupName} from '../../src/process/lease/candidates.ts';
 import {leaseTimes} from '../../src/process/lease/lease-machine.ts';
 import {leaseKey, parseLeaseRow, type LeaseBody} from '../../src/process/lease/lease-row.ts';
-import {createLog} from '../../src/process/log.ts';
+import {createLog} from '../../src/process/create-log.ts';
 import {createPlan, showPlan, submitPlan} from '../../src/process/orders/plan-store.ts';
 import {shortIdleLimitMs, shortTimes} from '../fixtures/short-times.ts';
 import {spawnProgram, type SpawnedProcess} from '../fixtures/spawned-process.ts';
--- a/test/process/load/routing-over-sockets.test.ts
+++ b/test/process/load/routing-over-sockets.test.ts
@@ -8,7 +8,7 @@
 	createLocalDeployment, demoKey, demoModels, type LocalDeployment,
 } from '../../../src/demo/local-deployment.ts';
 import {waitUntilReady} from '../../../src/demo/mixed-load.ts';
-import {createLog} from '../../../src/process/log.ts';
+import {createLog} from '../../../src/process/create-log.ts';
 
 describe('routing over sockets', () => {
 	let deployment: LocalDeployment;
--- a/test/process/shares/usage-exchange.test.ts
+++ b/test/process/shares/usage-exchange.test.ts
@@ -2,7 +2,7 @@
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {SystemClock} from '../../../src/process/clock.ts';
-import {createLog} from '../../../src/process/log.ts';
+import {createLog} from '../../../src/process/create-log.ts';
 import type {NewsItem} from '../../../src/process/membership/news-queue.ts';
 import {Allotments} from '../../../src/process/shares/allotments.ts';
 import {UsageExchange} from '../../../src/process/shares/usage-exchange.ts';
--- a/test/process/status.test.ts
+++ b/test/process/status.test.ts
@@ -7,7 +7,7 @@
 } from 'vitest';
 import {createLocalDeployment, type LocalDeployment} from '../../src/demo/local-deployment.ts';
 import {waitUntilReady} from '../../src/demo/mixed-load.ts';
-import {createLog} from '../../src/process/log.ts';
+import {createLog} from '../../src/process/create-log.ts';
 import {StatusRegistry} from '../../src/process/status-registry.ts';
 
 describe('the status command', () => {
--- a/test/process/upstream-leaving.test.ts
+++ b/test/process/upstream-leaving.test.ts
@@ -7,7 +7,7 @@
 } from '../../src/demo/local-deployment.ts';
 import {waitUntilReady} from '../../src/demo/mixed-load.ts';
 import type {Host} from '../../src/ports/host-list.ts';
-import {createLog} from '../../src/process/log.ts';
+import {createLog} from '../../src/process/create-log.ts';
 import {conditionOf, readStatus} from '../fixtures/peer-status.ts';
 
 const leaveLimitMs = 3000;
--- a/test/request/front-fixture.ts
+++ b/test/request/front-fixture.ts
@@ -6,7 +6,7 @@
 import type {Host} from '../../src/ports/host-list.ts';
 import {SystemClock} from '../../src/process/clock.ts';
 import {hashKey} from '../../src/process/key-directory.ts';
-import {createLog} from '../../src/process/log.ts';
+import {createLog} from '../../src/process/create-log.ts';
 import {Metrics} from '../../src/process/metrics.ts';
 import {RequestFront, type RequestFrontOptions} from '../../src/process/request-front.ts';
 import {OpenAdmission} from '../../src/request/admission.ts';
