Share load and cached prompts between daemons by datagrams

Daemons tell each other what upstreams read and what load they put on them; a prompt goes where it will have been read first, and parts that another engine keeps are fetched from it.

--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -23,6 +23,7 @@
 import {RouteFront} from './route-front.ts';
 import {createShutdownTimes, Shutdown} from './shutdown.ts';
 import {TableWatch, type WatchTimes} from './table-watch.ts';
+import {PeerLink} from '../peers/peer-link.ts';
 import {createDirectorTimes, StageDirector, type StageGroup} from '../stages/stage-director.ts';
 import {UpstreamRoster, type RosterEvent} from './upstream-roster.ts';
 
@@ -68,6 +69,7 @@
 	readonly #desk: FleetDesk;
 	readonly #front: RouteFront;
 	readonly #shutdown: Shutdown;
+	readonly #peers: PeerLink;
 	readonly #lease: LeaseTask;
 	readonly #director: StageDirector;
 	readonly #metrics = new FleetMetrics();
@@ -85,11 +87,34 @@
 		this.#configuration = new ConfigurationHolder(platform.configurationKey, platform.decodeConfiguration, log);
 		this.#links = new UpstreamLinks(this.#clock);
 		const clock = this.#clock;
+		this.#peers = new PeerLink({
+			clock,
+			log,
+			table: platform.table,
+			daemon: settings.daemon.name,
+			address: `${settings.daemon.host}:${settings.listen.peerPort}`,
+			loads: () => this.#desk.loads(),
+			onReadings: readings => {
+				this.#desk.acceptReadings(readings);
+			},
+			onCrashes() {
+				// Crashes are not shared yet.
+			},
+		});
 		this.#desk = new FleetDesk({
 			clock,
 			random: this.#random,
 			log,
 			roster: this.#roster,
+			peers: {
+				board: this.#peers.board,
+				changed: upstream => {
+					this.#peers.changed(upstream);
+				},
+				tellReading: reading => {
+					this.#peers.tellReading(reading);
+				},
+			},
 			availabilityZone: settings.daemon.availabilityZone,
 			services: () => this.#configuration.table?.services ?? new Map(),
 		});
@@ -177,6 +202,7 @@
 				this.#director.tick();
 			}
 		}, housekeepingMs);
+		await this.#peers.start();
 		this.#lease.run();
 	}
 
@@ -188,6 +214,7 @@
 
 	async [Symbol.asyncDispose](): Promise<void> {
 		clearInterval(this.#housekeeping);
+		await this.#peers[Symbol.asyncDispose]();
 		await this.#lease[Symbol.asyncDispose]();
 		await this.#options.platform.table[Symbol.asyncDispose]();
 		await this.#options.platform.feed[Symbol.asyncDispose]();
--- a/src/process/fleet/fleet-desk.ts
+++ b/src/process/fleet/fleet-desk.ts
@@ -6,7 +6,8 @@
 import type {PromptPart} from '../../request/delivery/route-request.ts';
 import type {EngineProfile, Service} from '../../version/routes/route-configuration.ts';
 import type {Clock} from '../clock.ts';
-import {rankByRendezvous} from '../membership/rendezvous.ts';
+import {sumUpTo, type PeerBoard} from '../peers/peer-board.ts';
+import type {PeerLoad, PeerReading} from '../peers/peer-message.ts';
 import type {Random} from '../random.ts';
 import type {DecisionLog} from './decision-log.ts';
 import {
@@ -15,12 +16,21 @@
 import type {UpstreamRoster} from './upstream-roster.ts';
 import {UpstreamState} from './upstream-state.ts';
 
+/** The other daemons, as the desk hears from them and tells them. */
+export type DeskPeers = {
+	readonly board: PeerBoard;
+	/** Notes that this daemon's load on an upstream has changed. */
+	readonly changed: (upstream: string) => void;
+	readonly tellReading: (reading: PeerReading) => void;
+};
+
 /** What the desk needs. */
 export type FleetDeskOptions = {
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: DecisionLog;
 	readonly roster: UpstreamRoster;
+	readonly peers: DeskPeers;
 	readonly availabilityZone: string;
 	/** Services in force, by name. */
 	readonly services: () => ReadonlyMap<string, Service>;
@@ -28,8 +38,8 @@
 
 /** Part of an engine's memory that shared prompt parts can keep. */
 const cachedShare = 0.8;
-/** Parts shorter than this are read wherever the prompt goes. */
-const homeTokens = 1024;
+/** Parts of fewer tokens are read again rather than fetched. */
+const fetchedTokens = 1024;
 /** Time to set up a transfer between engines, in milliseconds. */
 const transferSetupMs = 6;
 const bitsPerByte = 8;
@@ -37,6 +47,8 @@
 /** A request is refused when this much of its time would be left after the prompt is read, in milliseconds. */
 const shortestAnswerMs = 60;
 const retryDelayMs = 400;
+/** Part of the less urgent work that is done before a more urgent prompt. */
+const begunShare = 0.3;
 
 /** Chooses upstreams by this daemon's own sends, the load that upstreams state, and the prompt parts that they keep. */
 export class FleetDesk extends UpstreamDesk {
@@ -56,6 +68,22 @@
 		}
 	}
 
+	/** This daemon's own load on all upstreams with work. */
+	loads(): readonly PeerLoad[] {
+		return [...this.#states.values()].flatMap(({upstream, runs, tokensByPriority}) =>
+			runs === 0 && tokensByPriority.size === 0 ? [] : [{upstream: upstream.id, runs, tokensByPriority}]);
+	}
+
+	/** Takes the prompts that upstreams read for the other daemons. */
+	acceptReadings(readings: readonly PeerReading[]): void {
+		for (const {upstream: id, parts} of readings) {
+			const upstream = this.#options.roster.find(id);
+			if (upstream !== undefined) {
+				this.#state(upstream).cache.touch(parts);
+			}
+		}
+	}
+
 	/** Forgets an upstream that is gone. */
 	forget(id: string): void {
 		this.#states.delete(id);
@@ -66,7 +94,7 @@
 		const now = this.#options.clock.now();
 		return this.#options.roster.serving(service).filter(({stage}) => stage === 'decode').reduce((sum, upstream) => {
 			const state = this.#state(upstream);
-			return sum + state.runs + state.othersRuns(now);
+			return sum + state.runs + this.#othersRuns(state, now);
 		}, 0);
 	}
 
@@ -88,24 +116,25 @@
 		}
 
 		const parts = prompt.parts.length === 0 ? [{id: demand.request.id, tokens: prompt.tokens}] : prompt.parts;
-		const homes = this.#findHomes(parts, states);
-		const fetchable = homes === undefined ? undefined : states.find(state => state.upstream.id === homes && state.cache.keptParts(parts) > 0);
-		const candidates = states.map(state => this.#createCandidate(state, parts, homes, fetchable, engine));
+		const {priority} = demand.route;
+		const keeper = this.#findKeeper(parts, states);
+		const candidates = states.map(state => this.#createCandidate(state, parts, keeper, engine, priority));
 		const choice = choosePrefill(candidates, prefillRate);
-		const {remainingMs} = {remainingMs: demand.endAt - this.#options.clock.now()};
+		const remainingMs = demand.endAt - this.#options.clock.now();
 		if (choice === undefined) {
 			return this.#refuse(demand, 'noUpstream');
 		}
 
-		if (choice.predictedMs + shortestAnswerMs > remainingMs) {
-			return this.#refuse(demand, 'overloaded', choice.predictedMs);
+		const {candidate, predictedMs} = choice;
+		if (predictedMs + shortestAnswerMs > remainingMs) {
+			return this.#refuse(demand, 'overloaded', predictedMs);
 		}
 
-		const state = this.#states.get(choice.candidate.id)!;
-		const fetchFrom = choice.candidate.fetchMs > 0 ? fetchable?.upstream : undefined;
-		const tokens = weighTokens(choice.candidate.missingTokens, choice.candidate.keptTokens);
+		const state = this.#states.get(candidate.id)!;
+		const finish = state.beginPrefill(weighTokens(candidate.missingTokens, candidate.keptTokens), priority, predictedMs);
 		state.cache.touch(parts);
-		return this.#createPlacement(state, choice.predictedMs, fetchFrom, state.beginPrefill(tokens, choice.predictedMs));
+		this.#options.peers.tellReading({upstream: candidate.id, parts});
+		return this.#createPlacement(state, predictedMs, candidate.fetchMs > 0 ? keeper?.upstream : undefined, finish);
 	}
 
 	placeDecode(demand: Demand, source: Upstream | undefined): PlacementResult {
@@ -114,6 +143,11 @@
 		return state === undefined ? this.#refuse(demand, 'noUpstream') : this.#beginRun(state, 0);
 	}
 
+	/** The larger of what the other daemons tell and what the upstream stated: either may be out of date. */
+	#othersRuns(state: UpstreamState, now: number): number {
+		return Math.max(this.#options.peers.board.runs(state.upstream.id, now), state.othersRuns(now));
+	}
+
 	/** Upstreams of a service, without those to avoid unless there is no other one. */
 	#usable(service: string, tried: ReadonlySet<string>): readonly UpstreamState[] {
 		const now = this.#options.clock.now();
@@ -139,7 +173,7 @@
 		const now = this.#options.clock.now();
 		const choice = chooseRun(states.map(state => ({
 			id: state.upstream.id,
-			runs: state.runs + state.othersRuns(now),
+			runs: state.runs + this.#othersRuns(state, now),
 			slots: state.upstream.slots,
 			isLocal: state.upstream.availabilityZone === this.#options.availabilityZone,
 			isNearPrompt: promptZone === undefined || state.upstream.availabilityZone === promptZone,
@@ -149,37 +183,55 @@
 		return choice === undefined ? undefined : this.#states.get(choice.id);
 	}
 
-	/** Upstream that all daemons take for the longest shared part, when there is one worth a home. */
-	#findHomes(parts: readonly PromptPart[], states: readonly UpstreamState[]): string | undefined {
-		const shared = parts.slice(0, -1).filter(({tokens}) => tokens >= homeTokens).at(-1);
-		return shared === undefined ? undefined : rankByRendezvous(shared.id, states.map(({upstream}) => upstream.id))[0];
+	/** Upstream that keeps the most tokens of a prompt from its start. */
+	#findKeeper(parts: readonly PromptPart[], states: readonly UpstreamState[]): UpstreamState | undefined {
+		let keeper: UpstreamState | undefined;
+		let missing = Number.POSITIVE_INFINITY;
+		for (const state of states) {
+			const tokens = state.cache.missingTokens(parts);
+			if (tokens < missing) {
+				keeper = state;
+				missing = tokens;
+			}
+		}
+
+		return keeper;
 	}
 
 	#createCandidate(
 		state: UpstreamState,
 		parts: readonly PromptPart[],
-		home: string | undefined,
-		fetchable: UpstreamState | undefined,
+		keeper: UpstreamState | undefined,
 		engine: EngineProfile,
+		priority: number,
 	): PrefillCandidate {
 		const now = this.#options.clock.now();
+		const {upstream} = state;
 		const total = parts.reduce((sum, {tokens}) => sum + tokens, 0);
 		const ownMissing = state.cache.missingTokens(parts);
-		const homeMissing = fetchable?.cache.missingTokens(parts) ?? total;
-		const fetches = fetchable !== undefined && fetchable !== state && homeMissing < ownMissing;
-		const missingTokens = fetches ? homeMissing : (state.upstream.id === home ? Math.min(ownMissing, total) : ownMissing);
+		const keeperMissing = keeper?.cache.missingTokens(parts) ?? total;
+		const fetches = keeper !== undefined && keeper !== state && ownMissing - keeperMissing >= fetchedTokens;
+		const missingTokens = fetches ? keeperMissing : ownMissing;
 		return {
-			id: state.upstream.id,
-			backlogTokens: state.prefillTokens,
+			id: upstream.id,
+			backlogTokens: this.#sumBacklog(state, priority, now),
 			missingTokens,
 			keptTokens: total - missingTokens,
-			fetchMs: fetches ? this.#transferMs(ownMissing - homeMissing, state.upstream, fetchable.upstream, engine) : 0,
-			isLocal: state.upstream.availabilityZone === this.#options.availabilityZone,
+			fetchMs: fetches ? this.#transferMs(ownMissing - keeperMissing, upstream, keeper.upstream, engine) : 0,
+			isLocal: upstream.availabilityZone === this.#options.availabilityZone,
 			pace: state.pace * state.slowness(now),
 			failureShare: state.failureShare,
 		};
 	}
 
+	/** Tokens that are read before a prompt of a priority; less urgent ones that have begun take part of the time. */
+	#sumBacklog(state: UpstreamState, priority: number, now: number): number {
+		const {board} = this.#options.peers;
+		const sum = (limit: number) => sumUpTo(state.tokensByPriority, limit) + board.tokensUpTo(state.upstream.id, limit, now);
+		const urgent = sum(priority);
+		return urgent + ((sum(Number.POSITIVE_INFINITY) - urgent) * begunShare);
+	}
+
 	#transferMs(tokens: number, target: Upstream, source: Upstream, {tokenBytes, linkMbps}: EngineProfile): number {
 		const ms = (tokens * tokenBytes * bitsPerByte) / (Math.max(1, linkMbps) * megabit / 1000);
 		return transferSetupMs + (ms * (target.availabilityZone === source.availabilityZone ? 1 : 2));
@@ -190,8 +242,9 @@
 	}
 
 	#createPlacement(state: UpstreamState, predictedMs: number, fetchFrom: Upstream | undefined, finish: (end: SendEnd, now: number) => void): Placement {
-		const {clock} = this.#options;
+		const {clock, peers} = this.#options;
 		let isReleased = false;
+		peers.changed(state.upstream.id);
 		return {
 			upstream: state.upstream,
 			predictedMs,
@@ -203,6 +256,7 @@
 				if (!isReleased) {
 					isReleased = true;
 					finish(end, clock.now());
+					peers.changed(state.upstream.id);
 				}
 			},
 		};
--- a/src/process/fleet/placement-score.ts
+++ b/src/process/fleet/placement-score.ts
@@ -24,7 +24,7 @@
 };
 
 /** Engines of the size that the deployments run; the pace of each engine corrects it from what is measured. */
-export const prefillRate: PrefillRate = {tokensPerMs: 157, fixedMs: 10};
+export const prefillRate: PrefillRate = {tokensPerMs: 157, fixedMs: 40};
 
 /** Attention makes a token cost twice as much at this distance from the start of its prompt. */
 const attentionDoublingTokens = 58_000;
@@ -41,7 +41,7 @@
 /** Predicts the time to read a prompt at a candidate, in milliseconds. */
 export function predictPrefill(candidate: PrefillCandidate, rate: PrefillRate): number {
 	const own = weighTokens(candidate.missingTokens, candidate.keptTokens);
-	return (((candidate.backlogTokens + own) / rate.tokensPerMs) + rate.fixedMs) * candidate.pace + candidate.fetchMs;
+	return (((candidate.backlogTokens + own) / rate.tokensPerMs) * candidate.pace) + rate.fixedMs + candidate.fetchMs;
 }
 
 /**
--- a/src/process/fleet/upstream-state.ts
+++ b/src/process/fleet/upstream-state.ts
@@ -15,18 +15,13 @@
 const fastestPace = 0.3;
 const neverAvoided = Number.NEGATIVE_INFINITY;
 
-/** Sends of one upstream that have not ended, as this daemon knows them. */
-type Outstanding = {
-	runs: number;
-	prefillTokens: number;
-	prefills: number;
-};
-
 /** What this daemon has learnt of one upstream: its own sends, the load it states, and how sends have ended. */
 export class UpstreamState {
 	readonly cache: PromptCache;
 	#upstream: Upstream;
-	readonly #outstanding: Outstanding = {runs: 0, prefillTokens: 0, prefills: 0};
+	readonly #tokensByPriority = new Map<number, number>();
+	#runs = 0;
+	#prefills = 0;
 	#stated: {readonly load: StatedLoad; readonly at: number; readonly ownRuns: number} | undefined;
 	#pace = 1;
 	#failureShare = 0;
@@ -47,17 +42,12 @@
 
 	/** Own requests that run or wait there. */
 	get runs(): number {
-		return this.#outstanding.runs;
-	}
-
-	/** Own prompts that are being read there. */
-	get prefills(): number {
-		return this.#outstanding.prefills;
+		return this.#runs;
 	}
 
-	/** Tokens of own prompts that are being read there. */
-	get prefillTokens(): number {
-		return this.#outstanding.prefillTokens;
+	/** Tokens of own prompts that are being read there, by priority. */
+	get tokensByPriority(): ReadonlyMap<number, number> {
+		return this.#tokensByPriority;
 	}
 
 	/** Time that work takes relative to what was predicted. */
@@ -113,29 +103,39 @@
 
 	/** Takes the load that an answer states. */
 	observe(load: StatedLoad, now: number): void {
-		this.#stated = {load, at: now, ownRuns: this.#outstanding.runs + this.#outstanding.prefills};
+		this.#stated = {load, at: now, ownRuns: this.#runs + this.#prefills};
 	}
 
 	/** Counts a run; the result is to be called at its end. */
 	beginRun(predictedMs: number): (end: SendEnd, now: number) => void {
-		this.#outstanding.runs += 1;
+		this.#runs += 1;
 		return (end, now) => {
-			this.#outstanding.runs -= 1;
+			this.#runs -= 1;
 			this.#learn(end, predictedMs, now, false);
 		};
 	}
 
 	/** Counts a prompt that is being read; the result is to be called at its end. */
-	beginPrefill(tokens: number, predictedMs: number): (end: SendEnd, now: number) => void {
-		this.#outstanding.prefills += 1;
-		this.#outstanding.prefillTokens += tokens;
+	beginPrefill(tokens: number, priority: number, predictedMs: number): (end: SendEnd, now: number) => void {
+		this.#prefills += 1;
+		this.#addTokens(priority, tokens);
 		return (end, now) => {
-			this.#outstanding.prefills -= 1;
-			this.#outstanding.prefillTokens -= tokens;
+			this.#prefills -= 1;
+			this.#addTokens(priority, -tokens);
 			this.#learn(end, predictedMs, now, true);
 		};
 	}
 
+	#addTokens(priority: number, tokens: number): void {
+		const sum = (this.#tokensByPriority.get(priority) ?? 0) + tokens;
+		// Rounding may leave a fraction of a token.
+		if (sum < 1) {
+			this.#tokensByPriority.delete(priority);
+		} else {
+			this.#tokensByPriority.set(priority, sum);
+		}
+	}
+
 	#learn({kind, elapsedMs, load}: SendEnd, predictedMs: number, now: number, isPaced: boolean): void {
 		if (load !== undefined) {
 			this.observe(load, now);
