--- a/src/connection/links/caller-answer.ts
+++ b/src/connection/links/caller-answer.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import type {ServerResponse} from 'node:http';
 import type {CallerProtocol, Refusal} from '../../ports/caller-protocol.ts';
 
--- a/src/connection/links/exchange.ts
+++ b/src/connection/links/exchange.ts
@@ -21,7 +21,10 @@
 	readonly onFailed: (failure: ExchangeFailure) => void;
 };
 
-class ExchangeCancelledError extends Error {}
+/** Reason of an exchange that the daemon ended itself. */
+class ExchangeCancelledError extends Error {
+	override name = 'ExchangeCancelledError';
+}
 
 const unreachableCodes: ReadonlySet<string> = new Set(['UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'ETIMEDOUT']);
 
--- a/src/connection/links/upstream-links.ts
+++ b/src/connection/links/upstream-links.ts
@@ -48,7 +48,7 @@
 		}, this.#times.connectMs);
 		const exchange = new Exchange({
 			...listener,
-			onStarted: () => {
+			onStarted() {
 				clearTimeout(timer);
 				listener.onStarted();
 			},
@@ -66,7 +66,7 @@
 		});
 		try {
 			client.dispatch({
-				method: method as 'GET', path, headers: [...headers], body: body.length === 0 ? null : body, headersTimeout: 0, bodyTimeout: 0,
+				method, path, headers: [...headers], body: body.length === 0 ? null : body, headersTimeout: 0, bodyTimeout: 0,
 			}, exchange);
 		} catch (error) {
 			exchange.onResponseError(undefined as never, error as Error);
--- a/src/fleet-main.ts
+++ b/src/fleet-main.ts
@@ -1,7 +1,7 @@
-/* eslint-disable import-x/no-unassigned-import -- These two must come before all other modules. */
+/* eslint-disable import-x/no-unassigned-import, import-x/order -- These two must come before all other modules. */
 import './with-resolvers.ts';
 import './process/heap.ts';
-/* eslint-enable import-x/no-unassigned-import */
+/* eslint-enable import-x/no-unassigned-import, import-x/order */
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
 import {platformSettingsPath, createPlatform} from '../platform/platform.ts';
@@ -33,21 +33,24 @@
 		settings, platform: createPlatform(settings.store.address), log, seed: Math.floor(Math.random() * (2 ** 31)),
 	});
 	await daemon.start();
-	let isStopping = false;
-	process.on('SIGTERM', async () => {
-		if (!isStopping) {
-			isStopping = true;
-			await daemon.stop();
-			// Connections that are still open have no request on them.
-			// eslint-disable-next-line unicorn/no-process-exit
-			process.exit(0);
-		}
+	process.once('SIGTERM', () => {
+		void end(daemon);
+	});
+	process.on('SIGTERM', () => {
+		log.write('process.signal', {signal: 'SIGTERM'});
 	});
 	process.on('SIGHUP', () => {
 		log.write('process.reload', {});
 	});
 }
 
+async function end(daemon: FleetDaemon): Promise<void> {
+	await daemon.stop();
+	// Connections that are still open have no request on them.
+	// eslint-disable-next-line unicorn/no-process-exit
+	process.exit(0);
+}
+
 // The daemon is bundled as CommonJS, which has no top-level await.
 // eslint-disable-next-line unicorn/prefer-top-level-await
 void main().catch((error: unknown) => {
--- a/src/process/fleet/decision-log.ts
+++ b/src/process/fleet/decision-log.ts
@@ -57,7 +57,9 @@
 			return;
 		}
 
-		const line = `${JSON.stringify({time: now, event, ...this.#base, ...values})}\n`;
+		const line = `${JSON.stringify({
+			time: now, event, ...this.#base, ...values,
+		})}\n`;
 		if (this.#pendingBytes + line.length > this.#limits.pendingBytes) {
 			this.#skip();
 			return;
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -1,4 +1,4 @@
-import {createServer, type Server} from 'node:http';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import type {Either} from 'purify-ts';
 import {createCallerServer} from '../../connection/caller-server.ts';
 import {closeAbruptly, listen} from '../../connection/http-listener.ts';
@@ -14,6 +14,8 @@
 import {LeaseTask} from '../lease/lease-task.ts';
 import {Log} from '../log.ts';
 import {SeededRandom} from '../random.ts';
+import {PeerLink} from '../peers/peer-link.ts';
+import {createDirectorTimes, StageDirector, type StageGroup} from '../stages/stage-director.ts';
 import {ConfigurationHolder, type ConfigurationDecoder} from './configuration-holder.ts';
 import {CrashSuspects} from './crash-suspects.ts';
 import type {DecisionLog} from './decision-log.ts';
@@ -23,8 +25,6 @@
 import {RouteFront} from './route-front.ts';
 import {createShutdownTimes, Shutdown} from './shutdown.ts';
 import {TableWatch, type WatchTimes} from './table-watch.ts';
-import {PeerLink} from '../peers/peer-link.ts';
-import {createDirectorTimes, StageDirector, type StageGroup} from '../stages/stage-director.ts';
 import {UpstreamRoster, type RosterEvent} from './upstream-roster.ts';
 
 /** Access to the operator's platform. */
@@ -165,10 +165,8 @@
 			response.statusCode = isAsked ? (this.isReady ? 200 : 503) : 404;
 			response.end();
 		});
-		this.#metricsServer = createServer(async (_request, response) => {
-			const {contentType, text} = await this.#metrics.format();
-			response.setHeader('content-type', contentType);
-			response.end(text);
+		this.#metricsServer = createServer((_request, response) => {
+			void this.#sendMetrics(response);
 		});
 		this.#metrics.watch({
 			openRequests: () => this.#front.openRequests,
@@ -223,6 +221,12 @@
 		await this.#links[Symbol.asyncDispose]();
 	}
 
+	async #sendMetrics(response: ServerResponse): Promise<void> {
+		const {contentType, text} = await this.#metrics.format();
+		response.setHeader('content-type', contentType);
+		response.end(text);
+	}
+
 	#stageGroups(): readonly StageGroup[] {
 		const services = [...this.#configuration.table?.services.values() ?? []];
 		return services.flatMap(({name, engine}) => engine === undefined
@@ -241,43 +245,47 @@
 			}
 		};
 
-		return new TableWatch(platform.feed, platform.tables.operator, configurationTimes, {
-			onTable: accept,
-			onChanges: accept,
-			onLost() {
+		return new TableWatch({
+			feed: platform.feed, table: platform.tables.operator, times: configurationTimes, log, random: this.#random, listener: {
+				onTable: accept,
+				onChanges: accept,
+				onLost() {
 				// What was known stays in force.
-			},
-			onReturned() {
+				},
+				onReturned() {
 				// The next answer brings what has changed.
+				},
 			},
-		}, log, this.#random);
+		});
 	}
 
 	#watchUpstreams(): TableWatch {
 		const {platform, log} = this.#options;
 		const decode = ({key, value}: FeedRow): readonly Upstream[] => platform.decodeUpstream(key, value).caseOf({
-			Left: cause => {
+			Left(cause) {
 				log.write('upstream.invalidEntry', {upstream: key, cause});
 				return [];
 			},
 			Right: (upstream): readonly Upstream[] => [upstream],
 		});
-		return new TableWatch(platform.feed, platform.tables.upstreams, rosterTimes, {
-			onTable: rows => {
-				this.#isListed = true;
-				this.#apply(this.#roster.replace(rows.filter(({isRemoved}) => !isRemoved).flatMap(row => decode(row)), this.#clock.now()));
-			},
-			onChanges: rows => {
-				const now = this.#clock.now();
-				this.#apply(rows.flatMap(row => row.isRemoved ? this.#roster.remove(row.key, now) : decode(row).flatMap(upstream => this.#roster.set(upstream))));
-			},
-			onLost: () => {
-				this.#roster.storeLost();
-			},
-			onReturned: () => {
-				this.#roster.storeReturned(this.#clock.now());
+		return new TableWatch({
+			feed: platform.feed, table: platform.tables.upstreams, times: rosterTimes, log, random: this.#random, listener: {
+				onTable: rows => {
+					this.#isListed = true;
+					this.#apply(this.#roster.replace(rows.filter(({isRemoved}) => !isRemoved).flatMap(row => decode(row)), this.#clock.now()));
+				},
+				onChanges: rows => {
+					const now = this.#clock.now();
+					this.#apply(rows.flatMap(row => row.isRemoved ? this.#roster.remove(row.key, now) : decode(row).flatMap(upstream => this.#roster.set(upstream))));
+				},
+				onLost: () => {
+					this.#roster.storeLost();
+				},
+				onReturned: () => {
+					this.#roster.storeReturned(this.#clock.now());
+				},
 			},
-		}, log, this.#random);
+		});
 	}
 
 	#apply(events: readonly RosterEvent[]): void {
--- a/src/process/fleet/fleet-desk.ts
+++ b/src/process/fleet/fleet-desk.ts
@@ -36,6 +36,15 @@
 	readonly services: () => ReadonlyMap<string, Service>;
 };
 
+/** A prompt that is to be read. */
+type Reading = {
+	readonly parts: readonly PromptPart[];
+	/** Upstream that keeps the most of it. */
+	readonly keeper: UpstreamState | undefined;
+	readonly engine: EngineProfile;
+	readonly priority: number;
+};
+
 /** Part of an engine's memory that shared prompt parts can keep. */
 const cachedShare = 0.8;
 /** Parts of fewer tokens are read again rather than fetched. */
@@ -77,7 +86,7 @@
 	/** Takes the prompts that upstreams read for the other daemons. */
 	acceptReadings(readings: readonly PeerReading[]): void {
 		for (const {upstream: id, parts} of readings) {
-			const upstream = this.#options.roster.find(id);
+			const upstream = this.#options.roster.get(id);
 			if (upstream !== undefined) {
 				this.#state(upstream).cache.touch(parts);
 			}
@@ -92,10 +101,13 @@
 	/** Requests of a service that run or wait, on all its engines that generate. */
 	countRuns(service: string): number {
 		const now = this.#options.clock.now();
-		return this.#options.roster.serving(service).filter(({stage}) => stage === 'decode').reduce((sum, upstream) => {
+		let runs = 0;
+		for (const upstream of this.#options.roster.serving(service).filter(({stage}) => stage === 'decode')) {
 			const state = this.#state(upstream);
-			return sum + state.runs + this.#othersRuns(state, now);
-		}, 0);
+			runs += state.runs + this.#othersRuns(state, now);
+		}
+
+		return runs;
 	}
 
 	isModelService(service: string): boolean {
@@ -118,7 +130,9 @@
 		const parts = prompt.parts.length === 0 ? [{id: demand.request.id, tokens: prompt.tokens}] : prompt.parts;
 		const {priority} = demand.route;
 		const keeper = this.#findKeeper(parts, states);
-		const candidates = states.map(state => this.#createCandidate(state, parts, keeper, engine, priority));
+		const candidates = states.map(state => this.#createCandidate(state, {
+			parts, keeper, engine, priority,
+		}));
 		const choice = choosePrefill(candidates, prefillRate);
 		const remainingMs = demand.endAt - this.#options.clock.now();
 		if (choice === undefined) {
@@ -198,13 +212,7 @@
 		return keeper;
 	}
 
-	#createCandidate(
-		state: UpstreamState,
-		parts: readonly PromptPart[],
-		keeper: UpstreamState | undefined,
-		engine: EngineProfile,
-		priority: number,
-	): PrefillCandidate {
+	#createCandidate(state: UpstreamState, {parts, keeper, engine, priority}: Reading): PrefillCandidate {
 		const now = this.#options.clock.now();
 		const {upstream} = state;
 		const total = parts.reduce((sum, {tokens}) => sum + tokens, 0);
--- a/src/process/fleet/route-front.ts
+++ b/src/process/fleet/route-front.ts
@@ -95,7 +95,7 @@
 				using _body = value;
 				const request = protocol.decode(message, value.bytes);
 				const table = routes();
-				const route = table?.find(request.host, request.target);
+				const route = table?.match(request.host, request.target);
 				const own = this.#findRefusal(request, table, route);
 				if (own !== undefined || route === undefined) {
 					this.#refuse(exchange, request, own ?? refusal('noRoute', 'No route matches.'));
--- a/src/process/fleet/table-watch.ts
+++ b/src/process/fleet/table-watch.ts
@@ -21,6 +21,16 @@
 	readonly onReturned: () => void;
 };
 
+/** What a watch needs. */
+export type TableWatchOptions = {
+	readonly feed: RowFeed;
+	readonly table: string;
+	readonly times: WatchTimes;
+	readonly listener: WatchListener;
+	readonly log: DecisionLog;
+	readonly random: Random;
+};
+
 const shortestBackOffMs = 100;
 const longestBackOffMs = 600;
 
@@ -37,7 +47,7 @@
 	#failures = 0;
 	#running: Promise<void> = Promise.resolve();
 
-	constructor(feed: RowFeed, table: string, times: WatchTimes, listener: WatchListener, log: DecisionLog, random: Random) {
+	constructor({feed, table, times, listener, log, random}: TableWatchOptions) {
 		this.#feed = feed;
 		this.#table = table;
 		this.#times = times;
--- a/src/process/fleet/upstream-roster.ts
+++ b/src/process/fleet/upstream-roster.ts
@@ -57,7 +57,7 @@
 	}
 
 	/** Returns the upstream while it takes work. */
-	find(id: string): Upstream | undefined {
+	get(id: string): Upstream | undefined {
 		const entry = this.#entries.get(id);
 		return entry === undefined || entry.upstream.isDraining ? undefined : entry.upstream;
 	}
--- a/src/process/peers/peer-board.ts
+++ b/src/process/peers/peer-board.ts
@@ -9,7 +9,6 @@
 	readonly loads: Map<string, PeerLoad>;
 };
 
-
 /** Load that the other daemons put on upstreams, as they last told. */
 export class PeerBoard {
 	readonly #peers = new Map<string, Peer>();
--- a/src/process/stages/stage-director.ts
+++ b/src/process/stages/stage-director.ts
@@ -130,7 +130,9 @@
 		const report = await this.#readReport(upstream);
 		const lease = this.#options.lease.held();
 		if (report === undefined || report.isBusy || report.stage === stage || lease === undefined || !this.#mayOrder()) {
-			log.write('stages.postponed', {upstream: upstream.id, stage, report, isHeld: lease !== undefined});
+			log.write('stages.postponed', {
+				upstream: upstream.id, stage, report, isHeld: lease !== undefined,
+			});
 			return;
 		}
 
--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -9,7 +9,9 @@
 import type {CrashSuspects} from '../../process/fleet/crash-suspects.ts';
 import type {Route} from '../../version/routes/route-configuration.ts';
 import type {RouteRequest} from './route-request.ts';
-import type {Demand, PlacementRefusal, SendEnd, UpstreamDesk} from './upstream-desk.ts';
+import type {
+	Demand, PlacementRefusal, SendEnd, UpstreamDesk,
+} from './upstream-desk.ts';
 
 /** What deliveries need from the rest of the daemon. */
 export type DeliveryTools = {
--- a/src/request/delivery/event-splitter.ts
+++ b/src/request/delivery/event-splitter.ts
@@ -14,7 +14,7 @@
 
 /** Splits a stream's bytes into whole events; an event that is cut off stays inside. */
 export class EventSplitter {
-	#pending: Buffer = Buffer.alloc(0);
+	#pending: Uint8Array = Buffer.alloc(0);
 
 	/** Bytes of an event that has begun and not ended. */
 	get pendingBytes(): number {
@@ -28,7 +28,7 @@
 
 	/** Takes a chunk and returns the events that it completes. */
 	accept(chunk: Uint8Array): readonly StreamEvent[] {
-		const bytes = this.#pending.length === 0 ? Buffer.from(chunk) : Buffer.concat([this.#pending, chunk]);
+		const bytes = Buffer.concat([this.#pending, chunk]);
 		const events: StreamEvent[] = [];
 		let start = 0;
 		for (let end = bytes.indexOf(eventEnd, start); end !== -1; end = bytes.indexOf(eventEnd, start)) {
@@ -42,6 +42,6 @@
 	}
 }
 
-function readId(event: Buffer): string | undefined {
-	return idLine.exec(event.toString('latin1'))?.[1]?.trim();
+function readId(event: Uint8Array): string | undefined {
+	return idLine.exec(Buffer.from(event.buffer, event.byteOffset, event.length).toString('latin1'))?.[1]?.trim();
 }
--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -119,7 +119,9 @@
 				return {kind: 'again', otherwise: () => this.#refuseOrFail('No upstream could be reached.'), hasAnswer: false};
 			}
 
-			default: {
+			case 'lost':
+			case 'silent':
+			case 'cancelled': {
 				return this.#decideLoss(result, upstreamId);
 			}
 		}
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -1,11 +1,13 @@
 import {callUpstream} from '../../connection/links/upstream-call.ts';
-import type {PromptWork} from '../../ports/upstream-protocol.ts';
+import type {PromptWork, UpstreamAnswer} from '../../ports/upstream-protocol.ts';
 import type {Upstream} from '../../ports/upstream.ts';
 import {
 	Delivery, toSendEnd, type DeliveryEnd,
 } from './delivery.ts';
 import {StreamRun, type StreamRunEnd} from './stream-run.ts';
-import {isPlaced, type Placement, type PlacementRefusal} from './upstream-desk.ts';
+import {
+	isPlaced, type Placement, type PlacementRefusal, type SendEnd,
+} from './upstream-desk.ts';
 
 /** Sends that read a prompt; each further one counts as a retry. */
 const prefillLimit = 3;
@@ -101,7 +103,7 @@
 		const prompt = answer.status === 200 && (answer.requestId === undefined || answer.requestId === job.request.id)
 			? tools.protocol.decodePrefill(body).map(({handle}) => ({source: upstream, handle})).toMaybe().extract()
 			: undefined;
-		const kind = prompt === undefined ? (answer.isMisdirected ? 'misdirected' : (answer.isNotRun ? 'rejected' : 'failed')) : 'served';
+		const kind = prompt === undefined ? toFailedPrefill(answer) : 'served';
 		placement.release({kind, elapsedMs, ...load});
 		this.#logSent(upstream, kind, elapsedMs, {status: answer.status});
 		return prompt;
@@ -130,7 +132,10 @@
 
 			end = this.#decide(result, placement.upstream);
 			// A handle that one upstream could not fetch is tried once more and then given up.
-			prompt = attempt === 0 && result.kind !== 'misdirected' ? prompt : this.#releasePrompt(prompt);
+			if (attempt > 0 || result.kind === 'misdirected') {
+				this.#releasePrompt(prompt);
+				prompt = undefined;
+			}
 		}
 
 		this.#releasePrompt(prompt);
@@ -192,7 +197,11 @@
 				return undefined;
 			}
 
-			default: {
+			case 'served':
+			case 'failed':
+			case 'lost':
+			case 'silent':
+			case 'cancelled': {
 				if (result.kind === 'lost') {
 					this.tools.crashes.connectionLost(job.request, upstream.id);
 				}
@@ -233,9 +242,9 @@
 	}
 
 	/** Frees a prompt that no one will fetch; it lapses by itself when the call is lost. */
-	#releasePrompt(prompt: ReadPrompt | undefined): undefined {
+	#releasePrompt(prompt: ReadPrompt | undefined): void {
 		if (prompt === undefined) {
-			return undefined;
+			return;
 		}
 
 		const {links, protocol} = this.tools;
@@ -243,7 +252,6 @@
 			links, protocol, upstream: prompt.source, wire: protocol.encodeRelease(prompt.source, prompt.handle), timeoutMs: 1000,
 		});
 		this.log('prompt.released', {upstream: prompt.source.id});
-		return undefined;
 	}
 
 	#logSent(upstream: Upstream, outcome: string, elapsedMs: number, fields: Readonly<Record<string, unknown>>): void {
@@ -252,3 +260,11 @@
 		});
 	}
 }
+
+function toFailedPrefill({isMisdirected, isNotRun}: UpstreamAnswer): SendEnd['kind'] {
+	if (isMisdirected) {
+		return 'misdirected';
+	}
+
+	return isNotRun ? 'rejected' : 'failed';
+}
--- a/src/request/delivery/stream-run.ts
+++ b/src/request/delivery/stream-run.ts
@@ -53,7 +53,7 @@
 	readonly #options: StreamRunOptions;
 	readonly #splitter = new EventSplitter();
 	readonly #sentAt: number;
-	#resolve: (end: StreamRunEnd) => void = () => undefined;
+	readonly #ended = Promise.withResolvers<StreamRunEnd>();
 	#exchange: Exchange | undefined;
 	#answer: UpstreamAnswer | undefined;
 	readonly #failureChunks: Uint8Array[] = [];
@@ -73,8 +73,6 @@
 	/** Runs to the end; never rejects. */
 	async run(): Promise<StreamRunEnd> {
 		const {tools, job: {signal}, placement, wire} = this.#options;
-		const {promise, resolve} = Promise.withResolvers<StreamRunEnd>();
-		this.#resolve = resolve;
 		const cancel = () => {
 			this.#cancel('cancelled', String(signal.reason));
 		};
@@ -102,7 +100,7 @@
 		}
 
 		try {
-			return await promise;
+			return await this.#ended.promise;
 		} finally {
 			clearTimeout(this.#silenceTimer);
 			signal.removeEventListener('abort', cancel);
@@ -214,7 +212,7 @@
 		placement.release({kind: kind === 'complete' ? 'served' : kind, elapsedMs, ...(load === undefined ? {} : {load})});
 		const hasArrived = this.#exchange?.isStarted ?? true;
 		const isRejected = kind === 'rejected' || kind === 'misdirected';
-		this.#resolve({
+		this.#ended.resolve({
 			kind,
 			message,
 			status: this.#answer?.status,
--- a/src/version/routes/route-table.ts
+++ b/src/version/routes/route-table.ts
@@ -27,7 +27,7 @@
 	}
 
 	/** Returns the route whose prefix is the longest one that begins the path; the query does not count. */
-	find(host: string, target: string): Route | undefined {
+	match(host: string, target: string): Route | undefined {
 		const prefixes = this.#hosts.get(normalizeHost(host));
 		if (prefixes === undefined) {
 			return undefined;
--- a/src/with-resolvers.ts
+++ b/src/with-resolvers.ts
@@ -2,7 +2,7 @@
 Adds Promise.withResolvers where the runtime lacks it: the hosts of the operator's platform have Node.js 20, which takes less
 memory than the Node.js 24 of the executable. Imported before all other modules.
 */
-// eslint-disable-next-line @typescript-eslint/no-unnecessary-condition
+
 Promise.withResolvers ??= function <Value>(this: PromiseConstructor) {
 	let resolve!: (value: Value | PromiseLike<Value>) => void;
 	let reject!: (reason?: unknown) => void;
--- /dev/null
+++ b/test/process/fleet/retry-allowance.test.ts
@@ -0,0 +1,57 @@
+import {describe, expect, test} from 'vitest';
+import {RetryAllowance} from '../../../src/process/fleet/retry-allowance.ts';
+
+const bounds = {ratio: 0.2, slack: 56, windowMs: 10_000};
+
+/** Plays a load on several daemons that all retry as often as they may, and returns the retries of the worst window. */
+function playWorstWindow(requestsPerSecond: readonly number[], seconds: number): {readonly retries: number; readonly allowed: number} {
+	const daemons = requestsPerSecond.map(() => new RetryAllowance(bounds));
+	const retriesAt: number[] = [];
+	const stepMs = 50;
+	for (let now = 0; now < seconds * 1000; now += stepMs) {
+		for (const [index, daemon] of daemons.entries()) {
+			const perStep = requestsPerSecond[index]! * stepMs / 1000;
+			for (let count = 0; count < perStep; count += 1) {
+				daemon.earn('model', now);
+				while (daemon.take('model', now)) {
+					retriesAt.push(now);
+				}
+			}
+		}
+	}
+
+	const retries = Math.max(...retriesAt.map(start => retriesAt.filter(at => at >= start && at < start + bounds.windowMs).length));
+	const total = requestsPerSecond.reduce((sum, rate) => sum + rate, 0) * bounds.windowMs / 1000;
+	return {retries, allowed: (total * bounds.ratio) + bounds.slack};
+}
+
+describe('retry allowance', () => {
+	test.each([
+		['the load is spread', [20, 20, 20, 20, 20, 20, 20, 20]],
+		['one daemon takes all of it', [160, 0, 0, 0, 0, 0, 0, 0]],
+		['spares have joined', [20, 20, 20, 20, 20, 20, 20, 20, 20, 20, 20]],
+	])('keeps all daemons together within the bound when %s', (_name, rates) => {
+		const {retries, allowed} = playWorstWindow(rates, 30);
+		expect(retries).toBeLessThanOrEqual(allowed);
+	});
+
+	test('lets a daemon with little work retry now and then', () => {
+		const allowance = new RetryAllowance(bounds);
+		allowance.earn('desk', 0);
+		expect(allowance.take('desk', 0)).toBe(true);
+	});
+
+	test('keeps services apart', () => {
+		const allowance = new RetryAllowance(bounds);
+		for (let count = 0; count < 1000; count += 1) {
+			allowance.earn('model', 0);
+		}
+
+		let taken = 0;
+		while (allowance.take('desk', 0)) {
+			taken += 1;
+		}
+
+		expect(taken).toBeLessThanOrEqual(2);
+	});
+});
--- /dev/null
+++ b/test/process/stages/stage-plan.test.ts
@@ -0,0 +1,63 @@
+import {describe, expect, test} from 'vitest';
+import {planStages} from '../../../src/process/stages/stage-plan.ts';
+import type {Upstream} from '../../../src/ports/upstream.ts';
+import {createUpstream} from '../../fixtures/fleet/configuration.ts';
+
+const light = {runs: 10, slots: 128};
+
+function createFleet(zones: Readonly<Record<string, number>>, stage: Upstream['stage'] = 'decode'): readonly Upstream[] {
+	return Object.entries(zones).flatMap(([availabilityZone, count]) => Array.from({length: count}, (_, index) =>
+		createUpstream({id: `${availabilityZone}-${index}`, availabilityZone, stage})));
+}
+
+function apply(fleet: readonly Upstream[], demand = light): readonly Upstream[] {
+	const changes = new Map(planStages(fleet, demand).map(({upstream, stage}) => [upstream.id, stage]));
+	return fleet.map(upstream => ({...upstream, stage: changes.get(upstream.id) ?? upstream.stage}));
+}
+
+function countDecoders(fleet: readonly Upstream[]): Readonly<Record<string, number>> {
+	const counts: Record<string, number> = {};
+	for (const {availabilityZone, stage} of fleet) {
+		counts[availabilityZone] = (counts[availabilityZone] ?? 0) + (stage === 'decode' ? 1 : 0);
+	}
+
+	return counts;
+}
+
+describe('stage plan', () => {
+	test('leaves one engine to generate in each availability zone when generating is light', () => {
+		expect(countDecoders(apply(createFleet({a: 5, b: 4, c: 4})))).toEqual({a: 1, b: 1, c: 1});
+	});
+
+	test('asks for nothing once the engines follow it', () => {
+		expect(planStages(apply(createFleet({a: 5, b: 4, c: 4})), light)).toEqual([]);
+	});
+
+	test('keeps the engines that generate already', () => {
+		const fleet = createFleet({a: 3, b: 3}, 'prefill').map(upstream => upstream.id.endsWith('-2') ? {...upstream, stage: 'decode' as const} : upstream);
+		expect(planStages(fleet, light)).toEqual([]);
+	});
+
+	test('gives a zone that has lost its generating engine another one', () => {
+		const fleet = apply(createFleet({a: 4, b: 4, c: 4}));
+		const lost = fleet.filter(({availabilityZone, stage}) => availabilityZone !== 'b' || stage !== 'decode');
+		const changes = planStages(lost, light);
+		expect(changes).toHaveLength(1);
+		expect(changes[0]).toMatchObject({stage: 'decode', upstream: {availabilityZone: 'b'}});
+	});
+
+	test('lets more engines generate when many requests run', () => {
+		const counts = countDecoders(apply(createFleet({a: 4, b: 4, c: 4}), {runs: 250, slots: 128}));
+		expect(Object.values(counts).reduce((sum, count) => sum + count, 0)).toBe(6);
+		expect(Math.max(...Object.values(counts))).toBe(2);
+	});
+
+	test.each([[{a: 1}, 1], [{a: 2}, 1], [{a: 1, b: 1}, 1], [{a: 1, b: 1, c: 1}, 1]])('always leaves engines of both stages where there are two: %o', (zones, decoders) => {
+		const counts = countDecoders(apply(createFleet(zones)));
+		expect(Object.values(counts).reduce((sum, count) => sum + count, 0)).toBe(decoders);
+	});
+
+	test('passes over upstreams that are no engines', () => {
+		expect(planStages([createUpstream({stage: undefined}), createUpstream({id: 'u-2', stage: undefined})], light)).toEqual([]);
+	});
+});
