--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -94,6 +94,10 @@
 			daemon: settings.daemon.name,
 			address: `${settings.daemon.host}:${settings.listen.peerPort}`,
 			loads: () => this.#desk.loads(),
+			queued: () => this.#desk.queued(),
+			onLoads: () => {
+				this.#desk.pump();
+			},
 			onReadings: readings => {
 				this.#desk.acceptReadings(readings);
 			},
--- a/src/process/fleet/fleet-desk.ts
+++ b/src/process/fleet/fleet-desk.ts
@@ -11,8 +11,11 @@
 import type {Random} from '../random.ts';
 import type {DecisionLog} from './decision-log.ts';
 import {
-	choosePrefill, chooseRun, prefillRate, weighTokens, type PrefillCandidate,
+	choosePrefill, chooseRun, prefillRate, weighTokens, type PrefillCandidate, type PrefillChoice,
 } from './placement-score.ts';
+import {
+	isLatePrompt, judgePrompt, orderPrompts, predictArrival, rankAtUpstream, type WaitingPrompt,
+} from './prefill-queue.ts';
 import type {UpstreamRoster} from './upstream-roster.ts';
 import {UpstreamState} from './upstream-state.ts';
 
@@ -36,6 +39,14 @@
 	readonly services: () => ReadonlyMap<string, Service>;
 };
 
+/** A prompt in the queue with what is needed to place it. */
+type Waiting = WaitingPrompt & {
+	readonly demand: Demand;
+	readonly engine: EngineProfile;
+	readonly parts: readonly PromptPart[];
+	readonly settle: (result: PlacementResult) => void;
+};
+
 /** A prompt that is to be read. */
 type Reading = {
 	readonly parts: readonly PromptPart[];
@@ -55,14 +66,27 @@
 const megabit = 1_000_000;
 /** A request is refused when this much of its time would be left after the prompt is read, in milliseconds. */
 const shortestAnswerMs = 60;
+/** Time from the end of reading to the first event: the transfer and the first step, in milliseconds. */
+const firstEventMs = 60;
+/** Callers give up a stream without events after this time, or after these multiples of the route's targets. */
+const shortestPatienceMs = 2000;
+const patienceTargets = 4;
+const patienceGaps = 8;
+/** Prompts that are looked at once no upstream has room; others behind them may fit elsewhere. */
+const scannedPrompts = 6;
+const pumpIntervalMs = 10;
 const retryDelayMs = 400;
 /** Part of the less urgent work that is done before a more urgent prompt. */
 const begunShare = 0.3;
+/** Less urgent work holds a more urgent prompt up for some steps at most. */
+const begunTokens = 4096;
 
 /** Chooses upstreams by this daemon's own sends, the load that upstreams state, and the prompt parts that they keep. */
 export class FleetDesk extends UpstreamDesk {
 	readonly #options: FleetDeskOptions;
 	readonly #states = new Map<string, UpstreamState>();
+	readonly #waiting = new Set<Waiting>();
+	#pumpTimer: NodeJS.Timeout | undefined;
 
 	constructor(options: FleetDeskOptions) {
 		super();
@@ -122,38 +146,171 @@
 	async placePrefill(demand: Demand): Promise<PlacementResult> {
 		const engine = this.#options.services().get(demand.service)?.engine;
 		const {prompt} = demand.request;
-		const states = this.#usable(demand.service, demand.tried).filter(({upstream}) => upstream.stage === 'prefill');
-		if (states.length === 0 || engine === undefined || prompt === undefined) {
+		if (engine === undefined || prompt === undefined || this.#prefillers(demand).length === 0) {
 			return this.#refuse(demand, 'noUpstream');
 		}
 
+		const now = this.#options.clock.now();
 		const parts = prompt.parts.length === 0 ? [{id: demand.request.id, tokens: prompt.tokens}] : prompt.parts;
-		const {priority} = demand.route;
-		const keeper = this.#findKeeper(parts, states);
-		const candidates = states.map(state => this.#createCandidate(state, {
-			parts, keeper, engine, priority,
-		}));
-		const choice = choosePrefill(candidates, prefillRate);
-		const remainingMs = demand.endAt - this.#options.clock.now();
+		const {promise, resolve} = Promise.withResolvers<PlacementResult>();
+		const waiting: Waiting = {
+			demand,
+			engine,
+			parts,
+			settle: resolve,
+			id: demand.request.id,
+			priority: demand.route.priority,
+			tokens: this.#leastMissing(demand, parts),
+			targetAt: demand.arrivedAt + demand.route.targetLatencyMs - firstEventMs,
+			giveUpAt: Math.min(demand.endAt, demand.arrivedAt + callerPatienceMs(demand.route)) - shortestAnswerMs,
+		};
+		const expectedMs = this.#predictArrival(waiting, now);
+		if (now + expectedMs > waiting.giveUpAt) {
+			return this.#refuse(demand, 'overloaded', expectedMs);
+		}
+
+		const cancel = () => {
+			this.#leaveQueue(waiting, {reason: 'cancelled', retryAfterMs: 0});
+		};
+
+		demand.signal.addEventListener('abort', cancel, {once: true});
+		this.#waiting.add(waiting);
+		this.pump();
+		if (this.#waiting.has(waiting)) {
+			this.#options.log.write('queued', {
+				request: waiting.id, service: demand.service, waiting: this.#waiting.size, expectedMs: Math.round(expectedMs), tokens: Math.round(waiting.tokens),
+			});
+		}
+
+		const result = await promise;
+		demand.signal.removeEventListener('abort', cancel);
+		return result;
+	}
+
+	/** Places waiting prompts as far as upstreams would begin with them soon. */
+	pump(): void {
+		if (this.#waiting.size === 0) {
+			return;
+		}
+
+		const now = this.#options.clock.now();
+		let blocked = 0;
+		for (const prompt of orderPrompts([...this.#waiting], now, prefillRate.fixedMs)) {
+			if (blocked >= scannedPrompts) {
+				break;
+			}
+
+			blocked += this.#tryPlace(prompt as Waiting, now) ? 0 : 1;
+		}
+
+		if (this.#waiting.size > 0) {
+			this.#pumpTimer ??= setTimeout(() => {
+				this.#pumpTimer = undefined;
+				this.pump();
+			}, pumpIntervalMs);
+		}
+	}
+
+	/** Prompt tokens that wait at this daemon, by priority. */
+	queued(): ReadonlyMap<number, number> {
+		const tokens = new Map<number, number>();
+		for (const waiting of this.#waiting) {
+			tokens.set(waiting.priority, (tokens.get(waiting.priority) ?? 0) + waiting.tokens);
+		}
+
+		return tokens;
+	}
+
+	/** Returns true when the prompt waits no longer. */
+	#tryPlace(waiting: Waiting, now: number): boolean {
+		const {demand, parts, priority} = waiting;
+		const states = this.#prefillers(demand);
+		const keeper = this.#findKeeper(parts, this.#engines(demand.service));
+		const timely = this.#choose(waiting, states, keeper, rankAtUpstream(priority, false));
+		const isLate = timely === undefined || isLatePrompt(waiting, timely.predictedMs, now);
+		const rank = rankAtUpstream(priority, isLate);
+		const choice = isLate ? this.#choose(waiting, states, keeper, rank) : timely;
 		if (choice === undefined) {
-			return this.#refuse(demand, 'noUpstream');
+			this.#leaveQueue(waiting, this.#refuse(demand, 'noUpstream'));
+			return true;
 		}
 
-		const {candidate, predictedMs} = choice;
-		if (predictedMs + shortestAnswerMs > remainingMs) {
-			return this.#refuse(demand, 'overloaded', predictedMs);
+		const {candidate, predictedMs, waitMs} = choice;
+		switch (judgePrompt(waiting, {finishMs: predictedMs, waitMs}, isLate, now)) {
+			case 'wait': {
+				return false;
+			}
+
+			case 'giveUp': {
+				this.#leaveQueue(waiting, this.#refuse(demand, 'overloaded', predictedMs));
+				return true;
+			}
+
+			case 'place': {
+				const state = this.#states.get(candidate.id)!;
+				const finish = state.beginPrefill(weighTokens(candidate.missingTokens, candidate.keptTokens), rank, predictedMs);
+				state.cache.touch(parts);
+				this.#options.peers.tellReading({upstream: candidate.id, parts});
+				this.#leaveQueue(waiting, this.#createPlacement(state, {
+					predictedMs, rank, fetchFrom: candidate.fetchMs > 0 ? keeper?.upstream : undefined,
+				}, finish));
+				return true;
+			}
 		}
+	}
 
-		const state = this.#states.get(candidate.id)!;
-		const finish = state.beginPrefill(weighTokens(candidate.missingTokens, candidate.keptTokens), priority, predictedMs);
-		state.cache.touch(parts);
-		this.#options.peers.tellReading({upstream: candidate.id, parts});
-		return this.#createPlacement(state, predictedMs, candidate.fetchMs > 0 ? keeper?.upstream : undefined, finish);
+	#choose({parts, engine}: Waiting, states: readonly UpstreamState[], keeper: UpstreamState | undefined, rank: number): PrefillChoice | undefined {
+		return choosePrefill(states.map(state => this.#createCandidate(state, {
+			parts, keeper, engine, priority: rank,
+		})), prefillRate);
+	}
+
+	#leaveQueue(waiting: Waiting, result: PlacementResult): void {
+		if (this.#waiting.delete(waiting)) {
+			waiting.settle(result);
+		}
+	}
+
+	/** Time until a prompt that arrives now has been read, with what waits at all daemons and upstreams before it. */
+	#predictArrival({demand, tokens, priority}: Waiting, now: number): number {
+		const {board} = this.#options.peers;
+		const states = this.#prefillers(demand);
+		let tokensAhead = sumUpTo(this.queued(), priority) + board.queuedUpTo(priority, now);
+		let tokensPerMs = 0;
+		for (const state of states) {
+			tokensAhead += this.#sumBacklog(state, priority, now);
+			tokensPerMs += prefillRate.tokensPerMs / (state.pace * state.slowness(now));
+		}
+
+		return predictArrival(tokens, {tokensAhead, tokensPerMs}, tokensPerMs / Math.max(1, states.length), prefillRate.fixedMs);
+	}
+
+	/** Tokens to read where the most of a prompt is kept. */
+	#leastMissing(demand: Demand, parts: readonly PromptPart[]): number {
+		const total = parts.reduce((sum, {tokens}) => sum + tokens, 0);
+		const keeper = this.#findKeeper(parts, this.#engines(demand.service));
+		const missing = keeper?.cache.missingTokens(parts) ?? total;
+		return weighTokens(missing, total - missing);
+	}
+
+	#prefillers({service, tried}: Demand): readonly UpstreamState[] {
+		return this.#usable(service, tried).filter(({upstream}) => upstream.stage === 'prefill');
+	}
+
+	#engines(service: string): readonly UpstreamState[] {
+		return this.#options.roster.serving(service).map(upstream => this.#state(upstream)).filter(state => !state.isAbsent);
 	}
 
 	placeDecode(demand: Demand, source: Upstream | undefined): PlacementResult {
 		const states = this.#usable(demand.service, demand.tried).filter(({upstream}) => upstream.stage === 'decode');
 		const state = this.#chooseRun(states, source?.availabilityZone);
+		const parts = demand.request.prompt?.parts ?? [];
+		if (state !== undefined && parts.length > 0) {
+			// The engine keeps what it fetches like its own.
+			state.cache.touch(parts);
+			this.#options.peers.tellReading({upstream: state.upstream.id, parts});
+		}
+
 		return state === undefined ? this.#refuse(demand, 'noUpstream') : this.#beginRun(state, 0);
 	}
 
@@ -237,7 +394,7 @@
 		const {board} = this.#options.peers;
 		const sum = (limit: number) => sumUpTo(state.tokensByPriority, limit) + board.tokensUpTo(state.upstream.id, limit, now);
 		const urgent = sum(priority);
-		return urgent + ((sum(Number.POSITIVE_INFINITY) - urgent) * begunShare);
+		return urgent + Math.min(begunTokens, (sum(Number.POSITIVE_INFINITY) - urgent) * begunShare);
 	}
 
 	#transferMs(tokens: number, target: Upstream, source: Upstream, {tokenBytes, linkMbps}: EngineProfile): number {
@@ -246,17 +403,24 @@
 	}
 
 	#beginRun(state: UpstreamState, predictedMs: number): Placement {
-		return this.#createPlacement(state, predictedMs, undefined, state.beginRun(predictedMs));
+		return this.#createPlacement(state, {predictedMs, rank: undefined, fetchFrom: undefined}, state.beginRun(predictedMs));
 	}
 
-	#createPlacement(state: UpstreamState, predictedMs: number, fetchFrom: Upstream | undefined, finish: (end: SendEnd, now: number) => void): Placement {
+	#createPlacement(
+		state: UpstreamState,
+		values: Pick<Placement, 'predictedMs' | 'rank' | 'fetchFrom'>,
+		finish: (end: SendEnd, now: number) => void,
+	): Placement {
 		const {clock, peers} = this.#options;
+		const pump = () => {
+			this.pump();
+		};
+
 		let isReleased = false;
 		peers.changed(state.upstream.id);
 		return {
 			upstream: state.upstream,
-			predictedMs,
-			fetchFrom,
+			...values,
 			observe(load: StatedLoad) {
 				state.observe(load, clock.now());
 			},
@@ -265,6 +429,7 @@
 					isReleased = true;
 					finish(end, clock.now());
 					peers.changed(state.upstream.id);
+					pump();
 				}
 			},
 		};
@@ -278,3 +443,8 @@
 		return {reason, retryAfterMs};
 	}
 }
+
+/** Time for which a caller waits for the first event of a stream. */
+function callerPatienceMs({targetLatencyMs, targetGapMs}: Demand['route']): number {
+	return Math.max(shortestPatienceMs, targetLatencyMs * patienceTargets, (targetGapMs ?? 0) * patienceGaps);
+}
--- a/src/process/fleet/placement-score.ts
+++ b/src/process/fleet/placement-score.ts
@@ -44,19 +44,30 @@
 	return (((candidate.backlogTokens + own) / rate.tokensPerMs) * candidate.pace) + rate.fixedMs + candidate.fetchMs;
 }
 
+/** The chosen candidate; times in milliseconds. */
+export type PrefillChoice = {
+	readonly candidate: PrefillCandidate;
+	/** Until the prompt has been read. */
+	readonly predictedMs: number;
+	/** Until the upstream begins with it. */
+	readonly waitMs: number;
+};
+
 /**
 Chooses the upstream that will have read the prompt first.
 
 Answers the load in which reading prompts binds and most prompts share long parts: an upstream that keeps the shared part wins
 until its backlog outweighs reading or fetching the part elsewhere.
 */
-export function choosePrefill(candidates: readonly PrefillCandidate[], rate: PrefillRate): {readonly candidate: PrefillCandidate; readonly predictedMs: number} | undefined {
-	let best: {readonly candidate: PrefillCandidate; readonly predictedMs: number; readonly cost: number} | undefined;
+export function choosePrefill(candidates: readonly PrefillCandidate[], rate: PrefillRate): PrefillChoice | undefined {
+	let best: PrefillChoice & {readonly cost: number} | undefined;
 	for (const candidate of candidates) {
 		const predictedMs = predictPrefill(candidate, rate);
 		const cost = predictedMs + (candidate.isLocal ? 0 : remoteZoneMs) + (candidate.failureShare * failurePenaltyMs);
 		if (best === undefined || cost < best.cost) {
-			best = {candidate, predictedMs, cost};
+			best = {
+				candidate, predictedMs, waitMs: (candidate.backlogTokens / rate.tokensPerMs) * candidate.pace, cost,
+			};
 		}
 	}
 
--- a/src/process/peers/peer-board.ts
+++ b/src/process/peers/peer-board.ts
@@ -6,6 +6,7 @@
 type Peer = {
 	readonly address: string;
 	heardAt: number;
+	queued: ReadonlyMap<number, number>;
 	readonly loads: Map<string, PeerLoad>;
 };
 
@@ -19,11 +20,14 @@
 	}
 
 	/** Takes a message; returns true when its sender was not known. */
-	accept({daemon, address, loads}: PeerMessage, now: number): boolean {
+	accept({daemon, address, loads, queued}: PeerMessage, now: number): boolean {
 		const known = this.#peers.get(daemon);
 		const isSame = known?.address === address;
-		const peer = isSame ? known : {address, heardAt: now, loads: new Map<string, PeerLoad>()};
+		const peer = isSame ? known : {
+			address, heardAt: now, queued, loads: new Map<string, PeerLoad>(),
+		};
 		peer.heardAt = now;
+		peer.queued = queued;
 		for (const load of loads) {
 			if (load.runs === 0 && load.tokensByPriority.size === 0) {
 				peer.loads.delete(load.upstream);
@@ -46,6 +50,11 @@
 		return this.#loads(upstream, now).reduce((sum, {tokensByPriority}) => sum + sumUpTo(tokensByPriority, priority), 0);
 	}
 
+	/** Prompt tokens that wait at the others, of a priority and of the more urgent ones. */
+	queuedUpTo(priority: number, now: number): number {
+		return [...this.#peers.values()].reduce((sum, {heardAt, queued}) => sum + (now - heardAt < peerSilenceMs ? sumUpTo(queued, priority) : 0), 0);
+	}
+
 	/** Forgets a daemon. */
 	forget(daemon: string): void {
 		this.#peers.delete(daemon);
--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -18,6 +18,10 @@
 	readonly address: string;
 	/** This daemon's own load on all upstreams with work. */
 	readonly loads: () => readonly PeerLoad[];
+	/** Prompt tokens that wait at this daemon, by priority. */
+	readonly queued: () => ReadonlyMap<number, number>;
+	/** The others' load has changed. */
+	readonly onLoads: () => void;
 	readonly onReadings: (readings: readonly PeerReading[]) => void;
 	readonly onCrashes: (crashes: readonly PeerCrash[]) => void;
 };
@@ -116,13 +120,14 @@
 		this.#readings = [];
 		this.#crashes = [];
 		const {daemon, address, clock} = this.#options;
+		const queued = this.#options.queued();
 		const encoded = encodePeerMessage({
-			daemon, address, loads, readings, crashes,
+			daemon, address, loads, readings, queued, crashes,
 		});
 		if (encoded.length > datagramLimitBytes) {
 			// The prompts are a hint that may be left out.
 			this.#deliver(encodePeerMessage({
-				daemon, address, loads, readings: [], crashes,
+				daemon, address, loads, readings: [], queued, crashes,
 			}));
 			return;
 		}
@@ -174,6 +179,7 @@
 		this.#addresses.set(message.daemon, {address: message.address, heardAt: now});
 		this.#options.onReadings(message.readings);
 		this.#options.onCrashes(message.crashes);
+		this.#options.onLoads();
 	}
 
 	/** Writes this daemon's entry and reads those of the others; new ones are told by the next datagram. */
--- a/src/process/peers/peer-message.ts
+++ b/src/process/peers/peer-message.ts
@@ -38,6 +38,8 @@
 	a: string,
 	l: array(loadCodec),
 	p: array(readingCodec),
+	/** Prompt tokens that wait at the sender, by priority. */
+	q: array(tuple([number, number])),
 	c: optional(array(crashCodec)),
 });
 
@@ -66,16 +68,19 @@
 	readonly address: string;
 	readonly loads: readonly PeerLoad[];
 	readonly readings: readonly PeerReading[];
+	/** Prompt tokens that wait at the daemon, by priority. */
+	readonly queued: ReadonlyMap<number, number>;
 	readonly crashes: readonly PeerCrash[];
 };
 
 /** Encodes a message as one datagram. */
-export function encodePeerMessage({daemon, address, loads, readings, crashes}: PeerMessage): string {
+export function encodePeerMessage({daemon, address, loads, readings, queued, crashes}: PeerMessage): string {
 	const message: GetType<typeof messageCodec> = {
 		n: daemon,
 		a: address,
-		l: loads.map(({upstream, runs, tokensByPriority}) => ({u: upstream, r: runs, t: [...tokensByPriority].map(([priority, tokens]): [number, number] => [priority, Math.round(tokens)])})),
+		l: loads.map(({upstream, runs, tokensByPriority}) => ({u: upstream, r: runs, t: encodeTokens(tokensByPriority)})),
 		p: readings.map(({upstream, parts}) => ({u: upstream, p: parts.map(({id, tokens}): [string, number] => [id, tokens])})),
+		q: encodeTokens(queued),
 		c: crashes.length === 0 ? undefined : crashes.map(({fingerprint, upstream}) => ({f: fingerprint, u: upstream})),
 	};
 	return JSON.stringify(message);
@@ -84,14 +89,19 @@
 /** Decodes a datagram; a failure is a short message. */
 export function decodePeerMessage(text: string): Either<string, PeerMessage> {
 	try {
-		return messageCodec.decode(JSON.parse(text)).map(({n, a, l, p, c}) => ({
+		return messageCodec.decode(JSON.parse(text)).map(({n, a, l, p, q, c}) => ({
 			daemon: n,
 			address: a,
 			loads: l.map(({u, r, t}) => ({upstream: u, runs: r, tokensByPriority: new Map(t)})),
 			readings: p.map(({u, p: parts}) => ({upstream: u, parts: parts.map(([id, tokens]) => ({id, tokens}))})),
+			queued: new Map(q),
 			crashes: (c ?? []).map(({f, u}) => ({fingerprint: f, upstream: u})),
 		}));
 	} catch (error) {
 		return Left(error instanceof Error ? error.message : String(error));
 	}
 }
+
+function encodeTokens(tokensByPriority: ReadonlyMap<number, number>): Array<[number, number]> {
+	return [...tokensByPriority].map(([priority, tokens]) => [priority, Math.round(tokens)]);
+}
--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -84,9 +84,9 @@
 	}
 
 	protected get demand(): Demand {
-		const {request, route, service, endAt, signal} = this.job;
+		const {request, route, service, arrivedAt, endAt, signal} = this.job;
 		return {
-			request, route, service, tried: this.tried, endAt, signal,
+			request, route, service, tried: this.tried, arrivedAt, endAt, signal,
 		};
 	}
 
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -80,7 +80,7 @@
 			protocol: tools.protocol,
 			upstream,
 			wire: tools.protocol.encode({
-				request: job.request, upstream, remainingMs: this.upstreamMs, priority: job.route.priority, lastEventId: undefined, work: {kind: 'prefill', fetchFrom},
+				request: job.request, upstream, remainingMs: this.upstreamMs, priority: placement.rank, lastEventId: undefined, work: {kind: 'prefill', fetchFrom},
 			}),
 			timeoutMs: Math.min(this.remainingMs, (placement.predictedMs * prefillPatience) + prefillSlackMs),
 			signal: job.signal,
--- a/src/request/delivery/upstream-desk.ts
+++ b/src/request/delivery/upstream-desk.ts
@@ -16,6 +16,8 @@
 	readonly upstream: Upstream;
 	/** Time to the answer, or to the first event, as predicted, in milliseconds. */
 	readonly predictedMs: number;
+	/** Rank among the upstream's requests, 0 is the most urgent; undefined for plain services. */
+	readonly rank: number | undefined;
 	/** Upstream from which cached parts of the prompt are fetched, when that is quicker than reading them. */
 	readonly fetchFrom: Upstream | undefined;
 	/** Takes the load that the upstream stated before the answer has ended. */
@@ -31,9 +33,11 @@
 	readonly service: string;
 	/** Upstreams that the request has been sent to. */
 	readonly tried: ReadonlySet<string>;
+	/** Time of arrival on the daemon's clock in milliseconds. */
+	readonly arrivedAt: number;
 	/** Time by which the request must have ended, on the daemon's clock in milliseconds. */
 	readonly endAt: number;
-	/** True when the caller was told to come back earlier. */
+	/** Aborted when the caller has gone or the time is over. */
 	readonly signal: AbortSignal;
 };
 
