Recognise answers that a reset cut, and end connections only with their last answer

A stopping daemon counted a request as ended before its answer had left the process, and could end a connection on which a further request had been read.

--- a/src/connection/links/caller-answer.ts
+++ b/src/connection/links/caller-answer.ts
@@ -7,12 +7,15 @@
 	readonly #response: ServerResponse;
 	readonly #protocol: CallerProtocol;
 	readonly #requestId: string;
+	readonly #beforeHead: () => void;
 	#sentBytes = 0;
 
-	constructor(response: ServerResponse, protocol: CallerProtocol, requestId: string) {
+	/** `beforeHead` is called right before the head is sent. */
+	constructor(response: ServerResponse, protocol: CallerProtocol, requestId: string, beforeHead: () => void) {
 		this.#response = response;
 		this.#protocol = protocol;
 		this.#requestId = requestId;
+		this.#beforeHead = beforeHead;
 	}
 
 	/** True once the head has been sent. */
@@ -33,6 +36,7 @@
 	/** Sends the head of a streamed answer. */
 	begin(status: number, headers: readonly string[]): void {
 		// The length of a stream is not known: another upstream may go on with it.
+		this.#beforeHead();
 		this.#response.writeHead(status, withoutLength(headers));
 		this.#response.flushHeaders();
 	}
@@ -51,6 +55,7 @@
 	/** Sends a whole answer. */
 	sendWhole(status: number, headers: readonly string[], body: Uint8Array): void {
 		this.#sentBytes += body.length;
+		this.#beforeHead();
 		this.#response.writeHead(status, [...withoutLength(headers), 'content-length', String(body.length)]);
 		this.#response.end(body);
 	}
@@ -58,6 +63,7 @@
 	/** Sends an answer of the daemon's own. */
 	refuse(refusal: Refusal): void {
 		const {status, headers, body} = this.#protocol.encodeRefusal(refusal, this.#requestId);
+		this.#beforeHead();
 		this.#response.writeHead(status, [...headers, 'content-length', String(Buffer.byteLength(body))]);
 		this.#response.end(body);
 	}
--- a/src/connection/links/upstream-links.ts
+++ b/src/connection/links/upstream-links.ts
@@ -1,8 +1,9 @@
-import {Client} from './http-client.ts';
+import {connect, type Socket} from 'node:net';
 import type {WireRequest} from '../../ports/upstream-protocol.ts';
 import type {Upstream} from '../../ports/upstream.ts';
 import type {Clock} from '../../process/clock.ts';
 import {Exchange, type ExchangeListener} from './exchange.ts';
+import {Client} from './http-client.ts';
 
 /** Times of connections to upstreams, in milliseconds. */
 export type LinkTimes = {
@@ -20,6 +21,7 @@
 	readonly idleSince: number;
 };
 
+const tcpKeepAliveDelayMs = 5000;
 const answerHeadLimitBytes = 64 * 1024;
 
 /** Connections to all upstreams; each carries one request at a time and is kept for the next one only after a whole answer. */
@@ -28,6 +30,8 @@
 	readonly #times: LinkTimes;
 	readonly #idle = new Map<string, Kept[]>();
 	readonly #open = new Set<Client>();
+	/** Connections that broke; the library takes an answer without a length that is cut by a reset for complete. */
+	readonly #broken = new WeakSet<Client>();
 	#opened = 0;
 
 	constructor(clock: Clock, times: LinkTimes = linkTimes) {
@@ -53,6 +57,12 @@
 				listener.onStarted();
 			},
 			onEnd: () => {
+				if (this.#broken.has(client)) {
+					this.#close(client);
+					listener.onFailed({wasSent: true, kind: 'lost', message: 'the connection was reset within the answer'});
+					return;
+				}
+
 				this.#keep(id, client);
 				listener.onEnd();
 			},
@@ -109,7 +119,12 @@
 		this.#opened += 1;
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
-			connect: {timeout: this.#times.connectMs * 2},
+			connect: ({hostname, port}, callback) => {
+				const socket = connect({
+					host: hostname, port: Number(port), noDelay: true, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs,
+				});
+				this.#watchSocket(socket, client, callback);
+			},
 			keepAliveTimeout: this.#times.idleMs,
 			keepAliveMaxTimeout: this.#times.idleMs,
 			keepAliveTimeoutThreshold: 500,
@@ -122,6 +137,20 @@
 		return client;
 	}
 
+	#watchSocket(socket: Socket, client: Client, callback: (...result: [null, Socket] | [Error, null]) => void): void {
+		let isConnected = false;
+		socket.once('connect', () => {
+			isConnected = true;
+			callback(null, socket);
+		});
+		socket.on('error', error => {
+			this.#broken.add(client);
+			if (!isConnected) {
+				callback(error, null);
+			}
+		});
+	}
+
 	#takeIdle(id: string): Client | undefined {
 		const kept = this.#idle.get(id);
 		const oldest = this.#clock.now() - this.#times.idleMs;
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -48,9 +48,9 @@
 };
 
 /** Upstreams write their entries all the time; the pause gathers them, and leaving takes effect within two seconds. */
-const rosterTimes: WatchTimes = {waitMs: 1000, pauseMs: 600};
+const rosterTimes: WatchTimes = {waitMs: 300, pauseMs: 600};
 /** Configurations change seldom; the wait bounds how long a silent connection goes unnoticed. */
-const configurationTimes: WatchTimes = {waitMs: 2000, pauseMs: 0};
+const configurationTimes: WatchTimes = {waitMs: 1500, pauseMs: 0};
 const housekeepingMs = 250;
 const headerLimitBytes = 64 * 1024;
 const idleMarginMs = 2000;
@@ -138,6 +138,7 @@
 			random: this.#random,
 			metrics: this.#metrics,
 			routes: () => this.#configuration.table,
+			isStopping: () => this.#shutdown.hasStarted,
 			isClosing: () => this.#shutdown.isClosing,
 			bodyBudgetBytes: settings.limits.memoryMb * mebibyte * bodyShare,
 		});
@@ -211,6 +212,10 @@
 	/** Stops as planned; resolves when the process may end. */
 	async stop(): Promise<void> {
 		await this.#shutdown.run();
+		this.#callerServer.close();
+		this.#callerServer.closeIdleConnections();
+		// Requests that were on their way when the last connection closed are answered.
+		await this.#shutdown.settle();
 		await this.#options.log.flush(100);
 	}
 
--- a/src/process/fleet/route-front.ts
+++ b/src/process/fleet/route-front.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {CallerAnswer} from '../../connection/links/caller-answer.ts';
 import type {CallerProtocol, Refusal} from '../../ports/caller-protocol.ts';
 import {ByteBudget} from '../../request/byte-budget.ts';
@@ -21,6 +22,8 @@
 	readonly metrics: FleetMetrics;
 	/** Routes in force; undefined until a configuration is known. */
 	readonly routes: () => RouteTable | undefined;
+	/** True once the daemon is to stop: connections are ended with their next answer. */
+	readonly isStopping: () => boolean;
 	/** True once the daemon is about to stop and takes no new requests. */
 	readonly isClosing: () => boolean;
 	/** Memory for request bodies, in bytes. */
@@ -43,6 +46,10 @@
 export class RouteFront {
 	readonly #options: RouteFrontOptions;
 	readonly #budget: ByteBudget;
+	/** Requests of each connection that were read and not answered. */
+	readonly #pending = new WeakMap<Socket, number>();
+	/** Connections whose caller was told that they end. */
+	readonly #closingSockets = new WeakSet<Socket>();
 	#openRequests = 0;
 
 	constructor(options: RouteFrontOptions) {
@@ -61,13 +68,17 @@
 		response.on('error', () => {
 			response.destroy();
 		});
-		if (this.#options.isClosing()) {
-			response.shouldKeepAlive = false;
+		const {socket} = message;
+		if (this.#closingSockets.has(socket)) {
+			// The answer before this request has told the caller that the connection ends: the request must not run.
+			return;
 		}
 
 		this.#openRequests += 1;
+		this.#pending.set(socket, (this.#pending.get(socket) ?? 0) + 1);
 		try {
 			await this.#serve({message, response, arrivedAt: tools.clock.now()});
+			await whenSent(response);
 		} catch (error) {
 			response.destroy();
 			if (message.complete) {
@@ -75,6 +86,15 @@
 			}
 		} finally {
 			this.#openRequests -= 1;
+			this.#pending.set(socket, (this.#pending.get(socket) ?? 1) - 1);
+		}
+	}
+
+	/** Ends the connection with this answer when the daemon is stopping, unless a further request was read on it. */
+	#announceClose({socket}: IncomingMessage, response: ServerResponse): void {
+		if (this.#options.isStopping() && this.#pending.get(socket) === 1) {
+			response.shouldKeepAlive = false;
+			this.#closingSockets.add(socket);
 		}
 	}
 
@@ -109,7 +129,6 @@
 				await this.#deliver(exchange, request, route, service ?? '');
 			},
 		});
-		response.shouldKeepAlive &&= !this.#options.isClosing();
 	}
 
 	#findRefusal(request: RouteRequest, table: RouteTable | undefined, route: Route | undefined): Refusal | undefined {
@@ -131,14 +150,14 @@
 	}
 
 	async #deliver({message, response, arrivedAt}: Exchange, request: RouteRequest, route: Route, service: string): Promise<void> {
-		const {tools, protocol, metrics} = this.#options;
+		const {tools, metrics} = this.#options;
 		const controller = new AbortController();
 		const endAt = arrivedAt + Math.min(request.waitMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
 		using _caller = watchCaller(message, response, controller);
 		using _deadline = watchDeadline(Math.max(0, endAt - tools.clock.now()), controller);
 		tools.allowance.earn(service, tools.clock.now());
 		const job: DeliveryJob = {
-			request, route, service, arrivedAt, endAt, answer: new CallerAnswer(response, protocol, request.id), signal: controller.signal,
+			request, route, service, arrivedAt, endAt, answer: this.#createAnswer(message, response, request.id), signal: controller.signal,
 		};
 		const delivery = route.kind === 'stream' && tools.desk.isModelService(service) ? new StreamDelivery(tools, job) : new PlainDelivery(tools, job);
 		const end = await delivery.run();
@@ -161,9 +180,15 @@
 		});
 	}
 
-	#refuse({response, arrivedAt}: Exchange, request: RouteRequest, own: Refusal): void {
-		const {tools, protocol, metrics} = this.#options;
-		new CallerAnswer(response, protocol, request.id).refuse(own);
+	#createAnswer(message: IncomingMessage, response: ServerResponse, requestId: string): CallerAnswer {
+		return new CallerAnswer(response, this.#options.protocol, requestId, () => {
+			this.#announceClose(message, response);
+		});
+	}
+
+	#refuse({message, response, arrivedAt}: Exchange, request: RouteRequest, own: Refusal): void {
+		const {tools, metrics} = this.#options;
+		this.#createAnswer(message, response, request.id).refuse(own);
 		tools.log.write('request.refused', {
 			request: request.id, host: request.host, target: request.target, kind: own.kind, reason: own.message, configuration: this.#options.routes()?.version,
 		});
@@ -176,3 +201,15 @@
 		ran: 'notRun', kind, message, retryAfterMs,
 	};
 }
+
+/** Resolves once the answer was handed to the system, or its connection has ended. */
+async function whenSent(response: ServerResponse): Promise<void> {
+	if (response.writableFinished || response.destroyed || !response.writableEnded) {
+		return;
+	}
+
+	await new Promise<void>(resolve => {
+		response.once('finish', resolve);
+		response.once('close', resolve);
+	});
+}
--- a/src/process/fleet/shutdown.ts
+++ b/src/process/fleet/shutdown.ts
@@ -1,3 +1,4 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import type {Clock} from '../clock.ts';
 import type {DecisionLog} from './decision-log.ts';
 
@@ -12,6 +13,7 @@
 };
 
 const pollMs = 50;
+const settleMs = 100;
 /** The process ends this long before it would be killed. */
 const graceMarginMs = 250;
 
@@ -45,6 +47,18 @@
 		return this.#startedAt !== undefined && this.#clock.now() - this.#startedAt >= this.#times.closeMs;
 	}
 
+	/** Waits a moment, and for requests that came in meanwhile, within the grace. */
+	async settle(): Promise<void> {
+		const startedAt = this.#startedAt ?? this.#clock.now();
+		for (let waitedMs = 0; waitedMs < settleMs || this.#openRequests() > 0; waitedMs += pollMs) {
+			if (this.#clock.now() - startedAt >= this.#times.graceMs) {
+				return;
+			}
+
+			await delay(pollMs);
+		}
+	}
+
 	/** Starts the stop and resolves when the process may end; further signals change nothing. */
 	async run(): Promise<void> {
 		if (this.#startedAt !== undefined) {
@@ -61,9 +75,7 @@
 				return;
 			}
 
-			await new Promise(resolve => {
-				setTimeout(resolve, pollMs);
-			});
+			await delay(pollMs);
 		}
 	}
 }
--- /dev/null
+++ b/test/process/fleet/fleet-daemon.test.ts
@@ -0,0 +1,140 @@
+import {connect} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {describe, expect, test} from 'vitest';
+import {createOperatorConfiguration, FleetFixture} from '../../fixtures/fleet/fleet-fixture.ts';
+
+describe('readiness of the fleet daemon', () => {
+	test('is given once configuration and upstreams are known; until then requests are refused as not run', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1'}], {isPrepared: false});
+		await delay(200);
+		expect(await fleet.readiness()).toBe(503);
+		const refused = await fleet.send({path: '/book/1', method: 'POST', body: 'x'});
+		expect(refused.status).toBe(503);
+		expect(Number(refused.headers['retry-after'])).toBeGreaterThan(0);
+		fleet.store.put('op', 'config', createOperatorConfiguration());
+		await fleet.waitUntil(() => fleet.daemon.isReady);
+		expect(await fleet.readiness()).toBe(200);
+	});
+
+	test('is not given by a fresh daemon while the store is down, which then refuses and never answers 404', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.store.start();
+		fleet.store.put('op', 'config', createOperatorConfiguration());
+		fleet.store.faults.status = 503;
+		await fleet.startDaemon();
+		await delay(300);
+		expect((await fleet.send({path: '/none/1'})).status).toBe(503);
+		expect(await fleet.readiness()).toBe(503);
+	});
+
+	test('stays while the store is away, with what was known', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1'}]);
+		fleet.store.faults.status = 503;
+		fleet.store.reset();
+		await fleet.waitForLine('store.lost');
+		expect(await fleet.readiness()).toBe(200);
+		expect((await fleet.send({path: '/lookup/1'})).status).toBe(200);
+	});
+});
+
+describe('configuration in force', () => {
+	test('follows the operator within a fraction of a second, also after lost history', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1'}]);
+		fleet.store.put('op', 'config', createOperatorConfiguration({version: 5, routes: []}));
+		await fleet.waitUntil(() => fleet.lines.some(line => line['event'] === 'configuration.inForce' && line['version'] === 5), 1000);
+		expect((await fleet.send({path: '/lookup/1'})).status).toBe(404);
+		fleet.store.dropHistory();
+		fleet.store.put('op', 'config', createOperatorConfiguration({version: 6}));
+		await fleet.waitUntil(() => fleet.lines.some(line => line['event'] === 'configuration.inForce' && line['version'] === 6), 1000);
+		expect((await fleet.send({path: '/lookup/1'})).status).toBe(200);
+	});
+
+	test('never falls back to an older version, and ignores rows that are no configuration', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1'}]);
+		fleet.store.put('op', 'config', createOperatorConfiguration({version: 3}));
+		await fleet.waitUntil(() => fleet.lines.some(line => line['version'] === 3));
+		fleet.store.put('op', 'config', createOperatorConfiguration({version: 2, routes: []}));
+		fleet.store.put('op', 'config', '{"version":');
+		await fleet.waitForLine('configuration.invalid');
+		expect((await fleet.send({path: '/lookup/1'})).status).toBe(200);
+	});
+});
+
+describe('upstreams of the fleet daemon', () => {
+	test('get no request within two seconds of leaving', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1'}, {id: 'u-2'}]);
+		const [leaving] = fleet.upstreams;
+		fleet.store.put('servers', 'u-1', leaving!.entry({state: 'draining', sequence: 2}));
+		const leftAt = Date.now();
+		await fleet.waitForLine('upstream.leaving');
+		expect(Date.now() - leftAt).toBeLessThan(1900);
+		const seen = leaving!.seen.length;
+		for (let count = 0; count < 5; count += 1) {
+			expect((await fleet.send({path: '/lookup/1'})).status).toBe(200);
+		}
+
+		expect(leaving!.seen).toHaveLength(seen);
+	});
+
+	test('are used although entries by other writers cannot be read', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1'}]);
+		fleet.store.put('servers', 'u-8', '{"service":');
+		fleet.store.put('servers', 'u-9', {
+			service: 'desk', address: 7, zone: 'zone-a', state: 'ready', sequence: 1, slots: 6,
+		});
+		await fleet.waitUntil(() => fleet.lines.filter(line => line['event'] === 'upstream.invalidEntry').length === 2);
+		expect((await fleet.send({path: '/lookup/1'})).status).toBe(200);
+	});
+
+	test('are followed over a connection to the store that has gone silent', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1'}]);
+		fleet.store.faults.isSilent = true;
+		await fleet.waitForLine('store.lost');
+		fleet.store.faults.isSilent = false;
+		await fleet.addUpstream({id: 'u-2'});
+		await fleet.waitUntil(() => fleet.lines.some(line => line['event'] === 'upstream.appeared' && line['upstream'] === 'u-2'), 3000);
+	}, 15_000);
+});
+
+describe('planned stop of the fleet daemon', () => {
+	test('takes it out of rotation at once, finishes what it has read and ends connections with their answers', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1', delayMs: 300}]);
+		const open = fleet.send({path: '/book/1', method: 'POST', body: 'x'});
+		await fleet.waitUntil(() => fleet.upstreams[0]!.seen.length === 1);
+		const stopped = fleet.daemon.stop();
+		expect(await fleet.readiness()).toBe(503);
+		expect((await open).status).toBe(200);
+		const late = await fleet.send({path: '/book/1', method: 'POST', body: 'x'});
+		expect(late).toMatchObject({status: 200});
+		expect(late.headers.connection).toBe('close');
+		await stopped;
+	}, 15_000);
+
+	test('answers both of two requests that were read on one connection', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1', delayMs: 200}]);
+		const [host, port] = fleet.callers.split(':');
+		const socket = connect(Number(port), host);
+		let text = '';
+		socket.setEncoding('utf8');
+		socket.on('data', (chunk: string) => {
+			text += chunk;
+		});
+		const one = (id: string) => `GET /lookup/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: ${id}\r\nX-Deadline-Ms: 1500\r\n\r\n`;
+		socket.write(one('first') + one('second'));
+		await fleet.waitUntil(() => fleet.upstreams[0]!.seen.length > 0);
+		const stopped = fleet.daemon.stop();
+		await fleet.waitUntil(() => text.includes('x-request-id: first') && text.includes('x-request-id: second'), 3000);
+		expect(text.match(/HTTP\/1\.1 200/gv)).toHaveLength(2);
+		socket.destroy();
+		await stopped;
+	}, 15_000);
+});
--- /dev/null
+++ b/test/request/delivery/stream-delivery.test.ts
@@ -0,0 +1,162 @@
+import {describe, expect, test} from 'vitest';
+import {FleetFixture, readEventIds} from '../../fixtures/fleet/fleet-fixture.ts';
+
+const usual = [{id: 'p-1', stage: 'prefill'}, {id: 'd-1', stage: 'decode'}] as const;
+const twoDecoders = [...usual, {id: 'd-2', stage: 'decode'}] as const;
+
+function find(fleet: FleetFixture, id: string) {
+	return fleet.upstreams.find(({behaviour}) => behaviour.id === id)!;
+}
+
+describe('delivery of a stream', () => {
+	test('reads the prompt at one engine and generates at another', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start(usual);
+		const received = await fleet.stream('/brief/1', {id: 'r-1'});
+		expect(received).toMatchObject({status: 200, isWhole: true});
+		expect(readEventIds(received.body)).toEqual(['1', '2', '3']);
+		expect(find(fleet, 'p-1').seen[0]!.headers).toMatchObject({'x-inference-stage': 'prefill', 'x-expect-instance': 'p-1', 'x-model': 'm'});
+		expect(find(fleet, 'd-1').seen[0]!.headers).toMatchObject({'x-kv-source': `${find(fleet, 'p-1').address}/h1`, 'x-request-priority': '2'});
+	});
+
+	test('sets what only the daemon may set, whatever the caller sent', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start(usual);
+		await fleet.stream('/brief/1', {
+			headers: {
+				'x-kv-source': '10.0.0.1:1/forged', 'x-kv-hold': 'forged', 'x-pin-ms': '4000', 'x-kv-backup': '10.0.0.1:1', 'x-inference-stage': 'decode', 'x-request-priority': '0', 'kv-fetch': '10.0.0.1:1',
+			},
+		});
+		for (const {headers} of fleet.upstreams.flatMap(({seen}) => seen)) {
+			expect(JSON.stringify(headers)).not.toMatch(/forged|10\.0\.0\.1|4000/v);
+			expect(headers['x-request-priority']).not.toBe('0');
+		}
+	});
+
+	test('lets the generating engine read the prompt when no other one can', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'd-1', stage: 'decode'}]);
+		const {status, body} = await fleet.stream('/flag/1');
+		expect(status).toBe(200);
+		expect(readEventIds(body)).toEqual(['1', '2', '3']);
+	});
+
+	test('reads the prompt elsewhere when a prefill fails', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([...usual, {id: 'p-2', stage: 'prefill'}]);
+		find(fleet, 'p-1').behaviour.losesAnswer = true;
+		for (let count = 0; count < 4; count += 1) {
+			expect((await fleet.stream('/flag/1')).status).toBe(200);
+		}
+	});
+
+	test('resumes a resumable stream after the last whole event, under the first signature', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start(twoDecoders);
+		for (const id of ['d-1', 'd-2']) {
+			Object.assign(find(fleet, id).behaviour, {events: 6, cutAfter: 3});
+		}
+
+		const {status, body, isWhole, headers} = await fleet.stream('/brief/1');
+		expect({status, isWhole}).toEqual({status: 200, isWhole: true});
+		expect(readEventIds(body)).toEqual(['1', '2', '3', '4', '5', '6']);
+		expect(body).not.toMatch(/da$|daid/mv);
+		const runs = ['d-1', 'd-2'].flatMap(id => find(fleet, id).runs);
+		expect(new Set(runs.map(({headers: sent}) => sent['last-event-id']))).toEqual(new Set([undefined, '3']));
+		expect(runs).toHaveLength(2);
+		expect(headers['x-response-seal']).toMatch(/^seal-d-/v);
+	});
+
+	test('goes on from the event that the caller has', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start(usual);
+		const {body} = await fleet.stream('/brief/1', {headers: {'last-event-id': '2'}});
+		expect(readEventIds(body)).toEqual(['3']);
+	});
+
+	test('does not let a stream that was cut look complete when it cannot be resumed', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start(twoDecoders);
+		for (const id of ['d-1', 'd-2']) {
+			Object.assign(find(fleet, id).behaviour, {events: 6, cutAfter: 3});
+		}
+
+		const {body, isWhole} = await fleet.stream('/flag/1');
+		expect(isWhole).toBe(false);
+		expect(readEventIds(body)).toEqual(['1', '2', '3']);
+		expect(['d-1', 'd-2'].flatMap(id => find(fleet, id).runs)).toHaveLength(1);
+	});
+
+	test('resumes no stream beyond the attempts of its route', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([...twoDecoders, {id: 'd-3', stage: 'decode'}]);
+		for (const id of ['d-1', 'd-2', 'd-3']) {
+			Object.assign(find(fleet, id).behaviour, {events: 9, cutAfter: 2});
+		}
+
+		const {body, isWhole} = await fleet.stream('/brief/1');
+		expect(isWhole).toBe(false);
+		expect(readEventIds(body)).toEqual(['1', '2', '3', '4']);
+	});
+
+	test('resumes a stream that falls silent, and stops the silent engine first', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start(twoDecoders);
+		for (const id of ['d-1', 'd-2']) {
+			Object.assign(find(fleet, id).behaviour, {events: 4, silentAfter: 2});
+		}
+
+		const {body, isWhole} = await fleet.stream('/brief/1', {id: 'silent'});
+		expect(isWhole).toBe(true);
+		expect(readEventIds(body)).toEqual(['1', '2', '3', '4']);
+		expect(['d-1', 'd-2'].flatMap(id => find(fleet, id).abandoned)).toContain('silent');
+	});
+
+	test('passes the failure of an engine on as it is', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start(usual);
+		Object.assign(find(fleet, 'd-1').behaviour, {status: 500});
+		const {status, headers, body} = await fleet.stream('/flag/1');
+		expect({status, body}).toEqual({status: 500, body: 'failed'});
+		expect(headers['x-response-seal']).toBe('seal-d-1');
+	});
+
+	test('says that a stream was not run when no engine took it, and frees the prompt', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start(usual);
+		Object.assign(find(fleet, 'd-1').behaviour, {status: 503, isNotRun: true});
+		const {status, headers} = await fleet.stream('/flag/1');
+		expect(status).toBe(503);
+		expect(headers['retry-after']).toBeDefined();
+		await fleet.waitUntil(() => find(fleet, 'p-1').seen.some(({method, url}) => method === 'DELETE' && url === '/api/kv-handle/h1'));
+	});
+
+	test('promises nothing when the answer of an engine is lost', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start(twoDecoders);
+		for (const id of ['d-1', 'd-2']) {
+			find(fleet, id).behaviour.losesAnswer = true;
+		}
+
+		const {status} = await fleet.stream('/flag/1');
+		expect(status).toBe(502);
+		expect(['d-1', 'd-2'].flatMap(id => find(fleet, id).runs)).toHaveLength(1);
+	});
+
+	test('stops reading and generating when the caller has gone', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start(usual);
+		find(fleet, 'p-1').behaviour.delayMs = 500;
+		await expect(fleet.stream('/flag/1', {id: 'gone', leavesAfterMs: 100})).rejects.toThrow();
+		await fleet.waitUntil(() => find(fleet, 'p-1').abandoned.includes('gone'), 400);
+		expect(find(fleet, 'd-1').seen).toEqual([]);
+	});
+
+	test('frees a prompt whose caller has gone in between', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start(usual);
+		find(fleet, 'd-1').behaviour.delayMs = 500;
+		await expect(fleet.stream('/flag/1', {id: 'gone', leavesAfterMs: 150})).rejects.toThrow();
+		await fleet.waitUntil(() => find(fleet, 'd-1').abandoned.includes('gone'), 400);
+	});
+});
