--- a/src/connection/links/upstream-call.ts
+++ b/src/connection/links/upstream-call.ts
@@ -18,6 +18,8 @@
 	/** Limit on the whole call, in milliseconds. */
 	readonly timeoutMs: number;
 	readonly signal?: AbortSignal;
+	/** Ends the call earlier, after so many milliseconds without an answer, if that is wanted then. */
+	readonly silence?: {readonly afterMs: number; readonly mayGiveUp: () => boolean};
 	/** Asked right before the request is written; false ends the call with nothing sent. */
 	readonly mayStart?: () => boolean;
 };
@@ -26,7 +28,7 @@
 const answerLimitBytes = 8 * 1024 * 1024;
 
 /** Makes a call and takes its answer as a whole; never rejects. */
-export async function callUpstream({links, protocol, upstream, wire, timeoutMs, signal, mayStart}: CallOptions): Promise<CallResult> {
+export async function callUpstream({links, protocol, upstream, wire, timeoutMs, signal, silence, mayStart}: CallOptions): Promise<CallResult> {
 	const {promise, resolve} = Promise.withResolvers<CallResult>();
 	const chunks: Uint8Array[] = [];
 	let size = 0;
@@ -61,6 +63,13 @@
 	const timer = setTimeout(() => {
 		exchange.cancel(`no answer within ${Math.round(timeoutMs)} ms`);
 	}, timeoutMs);
+	const silenceTimer = silence === undefined
+		? undefined
+		: setTimeout(() => {
+			if (silence.mayGiveUp()) {
+				exchange.cancel(`no answer within ${Math.round(silence.afterMs)} ms`);
+			}
+		}, silence.afterMs);
 	const cancel = () => {
 		exchange.cancel('the caller has gone');
 	};
@@ -74,6 +83,7 @@
 		return await promise;
 	} finally {
 		clearTimeout(timer);
+		clearTimeout(silenceTimer);
 		signal?.removeEventListener('abort', cancel);
 	}
 }
--- a/src/process/fleet/fleet-desk.ts
+++ b/src/process/fleet/fleet-desk.ts
@@ -138,6 +138,12 @@
 		return this.#options.services().get(service)?.engine !== undefined;
 	}
 
+	hasOther({service, tried}: Demand): boolean {
+		const now = this.#options.clock.now();
+		const isModel = this.isModelService(service);
+		return this.#usable(service, tried).some(state => !state.isAvoided(now) && (!isModel || state.upstream.stage === 'decode'));
+	}
+
 	async placePlain(demand: Demand): Promise<PlacementResult> {
 		const state = this.#chooseRun(this.#usable(demand.service, demand.tried), undefined);
 		return state === undefined ? this.#refuse(demand, 'noUpstream') : this.#beginRun(state, 0);
--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -66,6 +66,8 @@
 	/** Sends that count against the shared allowance once the first one is made. */
 	protected arrivals = 0;
 	protected firstAnswerMs: number | undefined;
+	/** Set when the next arrival has been counted already. */
+	#isArrivalTaken = false;
 
 	constructor(tools: DeliveryTools, job: DeliveryJob) {
 		this.tools = tools;
@@ -90,8 +92,23 @@
 		};
 	}
 
+	/**
+	Asks whether a send that has been silent may be ended: only when the next one is certain, since an upstream may also be slow
+	and a caller whose request is given up for nothing has lost it.
+	*/
+	protected mayGiveUpSilent(): boolean {
+		const mayResend = this.tools.desk.hasOther(this.demand) && this.takeArrival();
+		this.#isArrivalTaken ||= mayResend;
+		return mayResend;
+	}
+
 	/** True when one more arrival at an upstream is allowed; the first arrival of a request is free. */
 	protected takeArrival(): boolean {
+		if (this.#isArrivalTaken) {
+			this.#isArrivalTaken = false;
+			return true;
+		}
+
 		if (this.arrivals > 0 && !this.tools.allowance.take(this.job.service, this.tools.clock.now())) {
 			this.log('retry.denied', {service: this.job.service, arrivals: this.arrivals});
 			return false;
--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -57,7 +57,6 @@
 		this.tried.add(upstream.id);
 		const isLast = !this.#isIdempotent || this.runs + 1 >= job.route.attemptLimit;
 		const silenceMs = Math.max(shortestSilenceMs, job.route.targetLatencyMs * silenceTargets);
-		const timeoutMs = isLast ? this.remainingMs : Math.min(this.remainingMs, silenceMs);
 		this.log('send', {
 			upstream: upstream.id, address: upstream.address, work: 'plain', predictedMs: Math.round(placement.predictedMs), remainingMs: Math.round(this.remainingMs),
 		});
@@ -68,8 +67,11 @@
 			wire: tools.protocol.encode({
 				request: job.request, upstream, remainingMs: this.upstreamMs, priority: undefined, lastEventId: undefined, work: {kind: 'whole'},
 			}),
-			timeoutMs,
+			timeoutMs: this.remainingMs,
 			signal: job.signal,
+			...(isLast
+				? {}
+				: {silence: {afterMs: silenceMs, mayGiveUp: () => this.mayGiveUpSilent()}}),
 		});
 		const elapsedMs = tools.clock.now() - sentAt;
 		const end = this.#toEnd(result, elapsedMs);
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -160,6 +160,7 @@
 			}),
 			lastEventId: this.#lastEventId,
 			mayResume: this.#mayResume,
+			mayGiveUp: () => this.mayGiveUpSilent(),
 			isOwn: answer => this.isOwn(answer),
 			onFirstEvent: () => {
 				this.markFirstAnswer();
--- a/src/request/delivery/stream-run.ts
+++ b/src/request/delivery/stream-run.ts
@@ -15,6 +15,8 @@
 	readonly lastEventId: string | undefined;
 	/** True when another upstream may go on after this one. */
 	readonly mayResume: boolean;
+	/** Asked when the upstream has been silent: true when another one is certain to go on. */
+	readonly mayGiveUp: () => boolean;
 	readonly isOwn: (answer: UpstreamAnswer) => boolean;
 	readonly onFirstEvent: () => void;
 };
@@ -196,7 +198,9 @@
 			? Math.max(shortestSilenceMs, route.targetLatencyMs * silentTargets)
 			: Math.max(shortestSilenceMs, (route.targetGapMs ?? defaultGapMs) * silentGaps);
 		this.#silenceTimer = setTimeout(() => {
-			this.#cancel('silent', `no event within ${limitMs} ms`);
+			if (this.#options.mayGiveUp()) {
+				this.#cancel('silent', `no event within ${limitMs} ms`);
+			}
 		}, limitMs);
 	}
 
--- a/src/request/delivery/upstream-desk.ts
+++ b/src/request/delivery/upstream-desk.ts
@@ -55,6 +55,9 @@
 	/** True when the service consists of model engines. */
 	abstract isModelService(service: string): boolean;
 
+	/** True when there is an upstream that the request has not been sent to and that could run it. */
+	abstract hasOther(demand: Demand): boolean;
+
 	/** Places a request of a plain service. */
 	abstract placePlain(demand: Demand): Promise<PlacementResult>;
 
--- a/test/request/delivery/plain-delivery.test.ts
+++ b/test/request/delivery/plain-delivery.test.ts
@@ -148,3 +148,18 @@
 		expect((await fleet.send({path: '/book/1', method: 'POST', body: 'x'.repeat(100_001)})).status).toBe(413);
 	});
 });
+
+describe('a silent upstream', () => {
+	test('is waited for when no other one could answer, since it may only be slow', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1', delayMs: 700}]);
+		expect((await fleet.send({path: '/lookup/1'})).status).toBe(200);
+	});
+
+	test('is left for another one in time when the request may run again', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1', delayMs: 3000}, {id: 'u-2', delayMs: 3000}, {id: 'u-3'}]);
+		const results = await Promise.all([1, 2, 3].map(async () => fleet.send({path: '/lookup/1'})));
+		expect(results.some(({status, elapsedMs}) => status === 200 && elapsedMs > 350 && elapsedMs < 1000)).toBe(true);
+	});
+});
--- a/test/request/delivery/stream-delivery.test.ts
+++ b/test/request/delivery/stream-delivery.test.ts
@@ -160,3 +160,14 @@
 		await fleet.waitUntil(() => find(fleet, 'd-1').abandoned.includes('gone'), 400);
 	});
 });
+
+describe('a silent engine', () => {
+	test('is waited for when no other one could go on, since it may only be slow', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start(usual);
+		Object.assign(find(fleet, 'd-1').behaviour, {events: 3, pauseMs: 1100});
+		const {body, isWhole} = await fleet.stream('/brief/1');
+		expect(isWhole).toBe(true);
+		expect(readEventIds(body)).toEqual(['1', '2', '3']);
+	});
+});
