--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -48,7 +48,7 @@
 };
 
 /** Upstreams write their entries all the time; the pause gathers them, and leaving takes effect within two seconds. */
-const rosterTimes: WatchTimes = {waitMs: 300, pauseMs: 600};
+const rosterTimes: WatchTimes = {waitMs: 300, pauseMs: 800};
 /** Configurations change seldom; the wait bounds how long a silent connection goes unnoticed. */
 const configurationTimes: WatchTimes = {waitMs: 1500, pauseMs: 0};
 const housekeepingMs = 250;
