Correct the pace of engines and learn it by rank

Cause: a prediction that included the pace was compared with the time taken, so that the pace settled at the root of the true one; and least urgent prompts took 395 ms where 242 were predicted, since more urgent ones arrive meanwhile.

--- a/src/connection/links/upstream-links.ts
+++ b/src/connection/links/upstream-links.ts
@@ -1,4 +1,5 @@
 import {connect, type Socket} from 'node:net';
+import type {buildConnector} from 'undici';
 import type {WireRequest} from '../../ports/upstream-protocol.ts';
 import type {Upstream} from '../../ports/upstream.ts';
 import type {Clock} from '../../process/clock.ts';
@@ -137,7 +138,7 @@
 		return client;
 	}
 
-	#watchSocket(socket: Socket, client: Client, callback: (...result: [null, Socket] | [Error, null]) => void): void {
+	#watchSocket(socket: Socket, client: Client, callback: buildConnector.Callback): void {
 		let isConnected = false;
 		socket.once('connect', () => {
 			isConnected = true;
--- a/src/process/fleet/fleet-desk.ts
+++ b/src/process/fleet/fleet-desk.ts
@@ -17,6 +17,7 @@
 	isLatePrompt, judgePrompt, orderPrompts, predictArrival, rankAtUpstream, type WaitingPrompt,
 } from './prefill-queue.ts';
 import type {UpstreamRoster} from './upstream-roster.ts';
+import {RankPace} from './pace.ts';
 import {UpstreamState} from './upstream-state.ts';
 
 /** The other daemons, as the desk hears from them and tells them. */
@@ -86,7 +87,8 @@
 	readonly #options: FleetDeskOptions;
 	readonly #states = new Map<string, UpstreamState>();
 	readonly #waiting = new Set<Waiting>();
-	#pumpTimer: NodeJS.Timeout | undefined;
+	readonly #rankPace = new RankPace();
+	#isPumpScheduled = false;
 
 	constructor(options: FleetDeskOptions) {
 		super();
@@ -193,6 +195,19 @@
 		return result;
 	}
 
+	placeDecode(demand: Demand, source: Upstream | undefined): PlacementResult {
+		const states = this.#usable(demand.service, demand.tried).filter(({upstream}) => upstream.stage === 'decode');
+		const state = this.#chooseRun(states, source?.availabilityZone);
+		const parts = demand.request.prompt?.parts ?? [];
+		if (state !== undefined && parts.length > 0) {
+			// The engine keeps what it fetches like its own.
+			state.cache.touch(parts);
+			this.#options.peers.tellReading({upstream: state.upstream.id, parts});
+		}
+
+		return state === undefined ? this.#refuse(demand, 'noUpstream') : this.#beginRun(state, 0);
+	}
+
 	/** Places waiting prompts as far as upstreams would begin with them soon. */
 	pump(): void {
 		if (this.#waiting.size === 0) {
@@ -209,9 +224,10 @@
 			blocked += this.#tryPlace(prompt as Waiting, now) ? 0 : 1;
 		}
 
-		if (this.#waiting.size > 0) {
-			this.#pumpTimer ??= setTimeout(() => {
-				this.#pumpTimer = undefined;
+		if (this.#waiting.size > 0 && !this.#isPumpScheduled) {
+			this.#isPumpScheduled = true;
+			setTimeout(() => {
+				this.#isPumpScheduled = false;
 				this.pump();
 			}, pumpIntervalMs);
 		}
@@ -259,7 +275,13 @@
 				this.#options.peers.tellReading({upstream: candidate.id, parts});
 				this.#leaveQueue(waiting, this.#createPlacement(state, {
 					predictedMs, rank, fetchFrom: candidate.fetchMs > 0 ? keeper?.upstream : undefined,
-				}, finish));
+				}, (end, endedAt) => {
+					if (end.kind === 'served') {
+						this.#rankPace.observe(rank, end.elapsedMs, predictedMs);
+					}
+
+					finish(end, endedAt);
+				}));
 				return true;
 			}
 		}
@@ -307,19 +329,6 @@
 		return this.#options.roster.serving(service).map(upstream => this.#state(upstream)).filter(state => !state.isAbsent);
 	}
 
-	placeDecode(demand: Demand, source: Upstream | undefined): PlacementResult {
-		const states = this.#usable(demand.service, demand.tried).filter(({upstream}) => upstream.stage === 'decode');
-		const state = this.#chooseRun(states, source?.availabilityZone);
-		const parts = demand.request.prompt?.parts ?? [];
-		if (state !== undefined && parts.length > 0) {
-			// The engine keeps what it fetches like its own.
-			state.cache.touch(parts);
-			this.#options.peers.tellReading({upstream: state.upstream.id, parts});
-		}
-
-		return state === undefined ? this.#refuse(demand, 'noUpstream') : this.#beginRun(state, 0);
-	}
-
 	/** The larger of what the other daemons tell and what the upstream stated: either may be out of date. */
 	#othersRuns(state: UpstreamState, now: number): number {
 		return Math.max(this.#options.peers.board.runs(state.upstream.id, now), state.othersRuns(now));
@@ -391,6 +400,7 @@
 			fetchMs: fetches ? this.#transferMs(ownMissing - keeperMissing, upstream, keeper.upstream, engine) : 0,
 			isLocal: upstream.availabilityZone === this.#options.availabilityZone,
 			pace: state.pace * state.slowness(now),
+			rankPace: this.#rankPace.of(priority),
 			failureShare: state.failureShare,
 		};
 	}
@@ -442,7 +452,7 @@
 	}
 
 	#refuse({request, service}: Demand, reason: 'noUpstream' | 'overloaded', predictedMs = 0): PlacementResult {
-		const retryAfterMs = retryDelayMs * (0.5 + this.#options.random.next());
+		const retryAfterMs = Math.max(retryDelayMs, predictedMs) * (0.5 + this.#options.random.next());
 		this.#options.log.write('placement.refused', {
 			request: request.id, service, reason, predictedMs: Math.round(predictedMs), retryAfterMs: Math.round(retryAfterMs),
 		});
--- a/src/process/fleet/placement-score.ts
+++ b/src/process/fleet/placement-score.ts
@@ -10,8 +10,10 @@
 	/** Time to fetch cached parts from another upstream, included in the prediction. */
 	readonly fetchMs: number;
 	readonly isLocal: boolean;
-	/** Time that work takes relative to the usual. */
+	/** Time that work takes at this upstream relative to the usual. */
 	readonly pace: number;
+	/** Time that prompts of this rank take relative to their place in the backlog, since more urgent ones arrive meanwhile. */
+	readonly rankPace: number;
 	readonly failureShare: number;
 };
 
@@ -41,7 +43,7 @@
 /** Predicts the time to read a prompt at a candidate, in milliseconds. */
 export function predictPrefill(candidate: PrefillCandidate, rate: PrefillRate): number {
 	const own = weighTokens(candidate.missingTokens, candidate.keptTokens);
-	return (((candidate.backlogTokens + own) / rate.tokensPerMs) * candidate.pace) + rate.fixedMs + candidate.fetchMs;
+	return (((candidate.backlogTokens + own) / rate.tokensPerMs) * candidate.pace * candidate.rankPace) + rate.fixedMs + candidate.fetchMs;
 }
 
 /** The chosen candidate; times in milliseconds. */
--- a/src/process/fleet/upstream-state.ts
+++ b/src/process/fleet/upstream-state.ts
@@ -1,6 +1,7 @@
 import type {Upstream} from '../../ports/upstream.ts';
 import type {StatedLoad} from '../../ports/upstream-protocol.ts';
 import type {SendEnd} from '../../request/delivery/upstream-desk.ts';
+import {adjustPace} from './pace.ts';
 import {PromptCache} from './prompt-cache.ts';
 
 /** A stated load counts less as it ages and not at all after this time, in milliseconds. */
@@ -11,8 +12,6 @@
 const longestAvoidanceMs = 4000;
 /** An upstream whose connections are refused is gone or restarting; its next heartbeat tells. */
 const refusedAvoidanceMs = 2000;
-const slowestPace = 10;
-const fastestPace = 0.3;
 const neverAvoided = Number.NEGATIVE_INFINITY;
 
 /** What this daemon has learnt of one upstream: its own sends, the load it states, and how sends have ended. */
@@ -146,8 +145,7 @@
 				this.#consecutiveFailures = 0;
 				this.#failureShare *= 1 - smoothing;
 				if (isPaced) {
-					const ratio = Math.min(slowestPace, Math.max(fastestPace, elapsedMs / Math.max(1, predictedMs)));
-					this.#pace += (ratio - this.#pace) * smoothing;
+					this.#pace = adjustPace(this.#pace, elapsedMs, predictedMs);
 				}
 
 				return;
--- a/src/process/peers/peer-board.ts
+++ b/src/process/peers/peer-board.ts
@@ -23,9 +23,11 @@
 	accept({daemon, address, loads, queued}: PeerMessage, now: number): boolean {
 		const known = this.#peers.get(daemon);
 		const isSame = known?.address === address;
-		const peer = isSame ? known : {
-			address, heardAt: now, queued, loads: new Map<string, PeerLoad>(),
-		};
+		const peer = isSame
+			? known
+			: {
+				address, heardAt: now, queued, loads: new Map<string, PeerLoad>(),
+			};
 		peer.heardAt = now;
 		peer.queued = queued;
 		for (const load of loads) {
--- a/test/process/fleet/fleet-daemon.test.ts
+++ b/test/process/fleet/fleet-daemon.test.ts
@@ -24,7 +24,7 @@
 		fleet.store.faults.status = 503;
 		await fleet.startDaemon();
 		await delay(300);
-		expect((await fleet.send({path: '/none/1'})).status).toBe(503);
+		expect(await fleet.status({path: '/none/1'})).toBe(503);
 		expect(await fleet.readiness()).toBe(503);
 	});
 
@@ -35,7 +35,7 @@
 		fleet.store.reset();
 		await fleet.waitForLine('store.lost');
 		expect(await fleet.readiness()).toBe(200);
-		expect((await fleet.send({path: '/lookup/1'})).status).toBe(200);
+		expect(await fleet.status({path: '/lookup/1'})).toBe(200);
 	});
 });
 
@@ -44,23 +44,23 @@
 		await using fleet = new FleetFixture();
 		await fleet.start([{id: 'u-1'}]);
 		fleet.store.put('op', 'config', createOperatorConfiguration({version: 5, routes: []}));
-		await fleet.waitUntil(() => fleet.lines.some(line => line['event'] === 'configuration.inForce' && line['version'] === 5), 1000);
-		expect((await fleet.send({path: '/lookup/1'})).status).toBe(404);
+		await fleet.waitUntil(() => fleet.lines.some(line => line.event === 'configuration.inForce' && line.version === 5), 1000);
+		expect(await fleet.status({path: '/lookup/1'})).toBe(404);
 		fleet.store.dropHistory();
 		fleet.store.put('op', 'config', createOperatorConfiguration({version: 6}));
-		await fleet.waitUntil(() => fleet.lines.some(line => line['event'] === 'configuration.inForce' && line['version'] === 6), 1000);
-		expect((await fleet.send({path: '/lookup/1'})).status).toBe(200);
+		await fleet.waitUntil(() => fleet.lines.some(line => line.event === 'configuration.inForce' && line.version === 6), 1000);
+		expect(await fleet.status({path: '/lookup/1'})).toBe(200);
 	});
 
 	test('never falls back to an older version, and ignores rows that are no configuration', async () => {
 		await using fleet = new FleetFixture();
 		await fleet.start([{id: 'u-1'}]);
 		fleet.store.put('op', 'config', createOperatorConfiguration({version: 3}));
-		await fleet.waitUntil(() => fleet.lines.some(line => line['version'] === 3));
+		await fleet.waitUntil(() => fleet.lines.some(line => line.version === 3));
 		fleet.store.put('op', 'config', createOperatorConfiguration({version: 2, routes: []}));
 		fleet.store.put('op', 'config', '{"version":');
 		await fleet.waitForLine('configuration.invalid');
-		expect((await fleet.send({path: '/lookup/1'})).status).toBe(200);
+		expect(await fleet.status({path: '/lookup/1'})).toBe(200);
 	});
 });
 
@@ -75,7 +75,7 @@
 		expect(Date.now() - leftAt).toBeLessThan(1900);
 		const seen = leaving!.seen.length;
 		for (let count = 0; count < 5; count += 1) {
-			expect((await fleet.send({path: '/lookup/1'})).status).toBe(200);
+			expect(await fleet.status({path: '/lookup/1'})).toBe(200);
 		}
 
 		expect(leaving!.seen).toHaveLength(seen);
@@ -88,8 +88,8 @@
 		fleet.store.put('servers', 'u-9', {
 			service: 'desk', address: 7, zone: 'zone-a', state: 'ready', sequence: 1, slots: 6,
 		});
-		await fleet.waitUntil(() => fleet.lines.filter(line => line['event'] === 'upstream.invalidEntry').length === 2);
-		expect((await fleet.send({path: '/lookup/1'})).status).toBe(200);
+		await fleet.waitUntil(() => fleet.lines.filter(line => line.event === 'upstream.invalidEntry').length === 2);
+		expect(await fleet.status({path: '/lookup/1'})).toBe(200);
 	});
 
 	test('are followed over a connection to the store that has gone silent', async () => {
@@ -99,7 +99,7 @@
 		await fleet.waitForLine('store.lost');
 		fleet.store.faults.isSilent = false;
 		await fleet.addUpstream({id: 'u-2'});
-		await fleet.waitUntil(() => fleet.lines.some(line => line['event'] === 'upstream.appeared' && line['upstream'] === 'u-2'), 3000);
+		await fleet.waitUntil(() => fleet.lines.some(line => line.event === 'upstream.appeared' && line.upstream === 'u-2'), 3000);
 	}, 15_000);
 });
 
@@ -111,7 +111,7 @@
 		await fleet.waitUntil(() => fleet.upstreams[0]!.seen.length === 1);
 		const stopped = fleet.daemon.stop();
 		expect(await fleet.readiness()).toBe(503);
-		expect((await open).status).toBe(200);
+		expect(await open).toMatchObject({status: 200});
 		const late = await fleet.send({path: '/book/1', method: 'POST', body: 'x'});
 		expect(late).toMatchObject({status: 200});
 		expect(late.headers.connection).toBe('close');
--- a/test/request/delivery/plain-delivery.test.ts
+++ b/test/request/delivery/plain-delivery.test.ts
@@ -63,7 +63,9 @@
 	test('says that a request was not run when every upstream states so', async () => {
 		await using fleet = new FleetFixture();
 		await fleet.start([{id: 'u-1', status: 503, isNotRun: true}]);
-		const {status, headers} = await fleet.send({path: '/book/1', method: 'POST', body: 'x', deadlineMs: 1000});
+		const {status, headers} = await fleet.send({
+			path: '/book/1', method: 'POST', body: 'x', deadlineMs: 1000,
+		});
 		expect(status).toBe(503);
 		expect(Number(headers['retry-after'])).toBeLessThanOrEqual(1 / 3);
 	});
@@ -135,7 +137,9 @@
 	test('ends a request at the time-out of its route', async () => {
 		await using fleet = new FleetFixture();
 		await fleet.start([{id: 'u-1', delayMs: 5000}]);
-		const {status, elapsedMs} = await fleet.send({path: '/book/1', method: 'POST', body: 'x', deadlineMs: 4000});
+		const {status, elapsedMs} = await fleet.send({
+			path: '/book/1', method: 'POST', body: 'x', deadlineMs: 4000,
+		});
 		expect(status).toBe(504);
 		expect(elapsedMs).toBeGreaterThan(1400);
 		expect(elapsedMs).toBeLessThan(1750);
@@ -144,8 +148,8 @@
 	test('answers 404 for a path without a route, and 413 for a body beyond the limit', async () => {
 		await using fleet = new FleetFixture();
 		await fleet.start([{id: 'u-1'}]);
-		expect((await fleet.send({path: '/none/1'})).status).toBe(404);
-		expect((await fleet.send({path: '/book/1', method: 'POST', body: 'x'.repeat(100_001)})).status).toBe(413);
+		expect(await fleet.status({path: '/none/1'})).toBe(404);
+		expect(await fleet.status({path: '/book/1', method: 'POST', body: 'x'.repeat(100_001)})).toBe(413);
 	});
 });
 
@@ -153,7 +157,7 @@
 	test('is waited for when no other one could answer, since it may only be slow', async () => {
 		await using fleet = new FleetFixture();
 		await fleet.start([{id: 'u-1', delayMs: 700}]);
-		expect((await fleet.send({path: '/lookup/1'})).status).toBe(200);
+		expect(await fleet.status({path: '/lookup/1'})).toBe(200);
 	});
 
 	test('is left for another one in time when the request may run again', async () => {
--- a/test/request/delivery/stream-delivery.test.ts
+++ b/test/request/delivery/stream-delivery.test.ts
@@ -24,7 +24,13 @@
 		await fleet.start(usual);
 		await fleet.stream('/brief/1', {
 			headers: {
-				'x-kv-source': '10.0.0.1:1/forged', 'x-kv-hold': 'forged', 'x-pin-ms': '4000', 'x-kv-backup': '10.0.0.1:1', 'x-inference-stage': 'decode', 'x-request-priority': '0', 'kv-fetch': '10.0.0.1:1',
+				'x-kv-source': '10.0.0.1:1/forged',
+				'x-kv-hold': 'forged',
+				'x-pin-ms': '4000',
+				'x-kv-backup': '10.0.0.1:1',
+				'x-inference-stage': 'decode',
+				'x-request-priority': '0',
+				'kv-fetch': '10.0.0.1:1',
 			},
 		});
 		for (const {headers} of fleet.upstreams.flatMap(({seen}) => seen)) {
@@ -46,7 +52,8 @@
 		await fleet.start([...usual, {id: 'p-2', stage: 'prefill'}]);
 		find(fleet, 'p-1').behaviour.losesAnswer = true;
 		for (let count = 0; count < 4; count += 1) {
-			expect((await fleet.stream('/flag/1')).status).toBe(200);
+			const {status} = await fleet.stream('/flag/1');
+			expect(status).toBe(200);
 		}
 	});
 
