Share crashes between daemons and count only those of upstreams that went down

Cause: a lost connection was taken for a crash, so that an innocent request could be condemned during resets, and only one daemon knew. The choice of engines and the order of the queue are tested by the loads that they answer.

--- a/src/process/fleet/crash-suspects.ts
+++ b/src/process/fleet/crash-suspects.ts
@@ -1,35 +1,85 @@
 import {createHash} from 'node:crypto';
 import type {RouteRequest} from '../../request/delivery/route-request.ts';
+import type {PeerCrash} from '../peers/peer-message.ts';
+import type {DecisionLog} from './decision-log.ts';
+
+/** What the register of crashes needs. */
+export type CrashSuspectsOptions = {
+	readonly now: () => number;
+	readonly log: DecisionLog;
+	/** Tells the other daemons. */
+	readonly tell: (crash: PeerCrash) => void;
+};
 
 /** Upstreams that a request must have crashed before it is refused. */
 const crashLimit = 3;
-/** A request that has crashed nothing for so long is forgotten. */
+/** A request that has crashed nothing for so long is forgotten, in milliseconds. */
 const memoryMs = 60_000;
+/** A lost connection counts as a crash if the upstream turns out to be down within this time, in milliseconds. */
+const confirmMs = 6000;
 const suspectLimit = 2000;
+const lossLimit = 2000;
+
+type Loss = {
+	readonly fingerprint: string;
+	readonly upstream: string;
+	readonly at: number;
+};
 
 type Suspect = {
 	readonly upstreams: Set<string>;
 	seenAt: number;
 };
 
-/** Recognises requests that come again and crash each upstream that runs them. */
+/**
+Recognises requests that come again and crash each upstream that runs them.
+
+A broken connection alone is no crash: networks and single answers fail too. It counts once the upstream refuses connections, has
+restarted or has left the list, and daemons tell each other of each crash.
+*/
 export class CrashSuspects {
-	readonly #now: () => number;
+	readonly #options: CrashSuspectsOptions;
 	readonly #suspects = new Map<string, Suspect>();
+	#losses: Loss[] = [];
 
-	constructor(now: () => number) {
-		this.#now = now;
+	constructor(options: CrashSuspectsOptions) {
+		this.#options = options;
 	}
 
 	/** Notes that a connection broke while the request was on it. */
-	connectionLost(request: RouteRequest, upstreamId: string): void {
-		const now = this.#now();
-		const key = createFingerprint(request);
-		const suspect = this.#suspects.get(key) ?? {upstreams: new Set<string>(), seenAt: now};
-		suspect.upstreams.add(upstreamId);
-		suspect.seenAt = now;
-		this.#suspects.delete(key);
-		this.#suspects.set(key, suspect);
+	connectionLost(request: RouteRequest, upstream: string): void {
+		const at = this.#options.now();
+		this.#losses = this.#losses.filter(loss => at - loss.at < confirmMs).slice(-lossLimit);
+		this.#losses.push({fingerprint: createFingerprint(request), upstream, at});
+	}
+
+	/** Notes that an upstream is down or was restarted: the requests that it lost shortly before may have crashed it. */
+	upstreamDown(upstream: string): void {
+		const now = this.#options.now();
+		const lost = this.#losses.filter(loss => loss.upstream === upstream && now - loss.at < confirmMs);
+		this.#losses = this.#losses.filter(loss => loss.upstream !== upstream);
+		for (const {fingerprint} of lost) {
+			const crash = {fingerprint, upstream};
+			this.accept([crash]);
+			this.#options.tell(crash);
+		}
+	}
+
+	/** Takes crashes that this or another daemon has seen. */
+	accept(crashes: readonly PeerCrash[]): void {
+		const now = this.#options.now();
+		for (const {fingerprint, upstream} of crashes) {
+			const suspect = this.#suspects.get(fingerprint) ?? {upstreams: new Set<string>(), seenAt: now};
+			const wasCondemned = suspect.upstreams.size >= crashLimit;
+			suspect.upstreams.add(upstream);
+			suspect.seenAt = now;
+			this.#suspects.delete(fingerprint);
+			this.#suspects.set(fingerprint, suspect);
+			if (!wasCondemned && suspect.upstreams.size >= crashLimit) {
+				this.#options.log.write('request.condemned', {fingerprint, upstreams: [...suspect.upstreams]});
+			}
+		}
+
 		this.#forget(now);
 	}
 
@@ -40,7 +90,7 @@
 		}
 
 		const suspect = this.#suspects.get(createFingerprint(request));
-		return suspect !== undefined && suspect.upstreams.size >= crashLimit && this.#now() - suspect.seenAt < memoryMs;
+		return suspect !== undefined && suspect.upstreams.size >= crashLimit && this.#options.now() - suspect.seenAt < memoryMs;
 	}
 
 	#forget(now: number): void {
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -70,6 +70,7 @@
 	readonly #front: RouteFront;
 	readonly #shutdown: Shutdown;
 	readonly #peers: PeerLink;
+	readonly #crashes: CrashSuspects;
 	readonly #lease: LeaseTask;
 	readonly #director: StageDirector;
 	readonly #metrics = new FleetMetrics();
@@ -87,6 +88,13 @@
 		this.#configuration = new ConfigurationHolder(platform.configurationKey, platform.decodeConfiguration, log);
 		this.#links = new UpstreamLinks(this.#clock);
 		const clock = this.#clock;
+		this.#crashes = new CrashSuspects({
+			now: () => clock.now(),
+			log,
+			tell: crash => {
+				this.#peers.tellCrash(crash);
+			},
+		});
 		this.#peers = new PeerLink({
 			clock,
 			log,
@@ -101,8 +109,8 @@
 			onReadings: readings => {
 				this.#desk.acceptReadings(readings);
 			},
-			onCrashes() {
-				// Crashes are not shared yet.
+			onCrashes: crashes => {
+				this.#crashes.accept(crashes);
 			},
 		});
 		this.#desk = new FleetDesk({
@@ -121,6 +129,9 @@
 			},
 			availabilityZone: settings.daemon.availabilityZone,
 			services: () => this.#configuration.table?.services ?? new Map(),
+			onDown: upstream => {
+				this.#crashes.upstreamDown(upstream);
+			},
 		});
 		const {retryRatio, retrySlack, retryWindowMs, graceMs} = settings.bounds;
 		const tools = {
@@ -129,7 +140,7 @@
 			protocol: platform.upstreamProtocol,
 			desk: this.#desk,
 			allowance: new RetryAllowance({ratio: retryRatio, slack: retrySlack, windowMs: retryWindowMs}),
-			crashes: new CrashSuspects(() => clock.now()),
+			crashes: this.#crashes,
 			log,
 		};
 		this.#front = new RouteFront({
@@ -302,6 +313,10 @@
 			this.#options.log.write(`upstream.${kind}`, {
 				upstream: upstream.id, service: upstream.service, address: upstream.address, availabilityZone: upstream.availabilityZone, stage: upstream.stage, heartbeat: upstream.heartbeat,
 			});
+			if (kind === 'gone' || kind === 'restarted') {
+				this.#crashes.upstreamDown(upstream.id);
+			}
+
 			if (kind === 'gone') {
 				this.#links.forget(upstream.id);
 				this.#desk.forget(upstream.id);
--- a/src/process/fleet/fleet-desk.ts
+++ b/src/process/fleet/fleet-desk.ts
@@ -38,6 +38,8 @@
 	readonly availabilityZone: string;
 	/** Services in force, by name. */
 	readonly services: () => ReadonlyMap<string, Service>;
+	/** Told when an upstream refuses connections. */
+	readonly onDown: (upstream: string) => void;
 };
 
 /** A prompt in the queue with what is needed to place it. */
@@ -427,7 +429,7 @@
 		values: Pick<Placement, 'predictedMs' | 'rank' | 'fetchFrom'>,
 		finish: (end: SendEnd, now: number) => void,
 	): Placement {
-		const {clock, peers} = this.#options;
+		const {clock, peers, onDown} = this.#options;
 		const pump = () => {
 			this.pump();
 		};
@@ -444,6 +446,10 @@
 				if (!isReleased) {
 					isReleased = true;
 					finish(end, clock.now());
+					if (end.kind === 'refused') {
+						onDown(state.upstream.id);
+					}
+
 					peers.changed(state.upstream.id);
 					pump();
 				}
--- a/src/process/fleet/prompt-cache.ts
+++ b/src/process/fleet/prompt-cache.ts
@@ -4,7 +4,7 @@
 export class PromptCache {
 	readonly #parts = new Map<string, number>();
 	#tokens = 0;
-	#limit: number;
+	readonly #limit: number;
 
 	constructor(limitTokens: number) {
 		this.#limit = limitTokens;
@@ -45,8 +45,9 @@
 		}
 	}
 
-	/** Sets the memory that is there for parts. */
-	resize(limitTokens: number): void {
-		this.#limit = limitTokens;
+	/** Forgets all parts, as an upstream that restarts does. */
+	clear(): void {
+		this.#parts.clear();
+		this.#tokens = 0;
 	}
 }
--- a/src/process/fleet/upstream-roster.ts
+++ b/src/process/fleet/upstream-roster.ts
@@ -7,7 +7,7 @@
 
 /** What a change of the roster means for work in flight. */
 export type RosterEvent = {
-	readonly kind: 'appeared' | 'changed' | 'leaving' | 'gone' | 'lapsed';
+	readonly kind: 'appeared' | 'changed' | 'restarted' | 'leaving' | 'gone' | 'lapsed';
 	readonly upstream: Upstream;
 };
 
@@ -94,7 +94,11 @@
 			return [{kind: 'leaving', upstream}];
 		}
 
-		const isSame = last.stage === upstream.stage && last.address === upstream.address && last.startedAt === upstream.startedAt && last.isDraining === upstream.isDraining;
+		if (last.startedAt !== upstream.startedAt) {
+			return [{kind: 'restarted', upstream}];
+		}
+
+		const isSame = last.stage === upstream.stage && last.address === upstream.address && last.isDraining === upstream.isDraining;
 		return isSame ? [] : [{kind: 'changed', upstream}];
 	}
 
--- a/src/process/fleet/upstream-state.ts
+++ b/src/process/fleet/upstream-state.ts
@@ -61,11 +61,19 @@
 
 	/** Takes a newer entry of the list. */
 	update(upstream: Upstream): void {
-		if (upstream.stage !== this.#upstream.stage || upstream.startedAt !== this.#upstream.startedAt) {
+		const isRestarted = upstream.startedAt !== this.#upstream.startedAt;
+		if (isRestarted || upstream.stage !== this.#upstream.stage) {
 			this.#pace = 1;
 			this.#stated = undefined;
 		}
 
+		if (isRestarted) {
+			this.cache.clear();
+			this.#consecutiveFailures = 0;
+			this.#avoidedUntil = neverAvoided;
+			this.#awaitedHeartbeat = neverAvoided;
+		}
+
 		this.#upstream = upstream;
 	}
 
--- /dev/null
+++ b/test/process/fleet/crash-suspects.test.ts
@@ -0,0 +1,84 @@
+import {Buffer} from 'node:buffer';
+import {describe, expect, test} from 'vitest';
+import {CrashSuspects} from '../../../src/process/fleet/crash-suspects.ts';
+import {DecisionLog} from '../../../src/process/fleet/decision-log.ts';
+import type {PeerCrash} from '../../../src/process/peers/peer-message.ts';
+import {createRequest} from '../../fixtures/fleet/configuration.ts';
+
+const quiet = new DecisionLog({}, (_bytes, done) => {
+	done(undefined);
+});
+
+function createDaemons(count: number, clock: {now: number}): readonly CrashSuspects[] {
+	const daemons: CrashSuspects[] = [];
+	for (let index = 0; index < count; index += 1) {
+		const tell = (crash: PeerCrash) => {
+			for (const other of daemons.filter((_, position) => position !== index)) {
+				other.accept([crash]);
+			}
+		};
+
+		daemons.push(new CrashSuspects({now: () => clock.now, log: quiet, tell}));
+	}
+
+	return daemons;
+}
+
+const poison = createRequest({body: Buffer.from('poison')});
+
+describe('requests that crash upstreams', () => {
+	test('are recognised by all daemons after the third crash, under any id', () => {
+		const clock = {now: 0};
+		const daemons = createDaemons(3, clock);
+		for (const [index, daemon] of daemons.entries()) {
+			expect(daemon.isCondemned(poison)).toBe(false);
+			daemon.connectionLost(poison, `u-${index}`);
+			clock.now += 500;
+			daemon.upstreamDown(`u-${index}`);
+		}
+
+		for (const daemon of daemons) {
+			expect(daemon.isCondemned({...poison, id: 'another'})).toBe(true);
+		}
+	});
+
+	test('are not taken for others that were lost with them once', () => {
+		const clock = {now: 0};
+		const [daemon] = createDaemons(1, clock);
+		for (const index of [0, 1, 2]) {
+			const innocent = createRequest({body: Buffer.from(`innocent ${index}`)});
+			daemon!.connectionLost(poison, `u-${index}`);
+			daemon!.connectionLost(innocent, `u-${index}`);
+			daemon!.upstreamDown(`u-${index}`);
+			expect(daemon!.isCondemned(innocent)).toBe(false);
+		}
+
+		expect(daemon!.isCondemned(createRequest({body: Buffer.from('poison'), caller: '127.0.0.9'}))).toBe(false);
+	});
+
+	test('are not condemned for connections that broke at upstreams that stay up', () => {
+		const clock = {now: 0};
+		const [daemon] = createDaemons(1, clock);
+		for (const index of [0, 1, 2, 3, 4]) {
+			daemon!.connectionLost(poison, `u-${index}`);
+			clock.now += 7000;
+			daemon!.upstreamDown(`u-${index}`);
+		}
+
+		expect(daemon!.isCondemned(poison)).toBe(false);
+	});
+
+	test('are forgotten after a minute', () => {
+		const clock = {now: 0};
+		const [daemon] = createDaemons(1, clock);
+		daemon!.accept([0, 1, 2].map(index => ({fingerprint: 'x', upstream: `u-${index}`})));
+		for (const index of [0, 1, 2]) {
+			daemon!.connectionLost(poison, `u-${index}`);
+			daemon!.upstreamDown(`u-${index}`);
+		}
+
+		expect(daemon!.isCondemned(poison)).toBe(true);
+		clock.now += 61_000;
+		expect(daemon!.isCondemned(poison)).toBe(false);
+	});
+});
--- /dev/null
+++ b/test/process/fleet/placement-load.test.ts
@@ -0,0 +1,163 @@
+import {describe, expect, test} from 'vitest';
+import {choosePrefill, chooseRun, predictPrefill, prefillRate, type PrefillCandidate} from '../../../src/process/fleet/placement-score.ts';
+import {
+	isLatePrompt, judgePrompt, orderPrompts, predictArrival, rankAtUpstream, type WaitingPrompt,
+} from '../../../src/process/fleet/prefill-queue.ts';
+import {PromptCache} from '../../../src/process/fleet/prompt-cache.ts';
+import {SeededRandom} from '../../../src/process/random.ts';
+
+function createCandidate(values: Partial<PrefillCandidate> = {}): PrefillCandidate {
+	return {
+		id: 'u', backlogTokens: 0, missingTokens: 4000, keptTokens: 0, fetchMs: 0, isLocal: true, pace: 1, rankPace: 1, failureShare: 0, ...values,
+	};
+}
+
+describe('choice of the engine that reads a prompt', () => {
+	test('takes the one that keeps the shared part while its backlog is short', () => {
+		const keeper = createCandidate({id: 'keeper', missingTokens: 4000, keptTokens: 13_000, backlogTokens: 8000});
+		const idle = createCandidate({id: 'idle', missingTokens: 17_000});
+		expect(choosePrefill([idle, keeper], prefillRate)?.candidate.id).toBe('keeper');
+	});
+
+	test('fetches the shared part elsewhere once the keeper is behind', () => {
+		const keeper = createCandidate({id: 'keeper', missingTokens: 4000, keptTokens: 13_000, backlogTokens: 60_000});
+		const idle = createCandidate({
+			id: 'idle', missingTokens: 4000, keptTokens: 13_000, fetchMs: 10,
+		});
+		expect(choosePrefill([keeper, idle], prefillRate)?.candidate.id).toBe('idle');
+	});
+
+	test('leaves an engine that is slow or fails for another one', () => {
+		expect(choosePrefill([createCandidate({id: 'slow', pace: 4}), createCandidate({id: 'well', backlogTokens: 6000})], prefillRate)?.candidate.id).toBe('well');
+		expect(choosePrefill([createCandidate({id: 'grey', failureShare: 0.5}), createCandidate({id: 'well', backlogTokens: 6000})], prefillRate)?.candidate.id).toBe('well');
+	});
+
+	test('predicts more for tokens far from the start of their prompt', () => {
+		expect(predictPrefill(createCandidate({keptTokens: 50_000}), prefillRate)).toBeGreaterThan(predictPrefill(createCandidate(), prefillRate));
+	});
+});
+
+describe('choice of the engine that generates', () => {
+	const candidate = {
+		runs: 0, slots: 128, isLocal: true, isNearPrompt: true, slowness: 1, failureShare: 0,
+	};
+
+	test('spreads runs over equal engines', () => {
+		const runs = [0, 0, 0];
+		const random = new SeededRandom(5);
+		for (let count = 0; count < 30; count += 1) {
+			const choice = chooseRun(runs.map((taken, index) => ({...candidate, id: String(index), runs: taken})), random.next());
+			runs[Number(choice!.id)]! += 1;
+		}
+
+		expect(runs).toEqual([10, 10, 10]);
+	});
+
+	test('stays in the own availability zone until its engine is clearly busier', () => {
+		const local = {...candidate, id: 'local', runs: 8};
+		const remote = {...candidate, id: 'remote', isLocal: false};
+		expect(chooseRun([local, remote], 0)?.id).toBe('local');
+		expect(chooseRun([{...local, runs: 40}, remote], 0)?.id).toBe('remote');
+	});
+});
+
+type Outcome = {readonly priority: number; readonly lateMs: number};
+
+/** Plays prompts that arrive faster than one engine reads them, in order of arrival or in the queue's order. */
+function playOverload(isQueued: boolean): readonly Outcome[] {
+	const random = new SeededRandom(11);
+	const targets = [800, 600, 400];
+	const arrivals = Array.from({length: 600}, (_, index) => {
+		const priority = index % 3;
+		const at = index * 12;
+		const tokens = 1000 + random.integer(3000);
+		return {
+			id: String(index), priority, tokens, at, targetAt: at + targets[priority]!, giveUpAt: at + 2000,
+		};
+	});
+	const outcomes: Outcome[] = [];
+	const waiting = new Set<WaitingPrompt & {readonly at: number}>();
+	let next = 0;
+	for (let now = 0; next < arrivals.length || waiting.size > 0;) {
+		while (next < arrivals.length && arrivals[next]!.at <= now) {
+			waiting.add(arrivals[next]!);
+			next += 1;
+		}
+
+		const prompts = [...waiting];
+		const [first] = isQueued ? orderPrompts(prompts, now, 20) : prompts;
+		if (first === undefined) {
+			now = arrivals[next]!.at;
+			continue;
+		}
+
+		const prompt = first as WaitingPrompt & {readonly at: number};
+		waiting.delete(prompt);
+		const finishMs = prompt.tokens / prefillRate.tokensPerMs;
+		if (judgePrompt(prompt, {finishMs, waitMs: 0}, isLatePrompt(prompt, finishMs, now), now) === 'giveUp') {
+			outcomes.push({priority: prompt.priority, lateMs: Number.POSITIVE_INFINITY});
+			continue;
+		}
+
+		now += finishMs;
+		outcomes.push({priority: prompt.priority, lateMs: now - prompt.targetAt});
+	}
+
+	return outcomes;
+}
+
+describe('queue of prompts that arrive faster than they are read', () => {
+	const onTime = (outcomes: readonly Outcome[], priority?: number) =>
+		outcomes.filter(outcome => outcome.lateMs <= 0 && (priority === undefined || outcome.priority === priority)).length;
+
+	test('answers far more of them on time than first come, first served', () => {
+		expect(onTime(playOverload(true))).toBeGreaterThan(onTime(playOverload(false)) * 2);
+	});
+
+	test('serves no less urgent kind better than a more urgent one', () => {
+		const outcomes = playOverload(true);
+		expect(onTime(outcomes, 0)).toBeGreaterThanOrEqual(onTime(outcomes, 1));
+		expect(onTime(outcomes, 1)).toBeGreaterThanOrEqual(onTime(outcomes, 2));
+	});
+
+	test('ranks late prompts behind all that can be on time, whatever their priority', () => {
+		const ranks = [0, 1, 2].map(priority => rankAtUpstream(priority, false));
+		const late = [0, 1, 2].map(priority => rankAtUpstream(priority, true));
+		expect(Math.max(...ranks)).toBeLessThan(Math.min(...late));
+	});
+
+	test('knows at arrival how long what is ahead will take', () => {
+		expect(predictArrival(1570, {tokensAhead: 157_000, tokensPerMs: 785}, 157, 40)).toBeCloseTo(250);
+	});
+});
+
+describe('shared parts over a fleet', () => {
+	test('are read once each when all daemons know what engines keep, and by each engine when they do not', () => {
+		const random = new SeededRandom(3);
+		const play = (isShared: boolean) => {
+			const truth = Array.from({length: 5}, () => new PromptCache(2_000_000));
+			const views = Array.from({length: 4}, () => truth.map(() => new PromptCache(2_000_000)));
+			let readAgain = 0;
+			const read = new Set<number>();
+			for (let count = 0; count < 2000; count += 1) {
+				const part = random.integer(300);
+				const parts = [{id: `part ${part}`, tokens: 13_000}, {id: `own ${count}`, tokens: 1000}];
+				const view = views[count % views.length]!;
+				const {candidate} = choosePrefill(view.map((cache, index) => createCandidate({
+					id: String(index), missingTokens: cache.missingTokens(parts), backlogTokens: random.integer(4000),
+				})), prefillRate)!;
+				const index = Number(candidate.id);
+				readAgain += read.has(part) && truth[index]!.missingTokens(parts) > 1000 ? 1 : 0;
+				read.add(part);
+				truth[index]!.touch(parts);
+				for (const other of isShared ? views : [view]) {
+					other[index]!.touch(parts);
+				}
+			}
+
+			return readAgain;
+		};
+
+		expect(play(true)).toBeLessThan(play(false) / 3);
+	});
+});
