--- /dev/null
+++ b/test/platform/decoding.test.ts
@@ -0,0 +1,93 @@
+import {Buffer} from 'node:buffer';
+import {describe, expect, test} from 'vitest';
+import {decodeConfiguration} from '../../platform/configuration-row.ts';
+import {HttpUpstreamProtocol} from '../../platform/http-upstream-protocol.ts';
+import {decodeUpstream} from '../../platform/upstream-row.ts';
+import {createOperatorConfiguration} from '../fixtures/fleet/fleet-fixture.ts';
+
+function encode(value: unknown): Uint8Array {
+	return Buffer.from(JSON.stringify(value));
+}
+
+const entry = {
+	service: 'model', address: '10.1.64.9:8080', zone: 'zone-a', version: 'v1', slots: 128, state: 'ready', cold_remaining_ms: 0, stage: 'prefill', sequence: 4, born: 1000,
+};
+
+describe('an upstream\'s entry', () => {
+	test('is decoded once into the words of the product', () => {
+		expect(decodeUpstream('u-1', encode(entry)).extract()).toEqual({
+			id: 'u-1', service: 'model', address: '10.1.64.9:8080', availabilityZone: 'zone-a', isDraining: false, slots: 128, stage: 'prefill', heartbeat: 4, startedAt: 1000,
+		});
+	});
+
+	test.each([
+		['no object', 'text'],
+		['a list', [entry]],
+		['a missing service', {...entry, service: undefined}],
+		['an address without a port', {...entry, address: '10.1.64.9'}],
+		['slots of another type', {...entry, slots: '128'}],
+		['a state that is not known', {...entry, state: 'resting'}],
+	])('names no upstream when it has %s', (_name, value) => {
+		expect(decodeUpstream('u-1', encode(value)).isLeft()).toBe(true);
+	});
+
+	test('names no upstream when its bytes cannot be read', () => {
+		expect(decodeUpstream('u-1', Buffer.from([0xFF, 0x00, 0x7B])).isLeft()).toBe(true);
+		expect(decodeUpstream('u-1', undefined).isLeft()).toBe(true);
+	});
+});
+
+describe('the operator\'s configuration', () => {
+	test('is decoded with its routes, targets, engines and limits', () => {
+		const decoded = decodeConfiguration(encode(createOperatorConfiguration({
+			routes: [{
+				name: 'r', host: 'a.example', path_prefix: '/x/', kind: 'streaming', timeout_ms: 5000, target_latency_ms: 400, priority: 2, traffic_split: [{service: 'one', weight: 90}, {service: 'two', weight: 10}], max_attempts: 2, resumable: true,
+			}],
+		}))).toMaybe().extract();
+		expect(decoded?.routes).toEqual([{
+			name: 'r', host: 'a.example', pathPrefix: '/x/', kind: 'stream', timeoutMs: 5000, targetLatencyMs: 400, targetGapMs: undefined, priority: 2, attemptLimit: 2, isResumable: true, targets: [{service: 'one', weight: 90}, {service: 'two', weight: 10}],
+		}]);
+		expect(decoded?.services.find(({name}) => name === 'model')?.engine).toEqual({
+			slots: 128, memoryTokens: 1_000_000, tokenBytes: 18_432, linkMbps: 550_000, handleMs: 5000, stageChangeMs: 3000,
+		});
+		expect(decoded?.limits.bodyBytes).toBe(100_000);
+	});
+
+	test('is invalid as a whole when a route cannot be decoded, since a route left out would be answered 404', () => {
+		expect(decodeConfiguration(encode(createOperatorConfiguration({routes: [{host: 'a.example'}]}))).isLeft()).toBe(true);
+	});
+});
+
+describe('an upstream\'s answer', () => {
+	const protocol = new HttpUpstreamProtocol();
+
+	test.each([
+		[503, {}, false],
+		[503, {'x-not-executed': '1'}, true],
+		[421, {}, true],
+		[429, {}, false],
+		[500, {}, false],
+	])('with status %i and %o states that the request was not run: %s', (status, headers, isNotRun) => {
+		expect(protocol.decodeAnswer(status, headers).isNotRun).toBe(isNotRun);
+	});
+
+	test('keeps the headers of one connection from the caller', () => {
+		const {headers, isClosing} = protocol.decodeAnswer(200, {
+			connection: 'close', 'keep-alive': 'timeout=5', 'transfer-encoding': 'chunked', 'x-response-seal': 's', 'x-server-load': '3,1,8,250',
+		});
+		expect(headers).toEqual(['x-response-seal', 's']);
+		expect(isClosing).toBe(true);
+	});
+
+	test.each([
+		['3,1,8,250', {
+			running: 3, waiting: 1, slots: 8, slowness: 2.5,
+		}],
+		['3,1,8', {
+			running: 3, waiting: 1, slots: 8, slowness: 1,
+		}],
+		['3,x,8', undefined],
+	])('states the load %s', (text, load) => {
+		expect(protocol.decodeAnswer(200, {'x-server-load': text}).load).toEqual(load);
+	});
+});
--- /dev/null
+++ b/test/platform/store-table.test.ts
@@ -0,0 +1,83 @@
+import {describe, expect, test} from 'vitest';
+import {StoreTable} from '../../platform/store-table.ts';
+import {StoreServer} from '../fixtures/fleet/store-server.ts';
+
+const key = {partition: 'lease', sort: 'stages'};
+
+async function start(): Promise<StoreServer> {
+	const store = new StoreServer();
+	await store.start();
+	return store;
+}
+
+describe('table in the platform\'s store', () => {
+	test('writes under the condition that the row is as it was read', async () => {
+		await using store = await start();
+		await using first = new StoreTable(store.address);
+		await using second = new StoreTable(store.address);
+		expect((await first.write([{
+			kind: 'put', key, expected: 0, body: 'one',
+		}])).isRight()).toBe(true);
+		const late = await second.write([{
+			kind: 'put', key, expected: 0, body: 'two',
+		}]);
+		expect(late.swap().extract()).toMatchObject({kind: 'conflict'});
+		const read = await second.get(key);
+		expect(read.extract()).toEqual({key, revision: 1, body: 'one'});
+		expect((await second.write([{
+			kind: 'put', key, expected: 1, body: 'two',
+		}])).isRight()).toBe(true);
+		const stale = await first.write([{
+			kind: 'put', key, expected: 1, body: 'three',
+		}]);
+		expect(stale.swap().extract()).toMatchObject({kind: 'conflict'});
+	});
+
+	test('does not take another row\'s transaction for a change of this one', async () => {
+		await using store = await start();
+		await using table = new StoreTable(store.address);
+		await table.write([{
+			kind: 'put', key, expected: 0, body: 'one',
+		}]);
+		await table.write([{
+			kind: 'put', key: {partition: 'daemons', sort: 'a'}, expected: 0, body: 'x',
+		}]);
+		const written = await table.write([{
+			kind: 'put', key, expected: 1, body: 'two',
+		}]);
+		expect(written.isRight()).toBe(true);
+	});
+
+	test('leaves open whether a write whose answer was lost was done', async () => {
+		await using store = await start();
+		await using table = new StoreTable(store.address);
+		store.faults.losesAnswers = true;
+		const lost = await table.write([{
+			kind: 'put', key, expected: 0, body: 'one',
+		}]);
+		expect(lost.swap().extract()).toMatchObject({kind: 'unknown'});
+		store.faults.losesAnswers = false;
+		const read = await table.get(key);
+		expect(read.extract()).toMatchObject({body: 'one'});
+	});
+
+	test.each([[503, 'unavailable'], [429, 'unavailable']])('takes status %i for nothing done', async (status, kind) => {
+		await using store = await start();
+		await using table = new StoreTable(store.address);
+		store.faults.status = status;
+		const refused = await table.write([{
+			kind: 'put', key, expected: 0, body: 'one',
+		}]);
+		expect(refused.swap().extract()).toMatchObject({kind});
+		expect((await table.get(key)).isLeft()).toBe(true);
+	});
+
+	test('gives a silent connection up and opens another one', async () => {
+		await using store = await start();
+		await using table = new StoreTable(store.address);
+		store.faults.isSilent = true;
+		expect((await table.get(key)).isLeft()).toBe(true);
+		store.faults.isSilent = false;
+		expect((await table.get(key)).isRight()).toBe(true);
+	});
+});
--- a/test/process/fleet/placement-load.test.ts
+++ b/test/process/fleet/placement-load.test.ts
@@ -1,5 +1,7 @@
 import {describe, expect, test} from 'vitest';
-import {choosePrefill, chooseRun, predictPrefill, prefillRate, type PrefillCandidate} from '../../../src/process/fleet/placement-score.ts';
+import {
+	choosePrefill, chooseRun, predictPrefill, prefillRate, type PrefillCandidate,
+} from '../../../src/process/fleet/placement-score.ts';
 import {
 	isLatePrompt, judgePrompt, orderPrompts, predictArrival, rankAtUpstream, type WaitingPrompt,
 } from '../../../src/process/fleet/prefill-queue.ts';
@@ -14,13 +16,17 @@
 
 describe('choice of the engine that reads a prompt', () => {
 	test('takes the one that keeps the shared part while its backlog is short', () => {
-		const keeper = createCandidate({id: 'keeper', missingTokens: 4000, keptTokens: 13_000, backlogTokens: 8000});
+		const keeper = createCandidate({
+			id: 'keeper', missingTokens: 4000, keptTokens: 13_000, backlogTokens: 8000,
+		});
 		const idle = createCandidate({id: 'idle', missingTokens: 17_000});
 		expect(choosePrefill([idle, keeper], prefillRate)?.candidate.id).toBe('keeper');
 	});
 
 	test('fetches the shared part elsewhere once the keeper is behind', () => {
-		const keeper = createCandidate({id: 'keeper', missingTokens: 4000, keptTokens: 13_000, backlogTokens: 60_000});
+		const keeper = createCandidate({
+			id: 'keeper', missingTokens: 4000, keptTokens: 13_000, backlogTokens: 60_000,
+		});
 		const idle = createCandidate({
 			id: 'idle', missingTokens: 4000, keptTokens: 13_000, fetchMs: 10,
 		});
--- /dev/null
+++ b/test/process/stages/stage-director.test.ts
@@ -0,0 +1,156 @@
+import {describe, expect, test} from 'vitest';
+import {UpstreamLinks} from '../../../src/connection/links/upstream-links.ts';
+import {HttpUpstreamProtocol} from '../../../platform/http-upstream-protocol.ts';
+import {ManualClock} from '../../../src/process/clock.ts';
+import {DecisionLog} from '../../../src/process/fleet/decision-log.ts';
+import type {HeldLease} from '../../../src/process/lease/lease-machine.ts';
+import {createDirectorTimes, StageDirector} from '../../../src/process/stages/stage-director.ts';
+import {createUpstream} from '../../fixtures/fleet/configuration.ts';
+import {UpstreamServer} from '../../fixtures/fleet/upstream-server.ts';
+
+const times = createDirectorTimes(3000);
+
+/** A director in front of engines in one availability zone, with a lease that the test grants. */
+class DirectorFixture implements AsyncDisposable {
+	readonly clock = new ManualClock(1000);
+	readonly engines: UpstreamServer[] = [];
+	readonly links = new UpstreamLinks(this.clock);
+	isCandidate = false;
+	lease: HeldLease | undefined;
+	director!: StageDirector;
+
+	async start(count: number): Promise<void> {
+		for (let index = 0; index < count; index += 1) {
+			const engine = new UpstreamServer({id: `u-${index}`, stage: 'decode'});
+			await engine.start();
+			this.engines.push(engine);
+		}
+
+		this.director = new StageDirector({
+			clock: this.clock,
+			log: new DecisionLog({}, (_bytes, done) => {
+				done(undefined);
+			}),
+			links: this.links,
+			protocol: new HttpUpstreamProtocol(),
+			lease: {
+				held: () => this.lease,
+				setCandidate: isCandidate => {
+					this.isCandidate = isCandidate;
+				},
+			},
+			daemon: 'daemon-1',
+			groups: () => [{
+				service: 'model',
+				upstreams: this.engines.map(({behaviour, address}) => createUpstream({id: behaviour.id, address, stage: behaviour.stage})),
+				demand: {runs: 0, slots: 128},
+			}],
+			times,
+		});
+	}
+
+	grant(fencing: number): void {
+		const now = this.clock.now();
+		this.lease = {
+			token: `token ${fencing}`, fencing, revision: 1, grantedAt: now, expiresAt: now + 7500, renewAt: now + 2500,
+		};
+	}
+
+	get orders(): ReadonlyArray<Readonly<Record<string, unknown>>> {
+		return this.engines.flatMap(({seen}) => seen.filter(({url}) => url === '/api/order').map(({body}) => JSON.parse(body) as Readonly<Record<string, unknown>>));
+	}
+
+	/** Lets time pass in steps as the daemon does, with the answers of the engines. */
+	async pass(ms: number): Promise<void> {
+		for (let passed = 0; passed < ms; passed += 250) {
+			this.clock.advance(250);
+			this.director.tick();
+			await new Promise(resolve => {
+				setTimeout(resolve, 15);
+			});
+		}
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		await this.links[Symbol.asyncDispose]();
+		await Promise.all(this.engines.map(async engine => engine[Symbol.asyncDispose]()));
+	}
+}
+
+describe('stage director', () => {
+	test('stands for the lease only while the engines differ from the plan', async () => {
+		await using fixture = new DirectorFixture();
+		await fixture.start(3);
+		await fixture.pass(times.settleMs + 500);
+		expect(fixture.isCandidate).toBe(true);
+		expect(fixture.orders).toEqual([]);
+		fixture.grant(1);
+		await fixture.pass(1000);
+		expect(fixture.orders).toHaveLength(2);
+		await fixture.pass(times.orderMs + 1000);
+		expect(fixture.isCandidate).toBe(false);
+		expect(fixture.orders).toHaveLength(2);
+	});
+
+	test('states holder, fencing number and accepted orders', async () => {
+		await using fixture = new DirectorFixture();
+		await fixture.start(2);
+		fixture.engines[1]!.behaviour.acceptedOrders = 4;
+		fixture.grant(1);
+		await fixture.pass(times.settleMs + 500);
+		expect(fixture.orders).toEqual([{
+			operation: 'stage', stage: 'prefill', holder: 'daemon-1', fence: 1, expected: 4,
+		}]);
+		const order = fixture.engines[1]!.seen.find(({url}) => url === '/api/order');
+		expect(order!.headers['x-expect-instance']).toBe('u-1');
+	});
+
+	test('gives no order in close turn with another holder', async () => {
+		await using fixture = new DirectorFixture();
+		await fixture.start(2);
+		await fixture.pass(times.settleMs);
+		fixture.grant(2);
+		await fixture.pass(times.turnMs - 250);
+		expect(fixture.orders).toEqual([]);
+		await fixture.pass(500);
+		expect(fixture.orders).toHaveLength(1);
+	});
+
+	test('gives no order in the last second of its lease', async () => {
+		await using fixture = new DirectorFixture();
+		await fixture.start(2);
+		await fixture.pass(times.settleMs);
+		fixture.grant(1);
+		fixture.lease = {...fixture.lease!, expiresAt: fixture.clock.now() + 1000};
+		await fixture.pass(750);
+		expect(fixture.orders).toEqual([]);
+	});
+
+	test('writes no order once the lease has ended between the check and the write', async () => {
+		await using fixture = new DirectorFixture();
+		await fixture.start(2);
+		await fixture.pass(times.settleMs);
+		fixture.grant(1);
+		// The engine's report takes its time; the lease ends meanwhile, as for a process that was paused.
+		fixture.clock.advance(250);
+		fixture.director.tick();
+		fixture.clock.advance(8000);
+		await new Promise(resolve => {
+			setTimeout(resolve, 100);
+		});
+		expect(fixture.orders).toEqual([]);
+	});
+
+	test('leaves an engine alone whose answer was lost, since the order may come late', async () => {
+		await using fixture = new DirectorFixture();
+		await fixture.start(2);
+		const [, engine] = fixture.engines;
+		engine!.behaviour.losesOrders = true;
+		fixture.grant(1);
+		await fixture.pass(times.settleMs + 500);
+		expect(fixture.orders).toHaveLength(1);
+		fixture.grant(2);
+		await fixture.pass(6000);
+		expect(fixture.orders).toHaveLength(1);
+	});
+});
--- /dev/null
+++ b/test/process/suspension-clock.test.ts
@@ -0,0 +1,25 @@
+import {describe, expect, test} from 'vitest';
+import {SuspensionClock} from '../../src/process/clock.ts';
+
+describe('suspension clock', () => {
+	test('counts the time for which the host was suspended', () => {
+		let steady = 0;
+		let timeOfDay = 1_000_000;
+		const clock = new SuspensionClock(() => steady, () => timeOfDay);
+		steady += 100;
+		timeOfDay += 100;
+		expect(clock.now()).toBe(100);
+		// The steady clock stands still while the host is suspended.
+		timeOfDay += 4000;
+		expect(clock.now()).toBe(4100);
+	});
+
+	test('does not go back when the time of day does', () => {
+		let steady = 0;
+		let timeOfDay = 1_000_000;
+		const clock = new SuspensionClock(() => steady, () => timeOfDay);
+		steady += 100;
+		timeOfDay -= 5000;
+		expect(clock.now()).toBe(100);
+	});
+});
