--- a/src/main.ts
+++ b/src/main.ts
@@ -8,6 +8,7 @@
 import {contractCommand} from './process/cli/contract-command.ts';
 import {demoCommand} from './process/cli/demo-command.ts';
 import {exitCode} from './process/cli/exit-code.ts';
+import {explainCommand} from './process/cli/explain-command.ts';
 import {keyCommand} from './process/cli/key-command.ts';
 import {planCommand} from './process/cli/plan-command.ts';
 import {serveCommand} from './process/cli/serve-command.ts';
@@ -24,6 +25,7 @@
 		.command(planCommand)
 		.command(standInCommand)
 		.command(statusCommand)
+		.command(explainCommand)
 		.command(demoCommand)
 		.demandCommand(1, 'A command is needed.')
 		.strict()
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -41,11 +41,30 @@
 	test('is decoded with its routes, targets, engines and limits', () => {
 		const decoded = decodeConfiguration(encode(createOperatorConfiguration({
 			routes: [{
-				name: 'r', host: 'a.example', path_prefix: '/x/', kind: 'streaming', timeout_ms: 5000, target_latency_ms: 400, priority: 2, traffic_split: [{service: 'one', weight: 90}, {service: 'two', weight: 10}], max_attempts: 2, resumable: true,
+				name: 'r',
+				host: 'a.example',
+				path_prefix: '/x/',
+				kind: 'streaming',
+				timeout_ms: 5000,
+				target_latency_ms: 400,
+				priority: 2,
+				traffic_split: [{service: 'one', weight: 90}, {service: 'two', weight: 10}],
+				max_attempts: 2,
+				resumable: true,
 			}],
 		}))).toMaybe().extract();
 		expect(decoded?.routes).toEqual([{
-			name: 'r', host: 'a.example', pathPrefix: '/x/', kind: 'stream', timeoutMs: 5000, targetLatencyMs: 400, targetGapMs: undefined, priority: 2, attemptLimit: 2, isResumable: true, targets: [{service: 'one', weight: 90}, {service: 'two', weight: 10}],
+			name: 'r',
+			host: 'a.example',
+			pathPrefix: '/x/',
+			kind: 'stream',
+			timeoutMs: 5000,
+			targetLatencyMs: 400,
+			targetGapMs: undefined,
+			priority: 2,
+			attemptLimit: 2,
+			isResumable: true,
+			targets: [{service: 'one', weight: 90}, {service: 'two', weight: 10}],
 		}]);
 		expect(decoded?.services.find(({name}) => name === 'model')?.engine).toEqual({
 			slots: 128, memoryTokens: 1_000_000, tokenBytes: 18_432, linkMbps: 550_000, handleMs: 5000, stageChangeMs: 3000,
--- a/test/platform/store-table.test.ts
+++ b/test/platform/store-table.test.ts
@@ -15,18 +15,20 @@
 		await using store = await start();
 		await using first = new StoreTable(store.address);
 		await using second = new StoreTable(store.address);
-		expect((await first.write([{
+		const written = await first.write([{
 			kind: 'put', key, expected: 0, body: 'one',
-		}])).isRight()).toBe(true);
+		}]);
+		expect(written.isRight()).toBe(true);
 		const late = await second.write([{
 			kind: 'put', key, expected: 0, body: 'two',
 		}]);
 		expect(late.swap().extract()).toMatchObject({kind: 'conflict'});
 		const read = await second.get(key);
 		expect(read.extract()).toEqual({key, revision: 1, body: 'one'});
-		expect((await second.write([{
+		const next = await second.write([{
 			kind: 'put', key, expected: 1, body: 'two',
-		}])).isRight()).toBe(true);
+		}]);
+		expect(next.isRight()).toBe(true);
 		const stale = await first.write([{
 			kind: 'put', key, expected: 1, body: 'three',
 		}]);
@@ -69,15 +71,18 @@
 			kind: 'put', key, expected: 0, body: 'one',
 		}]);
 		expect(refused.swap().extract()).toMatchObject({kind});
-		expect((await table.get(key)).isLeft()).toBe(true);
+		const read = await table.get(key);
+		expect(read.isLeft()).toBe(true);
 	});
 
 	test('gives a silent connection up and opens another one', async () => {
 		await using store = await start();
 		await using table = new StoreTable(store.address);
 		store.faults.isSilent = true;
-		expect((await table.get(key)).isLeft()).toBe(true);
+		const silent = await table.get(key);
+		expect(silent.isLeft()).toBe(true);
 		store.faults.isSilent = false;
-		expect((await table.get(key)).isRight()).toBe(true);
+		const read = await table.get(key);
+		expect(read.isRight()).toBe(true);
 	});
 });
--- /dev/null
+++ b/test/version/fleet-settings.test.ts
@@ -0,0 +1,52 @@
+import {readFileSync} from 'node:fs';
+import {describe, expect, test} from 'vitest';
+import {parseFleetSettings} from '../../src/version/fleet-settings.ts';
+
+const values: Readonly<Record<string, string>> = {
+	node_name: 'edge-1',
+	ip: '10.1.0.38',
+	zone: 'zone-a',
+	'listen.frontend': '10.1.0.38:8149',
+	'listen.readiness': '10.1.0.38:8141',
+	'internal_ports.0': '7380',
+	'platform.address': '10.200.1.7:8142',
+	'limits.memory_mb': '350',
+	'bounds.retry_budget_ratio': '0.2',
+	'bounds.budget_slack': '56.0',
+	'bounds.retry_window_s': '10',
+	'bounds.grace_s': '8',
+	'bounds.lease_ms': '3000',
+};
+
+/** The settings as the platform writes them from the template. */
+function fillTemplate(changes: Readonly<Record<string, string>> = {}): string {
+	const template = readFileSync('deploy/daemon.ini', 'utf8');
+	return template.replaceAll(/\{\{([\w.]+)\}\}/gv, (_match, name: string) => ({...values, ...changes})[name] ?? '');
+}
+
+describe('settings of a daemon on the platform', () => {
+	test('are complete as the template has them', () => {
+		expect(parseFleetSettings(fillTemplate(), 'daemon.ini').extract()).toEqual({
+			daemon: {name: 'edge-1', host: '10.1.0.38', availabilityZone: 'zone-a'},
+			listen: {
+				callers: '10.1.0.38:8149', readiness: '10.1.0.38:8141', peerPort: 7380, metricsPort: 9464,
+			},
+			store: {address: '10.200.1.7:8142'},
+			limits: {memoryMb: 350},
+			bounds: {
+				retryRatio: 0.2, retrySlack: 56, retryWindowMs: 10_000, graceMs: 8000, leaseMs: 3000,
+			},
+		});
+	});
+
+	test('are reported with every finding and its line', () => {
+		const text = `${fillTemplate({zone: '', 'platform.address': 'nowhere', 'bounds.grace_s': 'long'})}\n[extra]\n`;
+		const messages = parseFleetSettings(text, 'daemon.ini').swap().toMaybe().extract()?.map(({message}) => message);
+		expect(messages).toEqual([
+			'unknown section "extra"',
+			'key "availability-zone" is missing in section "daemon"',
+			'"address" must be IP:PORT',
+			'"grace-s" must be a number that is not negative',
+		]);
+	});
+});
