--- a/src/fleet-main.ts
+++ b/src/fleet-main.ts
@@ -40,10 +40,26 @@
 		log.write('process.signal', {signal: 'SIGTERM'});
 	});
 	process.on('SIGHUP', () => {
-		log.write('process.reload', {});
+		void reload(daemon, log);
 	});
 }
 
+async function reload(daemon: FleetDaemon, log: DecisionLog): Promise<void> {
+	const path = platformSettingsPath(process.env);
+	try {
+		parseFleetSettings(await readFile(path, 'utf8'), path).caseOf({
+			Left(findings) {
+				log.write('process.reloadFailed', {findings: findings.map(finding => formatFinding(finding))});
+			},
+			Right(settings) {
+				daemon.reload(settings);
+			},
+		});
+	} catch (error) {
+		log.write('process.reloadFailed', {cause: error instanceof Error ? error.message : String(error)});
+	}
+}
+
 async function end(daemon: FleetDaemon): Promise<void> {
 	await daemon.stop();
 	// Connections that are still open have no request on them.
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -21,7 +21,7 @@
 import type {DecisionLog} from './decision-log.ts';
 import {FleetDesk} from './fleet-desk.ts';
 import {FleetMetrics} from './fleet-metrics.ts';
-import {RetryAllowance} from './retry-allowance.ts';
+import {RetryAllowance, type RetryBounds} from './retry-allowance.ts';
 import {RouteFront} from './route-front.ts';
 import {createShutdownTimes, Shutdown} from './shutdown.ts';
 import {TableWatch, type WatchTimes} from './table-watch.ts';
@@ -66,6 +66,7 @@
 	readonly #roster = new UpstreamRoster();
 	readonly #configuration: ConfigurationHolder;
 	readonly #links: UpstreamLinks;
+	readonly #allowance: RetryAllowance;
 	readonly #desk: FleetDesk;
 	readonly #front: RouteFront;
 	readonly #shutdown: Shutdown;
@@ -133,13 +134,13 @@
 				this.#crashes.upstreamDown(upstream);
 			},
 		});
-		const {retryRatio, retrySlack, retryWindowMs, graceMs} = settings.bounds;
+		this.#allowance = new RetryAllowance(toRetryBounds(settings.bounds));
 		const tools = {
 			clock,
 			links: this.#links,
 			protocol: platform.upstreamProtocol,
 			desk: this.#desk,
-			allowance: new RetryAllowance({ratio: retryRatio, slack: retrySlack, windowMs: retryWindowMs}),
+			allowance: this.#allowance,
 			crashes: this.#crashes,
 			log,
 		};
@@ -153,7 +154,7 @@
 			isClosing: () => this.#shutdown.isClosing,
 			bodyBudgetBytes: settings.limits.memoryMb * mebibyte * bodyShare,
 		});
-		this.#shutdown = new Shutdown(clock, log, createShutdownTimes(graceMs), () => this.#front.openRequests);
+		this.#shutdown = new Shutdown(clock, log, createShutdownTimes(settings.bounds.graceMs), () => this.#front.openRequests);
 		this.#lease = new LeaseTask({
 			log: createTaskLog(log), table: platform.table, clock: new SuspensionClock(), daemon: settings.daemon.name, group: 'stages',
 		});
@@ -220,6 +221,16 @@
 		this.#lease.run();
 	}
 
+	/** Takes changed settings: retry bounds at once, all others at the next start. */
+	reload(settings: FleetSettings): void {
+		const {bounds} = settings;
+		this.#allowance.rebound(toRetryBounds(bounds));
+		const {bounds: present, ...others} = this.#options.settings;
+		const isRestartNeeded = JSON.stringify({...settings, bounds: undefined}) !== JSON.stringify({...others, bounds: undefined})
+			|| bounds.graceMs !== present.graceMs || bounds.leaseMs !== present.leaseMs;
+		this.#options.log.write('process.reload', {retryRatio: bounds.retryRatio, retrySlack: bounds.retrySlack, isRestartNeeded});
+	}
+
 	/** Stops as planned; resolves when the process may end. */
 	async stop(): Promise<void> {
 		await this.#shutdown.run();
@@ -327,6 +338,10 @@
 	}
 }
 
+function toRetryBounds({retryRatio, retrySlack, retryWindowMs}: FleetSettings['bounds']): RetryBounds {
+	return {ratio: retryRatio, slack: retrySlack, windowMs: retryWindowMs};
+}
+
 /** Passes the lines of tasks on to the log of decisions. */
 function createTaskLog(log: DecisionLog): Log {
 	const write = (message: string, fields: Readonly<Record<string, unknown>>) => {
--- a/src/process/fleet/retry-allowance.ts
+++ b/src/process/fleet/retry-allowance.ts
@@ -26,13 +26,18 @@
 part of the slack. No messages are needed, and daemons that join or take over all the load stay within it.
 */
 export class RetryAllowance {
-	readonly #bounds: RetryBounds;
+	#bounds: RetryBounds;
 	readonly #services = new Map<string, Bucket[]>();
 
 	constructor(bounds: RetryBounds) {
 		this.#bounds = bounds;
 	}
 
+	/** Sets other bounds; what was counted stays. */
+	rebound(bounds: RetryBounds): void {
+		this.#bounds = bounds;
+	}
+
 	/** Counts a request for a service; `now` in milliseconds. */
 	earn(service: string, now: number): void {
 		this.#current(service, now).requests += 1;
