--- a/src/connection/links/upstream-links.ts
+++ b/src/connection/links/upstream-links.ts
@@ -144,6 +144,12 @@
 			isConnected = true;
 			callback(null, socket);
 		});
+		socket.once('end', () => {
+			// A reset that follows the end of the stream reads as the end; only the missing peer tells it from one.
+			if (socket.remotePort === undefined) {
+				this.#broken.add(client);
+			}
+		});
 		socket.on('error', error => {
 			this.#broken.add(client);
 			if (!isConnected) {
--- a/src/ports/upstream-protocol.ts
+++ b/src/ports/upstream-protocol.ts
@@ -53,6 +53,8 @@
 	readonly isMisdirected: boolean;
 	/** True when the body is not as the upstream wrote it. */
 	readonly isEncoded: boolean;
+	/** False when only the end of the connection ends the answer. */
+	readonly isFramed: boolean;
 	readonly isClosing: boolean;
 	readonly load: StatedLoad | undefined;
 	/** Headers for the caller, names and values in turn. */
--- a/test/request/delivery/plain-delivery.test.ts
+++ b/test/request/delivery/plain-delivery.test.ts
@@ -91,6 +91,7 @@
 		['belongs to another request', {crossesAnswers: true}],
 		['is cut short', {cutsBody: true}],
 		['has no length and is reset', {resetsUnframed: true}],
+		['has no length and is reset as it ends', {endsAndResets: true}],
 		['has no signature', {isUnsigned: true}],
 	])('does not pass an answer on that %s', async (_name, fault) => {
 		await using fleet = new FleetFixture();
