--- a/src/process/fleet/fleet-desk.ts
+++ b/src/process/fleet/fleet-desk.ts
@@ -1,24 +1,19 @@
 import type {Upstream} from '../../ports/upstream.ts';
-import type {StatedLoad} from '../../ports/upstream-protocol.ts';
 import {
-	UpstreamDesk, type Demand, type Placement, type PlacementResult, type SendEnd,
+	UpstreamDesk, type Demand, type Placement, type PlacementResult,
 } from '../../request/delivery/upstream-desk.ts';
-import type {PromptPart} from '../../request/delivery/route-request.ts';
-import type {EngineProfile, Service} from '../../version/routes/route-configuration.ts';
+import type {Service} from '../../version/routes/route-configuration.ts';
 import type {Clock} from '../clock.ts';
-import {sumUpTo, type PeerBoard} from '../peers/peer-board.ts';
+import type {PeerBoard} from '../peers/peer-board.ts';
 import type {PeerLoad, PeerReading} from '../peers/peer-message.ts';
 import type {Random} from '../random.ts';
 import type {DecisionLog} from './decision-log.ts';
-import {
-	choosePrefill, chooseRun, prefillRate, weighTokens, type PrefillCandidate, type PrefillChoice,
-} from './placement-score.ts';
-import {
-	isLatePrompt, judgePrompt, orderPrompts, predictArrival, rankAtUpstream, type WaitingPrompt,
-} from './prefill-queue.ts';
+import {chooseRun} from './placement-score.ts';
+import {Placements} from './placements.ts';
+import {PromptDesk} from './prompt-desk.ts';
 import type {UpstreamRoster} from './upstream-roster.ts';
-import {RankPace} from './pace.ts';
-import {UpstreamState} from './upstream-state.ts';
+import type {UpstreamState} from './upstream-state.ts';
+import {UpstreamStates} from './upstream-states.ts';
 
 /** The other daemons, as the desk hears from them and tells them. */
 export type DeskPeers = {
@@ -42,97 +37,67 @@
 	readonly onDown: (upstream: string) => void;
 };
 
-/** A prompt in the queue with what is needed to place it. */
-type Waiting = WaitingPrompt & {
-	readonly demand: Demand;
-	readonly engine: EngineProfile;
-	readonly parts: readonly PromptPart[];
-	readonly settle: (result: PlacementResult) => void;
-};
-
-/** A prompt that is to be read. */
-type Reading = {
-	readonly parts: readonly PromptPart[];
-	/** Upstream that keeps the most of it. */
-	readonly keeper: UpstreamState | undefined;
-	readonly engine: EngineProfile;
-	readonly priority: number;
-};
-
-/** Part of an engine's memory that shared prompt parts can keep. */
-const cachedShare = 0.8;
-/** Parts of fewer tokens are read again rather than fetched. */
-const fetchedTokens = 1024;
-/** Time to set up a transfer between engines, in milliseconds. */
-const transferSetupMs = 6;
-const bitsPerByte = 8;
-const megabit = 1_000_000;
-/** A request is refused when this much of its time would be left after the prompt is read, in milliseconds. */
-const shortestAnswerMs = 60;
-/** Time from the end of reading to the first event: the transfer and the first step, in milliseconds. */
-const firstEventMs = 60;
-/** Callers give up a stream without events after this time, or after these multiples of the route's targets. */
-const shortestPatienceMs = 2000;
-const patienceTargets = 4;
-const patienceGaps = 8;
-/** Prompts that are looked at once no upstream has room; others behind them may fit elsewhere. */
-const scannedPrompts = 6;
-const pumpIntervalMs = 10;
-const retryDelayMs = 400;
-/** Part of the less urgent work that is done before a more urgent prompt. */
-const begunShare = 0.3;
-/** Less urgent work holds a more urgent prompt up for some steps at most. */
-const begunTokens = 4096;
-
-/** Chooses upstreams by this daemon's own sends, the load that upstreams state, and the prompt parts that they keep. */
+/** Chooses upstreams by this daemon's own sends, the load that upstreams state, what the other daemons tell, and the prompt parts that engines keep. */
 export class FleetDesk extends UpstreamDesk {
 	readonly #options: FleetDeskOptions;
-	readonly #states = new Map<string, UpstreamState>();
-	readonly #waiting = new Set<Waiting>();
-	readonly #rankPace = new RankPace();
-	#isPumpScheduled = false;
+	readonly #states: UpstreamStates;
+	readonly #placements: Placements;
+	readonly #prompts: PromptDesk;
 
 	constructor(options: FleetDeskOptions) {
 		super();
 		this.#options = options;
+		const {peers, onDown} = options;
+		this.#states = new UpstreamStates({...options, board: peers.board});
+		this.#placements = new Placements({
+			...options,
+			onChanged: peers.changed,
+			onDown,
+			onReleased: () => {
+				this.pump();
+			},
+		});
+		this.#prompts = new PromptDesk({
+			...options, states: this.#states, placements: this.#placements, board: peers.board, tellReading: peers.tellReading,
+		});
 	}
 
 	/** Takes a change of an upstream's entry. */
 	update(upstream: Upstream): void {
-		const state = this.#states.get(upstream.id);
-		if (state !== undefined) {
-			state.update(upstream);
-		}
+		this.#states.update(upstream);
+	}
+
+	/** Forgets an upstream that is gone. */
+	forget(id: string): void {
+		this.#states.forget(id);
 	}
 
 	/** This daemon's own load on all upstreams with work. */
 	loads(): readonly PeerLoad[] {
-		return [...this.#states.values()].flatMap(({upstream, runs, tokensByPriority}) =>
-			runs === 0 && tokensByPriority.size === 0 ? [] : [{upstream: upstream.id, runs, tokensByPriority}]);
+		return this.#states.loads();
+	}
+
+	/** Prompt tokens that wait at this daemon, by priority. */
+	queued(): ReadonlyMap<number, number> {
+		return this.#prompts.queued();
 	}
 
 	/** Takes the prompts that upstreams read for the other daemons. */
 	acceptReadings(readings: readonly PeerReading[]): void {
-		for (const {upstream: id, parts} of readings) {
-			const upstream = this.#options.roster.get(id);
-			if (upstream !== undefined) {
-				this.#state(upstream).cache.touch(parts);
-			}
-		}
+		this.#states.acceptReadings(readings);
 	}
 
-	/** Forgets an upstream that is gone. */
-	forget(id: string): void {
-		this.#states.delete(id);
+	/** Places waiting prompts as far as upstreams would begin with them soon. */
+	pump(): void {
+		this.#prompts.pump();
 	}
 
 	/** Requests of a service that run or wait, on all its engines that generate. */
 	countRuns(service: string): number {
 		const now = this.#options.clock.now();
 		let runs = 0;
-		for (const upstream of this.#options.roster.serving(service).filter(({stage}) => stage === 'decode')) {
-			const state = this.#state(upstream);
-			runs += state.runs + this.#othersRuns(state, now);
+		for (const state of this.#states.present(service).filter(({upstream}) => upstream.stage === 'decode')) {
+			runs += state.runs + this.#states.othersRuns(state, now);
 		}
 
 		return runs;
@@ -145,223 +110,40 @@
 	hasOther({service, tried}: Demand): boolean {
 		const now = this.#options.clock.now();
 		const isModel = this.isModelService(service);
-		return this.#usable(service, tried).some(state => !state.isAvoided(now) && (!isModel || state.upstream.stage === 'decode'));
+		return this.#states.usable(service, tried).some(state => !state.isAvoided(now) && (!isModel || state.upstream.stage === 'decode'));
 	}
 
 	async placePlain(demand: Demand): Promise<PlacementResult> {
-		const state = this.#chooseRun(this.#usable(demand.service, demand.tried), undefined);
-		return state === undefined ? this.#refuse(demand, 'noUpstream') : this.#beginRun(state, 0);
+		const state = this.#chooseRun(this.#states.usable(demand.service, demand.tried), undefined);
+		return state === undefined ? this.#placements.refuse(demand, 'noUpstream') : this.#beginRun(state);
 	}
 
 	async placePrefill(demand: Demand): Promise<PlacementResult> {
-		const engine = this.#options.services().get(demand.service)?.engine;
-		const {prompt} = demand.request;
-		if (engine === undefined || prompt === undefined || this.#prefillers(demand).length === 0) {
-			return this.#refuse(demand, 'noUpstream');
-		}
-
-		const now = this.#options.clock.now();
-		const parts = prompt.parts.length === 0 ? [{id: demand.request.id, tokens: prompt.tokens}] : prompt.parts;
-		const {promise, resolve} = Promise.withResolvers<PlacementResult>();
-		const waiting: Waiting = {
-			demand,
-			engine,
-			parts,
-			settle: resolve,
-			id: demand.request.id,
-			priority: demand.route.priority,
-			tokens: this.#leastMissing(demand, parts),
-			targetAt: demand.arrivedAt + demand.route.targetLatencyMs - firstEventMs,
-			giveUpAt: Math.min(demand.endAt, demand.arrivedAt + callerPatienceMs(demand.route)) - shortestAnswerMs,
-		};
-		const expectedMs = this.#predictArrival(waiting, now);
-		if (now + expectedMs > waiting.giveUpAt) {
-			return this.#refuse(demand, 'overloaded', expectedMs);
-		}
-
-		const cancel = () => {
-			this.#leaveQueue(waiting, {reason: 'cancelled', retryAfterMs: 0});
-		};
-
-		demand.signal.addEventListener('abort', cancel, {once: true});
-		this.#waiting.add(waiting);
-		this.pump();
-		if (this.#waiting.has(waiting)) {
-			this.#options.log.write('queued', {
-				request: waiting.id, service: demand.service, waiting: this.#waiting.size, expectedMs: Math.round(expectedMs), tokens: Math.round(waiting.tokens),
-			});
-		}
-
-		const result = await promise;
-		demand.signal.removeEventListener('abort', cancel);
-		return result;
+		return this.#prompts.place(demand);
 	}
 
 	placeDecode(demand: Demand, source: Upstream | undefined): PlacementResult {
-		const states = this.#usable(demand.service, demand.tried).filter(({upstream}) => upstream.stage === 'decode');
+		const states = this.#states.usable(demand.service, demand.tried).filter(({upstream}) => upstream.stage === 'decode');
 		const state = this.#chooseRun(states, source?.availabilityZone);
+		if (state === undefined) {
+			return this.#placements.refuse(demand, 'noUpstream');
+		}
+
 		const parts = demand.request.prompt?.parts ?? [];
-		if (state !== undefined && parts.length > 0) {
+		if (parts.length > 0) {
 			// The engine keeps what it fetches like its own.
 			state.cache.touch(parts);
 			this.#options.peers.tellReading({upstream: state.upstream.id, parts});
 		}
 
-		return state === undefined ? this.#refuse(demand, 'noUpstream') : this.#beginRun(state, 0);
-	}
-
-	/** Places waiting prompts as far as upstreams would begin with them soon. */
-	pump(): void {
-		if (this.#waiting.size === 0) {
-			return;
-		}
-
-		const now = this.#options.clock.now();
-		let blocked = 0;
-		for (const prompt of orderPrompts([...this.#waiting], now, prefillRate.fixedMs)) {
-			if (blocked >= scannedPrompts) {
-				break;
-			}
-
-			blocked += this.#tryPlace(prompt as Waiting, now) ? 0 : 1;
-		}
-
-		if (this.#waiting.size > 0 && !this.#isPumpScheduled) {
-			this.#isPumpScheduled = true;
-			setTimeout(() => {
-				this.#isPumpScheduled = false;
-				this.pump();
-			}, pumpIntervalMs);
-		}
-	}
-
-	/** Prompt tokens that wait at this daemon, by priority. */
-	queued(): ReadonlyMap<number, number> {
-		const tokens = new Map<number, number>();
-		for (const waiting of this.#waiting) {
-			tokens.set(waiting.priority, (tokens.get(waiting.priority) ?? 0) + waiting.tokens);
-		}
-
-		return tokens;
-	}
-
-	/** Returns true when the prompt waits no longer. */
-	#tryPlace(waiting: Waiting, now: number): boolean {
-		const {demand, parts, priority} = waiting;
-		const states = this.#prefillers(demand);
-		const keeper = this.#findKeeper(parts, this.#engines(demand.service));
-		const timely = this.#choose(waiting, states, keeper, rankAtUpstream(priority, false));
-		const isLate = timely === undefined || isLatePrompt(waiting, timely.predictedMs, now);
-		const rank = rankAtUpstream(priority, isLate);
-		const choice = isLate ? this.#choose(waiting, states, keeper, rank) : timely;
-		if (choice === undefined) {
-			this.#leaveQueue(waiting, this.#refuse(demand, 'noUpstream'));
-			return true;
-		}
-
-		const {candidate, predictedMs, waitMs} = choice;
-		switch (judgePrompt(waiting, {finishMs: predictedMs, waitMs}, isLate, now)) {
-			case 'wait': {
-				return false;
-			}
-
-			case 'giveUp': {
-				this.#leaveQueue(waiting, this.#refuse(demand, 'overloaded', predictedMs));
-				return true;
-			}
-
-			case 'place': {
-				const state = this.#states.get(candidate.id)!;
-				const finish = state.beginPrefill(weighTokens(candidate.missingTokens, candidate.keptTokens), rank, predictedMs);
-				state.cache.touch(parts);
-				this.#options.peers.tellReading({upstream: candidate.id, parts});
-				this.#leaveQueue(waiting, this.#createPlacement(state, {
-					predictedMs, rank, fetchFrom: candidate.fetchMs > 0 ? keeper?.upstream : undefined,
-				}, (end, endedAt) => {
-					if (end.kind === 'served') {
-						this.#rankPace.observe(rank, end.elapsedMs, predictedMs);
-					}
-
-					finish(end, endedAt);
-				}));
-				return true;
-			}
-		}
-	}
-
-	#choose({parts, engine}: Waiting, states: readonly UpstreamState[], keeper: UpstreamState | undefined, rank: number): PrefillChoice | undefined {
-		return choosePrefill(states.map(state => this.#createCandidate(state, {
-			parts, keeper, engine, priority: rank,
-		})), prefillRate);
-	}
-
-	#leaveQueue(waiting: Waiting, result: PlacementResult): void {
-		if (this.#waiting.delete(waiting)) {
-			waiting.settle(result);
-		}
-	}
-
-	/** Time until a prompt that arrives now has been read, with what waits at all daemons and upstreams before it. */
-	#predictArrival({demand, tokens, priority}: Waiting, now: number): number {
-		const {board} = this.#options.peers;
-		const states = this.#prefillers(demand);
-		let tokensAhead = sumUpTo(this.queued(), priority) + board.queuedUpTo(priority, now);
-		let tokensPerMs = 0;
-		for (const state of states) {
-			tokensAhead += this.#sumBacklog(state, priority, now);
-			tokensPerMs += prefillRate.tokensPerMs / (state.pace * state.slowness(now));
-		}
-
-		return predictArrival(tokens, {tokensAhead, tokensPerMs}, tokensPerMs / Math.max(1, states.length), prefillRate.fixedMs);
-	}
-
-	/** Tokens to read where the most of a prompt is kept. */
-	#leastMissing(demand: Demand, parts: readonly PromptPart[]): number {
-		const total = parts.reduce((sum, {tokens}) => sum + tokens, 0);
-		const keeper = this.#findKeeper(parts, this.#engines(demand.service));
-		const missing = keeper?.cache.missingTokens(parts) ?? total;
-		return weighTokens(missing, total - missing);
-	}
-
-	#prefillers({service, tried}: Demand): readonly UpstreamState[] {
-		return this.#usable(service, tried).filter(({upstream}) => upstream.stage === 'prefill');
-	}
-
-	#engines(service: string): readonly UpstreamState[] {
-		return this.#options.roster.serving(service).map(upstream => this.#state(upstream)).filter(state => !state.isAbsent);
-	}
-
-	/** The larger of what the other daemons tell and what the upstream stated: either may be out of date. */
-	#othersRuns(state: UpstreamState, now: number): number {
-		return Math.max(this.#options.peers.board.runs(state.upstream.id, now), state.othersRuns(now));
-	}
-
-	/** Upstreams of a service, without those to avoid unless there is no other one. */
-	#usable(service: string, tried: ReadonlySet<string>): readonly UpstreamState[] {
-		const now = this.#options.clock.now();
-		const all = this.#options.roster.serving(service).filter(({id}) => !tried.has(id)).map(upstream => this.#state(upstream)).filter(state => !state.isAbsent);
-		const healthy = all.filter(state => !state.isAvoided(now));
-		return healthy.length > 0 ? healthy : all;
-	}
-
-	#state(upstream: Upstream): UpstreamState {
-		const known = this.#states.get(upstream.id);
-		if (known !== undefined) {
-			known.update(upstream);
-			return known;
-		}
-
-		const engine = this.#options.services().get(upstream.service)?.engine;
-		const state = new UpstreamState(upstream, (engine?.memoryTokens ?? 0) * cachedShare);
-		this.#states.set(upstream.id, state);
-		return state;
+		return this.#beginRun(state);
 	}
 
 	#chooseRun(states: readonly UpstreamState[], promptZone: string | undefined): UpstreamState | undefined {
 		const now = this.#options.clock.now();
 		const choice = chooseRun(states.map(state => ({
 			id: state.upstream.id,
-			runs: state.runs + this.#othersRuns(state, now),
+			runs: state.runs + this.#states.othersRuns(state, now),
 			slots: state.upstream.slots,
 			isLocal: state.upstream.availabilityZone === this.#options.availabilityZone,
 			isNearPrompt: promptZone === undefined || state.upstream.availabilityZone === promptZone,
@@ -371,102 +153,7 @@
 		return choice === undefined ? undefined : this.#states.get(choice.id);
 	}
 
-	/** Upstream that keeps the most tokens of a prompt from its start. */
-	#findKeeper(parts: readonly PromptPart[], states: readonly UpstreamState[]): UpstreamState | undefined {
-		let keeper: UpstreamState | undefined;
-		let missing = Number.POSITIVE_INFINITY;
-		for (const state of states) {
-			const tokens = state.cache.missingTokens(parts);
-			if (tokens < missing) {
-				keeper = state;
-				missing = tokens;
-			}
-		}
-
-		return keeper;
-	}
-
-	#createCandidate(state: UpstreamState, {parts, keeper, engine, priority}: Reading): PrefillCandidate {
-		const now = this.#options.clock.now();
-		const {upstream} = state;
-		const total = parts.reduce((sum, {tokens}) => sum + tokens, 0);
-		const ownMissing = state.cache.missingTokens(parts);
-		const keeperMissing = keeper?.cache.missingTokens(parts) ?? total;
-		const fetches = keeper !== undefined && keeper !== state && ownMissing - keeperMissing >= fetchedTokens;
-		const missingTokens = fetches ? keeperMissing : ownMissing;
-		return {
-			id: upstream.id,
-			backlogTokens: this.#sumBacklog(state, priority, now),
-			missingTokens,
-			keptTokens: total - missingTokens,
-			fetchMs: fetches ? this.#transferMs(ownMissing - keeperMissing, upstream, keeper.upstream, engine) : 0,
-			isLocal: upstream.availabilityZone === this.#options.availabilityZone,
-			pace: state.pace * state.slowness(now),
-			rankPace: this.#rankPace.of(priority),
-			failureShare: state.failureShare,
-		};
-	}
-
-	/** Tokens that are read before a prompt of a priority; less urgent ones that have begun take part of the time. */
-	#sumBacklog(state: UpstreamState, priority: number, now: number): number {
-		const {board} = this.#options.peers;
-		const sum = (limit: number) => sumUpTo(state.tokensByPriority, limit) + board.tokensUpTo(state.upstream.id, limit, now);
-		const urgent = sum(priority);
-		return urgent + Math.min(begunTokens, (sum(Number.POSITIVE_INFINITY) - urgent) * begunShare);
-	}
-
-	#transferMs(tokens: number, target: Upstream, source: Upstream, {tokenBytes, linkMbps}: EngineProfile): number {
-		const ms = (tokens * tokenBytes * bitsPerByte) / (Math.max(1, linkMbps) * megabit / 1000);
-		return transferSetupMs + (ms * (target.availabilityZone === source.availabilityZone ? 1 : 2));
+	#beginRun(state: UpstreamState): Placement {
+		return this.#placements.create(state, {predictedMs: 0, rank: undefined, fetchFrom: undefined}, state.beginRun(0));
 	}
-
-	#beginRun(state: UpstreamState, predictedMs: number): Placement {
-		return this.#createPlacement(state, {predictedMs, rank: undefined, fetchFrom: undefined}, state.beginRun(predictedMs));
-	}
-
-	#createPlacement(
-		state: UpstreamState,
-		values: Pick<Placement, 'predictedMs' | 'rank' | 'fetchFrom'>,
-		finish: (end: SendEnd, now: number) => void,
-	): Placement {
-		const {clock, peers, onDown} = this.#options;
-		const pump = () => {
-			this.pump();
-		};
-
-		let isReleased = false;
-		peers.changed(state.upstream.id);
-		return {
-			upstream: state.upstream,
-			...values,
-			observe(load: StatedLoad) {
-				state.observe(load, clock.now());
-			},
-			release(end) {
-				if (!isReleased) {
-					isReleased = true;
-					finish(end, clock.now());
-					if (end.kind === 'refused') {
-						onDown(state.upstream.id);
-					}
-
-					peers.changed(state.upstream.id);
-					pump();
-				}
-			},
-		};
-	}
-
-	#refuse({request, service}: Demand, reason: 'noUpstream' | 'overloaded', predictedMs = 0): PlacementResult {
-		const retryAfterMs = Math.max(retryDelayMs, predictedMs) * (0.5 + this.#options.random.next());
-		this.#options.log.write('placement.refused', {
-			request: request.id, service, reason, predictedMs: Math.round(predictedMs), retryAfterMs: Math.round(retryAfterMs),
-		});
-		return {reason, retryAfterMs};
-	}
-}
-
-/** Time for which a caller waits for the first event of a stream. */
-function callerPatienceMs({targetLatencyMs, targetGapMs}: Demand['route']): number {
-	return Math.max(shortestPatienceMs, targetLatencyMs * patienceTargets, (targetGapMs ?? 0) * patienceGaps);
 }
--- /dev/null
+++ b/src/process/fleet/placements.ts
@@ -0,0 +1,74 @@
+import type {StatedLoad} from '../../ports/upstream-protocol.ts';
+import type {
+	Demand, Placement, PlacementRefusal, SendEnd,
+} from '../../request/delivery/upstream-desk.ts';
+import type {Clock} from '../clock.ts';
+import type {Random} from '../random.ts';
+import type {DecisionLog} from './decision-log.ts';
+import type {UpstreamState} from './upstream-state.ts';
+
+/** What placements need. */
+export type PlacementsOptions = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: DecisionLog;
+	/** Told when this daemon's load on an upstream has changed. */
+	readonly onChanged: (upstream: string) => void;
+	/** Told when a place was given back. */
+	readonly onReleased: () => void;
+	/** Told when an upstream refuses connections. */
+	readonly onDown: (upstream: string) => void;
+};
+
+const retryDelayMs = 400;
+
+/** Creates places at upstreams, and refusals that tell when to come back. */
+export class Placements {
+	readonly #options: PlacementsOptions;
+
+	constructor(options: PlacementsOptions) {
+		this.#options = options;
+	}
+
+	/** Creates a place; `finish` is called once, when it is given back. */
+	create(
+		state: UpstreamState,
+		values: Pick<Placement, 'predictedMs' | 'rank' | 'fetchFrom'>,
+		finish: (end: SendEnd, now: number) => void,
+	): Placement {
+		const {clock, onChanged, onReleased, onDown} = this.#options;
+		const {id} = state.upstream;
+		let isReleased = false;
+		onChanged(id);
+		return {
+			upstream: state.upstream,
+			...values,
+			observe(load: StatedLoad) {
+				state.observe(load, clock.now());
+			},
+			release(end) {
+				if (isReleased) {
+					return;
+				}
+
+				isReleased = true;
+				finish(end, clock.now());
+				if (end.kind === 'refused') {
+					onDown(id);
+				}
+
+				onChanged(id);
+				onReleased();
+			},
+		};
+	}
+
+	/** Refuses a demand; its caller may come back when the backlog is expected to be worked off, spread so that the return is no burst. */
+	refuse({request, service}: Demand, reason: PlacementRefusal['reason'], predictedMs = 0): PlacementRefusal {
+		const retryAfterMs = Math.max(retryDelayMs, predictedMs) * (0.5 + this.#options.random.next());
+		this.#options.log.write('placement.refused', {
+			request: request.id, service, reason, predictedMs: Math.round(predictedMs), retryAfterMs: Math.round(retryAfterMs),
+		});
+		return {reason, retryAfterMs};
+	}
+}
--- /dev/null
+++ b/src/process/fleet/prompt-desk.ts
@@ -0,0 +1,299 @@
+import type {Upstream} from '../../ports/upstream.ts';
+import type {Demand, PlacementResult} from '../../request/delivery/upstream-desk.ts';
+import type {PromptPart} from '../../request/delivery/route-request.ts';
+import type {EngineProfile, Service} from '../../version/routes/route-configuration.ts';
+import type {Clock} from '../clock.ts';
+import {sumUpTo, type PeerBoard} from '../peers/peer-board.ts';
+import type {PeerReading} from '../peers/peer-message.ts';
+import type {DecisionLog} from './decision-log.ts';
+import {RankPace} from './pace.ts';
+import {
+	choosePrefill, prefillRate, weighTokens, type PrefillCandidate, type PrefillChoice,
+} from './placement-score.ts';
+import type {Placements} from './placements.ts';
+import {
+	isLatePrompt, judgePrompt, orderPrompts, predictArrival, rankAtUpstream, type WaitingPrompt,
+} from './prefill-queue.ts';
+import type {UpstreamState} from './upstream-state.ts';
+import type {UpstreamStates} from './upstream-states.ts';
+
+/** What the prompt desk needs. */
+export type PromptDeskOptions = {
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly states: UpstreamStates;
+	readonly placements: Placements;
+	readonly board: PeerBoard;
+	/** Tells the other daemons that an engine begins to read a prompt. */
+	readonly tellReading: (reading: PeerReading) => void;
+	readonly availabilityZone: string;
+	/** Services in force, by name. */
+	readonly services: () => ReadonlyMap<string, Service>;
+};
+
+/** A prompt in the queue with what is needed to place it. */
+type Waiting = WaitingPrompt & {
+	readonly demand: Demand;
+	readonly engine: EngineProfile;
+	readonly parts: readonly PromptPart[];
+	readonly settle: (result: PlacementResult) => void;
+};
+
+/** A prompt that is to be read. */
+type Reading = {
+	readonly parts: readonly PromptPart[];
+	/** Upstream that keeps the most of it. */
+	readonly keeper: UpstreamState | undefined;
+	readonly engine: EngineProfile;
+	readonly priority: number;
+};
+
+/** Parts of fewer tokens are read again rather than fetched. */
+const fetchedTokens = 1024;
+/** Time to set up a transfer between engines, in milliseconds. */
+const transferSetupMs = 6;
+const bitsPerByte = 8;
+const megabit = 1_000_000;
+/** A request is refused when this much of its time would be left after the prompt is read, in milliseconds. */
+const shortestAnswerMs = 60;
+/** Time from the end of reading to the first event: the transfer and the first step, in milliseconds. */
+const firstEventMs = 60;
+/** Callers give up a stream without events after this time, or after these multiples of the route's targets. */
+const shortestPatienceMs = 2000;
+const patienceTargets = 4;
+const patienceGaps = 8;
+/** Prompts that are looked at once no upstream has room; others behind them may fit elsewhere. */
+const scannedPrompts = 6;
+const pumpIntervalMs = 10;
+/** Part of the less urgent work that is done before a more urgent prompt. */
+const begunShare = 0.3;
+/** Less urgent work holds a more urgent prompt up for some steps at most. */
+const begunTokens = 4096;
+
+/** Chooses the engines that read prompts, and lets prompts wait here while no engine would begin with them soon. */
+export class PromptDesk {
+	readonly #options: PromptDeskOptions;
+	readonly #waiting = new Set<Waiting>();
+	readonly #rankPace = new RankPace();
+	#isPumpScheduled = false;
+
+	constructor(options: PromptDeskOptions) {
+		this.#options = options;
+	}
+
+	/** Places the reading of a prompt; waits for room. */
+	async place(demand: Demand): Promise<PlacementResult> {
+		const engine = this.#options.services().get(demand.service)?.engine;
+		const {prompt} = demand.request;
+		if (engine === undefined || prompt === undefined || this.#prefillers(demand).length === 0) {
+			return this.#options.placements.refuse(demand, 'noUpstream');
+		}
+
+		const now = this.#options.clock.now();
+		const parts = prompt.parts.length === 0 ? [{id: demand.request.id, tokens: prompt.tokens}] : prompt.parts;
+		const {promise, resolve} = Promise.withResolvers<PlacementResult>();
+		const waiting: Waiting = {
+			demand,
+			engine,
+			parts,
+			settle: resolve,
+			id: demand.request.id,
+			priority: demand.route.priority,
+			tokens: this.#leastMissing(demand, parts),
+			targetAt: demand.arrivedAt + demand.route.targetLatencyMs - firstEventMs,
+			giveUpAt: Math.min(demand.endAt, demand.arrivedAt + callerPatienceMs(demand.route)) - shortestAnswerMs,
+		};
+		const expectedMs = this.#predictArrival(waiting, now);
+		if (now + expectedMs > waiting.giveUpAt) {
+			return this.#options.placements.refuse(demand, 'overloaded', expectedMs);
+		}
+
+		const cancel = () => {
+			this.#leaveQueue(waiting, {reason: 'cancelled', retryAfterMs: 0});
+		};
+
+		demand.signal.addEventListener('abort', cancel, {once: true});
+		this.#waiting.add(waiting);
+		this.pump();
+		if (this.#waiting.has(waiting)) {
+			this.#options.log.write('queued', {
+				request: waiting.id, service: demand.service, waiting: this.#waiting.size, expectedMs: Math.round(expectedMs), tokens: Math.round(waiting.tokens),
+			});
+		}
+
+		const result = await promise;
+		demand.signal.removeEventListener('abort', cancel);
+		return result;
+	}
+
+	/** Places waiting prompts as far as upstreams would begin with them soon. */
+	pump(): void {
+		if (this.#waiting.size === 0) {
+			return;
+		}
+
+		const now = this.#options.clock.now();
+		let blocked = 0;
+		for (const prompt of orderPrompts([...this.#waiting], now, prefillRate.fixedMs)) {
+			if (blocked >= scannedPrompts) {
+				break;
+			}
+
+			blocked += this.#tryPlace(prompt as Waiting, now) ? 0 : 1;
+		}
+
+		if (this.#waiting.size > 0 && !this.#isPumpScheduled) {
+			this.#isPumpScheduled = true;
+			setTimeout(() => {
+				this.#isPumpScheduled = false;
+				this.pump();
+			}, pumpIntervalMs);
+		}
+	}
+
+	/** Prompt tokens that wait at this daemon, by priority. */
+	queued(): ReadonlyMap<number, number> {
+		const tokens = new Map<number, number>();
+		for (const waiting of this.#waiting) {
+			tokens.set(waiting.priority, (tokens.get(waiting.priority) ?? 0) + waiting.tokens);
+		}
+
+		return tokens;
+	}
+
+	/** Returns true when the prompt waits no longer. */
+	#tryPlace(waiting: Waiting, now: number): boolean {
+		const {demand, parts, priority} = waiting;
+		const states = this.#prefillers(demand);
+		const keeper = this.#findKeeper(parts, this.#options.states.present(demand.service));
+		const timely = this.#choose(waiting, states, keeper, rankAtUpstream(priority, false));
+		const isLate = timely === undefined || isLatePrompt(waiting, timely.predictedMs, now);
+		const rank = rankAtUpstream(priority, isLate);
+		const choice = isLate ? this.#choose(waiting, states, keeper, rank) : timely;
+		if (choice === undefined) {
+			this.#leaveQueue(waiting, this.#options.placements.refuse(demand, 'noUpstream'));
+			return true;
+		}
+
+		const {candidate, predictedMs, waitMs} = choice;
+		switch (judgePrompt(waiting, {finishMs: predictedMs, waitMs}, isLate, now)) {
+			case 'wait': {
+				return false;
+			}
+
+			case 'giveUp': {
+				this.#leaveQueue(waiting, this.#options.placements.refuse(demand, 'overloaded', predictedMs));
+				return true;
+			}
+
+			case 'place': {
+				const state = this.#options.states.get(candidate.id)!;
+				const finish = state.beginPrefill(weighTokens(candidate.missingTokens, candidate.keptTokens), rank, predictedMs);
+				state.cache.touch(parts);
+				this.#options.tellReading({upstream: candidate.id, parts});
+				this.#leaveQueue(waiting, this.#options.placements.create(state, {
+					predictedMs, rank, fetchFrom: candidate.fetchMs > 0 ? keeper?.upstream : undefined,
+				}, (end, endedAt) => {
+					if (end.kind === 'served') {
+						this.#rankPace.observe(rank, end.elapsedMs, predictedMs);
+					}
+
+					finish(end, endedAt);
+				}));
+				return true;
+			}
+		}
+	}
+
+	#choose({parts, engine}: Waiting, states: readonly UpstreamState[], keeper: UpstreamState | undefined, rank: number): PrefillChoice | undefined {
+		return choosePrefill(states.map(state => this.#createCandidate(state, {
+			parts, keeper, engine, priority: rank,
+		})), prefillRate);
+	}
+
+	#leaveQueue(waiting: Waiting, result: PlacementResult): void {
+		if (this.#waiting.delete(waiting)) {
+			waiting.settle(result);
+		}
+	}
+
+	/** Time until a prompt that arrives now has been read, with what waits at all daemons and upstreams before it. */
+	#predictArrival({demand, tokens, priority}: Waiting, now: number): number {
+		const {board} = this.#options;
+		const states = this.#prefillers(demand);
+		let tokensAhead = sumUpTo(this.queued(), priority) + board.queuedUpTo(priority, now);
+		let tokensPerMs = 0;
+		for (const state of states) {
+			tokensAhead += this.#sumBacklog(state, priority, now);
+			tokensPerMs += prefillRate.tokensPerMs / (state.pace * state.slowness(now));
+		}
+
+		return predictArrival(tokens, {tokensAhead, tokensPerMs}, tokensPerMs / Math.max(1, states.length), prefillRate.fixedMs);
+	}
+
+	/** Tokens to read where the most of a prompt is kept. */
+	#leastMissing(demand: Demand, parts: readonly PromptPart[]): number {
+		const total = parts.reduce((sum, {tokens}) => sum + tokens, 0);
+		const keeper = this.#findKeeper(parts, this.#options.states.present(demand.service));
+		const missing = keeper?.cache.missingTokens(parts) ?? total;
+		return weighTokens(missing, total - missing);
+	}
+
+	#prefillers({service, tried}: Demand): readonly UpstreamState[] {
+		return this.#options.states.usable(service, tried).filter(({upstream}) => upstream.stage === 'prefill');
+	}
+
+	/** Upstream that keeps the most tokens of a prompt from its start. */
+	#findKeeper(parts: readonly PromptPart[], states: readonly UpstreamState[]): UpstreamState | undefined {
+		let keeper: UpstreamState | undefined;
+		let missing = Number.POSITIVE_INFINITY;
+		for (const state of states) {
+			const tokens = state.cache.missingTokens(parts);
+			if (tokens < missing) {
+				keeper = state;
+				missing = tokens;
+			}
+		}
+
+		return keeper;
+	}
+
+	#createCandidate(state: UpstreamState, {parts, keeper, engine, priority}: Reading): PrefillCandidate {
+		const now = this.#options.clock.now();
+		const {upstream} = state;
+		const total = parts.reduce((sum, {tokens}) => sum + tokens, 0);
+		const ownMissing = state.cache.missingTokens(parts);
+		const keeperMissing = keeper?.cache.missingTokens(parts) ?? total;
+		const fetches = keeper !== undefined && keeper !== state && ownMissing - keeperMissing >= fetchedTokens;
+		const missingTokens = fetches ? keeperMissing : ownMissing;
+		return {
+			id: upstream.id,
+			backlogTokens: this.#sumBacklog(state, priority, now),
+			missingTokens,
+			keptTokens: total - missingTokens,
+			fetchMs: fetches ? this.#transferMs(ownMissing - keeperMissing, upstream, keeper.upstream, engine) : 0,
+			isLocal: upstream.availabilityZone === this.#options.availabilityZone,
+			pace: state.pace * state.slowness(now),
+			rankPace: this.#rankPace.of(priority),
+			failureShare: state.failureShare,
+		};
+	}
+
+	/** Tokens that are read before a prompt of a priority; less urgent ones that have begun take part of the time. */
+	#sumBacklog(state: UpstreamState, priority: number, now: number): number {
+		const {board} = this.#options;
+		const sum = (limit: number) => sumUpTo(state.tokensByPriority, limit) + board.tokensUpTo(state.upstream.id, limit, now);
+		const urgent = sum(priority);
+		return urgent + Math.min(begunTokens, (sum(Number.POSITIVE_INFINITY) - urgent) * begunShare);
+	}
+
+	#transferMs(tokens: number, target: Upstream, source: Upstream, {tokenBytes, linkMbps}: EngineProfile): number {
+		const ms = (tokens * tokenBytes * bitsPerByte) / (Math.max(1, linkMbps) * megabit / 1000);
+		return transferSetupMs + (ms * (target.availabilityZone === source.availabilityZone ? 1 : 2));
+	}
+}
+
+/** Time for which a caller waits for the first event of a stream. */
+function callerPatienceMs({targetLatencyMs, targetGapMs}: Demand['route']): number {
+	return Math.max(shortestPatienceMs, targetLatencyMs * patienceTargets, (targetGapMs ?? 0) * patienceGaps);
+}
--- /dev/null
+++ b/src/process/fleet/upstream-states.ts
@@ -0,0 +1,92 @@
+import type {Upstream} from '../../ports/upstream.ts';
+import type {Service} from '../../version/routes/route-configuration.ts';
+import type {Clock} from '../clock.ts';
+import type {PeerBoard} from '../peers/peer-board.ts';
+import type {PeerLoad, PeerReading} from '../peers/peer-message.ts';
+import type {UpstreamRoster} from './upstream-roster.ts';
+import {UpstreamState} from './upstream-state.ts';
+
+/** What the states of upstreams need. */
+export type UpstreamStatesOptions = {
+	readonly clock: Clock;
+	readonly roster: UpstreamRoster;
+	/** What the other daemons tell. */
+	readonly board: PeerBoard;
+	/** Services in force, by name. */
+	readonly services: () => ReadonlyMap<string, Service>;
+};
+
+/** Part of an engine's memory that shared prompt parts can keep. */
+const cachedShare = 0.8;
+
+/** What this daemon knows of all upstreams that are listed. */
+export class UpstreamStates {
+	readonly #options: UpstreamStatesOptions;
+	readonly #states = new Map<string, UpstreamState>();
+
+	constructor(options: UpstreamStatesOptions) {
+		this.#options = options;
+	}
+
+	/** Takes a change of an upstream's entry. */
+	update(upstream: Upstream): void {
+		this.#states.get(upstream.id)?.update(upstream);
+	}
+
+	/** Forgets an upstream that is gone. */
+	forget(id: string): void {
+		this.#states.delete(id);
+	}
+
+	/** Returns the state of an upstream that is known. */
+	get(id: string): UpstreamState | undefined {
+		return this.#states.get(id);
+	}
+
+	/** Upstreams of a service, without those whose address is refused or belongs to another one. */
+	present(service: string): readonly UpstreamState[] {
+		return this.#options.roster.serving(service).map(upstream => this.#state(upstream)).filter(state => !state.isAbsent);
+	}
+
+	/** Upstreams of a service that were not tried, without those to avoid unless there is no other one. */
+	usable(service: string, tried: ReadonlySet<string>): readonly UpstreamState[] {
+		const now = this.#options.clock.now();
+		const all = this.present(service).filter(({upstream}) => !tried.has(upstream.id));
+		const healthy = all.filter(state => !state.isAvoided(now));
+		return healthy.length > 0 ? healthy : all;
+	}
+
+	/** Requests of the other daemons at an upstream: the larger of what they tell and what it stated, since either may be out of date. */
+	othersRuns(state: UpstreamState, now: number): number {
+		return Math.max(this.#options.board.runs(state.upstream.id, now), state.othersRuns(now));
+	}
+
+	/** This daemon's own load on all upstreams with work. */
+	loads(): readonly PeerLoad[] {
+		return [...this.#states.values()].flatMap(({upstream, runs, tokensByPriority}) =>
+			runs === 0 && tokensByPriority.size === 0 ? [] : [{upstream: upstream.id, runs, tokensByPriority}]);
+	}
+
+	/** Takes the prompts that upstreams read for the other daemons. */
+	acceptReadings(readings: readonly PeerReading[]): void {
+		for (const {upstream: id, parts} of readings) {
+			const upstream = this.#options.roster.get(id);
+			if (upstream !== undefined) {
+				this.#state(upstream).cache.touch(parts);
+			}
+		}
+	}
+
+	#state(upstream: Upstream): UpstreamState {
+		const known = this.#states.get(upstream.id);
+		if (known !== undefined) {
+			known.update(upstream);
+			return known;
+		}
+
+		const engine = this.#options.services().get(upstream.service)?.engine;
+		const state = new UpstreamState(upstream, (engine?.memoryTokens ?? 0) * cachedShare);
+		this.#states.set(upstream.id, state);
+		return state;
+	}
+}
