--- a/scripts/build-daemon.ts
+++ b/scripts/build-daemon.ts
@@ -1,18 +1,22 @@
 /**
-Builds `target/wagtailtack-daemon.cjs`: the daemon for the operator's platform as one file, without the parts that only the
-command line and the cloud clients need.
+Builds the daemon for the operator's platform as one file, by default `target/wagtailtack-daemon.cjs`, without the parts that
+only the command line and the cloud clients need.
 */
 import {mkdirSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
 import {build} from 'esbuild';
 
-mkdirSync('target', {recursive: true});
+const outfile = process.argv[2] ?? 'target/wagtailtack-daemon.cjs';
+
+mkdirSync(path.dirname(outfile), {recursive: true});
 await build({
 	entryPoints: ['src/fleet-main.ts'],
 	bundle: true,
 	platform: 'node',
 	target: 'node20',
 	format: 'cjs',
-	outfile: 'target/wagtailtack-daemon.cjs',
+	outfile,
 	minifySyntax: true,
 	minifyWhitespace: true,
 	logLevel: 'error',
