Look for engines to avoid within one stage

Avoided engines are left out unless there is no other one, but that was asked of both stages together: with healthy engines that read prompts, all avoided ones that generate were left out. Ruled out: engines gone or leaving (the first upstream.leaving is at 25.9 s) and the store (lost only at 34 s). Test over sockets, failing before.

--- a/src/process/fleet/fleet-desk.ts
+++ b/src/process/fleet/fleet-desk.ts
@@ -109,12 +109,12 @@
 
 	hasOther({service, tried}: Demand): boolean {
 		const now = this.#options.clock.now();
-		const isModel = this.isModelService(service);
-		return this.#states.usable(service, tried).some(state => !state.isAvoided(now) && (!isModel || state.upstream.stage === 'decode'));
+		const stage = this.isModelService(service) ? 'decode' : undefined;
+		return this.#states.usable(service, stage, tried).some(state => !state.isAvoided(now));
 	}
 
 	async placePlain(demand: Demand): Promise<PlacementResult> {
-		const state = this.#chooseRun(this.#states.usable(demand.service, demand.tried), undefined);
+		const state = this.#chooseRun(this.#states.usable(demand.service, undefined, demand.tried), undefined);
 		return state === undefined ? this.#placements.refuse(demand, 'noUpstream') : this.#beginRun(state);
 	}
 
@@ -123,7 +123,7 @@
 	}
 
 	placeDecode(demand: Demand, source: Upstream | undefined): PlacementResult {
-		const states = this.#states.usable(demand.service, demand.tried).filter(({upstream}) => upstream.stage === 'decode');
+		const states = this.#states.usable(demand.service, 'decode', demand.tried);
 		const state = this.#chooseRun(states, source?.availabilityZone);
 		if (state === undefined) {
 			return this.#placements.refuse(demand, 'noUpstream');
--- a/src/process/fleet/prompt-desk.ts
+++ b/src/process/fleet/prompt-desk.ts
@@ -240,7 +240,7 @@
 	}
 
 	#prefillers({service, tried}: Demand): readonly UpstreamState[] {
-		return this.#options.states.usable(service, tried).filter(({upstream}) => upstream.stage === 'prefill');
+		return this.#options.states.usable(service, 'prefill', tried);
 	}
 
 	/** Upstream that keeps the most tokens of a prompt from its start. */
--- a/src/process/fleet/upstream-states.ts
+++ b/src/process/fleet/upstream-states.ts
@@ -1,4 +1,4 @@
-import type {Upstream} from '../../ports/upstream.ts';
+import type {Stage, Upstream} from '../../ports/upstream.ts';
 import type {Service} from '../../version/routes/route-configuration.ts';
 import type {Clock} from '../clock.ts';
 import type {PeerBoard} from '../peers/peer-board.ts';
@@ -48,10 +48,10 @@
 		return this.#options.roster.serving(service).map(upstream => this.#state(upstream)).filter(state => !state.isAbsent);
 	}
 
-	/** Upstreams of a service that were not tried, without those to avoid unless there is no other one. */
-	usable(service: string, tried: ReadonlySet<string>): readonly UpstreamState[] {
+	/** Upstreams of a service in a stage that were not tried, without those to avoid unless there is no other one in that stage. */
+	usable(service: string, stage: Stage | undefined, tried: ReadonlySet<string>): readonly UpstreamState[] {
 		const now = this.#options.clock.now();
-		const all = this.present(service).filter(({upstream}) => !tried.has(upstream.id));
+		const all = this.present(service).filter(({upstream}) => upstream.stage === stage && !tried.has(upstream.id));
 		const healthy = all.filter(state => !state.isAvoided(now));
 		return healthy.length > 0 ? healthy : all;
 	}
--- a/test/request/delivery/stream-delivery.test.ts
+++ b/test/request/delivery/stream-delivery.test.ts
@@ -178,3 +178,16 @@
 		expect(readEventIds(body)).toEqual(['1', '2', '3']);
 	});
 });
+
+describe('engines to avoid', () => {
+	test('are used when no other one generates, whatever the state of those that read prompts', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start(usual);
+		const decoder = find(fleet, 'd-1');
+		decoder.behaviour.losesAnswer = true;
+		const {status: lost} = await fleet.stream('/flag/1');
+		decoder.behaviour.losesAnswer = false;
+		const {status} = await fleet.stream('/flag/1');
+		expect([lost, status]).toEqual([502, 200]);
+	});
+});
