Time the lease and its checks by one clock, and resume no stream at the end of its time

Found on reading: the holder's lease and the director's checks had a suspension clock each, which agree only while both see the same jumps.

--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -155,11 +155,13 @@
 			bodyBudgetBytes: settings.limits.memoryMb * mebibyte * bodyShare,
 		});
 		this.#shutdown = new Shutdown(clock, log, createShutdownTimes(settings.bounds.graceMs), () => this.#front.openRequests);
+		// The lease's times and the checks against them must come from one clock.
+		const leaseClock = new SuspensionClock();
 		this.#lease = new LeaseTask({
-			log: createTaskLog(log), table: platform.table, clock: new SuspensionClock(), daemon: settings.daemon.name, group: 'stages',
+			log: createTaskLog(log), table: platform.table, clock: leaseClock, daemon: settings.daemon.name, group: 'stages',
 		});
 		this.#director = new StageDirector({
-			clock: new SuspensionClock(),
+			clock: leaseClock,
 			log,
 			links: this.#links,
 			protocol: platform.upstreamProtocol,
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -17,6 +17,9 @@
 const prefillPatience = 4;
 const prefillSlackMs = 600;
 
+/** A stream is not resumed with less time left, in milliseconds: no event would come in time. */
+const shortestResumeMs = 100;
+
 /** A prompt that an upstream has read and keeps until it is fetched. */
 type ReadPrompt = {
 	readonly source: Upstream;
@@ -211,7 +214,7 @@
 					return this.end('callerGone', 'the caller has gone');
 				}
 
-				const mayRetry = job.route.isResumable && this.runs < job.route.attemptLimit && !job.signal.aborted;
+				const mayRetry = job.route.isResumable && this.runs < job.route.attemptLimit && !job.signal.aborted && this.remainingMs >= shortestResumeMs;
 				return mayRetry ? undefined : this.#finishFailed(result);
 			}
 		}
--- a/test/request/delivery/stream-delivery.test.ts
+++ b/test/request/delivery/stream-delivery.test.ts
@@ -106,6 +106,18 @@
 		expect(readEventIds(body)).toEqual(['1', '2', '3', '4']);
 	});
 
+	test('resumes no stream when its time is nearly over', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start(twoDecoders);
+		for (const id of ['d-1', 'd-2']) {
+			Object.assign(find(fleet, id).behaviour, {events: 9, cutAfter: 3, pauseMs: 190});
+		}
+
+		const {isWhole} = await fleet.stream('/brief/1', {deadlineMs: 650});
+		expect(isWhole).toBe(false);
+		expect(['d-1', 'd-2'].flatMap(id => find(fleet, id).runs)).toHaveLength(1);
+	});
+
 	test('resumes a stream that falls silent, and stops the silent engine first', async () => {
 		await using fleet = new FleetFixture();
 		await fleet.start(twoDecoders);
