--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -77,7 +77,12 @@
 		const end = this.#toEnd(result, elapsedMs);
 		placement.release(end);
 		this.log('sent', {
-			upstream: upstream.id, outcome: end.kind, elapsedMs: Math.round(elapsedMs), ...(result.kind === 'answered' ? {status: result.answer.status, isFramed: result.answer.isFramed, bytes: result.body.length} : {cause: result.failure.message}),
+			upstream: upstream.id,
+			outcome: end.kind,
+			elapsedMs: Math.round(elapsedMs),
+			...(result.kind === 'answered'
+				? {status: result.answer.status, isFramed: result.answer.isFramed, bytes: result.body.length}
+				: {cause: result.failure.message}),
 		});
 		return this.#decide(result, end, upstream.id);
 	}
