--- a/src/process/fleet/crash-suspects.ts
+++ b/src/process/fleet/crash-detector.ts
@@ -4,7 +4,7 @@
 import type {DecisionLog} from './decision-log.ts';
 
 /** What the register of crashes needs. */
-export type CrashSuspectsOptions = {
+export type CrashDetectorOptions = {
 	readonly now: () => number;
 	readonly log: DecisionLog;
 	/** Tells the other daemons. */
@@ -37,12 +37,12 @@
 A broken connection alone is no crash: networks and single answers fail too. It counts once the upstream refuses connections, has
 restarted or has left the list, and daemons tell each other of each crash.
 */
-export class CrashSuspects {
-	readonly #options: CrashSuspectsOptions;
+export class CrashDetector {
+	readonly #options: CrashDetectorOptions;
 	readonly #suspects = new Map<string, Suspect>();
 	#losses: Loss[] = [];
 
-	constructor(options: CrashSuspectsOptions) {
+	constructor(options: CrashDetectorOptions) {
 		this.#options = options;
 	}
 
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -15,17 +15,17 @@
 import {Log} from '../log.ts';
 import {SeededRandom} from '../random.ts';
 import {PeerLink} from '../peers/peer-link.ts';
-import {createDirectorTimes, StageDirector, type StageGroup} from '../stages/stage-director.ts';
+import {createControllerTimes, StageController, type StageGroup} from '../stages/stage-controller.ts';
 import {ConfigurationHolder, type ConfigurationDecoder} from './configuration-holder.ts';
-import {CrashSuspects} from './crash-suspects.ts';
+import {CrashDetector} from './crash-detector.ts';
 import type {DecisionLog} from './decision-log.ts';
-import {FleetDesk} from './fleet-desk.ts';
+import {FleetScheduler} from './fleet-scheduler.ts';
 import {FleetMetrics} from './fleet-metrics.ts';
-import {RetryAllowance, type RetryBounds} from './retry-allowance.ts';
+import {SharedRetryBudget, type RetryBounds} from './shared-retry-budget.ts';
 import {RouteFront} from './route-front.ts';
 import {createShutdownTimes, Shutdown} from './shutdown.ts';
 import {TableWatch, type WatchTimes} from './table-watch.ts';
-import {UpstreamRoster, type RosterEvent} from './upstream-roster.ts';
+import {UpstreamRegistry, type RegistryEvent} from './upstream-registry.ts';
 
 /** Access to the operator's platform. */
 export type Platform = {
@@ -48,7 +48,7 @@
 };
 
 /** Upstreams write their entries all the time; the pause gathers them, and leaving takes effect within two seconds. */
-const rosterTimes: WatchTimes = {waitMs: 300, pauseMs: 800};
+const listTimes: WatchTimes = {waitMs: 300, pauseMs: 800};
 /** Configurations change seldom; the wait bounds how long a silent connection goes unnoticed. */
 const configurationTimes: WatchTimes = {waitMs: 1500, pauseMs: 0};
 const housekeepingMs = 250;
@@ -63,17 +63,17 @@
 	readonly #options: FleetDaemonOptions;
 	readonly #clock = new SystemClock();
 	readonly #random: SeededRandom;
-	readonly #roster = new UpstreamRoster();
+	readonly #registry = new UpstreamRegistry();
 	readonly #configuration: ConfigurationHolder;
 	readonly #links: UpstreamLinks;
-	readonly #allowance: RetryAllowance;
-	readonly #desk: FleetDesk;
+	readonly #retryBudget: SharedRetryBudget;
+	readonly #scheduler: FleetScheduler;
 	readonly #front: RouteFront;
 	readonly #shutdown: Shutdown;
 	readonly #peers: PeerLink;
-	readonly #crashes: CrashSuspects;
+	readonly #crashes: CrashDetector;
 	readonly #lease: LeaseTask;
-	readonly #director: StageDirector;
+	readonly #controller: StageController;
 	readonly #metrics = new FleetMetrics();
 	readonly #watches: readonly TableWatch[];
 	readonly #callerServer: Server;
@@ -89,7 +89,7 @@
 		this.#configuration = new ConfigurationHolder(platform.configurationKey, platform.decodeConfiguration, log);
 		this.#links = new UpstreamLinks(this.#clock);
 		const clock = this.#clock;
-		this.#crashes = new CrashSuspects({
+		this.#crashes = new CrashDetector({
 			now: () => clock.now(),
 			log,
 			tell: crash => {
@@ -102,23 +102,23 @@
 			table: platform.table,
 			daemon: settings.daemon.name,
 			address: `${settings.daemon.host}:${settings.listen.peerPort}`,
-			loads: () => this.#desk.loads(),
-			queued: () => this.#desk.queued(),
+			loads: () => this.#scheduler.loads(),
+			queued: () => this.#scheduler.queued(),
 			onLoads: () => {
-				this.#desk.pump();
+				this.#scheduler.pump();
 			},
 			onReadings: readings => {
-				this.#desk.acceptReadings(readings);
+				this.#scheduler.acceptReadings(readings);
 			},
 			onCrashes: crashes => {
 				this.#crashes.accept(crashes);
 			},
 		});
-		this.#desk = new FleetDesk({
+		this.#scheduler = new FleetScheduler({
 			clock,
 			random: this.#random,
 			log,
-			roster: this.#roster,
+			registry: this.#registry,
 			peers: {
 				board: this.#peers.board,
 				changed: upstream => {
@@ -134,13 +134,13 @@
 				this.#crashes.upstreamDown(upstream);
 			},
 		});
-		this.#allowance = new RetryAllowance(toRetryBounds(settings.bounds));
+		this.#retryBudget = new SharedRetryBudget(toRetryBounds(settings.bounds));
 		const tools = {
 			clock,
 			links: this.#links,
 			protocol: platform.upstreamProtocol,
-			desk: this.#desk,
-			allowance: this.#allowance,
+			scheduler: this.#scheduler,
+			retryBudget: this.#retryBudget,
 			crashes: this.#crashes,
 			log,
 		};
@@ -160,7 +160,7 @@
 		this.#lease = new LeaseTask({
 			log: createTaskLog(log), table: platform.table, clock: leaseClock, daemon: settings.daemon.name, group: 'stages',
 		});
-		this.#director = new StageDirector({
+		this.#controller = new StageController({
 			clock: leaseClock,
 			log,
 			links: this.#links,
@@ -173,7 +173,7 @@
 			},
 			daemon: settings.daemon.name,
 			groups: () => this.#stageGroups(),
-			times: createDirectorTimes(settings.bounds.leaseMs),
+			times: createControllerTimes(settings.bounds.leaseMs),
 		});
 		this.#watches = [this.#watchConfiguration(), this.#watchUpstreams()];
 		this.#callerServer = createCallerServer({headerBytes: headerLimitBytes}, (request, response) => {
@@ -189,7 +189,7 @@
 		});
 		this.#metrics.watch({
 			openRequests: () => this.#front.openRequests,
-			upstreams: () => this.#roster.size,
+			upstreams: () => this.#registry.size,
 			connectionsOpened: () => this.#links.opened,
 			configurationVersion: () => this.#configuration.table?.version ?? 0,
 			logLinesLeftOut: () => log.leftOut,
@@ -214,9 +214,9 @@
 		await listen(this.#metricsServer, {host: daemon.host, port: addresses.metricsPort});
 		this.#housekeeping = setInterval(() => {
 			this.#links.sweep();
-			this.#apply(this.#roster.expire(this.#clock.now()));
+			this.#apply(this.#registry.expire(this.#clock.now()));
 			if (this.isReady) {
-				this.#director.tick();
+				this.#controller.tick();
 			}
 		}, housekeepingMs);
 		await this.#peers.start();
@@ -226,7 +226,7 @@
 	/** Takes changed settings: retry bounds at once, all others at the next start. */
 	reload(settings: FleetSettings): void {
 		const {bounds} = settings;
-		this.#allowance.rebound(toRetryBounds(bounds));
+		this.#retryBudget.rebound(toRetryBounds(bounds));
 		const {bounds: present, ...others} = this.#options.settings;
 		const isRestartNeeded = JSON.stringify({...settings, bounds: undefined}) !== JSON.stringify({...others, bounds: undefined})
 			|| bounds.graceMs !== present.graceMs || bounds.leaseMs !== present.leaseMs;
@@ -264,7 +264,7 @@
 		const services = [...this.#configuration.table?.services.values() ?? []];
 		return services.flatMap(({name, engine}) => engine === undefined
 			? []
-			: [{service: name, upstreams: this.#roster.serving(name), demand: {runs: this.#desk.countRuns(name), slots: engine.slots}}]);
+			: [{service: name, upstreams: this.#registry.serving(name), demand: {runs: this.#scheduler.countRuns(name), slots: engine.slots}}]);
 	}
 
 	#watchConfiguration(): TableWatch {
@@ -302,26 +302,26 @@
 			Right: (upstream): readonly Upstream[] => [upstream],
 		});
 		return new TableWatch({
-			feed: platform.feed, table: platform.tables.upstreams, times: rosterTimes, log, random: this.#random, listener: {
+			feed: platform.feed, table: platform.tables.upstreams, times: listTimes, log, random: this.#random, listener: {
 				onTable: rows => {
 					this.#isListed = true;
-					this.#apply(this.#roster.replace(rows.filter(({isRemoved}) => !isRemoved).flatMap(row => decode(row)), this.#clock.now()));
+					this.#apply(this.#registry.replace(rows.filter(({isRemoved}) => !isRemoved).flatMap(row => decode(row)), this.#clock.now()));
 				},
 				onChanges: rows => {
 					const now = this.#clock.now();
-					this.#apply(rows.flatMap(row => row.isRemoved ? this.#roster.remove(row.key, now) : decode(row).flatMap(upstream => this.#roster.set(upstream))));
+					this.#apply(rows.flatMap(row => row.isRemoved ? this.#registry.remove(row.key, now) : decode(row).flatMap(upstream => this.#registry.set(upstream))));
 				},
 				onLost: () => {
-					this.#roster.storeLost();
+					this.#registry.storeLost();
 				},
 				onReturned: () => {
-					this.#roster.storeReturned(this.#clock.now());
+					this.#registry.storeReturned(this.#clock.now());
 				},
 			},
 		});
 	}
 
-	#apply(events: readonly RosterEvent[]): void {
+	#apply(events: readonly RegistryEvent[]): void {
 		for (const {kind, upstream} of events) {
 			this.#options.log.write(`upstream.${kind}`, {
 				upstream: upstream.id, service: upstream.service, address: upstream.address, availabilityZone: upstream.availabilityZone, stage: upstream.stage, heartbeat: upstream.heartbeat,
@@ -332,9 +332,9 @@
 
 			if (kind === 'gone') {
 				this.#links.forget(upstream.id);
-				this.#desk.forget(upstream.id);
+				this.#scheduler.forget(upstream.id);
 			} else {
-				this.#desk.update(upstream);
+				this.#scheduler.update(upstream);
 			}
 		}
 	}
--- a/src/process/fleet/fleet-desk.ts
+++ b/src/process/fleet/fleet-scheduler.ts
@@ -1,7 +1,7 @@
 import type {Upstream} from '../../ports/upstream.ts';
 import {
-	UpstreamDesk, type Demand, type Placement, type PlacementResult,
-} from '../../request/delivery/upstream-desk.ts';
+	UpstreamScheduler, type Demand, type Placement, type PlacementResult,
+} from '../../request/delivery/upstream-scheduler.ts';
 import type {Service} from '../../version/routes/route-configuration.ts';
 import type {Clock} from '../clock.ts';
 import type {PeerBoard} from '../peers/peer-board.ts';
@@ -10,26 +10,26 @@
 import type {DecisionLog} from './decision-log.ts';
 import {chooseRun} from './placement-score.ts';
 import {Placements} from './placements.ts';
-import {PromptDesk} from './prompt-desk.ts';
-import type {UpstreamRoster} from './upstream-roster.ts';
+import {PrefillScheduler} from './prefill-scheduler.ts';
+import type {UpstreamRegistry} from './upstream-registry.ts';
 import type {UpstreamState} from './upstream-state.ts';
 import {UpstreamStates} from './upstream-states.ts';
 
-/** The other daemons, as the desk hears from them and tells them. */
-export type DeskPeers = {
+/** The other daemons, as the scheduler hears from them and tells them. */
+export type SchedulerPeers = {
 	readonly board: PeerBoard;
 	/** Notes that this daemon's load on an upstream has changed. */
 	readonly changed: (upstream: string) => void;
 	readonly tellReading: (reading: PeerReading) => void;
 };
 
-/** What the desk needs. */
-export type FleetDeskOptions = {
+/** What the scheduler needs. */
+export type FleetSchedulerOptions = {
 	readonly clock: Clock;
 	readonly random: Random;
 	readonly log: DecisionLog;
-	readonly roster: UpstreamRoster;
-	readonly peers: DeskPeers;
+	readonly registry: UpstreamRegistry;
+	readonly peers: SchedulerPeers;
 	readonly availabilityZone: string;
 	/** Services in force, by name. */
 	readonly services: () => ReadonlyMap<string, Service>;
@@ -38,13 +38,13 @@
 };
 
 /** Chooses upstreams by this daemon's own sends, the load that upstreams state, what the other daemons tell, and the prompt parts that engines keep. */
-export class FleetDesk extends UpstreamDesk {
-	readonly #options: FleetDeskOptions;
+export class FleetScheduler extends UpstreamScheduler {
+	readonly #options: FleetSchedulerOptions;
 	readonly #states: UpstreamStates;
 	readonly #placements: Placements;
-	readonly #prompts: PromptDesk;
+	readonly #prompts: PrefillScheduler;
 
-	constructor(options: FleetDeskOptions) {
+	constructor(options: FleetSchedulerOptions) {
 		super();
 		this.#options = options;
 		const {peers, onDown} = options;
@@ -57,7 +57,7 @@
 				this.pump();
 			},
 		});
-		this.#prompts = new PromptDesk({
+		this.#prompts = new PrefillScheduler({
 			...options, states: this.#states, placements: this.#placements, board: peers.board, tellReading: peers.tellReading,
 		});
 	}
--- a/src/process/fleet/placements.ts
+++ b/src/process/fleet/placements.ts
@@ -1,7 +1,7 @@
 import type {StatedLoad} from '../../ports/upstream-protocol.ts';
 import type {
 	Demand, Placement, PlacementRefusal, SendEnd,
-} from '../../request/delivery/upstream-desk.ts';
+} from '../../request/delivery/upstream-scheduler.ts';
 import type {Clock} from '../clock.ts';
 import type {Random} from '../random.ts';
 import type {DecisionLog} from './decision-log.ts';
--- a/src/process/fleet/prompt-desk.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -1,5 +1,5 @@
 import type {Upstream} from '../../ports/upstream.ts';
-import type {Demand, PlacementResult} from '../../request/delivery/upstream-desk.ts';
+import type {Demand, PlacementResult} from '../../request/delivery/upstream-scheduler.ts';
 import type {PromptPart} from '../../request/delivery/route-request.ts';
 import type {EngineProfile, Service} from '../../version/routes/route-configuration.ts';
 import type {Clock} from '../clock.ts';
@@ -17,8 +17,8 @@
 import type {UpstreamState} from './upstream-state.ts';
 import type {UpstreamStates} from './upstream-states.ts';
 
-/** What the prompt desk needs. */
-export type PromptDeskOptions = {
+/** What the prompt scheduler needs. */
+export type PrefillSchedulerOptions = {
 	readonly clock: Clock;
 	readonly log: DecisionLog;
 	readonly states: UpstreamStates;
@@ -71,13 +71,13 @@
 const begunTokens = 4096;
 
 /** Chooses the engines that read prompts, and lets prompts wait here while no engine would begin with them soon. */
-export class PromptDesk {
-	readonly #options: PromptDeskOptions;
+export class PrefillScheduler {
+	readonly #options: PrefillSchedulerOptions;
 	readonly #waiting = new Set<Waiting>();
 	readonly #rankPace = new RankPace();
 	#isPumpScheduled = false;
 
-	constructor(options: PromptDeskOptions) {
+	constructor(options: PrefillSchedulerOptions) {
 		this.#options = options;
 	}
 
--- a/src/process/fleet/route-front.ts
+++ b/src/process/fleet/route-front.ts
@@ -155,11 +155,11 @@
 		const endAt = arrivedAt + Math.min(request.waitMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
 		using _caller = watchCaller(message, response, controller);
 		using _deadline = watchDeadline(Math.max(0, endAt - tools.clock.now()), controller);
-		tools.allowance.earn(service, tools.clock.now());
+		tools.retryBudget.earn(service, tools.clock.now());
 		const job: DeliveryJob = {
 			request, route, service, arrivedAt, endAt, answer: this.#createAnswer(message, response, request.id), signal: controller.signal,
 		};
-		const delivery = route.kind === 'stream' && tools.desk.isModelService(service) ? new StreamDelivery(tools, job) : new PlainDelivery(tools, job);
+		const delivery = route.kind === 'stream' && tools.scheduler.isModelService(service) ? new StreamDelivery(tools, job) : new PlainDelivery(tools, job);
 		const end = await delivery.run();
 		this.#report(request, route, end, arrivedAt);
 		metrics.requestEnded(route, end, tools.clock.now() - arrivedAt);
--- a/src/process/fleet/retry-allowance.ts
+++ b/src/process/fleet/shared-retry-budget.ts
@@ -25,7 +25,7 @@
 Each daemon uses the ratio of its own requests, which adds up to the ratio of all requests however they are spread, and a fixed
 part of the slack. No messages are needed, and daemons that join or take over all the load stay within it.
 */
-export class RetryAllowance {
+export class SharedRetryBudget {
 	#bounds: RetryBounds;
 	readonly #services = new Map<string, Bucket[]>();
 
--- a/src/process/fleet/upstream-roster.ts
+++ b/src/process/fleet/upstream-registry.ts
@@ -5,8 +5,8 @@
 
 const rememberedGone = 1000;
 
-/** What a change of the roster means for work in flight. */
-export type RosterEvent = {
+/** What a change of the registry means for work in flight. */
+export type RegistryEvent = {
 	readonly kind: 'appeared' | 'changed' | 'restarted' | 'leaving' | 'gone' | 'lapsed';
 	readonly upstream: Upstream;
 };
@@ -18,7 +18,7 @@
 };
 
 /** Upstreams as the platform lists them; one that was seen leaving takes no new work under that start again. */
-export class UpstreamRoster {
+export class UpstreamRegistry {
 	readonly #entries = new Map<string, Entry>();
 	readonly #services = new Map<string, readonly Upstream[]>();
 	/** Last entry of each upstream that is gone, so that a late entry does not bring it back. */
@@ -63,7 +63,7 @@
 	}
 
 	/** Takes the whole list; entries that are missing from it are removed. */
-	replace(upstreams: readonly Upstream[], now: number): readonly RosterEvent[] {
+	replace(upstreams: readonly Upstream[], now: number): readonly RegistryEvent[] {
 		const listed = new Set(upstreams.map(({id}) => id));
 		const missing = [...this.#entries.keys()].filter(id => !listed.has(id));
 		return [
@@ -73,7 +73,7 @@
 	}
 
 	/** Takes one entry; entries may arrive out of order, and leaving is final for one start. */
-	set(entry: Upstream): readonly RosterEvent[] {
+	set(entry: Upstream): readonly RegistryEvent[] {
 		const {id} = entry;
 		const last = this.#entries.get(id)?.upstream;
 		const earlier = last ?? this.#gone.get(id);
@@ -103,7 +103,7 @@
 	}
 
 	/** Takes the removal of an entry; right after an outage of the store it may only have lapsed. */
-	remove(id: string, now: number): readonly RosterEvent[] {
+	remove(id: string, now: number): readonly RegistryEvent[] {
 		const entry = this.#entries.get(id);
 		if (entry === undefined) {
 			return [];
@@ -119,11 +119,11 @@
 	}
 
 	/** Removes entries that have not come back in time. */
-	expire(now: number): readonly RosterEvent[] {
+	expire(now: number): readonly RegistryEvent[] {
 		return [...this.#entries.values()].flatMap(({upstream, lapsesAt}) => lapsesAt !== undefined && now >= lapsesAt ? this.#drop(upstream) : []);
 	}
 
-	#drop(upstream: Upstream): readonly RosterEvent[] {
+	#drop(upstream: Upstream): readonly RegistryEvent[] {
 		this.#entries.delete(upstream.id);
 		this.#services.clear();
 		this.#gone.set(upstream.id, upstream);
--- a/src/process/fleet/upstream-state.ts
+++ b/src/process/fleet/upstream-state.ts
@@ -1,6 +1,6 @@
 import type {Upstream} from '../../ports/upstream.ts';
 import type {StatedLoad} from '../../ports/upstream-protocol.ts';
-import type {SendEnd} from '../../request/delivery/upstream-desk.ts';
+import type {SendEnd} from '../../request/delivery/upstream-scheduler.ts';
 import {adjustPace} from './pace.ts';
 import {PromptCache} from './prompt-cache.ts';
 
--- a/src/process/fleet/upstream-states.ts
+++ b/src/process/fleet/upstream-states.ts
@@ -3,13 +3,13 @@
 import type {Clock} from '../clock.ts';
 import type {PeerBoard} from '../peers/peer-board.ts';
 import type {PeerLoad, PeerReading} from '../peers/peer-message.ts';
-import type {UpstreamRoster} from './upstream-roster.ts';
+import type {UpstreamRegistry} from './upstream-registry.ts';
 import {UpstreamState} from './upstream-state.ts';
 
 /** What the states of upstreams need. */
 export type UpstreamStatesOptions = {
 	readonly clock: Clock;
-	readonly roster: UpstreamRoster;
+	readonly registry: UpstreamRegistry;
 	/** What the other daemons tell. */
 	readonly board: PeerBoard;
 	/** Services in force, by name. */
@@ -45,7 +45,7 @@
 
 	/** Upstreams of a service, without those whose address is refused or belongs to another one. */
 	present(service: string): readonly UpstreamState[] {
-		return this.#options.roster.serving(service).map(upstream => this.#state(upstream)).filter(state => !state.isAbsent);
+		return this.#options.registry.serving(service).map(upstream => this.#state(upstream)).filter(state => !state.isAbsent);
 	}
 
 	/** Upstreams of a service in a stage that were not tried, without those to avoid unless there is no other one in that stage. */
@@ -70,7 +70,7 @@
 	/** Takes the prompts that upstreams read for the other daemons. */
 	acceptReadings(readings: readonly PeerReading[]): void {
 		for (const {upstream: id, parts} of readings) {
-			const upstream = this.#options.roster.get(id);
+			const upstream = this.#options.registry.get(id);
 			if (upstream !== undefined) {
 				this.#state(upstream).cache.touch(parts);
 			}
--- a/src/process/stages/stage-director.ts
+++ b/src/process/stages/stage-controller.ts
@@ -20,8 +20,8 @@
 	readonly demand: StageDemand;
 };
 
-/** Durations of the direction of stages, in milliseconds. */
-export type DirectorTimes = {
+/** Durations of the control of stages, in milliseconds. */
+export type ControllerTimes = {
 	/** A plan must hold for so long before orders follow from it. */
 	readonly settleMs: number;
 	/** A new holder of the lease waits for so long, so that no two holders give orders in close turns. */
@@ -34,8 +34,8 @@
 	readonly doubtMs: number;
 };
 
-/** What the director needs. */
-export type StageDirectorOptions = {
+/** What the controller needs. */
+export type StageControllerOptions = {
 	readonly clock: Clock;
 	readonly log: DecisionLog;
 	readonly links: UpstreamLinks;
@@ -44,11 +44,11 @@
 	/** Name of this daemon, as holder of the lease. */
 	readonly daemon: string;
 	readonly groups: () => readonly StageGroup[];
-	readonly times: DirectorTimes;
+	readonly times: ControllerTimes;
 };
 
 /** Gaps between the lease's last possible order and the next holder's first one are at least the turn. */
-export function createDirectorTimes(leaseMs: number): DirectorTimes {
+export function createControllerTimes(leaseMs: number): ControllerTimes {
 	return {
 		settleMs: 1500, turnMs: leaseMs + 500, callMs: 600, orderMs: 6000, doubtMs: 15_000,
 	};
@@ -65,14 +65,14 @@
 const arrivalMarginMs = 1000;
 
 /** Gives orders so that the engines' stages follow the plan, only while it holds the lease. */
-export class StageDirector {
-	readonly #options: StageDirectorOptions;
+export class StageController {
+	readonly #options: StageControllerOptions;
 	readonly #pending = new Map<string, Pending>();
 	#plan = '';
 	#planSince = 0;
 	#isCandidate = false;
 
-	constructor(options: StageDirectorOptions) {
+	constructor(options: StageControllerOptions) {
 		this.#options = options;
 	}
 
--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -5,22 +5,22 @@
 import type {UpstreamAnswer, UpstreamProtocol} from '../../ports/upstream-protocol.ts';
 import type {Clock} from '../../process/clock.ts';
 import type {DecisionLog} from '../../process/fleet/decision-log.ts';
-import type {RetryAllowance} from '../../process/fleet/retry-allowance.ts';
-import type {CrashSuspects} from '../../process/fleet/crash-suspects.ts';
+import type {SharedRetryBudget} from '../../process/fleet/shared-retry-budget.ts';
+import type {CrashDetector} from '../../process/fleet/crash-detector.ts';
 import type {Route} from '../../version/routes/route-configuration.ts';
 import type {RouteRequest} from './route-request.ts';
 import type {
-	Demand, PlacementRefusal, SendEnd, UpstreamDesk,
-} from './upstream-desk.ts';
+	Demand, PlacementRefusal, SendEnd, UpstreamScheduler,
+} from './upstream-scheduler.ts';
 
 /** What deliveries need from the rest of the daemon. */
 export type DeliveryTools = {
 	readonly clock: Clock;
 	readonly links: UpstreamLinks;
 	readonly protocol: UpstreamProtocol;
-	readonly desk: UpstreamDesk;
-	readonly allowance: RetryAllowance;
-	readonly crashes: CrashSuspects;
+	readonly scheduler: UpstreamScheduler;
+	readonly retryBudget: SharedRetryBudget;
+	readonly crashes: CrashDetector;
 	readonly log: DecisionLog;
 };
 
@@ -63,7 +63,7 @@
 	/** Sends that may have run. */
 	protected runs = 0;
 	protected sends = 0;
-	/** Sends that count against the shared allowance once the first one is made. */
+	/** Sends that count against the shared retry budget once the first one is made. */
 	protected arrivals = 0;
 	protected firstAnswerMs: number | undefined;
 	/** Set when the next arrival has been counted already. */
@@ -97,7 +97,7 @@
 	and a caller whose request is given up for nothing has lost it.
 	*/
 	protected mayGiveUpSilent(): boolean {
-		const mayResend = this.tools.desk.hasOther(this.demand) && this.takeArrival();
+		const mayResend = this.tools.scheduler.hasOther(this.demand) && this.takeArrival();
 		this.#isArrivalTaken ||= mayResend;
 		return mayResend;
 	}
@@ -109,7 +109,7 @@
 			return true;
 		}
 
-		if (this.arrivals > 0 && !this.tools.allowance.take(this.job.service, this.tools.clock.now())) {
+		if (this.arrivals > 0 && !this.tools.retryBudget.take(this.job.service, this.tools.clock.now())) {
 			this.log('retry.denied', {service: this.job.service, arrivals: this.arrivals});
 			return false;
 		}
@@ -173,7 +173,7 @@
 	}
 }
 
-/** Classifies the failure of an exchange for the desk. */
+/** Classifies the failure of an exchange for the scheduler. */
 export function toSendEnd({kind, wasSent}: ExchangeFailure, elapsedMs: number): SendEnd {
 	if (kind === 'cancelled') {
 		return {kind: 'cancelled', elapsedMs};
--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -1,6 +1,6 @@
 import {callUpstream, type CallResult} from '../../connection/links/upstream-call.ts';
 import {Delivery, toSendEnd, type DeliveryEnd} from './delivery.ts';
-import {isPlaced, type Placement, type SendEnd} from './upstream-desk.ts';
+import {isPlaced, type Placement, type SendEnd} from './upstream-scheduler.ts';
 
 /** Sends that found no upstream running; each goes to another upstream. */
 const unsentLimit = 4;
@@ -18,7 +18,7 @@
 		let otherwise: (() => DeliveryEnd) | undefined;
 		let hasAnswer = false;
 		for (let unsent = 0; unsent < unsentLimit;) {
-			const placement = await this.tools.desk.placePlain(this.demand);
+			const placement = await this.tools.scheduler.placePlain(this.demand);
 			if (!isPlaced(placement)) {
 				return otherwise?.() ?? this.refusePlacement(placement);
 			}
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -7,7 +7,7 @@
 import {StreamRun, type StreamRunEnd} from './stream-run.ts';
 import {
 	isPlaced, type Placement, type PlacementRefusal, type SendEnd,
-} from './upstream-desk.ts';
+} from './upstream-scheduler.ts';
 
 /** Sends that read a prompt; each further one counts as a retry. */
 const prefillLimit = 3;
@@ -49,7 +49,7 @@
 	async #prefill(): Promise<Prefill> {
 		const tried = new Set<string>();
 		for (let attempt = 0; attempt < prefillLimit; attempt += 1) {
-			const placement = await this.tools.desk.placePrefill({...this.demand, tried});
+			const placement = await this.tools.scheduler.placePrefill({...this.demand, tried});
 			if (!isPlaced(placement)) {
 				return placement.reason === 'overloaded' ? {kind: 'refused', refusal: placement} : {kind: 'unread'};
 			}
@@ -116,7 +116,7 @@
 		let prompt = readPrompt;
 		let end: DeliveryEnd | undefined;
 		for (let attempt = 0; attempt < decodeLimit && end === undefined; attempt += 1) {
-			const placement = this.tools.desk.placeDecode(this.demand, prompt?.source);
+			const placement = this.tools.scheduler.placeDecode(this.demand, prompt?.source);
 			if (!isPlaced(placement)) {
 				end = this.#stop(() => this.refusePlacement(placement));
 				break;
--- a/src/request/delivery/stream-run.ts
+++ b/src/request/delivery/stream-run.ts
@@ -3,7 +3,7 @@
 import type {UpstreamAnswer, WireRequest} from '../../ports/upstream-protocol.ts';
 import type {DeliveryJob, DeliveryTools} from './delivery.ts';
 import {EventSplitter} from './event-splitter.ts';
-import type {Placement, SendEnd} from './upstream-desk.ts';
+import type {Placement, SendEnd} from './upstream-scheduler.ts';
 
 /** One send of a streamed request to one upstream. */
 export type StreamRunOptions = {
--- a/src/request/delivery/upstream-desk.ts
+++ b/src/request/delivery/upstream-scheduler.ts
@@ -3,7 +3,7 @@
 import type {Route} from '../../version/routes/route-configuration.ts';
 import type {RouteRequest} from './route-request.ts';
 
-/** How a send to an upstream ended, as the desk learns from it. */
+/** How a send to an upstream ended, as the scheduler learns from it. */
 export type SendEnd = {
 	/** `rejected`: the upstream did not run the request; `misdirected`: another upstream has the address; `cancelled`: ended by the daemon or the caller. */
 	readonly kind: 'served' | 'failed' | 'rejected' | 'misdirected' | 'refused' | 'unreachable' | 'lost' | 'silent' | 'cancelled';
@@ -51,7 +51,7 @@
 export type PlacementResult = Placement | PlacementRefusal;
 
 /** Chooses upstreams, and makes requests wait or refuses them when there is no room. */
-export abstract class UpstreamDesk {
+export abstract class UpstreamScheduler {
 	/** True when the service consists of model engines. */
 	abstract isModelService(service: string): boolean;
 
--- a/test/process/fleet/crash-suspects.test.ts
+++ b/test/process/fleet/crash-detector.test.ts
@@ -1,6 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {describe, expect, test} from 'vitest';
-import {CrashSuspects} from '../../../src/process/fleet/crash-suspects.ts';
+import {CrashDetector} from '../../../src/process/fleet/crash-detector.ts';
 import {DecisionLog} from '../../../src/process/fleet/decision-log.ts';
 import type {PeerCrash} from '../../../src/process/peers/peer-message.ts';
 import {createRequest} from '../../fixtures/fleet/configuration.ts';
@@ -9,8 +9,8 @@
 	done(undefined);
 });
 
-function createDaemons(count: number, clock: {now: number}): readonly CrashSuspects[] {
-	const daemons: CrashSuspects[] = [];
+function createDaemons(count: number, clock: {now: number}): readonly CrashDetector[] {
+	const daemons: CrashDetector[] = [];
 	for (let index = 0; index < count; index += 1) {
 		const tell = (crash: PeerCrash) => {
 			for (const other of daemons.filter((_, position) => position !== index)) {
@@ -18,7 +18,7 @@
 			}
 		};
 
-		daemons.push(new CrashSuspects({now: () => clock.now, log: quiet, tell}));
+		daemons.push(new CrashDetector({now: () => clock.now, log: quiet, tell}));
 	}
 
 	return daemons;
--- a/test/process/fleet/retry-allowance.test.ts
+++ b/test/process/fleet/shared-retry-budget.test.ts
@@ -1,11 +1,11 @@
 import {describe, expect, test} from 'vitest';
-import {RetryAllowance} from '../../../src/process/fleet/retry-allowance.ts';
+import {SharedRetryBudget} from '../../../src/process/fleet/shared-retry-budget.ts';
 
 const bounds = {ratio: 0.2, slack: 56, windowMs: 10_000};
 
 /** Plays a load on several daemons that all retry as often as they may, and returns the retries of the worst window. */
 function playWorstWindow(requestsPerSecond: readonly number[], seconds: number): {readonly retries: number; readonly allowed: number} {
-	const daemons = requestsPerSecond.map(() => new RetryAllowance(bounds));
+	const daemons = requestsPerSecond.map(() => new SharedRetryBudget(bounds));
 	const retriesAt: number[] = [];
 	const stepMs = 50;
 	for (let now = 0; now < seconds * 1000; now += stepMs) {
@@ -36,13 +36,13 @@
 	});
 
 	test('lets a daemon with little work retry now and then', () => {
-		const allowance = new RetryAllowance(bounds);
+		const allowance = new SharedRetryBudget(bounds);
 		allowance.earn('desk', 0);
 		expect(allowance.take('desk', 0)).toBe(true);
 	});
 
 	test('keeps services apart', () => {
-		const allowance = new RetryAllowance(bounds);
+		const allowance = new SharedRetryBudget(bounds);
 		for (let count = 0; count < 1000; count += 1) {
 			allowance.earn('model', 0);
 		}
--- /dev/null
+++ b/test/process/fleet/upstream-registry.test.ts
@@ -0,0 +1,81 @@
+import {describe, expect, test} from 'vitest';
+import {returnMs, UpstreamRegistry} from '../../../src/process/fleet/upstream-registry.ts';
+import {createUpstream} from '../../fixtures/fleet/configuration.ts';
+
+function listServing(registry: UpstreamRegistry): readonly string[] {
+	return registry.serving('model').map(({id}) => id);
+}
+
+describe('upstream roster', () => {
+	test('takes a leaving upstream out at once', () => {
+		const registry = new UpstreamRegistry();
+		registry.set(createUpstream());
+		const events = registry.set(createUpstream({isDraining: true, heartbeat: 2}));
+		expect(events.map(({kind}) => kind)).toEqual(['leaving']);
+		expect(listServing(registry)).toEqual([]);
+	});
+
+	test('does not bring a leaving upstream back by a late entry', () => {
+		const registry = new UpstreamRegistry();
+		registry.set(createUpstream({heartbeat: 5}));
+		registry.set(createUpstream({heartbeat: 6, isDraining: true}));
+		registry.set(createUpstream({heartbeat: 4}));
+		registry.set(createUpstream({heartbeat: 7}));
+		expect(listServing(registry)).toEqual([]);
+	});
+
+	test('does not bring an upstream that is gone back by a late entry', () => {
+		const registry = new UpstreamRegistry();
+		registry.set(createUpstream({heartbeat: 5}));
+		registry.remove('u-1', 10_000);
+		registry.set(createUpstream({heartbeat: 5}));
+		expect(listServing(registry)).toEqual([]);
+	});
+
+	test('takes a restart under the same id as new', () => {
+		const registry = new UpstreamRegistry();
+		registry.set(createUpstream({heartbeat: 9, isDraining: true}));
+		registry.remove('u-1', 10_000);
+		registry.set(createUpstream({heartbeat: 1, startedAt: 2000}));
+		expect(listServing(registry)).toEqual(['u-1']);
+	});
+
+	test('removes an upstream whose entry is removed while the store is well', () => {
+		const registry = new UpstreamRegistry();
+		registry.set(createUpstream());
+		expect(registry.remove('u-1', 10_000).map(({kind}) => kind)).toEqual(['gone']);
+		expect(listServing(registry)).toEqual([]);
+	});
+
+	test('keeps an upstream whose entry lapsed with the store until it had time to come back', () => {
+		const registry = new UpstreamRegistry();
+		registry.set(createUpstream());
+		registry.storeLost();
+		registry.storeReturned(10_000);
+		registry.replace([], 10_100);
+		expect(listServing(registry)).toEqual(['u-1']);
+		expect(registry.expire(10_000 + returnMs - 1)).toEqual([]);
+		expect(registry.expire(10_000 + returnMs).map(({kind}) => kind)).toEqual(['gone']);
+		expect(listServing(registry)).toEqual([]);
+	});
+
+	test('keeps an upstream that came back after the store did', () => {
+		const registry = new UpstreamRegistry();
+		registry.set(createUpstream());
+		registry.storeLost();
+		registry.storeReturned(10_000);
+		registry.remove('u-1', 10_100);
+		registry.set(createUpstream({heartbeat: 2}));
+		expect(registry.expire(20_000)).toEqual([]);
+		expect(listServing(registry)).toEqual(['u-1']);
+	});
+
+	test('does not keep a leaving upstream when its entry lapses with the store', () => {
+		const registry = new UpstreamRegistry();
+		registry.set(createUpstream({isDraining: true}));
+		registry.storeLost();
+		registry.storeReturned(10_000);
+		registry.remove('u-1', 10_100);
+		expect(listServing(registry)).toEqual([]);
+	});
+});
--- a/test/process/stages/stage-director.test.ts
+++ b/test/process/stages/stage-controller.test.ts
@@ -4,20 +4,20 @@
 import {ManualClock} from '../../../src/process/clock.ts';
 import {DecisionLog} from '../../../src/process/fleet/decision-log.ts';
 import type {HeldLease} from '../../../src/process/lease/lease-machine.ts';
-import {createDirectorTimes, StageDirector} from '../../../src/process/stages/stage-director.ts';
+import {createControllerTimes, StageController} from '../../../src/process/stages/stage-controller.ts';
 import {createUpstream} from '../../fixtures/fleet/configuration.ts';
 import {UpstreamServer} from '../../fixtures/fleet/upstream-server.ts';
 
-const times = createDirectorTimes(3000);
+const times = createControllerTimes(3000);
 
 /** A director in front of engines in one availability zone, with a lease that the test grants. */
-class DirectorFixture implements AsyncDisposable {
+class ControllerFixture implements AsyncDisposable {
 	readonly clock = new ManualClock(1000);
 	readonly engines: UpstreamServer[] = [];
 	readonly links = new UpstreamLinks(this.clock);
 	isCandidate = false;
 	lease: HeldLease | undefined;
-	director!: StageDirector;
+	controller!: StageController;
 
 	async start(count: number): Promise<void> {
 		for (let index = 0; index < count; index += 1) {
@@ -26,7 +26,7 @@
 			this.engines.push(engine);
 		}
 
-		this.director = new StageDirector({
+		this.controller = new StageController({
 			clock: this.clock,
 			log: new DecisionLog({}, (_bytes, done) => {
 				done(undefined);
@@ -64,7 +64,7 @@
 	async pass(ms: number): Promise<void> {
 		for (let passed = 0; passed < ms; passed += 250) {
 			this.clock.advance(250);
-			this.director.tick();
+			this.controller.tick();
 			await new Promise(resolve => {
 				setTimeout(resolve, 15);
 			});
@@ -79,7 +79,7 @@
 
 describe('stage director', () => {
 	test('stands for the lease only while the engines differ from the plan', async () => {
-		await using fixture = new DirectorFixture();
+		await using fixture = new ControllerFixture();
 		await fixture.start(3);
 		await fixture.pass(times.settleMs + 500);
 		expect(fixture.isCandidate).toBe(true);
@@ -93,7 +93,7 @@
 	});
 
 	test('states holder, fencing number and accepted orders', async () => {
-		await using fixture = new DirectorFixture();
+		await using fixture = new ControllerFixture();
 		await fixture.start(2);
 		fixture.engines[1]!.behaviour.acceptedOrders = 4;
 		fixture.grant(1);
@@ -106,7 +106,7 @@
 	});
 
 	test('gives no order in close turn with another holder', async () => {
-		await using fixture = new DirectorFixture();
+		await using fixture = new ControllerFixture();
 		await fixture.start(2);
 		await fixture.pass(times.settleMs);
 		fixture.grant(2);
@@ -117,7 +117,7 @@
 	});
 
 	test('gives no order in the last second of its lease', async () => {
-		await using fixture = new DirectorFixture();
+		await using fixture = new ControllerFixture();
 		await fixture.start(2);
 		await fixture.pass(times.settleMs);
 		fixture.grant(1);
@@ -127,13 +127,13 @@
 	});
 
 	test('writes no order once the lease has ended between the check and the write', async () => {
-		await using fixture = new DirectorFixture();
+		await using fixture = new ControllerFixture();
 		await fixture.start(2);
 		await fixture.pass(times.settleMs);
 		fixture.grant(1);
 		// The engine's report takes its time; the lease ends meanwhile, as for a process that was paused.
 		fixture.clock.advance(250);
-		fixture.director.tick();
+		fixture.controller.tick();
 		fixture.clock.advance(8000);
 		await new Promise(resolve => {
 			setTimeout(resolve, 100);
@@ -142,7 +142,7 @@
 	});
 
 	test('leaves an engine alone whose answer was lost, since the order may come late', async () => {
-		await using fixture = new DirectorFixture();
+		await using fixture = new ControllerFixture();
 		await fixture.start(2);
 		const [, engine] = fixture.engines;
 		engine!.behaviour.losesOrders = true;
