--- a/src/connection/links/caller-answer.ts
+++ b/src/connection/links/caller-answer.ts
@@ -8,7 +8,6 @@
 	readonly #protocol: CallerProtocol;
 	readonly #requestId: string;
 	readonly #beforeHead: () => void;
-	#sentBytes = 0;
 
 	/** `beforeHead` is called right before the head is sent. */
 	constructor(response: ServerResponse, protocol: CallerProtocol, requestId: string, beforeHead: () => void) {
@@ -23,11 +22,6 @@
 		return this.#response.headersSent;
 	}
 
-	/** Bytes of the body sent so far. */
-	get sentBytes(): number {
-		return this.#sentBytes;
-	}
-
 	/** Bytes that the caller has not taken yet. */
 	get pendingBytes(): number {
 		return this.#response.writableLength;
@@ -43,7 +37,6 @@
 
 	/** Sends a part of a streamed answer. */
 	write(chunk: Uint8Array): void {
-		this.#sentBytes += chunk.length;
 		this.#response.write(chunk);
 	}
 
@@ -54,7 +47,6 @@
 
 	/** Sends a whole answer. */
 	sendWhole(status: number, headers: readonly string[], body: Uint8Array): void {
-		this.#sentBytes += body.length;
 		this.#beforeHead();
 		this.#response.writeHead(status, [...withoutLength(headers), 'content-length', String(body.length)]);
 		this.#response.end(body);
--- a/src/request/headers.ts
+++ b/src/request/headers.ts
@@ -13,6 +13,11 @@
 	'upgrade',
 ]);
 
+/** True for headers that concern one connection and are not passed on; names are in lower case. */
+export function isHopByHopHeader(name: string): boolean {
+	return hopByHopHeaders.has(name);
+}
+
 /** Headers that the daemon sets itself, so that a caller's or an upstream's value never passes through. */
 const ownPrefix = 'wagtailtack-';
 const requestOnlyHeaders: ReadonlySet<string> = new Set(['authorization', 'content-length', 'host', 'x-priority', 'x-request-id']);
@@ -34,7 +39,7 @@
 		: new Set(String(connection).split(',').map(name => name.trim().toLowerCase()));
 	const selected: IncomingHttpHeaders = {};
 	for (const name of Object.keys(headers)) {
-		if (!hopByHopHeaders.has(name) && !dropped.has(name) && !name.startsWith(ownPrefix) && listed?.has(name) !== true) {
+		if (!isHopByHopHeader(name) && !dropped.has(name) && !name.startsWith(ownPrefix) && listed?.has(name) !== true) {
 			selected[name] = headers[name];
 		}
 	}
