--- a/src/process/peers/message-buffer.ts
+++ b/src/process/peers/message-buffer.ts
@@ -15,7 +15,7 @@
 	/** Adds a message. */
 	add(message: PeerMessage): void {
 		const earlier = this.#messages.get(message.daemon);
-		this.#messages.set(message.daemon, earlier?.entry.address === message.entry.address ? merge(earlier, message) : message);
+		this.#messages.set(message.daemon, earlier === undefined || isMoved(earlier, message) ? message : merge(earlier, message));
 	}
 
 	/** Returns the messages and empties the buffer. */
@@ -26,6 +26,11 @@
 	}
 }
 
+/** True when the daemon was started again at another address. */
+function isMoved(earlier: PeerMessage, later: PeerMessage): boolean {
+	return earlier.entry !== undefined && later.entry !== undefined && earlier.entry.address !== later.entry.address;
+}
+
 function merge(earlier: PeerMessage, later: PeerMessage): PeerMessage {
 	if (later.isWhole) {
 		return {...later, ...mergeHints(earlier, later)};
@@ -34,6 +39,7 @@
 	const loads = new Map<string, PeerLoad>([...earlier.loads, ...later.loads].map(load => [load.upstream, load]));
 	return {
 		...later,
+		entry: later.entry ?? earlier.entry,
 		isWhole: earlier.isWhole,
 		loads: [...loads.values()],
 		...mergeHints(earlier, later),
--- a/src/process/peers/peer-board.ts
+++ b/src/process/peers/peer-board.ts
@@ -19,9 +19,14 @@
 	readonly #peers = new Map<string, Peer>();
 	readonly #loads = new Map<string, Map<string, PeerLoad>>();
 
-	/** Takes a message; returns true when its daemon was not known. */
-	accept({daemon, entry: {address}, isWhole, loads, queued}: PeerMessage, now: number): boolean {
+	/** Takes a message; returns true when its daemon was not known. What comes before the daemon's entry is passed over. */
+	accept({daemon, entry, isWhole, loads, queued}: PeerMessage, now: number): boolean {
 		const known = this.#peers.get(daemon);
+		const address = entry?.address ?? known?.address;
+		if (address === undefined) {
+			return false;
+		}
+
 		const isSame = known?.address === address;
 		if (!isSame) {
 			this.forget(daemon);
--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -109,9 +109,6 @@
 			this.#sendOwn(this.#options.loads(), true);
 			this.#forgetSilent();
 		}, keepAliveMs);
-		this.#relay = setInterval(() => {
-			this.#passOn();
-		}, relayMs);
 		this.#directory.start();
 	}
 
@@ -137,7 +134,7 @@
 		this.#isClosed = true;
 		clearTimeout(this.#timer);
 		clearInterval(this.#keepAlive);
-		clearInterval(this.#relay);
+		clearTimeout(this.#relay);
 		await this.#directory[Symbol.asyncDispose]();
 		this.#socket.close();
 	}
@@ -156,7 +153,7 @@
 		const {self: {daemon, ...entry}, clock} = this.#options;
 		const now = clock.now();
 		const message: PeerMessage = {
-			daemon, entry, isWhole: isKeepAlive, loads, readings: this.#readings, queued: this.#options.queued(), crashes: this.#crashes,
+			daemon, entry: isKeepAlive ? entry : undefined, isWhole: isKeepAlive, loads, readings: this.#readings, queued: this.#options.queued(), crashes: this.#crashes,
 		};
 		this.#readings = [];
 		this.#crashes = [];
@@ -168,12 +165,24 @@
 		if (this.topology.isRelay(now)) {
 			this.#ownZone.add(message);
 			this.#otherZones.add(message);
+			this.#scheduleRelay();
 		}
 
 		const suspected = isKeepAlive ? this.topology.suspectedRelay(now) : undefined;
 		this.#send('own', [message], [...this.topology.ownTargets(now), ...suspected === undefined ? [] : [suspected]]);
 	}
 
+	/** A daemon that is no relay any more stops with the next time. */
+	#scheduleRelay(): void {
+		this.#relay ??= setTimeout(() => {
+			this.#relay = undefined;
+			this.#passOn();
+			if (!this.#isClosed && this.topology.isRelay(this.#options.clock.now())) {
+				this.#scheduleRelay();
+			}
+		}, relayMs);
+	}
+
 	/** Tells the daemons of the own availability zone and the relays of the others what came in since the last time. */
 	#passOn(): void {
 		const now = this.#options.clock.now();
@@ -232,16 +241,23 @@
 			this.topology.heardDirectly(sender, scope, now);
 		}
 
+		if (this.topology.passesOnInZone(scope)) {
+			this.#scheduleRelay();
+		}
+
 		this.#options.onLoads();
 	}
 
 	#take(message: PeerMessage, now: number): void {
 		const {daemon, entry} = message;
 		if (this.board.accept(message, now)) {
-			this.#options.log.write('peers.seen', {peer: daemon, address: entry.address});
+			this.#options.log.write('peers.seen', {peer: daemon, address: entry?.address});
+		}
+
+		if (entry !== undefined) {
+			this.topology.add({daemon, ...entry}, now);
 		}
 
-		this.topology.add({daemon, ...entry}, now);
 		this.topology.heard(daemon, now);
 		this.#options.onReadings(message.readings);
 		this.#options.onCrashes(message.crashes);
--- a/src/process/peers/peer-message.ts
+++ b/src/process/peers/peer-message.ts
@@ -43,13 +43,13 @@
 const messageCodec = Codec.interface({
 	/** Name of the daemon that tells. */
 	n: string,
-	e: entryCodec,
+	e: optional(entryCodec),
 	/** True when the loads are all that the daemon puts on upstreams. */
-	w: boolean,
-	l: array(loadCodec),
-	p: array(readingCodec),
+	w: optional(boolean),
+	l: optional(array(loadCodec)),
+	p: optional(array(readingCodec)),
 	/** Prompt tokens that wait at the daemon, by priority. */
-	q: array(tuple([number, number])),
+	q: optional(array(tuple([number, number]))),
 	c: optional(array(crashCodec)),
 });
 
@@ -99,7 +99,8 @@
 /** What one daemon tells the others. */
 export type PeerMessage = {
 	readonly daemon: string;
-	readonly entry: PeerEntry;
+	/** Left out of messages that follow one with it. */
+	readonly entry: PeerEntry | undefined;
 	/** True when `loads` names all upstreams with work of the daemon; otherwise those that are not named stay as told before. */
 	readonly isWhole: boolean;
 	readonly loads: readonly PeerLoad[];
@@ -121,12 +122,12 @@
 function encodePeerMessage({daemon, entry, isWhole, loads, readings, queued, crashes}: PeerMessage): string {
 	const message: GetType<typeof messageCodec> = {
 		n: daemon,
-		e: {a: entry.address, z: entry.availabilityZone, b: entry.linkMbps},
-		w: isWhole,
-		l: loads.map(({upstream, runs, tokensByPriority}) => ({u: upstream, r: runs, t: encodeTokens(tokensByPriority)})),
-		p: readings.map(({upstream, parts}) => ({u: upstream, p: parts.map(({id, tokens}): [string, number] => [id, tokens])})),
-		q: encodeTokens(queued),
-		c: crashes.length === 0 ? undefined : crashes.map(({fingerprint, upstream}) => ({f: fingerprint, u: upstream})),
+		e: entry === undefined ? undefined : {a: entry.address, z: entry.availabilityZone, b: entry.linkMbps},
+		w: isWhole || undefined,
+		l: omitEmpty(loads.map(({upstream, runs, tokensByPriority}) => ({u: upstream, r: runs, t: encodeTokens(tokensByPriority)}))),
+		p: omitEmpty(readings.map(({upstream, parts}) => ({u: upstream, p: parts.map(({id, tokens}): [string, number] => [id, tokens])}))),
+		q: omitEmpty(encodeTokens(queued)),
+		c: omitEmpty(crashes.map(({fingerprint, upstream}) => ({f: fingerprint, u: upstream}))),
 	};
 	return JSON.stringify(message);
 }
@@ -161,6 +162,7 @@
 	const count = Math.max(1, Math.ceil(loads.length / loadsPerPiece), Math.ceil(readings.length / readingsPerPiece));
 	return Array.from({length: count}, (_, index) => ({
 		...message,
+		entry: index === 0 ? message.entry : undefined,
 		isWhole: message.isWhole && index === 0,
 		loads: loads.slice(index * loadsPerPiece, (index + 1) * loadsPerPiece),
 		readings: readings.slice(index * readingsPerPiece, (index + 1) * readingsPerPiece),
@@ -184,15 +186,20 @@
 function decodeMessage({n, e, w, l, p, q, c}: GetType<typeof messageCodec>): PeerMessage {
 	return {
 		daemon: n,
-		entry: {address: e.a, availabilityZone: e.z, linkMbps: e.b},
-		isWhole: w,
-		loads: l.map(({u, r, t}) => ({upstream: u, runs: r, tokensByPriority: new Map(t)})),
-		readings: p.map(({u, p: parts}) => ({upstream: u, parts: parts.map(([id, tokens]) => ({id, tokens}))})),
+		entry: e === undefined ? undefined : {address: e.a, availabilityZone: e.z, linkMbps: e.b},
+		isWhole: w ?? false,
+		loads: (l ?? []).map(({u, r, t}) => ({upstream: u, runs: r, tokensByPriority: new Map(t)})),
+		readings: (p ?? []).map(({u, p: parts}) => ({upstream: u, parts: parts.map(([id, tokens]) => ({id, tokens}))})),
 		queued: new Map(q),
 		crashes: (c ?? []).map(({f, u}) => ({fingerprint: f, upstream: u})),
 	};
 }
 
+/** Empty lists are left out, since most messages have one or two items in all. */
+function omitEmpty<T>(items: T[]): T[] | undefined {
+	return items.length === 0 ? undefined : items;
+}
+
 function encodeTokens(tokensByPriority: ReadonlyMap<number, number>): Array<[number, number]> {
 	return [...tokensByPriority].map(([priority, tokens]) => [priority, Math.round(tokens)]);
 }
--- a/test/process/peers/peer-topology.test.ts
+++ b/test/process/peers/peer-topology.test.ts
@@ -97,7 +97,7 @@
 		const {topology, own, others, heard} = this.nodes.get(to)!;
 		for (const message of messages.filter(({daemon}) => daemon !== to)) {
 			heard.set(message.daemon, this.now);
-			topology.add({daemon: message.daemon, ...message.entry}, this.now);
+			topology.add({daemon: message.daemon, ...message.entry!}, this.now);
 			topology.heard(message.daemon, this.now);
 			if (topology.passesOnInZone(scope)) {
 				own.add(message);
--- a/test/process/peers/peers.test.ts
+++ b/test/process/peers/peers.test.ts
@@ -50,7 +50,7 @@
 		expect(pieces.flatMap(piece => piece.crashes)).toEqual(message.crashes);
 	});
 
-	test.each(['', '{}', '[]', '{"n":"a","s":"own","m":[{"n":"b"}]}', '{"n":"a","s":"far","m":[]}', '\u0000'])('that are malformed are rejected: %j', text => {
+	test.each(['', '{}', '[]', '{"n":"a","s":"own","m":[{"n":"b","l":[{"u":1}]}]}', '{"n":"a","s":"far","m":[]}', '\u0000'])('that are malformed are rejected: %j', text => {
 		expect(decodePeerDatagram(text).isLeft()).toBe(true);
 	});
 });
@@ -88,10 +88,19 @@
 		expect(board.queuedUpTo(2, peerSilenceMs)).toBe(0);
 	});
 
+	test('of a daemon whose entry is not known yet does not count', () => {
+		const board = new PeerBoard();
+		expect(board.accept({...message, entry: undefined}, 0)).toBe(false);
+		expect(board.runs('u-1', 0)).toBe(0);
+		board.accept(message, 10);
+		board.accept({...message, entry: undefined, loads: [{upstream: 'u-2', runs: 1, tokensByPriority: new Map()}]}, 20);
+		expect(board.runs('u-2', 20)).toBe(1);
+	});
+
 	test('does not outlive a daemon that comes back at another address', () => {
 		const board = new PeerBoard();
 		board.accept(message, 0);
-		expect(board.accept({...message, entry: {...message.entry, address: '127.0.0.1:2'}, loads: []}, 10)).toBe(true);
+		expect(board.accept({...message, entry: {...message.entry!, address: '127.0.0.1:2'}, loads: []}, 10)).toBe(true);
 		expect(board.runs('u-1', 10)).toBe(0);
 	});
 });
