--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -80,7 +80,7 @@
 			},
 		});
 		this.#socket.on('message', bytes => {
-			decodePeerDatagram(bytes.toString('utf8')).caseOf({
+			decodePeerDatagram(bytes).caseOf({
 				Left(cause) {
 					log.write('peers.invalid', {cause});
 				},
@@ -210,9 +210,9 @@
 		let bytes = 0;
 		for (const {address} of targets) {
 			const {host, port} = parseAddress(address);
-			for (const text of datagrams) {
-				bytes += text.length;
-				this.#socket.send(text, port, host, error => {
+			for (const datagram of datagrams) {
+				bytes += datagram.length;
+				this.#socket.send(datagram, port, host, error => {
 					if (error !== null && !this.#isClosed) {
 						this.#options.log.write('peers.notSent', {address, cause: error.message});
 					}
--- a/src/process/peers/peer-message.ts
+++ b/src/process/peers/peer-message.ts
@@ -1,3 +1,5 @@
+import {Buffer} from 'node:buffer';
+import {constants, deflateRawSync, inflateRawSync} from 'node:zlib';
 import {Left, type Either} from 'purify-ts';
 import {
 	array, boolean, Codec, exactly, number, oneOf, optional, string, tuple, type GetType,
@@ -132,28 +134,33 @@
 	return JSON.stringify(message);
 }
 
+/** First byte of a datagram that is not compressed: an opening brace, which no compressed one begins with. */
+const objectStart = 0x7B;
+/** Bound on what a compressed datagram may become. */
+const longestDatagramBytes = 256 * 1024;
 /** Loads and prompts in one piece of a message, so that a piece fits a frame of the network. */
 const loadsPerPiece = 8;
 const readingsPerPiece = 6;
 
-/** Encodes datagrams of at most `limitBytes`. */
-export function encodePeerDatagrams({sender, scope, messages}: PeerDatagram, limitBytes: number): readonly string[] {
+/** Encodes datagrams of at most `limitBytes`; messages that do not fit one as they are get compressed, and divided if need be. */
+export function encodePeerDatagrams({sender, scope, messages}: PeerDatagram, limitBytes: number): readonly Uint8Array[] {
 	const prefix = `{"n":${JSON.stringify(sender)},"s":"${scope}","m":[`;
-	const datagrams: string[] = [];
-	let texts: string[] = [];
-	let {length} = prefix;
-	for (const text of messages.flatMap(message => split(message)).map(piece => encodePeerMessage(piece))) {
-		if (texts.length > 0 && length + text.length > limitBytes) {
-			datagrams.push(`${prefix}${texts.join(',')}]}`);
-			texts = [];
-			length = prefix.length;
+	const encode = (texts: readonly string[]): readonly Uint8Array[] => {
+		const plain = Buffer.from(`${prefix}${texts.join(',')}]}`);
+		if (plain.length <= limitBytes) {
+			return [plain];
 		}
 
-		texts.push(text);
-		length += text.length + 1;
-	}
+		const compressed = deflateRawSync(plain, {level: constants.Z_BEST_SPEED});
+		if (compressed.length <= limitBytes || texts.length === 1) {
+			return [compressed];
+		}
+
+		const middle = Math.ceil(texts.length / 2);
+		return [...encode(texts.slice(0, middle)), ...encode(texts.slice(middle))];
+	};
 
-	return [...datagrams, `${prefix}${texts.join(',')}]}`];
+	return encode(messages.flatMap(message => split(message)).map(piece => encodePeerMessage(piece)));
 }
 
 /** Splits a message into pieces that have the same effect one after the other. */
@@ -171,9 +178,10 @@
 }
 
 /** Decodes a datagram; a failure is a short message. */
-export function decodePeerDatagram(text: string): Either<string, PeerDatagram> {
+export function decodePeerDatagram(bytes: Uint8Array): Either<string, PeerDatagram> {
 	try {
-		return datagramCodec.decode(JSON.parse(text)).map(({n, s, m}) => ({
+		const plain = bytes[0] === objectStart ? Buffer.from(bytes) : inflateRawSync(bytes, {maxOutputLength: longestDatagramBytes});
+		return datagramCodec.decode(JSON.parse(plain.toString('utf8'))).map(({n, s, m}) => ({
 			sender: n,
 			scope: s,
 			messages: m.map(message => decodeMessage(message)),
--- a/test/process/peers/peers.test.ts
+++ b/test/process/peers/peers.test.ts
@@ -1,7 +1,9 @@
+import {Buffer} from 'node:buffer';
 import {describe, expect, test} from 'vitest';
 import {MessageBuffer} from '../../../src/process/peers/message-buffer.ts';
 import {PeerBoard, peerSilenceMs} from '../../../src/process/peers/peer-board.ts';
 import {decodePeerDatagram, encodePeerDatagrams, type PeerMessage} from '../../../src/process/peers/peer-message.ts';
+import {SeededRandom} from '../../../src/process/random.ts';
 
 const message: PeerMessage = {
 	daemon: 'a',
@@ -23,9 +25,11 @@
 	});
 
 	test('are spread over datagrams that are no longer than the limit', () => {
-		const messages = Array.from({length: 40}, (_, index) => ({...message, daemon: `daemon-${index}`}));
-		const texts = encodePeerDatagrams({sender: 'relay', scope: 'final', messages}, 2000);
-		expect(Math.max(...texts.map(({length}) => length))).toBeLessThanOrEqual(2000);
+		const random = new SeededRandom(4);
+		const messages = Array.from({length: 60}, (_, index) => ({...message, daemon: `daemon-${index}`, readings: [{upstream: 'u-1', parts: [{id: random.integer(2 ** 30).toString(16), tokens: random.integer(9999)}]}]}));
+		const texts = encodePeerDatagrams({sender: 'relay', scope: 'final', messages}, 600);
+		expect(texts.length).toBeGreaterThan(1);
+		expect(Math.max(...texts.map(({length}) => length))).toBeLessThanOrEqual(600);
 		expect(texts.flatMap(text => decodePeerDatagram(text).unsafeCoerce().messages)).toEqual(messages);
 	});
 
@@ -51,7 +55,7 @@
 	});
 
 	test.each(['', '{}', '[]', '{"n":"a","s":"own","m":[{"n":"b","l":[{"u":1}]}]}', '{"n":"a","s":"far","m":[]}', '\u0000'])('that are malformed are rejected: %j', text => {
-		expect(decodePeerDatagram(text).isLeft()).toBe(true);
+		expect(decodePeerDatagram(Buffer.from(text)).isLeft()).toBe(true);
 	});
 });
 
