Add a fault soak of real daemon processes behind fault proxies

Signals, store faults, harmed links, crashing, leaving and misbehaving upstreams by seed; the promises are checked from what callers and upstreams saw.

--- a/src/process/stages/stage-controller.ts
+++ b/src/process/stages/stage-controller.ts
@@ -57,7 +57,7 @@
 /** Gaps between the lease's last possible order and the next holder's first one are at least the turn. */
 export function createControllerTimes(leaseMs: number): ControllerTimes {
 	return {
-		settleMs: 1500, rankMs: 700, longestRankMs: 4200, turnMs: leaseMs + 500, callMs: 600, orderMs: 6000, doubtMs: 15_000,
+		settleMs: 1500, rankMs: 700, longestRankMs: 20_000, turnMs: leaseMs + 500, callMs: 600, orderMs: 6000, doubtMs: 15_000,
 	};
 }
 
--- /dev/null
+++ b/test/soak/caller-load.ts
@@ -0,0 +1,141 @@
+import {Agent, request as createRequest} from 'node:http';
+import {SeededRandom} from '../../src/process/random.ts';
+
+/** Kinds of requests that callers send, by path. */
+export const requestKinds = {
+	lookup: {
+		path: '/lookup/', isRepeatable: true, isStream: false, timeoutMs: 1500,
+	},
+	book: {
+		path: '/book/', isRepeatable: false, isStream: false, timeoutMs: 1500,
+	},
+	brief: {
+		path: '/brief/', isRepeatable: true, isStream: true, timeoutMs: 4000,
+	},
+	flag: {
+		path: '/flag/', isRepeatable: false, isStream: true, timeoutMs: 4000,
+	},
+} as const;
+
+/** A kind of request. */
+export type RequestKind = keyof typeof requestKinds;
+
+/** One request with what its caller received; times in milliseconds of the steady clock. */
+export type CallerRequest = {
+	readonly id: string;
+	readonly kind: RequestKind;
+	readonly daemon: number;
+	readonly body: string;
+	readonly sentAt: number;
+	/** Undefined while the request is open. */
+	endedAt?: number;
+	/** 0 when no answer began. */
+	status: number;
+	seal?: string;
+	/** Id that the answer states. */
+	answeredId?: string;
+	received: string;
+	/** True when the answer was complete. */
+	isWhole: boolean;
+};
+
+const callersPerDaemon = 3;
+const shortestPauseMs = 20;
+const longestPauseMs = 120;
+const deadlineMs = 5000;
+const kinds = Object.keys(requestKinds) as RequestKind[];
+
+/** Callers that send one request after the other to each daemon, on connections that they keep. */
+export class CallerLoad implements AsyncDisposable {
+	readonly requests: CallerRequest[] = [];
+	readonly #random: SeededRandom;
+	readonly #addresses: readonly string[];
+	readonly #agents: Agent[] = [];
+	#isStopped = false;
+	#running: ReadonlyArray<Promise<void>> = [];
+	#count = 0;
+
+	constructor(addresses: readonly string[], seed: number) {
+		this.#addresses = addresses;
+		this.#random = new SeededRandom(seed);
+	}
+
+	/** Starts all callers. */
+	start(): void {
+		this.#running = this.#addresses.flatMap((_address, daemon) => Array.from({length: callersPerDaemon}, async () => this.#call(daemon)));
+	}
+
+	/** Lets the open requests end and sends no more. */
+	async stop(): Promise<void> {
+		this.#isStopped = true;
+		await Promise.all(this.#running);
+	}
+
+	/** Sends one request and waits for its end. */
+	async send(daemon: number, kind: RequestKind, agent?: Agent): Promise<CallerRequest> {
+		this.#count += 1;
+		const sent: CallerRequest = {
+			id: `r${this.#count}`, kind, daemon, body: `body of r${this.#count}`, sentAt: performance.now(), status: 0, received: '', isWhole: false,
+		};
+		this.requests.push(sent);
+		const {promise, resolve} = Promise.withResolvers<void>();
+		const [host, port] = this.#addresses[daemon]!.split(':');
+		const {path, isStream} = requestKinds[kind];
+		const request = createRequest({
+			host,
+			port: Number(port),
+			path: `${path}${sent.id}`,
+			method: 'POST',
+			agent: agent ?? false,
+			headers: {
+				host: 'a.example',
+				'x-request-id': sent.id,
+				'x-deadline-ms': String(deadlineMs),
+				...(isStream ? {'x-model': 'm', 'x-token-counts': '1460,80', 'x-prompt-prefix': `5c1e:800,${this.#count.toString(16)}:660`} : {}),
+			},
+		}, response => {
+			sent.status = response.statusCode ?? 0;
+			sent.seal = response.headers['x-response-seal'] as string | undefined;
+			sent.answeredId = response.headers['x-request-id'] as string | undefined;
+			response.setEncoding('utf8');
+			response.on('data', (text: string) => {
+				sent.received += text;
+			});
+			response.once('end', () => {
+				sent.isWhole = response.complete;
+			});
+			response.once('error', () => {
+				sent.isWhole = false;
+			});
+			response.once('close', resolve);
+		});
+		request.once('error', () => {
+			resolve();
+		});
+		request.setTimeout(deadlineMs * 2, () => {
+			request.destroy();
+		});
+		request.end(sent.body);
+		await promise;
+		sent.endedAt = performance.now();
+		return sent;
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		await this.stop();
+		for (const agent of this.#agents) {
+			agent.destroy();
+		}
+	}
+
+	async #call(daemon: number): Promise<void> {
+		const agent = new Agent({keepAlive: true, maxSockets: 1});
+		this.#agents.push(agent);
+		while (!this.#isStopped) {
+			await this.send(daemon, kinds[this.#random.integer(kinds.length)]!, agent);
+			await new Promise(resolve => {
+				setTimeout(resolve, shortestPauseMs + this.#random.integer(longestPauseMs - shortestPauseMs));
+			});
+		}
+	}
+}
--- /dev/null
+++ b/test/soak/fault-proxy.ts
@@ -0,0 +1,99 @@
+import {createServer, connect, type Socket} from 'node:net';
+import {once} from 'node:events';
+
+/** What a proxy does with the bytes of its connections. */
+export type ProxyMode = 'open' | 'silent' | 'answersLost' | 'refused' | 'slow';
+
+const slowMs = 150;
+
+/** Loopback proxy in front of one server that delays, loses or resets what passes. */
+export class FaultProxy implements AsyncDisposable {
+	mode: ProxyMode = 'open';
+	readonly #target: string;
+	readonly #sockets = new Set<Socket>();
+	readonly #server = createServer(socket => {
+		this.#accept(socket);
+	});
+
+	constructor(target: string) {
+		this.#target = target;
+	}
+
+	/** IP and port once started. */
+	get address(): string {
+		const address = this.#server.address();
+		return typeof address === 'object' && address !== null ? `127.0.0.1:${address.port}` : '';
+	}
+
+	/** Opens a free port on loopback. */
+	async start(): Promise<void> {
+		this.#server.listen(0, '127.0.0.1');
+		await once(this.#server, 'listening');
+	}
+
+	/** Resets all connections. */
+	reset(): void {
+		for (const socket of this.#sockets) {
+			reset(socket);
+		}
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#server.close();
+		this.reset();
+	}
+
+	#accept(socket: Socket): void {
+		if (this.mode === 'refused') {
+			socket.resetAndDestroy();
+			return;
+		}
+
+		const [host, port] = this.#target.split(':');
+		const upstream = connect(Number(port), host);
+		this.#pass(socket, upstream, () => this.mode !== 'silent');
+		this.#pass(upstream, socket, () => this.mode !== 'silent' && this.mode !== 'answersLost');
+	}
+
+	#pass(from: Socket, to: Socket, isHeard: () => boolean): void {
+		this.#sockets.add(from);
+		from.setNoDelay(true);
+		from.on('data', chunk => {
+			if (!isHeard()) {
+				return;
+			}
+
+			if (this.mode === 'slow') {
+				setTimeout(() => {
+					to.write(chunk);
+				}, slowMs);
+			} else {
+				to.write(chunk);
+			}
+		});
+		from.once('end', () => {
+			setTimeout(() => {
+				to.end();
+			}, this.mode === 'slow' ? slowMs : 0);
+		});
+		from.on('error', () => {
+			// A reset on one side is a reset on the other.
+			reset(to);
+		});
+		from.once('close', () => {
+			this.#sockets.delete(from);
+			if (!to.destroyed && !to.writableEnded) {
+				to.destroy();
+			}
+		});
+	}
+}
+
+/** A reset of a socket whose own end was sent, or that is not connected yet, would leave its handle open. */
+function reset(socket: Socket): void {
+	if (socket.writableEnded || socket.connecting || socket.destroyed) {
+		socket.destroy();
+	} else {
+		socket.resetAndDestroy();
+	}
+}
--- /dev/null
+++ b/test/soak/main.ts
@@ -0,0 +1,45 @@
+/**
+Fault soak: real daemon processes with faults from outside, on loopback.
+
+`npm run soak -- --seeds 1-50 --seconds 8 --daemons 4`
+*/
+import {execFileSync} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {hideBin} from 'yargs/helpers';
+import yargs from 'yargs';
+import {runSoak} from './soak.ts';
+
+const millisecondsPerSecond = 1000;
+const {seeds, seconds, daemons, logs} = await yargs(hideBin(process.argv))
+	.option('seeds', {type: 'string', default: '1-5', describe: 'Seeds, FIRST-LAST or one'})
+	.option('seconds', {type: 'number', default: 8, describe: 'Time in which faults come'})
+	.option('daemons', {type: 'number', default: 4, describe: 'Daemon processes'})
+	.option('logs', {type: 'string', describe: 'Folder for the logs of runs that broke a promise'})
+	.strict()
+	.parse();
+const [first = 1, last = first] = seeds.split('-').map(Number);
+const folder = mkdtempSync(path.join(tmpdir(), 'wagtailtack-soak-'));
+const bundle = path.join(folder, 'daemon.cjs');
+execFileSync(process.execPath, ['scripts/build-daemon.ts', bundle], {stdio: 'inherit'});
+let failures = 0;
+for (let seed = first; seed <= last; seed += 1) {
+	const result = await runSoak({
+		bundle, seed, daemons, lengthMs: seconds * millisecondsPerSecond,
+	});
+	failures += result.broken.length === 0 ? 0 : 1;
+	console.log(`seed ${seed}: ${result.faults.length} faults, ${result.served} of ${result.requests} requests served, ${result.broken.length} promises broken`);
+	for (const line of result.broken) {
+		console.log(`  ${line}`);
+	}
+
+	if (result.broken.length > 0 && logs !== undefined) {
+		writeFileSync(path.join(logs, `soak-${seed}.json`), JSON.stringify(result.faults, undefined, '\t'));
+		writeFileSync(path.join(logs, `soak-${seed}.log`), result.logs.join(''));
+	}
+}
+
+rmSync(folder, {recursive: true, force: true});
+process.exitCode = failures === 0 ? 0 : 1;
--- /dev/null
+++ b/test/soak/soak-deployment.ts
@@ -0,0 +1,191 @@
+import {createSocket} from 'node:dgram';
+import {once} from 'node:events';
+import {createServer} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {createOperatorConfiguration} from '../fixtures/fleet/fleet-fixture.ts';
+import {StoreServer} from '../fixtures/fleet/store-server.ts';
+import {UpstreamServer, type UpstreamBehaviour} from '../fixtures/fleet/upstream-server.ts';
+import {DaemonProcess} from './daemon-process.ts';
+import {FaultProxy} from './fault-proxy.ts';
+import type {Observations, SeenOrder, Span} from './promises.ts';
+
+const zones = ['zone-a', 'zone-b', 'zone-c'];
+const heartbeatMs = 400;
+const portsPerDaemon = 4;
+const readyMs = 15_000;
+
+/** One upstream with the proxy under whose address it is listed. */
+export class SoakUpstream {
+	readonly server: UpstreamServer;
+	readonly proxy: FaultProxy;
+	readonly availabilityZone: string;
+	isListed = true;
+	state: 'ready' | 'draining' = 'ready';
+	bornAt = 1000;
+	readonly #left = new Map<string, number>();
+	#sequence = 1;
+
+	constructor(server: UpstreamServer, proxy: FaultProxy, availabilityZone: string) {
+		this.server = server;
+		this.proxy = proxy;
+		this.availabilityZone = availabilityZone;
+	}
+
+	/** Times at which ids of this upstream were marked as leaving. */
+	get left(): ReadonlyMap<string, number> {
+		return this.#left;
+	}
+
+	/** Writes the upstream's entry, as each heartbeat does. */
+	list(store: StoreServer): void {
+		if (!this.isListed) {
+			return;
+		}
+
+		this.#sequence += 1;
+		store.put('servers', this.server.behaviour.id, this.server.entry({
+			address: this.proxy.address, zone: this.availabilityZone, state: this.state, sequence: this.#sequence, born: this.bornAt,
+		}));
+	}
+
+	/** Marks the upstream as leaving. */
+	leave(store: StoreServer): void {
+		this.state = 'draining';
+		this.list(store);
+		this.#left.set(this.server.behaviour.id, performance.now());
+	}
+
+	/** Takes the present entry off the list. */
+	unlist(store: StoreServer): void {
+		this.isListed = false;
+		store.remove('servers', this.server.behaviour.id);
+	}
+}
+
+/** Store, upstreams and daemons as processes on loopback, with proxies in between. */
+export class SoakDeployment implements AsyncDisposable {
+	readonly store = new StoreServer();
+	readonly upstreams: SoakUpstream[] = [];
+	readonly daemons: DaemonProcess[] = [];
+	/** Proxy between each daemon and the store. */
+	readonly storeProxies: FaultProxy[] = [];
+	readonly harmed: Span[][] = [];
+	#heartbeat: NodeJS.Timeout | undefined;
+	#version = 1;
+
+	/** Starts all and waits until the daemons are ready and the engines have their stages. */
+	async start(bundle: string, daemons: number): Promise<void> {
+		await this.store.start();
+		this.store.put('op', 'config', createOperatorConfiguration());
+		for (const [index, availabilityZone] of zones.entries()) {
+			await this.#addUpstream({id: `desk-${index}`}, availabilityZone);
+			await this.#addUpstream({id: `engine-${index}`, stage: 'decode', events: 4}, availabilityZone);
+			await this.#addUpstream({id: `engine-${index + zones.length}`, stage: 'decode', events: 4}, availabilityZone);
+		}
+
+		this.#heartbeat = setInterval(() => {
+			for (const upstream of this.upstreams) {
+				upstream.list(this.store);
+			}
+		}, heartbeatMs);
+		const ports = await chooseFreePorts(daemons * portsPerDaemon);
+		for (let index = 0; index < daemons; index += 1) {
+			const proxy = new FaultProxy(this.store.address);
+			await proxy.start();
+			this.storeProxies.push(proxy);
+			const [callers, readiness, peers, metrics] = ports.slice(index * portsPerDaemon) as [number, number, number, number];
+			const daemon = new DaemonProcess({
+				bundle, name: `daemon-${index}`, availabilityZone: zones[index % zones.length]!, storeAddress: proxy.address, ports: {
+					callers, readiness, peers, metrics,
+				},
+			});
+			daemon.start();
+			this.daemons.push(daemon);
+			this.harmed.push([]);
+		}
+
+		await this.waitUntilReady();
+	}
+
+	/** Waits until all daemons say that they are ready. */
+	async waitUntilReady(): Promise<void> {
+		for (const end = performance.now() + readyMs; ;) {
+			const ready = await Promise.all(this.daemons.map(async daemon => daemon.isReady()));
+			if (ready.every(Boolean)) {
+				return;
+			}
+
+			if (performance.now() > end) {
+				throw new Error(`Only ${ready.filter(Boolean).length} of ${ready.length} daemons are ready.`);
+			}
+
+			await delay(50);
+		}
+	}
+
+	/** Writes a configuration with the next version. */
+	configure(): void {
+		this.#version += 1 + (this.#version % 3);
+		this.store.put('op', 'config', createOperatorConfiguration({version: this.#version}));
+	}
+
+	/** What upstreams saw, in the form of the checks. */
+	observe(): Pick<Observations, 'ran' | 'seen' | 'orders' | 'afterLeaving'> {
+		const servers = this.upstreams.map(({server}) => server);
+		return {
+			ran: servers.flatMap(({ran}) => ran),
+			seen: servers.flatMap(({seen}) => seen),
+			orders: servers.flatMap(({seen, address}) => seen.filter(({url}) => url === '/api/order').map(({body, at}): SeenOrder => {
+				const {holder, fence} = JSON.parse(body) as {readonly holder: string; readonly fence: number};
+				return {
+					engine: address, holder, fence, at,
+				};
+			})),
+			afterLeaving: this.upstreams.flatMap(({server, left}) => server.seen.flatMap(({headers, url, at}) => {
+				const upstream = String(headers['x-expect-instance']);
+				const leftAt = left.get(upstream);
+				return leftAt === undefined || at < leftAt || url.startsWith('/api/')
+					? []
+					: [{
+						request: String(headers['x-request-id']), upstream, leftAt, at,
+					}];
+			})),
+		};
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		clearInterval(this.#heartbeat);
+		await Promise.all(this.daemons.map(async daemon => daemon[Symbol.asyncDispose]()));
+		await Promise.all([...this.storeProxies, ...this.upstreams.map(({proxy}) => proxy)].map(async proxy => proxy[Symbol.asyncDispose]()));
+		await Promise.all(this.upstreams.map(async ({server}) => server[Symbol.asyncDispose]()));
+		await this.store[Symbol.asyncDispose]();
+	}
+
+	async #addUpstream(behaviour: Partial<UpstreamBehaviour>, availabilityZone: string): Promise<void> {
+		const server = new UpstreamServer({delayMs: 10, pauseMs: 20, ...behaviour});
+		await server.start();
+		const proxy = new FaultProxy(server.address);
+		await proxy.start();
+		const upstream = new SoakUpstream(server, proxy, availabilityZone);
+		this.upstreams.push(upstream);
+		upstream.list(this.store);
+	}
+}
+
+/** Returns ports that are free for streams and datagrams at the moment. */
+async function chooseFreePorts(count: number): Promise<readonly number[]> {
+	const servers = Array.from({length: count}, () => createServer());
+	const ports = await Promise.all(servers.map(async server => {
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		const address = server.address();
+		return typeof address === 'object' && address !== null ? address.port : 0;
+	}));
+	const sockets = ports.map(port => createSocket('udp4').bind(port, '127.0.0.1'));
+	await Promise.all(sockets.map(async socket => once(socket, 'listening')));
+	await Promise.all([...sockets, ...servers].map(async closed => {
+		closed.close();
+		await once(closed, 'close');
+	}));
+	return ports;
+}
