--- /dev/null
+++ b/bench/capacity/fleet.ts
@@ -0,0 +1,167 @@
+import {performance} from 'node:perf_hooks';
+import {median} from 'simple-statistics';
+import {SystemClock} from '../../src/process/clock.ts';
+import {DecisionLog} from '../../src/process/fleet/decision-log.ts';
+import {FleetScheduler} from '../../src/process/fleet/fleet-scheduler.ts';
+import {UpstreamRegistry} from '../../src/process/fleet/upstream-registry.ts';
+import {PeerBoard} from '../../src/process/peers/peer-board.ts';
+import {decodePeerDatagram, encodePeerDatagrams, type PeerMessage} from '../../src/process/peers/peer-message.ts';
+import {SeededRandom} from '../../src/process/random.ts';
+import type {Demand} from '../../src/request/delivery/upstream-scheduler.ts';
+import type {Service} from '../../src/version/routes/route-configuration.ts';
+import {measureTime} from './resources.ts';
+import type {SlopeMeasure} from './slope.ts';
+
+const designDaemons = 420;
+const designEngines = 12_000;
+const zones = 12;
+const seed = 71;
+/** A relay passes on what it has heard 40 times a second; within that time a daemon at the design size tells of two requests. */
+const batchesPerSecond = 40;
+const changesPerBatch = 2;
+const datagramBytes = 1400;
+const service = 'model';
+const placements = 400;
+
+/** Cost of news between daemons and of placing on the operator's platform. */
+export const fleetSlopes: readonly SlopeMeasure[] = [
+	{
+		name: 'bytes of news that one daemon gets from its relay',
+		costUnit: 'B/s',
+		sizeUnit: 'daemons',
+		sizes: [24, 120, 420],
+		designSize: designDaemons,
+		measure: size => encodeBatch(size).reduce((sum, {length}) => sum + length, 0) * batchesPerSecond,
+	},
+	{
+		name: 'processor time a second to take the news of one relay',
+		costUnit: 'ms',
+		sizeUnit: 'daemons',
+		sizes: [24, 120, 420],
+		designSize: designDaemons,
+		measure(size) {
+			const batch = encodeBatch(size);
+			const board = new PeerBoard();
+			const batchUs = measureTime(() => {
+				for (const datagram of batch) {
+					for (const message of decodePeerDatagram(datagram).unsafeCoerce().messages) {
+						board.accept(message, performance.now());
+					}
+				}
+			}, {rounds: 5, calls: 40});
+			return (batchUs * batchesPerSecond) / 1000;
+		},
+	},
+	{
+		name: 'processor time to place a prompt',
+		costUnit: 'µs',
+		sizeUnit: 'engines',
+		sizes: [60, 1000, 12_000],
+		designSize: designEngines,
+		async measure(size) {
+			const scheduler = createScheduler(size);
+			const times: number[] = [];
+			for (let count = 0; count < placements; count += 1) {
+				const demand = createDemand(count);
+				const start = performance.now();
+				const result = await scheduler.placePrefill(demand);
+				times.push((performance.now() - start) * 1000);
+				if ('release' in result) {
+					result.release({kind: 'served', elapsedMs: result.predictedMs});
+				}
+			}
+
+			return median(times);
+		},
+	},
+];
+
+function encodeBatch(daemons: number): readonly Uint8Array[] {
+	const random = new SeededRandom(seed);
+	const drawEngine = () => `i-${random.integer(2 ** 30).toString(16)}`;
+	const messages = Array.from({length: daemons}, (_, index): PeerMessage => ({
+		daemon: `daemon-${index}`,
+		entry: {address: `10.0.0.${index % 250}:7380`, availabilityZone: `zone-${index % zones}`, linkMbps: 1000},
+		isWhole: false,
+		loads: Array.from({length: changesPerBatch}, () => ({
+			upstream: drawEngine(), runs: random.integer(9), tokensByPriority: new Map([[random.integer(3), random.integer(20_000)]]),
+		})),
+		readings: [{upstream: drawEngine(), parts: Array.from({length: 2}, () => ({id: random.integer(2 ** 30).toString(16), tokens: random.integer(20_000)}))}],
+		queued: new Map(),
+		crashes: [],
+	}));
+	return encodePeerDatagrams({sender: 'relay', scope: 'final', messages}, datagramBytes);
+}
+
+function createScheduler(engines: number): FleetScheduler {
+	const registry = new UpstreamRegistry();
+	for (let index = 0; index < engines; index += 1) {
+		registry.set({
+			id: `engine-${index}`,
+			service,
+			address: `10.1.0.1:${index}`,
+			availabilityZone: `zone-${index % zones}`,
+			isDraining: false,
+			slots: 128,
+			stage: index % 4 === 0 ? 'decode' : 'prefill',
+			heartbeat: 1,
+			startedAt: 1,
+		});
+	}
+
+	const services = new Map<string, Service>([[service, {
+		name: service,
+		connectionLimit: 600,
+		engine: {
+			slots: 128, memoryTokens: 1_000_000, tokenBytes: 18_432, linkMbps: 500_000, handleMs: 5000, stageChangeMs: 3000,
+		},
+	}]]);
+	return new FleetScheduler({
+		clock: new SystemClock(),
+		random: new SeededRandom(seed),
+		log: new DecisionLog({}, (_bytes, done) => {
+			done(undefined);
+		}),
+		registry,
+		peers: {
+			board: new PeerBoard(),
+			changed() {
+				// Nobody is told here.
+			},
+			tellReading() {
+				// Nobody is told here.
+			},
+		},
+		availabilityZone: 'zone-0',
+		services: () => services,
+		onDown() {
+			// No engine fails here.
+		},
+	});
+}
+
+function createDemand(count: number): Demand {
+	const now = performance.now();
+	return {
+		service,
+		tried: new Set(),
+		arrivedAt: now,
+		endAt: now + 5000,
+		signal: new AbortController().signal,
+		request: {
+			id: String(count),
+			method: 'POST',
+			host: 'a.example',
+			target: '/x/1',
+			headers: [],
+			body: new Uint8Array(0),
+			caller: '127.0.0.1',
+			waitMs: 5000,
+			lastEventId: undefined,
+			prompt: {tokens: 17_020, outputTokens: 80, parts: [{id: `shared-${count % 50}`, tokens: 13_300}, {id: `own-${count}`, tokens: 3720}]},
+		},
+		route: {
+			name: 'route', host: 'a.example', pathPrefix: '/x/', kind: 'stream', timeoutMs: 5000, targetLatencyMs: 400, targetGapMs: 200, priority: 1, attemptLimit: 2, isResumable: true, targets: [{service, weight: 1}],
+		},
+	};
+}
--- a/bench/capacity/main.ts
+++ b/bench/capacity/main.ts
@@ -2,6 +2,7 @@
 Measures how the cost of each part grows with its size, and prints one slope as a JSON object a line.
 */
 import {configurationSlopes} from './configuration.ts';
+import {fleetSlopes} from './fleet.ts';
 import {hostSlopes} from './hosts.ts';
 import {leaseSlopes} from './leases.ts';
 import {membershipSlopes} from './membership.ts';
@@ -14,6 +15,7 @@
 	...configurationSlopes,
 	...leaseSlopes,
 	...routingSlopes,
+	...fleetSlopes,
 ];
 
 for (const measure of measures) {
