Keep the lease for stages standing, and refuse prompts at arrival while no engine generates

Now the first daemon in order holds the lease all the time and a holder keeps it, so that an order follows 1.5 s after the loss; it is given up at a planned stop. A prompt is refused before it is read when no engine could go on with it.

--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -237,6 +237,7 @@
 
 	/** Stops as planned; resolves when the process may end. */
 	async stop(): Promise<void> {
+		this.#controller.resign();
 		await this.#shutdown.run();
 		this.#callerServer.close();
 		this.#callerServer.closeIdleConnections();
--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -92,6 +92,11 @@
 			return this.#options.placements.refuse(demand, 'noUpstream');
 		}
 
+		// A prompt that no engine could go on with is not worth reading.
+		if (this.#options.states.usable(demand.service, 'decode', demand.tried).length === 0) {
+			return this.#options.placements.refuse(demand, 'noUpstream');
+		}
+
 		const now = this.#options.clock.now();
 		const parts = prompt.parts.length === 0 ? [{id: demand.request.id, tokens: prompt.tokens}] : prompt.parts;
 		const {promise, resolve} = Promise.withResolvers<PlacementResult>();
--- a/src/process/stages/stage-controller.ts
+++ b/src/process/stages/stage-controller.ts
@@ -100,8 +100,10 @@
 
 		const isSettled = changes.length > 0 && now - this.#planSince >= this.#options.times.settleMs;
 		const isTurn = isSettled && now - this.#planSince >= this.#options.times.settleMs + this.#rankDelayMs();
-		// A plan that changes while engines appear or leave is no reason to give the lease up: the next grant would have to wait for its turn.
-		this.#stand(isTurn || (changes.length > 0 && this.#isCandidate) || this.#pending.size > 0);
+		// The first in order stands all the time, and a holder stays one: a new grant would have to wait for its turn, and an availability
+		// zone that has lost its last generating engine serves nothing once it is cut off.
+		const isStanding = this.#options.rank() === 0 || this.#options.lease.held() !== undefined;
+		this.#stand(isStanding || isTurn || (changes.length > 0 && this.#isCandidate) || this.#pending.size > 0);
 		if (isSettled && this.#mayOrder()) {
 			this.#order(changes, groups);
 		}
@@ -129,7 +131,11 @@
 		return Math.min(times.longestRankMs, rank() * times.rankMs);
 	}
 
-	/** The lease is sought only while there is something to order. */
+	/** Gives the lease up, so that another daemon can give orders at once; no tick may follow. */
+	resign(): void {
+		this.#stand(false);
+	}
+
 	#stand(isCandidate: boolean): void {
 		if (isCandidate !== this.#isCandidate) {
 			this.#isCandidate = isCandidate;
--- a/test/request/delivery/stream-delivery.test.ts
+++ b/test/request/delivery/stream-delivery.test.ts
@@ -47,6 +47,15 @@
 		expect(readEventIds(body)).toEqual(['1', '2', '3']);
 	});
 
+	test('is refused at once as not run while no engine generates, and its prompt is not read for nothing', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'p-1', stage: 'prefill'}]);
+		const {status, elapsedMs} = await fleet.stream('/brief/1');
+		expect(status).toBe(503);
+		expect(elapsedMs).toBeLessThan(400);
+		expect(find(fleet, 'p-1').seen.filter(({url}) => url.startsWith('/brief/'))).toEqual([]);
+	});
+
 	test('reads the prompt elsewhere when a prefill fails', async () => {
 		await using fleet = new FleetFixture();
 		await fleet.start([...usual, {id: 'p-2', stage: 'prefill'}]);
