Handle signals from the first moment of a daemon

Ruled out: a failed reload (its line was not in the log). The handlers are now set by the first module that is loaded, and what came before the daemon had started is handled then.

--- a/src/fleet-main.ts
+++ b/src/fleet-main.ts
@@ -1,7 +1,8 @@
-/* eslint-disable import-x/no-unassigned-import, import-x/order -- These two must come before all other modules. */
+/* eslint-disable import-x/no-unassigned-import -- These three must come before all other modules. */
+import {handleSignals} from './process/early-signals.ts';
 import './with-resolvers.ts';
 import './process/heap.ts';
-/* eslint-enable import-x/no-unassigned-import, import-x/order */
+/* eslint-enable import-x/no-unassigned-import */
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
 import {platformSettingsPath, createPlatform} from '../platform/platform.ts';
@@ -33,14 +34,15 @@
 		settings, platform: createPlatform(settings.store.address), log, seed: Math.floor(Math.random() * (2 ** 31)),
 	});
 	await daemon.start();
-	process.once('SIGTERM', () => {
-		void end(daemon);
-	});
-	process.on('SIGTERM', () => {
-		log.write('process.signal', {signal: 'SIGTERM'});
-	});
-	process.on('SIGHUP', () => {
-		void reload(daemon, log);
+	let isEnding = false;
+	handleSignals(signal => {
+		log.write('process.signal', {signal});
+		if (signal === 'SIGHUP') {
+			void reload(daemon, log);
+		} else if (!isEnding) {
+			isEnding = true;
+			void end(daemon);
+		}
 	});
 }
 
