--- a/bench/capacity/fleet.ts
+++ b/bench/capacity/fleet.ts
@@ -161,7 +161,17 @@
 			prompt: {tokens: 17_020, outputTokens: 80, parts: [{id: `shared-${count % 50}`, tokens: 13_300}, {id: `own-${count}`, tokens: 3720}]},
 		},
 		route: {
-			name: 'route', host: 'a.example', pathPrefix: '/x/', kind: 'stream', timeoutMs: 5000, targetLatencyMs: 400, targetGapMs: 200, priority: 1, attemptLimit: 2, isResumable: true, targets: [{service, weight: 1}],
+			name: 'route',
+			host: 'a.example',
+			pathPrefix: '/x/',
+			kind: 'stream',
+			timeoutMs: 5000,
+			targetLatencyMs: 400,
+			targetGapMs: 200,
+			priority: 1,
+			attemptLimit: 2,
+			isResumable: true,
+			targets: [{service, weight: 1}],
 		},
 	};
 }
--- a/src/fleet-main.ts
+++ b/src/fleet-main.ts
@@ -1,4 +1,4 @@
-/* eslint-disable import-x/no-unassigned-import -- These three must come before all other modules. */
+/* eslint-disable import-x/order, import-x/no-unassigned-import -- These three must come before all other modules. */
 import {handleSignals} from './process/early-signals.ts';
 import './with-resolvers.ts';
 import './process/heap.ts';
@@ -10,6 +10,7 @@
 import {FleetDaemon} from './process/fleet/fleet-daemon.ts';
 import {formatFinding} from './version/finding.ts';
 import {parseFleetSettings, type FleetSettings} from './version/fleet-settings.ts';
+/* eslint-enable import-x/order */
 
 async function main(): Promise<void> {
 	const path = platformSettingsPath(process.env);
