--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -60,6 +60,8 @@
 	#timer: NodeJS.Timeout | undefined;
 	#keepAlive: NodeJS.Timeout | undefined;
 	#relay: NodeJS.Timeout | undefined;
+	/** Relay that is used: a daemon, `self`, or `none` while daemons tell each other directly. */
+	#usedRelay = 'none';
 	#relayedAt = 0;
 	/** Before this time the relay's share of the link is used up. */
 	#relayFreeAt = 0;
@@ -159,6 +161,7 @@
 		};
 		this.#readings = [];
 		this.#crashes = [];
+		this.#noteRelay(now);
 		if (this.topology.isDirect) {
 			this.#send('direct', [message], this.topology.ownTargets(now));
 			return;
@@ -174,6 +177,14 @@
 		this.#send('own', [message], [...this.topology.ownTargets(now), ...suspected === undefined ? [] : [suspected]]);
 	}
 
+	#noteRelay(now: number): void {
+		const used = this.topology.isDirect ? 'none' : this.topology.ownTargets(now)[0]?.daemon ?? 'self';
+		if (used !== this.#usedRelay) {
+			this.#options.log.write('peers.relay', {relay: used, previous: this.#usedRelay});
+			this.#usedRelay = used;
+		}
+	}
+
 	/** A daemon that is no relay any more stops with the next time. */
 	#scheduleRelay(): void {
 		this.#relay ??= setTimeout(() => {
