--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -18,9 +18,13 @@
 		execFileSync(process.execPath, ['scripts/build-daemon.ts', bundle], {stdio: 'inherit'});
 	});
 
-	test.each([1, 2])('keeps all promises with the faults of seed %i', async seed => {
+	test.each([
+		['short run', 1, 3, 5000],
+		['short run', 2, 3, 5000],
+		['a daemon was ended by a SIGHUP that came while it started', 42, 4, 8000],
+	])('keeps all promises: %s, seed %i', async (_reason, seed, daemons, lengthMs) => {
 		const {broken, served} = await runSoak({
-			bundle, seed, daemons: 3, lengthMs: 5000,
+			bundle, seed, daemons, lengthMs,
 		});
 		expect(broken).toEqual([]);
 		expect(served).toBeGreaterThan(50);
