Count rejected readings of a prompt against the retry budget

Ruled out: generating sends (each was counted) and daemons that had restarted (none in that time). A rejected reading now counts, and an accepted one after rejections carries its count to the next send.

--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -118,6 +118,16 @@
 		return true;
 	}
 
+	/** Counts an arrival that was free until its outcome showed that it counts. */
+	protected countArrival(): void {
+		this.arrivals += 1;
+	}
+
+	/** Lets the next arrival go on the account of the last one, whose outcome showed that it does not count. */
+	protected carryArrival(): void {
+		this.#isArrivalTaken = true;
+	}
+
 	protected log(event: string, fields: Readonly<Record<string, unknown>>): void {
 		this.tools.log.write(event, {request: this.job.request.id, ...fields});
 	}
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -32,6 +32,12 @@
 		| {readonly kind: 'unread'}
 		| {readonly kind: 'refused'; readonly refusal: PlacementRefusal};
 
+type PromptResult
+	= | {readonly kind: 'read'; readonly prompt: ReadPrompt}
+		/** The upstream answered that it has not read the prompt. */
+		| {readonly kind: 'rejected'}
+		| {readonly kind: 'lost'};
+
 /** Delivers a stream of a model service: one upstream reads the prompt, another one generates the answer. */
 export class StreamDelivery extends Delivery {
 	#lastEventId: string | undefined;
@@ -48,6 +54,7 @@
 	/** Reads the prompt at one upstream; reading it again elsewhere does no harm, since nothing runs yet. */
 	async #prefill(): Promise<Prefill> {
 		const tried = new Set<string>();
+		let rejections = 0;
 		for (let attempt = 0; attempt < prefillLimit; attempt += 1) {
 			const placement = await this.tools.scheduler.placePrefill({...this.demand, tried});
 			if (!isPlaced(placement)) {
@@ -61,16 +68,28 @@
 			}
 
 			tried.add(placement.upstream.id);
-			const prompt = await this.#readPrompt(placement);
-			if (prompt !== undefined) {
-				return {kind: 'read', prompt};
+			const result = await this.#readPrompt(placement);
+			if (result.kind === 'read') {
+				// The first reading that an upstream accepts is free, but not those that are rejected before it.
+				if (rejections > 0 && rejections === attempt) {
+					this.carryArrival();
+				}
+
+				return result;
+			}
+
+			if (result.kind === 'rejected') {
+				rejections += 1;
+				if (attempt === 0) {
+					this.countArrival();
+				}
 			}
 		}
 
 		return {kind: 'unread'};
 	}
 
-	async #readPrompt(placement: Placement): Promise<ReadPrompt | undefined> {
+	async #readPrompt(placement: Placement): Promise<PromptResult> {
 		const {tools, job} = this;
 		const {upstream, fetchFrom} = placement;
 		const sentAt = tools.clock.now();
@@ -98,7 +117,7 @@
 			}
 
 			this.#logSent(upstream, end.kind, elapsedMs, {cause: result.failure.message});
-			return undefined;
+			return {kind: 'lost'};
 		}
 
 		const {answer, body} = result;
@@ -109,7 +128,7 @@
 		const kind = prompt === undefined ? toFailedPrefill(answer) : 'served';
 		placement.release({kind, elapsedMs, ...load});
 		this.#logSent(upstream, kind, elapsedMs, {status: answer.status});
-		return prompt;
+		return prompt === undefined ? {kind: 'rejected'} : {kind: 'read', prompt};
 	}
 
 	async #generate(readPrompt: ReadPrompt | undefined): Promise<DeliveryEnd> {
--- a/test/request/delivery/stream-delivery.test.ts
+++ b/test/request/delivery/stream-delivery.test.ts
@@ -47,6 +47,24 @@
 		expect(readEventIds(body)).toEqual(['1', '2', '3']);
 	});
 
+	test('counts each rejected reading of a prompt against the retry budget, so that engines that shed get no storm of calls', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'p-1', stage: 'prefill'}, {id: 'p-2', stage: 'prefill'}, {id: 'p-3', stage: 'prefill'}, {id: 'd-1', stage: 'decode'}]);
+		for (const {behaviour} of fleet.upstreams.filter(({behaviour: {stage}}) => stage === 'prefill')) {
+			behaviour.status = 503;
+			behaviour.isNotRun = true;
+		}
+
+		const requests = 60;
+		for (let count = 0; count < requests; count += 1) {
+			await fleet.stream('/flag/1');
+		}
+
+		const arrivals = fleet.upstreams.reduce((sum, {seen}) => sum + seen.filter(({url}) => url.startsWith('/flag/')).length, 0);
+		// The fixture's bound is 0.2 further sends a request and 120 for all daemons, of which one of 24 may use its part.
+		expect(arrivals - requests).toBeLessThanOrEqual((requests * 0.2) + (120 / 24));
+	});
+
 	test('is refused at once as not run while no engine generates, and its prompt is not read for nothing', async () => {
 		await using fleet = new FleetFixture();
 		await fleet.start([{id: 'p-1', stage: 'prefill'}]);
