--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -174,18 +174,27 @@
 
 /** Returns ports that are free for streams and datagrams at the moment. */
 async function chooseFreePorts(count: number): Promise<readonly number[]> {
-	const servers = Array.from({length: count}, () => createServer());
-	const ports = await Promise.all(servers.map(async server => {
+	const ports: number[] = [];
+	const held: AsyncDisposable[] = [];
+	while (ports.length < count) {
+		const server = createServer();
+		held.push(server);
 		server.listen(0, '127.0.0.1');
 		await once(server, 'listening');
 		const address = server.address();
-		return typeof address === 'object' && address !== null ? address.port : 0;
-	}));
-	const sockets = ports.map(port => createSocket('udp4').bind(port, '127.0.0.1'));
-	await Promise.all(sockets.map(async socket => once(socket, 'listening')));
-	await Promise.all([...sockets, ...servers].map(async closed => {
-		closed.close();
-		await once(closed, 'close');
-	}));
+		const port = typeof address === 'object' && address !== null ? address.port : 0;
+		const socket = createSocket('udp4');
+		try {
+			socket.bind(port, '127.0.0.1');
+			await once(socket, 'listening');
+			held.push(socket);
+			ports.push(port);
+		} catch {
+			// Another process has the port for datagrams; the next one is tried.
+			socket.close();
+		}
+	}
+
+	await Promise.all(held.map(async holder => holder[Symbol.asyncDispose]()));
 	return ports;
 }
