Use one daemon process and one choice of free ports in the tests, and end a daemon that cannot open its ports

The tests had two classes for a daemon process, three searches for free ports and three builds of the daemon; one of each serves all now. Assertions are unchanged; the tests of the process take free ports in place of fixed ones.

Found on the way: - A daemon whose ports were taken stayed alive without them, since the parts that had started kept the process going. It ends with code 1 now; the new test waited 10 s for that before. - The soak started a daemon twice when a kill and a stop overlapped, so that processes were left behind and later faults hit one that had no ports.

--- a/src/fleet-main.ts
+++ b/src/fleet-main.ts
@@ -74,5 +74,7 @@
 // eslint-disable-next-line unicorn/prefer-top-level-await
 void main().catch((error: unknown) => {
 	console.error(error instanceof Error ? error.stack : String(error));
-	process.exitCode = 1;
+	// Parts that have started would keep the process alive.
+	// eslint-disable-next-line unicorn/no-process-exit
+	process.exit(1);
 });
--- a/test/process/fleet/daemon-process.test.ts
+++ b/test/process/fleet/daemon-process.test.ts
@@ -1,84 +1,37 @@
-import {execFileSync, spawn, type ChildProcess} from 'node:child_process';
-import {once} from 'node:events';
-import {mkdtempSync, writeFileSync} from 'node:fs';
 import {request} from 'node:http';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
-import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	beforeAll, describe, expect, test,
 } from 'vitest';
+import {
+	buildDaemon, DaemonProcess, portsPerDaemon, toDaemonPorts, type DaemonPorts,
+} from '../../fixtures/fleet/daemon-process.ts';
 import {createOperatorConfiguration} from '../../fixtures/fleet/fleet-fixture.ts';
 import {StoreServer} from '../../fixtures/fleet/store-server.ts';
 import {UpstreamServer} from '../../fixtures/fleet/upstream-server.ts';
-
-const folder = mkdtempSync(path.join(tmpdir(), 'wagtailtack-'));
-const bundle = path.join(folder, 'daemon.cjs');
-const [callers, readiness, peers, metrics] = [18_349, 18_341, 18_380, 18_464];
+import {chooseFreePorts} from '../../fixtures/free-ports.ts';
 
 /** The built daemon as a process of its own, with a store and one upstream. */
-class DaemonProcess implements AsyncDisposable {
+class DaemonFixture implements AsyncDisposable {
 	readonly store = new StoreServer();
 	readonly upstream = new UpstreamServer({id: 'u-1'});
-	output = '';
-	#child: ChildProcess | undefined;
+	process!: DaemonProcess;
+	ports!: DaemonPorts;
 
-	async start(): Promise<void> {
+	async start(bundle: string): Promise<void> {
 		await this.store.start();
 		await this.upstream.start();
 		this.store.put('servers', 'u-1', this.upstream.entry());
 		this.store.put('op', 'config', createOperatorConfiguration());
-		this.spawn();
-	}
-
-	spawn(): void {
-		const settings = path.join(folder, 'settings.ini');
-		writeFileSync(settings, [
-			'[daemon]',
-			'name = daemon-1',
-			'host = 127.0.0.1',
-			'availability-zone = zone-a',
-			'[listen]',
-			`callers = 127.0.0.1:${callers}`,
-			`readiness = 127.0.0.1:${readiness}`,
-			`peer-port = ${peers}`,
-			`metrics-port = ${metrics}`,
-			'[store]',
-			`address = ${this.store.address}`,
-			'[limits]',
-			'memory-mb = 350',
-			'link-mbps = 1000',
-			'[bounds]',
-			'retry-ratio = 0.2',
-			'retry-slack = 56',
-			'retry-window-s = 10',
-			'grace-s = 8',
-			'contact-ms = 3000',
-			'drain-ms = 2000',
-			'lease-ms = 3000',
-		].join('\n'));
-		this.#child = spawn(process.execPath, [bundle], {env: {PATH: process.env.PATH, WAGTAILTACK_SETTINGS: settings}, stdio: ['ignore', 'pipe', 'inherit']});
-		this.#child.stdout!.setEncoding('utf8').on('data', (text: string) => {
-			this.output += text;
+		this.ports = toDaemonPorts(await chooseFreePorts(portsPerDaemon));
+		this.process = new DaemonProcess({
+			bundle, name: 'daemon-1', availabilityZone: 'zone-a', storeAddress: this.store.address, ports: this.ports,
 		});
-	}
-
-	signal(name: NodeJS.Signals): void {
-		this.#child!.kill(name);
-	}
-
-	async exitCode(): Promise<number | undefined> {
-		const child = this.#child!;
-		if (child.exitCode === null && child.signalCode === null) {
-			await once(child, 'exit');
-		}
-
-		return child.exitCode ?? undefined;
+		this.process.start();
 	}
 
 	async waitUntilReady(): Promise<void> {
-		for (let tries = 0; await ask(readiness, '/api/ready') !== 200; tries += 1) {
+		for (let tries = 0; await ask(this.ports.readiness, '/api/ready') !== 200; tries += 1) {
 			if (tries > 200) {
 				throw new Error('The daemon is not ready.');
 			}
@@ -88,8 +41,7 @@
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		this.#child?.kill('SIGKILL');
-		await this.exitCode();
+		await this.process[Symbol.asyncDispose]();
 		await this.upstream[Symbol.asyncDispose]();
 		await this.store[Symbol.asyncDispose]();
 	}
@@ -114,55 +66,68 @@
 }
 
 describe('the daemon as a process', () => {
+	let bundle = '';
 	beforeAll(() => {
-		execFileSync(process.execPath, ['scripts/build-daemon.ts', bundle], {stdio: 'inherit'});
+		bundle = buildDaemon();
 	});
 
 	test('serves, finishes its requests on a series of signals and ends with code 0', async () => {
-		await using daemon = new DaemonProcess();
-		await daemon.start();
+		await using daemon = new DaemonFixture();
+		await daemon.start(bundle);
 		await daemon.waitUntilReady();
-		expect(await ask(callers, '/lookup/1', 'before')).toBe(200);
+		expect(await ask(daemon.ports.callers, '/lookup/1', 'before')).toBe(200);
 		daemon.upstream.behaviour.delayMs = 800;
-		const open = ask(callers, '/lookup/1', 'open');
+		const open = ask(daemon.ports.callers, '/lookup/1', 'open');
 		await delay(200);
-		daemon.signal('SIGTERM');
+		daemon.process.signal('SIGTERM');
 		await delay(100);
-		daemon.signal('SIGTERM');
-		expect(await ask(readiness, '/api/ready')).toBe(503);
+		daemon.process.signal('SIGTERM');
+		expect(await ask(daemon.ports.readiness, '/api/ready')).toBe(503);
 		expect(await open).toBe(200);
-		expect(await daemon.exitCode()).toBe(0);
-		expect(daemon.output).toContain('"event":"process.stopped"');
+		expect(await daemon.process.ended()).toBe(0);
+		expect(daemon.process.output).toContain('"event":"process.stopped"');
 	}, 20_000);
 
 	test('is ready again after it was killed, and refuses as not run while the store is down', async () => {
-		await using daemon = new DaemonProcess();
-		await daemon.start();
+		await using daemon = new DaemonFixture();
+		await daemon.start(bundle);
 		await daemon.waitUntilReady();
-		daemon.signal('SIGKILL');
-		await daemon.exitCode();
+		daemon.process.signal('SIGKILL');
+		await daemon.process.ended();
 		daemon.store.faults.status = 503;
-		daemon.spawn();
+		daemon.process.start();
 		let status = 0;
 		for (let tries = 0; status === 0 && tries < 100; tries += 1) {
 			await delay(50);
-			status = await ask(callers, '/none/1');
+			status = await ask(daemon.ports.callers, '/none/1');
 		}
 
 		expect(status).toBe(503);
 		daemon.store.faults.status = undefined;
 		await daemon.waitUntilReady();
-		expect(await ask(callers, '/lookup/1')).toBe(200);
+		expect(await ask(daemon.ports.callers, '/lookup/1')).toBe(200);
 	}, 20_000);
 
+	test('ends with code 1 when it cannot open its ports, and does not stay without them', async () => {
+		await using daemon = new DaemonFixture();
+		await daemon.start(bundle);
+		await daemon.waitUntilReady();
+		await using second = new DaemonProcess({
+			bundle, name: 'daemon-2', availabilityZone: 'zone-a', storeAddress: daemon.store.address, ports: daemon.ports,
+		});
+		second.start();
+		expect(await second.ended()).toBe(1);
+		expect(second.output).toContain('EADDRINUSE');
+	}, 10_000);
+
 	test('takes changed settings on SIGHUP while it serves, and gives metrics', async () => {
-		await using daemon = new DaemonProcess();
-		await daemon.start();
+		await using daemon = new DaemonFixture();
+		await daemon.start(bundle);
 		await daemon.waitUntilReady();
-		daemon.signal('SIGHUP');
-		expect(await ask(callers, '/lookup/1')).toBe(200);
-		expect(await ask(metrics, '/metrics')).toBe(200);
+		daemon.process.signal('SIGHUP');
+		expect(await ask(daemon.ports.callers, '/lookup/1')).toBe(200);
+		expect(await ask(daemon.ports.metrics, '/metrics')).toBe(200);
 		await delay(300);
-		expect(daemon.output).toContain('"event":"process.reload"');
+		expect(daemon.process.output).toContain('"event":"process.reload"');
 	}, 20_000);
 });
--- a/test/process/peers/peer-link.test.ts
+++ b/test/process/peers/peer-link.test.ts
@@ -1,5 +1,3 @@
-import {createSocket} from 'node:dgram';
-import {once} from 'node:events';
 import {
 	describe, expect, test, vi,
 } from 'vitest';
@@ -9,21 +7,7 @@
 import type {PeerReading} from '../../../src/process/peers/peer-message.ts';
 import {directDaemons} from '../../../src/process/peers/peer-topology.ts';
 import {MemoryTable} from '../../../src/stand-ins/platform/memory-table.ts';
-
-/** Returns ports that are free for datagrams at the moment. */
-async function chooseFreePorts(count: number): Promise<readonly number[]> {
-	const sockets = Array.from({length: count}, () => createSocket('udp4'));
-	await Promise.all(sockets.map(async socket => {
-		socket.bind(0, '127.0.0.1');
-		await once(socket, 'listening');
-	}));
-	const ports = sockets.map(socket => socket.address().port);
-	await Promise.all(sockets.map(async socket => {
-		socket.close();
-		await once(socket, 'close');
-	}));
-	return ports;
-}
+import {chooseFreePorts} from '../../fixtures/free-ports.ts';
 
 /** Daemons on loopback, each with its own link, that find each other by one table. */
 class LinkFixture implements AsyncDisposable {
--- a/test/soak/fault-proxy.ts
+++ b/test/soak/fault-proxy.ts
@@ -5,13 +5,15 @@
 export type ProxyMode = 'open' | 'silent' | 'answersLost' | 'refused' | 'slow';
 
 const slowMs = 150;
+/** An end is passed on so late, in milliseconds, since a reset that comes right behind it must be passed on instead. */
+const endMs = 20;
 
 /** Loopback proxy in front of one server that delays, loses or resets what passes. */
 export class FaultProxy implements AsyncDisposable {
 	mode: ProxyMode = 'open';
 	readonly #target: string;
 	readonly #sockets = new Set<Socket>();
-	readonly #server = createServer(socket => {
+	readonly #server = createServer({allowHalfOpen: true}, socket => {
 		this.#accept(socket);
 	});
 
@@ -50,7 +52,7 @@
 		}
 
 		const [host, port] = this.#target.split(':');
-		const upstream = connect(Number(port), host);
+		const upstream = connect({host, port: Number(port), allowHalfOpen: true});
 		this.#pass(socket, upstream, () => this.mode !== 'silent');
 		this.#pass(upstream, socket, () => this.mode !== 'silent' && this.mode !== 'answersLost');
 	}
@@ -73,8 +75,13 @@
 		});
 		from.once('end', () => {
 			setTimeout(() => {
-				to.end();
-			}, this.mode === 'slow' ? slowMs : 0);
+				// A reset that follows the end reads as the end; only the missing peer tells it from one.
+				if (from.remotePort === undefined) {
+					reset(to);
+				} else {
+					to.end();
+				}
+			}, this.mode === 'slow' ? slowMs : endMs);
 		});
 		from.on('error', () => {
 			// A reset on one side is a reset on the other.
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -3,13 +3,12 @@
 
 `npm run soak -- --seeds 1-50 --seconds 8 --daemons 4`
 */
-import {execFileSync} from 'node:child_process';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
-import {tmpdir} from 'node:os';
+import {writeFileSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import {hideBin} from 'yargs/helpers';
 import yargs from 'yargs';
+import {buildDaemon} from '../fixtures/fleet/daemon-process.ts';
 import {runSoak} from './soak.ts';
 
 const millisecondsPerSecond = 1000;
@@ -21,9 +20,7 @@
 	.strict()
 	.parse();
 const [first = 1, last = first] = seeds.split('-').map(Number);
-const folder = mkdtempSync(path.join(tmpdir(), 'wagtailtack-soak-'));
-const bundle = path.join(folder, 'daemon.cjs');
-execFileSync(process.execPath, ['scripts/build-daemon.ts', bundle], {stdio: 'inherit'});
+const bundle = buildDaemon();
 let failures = 0;
 for (let seed = first; seed <= last; seed += 1) {
 	const result = await runSoak({
@@ -41,5 +38,4 @@
 	}
 }
 
-rmSync(folder, {recursive: true, force: true});
 process.exitCode = failures === 0 ? 0 : 1;
--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -1,17 +1,14 @@
-import {createSocket} from 'node:dgram';
-import {once} from 'node:events';
-import {createServer} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
+import {DaemonProcess, portsPerDaemon, toDaemonPorts} from '../fixtures/fleet/daemon-process.ts';
 import {createOperatorConfiguration} from '../fixtures/fleet/fleet-fixture.ts';
 import {StoreServer} from '../fixtures/fleet/store-server.ts';
 import {UpstreamServer, type UpstreamBehaviour} from '../fixtures/fleet/upstream-server.ts';
-import {DaemonProcess} from './daemon-process.ts';
+import {chooseFreePorts} from '../fixtures/free-ports.ts';
 import {FaultProxy} from './fault-proxy.ts';
 import type {Observations, SeenOrder, Span} from './promises.ts';
 
 const zones = ['zone-a', 'zone-b', 'zone-c'];
 const heartbeatMs = 400;
-const portsPerDaemon = 4;
 const readyMs = 15_000;
 
 /** One upstream with the proxy under whose address it is listed. */
@@ -93,11 +90,8 @@
 			const proxy = new FaultProxy(this.store.address);
 			await proxy.start();
 			this.storeProxies.push(proxy);
-			const [callers, readiness, peers, metrics] = ports.slice(index * portsPerDaemon) as [number, number, number, number];
 			const daemon = new DaemonProcess({
-				bundle, name: `daemon-${index}`, availabilityZone: zones[index % zones.length]!, storeAddress: proxy.address, ports: {
-					callers, readiness, peers, metrics,
-				},
+				bundle, name: `daemon-${index}`, availabilityZone: zones[index % zones.length]!, storeAddress: proxy.address, ports: toDaemonPorts(ports.slice(index * portsPerDaemon)),
 			});
 			daemon.start();
 			this.daemons.push(daemon);
@@ -171,30 +165,3 @@
 		upstream.list(this.store);
 	}
 }
-
-/** Returns ports that are free for streams and datagrams at the moment. */
-async function chooseFreePorts(count: number): Promise<readonly number[]> {
-	const ports: number[] = [];
-	const held: AsyncDisposable[] = [];
-	while (ports.length < count) {
-		const server = createServer();
-		held.push(server);
-		server.listen(0, '127.0.0.1');
-		await once(server, 'listening');
-		const address = server.address();
-		const port = typeof address === 'object' && address !== null ? address.port : 0;
-		const socket = createSocket('udp4');
-		try {
-			socket.bind(port, '127.0.0.1');
-			await once(socket, 'listening');
-			held.push(socket);
-			ports.push(port);
-		} catch {
-			// Another process has the port for datagrams; the next one is tried.
-			socket.close();
-		}
-	}
-
-	await Promise.all(held.map(async holder => holder[Symbol.asyncDispose]()));
-	return ports;
-}
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,26 +1,22 @@
-import {execFileSync} from 'node:child_process';
-import {mkdtempSync} from 'node:fs';
-import {tmpdir} from 'node:os';
-import path from 'node:path';
-import process from 'node:process';
 import {
 	beforeAll, describe, expect, test,
 } from 'vitest';
+import {buildDaemon} from '../fixtures/fleet/daemon-process.ts';
 import type {CallerRequest} from './caller-load.ts';
 import {drawFaults} from './fault-schedule.ts';
 import {findBrokenPromises, type Observations} from './promises.ts';
 import {runSoak} from './soak.ts';
 
-const bundle = path.join(mkdtempSync(path.join(tmpdir(), 'wagtailtack-')), 'daemon.cjs');
-
 describe('fault soak', () => {
+	let bundle = '';
 	beforeAll(() => {
-		execFileSync(process.execPath, ['scripts/build-daemon.ts', bundle], {stdio: 'inherit'});
+		bundle = buildDaemon();
 	});
 
 	test.each([
 		['short run', 1, 3, 5000],
 		['short run', 2, 3, 5000],
+		['the proxy passed a reset on as an end', 10, 4, 8000],
 		['a daemon was ended by a SIGHUP that came while it started', 42, 4, 8000],
 	])('keeps all promises: %s, seed %i', async (_reason, seed, daemons, lengthMs) => {
 		const {broken, served} = await runSoak({
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -111,10 +111,15 @@
 	switch (fault.kind) {
 		case 'daemonKill':
 		case 'daemonTerm': {
+			// Signals may come in series; the process is started again once for all of them.
+			const isFirst = !daemon.isAskedToEnd;
 			daemon.signal(fault.kind === 'daemonKill' ? 'SIGKILL' : 'SIGTERM');
 			await daemon.ended();
-			await delay(respawnMs);
-			daemon.start();
+			if (isFirst) {
+				await delay(respawnMs);
+				daemon.start();
+			}
+
 			harm([index]);
 			break;
 		}
