Say once how sends are logged and classified, and what engines keep of a prompt

No behaviour changes. Plain and streamed deliveries each counted, logged and classified their sends; the base class does it for both, and three readings of a declined request became one. Each candidate of a prompt counted the prompt's tokens and the keeper's missing ones again; they are counted once a decision. Removed: a field that was always equal to another one, a method without callers, a counter that only told the first reading from later ones, a second look for the relay on each message, and copies of the test configuration in the capacity measures.

--- a/bench/capacity/fleet.ts
+++ b/bench/capacity/fleet.ts
@@ -8,7 +8,9 @@
 import {decodePeerDatagram, encodePeerDatagrams, type PeerMessage} from '../../src/process/peers/peer-message.ts';
 import {SeededRandom} from '../../src/process/random.ts';
 import type {Demand} from '../../src/request/delivery/upstream-scheduler.ts';
-import type {Service} from '../../src/version/routes/route-configuration.ts';
+import {
+	createModelService, createRequest, createRoute, createUpstream,
+} from '../../test/fixtures/fleet/configuration.ts';
 import {measureTime} from './resources.ts';
 import type {SlopeMeasure} from './slope.ts';
 
@@ -96,26 +98,12 @@
 function createScheduler(engines: number): FleetScheduler {
 	const registry = new UpstreamRegistry();
 	for (let index = 0; index < engines; index += 1) {
-		registry.set({
-			id: `engine-${index}`,
-			service,
-			address: `10.1.0.1:${index}`,
-			availabilityZone: `zone-${index % zones}`,
-			isDraining: false,
-			slots: 128,
-			stage: index % 4 === 0 ? 'decode' : 'prefill',
-			heartbeat: 1,
-			startedAt: 1,
-		});
+		registry.set(createUpstream({
+			id: `engine-${index}`, service, availabilityZone: `zone-${index % zones}`, stage: index % 4 === 0 ? 'decode' : 'prefill',
+		}));
 	}
 
-	const services = new Map<string, Service>([[service, {
-		name: service,
-		connectionLimit: 600,
-		engine: {
-			slots: 128, memoryTokens: 1_000_000, tokenBytes: 18_432, linkMbps: 500_000, handleMs: 5000, stageChangeMs: 3000,
-		},
-	}]]);
+	const services = new Map([[service, createModelService(service)]]);
 	return new FleetScheduler({
 		clock: new SystemClock(),
 		random: new SeededRandom(seed),
@@ -148,30 +136,11 @@
 		arrivedAt: now,
 		endAt: now + 5000,
 		signal: new AbortController().signal,
-		request: {
-			id: String(count),
-			method: 'POST',
-			host: 'a.example',
-			target: '/x/1',
-			headers: [],
-			body: new Uint8Array(0),
-			caller: '127.0.0.1',
-			waitMs: 5000,
-			lastEventId: undefined,
-			prompt: {tokens: 17_020, outputTokens: 80, parts: [{id: `shared-${count % 50}`, tokens: 13_300}, {id: `own-${count}`, tokens: 3720}]},
-		},
-		route: {
-			name: 'route',
-			host: 'a.example',
-			pathPrefix: '/x/',
-			kind: 'stream',
-			timeoutMs: 5000,
-			targetLatencyMs: 400,
-			targetGapMs: 200,
-			priority: 1,
-			attemptLimit: 2,
-			isResumable: true,
-			targets: [{service, weight: 1}],
-		},
+		request: createRequest({
+			id: String(count), waitMs: 5000, prompt: {tokens: 17_020, outputTokens: 80, parts: [{id: `shared-${count % 50}`, tokens: 13_300}, {id: `own-${count}`, tokens: 3720}]},
+		}),
+		route: createRoute({
+			kind: 'stream', timeoutMs: 5000, targetLatencyMs: 400, targetGapMs: 200, isResumable: true, targets: [{service, weight: 1}],
+		}),
 	};
 }
--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -13,6 +13,7 @@
 	choosePrefill, prefillRate, weighTokens, type PrefillCandidate, type PrefillChoice,
 } from './placement-score.ts';
 import type {Placements} from './placements.ts';
+import {countTokens} from './prompt-cache.ts';
 import {
 	isLatePrompt, judgePrompt, orderPrompts, predictArrival, rankAtUpstream, type WaitingPrompt,
 } from './prefill-queue.ts';
@@ -42,11 +43,18 @@
 	readonly settle: (result: PlacementResult) => void;
 };
 
-/** A prompt that is to be read. */
-type Reading = {
-	readonly parts: readonly PromptPart[];
+/** What the engines keep of a prompt. */
+type Kept = {
+	readonly totalTokens: number;
 	/** Upstream that keeps the most of it. */
 	readonly keeper: UpstreamState | undefined;
+	/** Tokens that the keeper has to read. */
+	readonly keeperMissing: number;
+};
+
+/** A prompt that is to be read. */
+type Reading = Kept & {
+	readonly parts: readonly PromptPart[];
 	readonly engine: EngineProfile;
 	readonly priority: number;
 };
@@ -180,13 +188,14 @@
 	#tryPlace(waiting: Waiting, now: number): boolean {
 		const {demand, parts, priority} = waiting;
 		const prefillers = this.#prefillers(demand);
-		const keeper = this.#findKeeper(parts, this.#options.states.present(demand.service));
+		const kept = this.#findKept(parts, demand.service);
+		const {keeper} = kept;
 		const sample = sampleCandidates(prefillers, this.#options.availabilityZone, this.#options.random);
 		const states = keeper !== undefined && prefillers.includes(keeper) && !sample.includes(keeper) ? [...sample, keeper] : sample;
-		const timely = this.#choose(waiting, states, keeper, rankAtUpstream(priority, false));
+		const timely = this.#choose(waiting, states, kept, rankAtUpstream(priority, false));
 		const isLate = timely === undefined || isLatePrompt(waiting, timely.predictedMs, now);
 		const rank = rankAtUpstream(priority, isLate);
-		const choice = isLate ? this.#choose(waiting, states, keeper, rank) : timely;
+		const choice = isLate ? this.#choose(waiting, states, kept, rank) : timely;
 		if (choice === undefined) {
 			this.#leaveQueue(waiting, this.#options.placements.refuse(demand, 'noUpstream'));
 			return true;
@@ -222,9 +231,9 @@
 		}
 	}
 
-	#choose({parts, engine}: Waiting, states: readonly UpstreamState[], keeper: UpstreamState | undefined, rank: number): PrefillChoice | undefined {
+	#choose({parts, engine}: Waiting, states: readonly UpstreamState[], kept: Kept, rank: number): PrefillChoice | undefined {
 		return choosePrefill(states.map(state => this.#createCandidate(state, {
-			parts, keeper, engine, priority: rank,
+			...kept, parts, engine, priority: rank,
 		})), prefillRate);
 	}
 
@@ -250,44 +259,41 @@
 
 	/** Tokens to read where the most of a prompt is kept. */
 	#leastMissing(demand: Demand, parts: readonly PromptPart[]): number {
-		const total = parts.reduce((sum, {tokens}) => sum + tokens, 0);
-		const keeper = this.#findKeeper(parts, this.#options.states.present(demand.service));
-		const missing = keeper?.cache.missingTokens(parts) ?? total;
-		return weighTokens(missing, total - missing);
+		const {totalTokens, keeperMissing} = this.#findKept(parts, demand.service);
+		return weighTokens(keeperMissing, totalTokens - keeperMissing);
 	}
 
 	#prefillers({service, tried}: Demand): readonly UpstreamState[] {
 		return this.#options.states.usable(service, 'prefill', tried);
 	}
 
-	/** Upstream that keeps the most tokens of a prompt from its start. */
-	#findKeeper(parts: readonly PromptPart[], states: readonly UpstreamState[]): UpstreamState | undefined {
+	/** Finds the upstream that keeps the most tokens of a prompt from its start. */
+	#findKept(parts: readonly PromptPart[], service: string): Kept {
+		const totalTokens = countTokens(parts);
 		let keeper: UpstreamState | undefined;
-		let missing = Number.POSITIVE_INFINITY;
-		for (const state of states) {
+		let keeperMissing = totalTokens;
+		for (const state of this.#options.states.present(service)) {
 			const tokens = state.cache.missingTokens(parts);
-			if (tokens < missing) {
+			if (keeper === undefined || tokens < keeperMissing) {
 				keeper = state;
-				missing = tokens;
+				keeperMissing = tokens;
 			}
 		}
 
-		return keeper;
+		return {totalTokens, keeper, keeperMissing};
 	}
 
-	#createCandidate(state: UpstreamState, {parts, keeper, engine, priority}: Reading): PrefillCandidate {
+	#createCandidate(state: UpstreamState, {parts, totalTokens, keeper, keeperMissing, engine, priority}: Reading): PrefillCandidate {
 		const now = this.#options.clock.now();
 		const {upstream} = state;
-		const total = parts.reduce((sum, {tokens}) => sum + tokens, 0);
 		const ownMissing = state.cache.missingTokens(parts);
-		const keeperMissing = keeper?.cache.missingTokens(parts) ?? total;
 		const fetches = keeper !== undefined && keeper !== state && ownMissing - keeperMissing >= fetchedTokens;
 		const missingTokens = fetches ? keeperMissing : ownMissing;
 		return {
 			id: upstream.id,
 			backlogTokens: this.#sumBacklog(state, priority, now),
 			missingTokens,
-			keptTokens: total - missingTokens,
+			keptTokens: totalTokens - missingTokens,
 			fetchMs: fetches ? this.#transferMs(ownMissing - keeperMissing, upstream, keeper.upstream, engine) : 0,
 			isLocal: upstream.availabilityZone === this.#options.availabilityZone,
 			pace: state.pace * state.slowness(now),
--- a/src/process/fleet/prompt-cache.ts
+++ b/src/process/fleet/prompt-cache.ts
@@ -1,5 +1,10 @@
 import type {PromptPart} from '../../request/delivery/route-request.ts';
 
+/** Tokens of some parts of a prompt. */
+export function countTokens(parts: readonly PromptPart[]): number {
+	return parts.reduce((sum, {tokens}) => sum + tokens, 0);
+}
+
 /** Estimate of the prompt parts that one upstream keeps in its memory; the least recently used ones yield. */
 export class PromptCache {
 	readonly #parts = new Map<string, number>();
@@ -15,15 +20,10 @@
 		return this.#tokens;
 	}
 
-	/** Number of leading parts that are kept; a part counts only if all parts before it are kept too. */
-	keptParts(parts: readonly PromptPart[]): number {
-		const missing = parts.findIndex(({id}) => !this.#parts.has(id));
-		return missing === -1 ? parts.length : missing;
-	}
-
-	/** Tokens of the prompt that have to be read. */
+	/** Tokens of the prompt that have to be read; a part is kept only if all parts before it are kept too. */
 	missingTokens(parts: readonly PromptPart[]): number {
-		return parts.slice(this.keptParts(parts)).reduce((sum, {tokens}) => sum + tokens, 0);
+		const missing = parts.findIndex(({id}) => !this.#parts.has(id));
+		return missing === -1 ? 0 : countTokens(parts.slice(missing));
 	}
 
 	/** Notes that the upstream has read or fetched a prompt. */
--- a/src/process/peers/peer-directory.ts
+++ b/src/process/peers/peer-directory.ts
@@ -22,7 +22,6 @@
 export class PeerDirectory implements AsyncDisposable {
 	readonly #options: PeerDirectoryOptions;
 	#timer: NodeJS.Timeout | undefined;
-	#successes = 0;
 	#isClosed = false;
 
 	constructor(options: PeerDirectoryOptions) {
@@ -31,7 +30,7 @@
 
 	/** Makes this daemon known and reads the entries of the others. */
 	start(): void {
-		void this.#refresh();
+		void this.#refresh(firstRefreshMs);
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
@@ -39,13 +38,12 @@
 		clearTimeout(this.#timer);
 	}
 
-	async #refresh(): Promise<void> {
+	/** Reads the entries until that succeeds, and once more after `againMs`. */
+	async #refresh(againMs: number): Promise<void> {
 		const isDone = await this.#readEntries();
-		this.#successes += isDone ? 1 : 0;
-		const againMs = this.#successes === 1 ? firstRefreshMs : refreshMs;
 		if (!this.#isClosed) {
 			this.#timer = setTimeout(() => {
-				void this.#refresh();
+				void this.#refresh(isDone ? refreshMs : againMs);
 			}, isDone ? againMs : retryMs);
 		}
 	}
--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -161,9 +161,10 @@
 		};
 		this.#readings = [];
 		this.#crashes = [];
-		this.#noteRelay(now);
+		const targets = this.topology.ownTargets(now);
+		this.#noteRelay(this.topology.isDirect ? 'none' : targets[0]?.daemon ?? 'self');
 		if (this.topology.isDirect) {
-			this.#send('direct', [message], this.topology.ownTargets(now));
+			this.#send('direct', [message], targets);
 			return;
 		}
 
@@ -174,11 +175,10 @@
 		}
 
 		const suspected = isKeepAlive ? this.topology.suspectedRelay(now) : undefined;
-		this.#send('own', [message], [...this.topology.ownTargets(now), ...suspected === undefined ? [] : [suspected]]);
+		this.#send('own', [message], [...targets, ...suspected === undefined ? [] : [suspected]]);
 	}
 
-	#noteRelay(now: number): void {
-		const used = this.topology.isDirect ? 'none' : this.topology.ownTargets(now)[0]?.daemon ?? 'self';
+	#noteRelay(used: string): void {
 		if (used !== this.#usedRelay) {
 			this.#options.log.write('peers.relay', {relay: used, previous: this.#usedRelay});
 			this.#usedRelay = used;
--- a/src/process/peers/peer-message.ts
+++ b/src/process/peers/peer-message.ts
@@ -64,9 +64,17 @@
 	m: array(messageCodec),
 });
 
+/** First byte of a datagram that is not compressed: an opening brace, which no compressed one begins with. */
+const objectStart = 0x7B;
+/** Bound on what a compressed datagram may become. */
+const longestDatagramBytes = 256 * 1024;
+/** Loads and prompts in one piece of a message, so that a piece fits a frame of the network. */
+const loadsPerPiece = 8;
+const readingsPerPiece = 6;
+
 /**
-How far a datagram has come: from a daemon to all that it knows, from a daemon to its relay, from a relay to the relays of the other availability zones, or to its
-last receivers, which do not pass it on.
+How far a datagram has come: from a daemon to all that it knows, from a daemon to its relay, from a relay to the relays of the
+other availability zones, or to its last receivers, which do not pass it on.
 */
 export type PeerScope = GetType<typeof scopeCodec>;
 
@@ -134,14 +142,6 @@
 	return JSON.stringify(message);
 }
 
-/** First byte of a datagram that is not compressed: an opening brace, which no compressed one begins with. */
-const objectStart = 0x7B;
-/** Bound on what a compressed datagram may become. */
-const longestDatagramBytes = 256 * 1024;
-/** Loads and prompts in one piece of a message, so that a piece fits a frame of the network. */
-const loadsPerPiece = 8;
-const readingsPerPiece = 6;
-
 /** Encodes datagrams of at most `limitBytes`; messages that do not fit one as they are get compressed, and divided if need be. */
 export function encodePeerDatagrams({sender, scope, messages}: PeerDatagram, limitBytes: number): readonly Uint8Array[] {
 	const prefix = `{"n":${JSON.stringify(sender)},"s":"${scope}","m":[`;
--- a/src/process/peers/peer-topology.ts
+++ b/src/process/peers/peer-topology.ts
@@ -3,7 +3,7 @@
 /** Up to so many daemons tell each other directly; beyond, the cost would grow with the square of their number. */
 export const directDaemons = 12;
 /** A relay that was used for so long without being heard is passed over, in milliseconds; a relay sends each 100 ms. */
-export const relaySilenceMs = 400;
+const relaySilenceMs = 400;
 const shortestSuspicionMs = 2000;
 const longestSuspicionMs = 8000;
 /** A daemon is a relay while others used it as one within this time, in milliseconds. */
@@ -72,11 +72,6 @@
 		});
 	}
 
-	/** True for a daemon that is known. */
-	has(daemon: string): boolean {
-		return this.#known.has(daemon);
-	}
-
 	/** Notes that a message of a daemon came in. */
 	heard(daemon: string, now: number): void {
 		const known = this.#known.get(daemon);
--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -2,7 +2,8 @@
 import type {ExchangeFailure} from '../../connection/links/exchange.ts';
 import type {UpstreamLinks} from '../../connection/links/upstream-links.ts';
 import type {Refusal} from '../../ports/caller-protocol.ts';
-import type {UpstreamAnswer, UpstreamProtocol} from '../../ports/upstream-protocol.ts';
+import type {Upstream} from '../../ports/upstream.ts';
+import type {PromptWork, UpstreamAnswer, UpstreamProtocol} from '../../ports/upstream-protocol.ts';
 import type {Clock} from '../../process/clock.ts';
 import type {DecisionLog} from '../../process/fleet/decision-log.ts';
 import type {SharedRetryBudget} from '../../process/fleet/shared-retry-budget.ts';
@@ -10,7 +11,7 @@
 import type {Route} from '../../version/routes/route-configuration.ts';
 import type {RouteRequest} from './route-request.ts';
 import type {
-	Demand, PlacementRefusal, SendEnd, UpstreamScheduler,
+	Demand, Placement, PlacementRefusal, SendEnd, UpstreamScheduler,
 } from './upstream-scheduler.ts';
 
 /** What deliveries need from the rest of the daemon. */
@@ -98,7 +99,10 @@
 	*/
 	protected mayGiveUpSilent(): boolean {
 		const mayResend = this.tools.scheduler.hasOther(this.demand) && this.takeArrival();
-		this.#isArrivalTaken ||= mayResend;
+		if (mayResend) {
+			this.carryArrival();
+		}
+
 		return mayResend;
 	}
 
@@ -123,11 +127,35 @@
 		this.arrivals += 1;
 	}
 
-	/** Lets the next arrival go on the account of the last one, whose outcome showed that it does not count. */
+	/** Lets the next arrival go on the account of the last one that was taken. */
 	protected carryArrival(): void {
 		this.#isArrivalTaken = true;
 	}
 
+	/** Counts and logs a send that begins. */
+	protected noteSend({upstream, predictedMs}: Placement, work: PromptWork['kind'] | 'plain', fields: Readonly<Record<string, unknown>> = {}): void {
+		this.sends += 1;
+		this.log('send', {
+			upstream: upstream.id, address: upstream.address, work, ...fields, predictedMs: Math.round(predictedMs), remainingMs: Math.round(this.remainingMs),
+		});
+	}
+
+	/** Logs a send that has ended. */
+	protected noteSent({id}: Upstream, outcome: string, elapsedMs: number, fields: Readonly<Record<string, unknown>>): void {
+		this.log('sent', {
+			upstream: id, outcome, elapsedMs: Math.round(elapsedMs), ...fields,
+		});
+	}
+
+	/** Classifies a failed call for the scheduler; one that the daemon itself gave up was silent. */
+	protected toFailedEnd({kind, wasSent}: ExchangeFailure, elapsedMs: number): SendEnd {
+		if (kind === 'cancelled') {
+			return {kind: this.job.signal.aborted ? 'cancelled' : 'silent', elapsedMs};
+		}
+
+		return {kind: wasSent ? 'lost' : kind, elapsedMs};
+	}
+
 	protected log(event: string, fields: Readonly<Record<string, unknown>>): void {
 		this.tools.log.write(event, {request: this.job.request.id, ...fields});
 	}
@@ -183,11 +211,11 @@
 	}
 }
 
-/** Classifies the failure of an exchange for the scheduler. */
-export function toSendEnd({kind, wasSent}: ExchangeFailure, elapsedMs: number): SendEnd {
-	if (kind === 'cancelled') {
-		return {kind: 'cancelled', elapsedMs};
+/** How an upstream declined a request; undefined when it may have run it. */
+export function classifyRejection({isNotRun, isMisdirected}: UpstreamAnswer): 'misdirected' | 'rejected' | undefined {
+	if (!isNotRun) {
+		return undefined;
 	}
 
-	return {kind: wasSent ? 'lost' : kind, elapsedMs};
+	return isMisdirected ? 'misdirected' : 'rejected';
 }
--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -1,5 +1,5 @@
 import {callUpstream, type CallResult} from '../../connection/links/upstream-call.ts';
-import {Delivery, toSendEnd, type DeliveryEnd} from './delivery.ts';
+import {classifyRejection, Delivery, type DeliveryEnd} from './delivery.ts';
 import {isPlaced, type Placement, type SendEnd} from './upstream-scheduler.ts';
 
 /** Sends that found no upstream running; each goes to another upstream. */
@@ -53,13 +53,10 @@
 		const {tools, job} = this;
 		const {upstream} = placement;
 		const sentAt = tools.clock.now();
-		this.sends += 1;
 		this.tried.add(upstream.id);
 		const isLast = !this.#isIdempotent || this.runs + 1 >= job.route.attemptLimit;
 		const silenceMs = Math.max(shortestSilenceMs, job.route.targetLatencyMs * silenceTargets);
-		this.log('send', {
-			upstream: upstream.id, address: upstream.address, work: 'plain', predictedMs: Math.round(placement.predictedMs), remainingMs: Math.round(this.remainingMs),
-		});
+		this.noteSend(placement, 'plain');
 		const result = await callUpstream({
 			links: tools.links,
 			protocol: tools.protocol,
@@ -76,34 +73,24 @@
 		const elapsedMs = tools.clock.now() - sentAt;
 		const end = this.#toEnd(result, elapsedMs);
 		placement.release(end);
-		this.log('sent', {
-			upstream: upstream.id,
-			outcome: end.kind,
-			elapsedMs: Math.round(elapsedMs),
-			...(result.kind === 'answered'
-				? {status: result.answer.status, isFramed: result.answer.isFramed, bytes: result.body.length}
-				: {cause: result.failure.message}),
-		});
+		this.noteSent(upstream, end.kind, elapsedMs, result.kind === 'answered'
+			? {status: result.answer.status, isFramed: result.answer.isFramed, bytes: result.body.length}
+			: {cause: result.failure.message});
 		return this.#decide(result, end, upstream.id);
 	}
 
 	#toEnd(result: CallResult, elapsedMs: number): SendEnd {
 		if (result.kind === 'failed') {
-			const isSilent = result.failure.kind === 'cancelled' && !this.job.signal.aborted;
-			return isSilent ? {kind: 'silent', elapsedMs} : toSendEnd(result.failure, elapsedMs);
+			return this.toFailedEnd(result.failure, elapsedMs);
 		}
 
 		const {answer} = result;
-		const load = answer.load === undefined ? {} : {load: answer.load};
+		const {load, status} = answer;
 		if (!this.isOwn(answer)) {
-			return {kind: 'lost', elapsedMs, ...load};
-		}
-
-		if (answer.isNotRun) {
-			return {kind: answer.isMisdirected ? 'misdirected' : 'rejected', elapsedMs, ...load};
+			return {kind: 'lost', elapsedMs, load};
 		}
 
-		return {kind: answer.status >= 500 ? 'failed' : 'served', elapsedMs, ...load};
+		return {kind: classifyRejection(answer) ?? (status >= 500 ? 'failed' : 'served'), elapsedMs, load};
 	}
 
 	#decide(result: CallResult, {kind}: SendEnd, upstreamId: string): Step {
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -1,12 +1,10 @@
 import {callUpstream} from '../../connection/links/upstream-call.ts';
-import type {PromptWork, UpstreamAnswer} from '../../ports/upstream-protocol.ts';
+import type {PromptWork} from '../../ports/upstream-protocol.ts';
 import type {Upstream} from '../../ports/upstream.ts';
-import {
-	Delivery, toSendEnd, type DeliveryEnd,
-} from './delivery.ts';
+import {classifyRejection, Delivery, type DeliveryEnd} from './delivery.ts';
 import {StreamRun, type StreamRunEnd} from './stream-run.ts';
 import {
-	isPlaced, type Placement, type PlacementRefusal, type SendEnd,
+	isPlaced, type Placement, type PlacementRefusal,
 } from './upstream-scheduler.ts';
 
 /** Sends that read a prompt; each further one counts as a retry. */
@@ -93,10 +91,7 @@
 		const {tools, job} = this;
 		const {upstream, fetchFrom} = placement;
 		const sentAt = tools.clock.now();
-		this.sends += 1;
-		this.log('send', {
-			upstream: upstream.id, address: upstream.address, work: 'prefill', fetchFrom: fetchFrom?.id, predictedMs: Math.round(placement.predictedMs), remainingMs: Math.round(this.remainingMs),
-		});
+		this.noteSend(placement, 'prefill', {fetchFrom: fetchFrom?.id});
 		const result = await callUpstream({
 			links: tools.links,
 			protocol: tools.protocol,
@@ -109,25 +104,23 @@
 		});
 		const elapsedMs = tools.clock.now() - sentAt;
 		if (result.kind === 'failed') {
-			const isSilent = result.failure.kind === 'cancelled' && !job.signal.aborted;
-			const end = isSilent ? {kind: 'silent' as const, elapsedMs} : toSendEnd(result.failure, elapsedMs);
+			const end = this.toFailedEnd(result.failure, elapsedMs);
 			placement.release(end);
 			if (result.failure.kind === 'lost') {
 				tools.crashes.connectionLost(job.request, upstream.id);
 			}
 
-			this.#logSent(upstream, end.kind, elapsedMs, {cause: result.failure.message});
+			this.noteSent(upstream, end.kind, elapsedMs, {cause: result.failure.message});
 			return {kind: 'lost'};
 		}
 
 		const {answer, body} = result;
-		const load = answer.load === undefined ? {} : {load: answer.load};
 		const prompt = answer.status === 200 && (answer.requestId === undefined || answer.requestId === job.request.id)
 			? tools.protocol.decodePrefill(body).map(({handle}) => ({source: upstream, handle})).toMaybe().extract()
 			: undefined;
-		const kind = prompt === undefined ? toFailedPrefill(answer) : 'served';
-		placement.release({kind, elapsedMs, ...load});
-		this.#logSent(upstream, kind, elapsedMs, {status: answer.status});
+		const kind = prompt === undefined ? classifyRejection(answer) ?? 'failed' : 'served';
+		placement.release({kind, elapsedMs, load: answer.load});
+		this.noteSent(upstream, kind, elapsedMs, {status: answer.status});
 		return prompt === undefined ? {kind: 'rejected'} : {kind: 'read', prompt};
 	}
 
@@ -148,7 +141,7 @@
 			}
 
 			const result = await this.#stream(placement, prompt);
-			if (result.isPromptTaken) {
+			if (result.mayHaveRun) {
 				prompt = undefined;
 			}
 
@@ -168,11 +161,8 @@
 		const {tools, job} = this;
 		const {upstream} = placement;
 		const work: PromptWork = prompt === undefined ? {kind: 'whole'} : {kind: 'decode', ...prompt};
-		this.sends += 1;
 		this.tried.add(upstream.id);
-		this.log('send', {
-			upstream: upstream.id, address: upstream.address, work: work.kind, after: this.#lastEventId, predictedMs: Math.round(placement.predictedMs), remainingMs: Math.round(this.remainingMs),
-		});
+		this.noteSend(placement, work.kind, {after: this.#lastEventId});
 		const run = new StreamRun({
 			tools,
 			job,
@@ -196,7 +186,7 @@
 			this.arrivals -= 1;
 		}
 
-		this.#logSent(upstream, result.kind, result.elapsedMs, {status: result.status, events: result.events, cause: result.message});
+		this.noteSent(upstream, result.kind, result.elapsedMs, {status: result.status, events: result.events, cause: result.message});
 		return result;
 	}
 
@@ -276,18 +266,4 @@
 		});
 		this.log('prompt.released', {upstream: prompt.source.id});
 	}
-
-	#logSent(upstream: Upstream, outcome: string, elapsedMs: number, fields: Readonly<Record<string, unknown>>): void {
-		this.log('sent', {
-			upstream: upstream.id, outcome, elapsedMs: Math.round(elapsedMs), ...fields,
-		});
-	}
-}
-
-function toFailedPrefill({isMisdirected, isNotRun}: UpstreamAnswer): SendEnd['kind'] {
-	if (isMisdirected) {
-		return 'misdirected';
-	}
-
-	return isNotRun ? 'rejected' : 'failed';
 }
--- a/src/request/delivery/stream-run.ts
+++ b/src/request/delivery/stream-run.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import type {Exchange, ExchangeFailure} from '../../connection/links/exchange.ts';
 import type {UpstreamAnswer, WireRequest} from '../../ports/upstream-protocol.ts';
-import type {DeliveryJob, DeliveryTools} from './delivery.ts';
+import {classifyRejection, type DeliveryJob, type DeliveryTools} from './delivery.ts';
 import {EventSplitter} from './event-splitter.ts';
 import type {Placement, SendEnd} from './upstream-scheduler.ts';
 
@@ -28,9 +28,8 @@
 	readonly status: number | undefined;
 	/** True when a byte of the request may have reached the upstream. */
 	readonly hasArrived: boolean;
+	/** True when the upstream may have run the request, so that the prompt's handle cannot be used again. */
 	readonly mayHaveRun: boolean;
-	/** True when the prompt's handle cannot be used again. */
-	readonly isPromptTaken: boolean;
 	/** Last whole event that the caller was sent. */
 	readonly lastEventId: string | undefined;
 	readonly events: number;
@@ -160,8 +159,12 @@
 		const answer = this.#answer;
 		if (answer === undefined) {
 			this.#finish('lost', 'the answer has no head');
-		} else if (answer.isNotRun) {
-			this.#finish(answer.isMisdirected ? 'misdirected' : 'rejected', `status ${answer.status}`);
+			return;
+		}
+
+		const rejection = classifyRejection(answer);
+		if (rejection !== undefined) {
+			this.#finish(rejection, `status ${answer.status}`);
 		} else if (answer.status >= 300) {
 			this.#finish('failed', `status ${answer.status}`);
 		} else if (this.#splitter.pendingBytes > 0) {
@@ -212,8 +215,7 @@
 		this.#isOver = true;
 		const {tools, placement} = this.#options;
 		const elapsedMs = tools.clock.now() - this.#sentAt;
-		const load = this.#answer?.load;
-		placement.release({kind: kind === 'complete' ? 'served' : kind, elapsedMs, ...(load === undefined ? {} : {load})});
+		placement.release({kind: kind === 'complete' ? 'served' : kind, elapsedMs, load: this.#answer?.load});
 		const hasArrived = this.#exchange?.isStarted ?? true;
 		const isRejected = kind === 'rejected' || kind === 'misdirected';
 		this.#ended.resolve({
@@ -222,7 +224,6 @@
 			status: this.#answer?.status,
 			hasArrived,
 			mayHaveRun: hasArrived && !isRejected,
-			isPromptTaken: hasArrived && !isRejected,
 			lastEventId: this.#lastEventId,
 			events: this.#events,
 			elapsedMs,
