--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -122,11 +122,6 @@
 		return true;
 	}
 
-	/** Counts an arrival that was free until its outcome showed that it counts. */
-	protected countArrival(): void {
-		this.arrivals += 1;
-	}
-
 	/** Lets the next arrival go on the account of the last one that was taken. */
 	protected carryArrival(): void {
 		this.#isArrivalTaken = true;
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -32,9 +32,9 @@
 
 type PromptResult
 	= | {readonly kind: 'read'; readonly prompt: ReadPrompt}
-		/** The upstream answered that it has not read the prompt. */
-		| {readonly kind: 'rejected'}
-		| {readonly kind: 'lost'};
+		/** The call arrived, or may have, and there is no prompt to be fetched. */
+		| {readonly kind: 'failed'}
+		| {readonly kind: 'notSent'};
 
 /** Delivers a stream of a model service: one upstream reads the prompt, another one generates the answer. */
 export class StreamDelivery extends Delivery {
@@ -52,15 +52,13 @@
 	/** Reads the prompt at one upstream; reading it again elsewhere does no harm, since nothing runs yet. */
 	async #prefill(): Promise<Prefill> {
 		const tried = new Set<string>();
-		let rejections = 0;
 		for (let attempt = 0; attempt < prefillLimit; attempt += 1) {
 			const placement = await this.tools.scheduler.placePrefill({...this.demand, tried});
 			if (!isPlaced(placement)) {
 				return placement.reason === 'overloaded' ? {kind: 'refused', refusal: placement} : {kind: 'unread'};
 			}
 
-			const mayCall = attempt === 0 || this.takeArrival();
-			if (this.job.signal.aborted || !mayCall) {
+			if (this.job.signal.aborted || !this.takeArrival()) {
 				placement.release({kind: 'cancelled', elapsedMs: 0});
 				return {kind: 'unread'};
 			}
@@ -68,19 +66,13 @@
 			tried.add(placement.upstream.id);
 			const result = await this.#readPrompt(placement);
 			if (result.kind === 'read') {
-				// The first reading that an upstream accepts is free, but not those that are rejected before it.
-				if (rejections > 0 && rejections === attempt) {
-					this.carryArrival();
-				}
-
+				// A reading that succeeds does not count; the first send that generates takes its place.
+				this.carryArrival();
 				return result;
 			}
 
-			if (result.kind === 'rejected') {
-				rejections += 1;
-				if (attempt === 0) {
-					this.countArrival();
-				}
+			if (result.kind === 'notSent') {
+				this.arrivals -= 1;
 			}
 		}
 
@@ -111,7 +103,7 @@
 			}
 
 			this.noteSent(upstream, end.kind, elapsedMs, {cause: result.failure.message});
-			return {kind: 'lost'};
+			return {kind: result.failure.wasSent ? 'failed' : 'notSent'};
 		}
 
 		const {answer, body} = result;
@@ -121,7 +113,7 @@
 		const kind = prompt === undefined ? classifyRejection(answer) ?? 'failed' : 'served';
 		placement.release({kind, elapsedMs, load: answer.load});
 		this.noteSent(upstream, kind, elapsedMs, {status: answer.status});
-		return prompt === undefined ? {kind: 'rejected'} : {kind: 'read', prompt};
+		return prompt === undefined ? {kind: 'failed'} : {kind: 'read', prompt};
 	}
 
 	async #generate(readPrompt: ReadPrompt | undefined): Promise<DeliveryEnd> {
--- a/test/request/delivery/stream-delivery.test.ts
+++ b/test/request/delivery/stream-delivery.test.ts
@@ -47,12 +47,14 @@
 		expect(readEventIds(body)).toEqual(['1', '2', '3']);
 	});
 
-	test('counts each rejected reading of a prompt against the retry budget, so that engines that shed get no storm of calls', async () => {
+	test.each([
+		['rejected', {status: 503, isNotRun: true}],
+		['lost', {losesAnswer: true}],
+	])('counts each %s reading of a prompt against the retry budget, so that engines in trouble get no storm of calls', async (_outcome, trouble) => {
 		await using fleet = new FleetFixture();
 		await fleet.start([{id: 'p-1', stage: 'prefill'}, {id: 'p-2', stage: 'prefill'}, {id: 'p-3', stage: 'prefill'}, {id: 'd-1', stage: 'decode'}]);
 		for (const {behaviour} of fleet.upstreams.filter(({behaviour: {stage}}) => stage === 'prefill')) {
-			behaviour.status = 503;
-			behaviour.isNotRun = true;
+			Object.assign(behaviour, trouble);
 		}
 
 		const requests = 60;
