End endless answers, late copies of answers and sends whose caller has gone

The echoed request id is compared; without an echo the connection is not used again. A cancelled exchange now resets its connection. - Bytes without an event restarted the silence timer of a stream; an event over the size limit counted as cancelled by the caller instead of as a fault of the upstream. - An uncaught error of the bundled daemon printed the whole file and hid its own text; it prints the stack now.

--- a/src/connection/links/exchange.ts
+++ b/src/connection/links/exchange.ts
@@ -32,14 +32,17 @@
 export class Exchange implements Dispatcher.DispatchHandler {
 	readonly #listener: ExchangeListener;
 	readonly #destroy: (reason: Error) => void;
+	readonly #reset: () => void;
 	#controller: Dispatcher.DispatchController | undefined;
 	#isStarted = false;
 	#hasEnded = false;
 	#isUnreachable = false;
 
-	constructor(listener: ExchangeListener, destroy: (reason: Error) => void) {
+	/** `reset` resets the connection, so that bytes of the request that have not left the host are dropped. */
+	constructor(listener: ExchangeListener, destroy: (reason: Error) => void, reset: () => void = () => undefined) {
 		this.#listener = listener;
 		this.#destroy = destroy;
+		this.#reset = reset;
 	}
 
 	/** True once the request may have reached the upstream. */
@@ -52,13 +55,21 @@
 		return this.#hasEnded;
 	}
 
-	/** Cancels the exchange and closes its connection, which makes most upstreams stop the work. */
+	/** Cancels the exchange and resets its connection, which makes most upstreams stop the work. */
 	cancel(message: string): void {
 		if (!this.#hasEnded) {
+			this.#reset();
 			this.#abort(new ExchangeCancelledError(message));
 		}
 	}
 
+	/** Ends the exchange because the answer is not valid; its connection is closed. */
+	rejectAnswer(message: string): void {
+		if (!this.#hasEnded) {
+			this.#abort(new Error(message));
+		}
+	}
+
 	/** Ends the exchange as unreachable if its connection has not been established yet. */
 	cancelConnecting(message: string): void {
 		if (!this.#isStarted && !this.#hasEnded) {
--- a/src/connection/links/http-client.ts
+++ b/src/connection/links/http-client.ts
@@ -3,3 +3,4 @@
 which matters on small hosts at each restart.
 */
 export {default as Client} from 'undici/lib/dispatcher/client.js';
+export {default as buildConnector} from 'undici/lib/core/connect.js';
--- a/src/connection/links/upstream-call.ts
+++ b/src/connection/links/upstream-call.ts
@@ -44,7 +44,7 @@
 		onData(chunk) {
 			size += chunk.length;
 			if (size > maxAnswerBytes) {
-				exchange.cancel('the answer is too large');
+				exchange.rejectAnswer('the answer is too large');
 				return;
 			}
 
--- a/src/connection/links/upstream-clients.ts
+++ b/src/connection/links/upstream-clients.ts
@@ -3,6 +3,7 @@
 import type {WireRequest} from '../../ports/upstream-protocol.ts';
 import type {Upstream} from '../../ports/upstream.ts';
 import type {Clock} from '../../process/clock.ts';
+import {AnswerGuard} from '../answer-guard.ts';
 import {Exchange, type ExchangeListener} from './exchange.ts';
 import {Client} from './http-client.ts';
 
@@ -17,8 +18,13 @@
 /** Timeouts for hosts of one region. */
 export const defaultConnectionTimeouts: ConnectionTimeouts = {connectTimeoutMs: 400, idleTimeoutMs: 2000};
 
-type IdleClient = {
+/** A connection with the guard that closes it on an answer without end. */
+type GuardedClient = {
 	readonly client: Client;
+	readonly guard: AnswerGuard;
+};
+
+type IdleClient = GuardedClient & {
 	readonly idleSince: number;
 };
 
@@ -33,6 +39,7 @@
 	readonly #open = new Set<Client>();
 	/** Connections that broke; needed because the client library reports an answer without a length as complete when a reset cuts it short. */
 	readonly #broken = new WeakSet<Client>();
+	readonly #sockets = new WeakMap<Client, Socket>();
 	#openedCount = 0;
 
 	constructor(clock: Clock, timeouts: ConnectionTimeouts = defaultConnectionTimeouts) {
@@ -47,7 +54,7 @@
 
 	/** Sends a request on an idle connection, or on a new one. */
 	send({id, address}: Upstream, {method, path, headers, body}: WireRequest, listener: ExchangeListener): Exchange {
-		const client = this.#takeIdle(id) ?? this.#connect(address);
+		const {client, guard} = this.#takeIdle(id) ?? this.#connect(address);
 		const timer = setTimeout(() => {
 			exchange.cancelConnecting(`no connection within ${this.#timeouts.connectTimeoutMs} ms`);
 		}, this.#timeouts.connectTimeoutMs);
@@ -55,8 +62,13 @@
 			...listener,
 			onStarted() {
 				clearTimeout(timer);
+				guard.begin();
 				listener.onStarted();
 			},
+			onData(chunk) {
+				guard.countBody(chunk.length);
+				listener.onData(chunk);
+			},
 			onEnd: () => {
 				if (this.#broken.has(client)) {
 					this.#close(client);
@@ -64,7 +76,7 @@
 					return;
 				}
 
-				this.#keepIdle(id, client);
+				this.#keepIdle(id, {client, guard});
 				listener.onEnd();
 			},
 			onFailed: failure => {
@@ -74,6 +86,8 @@
 			},
 		}, reason => {
 			void client.destroy(reason);
+		}, () => {
+			this.#sockets.get(client)?.resetAndDestroy();
 		});
 		try {
 			client.dispatch({
@@ -116,14 +130,16 @@
 		await Promise.all([...this.#open].map(async client => client.destroy()));
 	}
 
-	#connect(address: string): Client {
+	#connect(address: string): GuardedClient {
 		this.#openedCount += 1;
+		const guard = new AnswerGuard();
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
 			connect: ({hostname, port}, callback) => {
 				const socket = connect({
 					host: hostname, port: Number(port), noDelay: true, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs,
 				});
+				guard.watch(socket);
 				this.#watchSocket(socket, client, callback);
 			},
 			keepAliveTimeout: this.#timeouts.idleTimeoutMs,
@@ -135,11 +151,12 @@
 		client.on('disconnect', () => {
 			this.#close(client);
 		});
-		return client;
+		return {client, guard};
 	}
 
 	#watchSocket(socket: Socket, client: Client, callback: buildConnector.Callback): void {
 		let isConnected = false;
+		this.#sockets.set(client, socket);
 		socket.once('connect', () => {
 			isConnected = true;
 			callback(null, socket);
@@ -158,12 +175,12 @@
 		});
 	}
 
-	#takeIdle(id: string): Client | undefined {
+	#takeIdle(id: string): GuardedClient | undefined {
 		const kept = this.#idle.get(id);
 		const oldest = this.#clock.now() - this.#timeouts.idleTimeoutMs;
 		for (let last = kept?.pop(); last !== undefined; last = kept?.pop()) {
 			if (this.#open.has(last.client) && last.idleSince >= oldest) {
-				return last.client;
+				return last;
 			}
 
 			this.#close(last.client);
@@ -173,13 +190,13 @@
 	}
 
 	/** Keeps a connection for reuse. The client library may still close one that is not kept alive, which `#takeIdle` detects. */
-	#keepIdle(id: string, client: Client): void {
-		if (!this.#open.has(client)) {
+	#keepIdle(id: string, connection: GuardedClient): void {
+		if (!this.#open.has(connection.client)) {
 			return;
 		}
 
 		const kept = this.#idle.get(id) ?? [];
-		kept.push({client, idleSince: this.#clock.now()});
+		kept.push({...connection, idleSince: this.#clock.now()});
 		this.#idle.set(id, kept);
 	}
 
--- a/src/connection/upstream-connection.ts
+++ b/src/connection/upstream-connection.ts
@@ -1,4 +1,8 @@
-import {Client, DecoratorHandler, type Dispatcher} from 'undici';
+import {
+	buildConnector, Client, DecoratorHandler, type Dispatcher,
+} from 'undici';
+import {requestIdHeader} from '../request/headers.ts';
+import {AnswerGuard} from './answer-guard.ts';
 import {probeOver, type ProbeResult} from './probe.ts';
 
 /** Timeout for connecting to an upstream of the same deployment. */
@@ -31,6 +35,7 @@
 /** One connection to an upstream; carries one request at a time. */
 export class UpstreamConnection {
 	readonly #client: Client;
+	readonly #guard = new AnswerGuard();
 	readonly #now: () => number;
 	#openedAt: number;
 	#lastByteAt: number;
@@ -46,7 +51,7 @@
 		this.#lastByteAt = this.#openedAt;
 		this.#client = new Client(origin, {
 			pipelining: 1,
-			connect: {timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs},
+			connect: this.#guard.wrap(buildConnector({timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs})),
 			keepAliveTimeout: idleTimeoutMs,
 			keepAliveMaxTimeout: idleTimeoutMs,
 			maxHeaderSize: maxAnswerHeadBytes,
@@ -111,15 +116,19 @@
 	send(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, silenceTimeoutMs: number, events: ConnectionEvents): void {
 		const observer = new ObservingHandler(handler, {
 			onStart: controller => {
+				this.#guard.begin();
 				this.#lastByteAt = this.#now();
 				this.#silenceTimeoutMs = silenceTimeoutMs;
 				this.#controller = controller;
 			},
 			onHead: (status, headers) => {
 				this.#lastByteAt = this.#now();
+				// Without the id, a late second copy of this answer could not be told from the answer to the next request.
+				this.#isReusable &&= status < 200 || headers[requestIdHeader] !== undefined;
 				events.onHead(status, headers);
 			},
-			onData: () => {
+			onData: bytes => {
+				this.#guard.countBody(bytes);
 				this.#lastByteAt = this.#now();
 			},
 			onError: error => {
@@ -162,7 +171,7 @@
 	}
 }
 
-type ObservedEvents = ConnectionEvents & {readonly onStart: (controller: Dispatcher.DispatchController) => void; readonly onData: () => void};
+type ObservedEvents = ConnectionEvents & {readonly onStart: (controller: Dispatcher.DispatchController) => void; readonly onData: (bytes: number) => void};
 
 /** Reports the events of a request before passing them to the request's own handler. */
 class ObservingHandler implements Dispatcher.DispatchHandler {
@@ -186,7 +195,7 @@
 	}
 
 	onResponseData(...[controller, chunk]: Parameters<NonNullable<Dispatcher.DispatchHandler['onResponseData']>>): void {
-		this.#events.onData();
+		this.#events.onData(chunk.length);
 		this.#inner.onResponseData?.(controller, chunk);
 	}
 
--- a/src/fleet-main.ts
+++ b/src/fleet-main.ts
@@ -3,6 +3,7 @@
 import './with-resolvers.ts';
 import './process/heap.ts';
 /* eslint-enable import-x/no-unassigned-import */
+import {writeSync} from 'node:fs';
 import {readFile} from 'node:fs/promises';
 import process from 'node:process';
 import {platformSettingsPath, createPlatform} from '../platform/platform.ts';
@@ -12,6 +13,17 @@
 import {parseFleetSettings, type FleetSettings} from './version/fleet-settings.ts';
 /* eslint-enable import-x/order */
 
+/** Ends the process after an error that nothing has handled; the default output would start with the whole bundled file. */
+function exitOnError(error: unknown): void {
+	writeSync(process.stderr.fd, `${error instanceof Error ? error.stack : String(error)}\n`);
+	// Components that are still running would keep the process alive.
+	// eslint-disable-next-line unicorn/no-process-exit
+	process.exit(1);
+}
+
+process.on('uncaughtException', exitOnError);
+process.on('unhandledRejection', exitOnError);
+
 async function main(): Promise<void> {
 	const path = platformSettingsPath(process.env);
 	const settings = parseFleetSettings(await readFile(path, 'utf8'), path);
@@ -72,9 +84,4 @@
 
 // The daemon is bundled as CommonJS, which has no top-level await.
 // eslint-disable-next-line unicorn/prefer-top-level-await
-void main().catch((error: unknown) => {
-	console.error(error instanceof Error ? error.stack : String(error));
-	// Components that have already started would keep the process running.
-	// eslint-disable-next-line unicorn/no-process-exit
-	process.exit(1);
-});
+void main().catch(exitOnError);
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -4,6 +4,7 @@
 import {captureNextSocket, guardPausedSocket} from '../connection/attempt-socket.ts';
 import type {AttemptEnd} from './attempt-listener.ts';
 import type {RunState} from './caller-error.ts';
+import {requestIdHeader} from './headers.ts';
 import type {AnswerHead, AnswerRelay} from './relay.ts';
 
 /** A request as it is sent to an upstream. */
@@ -60,6 +61,7 @@
 class Attempt implements Dispatcher.DispatchHandler {
 	readonly #options: AttemptOptions;
 	readonly #target: Pick<UpstreamRequest, 'method' | 'path'>;
+	readonly #requestId: unknown;
 	readonly #finish: (result: AttemptResult) => void;
 	#controller: Dispatcher.DispatchController | undefined;
 	#runState: RunState = 'no';
@@ -71,8 +73,9 @@
 	/** Set while the answer is paused. */
 	#resume: (() => void) | undefined;
 
-	constructor({method, path}: UpstreamRequest, options: AttemptOptions, finish: (result: AttemptResult) => void) {
+	constructor({method, path, headers}: UpstreamRequest, options: AttemptOptions, finish: (result: AttemptResult) => void) {
 		this.#target = {method, path};
+		this.#requestId = headers[requestIdHeader];
 		this.#options = options;
 		this.#finish = finish;
 		options.signal.addEventListener('abort', this.#cancel);
@@ -100,6 +103,12 @@
 			return;
 		}
 
+		const answeredId = headers[requestIdHeader];
+		if (answeredId !== undefined && answeredId !== this.#requestId) {
+			controller.abort(new AttemptAbortError('invalid_answer', 'the answer belongs to another request'));
+			return;
+		}
+
 		const head = {status, headers};
 		this.#status = status;
 		this.#isLeaving = status === 503 && headers[leavingHeader] === 'true';
--- a/src/request/delivery/stream-run.ts
+++ b/src/request/delivery/stream-run.ts
@@ -129,19 +129,25 @@
 			return;
 		}
 
+		let hasEvent = false;
 		for (const {bytes, id} of this.#splitter.accept(chunk)) {
+			hasEvent = true;
 			job.answer.write(bytes);
 			this.#lastEventId = id ?? this.#lastEventId;
 			this.#events += 1;
-			onFirstEvent();
+			if (this.#events === 1) {
+				onFirstEvent();
+			}
 		}
 
-		if (this.#splitter.isEventTooLarge || job.answer.pendingBytes > maxUnreadBytes) {
-			this.#cancel('cancelled', 'the caller reads too slowly or an event exceeds the size limit');
-			return;
+		if (this.#splitter.isEventTooLarge) {
+			this.#cancel('lost', 'an event exceeds the size limit');
+		} else if (job.answer.pendingBytes > maxUnreadBytes) {
+			this.#cancel('cancelled', 'the caller reads too slowly');
+		} else if (hasEvent) {
+			// Bytes without a complete event do not show that the upstream makes progress.
+			this.#restartSilenceTimer();
 		}
-
-		this.#restartSilenceTimer();
 	}
 
 	#collectFailureBody(chunk: Uint8Array): void {
--- a/src/request/headers.ts
+++ b/src/request/headers.ts
@@ -20,7 +20,10 @@
 
 /** Prefix of headers that only the daemon sets; values from callers and upstreams are never forwarded. */
 const daemonHeaderPrefix = 'wagtailtack-';
-const droppedRequestHeaders: ReadonlySet<string> = new Set(['authorization', 'content-length', 'host', 'x-priority', 'x-request-id']);
+/** Identifies a request; an upstream that repeats it in its answer shows to which request the answer belongs. */
+export const requestIdHeader = 'x-request-id';
+
+const droppedRequestHeaders: ReadonlySet<string> = new Set(['authorization', 'content-length', 'host', 'x-priority', requestIdHeader]);
 
 /** Selects the caller's headers to forward to an upstream: no hop-by-hop headers, no credentials, none that the daemon sets. */
 export function selectRequestHeaders(headers: IncomingHttpHeaders): IncomingHttpHeaders {
--- a/src/stand-ins/stand-in-server.ts
+++ b/src/stand-ins/stand-in-server.ts
@@ -6,6 +6,7 @@
 import type {Socket} from 'node:net';
 import type {Address} from '../process/address.ts';
 import {closeAbruptly, listen} from '../connection/http-listener.ts';
+import {requestIdHeader} from '../request/headers.ts';
 
 /** Faults that all stand-ins support; set with `PUT /faults` at runtime. */
 export type CommonFaults = {
@@ -118,6 +119,7 @@
 				return;
 			}
 
+			echoRequestId(request, response);
 			await delay(this.#faults.slowMs);
 			await this.serve(request, response);
 		} catch (error) {
@@ -137,6 +139,14 @@
 	}
 }
 
+/** Repeats the id of the request in the answer, so that the other end can tell to which request it belongs. */
+function echoRequestId({headers}: IncomingMessage, response: ServerResponse): void {
+	const id = headers[requestIdHeader];
+	if (typeof id === 'string') {
+		response.setHeader(requestIdHeader, id);
+	}
+}
+
 /** Reads a request body as text. */
 export async function readText(request: IncomingMessage): Promise<string> {
 	const chunks: Uint8Array[] = [];
--- /dev/null
+++ b/test/request/endless-answers.test.ts
@@ -0,0 +1,83 @@
+import process from 'node:process';
+import {describe, expect, it} from 'vitest';
+import {
+	createEndlessAnswers, createEndlessBodies, writeEndlessly, type EndlessAnswer,
+} from '../fixtures/endless-answers.ts';
+import {createRequestHandlerFixture, fixtureKey} from './request-handler-fixture.ts';
+import {completeStream, createRawUpstream} from './upstream-fixture.ts';
+
+/** Time within which the caller must have its answer, in milliseconds. */
+const answerBoundMs = 2000;
+/** Bytes that the upstream may have sent by then; socket buffers on both sides hold several megabytes. */
+const sentBoundBytes = 32 * 1024 * 1024;
+/** Growth of the process, with the buffers of both ends. */
+const memoryBoundBytes = 96 * 1024 * 1024;
+
+const answers = createEndlessAnswers('');
+const eventStream = createEndlessBodies('').at(-1)!;
+
+async function ask(url: string, answer: string): Promise<Response> {
+	return fetch(`${url}/v1/chat/completions`, {
+		method: 'POST', headers: {authorization: `Bearer ${fixtureKey}`}, body: JSON.stringify({model: 'model-a', stream: true, user: answer}),
+	});
+}
+
+/** An upstream that answers requests of the user "endless" with an endless answer and all others properly. */
+async function createUpstream(answer: EndlessAnswer, onClosed: (bytes: number) => void) {
+	return createRawUpstream('u', async (socket, text) => {
+		if (text.includes('"endless"')) {
+			onClosed(await writeEndlessly(socket, answer));
+		} else {
+			socket.write(completeStream);
+		}
+	});
+}
+
+describe('an answer that never ends, on the product\'s own interface', () => {
+	// Guards against a caller that is held and a daemon that reads without limit, since such bytes belong to no part that has a limit of its own.
+	it.each(answers)('is given up within a bound of bytes and time: $name', async answer => {
+		const closed = Promise.withResolvers<number>();
+		await using upstream = await createUpstream(answer, closed.resolve);
+		await using fixture = await createRequestHandlerFixture([upstream.host]);
+		const memory = process.memoryUsage().rss;
+		const startMs = performance.now();
+		const response = await ask(fixture.url, 'endless');
+		const text = await response.text().catch(() => 'aborted');
+		expect(performance.now() - startMs).toBeLessThan(answerBoundMs);
+		expect(await closed.promise).toBeLessThan(sentBoundBytes);
+		expect(process.memoryUsage().rss - memory).toBeLessThan(memoryBoundBytes);
+		if (response.status === 200) {
+			expect(text).toMatch(/aborted|"code":/v);
+		} else {
+			expect(response.status).toBe(502);
+			expect(response.headers.get('wagtailtack-ran')).toBe('unknown');
+		}
+	});
+
+	it('is broken off visibly when one of its events has no end', async () => {
+		const closed = Promise.withResolvers<number>();
+		await using upstream = await createUpstream(eventStream, closed.resolve);
+		await using fixture = await createRequestHandlerFixture([upstream.host]);
+		const startMs = performance.now();
+		const response = await ask(fixture.url, 'endless');
+		const text = await response.text().catch(() => 'aborted');
+		expect(performance.now() - startMs).toBeLessThan(answerBoundMs);
+		expect(await closed.promise).toBeLessThan(sentBoundBytes);
+		expect(`${response.status} ${text}`).toMatch(/^502|aborted|"code":/v);
+	});
+
+	it('does not slow down other requests', async () => {
+		const closed = Promise.withResolvers<number>();
+		await using upstream = await createUpstream(answers.find(({name}) => name === 'a chunk extension without end')!, closed.resolve);
+		await using fixture = await createRequestHandlerFixture([upstream.host]);
+		const endless = ask(fixture.url, 'endless').then(async response => response.text()).catch(() => 'aborted');
+		for (let count = 0; count < 20; count += 1) {
+			const startMs = performance.now();
+			const response = await ask(fixture.url, 'short');
+			expect(await response.text()).toContain('[DONE]');
+			expect(performance.now() - startMs).toBeLessThan(500);
+		}
+
+		await endless;
+	});
+});
