--- /dev/null
+++ b/src/connection/row-exchange.ts
@@ -0,0 +1,116 @@
+import {Buffer} from 'node:buffer';
+import {get, type IncomingMessage, type ServerResponse} from 'node:http';
+import {Left, type Either} from 'purify-ts';
+import {
+	array, boolean, Codec, number, optional, string, type GetType,
+} from 'purify-ts/Codec';
+import type {TableDelta} from '../process/tables/table-copy.ts';
+import {parseAddress} from '../process/address.ts';
+
+/** Answer of a reader to another daemon that lacks rows. */
+export type SharedRows = TableDelta & {
+	readonly digest: number;
+	/** Time since the store confirmed the version, in milliseconds. */
+	readonly ageMs: number;
+	/** Time since the store was available again after an outage, in milliseconds; undefined if the reader saw no outage. */
+	readonly recoveredMs: number | undefined;
+};
+
+const answerCodec = Codec.interface({
+	version: number,
+	digest: number,
+	ageMs: number,
+	recoveredMs: optional(number),
+	isWhole: boolean,
+	rows: array(Codec.interface({
+		key: string,
+		/** Base64; missing if the row was removed or has no value. */
+		value: optional(string),
+		isRemoved: optional(boolean),
+	})),
+});
+
+/** Time for a daemon of the same deployment to answer, in milliseconds. */
+const fetchTimeoutMs = 500;
+/** Largest answer that is read; a list of 12,000 upstreams takes a third of it. */
+const maxAnswerBytes = 16 * 1024 * 1024;
+const pathPrefix = '/tables/';
+
+/** Fetches the rows of a table that changed after a version from another daemon; a failure is a short message. */
+export async function fetchSharedRows(address: string, table: string, after: number | undefined): Promise<Either<string, SharedRows>> {
+	const {host, port} = parseAddress(address);
+	const path = `${pathPrefix}${encodeURIComponent(table)}${after === undefined ? '' : `?after=${after}`}`;
+	try {
+		const body = await readAnswer(host, port, path);
+		return answerCodec.decode(JSON.parse(body)).map(answer => decodeAnswer(answer));
+	} catch (error) {
+		return Left(error instanceof Error ? error.message : String(error));
+	}
+}
+
+/** Answers another daemon's request for rows; `share` returns undefined for a table that this daemon does not read. */
+export function serveSharedRows(request: IncomingMessage, response: ServerResponse, share: (table: string, after: number | undefined) => SharedRows | undefined): void {
+	const url = new URL(request.url ?? '/', 'http://daemon');
+	const after = url.searchParams.get('after');
+	const shared = url.pathname.startsWith(pathPrefix)
+		? share(decodeURIComponent(url.pathname.slice(pathPrefix.length)), after === null ? undefined : Number(after))
+		: undefined;
+	response.statusCode = shared === undefined ? 404 : 200;
+	response.setHeader('connection', 'close');
+	response.end(shared === undefined ? '' : JSON.stringify(encodeAnswer(shared)));
+}
+
+function encodeAnswer({rows, ...rest}: SharedRows): GetType<typeof answerCodec> {
+	return {
+		...rest,
+		rows: rows.map(({key, value, isRemoved}) => ({
+			key,
+			value: value === undefined ? undefined : Buffer.from(value).toString('base64'),
+			isRemoved: isRemoved || undefined,
+		})),
+	};
+}
+
+function decodeAnswer({rows, ...rest}: GetType<typeof answerCodec>): SharedRows {
+	return {
+		...rest,
+		recoveredMs: rest.recoveredMs,
+		rows: rows.map(({key, value, isRemoved}) => ({
+			key, value: value === undefined ? undefined : Buffer.from(value, 'base64'), isRemoved: isRemoved ?? false,
+		})),
+	};
+}
+
+async function readAnswer(host: string, port: number, path: string): Promise<string> {
+	const {promise, resolve, reject} = Promise.withResolvers<string>();
+	const request = get({
+		host, port, path, agent: false,
+	}, response => {
+		const chunks: Uint8Array[] = [];
+		let size = 0;
+		response.on('data', (chunk: Uint8Array) => {
+			chunks.push(chunk);
+			size += chunk.length;
+			if (size > maxAnswerBytes) {
+				request.destroy(new Error('the answer is too large'));
+			}
+		});
+		response.once('end', () => {
+			if (response.statusCode === 200 && response.complete) {
+				resolve(Buffer.concat(chunks).toString('utf8'));
+			} else {
+				reject(new Error(`status ${response.statusCode}`));
+			}
+		});
+		response.once('error', reject);
+	});
+	request.once('error', reject);
+	const timer = setTimeout(() => {
+		request.destroy(new Error(`no answer within ${fetchTimeoutMs} ms`));
+	}, fetchTimeoutMs);
+	try {
+		return await promise;
+	} finally {
+		clearTimeout(timer);
+	}
+}
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -1,5 +1,6 @@
+import {Buffer} from 'node:buffer';
 import {createServer, type Server, type ServerResponse} from 'node:http';
-import type {Either} from 'purify-ts';
+import {Left, type Either} from 'purify-ts';
 import {createCallerServer} from '../../connection/caller-server.ts';
 import {closeAbruptly, listen} from '../../connection/http-listener.ts';
 import {UpstreamClients} from '../../connection/links/upstream-clients.ts';
@@ -15,8 +16,11 @@
 import {Log} from '../log.ts';
 import {SeededRandom} from '../random.ts';
 import {PeerLink} from '../peers/peer-link.ts';
+import {readersPerZone} from '../tables/table-sharing.ts';
+import {TableWatch, type TablePeers, type TableWatchOptions} from '../tables/table-watch.ts';
+import {createConfigurationTimes, createListTimes} from '../tables/watch-times.ts';
 import {createControllerTimes, StageController, type StageGroup} from '../stages/stage-controller.ts';
-import {createConfigurationTimes, createListTimes} from './watch-times.ts';
+import {serveSharedRows, fetchSharedRows} from '../../connection/row-exchange.ts';
 import {ConfigurationHolder, type ConfigurationDecoder} from './configuration-holder.ts';
 import {CrashDetector} from './crash-detector.ts';
 import type {DecisionLog} from './decision-log.ts';
@@ -25,7 +29,6 @@
 import {SharedRetryBudget, type RetryBounds} from './shared-retry-budget.ts';
 import {RouteRequestHandler} from './route-request-handler.ts';
 import {createShutdownTimes, Shutdown} from './shutdown.ts';
-import {TableWatch} from './table-watch.ts';
 import {UpstreamRegistry, type RegistryEvent} from './upstream-registry.ts';
 
 /** Access to the operator's platform. */
@@ -61,6 +64,8 @@
 export class FleetDaemon implements AsyncDisposable {
 	readonly #options: FleetDaemonOptions;
 	readonly #clock = new SystemClock();
+	/** Clock of leases and of the age of table copies; a lease and the checks against it must use the same one. */
+	readonly #suspendAwareClock = new SuspendAwareClock();
 	readonly #random: SeededRandom;
 	readonly #registry = new UpstreamRegistry();
 	readonly #configuration: ConfigurationHolder;
@@ -78,6 +83,8 @@
 	readonly #callerServer: Server;
 	readonly #readinessServer: Server;
 	readonly #metricsServer: Server;
+	/** Gives rows of the platform's tables to the other daemons. */
+	readonly #rowServer: Server;
 	#hasUpstreamList = false;
 	#housekeepingTimer: NodeJS.Timeout | undefined;
 
@@ -116,6 +123,12 @@
 			onCrashes: crashes => {
 				this.#crashes.accept(crashes);
 			},
+			ownTables: () => this.#watches.map(({announcement}) => announcement).filter(announcement => announcement !== undefined),
+			onTables: (daemon, announcements) => {
+				for (const announcement of announcements) {
+					this.#watches.find(({table}) => table === announcement.table)?.accept(daemon, announcement);
+				}
+			},
 		});
 		this.#scheduler = new FleetScheduler({
 			clock,
@@ -158,8 +171,7 @@
 			bodyBudgetBytes: settings.limits.memoryMb * mebibyte * bodyMemoryFraction,
 		});
 		this.#shutdown = new Shutdown(clock, log, createShutdownTimes(settings.bounds.graceMs), () => this.#requestHandler.openRequests);
-		// Lease times and the checks against them must use the same clock.
-		const leaseClock = new SuspendAwareClock();
+		const leaseClock = this.#suspendAwareClock;
 		this.#lease = new LeaseTask({
 			log: createTaskLog(log), table: platform.table, clock: leaseClock, daemon: settings.daemon.name, group: 'stages',
 		});
@@ -191,6 +203,9 @@
 		this.#metricsServer = createServer((_request, response) => {
 			void this.#sendMetrics(response);
 		});
+		this.#rowServer = createServer((request, response) => {
+			serveSharedRows(request, response, (table, after) => this.#watches.find(watch => watch.table === table)?.share(after));
+		});
 		this.#metrics.addGauges({
 			openRequests: () => this.#requestHandler.openRequests,
 			upstreams: () => this.#registry.size,
@@ -216,6 +231,7 @@
 		await listen(this.#callerServer, parseAddress(addresses.callers));
 		await listen(this.#readinessServer, parseAddress(addresses.readiness));
 		await listen(this.#metricsServer, {host: daemon.host, port: addresses.metricsPort});
+		await listen(this.#rowServer, {host: daemon.host, port: addresses.peerPort});
 		this.#housekeepingTimer = setInterval(() => {
 			this.#upstreamClients.closeExpired();
 			this.#applyRegistryEvents(this.#registry.expire(this.#clock.now()));
@@ -255,7 +271,7 @@
 		await this.#options.platform.table[Symbol.asyncDispose]();
 		await this.#options.platform.feed[Symbol.asyncDispose]();
 		await Promise.all(this.#watches.map(async watch => watch[Symbol.asyncDispose]()));
-		await Promise.all([this.#callerServer, this.#readinessServer, this.#metricsServer].map(async server => closeAbruptly(server)));
+		await Promise.all([this.#callerServer, this.#readinessServer, this.#metricsServer, this.#rowServer].map(async server => closeAbruptly(server)));
 		await this.#upstreamClients[Symbol.asyncDispose]();
 	}
 
@@ -272,8 +288,29 @@
 			: [{service: name, upstreams: this.#registry.serving(name), demand: this.#scheduler.measureDemand(name, engine.slots)}]);
 	}
 
+	/** Dependencies that both watches share. */
+	#watchTools(): Pick<TableWatchOptions, 'feed' | 'peers' | 'clock' | 'log' | 'random'> {
+		const {platform: {feed}, log} = this.#options;
+		return {
+			feed, peers: this.#createTablePeers(), clock: this.#suspendAwareClock, log, random: this.#random,
+		};
+	}
+
+	#createTablePeers(): TablePeers {
+		return {
+			isReader: () => this.#peers.topology.zoneRank(this.#clock.now()) < readersPerZone,
+			fetchRows: async (daemon, table, after) => {
+				const address = this.#peers.topology.address(daemon);
+				return address === undefined ? Left('the address of the daemon is not known') : fetchSharedRows(address, table, after);
+			},
+			onChangeRead: () => {
+				this.#peers.announceTables();
+			},
+		};
+	}
+
 	#createConfigurationWatch(): TableWatch {
-		const {platform, log} = this.#options;
+		const {platform} = this.#options;
 		const accept = (rows: readonly FeedRow[]) => {
 			this.#configuration.accept(rows);
 			const limits = this.#configuration.routeTable?.limits;
@@ -284,7 +321,11 @@
 		};
 
 		return new TableWatch({
-			feed: platform.feed, table: platform.tables.operator, times: createConfigurationTimes(this.#options.settings.bounds), log, random: this.#random, listener: {
+			...this.#watchTools(),
+			table: platform.tables.operator,
+			times: createConfigurationTimes(this.#options.settings.bounds),
+			contentOf: ({value}) => Buffer.from(value ?? []).toString('base64'),
+			listener: {
 				onSnapshot: accept,
 				onChanges: accept,
 				onLost() {
@@ -306,8 +347,14 @@
 			},
 			Right: (upstream): readonly Upstream[] => [upstream],
 		});
+		// Heartbeats alone are no news for other daemons, and neither are entries that cannot be decoded.
+		const contentOfEntry = ({key, value}: FeedRow) => platform.decodeUpstream(key, value).map(upstream => JSON.stringify({...upstream, heartbeatCount: 0})).orDefault('');
 		return new TableWatch({
-			feed: platform.feed, table: platform.tables.upstreams, times: createListTimes(this.#options.settings.bounds), log, random: this.#random, listener: {
+			...this.#watchTools(),
+			table: platform.tables.upstreams,
+			times: createListTimes(this.#options.settings.bounds),
+			contentOf: contentOfEntry,
+			listener: {
 				onSnapshot: rows => {
 					this.#hasUpstreamList = true;
 					this.#applyRegistryEvents(this.#registry.replace(rows.filter(({isRemoved}) => !isRemoved).flatMap(row => decode(row)), this.#clock.now()));
@@ -319,8 +366,8 @@
 				onLost: () => {
 					this.#registry.markStoreLost();
 				},
-				onRecovered: () => {
-					this.#registry.markStoreRecovered(this.#clock.now());
+				onRecovered: recoveredMs => {
+					this.#registry.markStoreRecovered(this.#clock.now() - recoveredMs);
 				},
 			},
 		});
--- a/src/process/fleet/fleet-scheduler.ts
+++ b/src/process/fleet/fleet-scheduler.ts
@@ -121,6 +121,22 @@
 		return state === undefined ? this.#placements.refuse(demand, 'noUpstream') : this.#beginRun(state);
 	}
 
+	placeWhole(demand: PlacementDemand): Placement | undefined {
+		const choice = this.#prefills.chooseWhole(demand);
+		if (choice === undefined) {
+			return undefined;
+		}
+
+		const {candidate, predictedMs, weightedTokens} = choice;
+		const state = this.#states.get(candidate.id)!;
+		const parts = demand.request.prompt?.parts ?? [];
+		state.cache.touch(parts);
+		this.#options.peers.announcePrefill({upstream: candidate.id, parts});
+		const {priority} = demand.route;
+		const {finishPrefill, finish} = state.beginWhole(weightedTokens, priority, predictedMs, this.#options.clock.now());
+		return this.#placements.create(state, {predictedMs, rank: priority, fetchFrom: undefined}, finish, finishPrefill);
+	}
+
 	async placePrefill(demand: PlacementDemand): Promise<PlacementResult> {
 		return this.#prefills.place(demand);
 	}
--- a/src/process/fleet/placements.ts
+++ b/src/process/fleet/placements.ts
@@ -36,6 +36,7 @@
 		state: UpstreamState,
 		values: Pick<Placement, 'predictedMs' | 'rank' | 'fetchFrom'>,
 		finish: (end: SendResult, now: number) => void,
+		onFirstEvent: (now: number) => void = () => undefined,
 	): Placement {
 		const {clock, onLoadChanged, onReleased, onUpstreamDown} = this.#options;
 		const {id} = state.upstream;
@@ -44,6 +45,10 @@
 		return {
 			upstream: state.upstream,
 			...values,
+			reportFirstEvent() {
+				onFirstEvent(clock.now());
+				onLoadChanged(id);
+			},
 			reportLoad(load: ReportedLoad) {
 				state.observe(load, clock.now());
 			},
--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -13,6 +13,7 @@
 	choosePrefill, prefillRate, weighTokens, type PrefillCandidate, type PrefillChoice,
 } from './placement-score.ts';
 import type {Placements} from './placements.ts';
+import {chooseWhole, type WholeChoice} from './prompt-path.ts';
 import {countTokens} from './prompt-cache.ts';
 import {
 	isLatePrompt, decidePlacement, orderPrompts, predictCompletion, rankAtUpstream, type WaitingPrompt,
@@ -94,6 +95,36 @@
 		this.#options = options;
 	}
 
+	/** Chooses the decode engine for a whole request; undefined if a separate prefill is expected to answer sooner. */
+	chooseWhole(demand: PlacementDemand): WholeChoice | undefined {
+		const {prompt} = demand.request;
+		const {clock, states, availabilityZone, random, peerLoads} = this.#options;
+		const engine = this.#options.services().get(demand.service)?.engine;
+		if (engine === undefined || prompt === undefined) {
+			return undefined;
+		}
+
+		const now = clock.now();
+		const parts = promptParts(demand);
+		const totalTokens = countTokens(parts);
+		const candidates = sampleCandidates(states.usable(demand.service, 'decode', demand.triedUpstreams), availabilityZone, random).map(state => {
+			const missingTokens = state.cache.missingTokens(parts);
+			return {
+				id: state.upstream.id,
+				runs: state.runs + states.peerRuns(state, now),
+				slots: state.upstream.slots,
+				backlogTokens: sumTokensUpTo(state.tokensByPriority, Number.POSITIVE_INFINITY) + peerLoads.tokensUpTo(state.upstream.id, Number.POSITIVE_INFINITY, now),
+				missingTokens,
+				cachedTokens: totalTokens - missingTokens,
+				isLocal: state.upstream.availabilityZone === availabilityZone,
+				latencyRatio: state.latencyRatio * state.slowness(now),
+				failureFraction: state.failureFraction,
+			};
+		});
+		const choice = chooseWhole(candidates, prefillRate);
+		return choice !== undefined && choice.predictedMs <= this.#predictApart(demand, parts, engine) ? choice : undefined;
+	}
+
 	/** Places a prefill; waits in the queue until an upstream can start it soon. */
 	async place(demand: PlacementDemand): Promise<PlacementResult> {
 		const engine = this.#options.services().get(demand.service)?.engine;
@@ -108,7 +139,7 @@
 		}
 
 		const now = this.#options.clock.now();
-		const parts = prompt.parts.length === 0 ? [{id: demand.request.id, tokens: prompt.tokens}] : prompt.parts;
+		const parts = promptParts(demand);
 		const {promise, resolve} = Promise.withResolvers<PlacementResult>();
 		const waiting: QueuedPrompt = {
 			demand,
@@ -186,6 +217,20 @@
 		return tokens / (prefillRate.tokensPerMs * Math.max(1, states.length));
 	}
 
+	/** Predicts the time until the first event if the prompt is prefilled apart, in milliseconds. */
+	#predictApart(demand: PlacementDemand, parts: readonly PromptPart[], engine: EngineProfile): number {
+		const {states, availabilityZone, random} = this.#options;
+		const {priority} = demand.route;
+		const sample = sampleCandidates(this.#prefillUpstreams(demand), availabilityZone, random);
+		const prefixMatch = this.#findPrefixMatch(parts, demand.service);
+		const choice = choosePrefill(sample.map(state => this.#createCandidate(state, {
+			...prefixMatch, parts, engine, priority: rankAtUpstream(priority, false),
+		})), prefillRate);
+		return choice === undefined || states.usable(demand.service, 'decode', demand.triedUpstreams).length === 0
+			? Number.POSITIVE_INFINITY
+			: choice.predictedMs + firstEventDelayMs;
+	}
+
 	/** Places or refuses a queued prompt; returns false if it has to keep waiting. */
 	#tryPlace(waiting: QueuedPrompt, now: number): boolean {
 		const {demand, parts, priority} = waiting;
@@ -318,6 +363,11 @@
 	}
 }
 
+/** Parts of the demand's prompt; a prompt without parts is one part of its own. */
+function promptParts({request: {id, prompt}}: PlacementDemand): readonly PromptPart[] {
+	return prompt === undefined || prompt.parts.length === 0 ? [{id, tokens: prompt?.tokens ?? 0}] : prompt.parts;
+}
+
 /** Time for which a caller is assumed to wait for the first event of a stream, in milliseconds. */
 function callerPatienceMs({targetLatencyMs, targetGapMs}: PlacementDemand['route']): number {
 	return Math.max(minCallerPatienceMs, targetLatencyMs * patienceLatencyMultiple, (targetGapMs ?? 0) * patienceGapMultiple);
--- /dev/null
+++ b/src/process/fleet/prompt-path.ts
@@ -0,0 +1,70 @@
+import {weighTokens, type PrefillRate} from './placement-score.ts';
+
+/** State of a decode engine when a whole request is placed there; times in milliseconds. */
+export type WholeCandidate = {
+	readonly id: string;
+	/** Requests that run or wait at the engine. */
+	readonly runs: number;
+	readonly slots: number;
+	/** Weighted prompt tokens that the engine prefills before this prompt. */
+	readonly backlogTokens: number;
+	/** Prompt tokens that are not in the engine's cache. */
+	readonly missingTokens: number;
+	/** Prompt tokens that are in the engine's cache. */
+	readonly cachedTokens: number;
+	readonly isLocal: boolean;
+	/** Measured time to the first event at this engine, relative to the prediction. */
+	readonly latencyRatio: number;
+	/** Fraction of recent sends that failed, from 0 to 1. */
+	readonly failureFraction: number;
+};
+
+/** Chosen decode engine; times in milliseconds from now. */
+export type WholeChoice = {
+	readonly candidate: WholeCandidate;
+	/** Time until the first event. */
+	readonly predictedMs: number;
+	readonly weightedTokens: number;
+};
+
+/** Prefill speed of a decode engine relative to that of a prefill engine: it prefills between the tokens of its running requests. */
+const decodePrefillSpeed = 0.5;
+/** Time of the first step after the prefill, in milliseconds. */
+const firstStepMs = 30;
+/** Longest prefill of one prompt at a decode engine, in milliseconds; longer ones slow its running requests down for too long. */
+const maxWholePrefillMs = 25;
+/** Longest prefill backlog of a decode engine with which it takes another prompt, in milliseconds. */
+const maxWholeBacklogMs = 60;
+/** Largest share of an engine's slots in use with which it takes a whole request; the rest is for requests whose prompts other engines have prefilled. */
+const maxSlotShare = 0.7;
+const remoteZonePenaltyMs = 6;
+const failurePenaltyMs = 600;
+
+/**
+Chooses the decode engine that would send the first event of a whole request first; undefined if none takes it.
+
+Suits a mix of many short and few long prompts: a short prompt costs a decode engine a few milliseconds, while at a prefill
+engine it would wait behind long prompts and pay for a transfer.
+*/
+export function chooseWhole(candidates: readonly WholeCandidate[], rate: PrefillRate): WholeChoice | undefined {
+	const tokensPerMs = rate.tokensPerMs * decodePrefillSpeed;
+	let best: WholeChoice & {readonly cost: number} | undefined;
+	for (const candidate of candidates) {
+		const weightedTokens = weighTokens(candidate.missingTokens, candidate.cachedTokens);
+		const prefillMs = (weightedTokens / tokensPerMs) * candidate.latencyRatio;
+		const backlogMs = (candidate.backlogTokens / tokensPerMs) * candidate.latencyRatio;
+		if (prefillMs > maxWholePrefillMs || backlogMs > maxWholeBacklogMs || candidate.runs + 1 > candidate.slots * maxSlotShare) {
+			continue;
+		}
+
+		const predictedMs = backlogMs + prefillMs + firstStepMs;
+		const cost = predictedMs + (candidate.isLocal ? 0 : remoteZonePenaltyMs) + (candidate.failureFraction * failurePenaltyMs);
+		if (best === undefined || cost < best.cost) {
+			best = {
+				candidate, predictedMs, weightedTokens, cost,
+			};
+		}
+	}
+
+	return best;
+}
--- a/src/process/fleet/upstream-state.ts
+++ b/src/process/fleet/upstream-state.ts
@@ -13,6 +13,8 @@
 const maxAvoidanceMs = 4000;
 /** Time for which an upstream that refuses connections is avoided, in milliseconds; it is gone or restarting, which its next heartbeat shows. */
 const refusedAvoidanceMs = 2000;
+/** Time after which an upstream counts as reachable again even without a newer heartbeat, in milliseconds; daemons that follow others learn of heartbeats only with other changes. */
+const maxUnreachableMs = 4000;
 const neverAvoided = Number.NEGATIVE_INFINITY;
 
 /** State of one upstream as known to this daemon: the daemon's own sends, the load that the upstream reports, and the outcomes of sends. */
@@ -29,6 +31,7 @@
 	#avoidedUntil = neverAvoided;
 	/** Heartbeat that a new registry entry must exceed before the upstream counts as reachable again after a refused or misdirected send. */
 	#awaitedHeartbeat = neverAvoided;
+	#unreachableUntil = neverAvoided;
 
 	constructor(upstream: Upstream, cacheTokens: number) {
 		this.#upstream = upstream;
@@ -80,12 +83,12 @@
 
 	/** True while the upstream must be used only if there is no other. */
 	isAvoided(now: number): boolean {
-		return now < this.#avoidedUntil || this.isUnreachable;
+		return now < this.#avoidedUntil || this.isUnreachable(now);
 	}
 
-	/** True after the upstream's address refused connections or belonged to another upstream, until a newer heartbeat. */
-	get isUnreachable(): boolean {
-		return this.#upstream.heartbeatCount <= this.#awaitedHeartbeat;
+	/** True after the upstream's address refused connections or belonged to another upstream, until a newer heartbeat or for a limited time. */
+	isUnreachable(now: number): boolean {
+		return this.#upstream.heartbeatCount <= this.#awaitedHeartbeat && now < this.#unreachableUntil;
 	}
 
 	/** Requests of other daemons that run or wait at the upstream, according to its latest response; the weight falls with its age. */
@@ -134,6 +137,33 @@
 		};
 	}
 
+	/** Counts a run whose prompt the upstream prefills itself; `finishPrefill` must be called with its first event, if there is one, and `finish` when it ends. */
+	beginWhole(tokens: number, priority: number, predictedMs: number, startedAt: number): {readonly finishPrefill: (now: number) => void; readonly finish: (end: SendResult, now: number) => void} {
+		const finishRun = this.beginRun(predictedMs);
+		this.#addTokens(priority, tokens);
+		let isPrefilled = false;
+		const endPrefill = () => {
+			if (!isPrefilled) {
+				isPrefilled = true;
+				this.#addTokens(priority, -tokens);
+			}
+		};
+
+		return {
+			finishPrefill: now => {
+				if (!isPrefilled) {
+					this.#latencyRatio = updateLatencyRatio(this.#latencyRatio, now - startedAt, predictedMs);
+				}
+
+				endPrefill();
+			},
+			finish(end, now) {
+				endPrefill();
+				finishRun(end, now);
+			},
+		};
+	}
+
 	#addTokens(priority: number, tokens: number): void {
 		const sum = (this.#tokensByPriority.get(priority) ?? 0) + tokens;
 		// Floating-point rounding may leave a fraction of a token.
@@ -173,6 +203,7 @@
 			case 'misdirected':
 			case 'refused': {
 				this.#awaitedHeartbeat = this.#upstream.heartbeatCount;
+				this.#unreachableUntil = now + maxUnreachableMs;
 				this.#avoidedUntil = Math.max(this.#avoidedUntil, now + (kind === 'refused' ? refusedAvoidanceMs : 0));
 				return;
 			}
--- a/src/process/fleet/upstream-states.ts
+++ b/src/process/fleet/upstream-states.ts
@@ -45,7 +45,8 @@
 
 	/** Upstreams of a service, without those whose address refuses connections or belongs to another upstream. */
 	reachable(service: string): readonly UpstreamState[] {
-		return this.#options.registry.serving(service).map(upstream => this.#getOrCreate(upstream)).filter(state => !state.isUnreachable);
+		const now = this.#options.clock.now();
+		return this.#options.registry.serving(service).map(upstream => this.#getOrCreate(upstream)).filter(state => !state.isUnreachable(now));
 	}
 
 	/** Untried upstreams of a service in a stage; upstreams to avoid are included only if there are no others. */
--- a/src/process/peers/message-buffer.ts
+++ b/src/process/peers/message-buffer.ts
@@ -46,9 +46,10 @@
 	};
 }
 
-function mergeHints(earlier: PeerMessage, later: PeerMessage): Pick<PeerMessage, 'prefills' | 'crashes'> {
+function mergeHints(earlier: PeerMessage, later: PeerMessage): Pick<PeerMessage, 'prefills' | 'crashes' | 'tables'> {
 	return {
 		prefills: [...earlier.prefills, ...later.prefills].slice(-maxBufferedPrefills),
 		crashes: [...earlier.crashes, ...later.crashes],
+		tables: later.tables.length > 0 ? later.tables : earlier.tables,
 	};
 }
--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -3,6 +3,7 @@
 import {parseAddress} from '../address.ts';
 import type {Clock} from '../clock.ts';
 import type {DecisionLog} from '../fleet/decision-log.ts';
+import type {TableAnnouncement} from '../tables/table-sharing.ts';
 import {MessageBuffer} from './message-buffer.ts';
 import {PeerLoadTracker} from './peer-load-tracker.ts';
 import {PeerDirectory} from './peer-directory.ts';
@@ -26,6 +27,9 @@
 	readonly onLoadsChanged: () => void;
 	readonly onPrefills: (prefills: readonly PeerPrefill[]) => void;
 	readonly onCrashes: (crashes: readonly PeerCrash[]) => void;
+	/** Returns the state of the tables that this daemon reads from the store for the others. */
+	readonly ownTables: () => readonly TableAnnouncement[];
+	readonly onTables: (daemon: string, tables: readonly TableAnnouncement[]) => void;
 };
 
 /** Delay in which changes are collected for one message, in milliseconds. */
@@ -57,6 +61,7 @@
 	readonly #changedUpstreams = new Set<string>();
 	#pendingPrefills: PeerPrefill[] = [];
 	#pendingCrashes: PeerCrash[] = [];
+	#hasChangedTables = false;
 	#batchTimer: NodeJS.Timeout | undefined;
 	#keepAliveTimer: NodeJS.Timeout | undefined;
 	#relayTimer: NodeJS.Timeout | undefined;
@@ -134,6 +139,12 @@
 		this.#scheduleSend();
 	}
 
+	/** Schedules a message about the tables, of which this daemon has read a change. */
+	announceTables(): void {
+		this.#hasChangedTables = true;
+		this.#scheduleSend();
+	}
+
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#isClosed = true;
 		clearTimeout(this.#batchTimer);
@@ -157,10 +168,18 @@
 		const {self: {daemon, ...entry}, clock} = this.#options;
 		const now = clock.now();
 		const message: PeerMessage = {
-			daemon, entry: isKeepAlive ? entry : undefined, isSnapshot: isKeepAlive, loads, prefills: this.#pendingPrefills, queued: this.#options.ownQueuedTokens(), crashes: this.#pendingCrashes,
+			daemon,
+			entry: isKeepAlive ? entry : undefined,
+			isSnapshot: isKeepAlive,
+			loads,
+			prefills: this.#pendingPrefills,
+			queued: this.#options.ownQueuedTokens(),
+			crashes: this.#pendingCrashes,
+			tables: isKeepAlive || this.#hasChangedTables ? this.#options.ownTables() : [],
 		};
 		this.#pendingPrefills = [];
 		this.#pendingCrashes = [];
+		this.#hasChangedTables = false;
 		const targets = this.topology.ownTargets(now);
 		this.#setCurrentRelay(this.topology.isDirect ? 'none' : targets[0]?.daemon ?? 'self');
 		if (this.topology.isDirect) {
@@ -274,6 +293,9 @@
 		this.topology.recordMessage(daemon, now);
 		this.#options.onPrefills(message.prefills);
 		this.#options.onCrashes(message.crashes);
+		if (message.tables.length > 0) {
+			this.#options.onTables(daemon, message.tables);
+		}
 	}
 
 	#forgetSilent(): void {
--- a/src/process/peers/peer-message.ts
+++ b/src/process/peers/peer-message.ts
@@ -4,6 +4,7 @@
 import {
 	array, boolean, Codec, exactly, number, oneOf, optional, string, tuple, type GetType,
 } from 'purify-ts/Codec';
+import type {TableAnnouncement} from '../tables/table-sharing.ts';
 
 /*
 Daemons exchange these messages as datagrams. They are hints about load and cached prompts, so a lost one does no harm, and a
@@ -42,6 +43,9 @@
 	u: string,
 });
 
+/** Copy of a table of the platform: name, version, digest and age in milliseconds. */
+const tableCodec = tuple([string, number, number, number]);
+
 const messageCodec = Codec.interface({
 	/** Name of the daemon that the message describes. */
 	n: string,
@@ -53,6 +57,7 @@
 	/** Prompt tokens that are queued at the daemon: pairs of priority and tokens. */
 	q: optional(array(tuple([number, number]))),
 	c: optional(array(crashCodec)),
+	d: optional(array(tableCodec)),
 });
 
 const scopeCodec = oneOf([exactly('direct'), exactly('own'), exactly('zones'), exactly('final')]);
@@ -118,6 +123,8 @@
 	/** Prompt tokens that are queued at the daemon, by priority. */
 	readonly queued: ReadonlyMap<number, number>;
 	readonly crashes: readonly PeerCrash[];
+	/** State of the tables that the daemon reads from the store for the others. */
+	readonly tables: readonly TableAnnouncement[];
 };
 
 /** Messages of one or more daemons in one datagram. */
@@ -129,7 +136,7 @@
 };
 
 /** Encodes a message as JSON text. */
-function encodePeerMessage({daemon, entry, isSnapshot, loads, prefills, queued, crashes}: PeerMessage): string {
+function encodePeerMessage({daemon, entry, isSnapshot, loads, prefills, queued, crashes, tables}: PeerMessage): string {
 	const message: GetType<typeof messageCodec> = {
 		n: daemon,
 		e: entry === undefined ? undefined : {a: entry.address, z: entry.availabilityZone, b: entry.linkMbps},
@@ -138,6 +145,7 @@
 		p: omitEmpty(prefills.map(({upstream, parts}) => ({u: upstream, p: parts.map(({id, tokens}): [string, number] => [id, tokens])}))),
 		q: omitEmpty(encodeTokens(queued)),
 		c: omitEmpty(crashes.map(({fingerprint, upstream}) => ({f: fingerprint, u: upstream}))),
+		d: omitEmpty(tables.map(({table, version, digest, ageMs}): [string, number, number, number] => [table, version, digest, ageMs])),
 	};
 	return JSON.stringify(message);
 }
@@ -174,6 +182,7 @@
 		loads: loads.slice(index * maxLoadsPerFragment, (index + 1) * maxLoadsPerFragment),
 		prefills: prefills.slice(index * maxPrefillsPerFragment, (index + 1) * maxPrefillsPerFragment),
 		crashes: index === 0 ? message.crashes : [],
+		tables: index === 0 ? message.tables : [],
 	}));
 }
 
@@ -191,7 +200,7 @@
 	}
 }
 
-function decodeMessage({n, e, w, l, p, q, c}: GetType<typeof messageCodec>): PeerMessage {
+function decodeMessage({n, e, w, l, p, q, c, d}: GetType<typeof messageCodec>): PeerMessage {
 	return {
 		daemon: n,
 		entry: e === undefined ? undefined : {address: e.a, availabilityZone: e.z, linkMbps: e.b},
@@ -200,6 +209,9 @@
 		prefills: (p ?? []).map(({u, p: parts}) => ({upstream: u, parts: parts.map(([id, tokens]) => ({id, tokens}))})),
 		queued: new Map(q),
 		crashes: (c ?? []).map(({f, u}) => ({fingerprint: f, upstream: u})),
+		tables: (d ?? []).map(([table, version, digest, ageMs]) => ({
+			table, version, digest, ageMs,
+		})),
 	};
 }
 
--- a/src/process/peers/peer-topology.ts
+++ b/src/process/peers/peer-topology.ts
@@ -163,6 +163,16 @@
 		return [...this.#peers.values()].filter(({lastHeardAt, member}) => now - lastHeardAt < relayActiveMs && this.#isPreferredRelay(member, this.#self)).length;
 	}
 
+	/** Returns the rank of this daemon among those of its availability zone in the same way. */
+	zoneRank(now: number): number {
+		return this.#inZone(this.#self.availabilityZone).filter(({lastHeardAt, member}) => now - lastHeardAt < relayActiveMs && this.#isPreferredRelay(member, this.#self)).length;
+	}
+
+	/** Returns the address of a daemon, if it is known. */
+	address(daemon: string): string | undefined {
+		return this.#peers.get(daemon)?.member.address;
+	}
+
 	/** Chooses the first daemon of an availability zone that is not suspected; `undefined` means this daemon itself, or none. */
 	#chooseRelay(zone: string, now: number): PeerMember | undefined {
 		const isOwnZone = zone === this.#self.availabilityZone;
--- /dev/null
+++ b/src/process/tables/table-sharing.ts
@@ -0,0 +1,101 @@
+/** State of a reader's copy of a table, as it tells the other daemons. */
+export type TableAnnouncement = {
+	readonly table: string;
+	readonly version: number;
+	/** Digest of the table's content at that version. */
+	readonly digest: number;
+	/** Time since the store confirmed that version, in milliseconds. */
+	readonly ageMs: number;
+};
+
+/** Own copy, as far as the comparison needs it. */
+export type OwnCopy = {
+	readonly version: number | undefined;
+	readonly digest: number;
+};
+
+/** How the own copy compares with what the readers announced. */
+export type CopyState
+	= | {readonly kind: 'current'; /** Time until which no further confirmation is needed. */ readonly until: number; readonly version: number}
+		| {readonly kind: 'behind'; readonly reader: string}
+		| {readonly kind: 'unconfirmed'};
+
+/** Readers of the store in each availability zone; the other daemons of the zone follow them. */
+export const readersPerZone = 2;
+/** Time that an announcement may take through the relays, which its age does not include, in milliseconds. */
+const announcementDelayMs = 250;
+/** Time for which a reader that could not be asked for rows is left out, in milliseconds. */
+const failedReaderMs = 1000;
+
+type KnownReader = {
+	readonly version: number;
+	readonly digest: number;
+	readonly confirmedAt: number;
+	unusableUntil: number;
+};
+
+/**
+Decides for one table whether a daemon can rely on what the readers of the store announce.
+
+Answers the load of hundreds of daemons on the store: two of each availability zone read it, and the others read it themselves
+only while no reader has confirmed the state of their copy for longer than the bound allows.
+*/
+export class TableSharing {
+	readonly #maxAgeMs: number;
+	readonly #readers = new Map<string, KnownReader>();
+
+	/** `maxAgeMs`: age in milliseconds from which a confirmation no longer counts. */
+	constructor(maxAgeMs: number) {
+		this.#maxAgeMs = maxAgeMs;
+	}
+
+	/** Records an announcement; those that arrive late, after a newer one of the same reader, are ignored. */
+	record(reader: string, {version, digest, ageMs}: TableAnnouncement, now: number): void {
+		const confirmedAt = now - ageMs - announcementDelayMs;
+		const known = this.#readers.get(reader);
+		if (known === undefined || version >= known.version) {
+			this.#readers.set(reader, {
+				version, digest, confirmedAt, unusableUntil: known?.unusableUntil ?? Number.NEGATIVE_INFINITY,
+			});
+		}
+	}
+
+	/** Records that a reader could not be asked for its rows. */
+	markUnusable(reader: string, now: number): void {
+		const known = this.#readers.get(reader);
+		if (known !== undefined) {
+			known.unusableUntil = now + failedReaderMs;
+		}
+	}
+
+	/** Compares the own copy with the announcements that are recent enough. */
+	assess(own: OwnCopy, now: number): CopyState {
+		this.#forgetOld(now);
+		let newest: [string, KnownReader] | undefined;
+		let until = Number.NEGATIVE_INFINITY;
+		let version = 0;
+		for (const [reader, known] of this.#readers) {
+			if (own.version !== undefined && known.digest === own.digest) {
+				until = Math.max(until, known.confirmedAt + this.#maxAgeMs);
+				version = Math.max(version, known.version);
+			} else if (known.version > (own.version ?? 0) && now >= known.unusableUntil && (newest === undefined || known.version > newest[1].version)) {
+				newest = [reader, known];
+			}
+		}
+
+		// A reader with other content counts only if its version is newer than all that confirm the own copy.
+		if (newest !== undefined && newest[1].version > version) {
+			return {kind: 'behind', reader: newest[0]};
+		}
+
+		return now < until ? {kind: 'current', until, version} : {kind: 'unconfirmed'};
+	}
+
+	#forgetOld(now: number): void {
+		for (const [reader, {confirmedAt}] of this.#readers) {
+			if (now - confirmedAt >= this.#maxAgeMs) {
+				this.#readers.delete(reader);
+			}
+		}
+	}
+}
--- /dev/null
+++ b/src/process/tables/table-watch.ts
@@ -0,0 +1,301 @@
+import type {Either} from 'purify-ts';
+import type {SharedRows} from '../../connection/row-exchange.ts';
+import type {FeedFailure, FeedRow, RowFeed} from '../../ports/row-feed.ts';
+import type {Clock} from '../clock.ts';
+import type {DecisionLog} from '../fleet/decision-log.ts';
+import type {Random} from '../random.ts';
+import {TableCopy, type RowContent} from './table-copy.ts';
+import {TableSharing, type TableAnnouncement} from './table-sharing.ts';
+import type {WatchTimes} from './watch-times.ts';
+
+/** Receives the rows of a table; its methods must be synchronous. */
+export type WatchListener = {
+	/** Receives the whole table, at the start and after the feed has lost its history. */
+	readonly onSnapshot: (rows: readonly FeedRow[]) => void;
+	readonly onChanges: (rows: readonly FeedRow[]) => void;
+	/** Called on the first of consecutive failures to read the store. */
+	readonly onLost: () => void;
+	/** Called when the store responds again, before the rows of that response are delivered; `recoveredMs`: time since then, in milliseconds. */
+	readonly onRecovered: (recoveredMs: number) => void;
+};
+
+/** Access to the copies of the other daemons. */
+export type TablePeers = {
+	/** True while this daemon is one of those that read the store for the others. */
+	readonly isReader: () => boolean;
+	/** Fetches the rows that changed after a version from another daemon; a failure is a short message. */
+	readonly fetchRows: (daemon: string, table: string, after: number | undefined) => Promise<Either<string, SharedRows>>;
+	/** Called when this daemon has read a change that the other daemons may lack. */
+	readonly onChangeRead: () => void;
+};
+
+/** Dependencies of a watch. */
+export type TableWatchOptions = {
+	readonly feed: RowFeed;
+	readonly table: string;
+	readonly times: WatchTimes;
+	readonly listener: WatchListener;
+	readonly contentOf: RowContent;
+	readonly peers: TablePeers;
+	/** Clock that includes suspensions, by which the age of confirmations is measured. */
+	readonly clock: Clock;
+	readonly log: DecisionLog;
+	readonly random: Random;
+};
+
+const minBackoffMs = 100;
+const maxBackoffMs = 600;
+/** Factor on the backoff of daemons that are not readers, which hear from the readers when the store is back. */
+const followerBackoffFactor = 4;
+/** Spread of the first own read of daemons that have lost their readers at the same time, in milliseconds. */
+const takeoverSpreadMs = 300;
+/** Shortest wait of a call, as a fraction of the longest. */
+const minWaitFraction = 0.7;
+const never = Number.NEGATIVE_INFINITY;
+
+/** Keeps a copy of one table of the platform: reads its change feed, or follows the daemons that do. */
+export class TableWatch implements AsyncDisposable {
+	readonly #options: TableWatchOptions;
+	readonly #copy: TableCopy;
+	readonly #sharing: TableSharing;
+	readonly #stop = new AbortController();
+	/** True when the next page must be the whole table. */
+	#needsWhole = true;
+	#failures = 0;
+	#confirmedAt = never;
+	#recoveredAt = never;
+	#isFetching = false;
+	#isFollowing = false;
+	/** Ends the current pause. */
+	#wake: (() => void) | undefined;
+	#running: Promise<void> = Promise.resolve();
+
+	constructor(options: TableWatchOptions) {
+		this.#options = options;
+		this.#copy = new TableCopy(options.contentOf);
+		this.#sharing = new TableSharing(options.times.maxAgeMs);
+	}
+
+	/** Name of the table. */
+	get table(): string {
+		return this.#options.table;
+	}
+
+	/** State of the copy as confirmed by the store; undefined unless this daemon reads the store for the others. */
+	get announcement(): TableAnnouncement | undefined {
+		const {table, peers, times, clock} = this.#options;
+		const ageMs = clock.now() - this.#confirmedAt;
+		return this.#copy.version === undefined || ageMs >= times.maxAgeMs || !peers.isReader()
+			? undefined
+			: {
+				table, version: this.#copy.version, digest: this.#copy.digest, ageMs: Math.round(ageMs),
+			};
+	}
+
+	/** Records what another daemon announced, and fetches the rows that this one lacks. */
+	accept(daemon: string, announcement: TableAnnouncement): void {
+		this.#sharing.record(daemon, announcement, this.#options.clock.now());
+		void this.#catchUp();
+	}
+
+	/** Returns the rows for another daemon whose copy is complete up to a version; undefined without a copy that the store has confirmed. */
+	share(after: number | undefined): SharedRows | undefined {
+		const {announcement} = this;
+		const recoveredMs = this.#options.clock.now() - this.#recoveredAt;
+		return announcement === undefined || this.#failures > 0
+			? undefined
+			: {
+				...this.#copy.changesAfter(after), digest: announcement.digest, ageMs: announcement.ageMs, recoveredMs: Number.isFinite(recoveredMs) ? recoveredMs : undefined,
+			};
+	}
+
+	start(): void {
+		this.#running = this.#run();
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		this.#stop.abort();
+		this.#wake?.();
+		await this.#running;
+	}
+
+	async #run(): Promise<void> {
+		while (!this.#stop.signal.aborted) {
+			const followMs = this.#followMs();
+			this.#setFollowing(followMs > 0);
+			if (followMs > 0) {
+				await this.#pause(followMs + (this.#options.random.next() * takeoverSpreadMs));
+			} else {
+				await this.#poll();
+				await this.#pause(this.#failures === 0 ? this.#options.times.pauseMs : this.#backoffMs());
+			}
+		}
+	}
+
+	/** Time for which this daemon can rely on the readers, in milliseconds; 0 if it has to read the store itself. */
+	#followMs(): number {
+		if (this.#options.peers.isReader()) {
+			return 0;
+		}
+
+		const now = this.#options.clock.now();
+		const state = this.#sharing.assess(this.#copy, now);
+		return state.kind === 'current' ? state.until - now : 0;
+	}
+
+	#setFollowing(isFollowing: boolean): void {
+		if (isFollowing !== this.#isFollowing) {
+			this.#isFollowing = isFollowing;
+			this.#options.log.write('store.reader', {table: this.table, isFollowing, version: this.#copy.version});
+		}
+	}
+
+	async #poll(): Promise<void> {
+		const {feed, times, peers} = this.#options;
+		const {version: knownVersion} = this.#copy;
+		const isWhole = this.#needsWhole || knownVersion === undefined;
+		// The wait varies, because a change ends the waits of all readers at the same time.
+		const waitMs = Math.round(times.waitMs * (minWaitFraction + (this.#options.random.next() * (1 - minWaitFraction))));
+		const page = isWhole ? await feed.readTable(this.table) : await feed.waitForChanges(this.table, knownVersion, waitMs);
+		if (this.#stop.signal.aborted) {
+			return;
+		}
+
+		page.caseOf({
+			Left: failure => {
+				this.#handleFailure(failure);
+				void this.#catchUp();
+			},
+			Right: ({rows, version}) => {
+				this.#handleSuccess();
+				this.#needsWhole = false;
+				this.#confirmedAt = this.#options.clock.now();
+				if (this.#apply(rows, version, isWhole) && peers.isReader()) {
+					peers.onChangeRead();
+				}
+			},
+		});
+	}
+
+	/** Updates the copy and tells the listener; returns true when the content has changed. */
+	#apply(rows: readonly FeedRow[], version: number, isWhole: boolean): boolean {
+		const isChanged = this.#copy.apply({rows, version, isWhole});
+		if (isWhole) {
+			this.#options.listener.onSnapshot(rows);
+		} else if (rows.length > 0) {
+			this.#options.listener.onChanges(rows);
+		}
+
+		return isChanged;
+	}
+
+	/** Fetches the rows that a reader has and this daemon lacks, unless this daemon reads the store itself without failures. */
+	async #catchUp(): Promise<void> {
+		const {clock, peers} = this.#options;
+		while (!this.#isFetching && !this.#stop.signal.aborted && (this.#failures > 0 || !peers.isReader())) {
+			const state = this.#sharing.assess(this.#copy, clock.now());
+			if (state.kind === 'current') {
+				this.#copy.confirm(state.version);
+			}
+
+			if (state.kind !== 'behind') {
+				return;
+			}
+
+			this.#isFetching = true;
+			await this.#fetch(state.reader);
+			this.#isFetching = false;
+		}
+	}
+
+	async #fetch(reader: string): Promise<void> {
+		const {clock, log, peers} = this.#options;
+		const shared = await peers.fetchRows(reader, this.table, this.#copy.version);
+		shared.caseOf({
+			Left: cause => {
+				log.write('store.notShared', {table: this.table, peer: reader, cause});
+				this.#sharing.markUnusable(reader, clock.now());
+				this.#wake?.();
+			},
+			Right: value => {
+				this.#acceptShared(reader, value);
+			},
+		});
+	}
+
+	#acceptShared(reader: string, {rows, version, digest, isWhole, ageMs, recoveredMs}: SharedRows): void {
+		const {clock, log, listener} = this.#options;
+		const now = clock.now();
+		if (this.#stop.signal.aborted || version < (this.#copy.version ?? 0)) {
+			// The own read has been faster.
+			return;
+		}
+
+		if (recoveredMs !== undefined && now - recoveredMs > this.#recoveredAt) {
+			this.#recoveredAt = now - recoveredMs;
+			listener.onLost();
+			listener.onRecovered(recoveredMs);
+		}
+
+		this.#apply(rows, version, isWhole);
+		this.#needsWhole = false;
+		log.write('store.shared', {
+			table: this.table, peer: reader, version, rows: rows.length, ageMs: Math.round(ageMs),
+		});
+		if (this.#copy.digest === digest) {
+			this.#sharing.record(reader, {
+				table: this.table, version, digest, ageMs,
+			}, now);
+			return;
+		}
+
+		// The copies differ although the rows were applied, so the own one is read again from the store.
+		this.#needsWhole = true;
+		this.#sharing.markUnusable(reader, now);
+		this.#wake?.();
+	}
+
+	#handleSuccess(): void {
+		if (this.#failures > 0) {
+			this.#recoveredAt = this.#options.clock.now();
+			this.#options.log.write('store.regained', {table: this.table, failures: this.#failures});
+			this.#options.listener.onRecovered(0);
+		}
+
+		this.#failures = 0;
+	}
+
+	#handleFailure({kind, message}: FeedFailure): void {
+		const {log, listener} = this.#options;
+		if (kind === 'history-lost') {
+			// This failure is a response of the store, so the store itself is available.
+			log.write('store.historyLost', {table: this.table, version: this.#copy.version});
+			this.#needsWhole = true;
+			return;
+		}
+
+		this.#failures += 1;
+		if (this.#failures === 1) {
+			log.write('store.lost', {table: this.table, kind, cause: message});
+			listener.onLost();
+		}
+	}
+
+	#backoffMs(): number {
+		const bound = Math.min(maxBackoffMs, minBackoffMs * (2 ** (this.#failures - 1)));
+		return bound * (0.5 + (this.#options.random.next() / 2)) * (this.#options.peers.isReader() ? 1 : followerBackoffFactor);
+	}
+
+	/** Waits until the time is over, the watch is stopped or it has to be read at once. */
+	async #pause(ms: number): Promise<void> {
+		const {promise, resolve} = Promise.withResolvers<void>();
+		const timer = setTimeout(resolve, ms);
+		this.#wake = resolve;
+		if (this.#stop.signal.aborted) {
+			resolve();
+		}
+
+		await promise;
+		clearTimeout(timer);
+	}
+}
--- /dev/null
+++ b/src/process/tables/watch-times.ts
@@ -0,0 +1,44 @@
+import type {FleetSettings} from '../../version/fleet-settings.ts';
+
+/** Timing of a watch, in milliseconds. */
+export type WatchTimes = {
+	/** Longest wait of one long-poll call; it also bounds how long a dead connection goes unnoticed. */
+	readonly waitMs: number;
+	/** Pause between calls, to batch rows that change constantly. */
+	readonly pauseMs: number;
+	/** Age from which the confirmation of another daemon no longer counts. */
+	readonly maxAgeMs: number;
+};
+
+/** Time to abandon a call that has exceeded its wait, reconnect and read, in milliseconds. */
+const recoveryMs = 1500;
+/** Time from the call that reports a change until sends already in progress have ended, with a slow store, in milliseconds. */
+const applyMarginMs = 1200;
+const minIntervalMs = 300;
+/** Interval between the calls of a reader, as a fraction of the age at which its confirmation expires. */
+const readIntervalFraction = 0.6;
+
+/** Times for a table whose changes must take effect within `boundMs`. */
+function createWatchTimes(boundMs: number): Pick<WatchTimes, 'maxAgeMs'> & {readonly intervalMs: number} {
+	const maxAgeMs = Math.max(minIntervalMs, boundMs - applyMarginMs - minIntervalMs);
+	return {maxAgeMs, intervalMs: Math.max(minIntervalMs, maxAgeMs * readIntervalFraction)};
+}
+
+/**
+Times for the configuration watch.
+
+Configurations change rarely, so each call waits for as long as a dead connection may go unnoticed. A host must know the
+current configuration within `contactMs` after its connections broke, and reconnecting takes part of that time.
+*/
+export function createConfigurationTimes({configApplyMs, contactMs}: Pick<FleetSettings['bounds'], 'configApplyMs' | 'contactMs'>): WatchTimes {
+	const {maxAgeMs, intervalMs} = createWatchTimes(configApplyMs);
+	const longestMs = Math.max(minIntervalMs, contactMs - recoveryMs);
+	return {waitMs: maxAgeMs > recoveryMs ? Math.min(longestMs, intervalMs) : longestMs, pauseMs: 0, maxAgeMs};
+}
+
+/** Times for the upstream watch: upstreams write heartbeats constantly, so a pause batches them; it is short enough for draining to take effect within `drainMs`. */
+export function createListTimes({drainMs, contactMs}: Pick<FleetSettings['bounds'], 'drainMs' | 'contactMs'>): WatchTimes {
+	const {maxAgeMs, intervalMs} = createWatchTimes(drainMs);
+	const longestMs = Math.max(minIntervalMs, Math.min(drainMs - applyMarginMs, contactMs - recoveryMs - minIntervalMs));
+	return {waitMs: minIntervalMs, pauseMs: maxAgeMs > recoveryMs ? Math.min(longestMs, intervalMs) : longestMs, maxAgeMs};
+}
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -41,12 +41,17 @@
 	#lastEventId: string | undefined;
 
 	async run(): Promise<DeliveryResult> {
+		const whole = this.dependencies.scheduler.placeWhole(this.demand);
+		if (whole !== undefined) {
+			return this.#generate(undefined, whole);
+		}
+
 		const prefill = await this.#prefill();
 		if (prefill.kind === 'refused') {
 			return this.refusePlacement(prefill.refusal);
 		}
 
-		return this.#generate(prefill.kind === 'read' ? prefill.prompt : undefined);
+		return this.#generate(prefill.kind === 'read' ? prefill.prompt : undefined, undefined);
 	}
 
 	/** Prefills the prompt at one upstream; this can safely be repeated at another one, because it does not run the request. */
@@ -116,11 +121,12 @@
 		return prompt === undefined ? {kind: 'failed'} : {kind: 'read', prompt};
 	}
 
-	async #generate(prefilledPrompt: PrefilledPrompt | undefined): Promise<DeliveryResult> {
+	/** Runs the request until it ends; `firstPlacement` is the place of the first send, if it has been chosen already. */
+	async #generate(prefilledPrompt: PrefilledPrompt | undefined, firstPlacement: Placement | undefined): Promise<DeliveryResult> {
 		let prompt = prefilledPrompt;
 		let end: DeliveryResult | undefined;
 		for (let attempt = 0; attempt < maxDecodeSends && end === undefined; attempt += 1) {
-			const placement = this.dependencies.scheduler.placeDecode(this.demand, prompt?.source);
+			const placement = attempt === 0 && firstPlacement !== undefined ? firstPlacement : this.dependencies.scheduler.placeDecode(this.demand, prompt?.source);
 			if (!isPlaced(placement)) {
 				end = this.#endUnfinished(() => this.refusePlacement(placement));
 				break;
@@ -167,6 +173,7 @@
 			reserveFailover: () => this.reserveFailover(),
 			isAuthenticAnswer: answer => this.isAuthenticAnswer(answer),
 			onFirstEvent: () => {
+				placement.reportFirstEvent();
 				this.markFirstAnswer();
 			},
 		});
--- a/src/request/delivery/upstream-scheduler.ts
+++ b/src/request/delivery/upstream-scheduler.ts
@@ -20,6 +20,8 @@
 	readonly rank: number | undefined;
 	/** Upstream from which cached parts of the prompt are fetched, when that is faster than prefilling them. */
 	readonly fetchFrom: Upstream | undefined;
+	/** Reports the first event of the answer. */
+	readonly reportFirstEvent: () => void;
 	/** Reports the load that the upstream stated in the head of its answer, before the answer has ended. */
 	readonly reportLoad: (load: ReportedLoad) => void;
 	/** Releases the place with the result of the send. */
@@ -61,6 +63,9 @@
 	/** Places a request of a plain service. */
 	abstract placePlain(demand: PlacementDemand): Promise<PlacementResult>;
 
+	/** Places a whole request at an engine that also prefills its prompt, if its first event is expected there sooner than with a separate prefill. */
+	abstract placeWhole(demand: PlacementDemand): Placement | undefined;
+
 	/** Places the prefill of a prompt; waits for capacity. */
 	abstract placePrefill(demand: PlacementDemand): Promise<PlacementResult>;
 
--- a/src/version/fleet-settings.ts
+++ b/src/version/fleet-settings.ts
@@ -34,6 +34,8 @@
 		readonly contactMs: number;
 		/** Time within which sends to an upstream that is leaving must have ended. */
 		readonly drainMs: number;
+		/** Time within which an acknowledged configuration must be in force. */
+		readonly configApplyMs: number;
 		readonly leaseMs: number;
 	};
 };
@@ -50,7 +52,7 @@
 	listen: ['callers', 'readiness', 'peer-port', 'metrics-port'],
 	store: ['address'],
 	limits: ['memory-mb', 'link-mbps'],
-	bounds: ['retry-ratio', 'retry-slack', 'retry-window-s', 'grace-s', 'contact-ms', 'drain-ms', 'lease-ms'],
+	bounds: ['retry-ratio', 'retry-slack', 'retry-window-s', 'grace-s', 'contact-ms', 'drain-ms', 'config-apply-ms', 'lease-ms'],
 };
 const millisecondsPerSecond = 1000;
 
@@ -82,6 +84,7 @@
 			graceMs: reader.number('bounds', 'grace-s') * millisecondsPerSecond,
 			contactMs: reader.number('bounds', 'contact-ms'),
 			drainMs: reader.number('bounds', 'drain-ms'),
+			configApplyMs: reader.number('bounds', 'config-apply-ms'),
 			leaseMs: reader.number('bounds', 'lease-ms'),
 		},
 	};
--- a/test/process/fleet/events.test.ts
+++ b/test/process/fleet/events.test.ts
@@ -1,7 +1,7 @@
 import {readdirSync, readFileSync} from 'node:fs';
 import {describe, expect, test} from 'vitest';
 
-const folders = ['src/process/fleet', 'src/process/stages', 'src/process/peers', 'src/request/delivery', 'src'];
+const folders = ['src/process/fleet', 'src/process/tables', 'src/process/stages', 'src/process/peers', 'src/request/delivery', 'src'];
 
 function findEvents(): ReadonlySet<string> {
 	const files = folders.flatMap(folder => readdirSync(folder).filter(name => name.endsWith('.ts')).map(name => `${folder}/${name}`));
--- a/test/process/peers/peer-link.test.ts
+++ b/test/process/peers/peer-link.test.ts
@@ -39,6 +39,10 @@
 				onCrashes() {
 					// This test announces no crashes.
 				},
+				ownTables: () => [],
+				onTables() {
+					// No daemon of this test reads tables.
+				},
 			});
 			this.links.push(link);
 			this.prefills.push(prefills);
--- a/test/process/peers/peers.test.ts
+++ b/test/process/peers/peers.test.ts
@@ -13,6 +13,9 @@
 	prefills: [{upstream: 'u-1', parts: [{id: '5c1e', tokens: 800}]}],
 	queued: new Map([[1, 50], [2, 600]]),
 	crashes: [{fingerprint: 'f', upstream: 'u-2'}],
+	tables: [{
+		table: 'servers', version: 530, digest: 2 ** 47, ageMs: 120,
+	}],
 };
 const idle = {runs: 0, tokensByPriority: new Map<number, number>()};
 
--- /dev/null
+++ b/test/process/tables/table-watch.test.ts
@@ -0,0 +1,259 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {Left, Right, type Either} from 'purify-ts';
+import {
+	describe, expect, test, vi,
+} from 'vitest';
+import type {SharedRows} from '../../../src/connection/row-exchange.ts';
+import type {FeedRow} from '../../../src/ports/row-feed.ts';
+import {SystemClock} from '../../../src/process/clock.ts';
+import {DecisionLog} from '../../../src/process/fleet/decision-log.ts';
+import {SeededRandom} from '../../../src/process/random.ts';
+import {TableWatch} from '../../../src/process/tables/table-watch.ts';
+import {MemoryFeed, MemoryRows} from '../../fixtures/memory-feed.ts';
+
+const times = {waitMs: 100, pauseMs: 100, maxAgeMs: 700};
+const announceMs = 50;
+/** Time within which a change must be known: the age bound, one call with its pause and the spread of the takeover. */
+const changeBoundMs = 1500;
+
+/** One daemon with a copy of the table. */
+class Daemon {
+	readonly name: string;
+	readonly feed: MemoryFeed;
+	readonly values = new Map<string, string>();
+	readonly events: string[] = [];
+	/** False while the daemon has been killed. */
+	isAlive = true;
+	/** True while its messages to the other daemons and theirs to it are lost. */
+	isCutOff = false;
+	isReader: boolean;
+	watch: TableWatch;
+
+	constructor(name: string, rows: MemoryRows, isReader: boolean, fetchRows: (self: Daemon, daemon: string, after: number | undefined) => Either<string, SharedRows>) {
+		this.name = name;
+		this.isReader = isReader;
+		this.feed = new MemoryFeed(rows);
+		this.watch = this.#createWatch(fetchRows);
+	}
+
+	#createWatch(fetchRows: (self: Daemon, daemon: string, after: number | undefined) => Either<string, SharedRows>): TableWatch {
+		return new TableWatch({
+			feed: this.feed,
+			table: 'servers',
+			times,
+			clock: new SystemClock(),
+			random: new SeededRandom(this.name.length),
+			log: new DecisionLog({}, (_bytes, done) => {
+				done(undefined);
+			}),
+			// Text after a blank is a heartbeat.
+			contentOf: ({value}) => new TextDecoder().decode(value).split(' ')[0]!,
+			peers: {
+				isReader: () => this.isReader,
+				fetchRows: async (daemon, _table, after) => fetchRows(this, daemon, after),
+				onChangeRead: () => undefined,
+			},
+			listener: {
+				onSnapshot: rows => {
+					this.values.clear();
+					this.#accept(rows);
+				},
+				onChanges: rows => {
+					this.#accept(rows);
+				},
+				onLost: () => {
+					this.events.push('lost');
+				},
+				onRecovered: () => {
+					this.events.push('recovered');
+				},
+			},
+		});
+	}
+
+	#accept(rows: readonly FeedRow[]): void {
+		for (const {key, value, isRemoved} of rows) {
+			this.events.push(`${isRemoved ? 'removed' : 'set'} ${key}`);
+			if (isRemoved) {
+				this.values.delete(key);
+			} else {
+				this.values.set(key, new TextDecoder().decode(value));
+			}
+		}
+	}
+}
+
+/** Two readers and two followers of one availability zone. */
+class ZoneFixture implements AsyncDisposable {
+	readonly rows = new MemoryRows();
+	readonly daemons: readonly Daemon[];
+	readonly #timer: NodeJS.Timeout;
+
+	constructor() {
+		this.rows.put('a', 'ready 1');
+		const fetchRows = (self: Daemon, daemon: string, after: number | undefined) => this.#fetch(self, daemon, after);
+		this.daemons = ['reader-1', 'reader-2', 'follower-1', 'follower-2'].map(name => new Daemon(name, this.rows, name.startsWith('reader'), fetchRows));
+		for (const {watch} of this.daemons) {
+			watch.start();
+		}
+
+		this.#timer = setInterval(() => {
+			this.#announce();
+		}, announceMs);
+	}
+
+	get readers(): readonly Daemon[] {
+		return this.daemons.filter(({name}) => name.startsWith('reader'));
+	}
+
+	get followers(): readonly Daemon[] {
+		return this.daemons.filter(({name}) => name.startsWith('follower'));
+	}
+
+	/** Waits until the followers no longer call the store themselves. */
+	async settle(): Promise<void> {
+		await delay(600);
+		this.forgetCalls();
+	}
+
+	forgetCalls(): void {
+		for (const {feed} of this.daemons) {
+			feed.calls = 0;
+		}
+	}
+
+	async waitForValue(daemons: readonly Daemon[], key: string, value: string | undefined): Promise<void> {
+		await vi.waitFor(() => {
+			expect(daemons.map(({values}) => values.get(key)?.split(' ')[0])).toEqual(daemons.map(() => value));
+		}, {timeout: changeBoundMs, interval: 5});
+	}
+
+	async [Symbol.asyncDispose](): Promise<void> {
+		clearInterval(this.#timer);
+		await Promise.all(this.daemons.map(async ({watch}) => watch[Symbol.asyncDispose]()));
+	}
+
+	#fetch(self: Daemon, name: string, after: number | undefined): Either<string, SharedRows> {
+		const other = this.daemons.find(daemon => daemon.name === name)!;
+		const shared = other.isAlive && !other.isCutOff && !self.isCutOff ? other.watch.share(after) : undefined;
+		return shared === undefined ? Left('unreachable') : Right(shared);
+	}
+
+	#announce(): void {
+		for (const sender of this.daemons.filter(({isAlive, isCutOff}) => isAlive && !isCutOff)) {
+			const {announcement} = sender.watch;
+			for (const {watch} of announcement === undefined ? [] : this.daemons.filter(({isCutOff}) => !isCutOff)) {
+				watch.accept(sender.name, announcement!);
+			}
+		}
+	}
+}
+
+describe.concurrent('daemons that follow the readers of a table', () => {
+	test('learn of changes and removals without calls of their own, while heartbeats change constantly', async () => {
+		await using zone = new ZoneFixture();
+		await zone.settle();
+		for (let beat = 2; beat < 20; beat += 1) {
+			zone.rows.put('a', `ready ${beat}`);
+			await delay(20);
+		}
+
+		zone.rows.put('b', 'ready 1');
+		await zone.waitForValue(zone.followers, 'b', 'ready');
+		zone.rows.put('a', 'draining 20');
+		await zone.waitForValue(zone.followers, 'a', 'draining');
+		zone.rows.put('a', undefined);
+		await zone.waitForValue(zone.followers, 'a', undefined);
+		expect(zone.followers.map(({feed}) => feed.calls)).toEqual([0, 0]);
+	});
+
+	test('read the store themselves when all readers are gone, so that a change is known within the bound', async () => {
+		await using zone = new ZoneFixture();
+		await zone.settle();
+		for (const reader of zone.readers) {
+			reader.isAlive = false;
+		}
+
+		zone.rows.put('a', 'draining 2');
+		await zone.waitForValue(zone.followers, 'a', 'draining');
+		expect(zone.followers.every(({feed}) => feed.calls > 0)).toBe(true);
+	});
+
+	test('follow the other reader when one has lost the store, and that reader follows it too', async () => {
+		await using zone = new ZoneFixture();
+		await zone.settle();
+		zone.readers[0]!.feed.faults.isDown = true;
+		await delay(times.maxAgeMs);
+		zone.forgetCalls();
+		zone.rows.put('a', 'draining 2');
+		await zone.waitForValue(zone.daemons, 'a', 'draining');
+		expect(zone.followers.map(({feed}) => feed.calls)).toEqual([0, 0]);
+	});
+
+	test('read the store themselves while they are cut off from the other daemons, and follow again afterwards', async () => {
+		await using zone = new ZoneFixture();
+		await zone.settle();
+		const [alone] = zone.followers;
+		alone!.isCutOff = true;
+		zone.rows.put('a', 'draining 2');
+		await zone.waitForValue([alone!], 'a', 'draining');
+		expect(alone!.feed.calls).toBeGreaterThan(0);
+		alone!.isCutOff = false;
+		await zone.settle();
+		await delay(times.maxAgeMs);
+		expect(alone!.feed.calls).toBe(0);
+	});
+
+	test('tell their listener of an outage of the store before they apply what was removed during it', async () => {
+		await using zone = new ZoneFixture();
+		await zone.settle();
+		const [follower] = zone.followers;
+		for (const {feed} of zone.daemons) {
+			feed.faults.isDown = true;
+		}
+
+		await delay(times.maxAgeMs + 500);
+		zone.rows.put('a', undefined);
+		follower!.events.length = 0;
+		// The follower itself does not see the return of the store.
+		for (const reader of zone.readers) {
+			reader.feed.faults.isDown = false;
+		}
+
+		await zone.waitForValue(zone.followers, 'a', undefined);
+		expect(follower!.events.indexOf('recovered')).toBeGreaterThanOrEqual(0);
+		expect(follower!.events.indexOf('recovered')).toBeLessThan(follower!.events.indexOf('removed a'));
+	});
+
+	test('never return to an older state when a reader with an old copy is the only one left', async () => {
+		await using zone = new ZoneFixture();
+		await zone.settle();
+		const [stale, current] = zone.readers;
+		stale!.feed.faults.isDown = true;
+		stale!.isCutOff = true;
+		zone.rows.put('a', 'draining 2');
+		await zone.waitForValue(zone.followers, 'a', 'draining');
+		current!.isAlive = false;
+		stale!.isCutOff = false;
+		for (const {events} of zone.followers) {
+			events.length = 0;
+		}
+
+		await delay(changeBoundMs);
+		expect(zone.followers.map(({values}) => values.get('a'))).toEqual(['draining 2', 'draining 2']);
+		expect(zone.followers.flatMap(({events}) => events)).toEqual([]);
+	});
+
+	test('get the whole table after a reader has lost the history of the store', async () => {
+		await using zone = new ZoneFixture();
+		await zone.settle();
+		for (const reader of zone.readers) {
+			reader.feed.faults.hasLostHistory = true;
+		}
+
+		zone.rows.put('a', undefined);
+		zone.rows.put('c', 'ready 1');
+		await zone.waitForValue(zone.followers, 'c', 'ready');
+		await zone.waitForValue(zone.followers, 'a', undefined);
+	});
+});
--- a/test/version/fleet-settings.test.ts
+++ b/test/version/fleet-settings.test.ts
@@ -18,6 +18,7 @@
 	'bounds.grace_s': '8',
 	'bounds.contact_ms': '3000',
 	'bounds.drain_ms': '2000',
+	'bounds.config_apply_ms': '2500',
 	'bounds.lease_ms': '3000',
 };
 
@@ -37,7 +38,7 @@
 			store: {address: '10.200.1.7:8142'},
 			limits: {memoryMb: 350, linkMbps: 1000},
 			bounds: {
-				retryRatio: 0.2, retrySlack: 56, retryWindowMs: 10_000, graceMs: 8000, contactMs: 3000, drainMs: 2000, leaseMs: 3000,
+				retryRatio: 0.2, retrySlack: 56, retryWindowMs: 10_000, graceMs: 8000, contactMs: 3000, drainMs: 2000, configApplyMs: 2500, leaseMs: 3000,
 			},
 		});
 	});
