Trace two known failures, and make a third one explain itself

- a caller that reads slowly: not reproduced.
The upstream's count was shared by all attempts; it is counted by attempt now and one attempt is asserted, which is stricter.

--- a/test/process/early-signals.test.ts
+++ b/test/process/early-signals.test.ts
@@ -6,10 +6,13 @@
 const script = `
 	import {handleSignals} from './src/process/early-signals.ts';
 	console.log('loaded');
+	const pending = new Set(['SIGHUP', 'SIGTERM']);
 	setTimeout(() => {
 		handleSignals(signal => {
 			console.log(signal);
-			if (signal === 'SIGTERM') {
+			pending.delete(signal);
+			// Signals that are sent back to back may arrive in either order.
+			if (pending.size === 0) {
 				process.exit(0);
 			}
 		});
--- a/test/process/upstream-leaving.test.ts
+++ b/test/process/upstream-leaving.test.ts
@@ -1,3 +1,4 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import {
 	describe, expect, it, vi,
 } from 'vitest';
@@ -13,6 +14,8 @@
 const leaveLimitMs = 3000;
 const returnLimitMs = 8000;
 const knownLimitMs = 5000;
+/** Pause between batches of requests; without one they would starve the daemons, which run in the same process. */
+const batchIntervalMs = 100;
 const listLagMs = 60_000;
 const [model] = demoModels;
 const upstream = `${model}-zone-a-0`;
@@ -30,8 +33,13 @@
 	it('is known at all daemons within 3 s of a refused connection and a failed probe, so that no work goes to a dead host', async () => {
 		await using deployment = await start();
 		await deployment.engines[0]![Symbol.asyncDispose]();
-		await workAt(deployment, 1);
-		await seesState(deployment, 'leaving', leaveLimitMs);
+		// A single batch of requests may miss the dead engine, so that no connection is refused.
+		const stop = new AbortController();
+		const work = workUntil(deployment, 1, stop.signal);
+		await seesState(deployment, 'leaving', leaveLimitMs).finally(() => {
+			stop.abort();
+		});
+		await work;
 	});
 
 	it('is known from the host list alone, and is live again when the list says so', async () => {
@@ -60,7 +68,15 @@
 	return deployment;
 }
 
-/** Sends so many requests to one daemon that each engine of the model gets some. */
+/** Sends batches of requests to one daemon until the signal aborts, so that each engine of the model gets some. */
+async function workUntil(deployment: LocalDeployment, index: number, signal: AbortSignal): Promise<void> {
+	while (!signal.aborted) {
+		await workAt(deployment, index);
+		await delay(batchIntervalMs);
+	}
+}
+
+/** Sends one batch of requests to one daemon. */
 async function workAt({urls}: LocalDeployment, index: number): Promise<void> {
 	await Promise.all(Array.from({length: 12}, async () => {
 		const response = await request(`${urls[index]}/v1/completions`, {
--- a/test/request/answers.test.ts
+++ b/test/request/answers.test.ts
@@ -223,16 +223,17 @@
 	it('delays only its own stream, in bounded memory', async () => {
 		const event = formatEvent('a', 'x'.repeat(16 * 1024));
 		const events = 2000;
-		let written = 0;
+		const writtenByAttempt: number[] = [];
 		await using upstream = await createRawUpstream('u', (socket, text) => {
 			if (text.includes('"fast"')) {
 				socket.write(completeStream);
 				return;
 			}
 
+			const attempt = writtenByAttempt.push(0) - 1;
 			const send = () => {
-				while (written < events) {
-					written += 1;
+				while (writtenByAttempt[attempt]! < events) {
+					writtenByAttempt[attempt]! += 1;
 					if (!socket.write(formatChunk(event))) {
 						socket.once('drain', send);
 						return;
@@ -249,13 +250,12 @@
 		const slow = await post(fixture.url);
 		await delay(300);
 		// The upstream offers 32 MB, of which the buffers on both connections hold only a part.
-		expect(written * event.length).toBeLessThan(24 * 1024 * 1024);
+		expect(writtenByAttempt.map(written => written * event.length).filter(bytes => bytes >= 24 * 1024 * 1024)).toEqual([]);
 		const started = performance.now();
 		const fast = await readAll(await post(fixture.url, {...completion, user: 'fast'}));
 		expect(fast.isAborted).toBe(false);
 		expect(performance.now() - started).toBeLessThan(1000);
 		const {text, isAborted} = await readAll(slow);
-		expect(isAborted).toBe(false);
-		expect(text).toHaveLength((event.length * events) + 'data: [DONE]\n\n'.length);
+		expect({isAborted, length: text.length, attempts: writtenByAttempt.length}).toEqual({isAborted: false, length: (event.length * events) + 'data: [DONE]\n\n'.length, attempts: 1});
 	});
 });
