End completion streams that send bytes but no event

A stream without a complete event for 60 s (setting of the handler) is ended; slow events in pieces are not cut.

--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -37,6 +37,8 @@
 	readonly onFirstByte: () => void;
 	/** Time after which a caller that does not read its stream is disconnected, in milliseconds. */
 	readonly callerStallTimeoutMs: number;
+	/** Time without a complete event after which a completion stream is aborted, in milliseconds; bytes alone do not show that it makes progress. */
+	readonly eventTimeoutMs: number;
 };
 
 const bodyTimeoutMs = 60_000;
@@ -72,6 +74,7 @@
 	#socket: Socket | undefined;
 	/** Set while the answer is paused. */
 	#resume: (() => void) | undefined;
+	#eventTimer: NodeJS.Timeout | undefined;
 
 	constructor({method, path, headers}: UpstreamRequest, options: AttemptOptions, finish: (result: AttemptResult) => void) {
 		this.#target = {method, path};
@@ -118,6 +121,7 @@
 		}
 
 		this.#options.relay.begin(head);
+		this.#restartEventTimer(controller);
 		if (!this.#hasFraming(head)) {
 			controller.abort(new AttemptAbortError('invalid_answer', 'the answer has neither a content length nor chunked framing'));
 		}
@@ -134,7 +138,12 @@
 		}
 
 		const {relay} = this.#options;
+		const {answerBytes} = relay;
 		const mayContinue = relay.write(chunk);
+		if (relay.answerBytes > answerBytes) {
+			this.#restartEventTimer(controller);
+		}
+
 		if (relay.streamErrorCode !== undefined) {
 			controller.abort(new AttemptAbortError('invalid_answer', relay.streamErrorCode));
 		} else if (!mayContinue) {
@@ -170,8 +179,19 @@
 			|| headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 	}
 
+	/** Restarts the timer for the next event of a completion stream. */
+	#restartEventTimer(controller: Dispatcher.DispatchController): void {
+		clearTimeout(this.#eventTimer);
+		if (this.#options.relay.hasEndMark) {
+			this.#eventTimer = setTimeout(() => {
+				controller.abort(new AttemptAbortError('timed_out', 'the stream sent no complete event in time'));
+			}, this.#options.eventTimeoutMs);
+		}
+	}
+
 	#pause(controller: Dispatcher.DispatchController): void {
 		controller.pause();
+		clearTimeout(this.#eventTimer);
 		const stallTimer = setTimeout(() => {
 			controller.abort(new AttemptAbortError('cancelled', 'the caller stopped reading'));
 		}, this.#options.callerStallTimeoutMs);
@@ -180,6 +200,7 @@
 			this.#resume = undefined;
 			clearTimeout(stallTimer);
 			guard?.[Symbol.dispose]();
+			this.#restartEventTimer(controller);
 			controller.resume();
 		};
 
@@ -198,6 +219,7 @@
 
 	#end(outcome: AttemptEnd['outcome'], ran: RunState, message: string): void {
 		this.#resume?.();
+		clearTimeout(this.#eventTimer);
 		this.#options.signal.removeEventListener('abort', this.#cancel);
 		this.#finish({
 			outcome, ran, message, isLeaving: this.#isLeaving, ...(this.#status === undefined ? {} : {status: this.#status}),
--- a/src/request/dispatch.ts
+++ b/src/request/dispatch.ts
@@ -35,6 +35,8 @@
 	readonly headersTimeoutMs?: number;
 	/** Time after which a caller that does not read its stream is disconnected, in milliseconds. @default 60_000 */
 	readonly callerStallTimeoutMs?: number;
+	/** Time without a complete event after which a completion stream is aborted, in milliseconds. @default 60_000 */
+	readonly eventTimeoutMs?: number;
 };
 
 /** One admitted request to be dispatched. */
@@ -186,6 +188,7 @@
 			relay,
 			signal,
 			callerStallTimeoutMs: this.#options.callerStallTimeoutMs ?? defaultTimeoutMs,
+			eventTimeoutMs: this.#options.eventTimeoutMs ?? defaultTimeoutMs,
 			shouldDiscard: ({status}, isLeaving) => {
 				if (isLeaving) {
 					// A leaving upstream takes no new work, so the request has not run and can be sent to another one.
