--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -3,7 +3,7 @@
 */
 import {execFileSync} from 'node:child_process';
 import {
-	chmodSync, copyFileSync, mkdirSync, writeFileSync,
+	chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync,
 } from 'node:fs';
 import process from 'node:process';
 import {build} from 'esbuild';
@@ -20,7 +20,7 @@
 	format: 'cjs',
 	outfile: 'dist/wagtailtack.cjs',
 	// The yargs package resolves its locale files from import.meta.url, which CommonJS lacks.
-	define: {'import.meta.url': 'importMetaUrl'},
+	define: {'import.meta.url': 'importMetaUrl', builtVersion: JSON.stringify(describeVersion())},
 	banner: {js: 'const importMetaUrl = require(\'node:url\').pathToFileURL(__filename).href;'},
 	logLevel: 'error',
 });
@@ -36,3 +36,10 @@
 ], {stdio: ['ignore', 'ignore', 'inherit']});
 chmodSync(executable, 0o755);
 console.log(`Built ${executable}.`);
+
+/** Version of the package and date of the commit that is built. */
+function describeVersion(): string {
+	const {version} = JSON.parse(readFileSync('package.json', 'utf8')) as {readonly version: string};
+	const date = execFileSync('git', ['log', '-1', '--format=%cs'], {encoding: 'utf8'}).trim();
+	return `${version} (${date})`;
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -11,6 +11,7 @@
 import {explainCommand} from './process/cli/explain-command.ts';
 import {keyCommand} from './process/cli/key-command.ts';
 import {planCommand} from './process/cli/plan-command.ts';
+import {programVersion} from './process/cli/program-version.ts';
 import {serveCommand} from './process/cli/serve-command.ts';
 import {standInCommand} from './process/cli/stand-in-command.ts';
 import {statusCommand} from './process/cli/status-command.ts';
@@ -40,6 +41,7 @@
 			// eslint-disable-next-line unicorn/no-process-exit
 			process.exit(exitCode.usageError);
 		})
+		.version(programVersion())
 		.help()
 		.parseAsync();
 }
