Decide the way of a prompt and the number of decode engines together

Change: the bound counts the whole prompt; the cost includes the delay of the engine's running requests; slots kept free grow with the square root of the slots instead of 65 %. Also: prompt holders are found by an index instead of a search of all engines, the list of reachable engines is kept for 20 ms, and datagrams no longer start a pass over the queue, which runs each 10 ms anyway.

--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -114,9 +114,6 @@
 			},
 			ownLoads: () => this.#scheduler.loads(),
 			ownQueuedTokens: () => this.#scheduler.queuedTokens(),
-			onLoadsChanged: () => {
-				this.#scheduler.placeQueued();
-			},
 			onPrefills: prefills => {
 				this.#scheduler.acceptPrefills(prefills);
 			},
--- a/src/process/fleet/fleet-scheduler.ts
+++ b/src/process/fleet/fleet-scheduler.ts
@@ -57,6 +57,7 @@
 			onLoadChanged: peers.markLoadChanged,
 			onUpstreamDown,
 			onReleased: () => {
+				this.#states.invalidate();
 				this.placeQueued();
 			},
 		});
--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -122,7 +122,7 @@
 			};
 		});
 		const choice = chooseWhole(candidates, prefillRate);
-		return choice !== undefined && choice.predictedMs <= this.#predictApart(demand, parts, engine) ? choice : undefined;
+		return choice !== undefined && choice.costMs <= this.#predictApart(demand, parts, engine) ? choice : undefined;
 	}
 
 	/** Places a prefill; waits in the queue until an upstream can start it soon. */
@@ -317,17 +317,8 @@
 	/** Finds the upstream with the longest cached prefix of a prompt. */
 	#findPrefixMatch(parts: readonly PromptPart[], service: string): PrefixMatch {
 		const totalTokens = countTokens(parts);
-		let bestUpstream: UpstreamState | undefined;
-		let bestMissingTokens = totalTokens;
-		for (const state of this.#options.states.reachable(service)) {
-			const tokens = state.cache.missingTokens(parts);
-			if (bestUpstream === undefined || tokens < bestMissingTokens) {
-				bestUpstream = state;
-				bestMissingTokens = tokens;
-			}
-		}
-
-		return {totalTokens, bestUpstream, bestMissingTokens};
+		const bestUpstream = this.#options.states.longestHolder(service, parts);
+		return {totalTokens, bestUpstream, bestMissingTokens: bestUpstream?.cache.missingTokens(parts) ?? totalTokens};
 	}
 
 	#createCandidate(state: UpstreamState, {parts, totalTokens, bestUpstream, bestMissingTokens, engine, priority}: PrefillInput): PrefillCandidate {
--- a/src/process/fleet/prompt-cache.ts
+++ b/src/process/fleet/prompt-cache.ts
@@ -5,14 +5,22 @@
 	return parts.reduce((sum, {tokens}) => sum + tokens, 0);
 }
 
+/** Receives the parts that enter and leave a cache. */
+export type PromptCacheListener = {
+	readonly added: (part: string) => void;
+	readonly removed: (part: string) => void;
+};
+
 /** Estimate of the prompt parts in one upstream's KV cache, with LRU eviction. */
 export class PromptCache {
 	readonly #parts = new Map<string, number>();
 	#tokens = 0;
 	readonly #limit: number;
+	readonly #listener: PromptCacheListener | undefined;
 
-	constructor(limitTokens: number) {
+	constructor(limitTokens: number, listener?: PromptCacheListener) {
 		this.#limit = limitTokens;
+		this.#listener = listener;
 	}
 
 	/** Estimated number of cached tokens. */
@@ -30,7 +38,10 @@
 	touch(parts: readonly PromptPart[]): void {
 		for (const {id, tokens} of parts) {
 			this.#tokens -= this.#parts.get(id) ?? 0;
-			this.#parts.delete(id);
+			if (!this.#parts.delete(id)) {
+				this.#listener?.added(id);
+			}
+
 			this.#parts.set(id, tokens);
 			this.#tokens += tokens;
 		}
@@ -41,12 +52,17 @@
 			}
 
 			this.#parts.delete(id);
+			this.#listener?.removed(id);
 			this.#tokens -= tokens;
 		}
 	}
 
 	/** Removes all parts, because a restart empties the upstream's cache. */
 	clear(): void {
+		for (const id of this.#parts.keys()) {
+			this.#listener?.removed(id);
+		}
+
 		this.#parts.clear();
 		this.#tokens = 0;
 	}
--- a/src/process/fleet/prompt-path.ts
+++ b/src/process/fleet/prompt-path.ts
@@ -24,6 +24,8 @@
 	readonly candidate: WholeCandidate;
 	/** Time until the first event. */
 	readonly predictedMs: number;
+	/** The same with the delay that the prefill puts on the engine's running requests, to compare with other ways. */
+	readonly costMs: number;
 	readonly weightedTokens: number;
 };
 
@@ -31,12 +33,14 @@
 const decodePrefillSpeed = 0.5;
 /** Time of the first step after the prefill, in milliseconds. */
 const firstStepMs = 30;
-/** Longest prefill of one prompt at a decode engine, in milliseconds; longer ones slow its running requests down for too long. */
-const maxWholePrefillMs = 25;
+/** Longest prefill of one prompt at a decode engine with an empty cache, in milliseconds; longer ones slow its running requests down for too long. */
+const maxWholePrefillMs = 80;
 /** Longest prefill backlog of a decode engine with which it takes another prompt, in milliseconds. */
-const maxWholeBacklogMs = 60;
+const maxWholeBacklogMs = 80;
 /** Largest share of an engine's slots in use with which it takes a whole request; the rest is for requests whose prompts other engines have prefilled. */
 const maxSlotShare = 0.7;
+/** Share of an engine's running requests whose callers notice the delay by a prefill: those that wait for their first event. */
+const delayedRunShare = 0.1;
 const remoteZonePenaltyMs = 6;
 const failurePenaltyMs = 600;
 
@@ -44,24 +48,28 @@
 Chooses the decode engine that would send the first event of a whole request first; undefined if none takes it.
 
 Suits a mix of many short and few long prompts: a short prompt costs a decode engine a few milliseconds, while at a prefill
-engine it would wait behind long prompts and pay for a transfer.
+engine it would wait behind long prompts and pay for a transfer. With many running requests on the decode engines, their delay
+outweighs that, unless the prefill engines have a backlog.
 */
 export function chooseWhole(candidates: readonly WholeCandidate[], rate: PrefillRate): WholeChoice | undefined {
 	const tokensPerMs = rate.tokensPerMs * decodePrefillSpeed;
-	let best: WholeChoice & {readonly cost: number} | undefined;
+	let best: WholeChoice | undefined;
 	for (const candidate of candidates) {
 		const weightedTokens = weighTokens(candidate.missingTokens, candidate.cachedTokens);
 		const prefillMs = (weightedTokens / tokensPerMs) * candidate.latencyRatio;
 		const backlogMs = (candidate.backlogTokens / tokensPerMs) * candidate.latencyRatio;
-		if (prefillMs > maxWholePrefillMs || backlogMs > maxWholeBacklogMs || candidate.runs + 1 > candidate.slots * maxSlotShare) {
+		// The estimate of the cache may be wrong: a decode engine's cache turns over within seconds. So the bound counts the whole prompt.
+		const longestPrefillMs = (weighTokens(candidate.missingTokens + candidate.cachedTokens, 0) / tokensPerMs) * candidate.latencyRatio;
+		if (longestPrefillMs > maxWholePrefillMs || backlogMs > maxWholeBacklogMs || candidate.runs + 1 > candidate.slots * maxSlotShare) {
 			continue;
 		}
 
 		const predictedMs = backlogMs + prefillMs + firstStepMs;
-		const cost = predictedMs + (candidate.isLocal ? 0 : remoteZonePenaltyMs) + (candidate.failureFraction * failurePenaltyMs);
-		if (best === undefined || cost < best.cost) {
+		const delayMs = prefillMs * candidate.runs * delayedRunShare;
+		const costMs = predictedMs + delayMs + (candidate.isLocal ? 0 : remoteZonePenaltyMs) + (candidate.failureFraction * failurePenaltyMs);
+		if (best === undefined || costMs < best.costMs) {
 			best = {
-				candidate, predictedMs, weightedTokens, cost,
+				candidate, predictedMs, costMs, weightedTokens,
 			};
 		}
 	}
--- a/src/process/fleet/upstream-state.ts
+++ b/src/process/fleet/upstream-state.ts
@@ -2,7 +2,7 @@
 import type {ReportedLoad} from '../../ports/upstream-protocol.ts';
 import type {SendResult} from '../../request/delivery/upstream-scheduler.ts';
 import {updateLatencyRatio} from './latency-ratio.ts';
-import {PromptCache} from './prompt-cache.ts';
+import {PromptCache, type PromptCacheListener} from './prompt-cache.ts';
 
 /** Age at which the load reported by an upstream no longer counts, in milliseconds; its weight falls linearly until then. */
 const statedLoadMaxAgeMs = 500;
@@ -33,9 +33,9 @@
 	#awaitedHeartbeat = neverAvoided;
 	#unreachableUntil = neverAvoided;
 
-	constructor(upstream: Upstream, cacheTokens: number) {
+	constructor(upstream: Upstream, cacheTokens: number, cacheListener?: PromptCacheListener) {
 		this.#upstream = upstream;
-		this.cache = new PromptCache(cacheTokens);
+		this.cache = new PromptCache(cacheTokens, cacheListener);
 	}
 
 	/** Latest registry entry of the upstream. */
--- a/src/process/fleet/upstream-states.ts
+++ b/src/process/fleet/upstream-states.ts
@@ -1,9 +1,11 @@
 import type {Stage, Upstream} from '../../ports/upstream.ts';
+import type {PromptPart} from '../../request/delivery/route-request.ts';
 import type {Service} from '../../version/routes/route-configuration.ts';
 import type {Clock} from '../clock.ts';
 import type {PeerLoadTracker} from '../peers/peer-load-tracker.ts';
 import type {PeerLoad, PeerPrefill} from '../peers/peer-message.ts';
 import type {UpstreamRegistry} from './upstream-registry.ts';
+import {PromptHolders} from './prompt-holders.ts';
 import {UpstreamState} from './upstream-state.ts';
 
 /** Dependencies of the upstream states. */
@@ -19,10 +21,16 @@
 /** Fraction of an engine's KV cache memory that is available for cached prompt parts. */
 const cacheMemoryFraction = 0.8;
 
+/** Time for which the list of reachable upstreams is kept, in milliseconds; each placement needs it several times. */
+const reachableCacheMs = 20;
+
 /** State of all registered upstreams, as known to this daemon. */
 export class UpstreamStates {
 	readonly #options: UpstreamStatesOptions;
 	readonly #states = new Map<string, UpstreamState>();
+	readonly #holders = new PromptHolders();
+	/** Reachable upstreams by service, until a state changes or the time is over. */
+	readonly #reachable = new Map<string, {readonly states: readonly UpstreamState[]; readonly serving: readonly Upstream[]; readonly until: number}>();
 
 	constructor(options: UpstreamStatesOptions) {
 		this.#options = options;
@@ -31,11 +39,14 @@
 	/** Applies a changed registry entry of an upstream. */
 	update(upstream: Upstream): void {
 		this.#states.get(upstream.id)?.update(upstream);
+		this.invalidate();
 	}
 
 	/** Drops the state of an upstream that has left the registry. */
 	forget(id: string): void {
+		this.#states.get(id)?.cache.clear();
 		this.#states.delete(id);
+		this.invalidate();
 	}
 
 	/** Returns the state of an upstream; undefined if none has been created. */
@@ -46,7 +57,38 @@
 	/** Upstreams of a service, without those whose address refuses connections or belongs to another upstream. */
 	reachable(service: string): readonly UpstreamState[] {
 		const now = this.#options.clock.now();
-		return this.#options.registry.serving(service).map(upstream => this.#getOrCreate(upstream)).filter(state => !state.isUnreachable(now));
+		const serving = this.#options.registry.serving(service);
+		const known = this.#reachable.get(service);
+		if (known?.serving === serving && now < known.until) {
+			return known.states;
+		}
+
+		const states = serving.map(upstream => this.#getOrCreate(upstream)).filter(state => !state.isUnreachable(now));
+		this.#reachable.set(service, {states, serving, until: now + reachableCacheMs});
+		return states;
+	}
+
+	/** Drops what was derived from the states, after an outcome that may have changed them. */
+	invalidate(): void {
+		this.#reachable.clear();
+	}
+
+	/** Returns the reachable upstream of a service with the longest cached prefix of a prompt, by looking only at those that have one of its parts. */
+	longestHolder(service: string, parts: readonly PromptPart[]): UpstreamState | undefined {
+		const now = this.#options.clock.now();
+		for (let length = parts.length; length > 0; length -= 1) {
+			const prefix = parts.slice(0, length);
+			const {id: last} = prefix.at(-1)!;
+			for (const id of this.#holders.of(last)) {
+				const isServing = this.#options.registry.get(id)?.service === service;
+				const state = this.#states.get(id);
+				if (isServing && state !== undefined && !state.isUnreachable(now) && state.cache.missingTokens(prefix) === 0) {
+					return state;
+				}
+			}
+		}
+
+		return undefined;
 	}
 
 	/** Untried upstreams of a service in a stage; upstreams to avoid are included only if there are no others. */
@@ -86,7 +128,7 @@
 		}
 
 		const engine = this.#options.services().get(upstream.service)?.engine;
-		const state = new UpstreamState(upstream, (engine?.memoryCapacityTokens ?? 0) * cacheMemoryFraction);
+		const state = new UpstreamState(upstream, (engine?.memoryCapacityTokens ?? 0) * cacheMemoryFraction, this.#holders.listener(upstream.id));
 		this.#states.set(upstream.id, state);
 		return state;
 	}
--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -23,8 +23,6 @@
 	readonly ownLoads: () => readonly PeerLoad[];
 	/** Returns the prompt tokens that are queued at this daemon, by priority. */
 	readonly ownQueuedTokens: () => ReadonlyMap<number, number>;
-	/** Called when the load of other daemons may have changed. */
-	readonly onLoadsChanged: () => void;
 	readonly onPrefills: (prefills: readonly PeerPrefill[]) => void;
 	readonly onCrashes: (crashes: readonly PeerCrash[]) => void;
 	/** Returns the state of the tables that this daemon reads from the store for the others. */
@@ -276,8 +274,6 @@
 		if (this.topology.forwardsWithinZone(scope)) {
 			this.#scheduleRelay();
 		}
-
-		this.#options.onLoadsChanged();
 	}
 
 	#applyMessage(message: PeerMessage, now: number): void {
--- a/src/process/stages/stage-sizer.ts
+++ b/src/process/stages/stage-sizer.ts
@@ -14,8 +14,10 @@
 	readonly decoders: number;
 };
 
-/** Target mean slot utilisation of decode engines; above it, uneven load makes requests wait for a slot on the busier engines. */
-const targetRunShare = 0.35;
+/** Least target of the mean slot utilisation of decode engines. */
+const minTargetRunShare = 0.35;
+/** Slots kept free for uneven load, as a multiple of the square root of the slots: by about that root the load of single engines differs. */
+const freeSlotFactor = 3;
 /** The load comes in waves, so the peak number of runs within this window counts, in milliseconds. */
 const peakWindowMs = 8000;
 /** Headroom above the current need, so that a rising wave causes one change instead of several. */
@@ -60,7 +62,7 @@
 			return Math.round((total * typicalPrefillsPerSecond) / (typicalPrefillsPerSecond + (slots * typicalRunsPerSlotPerSecond)));
 		}
 
-		const needed = peak / Math.max(1, slots * targetRunShare);
+		const needed = peak / targetRuns(slots);
 		const current = this.#targetDecoders ?? decoders;
 		this.#targetDecoders = this.#adjust(current, needed, now);
 		return this.#targetDecoders;
@@ -75,3 +77,8 @@
 		return isUnderPressure && current > needed * surplusRatio ? Math.ceil(needed * shrinkTargetRatio) : current;
 	}
 }
+
+/** Mean number of runs of a decode engine up to which requests seldom wait for a slot on one of the busier engines. */
+function targetRuns(slots: number): number {
+	return Math.max(1, slots * minTargetRunShare, slots - (freeSlotFactor * Math.sqrt(slots)));
+}
