--- a/src/process/fleet/upstream-states.ts
+++ b/src/process/fleet/upstream-states.ts
@@ -76,7 +76,7 @@
 	/** Returns the reachable upstream of a service with the longest cached prefix of a prompt, by looking only at those that have one of its parts. */
 	longestHolder(service: string, parts: readonly PromptPart[]): UpstreamState | undefined {
 		const now = this.#options.clock.now();
-		for (let length = parts.length; length > 0; length -= 1) {
+		for (let {length} = parts; length > 0; length -= 1) {
 			const prefix = parts.slice(0, length);
 			const {id: last} = prefix.at(-1)!;
 			for (const id of this.#holders.of(last)) {
