--- a/src/process/peers/peer-topology.ts
+++ b/src/process/peers/peer-topology.ts
@@ -160,12 +160,12 @@
 
 	/** Returns the zero-based rank of this daemon among those that were recently heard, in the order of preference as relays. */
 	relayRank(now: number): number {
-		return [...this.#peers.values()].filter(({lastHeardAt, member}) => now - lastHeardAt < relayActiveMs && this.#isPreferredRelay(member, this.#self)).length;
+		return this.#rank(now, () => true);
 	}
 
 	/** Returns the rank of this daemon among those of its availability zone in the same way. */
 	zoneRank(now: number): number {
-		return this.#inZone(this.#self.availabilityZone).filter(({lastHeardAt, member}) => now - lastHeardAt < relayActiveMs && this.#isPreferredRelay(member, this.#self)).length;
+		return this.#rank(now, ({availabilityZone}) => availabilityZone === this.#self.availabilityZone);
 	}
 
 	/** Returns the address of a daemon, if it is known. */
@@ -173,6 +173,15 @@
 		return this.#peers.get(daemon)?.member.address;
 	}
 
+	#rank(now: number, isRival: (member: PeerMember) => boolean): number {
+		let rank = 0;
+		for (const {lastHeardAt, member} of this.#peers.values()) {
+			rank += now - lastHeardAt < relayActiveMs && isRival(member) && this.#isPreferredRelay(member, this.#self) ? 1 : 0;
+		}
+
+		return rank;
+	}
+
 	/** Chooses the first daemon of an availability zone that is not suspected; `undefined` means this daemon itself, or none. */
 	#chooseRelay(zone: string, now: number): PeerMember | undefined {
 		const isOwnZone = zone === this.#self.availabilityZone;
