--- a/src/process/tables/table-sharing.ts
+++ b/src/process/tables/table-sharing.ts
@@ -23,7 +23,7 @@
 /** Readers of the store in each availability zone; the other daemons of the zone follow them. */
 export const readersPerZone = 2;
 /** Time that an announcement may take through the relays, which its age does not include, in milliseconds. */
-const announcementDelayMs = 250;
+const announcementDelayMs = 400;
 /** Time for which a reader that could not be asked for rows is left out, in milliseconds. */
 const failedReaderMs = 1000;
 
--- a/test/soak/caller-load.ts
+++ b/test/soak/caller-load.ts
@@ -93,7 +93,7 @@
 				host: 'a.example',
 				'x-request-id': sent.id,
 				'x-deadline-ms': String(deadlineMs),
-				...(isStream ? {'x-model': 'm', 'x-token-counts': '1460,80', 'x-prompt-prefix': `5c1e:800,${this.#count.toString(16)}:660`} : {}),
+				...(isStream ? createPromptHeaders(this.#count) : {}),
 			},
 		}, response => {
 			sent.status = response.statusCode ?? 0;
@@ -141,3 +141,10 @@
 		}
 	}
 }
+
+/** Headers of a prompt that a decode engine may prefill itself, or, for every other number, of one that is too long for that. */
+function createPromptHeaders(number: number): Readonly<Record<string, string>> {
+	const sharedTokens = number % 2 === 0 ? 800 : 13_300;
+	const ownTokens = 660;
+	return {'x-model': 'm', 'x-token-counts': `${sharedTokens + ownTokens},80`, 'x-prompt-prefix': `${sharedTokens.toString(16)}:${sharedTokens},${number.toString(16)}:${ownTokens}`};
+}
