Apply changed settings without a signal, with the bounds of the tables

Cause: the platform may change the file without SIGHUP, and a changed drain or configuration bound was neither applied nor reported. The file is compared every 5 s; the bounds of retries and tables take effect at once; a file with findings is rejected as a whole.

--- a/src/fleet-main.ts
+++ b/src/fleet-main.ts
@@ -4,15 +4,18 @@
 import './process/heap.ts';
 /* eslint-enable import-x/no-unassigned-import */
 import {writeSync} from 'node:fs';
-import {readFile} from 'node:fs/promises';
 import process from 'node:process';
 import {platformSettingsPath, createPlatform} from '../platform/platform.ts';
 import {DecisionLog} from './process/fleet/decision-log.ts';
+import {SettingsFile} from './process/fleet/settings-file.ts';
 import {FleetDaemon} from './process/fleet/fleet-daemon.ts';
 import {formatFinding} from './version/finding.ts';
 import {parseFleetSettings, type FleetSettings} from './version/fleet-settings.ts';
 /* eslint-enable import-x/order */
 
+/** Interval at which the settings file is compared with what was read last, in milliseconds. */
+const settingsCheckIntervalMs = 5000;
+
 /** Ends the process after an error that nothing has handled; the default output would start with the whole bundled file. */
 function exitOnError(error: unknown): void {
 	writeSync(process.stderr.fd, `${error instanceof Error ? error.stack : String(error)}\n`);
@@ -25,9 +28,10 @@
 process.on('unhandledRejection', exitOnError);
 
 async function main(): Promise<void> {
-	const path = platformSettingsPath(process.env);
-	const settings = parseFleetSettings(await readFile(path, 'utf8'), path);
-	await settings.caseOf({
+	const file = new SettingsFile(platformSettingsPath(process.env));
+	const text = await file.read();
+	file.remember(text);
+	await parseFleetSettings(text, file.path).caseOf({
 		async Left(findings) {
 			for (const finding of findings) {
 				console.error(formatFinding(finding));
@@ -36,22 +40,26 @@
 			process.exitCode = 1;
 		},
 		async Right(value) {
-			await serve(value);
+			await serve(value, file);
 		},
 	});
 }
 
-async function serve(settings: FleetSettings): Promise<void> {
+async function serve(settings: FleetSettings, file: SettingsFile): Promise<void> {
 	const log = new DecisionLog({daemon: settings.daemon.name});
 	const daemon = new FleetDaemon({
 		settings, platform: createPlatform(settings.store.address), log, seed: Math.floor(Math.random() * (2 ** 31)),
 	});
 	await daemon.start();
+	// The platform may change the file without a signal.
+	setInterval(() => {
+		void reloadIfChanged(file, daemon, log);
+	}, settingsCheckIntervalMs);
 	let isStopping = false;
 	handleSignals(signal => {
 		log.write('process.signal', {signal});
 		if (signal === 'SIGHUP') {
-			void reload(daemon, log);
+			void reloadIfChanged(file, daemon, log, true);
 		} else if (!isStopping) {
 			isStopping = true;
 			void stopAndExit(daemon);
@@ -59,17 +67,22 @@
 	});
 }
 
-async function reload(daemon: FleetDaemon, log: DecisionLog): Promise<void> {
-	const path = platformSettingsPath(process.env);
+/** Applies the settings if the file has changed, or in any case if `isForced`; a file with findings is rejected as a whole. */
+async function reloadIfChanged(file: SettingsFile, daemon: FleetDaemon, log: DecisionLog, isForced = false): Promise<void> {
 	try {
-		parseFleetSettings(await readFile(path, 'utf8'), path).caseOf({
-			Left(findings) {
-				log.write('process.reloadFailed', {findings: findings.map(finding => formatFinding(finding))});
-			},
-			Right(settings) {
-				daemon.reload(settings);
-			},
-		});
+		const text = await file.read();
+		if (isForced || file.hasChanged(text)) {
+			parseFleetSettings(text, file.path).caseOf({
+				Left(findings) {
+					log.write('process.reloadFailed', {findings: findings.map(finding => formatFinding(finding))});
+				},
+				Right(settings) {
+					daemon.reload(settings);
+				},
+			});
+		}
+
+		file.remember(text);
 	} catch (error) {
 		log.write('process.reloadFailed', {cause: error instanceof Error ? error.message : String(error)});
 	}
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -79,7 +79,8 @@
 	readonly #lease: LeaseTask;
 	readonly #controller: StageController;
 	readonly #metrics = new FleetMetrics();
-	readonly #watches: readonly TableWatch[];
+	readonly #configurationWatch: TableWatch;
+	readonly #listWatch: TableWatch;
 	readonly #callerServer: Server;
 	readonly #readinessServer: Server;
 	readonly #metricsServer: Server;
@@ -188,7 +189,8 @@
 			rank: () => this.#peers.topology.relayRank(this.#clock.now()),
 			times: createControllerTimes(settings.bounds.leaseMs),
 		});
-		this.#watches = [this.#createConfigurationWatch(), this.#createUpstreamWatch()];
+		this.#configurationWatch = this.#createConfigurationWatch();
+		this.#listWatch = this.#createUpstreamWatch();
 		this.#callerServer = createCallerServer({maxHeaderBytes}, (request, response) => {
 			void this.#requestHandler.handle(request, response);
 		});
@@ -212,6 +214,10 @@
 		});
 	}
 
+	get #watches(): readonly TableWatch[] {
+		return [this.#configurationWatch, this.#listWatch];
+	}
+
 	/** True while the daemon accepts new connections. */
 	get isReady(): boolean {
 		return this.#configuration.routeTable !== undefined && this.#hasUpstreamList && !this.#shutdown.hasStarted;
@@ -240,10 +246,12 @@
 		this.#lease.run();
 	}
 
-	/** Applies changed settings: retry bounds take effect at once, all others at the next start. */
+	/** Applies changed settings: the bounds of retries and tables take effect at once, all others at the next start. */
 	reload(settings: FleetSettings): void {
 		const {bounds} = settings;
 		this.#retryBudget.setBounds(toRetryBounds(bounds));
+		this.#configurationWatch.setTimes(createConfigurationTimes(bounds));
+		this.#listWatch.setTimes(createListTimes(bounds));
 		const {bounds: current, ...others} = this.#options.settings;
 		const isRestartNeeded = JSON.stringify({...settings, bounds: undefined}) !== JSON.stringify({...others, bounds: undefined})
 			|| bounds.graceMs !== current.graceMs || bounds.leaseMs !== current.leaseMs;
--- a/src/process/tables/table-sharing.ts
+++ b/src/process/tables/table-sharing.ts
@@ -41,7 +41,7 @@
 only while no reader has confirmed the state of their copy for longer than the bound allows.
 */
 export class TableSharing {
-	readonly #maxAgeMs: number;
+	#maxAgeMs: number;
 	readonly #readers = new Map<string, KnownReader>();
 
 	/** `maxAgeMs`: age in milliseconds from which a confirmation no longer counts. */
@@ -49,6 +49,11 @@
 		this.#maxAgeMs = maxAgeMs;
 	}
 
+	/** Changes the age from which a confirmation no longer counts, in milliseconds. */
+	setMaxAge(maxAgeMs: number): void {
+		this.#maxAgeMs = maxAgeMs;
+	}
+
 	/** Records an announcement; those that arrive late, after a newer one of the same reader, are ignored. */
 	record(reader: string, {version, digest, ageMs}: TableAnnouncement, now: number): void {
 		const confirmedAt = now - ageMs - announcementDelayMs;
--- a/src/process/tables/table-watch.ts
+++ b/src/process/tables/table-watch.ts
@@ -58,6 +58,7 @@
 	readonly #options: TableWatchOptions;
 	readonly #copy: TableCopy;
 	readonly #sharing: TableSharing;
+	#times: WatchTimes;
 	readonly #stop = new AbortController();
 	/** True when the next page must be the whole table. */
 	#needsWhole = true;
@@ -73,6 +74,7 @@
 	constructor(options: TableWatchOptions) {
 		this.#options = options;
 		this.#copy = new TableCopy(options.contentOf);
+		this.#times = options.times;
 		this.#sharing = new TableSharing(options.times.maxAgeMs);
 	}
 
@@ -83,15 +85,21 @@
 
 	/** State of the copy as confirmed by the store; undefined unless this daemon reads the store for the others. */
 	get announcement(): TableAnnouncement | undefined {
-		const {table, peers, times, clock} = this.#options;
+		const {table, peers, clock} = this.#options;
 		const ageMs = clock.now() - this.#confirmedAt;
-		return this.#copy.version === undefined || ageMs >= times.maxAgeMs || !peers.isReader()
+		return this.#copy.version === undefined || ageMs >= this.#times.maxAgeMs || !peers.isReader()
 			? undefined
 			: {
 				table, version: this.#copy.version, digest: this.#copy.digest, ageMs: Math.round(ageMs),
 			};
 	}
 
+	/** Changes the timing; it takes effect with the next call. */
+	setTimes(times: WatchTimes): void {
+		this.#times = times;
+		this.#sharing.setMaxAge(times.maxAgeMs);
+	}
+
 	/** Records what another daemon announced, and fetches the rows that this one lacks. */
 	accept(daemon: string, announcement: TableAnnouncement): void {
 		this.#sharing.record(daemon, announcement, this.#options.clock.now());
@@ -127,7 +135,7 @@
 				await this.#pause(followMs + (this.#options.random.next() * takeoverSpreadMs));
 			} else {
 				await this.#poll();
-				await this.#pause(this.#failures === 0 ? this.#options.times.pauseMs : this.#backoffMs());
+				await this.#pause(this.#failures === 0 ? this.#times.pauseMs : this.#backoffMs());
 			}
 		}
 	}
@@ -151,11 +159,11 @@
 	}
 
 	async #poll(): Promise<void> {
-		const {feed, times, peers} = this.#options;
+		const {feed, peers} = this.#options;
 		const {version: knownVersion} = this.#copy;
 		const isWhole = this.#needsWhole || knownVersion === undefined;
 		// The wait varies, because a change ends the waits of all readers at the same time.
-		const waitMs = Math.round(times.waitMs * (minWaitFraction + (this.#options.random.next() * (1 - minWaitFraction))));
+		const waitMs = Math.round(this.#times.waitMs * (minWaitFraction + (this.#options.random.next() * (1 - minWaitFraction))));
 		const page = isWhole ? await feed.readTable(this.table) : await feed.waitForChanges(this.table, knownVersion, waitMs);
 		if (this.#stop.signal.aborted) {
 			return;
--- a/test/process/fleet/daemon-process.test.ts
+++ b/test/process/fleet/daemon-process.test.ts
@@ -1,7 +1,8 @@
+import {readFileSync, writeFileSync} from 'node:fs';
 import {request} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
-	beforeAll, describe, expect, test,
+	beforeAll, describe, expect, test, vi,
 } from 'vitest';
 import {
 	buildDaemon, DaemonProcess, portsPerDaemon, toDaemonPorts, type DaemonPorts,
@@ -130,4 +131,27 @@
 		await delay(300);
 		expect(daemon.process.output).toContain('"event":"process.reload"');
 	}, 20_000);
+
+	// Guards against settings that stay out of force because no signal announced them, and against a broken file that is applied in part.
+	test('applies a changed settings file without a signal, and rejects a broken one as a whole', async () => {
+		await using daemon = new DaemonFixture();
+		await daemon.start(bundle);
+		await daemon.waitUntilReady();
+		const {settingsPath} = daemon.process;
+		const text = readFileSync(settingsPath, 'utf8');
+		writeFileSync(settingsPath, text.replace('retry-slack = 56', 'retry-slack = 99'));
+		await vi.waitFor(() => {
+			expect(daemon.process.output).toMatch(/"event":"process\.reload".*"retrySlack":99/v);
+		}, {timeout: 8000, interval: 100});
+		writeFileSync(settingsPath, text.replace('retry-slack = 56', 'retry-slack = many').replace('drain-ms = 2000', 'drain-ms = 1'));
+		for (let count = 0; count < 5; count += 1) {
+			daemon.process.signal('SIGHUP');
+		}
+
+		await vi.waitFor(() => {
+			expect(daemon.process.output).toContain('"event":"process.reloadFailed"');
+		}, {timeout: 8000, interval: 100});
+		expect(await sendRequest(daemon.ports.callers, '/lookup/1')).toBe(200);
+		expect(daemon.process.output.match(/"event":"process\.reload"/gv)).toHaveLength(1);
+	}, 30_000);
 });
