--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -1,11 +1,10 @@
-import {Buffer} from 'node:buffer';
 import {createServer, type Server, type ServerResponse} from 'node:http';
-import {Left, type Either} from 'purify-ts';
+import type {Either} from 'purify-ts';
 import {createCallerServer} from '../../connection/caller-server.ts';
 import {closeAbruptly, listen} from '../../connection/http-listener.ts';
 import {UpstreamClients} from '../../connection/links/upstream-clients.ts';
 import type {CallerProtocol} from '../../ports/caller-protocol.ts';
-import type {FeedRow, RowFeed} from '../../ports/row-feed.ts';
+import type {RowFeed} from '../../ports/row-feed.ts';
 import type {Table} from '../../ports/table.ts';
 import type {UpstreamProtocol} from '../../ports/upstream-protocol.ts';
 import type {Upstream} from '../../ports/upstream.ts';
@@ -16,15 +15,13 @@
 import {Log} from '../log.ts';
 import {SeededRandom} from '../random.ts';
 import {PeerLink} from '../peers/peer-link.ts';
-import {readersPerZone} from '../tables/table-sharing.ts';
-import {TableWatch, type TablePeers, type TableWatchOptions} from '../tables/table-watch.ts';
-import {createConfigurationTimes, createListTimes} from '../tables/watch-times.ts';
 import {createControllerTimes, StageController, type StageGroup} from '../stages/stage-controller.ts';
-import {serveSharedRows, fetchSharedRows} from '../../connection/row-exchange.ts';
+import {serveSharedRows} from '../../connection/row-exchange.ts';
 import {ConfigurationHolder, type ConfigurationDecoder} from './configuration-holder.ts';
 import {CrashDetector} from './crash-detector.ts';
 import type {DecisionLog} from './decision-log.ts';
 import {FleetScheduler} from './fleet-scheduler.ts';
+import {FleetTables} from './fleet-tables.ts';
 import {FleetMetrics} from './fleet-metrics.ts';
 import {SharedRetryBudget, type RetryBounds} from './shared-retry-budget.ts';
 import {RouteRequestHandler} from './route-request-handler.ts';
@@ -79,14 +76,12 @@
 	readonly #lease: LeaseTask;
 	readonly #controller: StageController;
 	readonly #metrics = new FleetMetrics();
-	readonly #configurationWatch: TableWatch;
-	readonly #listWatch: TableWatch;
+	readonly #tables: FleetTables;
 	readonly #callerServer: Server;
 	readonly #readinessServer: Server;
 	readonly #metricsServer: Server;
 	/** Gives rows of the platform's tables to the other daemons. */
 	readonly #rowServer: Server;
-	#hasUpstreamList = false;
 	#housekeepingTimer: NodeJS.Timeout | undefined;
 
 	constructor(options: FleetDaemonOptions) {
@@ -121,11 +116,9 @@
 			onCrashes: crashes => {
 				this.#crashes.accept(crashes);
 			},
-			ownTables: () => this.#watches.map(({announcement}) => announcement).filter(announcement => announcement !== undefined),
+			ownTables: () => this.#tables.announcements,
 			onTables: (daemon, announcements) => {
-				for (const announcement of announcements) {
-					this.#watches.find(({table}) => table === announcement.table)?.accept(daemon, announcement);
-				}
+				this.#tables.accept(daemon, announcements);
 			},
 		});
 		this.#scheduler = new FleetScheduler({
@@ -189,8 +182,23 @@
 			rank: () => this.#peers.topology.relayRank(this.#clock.now()),
 			times: createControllerTimes(settings.bounds.leaseMs),
 		});
-		this.#configurationWatch = this.#createConfigurationWatch();
-		this.#listWatch = this.#createUpstreamWatch();
+		this.#tables = new FleetTables({
+			platform,
+			bounds: settings.bounds,
+			log,
+			random: this.#random,
+			clock,
+			suspendAwareClock: this.#suspendAwareClock,
+			configuration: this.#configuration,
+			registry: this.#registry,
+			peers: this.#peers,
+			onConfiguration: () => {
+				this.#applyCallerLimits();
+			},
+			onRegistryEvents: events => {
+				this.#applyRegistryEvents(events);
+			},
+		});
 		this.#callerServer = createCallerServer({maxHeaderBytes}, (request, response) => {
 			void this.#requestHandler.handle(request, response);
 		});
@@ -203,7 +211,7 @@
 			void this.#sendMetrics(response);
 		});
 		this.#rowServer = createServer((request, response) => {
-			serveSharedRows(request, response, (table, after) => this.#watches.find(watch => watch.table === table)?.share(after));
+			serveSharedRows(request, response, (table, after) => this.#tables.share(table, after));
 		});
 		this.#metrics.addGauges({
 			openRequests: () => this.#requestHandler.openRequests,
@@ -214,22 +222,16 @@
 		});
 	}
 
-	get #watches(): readonly TableWatch[] {
-		return [this.#configurationWatch, this.#listWatch];
-	}
-
 	/** True while the daemon accepts new connections. */
 	get isReady(): boolean {
-		return this.#configuration.routeTable !== undefined && this.#hasUpstreamList && !this.#shutdown.hasStarted;
+		return this.#configuration.routeTable !== undefined && this.#tables.hasUpstreamList && !this.#shutdown.hasStarted;
 	}
 
 	/** Opens the sockets and starts to watch the platform's tables. */
 	async start(): Promise<void> {
 		const {settings: {daemon, listen: addresses}, log} = this.#options;
 		log.write('process.started', {availabilityZone: daemon.availabilityZone, callers: addresses.callers});
-		for (const watch of this.#watches) {
-			watch.start();
-		}
+		this.#tables.start();
 
 		await listen(this.#callerServer, parseAddress(addresses.callers));
 		await listen(this.#readinessServer, parseAddress(addresses.readiness));
@@ -250,8 +252,7 @@
 	reload(settings: FleetSettings): void {
 		const {bounds} = settings;
 		this.#retryBudget.setBounds(toRetryBounds(bounds));
-		this.#configurationWatch.setTimes(createConfigurationTimes(bounds));
-		this.#listWatch.setTimes(createListTimes(bounds));
+		this.#tables.setBounds(bounds);
 		const {bounds: current, ...others} = this.#options.settings;
 		const isRestartNeeded = JSON.stringify({...settings, bounds: undefined}) !== JSON.stringify({...others, bounds: undefined})
 			|| bounds.graceMs !== current.graceMs || bounds.leaseMs !== current.leaseMs;
@@ -275,7 +276,7 @@
 		await this.#lease[Symbol.asyncDispose]();
 		await this.#options.platform.table[Symbol.asyncDispose]();
 		await this.#options.platform.feed[Symbol.asyncDispose]();
-		await Promise.all(this.#watches.map(async watch => watch[Symbol.asyncDispose]()));
+		await this.#tables[Symbol.asyncDispose]();
 		await Promise.all([this.#callerServer, this.#readinessServer, this.#metricsServer, this.#rowServer].map(async server => closeAbruptly(server)));
 		await this.#upstreamClients[Symbol.asyncDispose]();
 	}
@@ -293,89 +294,12 @@
 			: [{service: name, upstreams: this.#registry.serving(name), demand: this.#scheduler.measureDemand(name, engine.slots)}]);
 	}
 
-	/** Dependencies that both watches share. */
-	#watchTools(): Pick<TableWatchOptions, 'feed' | 'peers' | 'clock' | 'log' | 'random'> {
-		const {platform: {feed}, log} = this.#options;
-		return {
-			feed, peers: this.#createTablePeers(), clock: this.#suspendAwareClock, log, random: this.#random,
-		};
-	}
-
-	#createTablePeers(): TablePeers {
-		return {
-			isReader: () => this.#peers.topology.zoneRank(this.#clock.now()) < readersPerZone,
-			fetchRows: async (daemon, table, after) => {
-				const address = this.#peers.topology.address(daemon);
-				return address === undefined ? Left('the address of the daemon is not known') : fetchSharedRows(address, table, after);
-			},
-			onChangeRead: () => {
-				this.#peers.announceTables();
-			},
-		};
-	}
-
-	#createConfigurationWatch(): TableWatch {
-		const {platform} = this.#options;
-		const accept = (rows: readonly FeedRow[]) => {
-			this.#configuration.accept(rows);
-			const limits = this.#configuration.routeTable?.limits;
-			if (limits !== undefined) {
-				this.#callerServer.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
-				this.#callerServer.headersTimeout = limits.headerTimeoutMs + idleMarginMs;
-			}
-		};
-
-		return new TableWatch({
-			...this.#watchTools(),
-			table: platform.tables.operator,
-			times: createConfigurationTimes(this.#options.settings.bounds),
-			contentOf: ({value}) => Buffer.from(value ?? []).toString('base64'),
-			listener: {
-				onSnapshot: accept,
-				onChanges: accept,
-				onLost() {
-				// The last known configuration stays active.
-				},
-				onRecovered() {
-				// The next response contains the changes.
-				},
-			},
-		});
-	}
-
-	#createUpstreamWatch(): TableWatch {
-		const {platform, log} = this.#options;
-		const decode = ({key, value}: FeedRow): readonly Upstream[] => platform.decodeUpstream(key, value).caseOf({
-			Left(cause) {
-				log.write('upstream.invalidEntry', {upstream: key, cause});
-				return [];
-			},
-			Right: (upstream): readonly Upstream[] => [upstream],
-		});
-		// Heartbeats alone are no news for other daemons, and neither are entries that cannot be decoded.
-		const contentOfEntry = ({key, value}: FeedRow) => platform.decodeUpstream(key, value).map(upstream => JSON.stringify({...upstream, heartbeatCount: 0})).orDefault('');
-		return new TableWatch({
-			...this.#watchTools(),
-			table: platform.tables.upstreams,
-			times: createListTimes(this.#options.settings.bounds),
-			contentOf: contentOfEntry,
-			listener: {
-				onSnapshot: rows => {
-					this.#hasUpstreamList = true;
-					this.#applyRegistryEvents(this.#registry.replace(rows.filter(({isRemoved}) => !isRemoved).flatMap(row => decode(row)), this.#clock.now()));
-				},
-				onChanges: rows => {
-					const now = this.#clock.now();
-					this.#applyRegistryEvents(rows.flatMap(row => row.isRemoved ? this.#registry.remove(row.key, now) : decode(row).flatMap(upstream => this.#registry.set(upstream))));
-				},
-				onLost: () => {
-					this.#registry.markStoreLost();
-				},
-				onRecovered: recoveredMs => {
-					this.#registry.markStoreRecovered(this.#clock.now() - recoveredMs);
-				},
-			},
-		});
+	#applyCallerLimits(): void {
+		const limits = this.#configuration.routeTable?.limits;
+		if (limits !== undefined) {
+			this.#callerServer.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
+			this.#callerServer.headersTimeout = limits.headerTimeoutMs + idleMarginMs;
+		}
 	}
 
 	#applyRegistryEvents(events: readonly RegistryEvent[]): void {
