--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -32,15 +32,12 @@
 
 /** Delay in which changes are collected for one message, in milliseconds. */
 const batchDelayMs = 12;
-/** The same delay when relays forward the messages, as a fraction of the relays' interval. It is longer because each datagram costs every host. */
-const relayedBatchFraction = 0.5;
+/** The same delay when relays forward the messages, in milliseconds. It is longer because each datagram costs every host; prefill of a prompt takes 100 ms or more. */
+const relayedBatchDelayMs = 25;
 /** Interval at which a daemon sends its whole load, even when idle, in milliseconds. */
 const keepAliveIntervalMs = 500;
-/** Shortest and longest interval at which a relay forwards what it has received, in milliseconds; prefill of a prompt takes 100 ms or more. */
-const minRelayIntervalMs = 50;
-const maxRelayIntervalMs = 150;
-/** Growth of that interval with the daemons, in milliseconds for each: every daemon reads the messages of all, and longer intervals merge more of them. */
-const relayIntervalMsPerDaemon = 0.75;
+/** Interval at which a relay forwards what it has received, in milliseconds. */
+const relayIntervalMs = 50;
 /** Interval at which a relay sends even without messages to forward, in milliseconds, so that its silence shows that it is gone. */
 const relayKeepAliveIntervalMs = 100;
 /** Fraction of its host's bandwidth that a relay may use; on a slow link it forwards less often. */
@@ -109,10 +106,6 @@
 		return this.#isDirectoryRead ? this.topology.knownDaemons : undefined;
 	}
 
-	get #relayIntervalMs(): number {
-		return Math.min(maxRelayIntervalMs, Math.max(minRelayIntervalMs, this.topology.knownDaemons * relayIntervalMsPerDaemon));
-	}
-
 	/** Opens the socket and registers this daemon. */
 	async start(): Promise<void> {
 		const {host, port} = parseAddress(this.#options.self.address);
@@ -166,7 +159,7 @@
 			const changedLoads = [...this.#changedUpstreams].map(upstream => loads.get(upstream) ?? {upstream, runs: 0, tokensByPriority: new Map<number, number>()});
 			this.#changedUpstreams.clear();
 			this.#sendOwnMessage(changedLoads, false);
-		}, this.topology.isDirect ? batchDelayMs : this.#relayIntervalMs * relayedBatchFraction);
+		}, this.topology.isDirect ? batchDelayMs : relayedBatchDelayMs);
 	}
 
 	#sendOwnMessage(loads: readonly PeerLoad[], isKeepAlive: boolean): void {
@@ -217,7 +210,7 @@
 			if (!this.#isClosed && this.topology.isRelay(this.#options.clock.now())) {
 				this.#scheduleRelay();
 			}
-		}, this.#relayIntervalMs);
+		}, relayIntervalMs);
 	}
 
 	/** Forwards the messages received since the last time to the daemons of the own availability zone and to the relays of the other zones. */
