--- a/src/process/fleet/crash-detector.ts
+++ b/src/process/fleet/crash-detector.ts
@@ -20,7 +20,11 @@
 const maxSuspects = 2000;
 const maxLostRequests = 2000;
 
+/** Evidence that an upstream is down or has restarted. */
+export type DownEvidence = 'connectionRefused' | 'restarted' | 'gone';
+
 type LostRequest = {
+	readonly request: Pick<RouteRequest, 'id' | 'method' | 'host' | 'target' | 'callerAddress'>;
 	readonly fingerprint: string;
 	readonly upstream: string;
 	readonly at: number;
@@ -50,23 +54,51 @@
 	connectionLost(request: RouteRequest, upstream: string): void {
 		const at = this.#options.now();
 		this.#lostRequests = this.#lostRequests.filter(loss => at - loss.at < crashConfirmationMs).slice(-maxLostRequests);
-		this.#lostRequests.push({fingerprint: createFingerprint(request), upstream, at});
+		const {id, method, host, target, callerAddress} = request;
+		this.#lostRequests.push({
+			request: {
+				id, method, host, target, callerAddress,
+			}, fingerprint: createFingerprint(request), upstream, at,
+		});
 	}
 
 	/** Records that an upstream is down or has restarted: requests whose connections it lost shortly before may have crashed it. */
-	upstreamDown(upstream: string): void {
+	upstreamDown(upstream: string, evidence: DownEvidence): void {
 		const now = this.#options.now();
 		const lost = this.#lostRequests.filter(loss => loss.upstream === upstream && now - loss.at < crashConfirmationMs);
 		this.#lostRequests = this.#lostRequests.filter(loss => loss.upstream !== upstream);
-		for (const {fingerprint} of lost) {
+		for (const {fingerprint, at, request: {id, method, host, target, callerAddress: caller}} of lost) {
 			const crash = {fingerprint, upstream};
-			this.accept([crash]);
+			this.#count([crash]);
+			this.#options.log.write('crash.attributed', {
+				request: id, fingerprint, upstream, evidence, lostMs: Math.round(now - at), crashes: this.#suspects.get(fingerprint)?.upstreams.size, method, host, target, caller,
+			});
 			this.#options.announce(crash);
 		}
 	}
 
-	/** Applies crashes observed by this or another daemon. */
+	/** Applies crashes that another daemon has observed. */
 	accept(crashes: readonly PeerCrash[]): void {
+		this.#count(crashes);
+		for (const {fingerprint, upstream} of crashes) {
+			this.#options.log.write('crash.reported', {fingerprint, upstream, crashes: this.#suspects.get(fingerprint)?.upstreams.size});
+		}
+	}
+
+	/** Returns the fingerprint of a condemned request: one that has crashed several upstreams and is refused by all daemons (a poison request). */
+	findCondemned(request: RouteRequest): string | undefined {
+		if (this.#suspects.size === 0) {
+			return undefined;
+		}
+
+		const fingerprint = createFingerprint(request);
+		const suspect = this.#suspects.get(fingerprint);
+		const isCondemned = suspect !== undefined && suspect.upstreams.size >= crashesToCondemn && this.#options.now() - suspect.seenAt < suspectTtlMs;
+		return isCondemned ? fingerprint : undefined;
+	}
+
+	/** Counts crashes that this or another daemon has observed. */
+	#count(crashes: readonly PeerCrash[]): void {
 		const now = this.#options.now();
 		for (const {fingerprint, upstream} of crashes) {
 			const suspect = this.#suspects.get(fingerprint) ?? {upstreams: new Set<string>(), seenAt: now};
@@ -83,16 +115,6 @@
 		this.#removeExpired(now);
 	}
 
-	/** True if the request is condemned: it has crashed several upstreams and is refused by all daemons (a poison request). */
-	isCondemned(request: RouteRequest): boolean {
-		if (this.#suspects.size === 0) {
-			return false;
-		}
-
-		const suspect = this.#suspects.get(createFingerprint(request));
-		return suspect !== undefined && suspect.upstreams.size >= crashesToCondemn && this.#options.now() - suspect.seenAt < suspectTtlMs;
-	}
-
 	#removeExpired(now: number): void {
 		for (const [key, {seenAt}] of this.#suspects) {
 			if (this.#suspects.size <= maxSuspects && now - seenAt < suspectTtlMs) {
--- a/src/process/fleet/decision-log.ts
+++ b/src/process/fleet/decision-log.ts
@@ -18,8 +18,8 @@
 /** Default limits; a daemon that receives 20 requests per second writes about 100 routine lines per second. */
 export const decisionLogLimits: DecisionLogLimits = {pendingBytes: 512 * 1024, routineLinesPerSecond: 600};
 
-/** Events of the normal course of a request; these lines are dropped first. */
-const routineEvents: ReadonlySet<string> = new Set(['request.received', 'send', 'sent', 'queued']);
+/** Events whose number grows with the traffic or with the number of requests that an upstream drops; these lines are dropped first. */
+const routineEvents: ReadonlySet<string> = new Set(['request.received', 'send', 'sent', 'queued', 'crash.attributed', 'crash.reported']);
 const standardOutput = 1;
 const rateWindowMs = 1000;
 const flushDelayMs = 100;
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -138,7 +138,7 @@
 			availabilityZone: settings.daemon.availabilityZone,
 			services: () => this.#configuration.routeTable?.services ?? new Map(),
 			onUpstreamDown: upstream => {
-				this.#crashes.upstreamDown(upstream);
+				this.#crashes.upstreamDown(upstream, 'connectionRefused');
 			},
 		});
 		this.#retryBudget = new SharedRetryBudget(toRetryBounds(settings.bounds), () => this.#peers.knownDaemons);
@@ -308,7 +308,7 @@
 				upstream: upstream.id, service: upstream.service, address: upstream.address, availabilityZone: upstream.availabilityZone, stage: upstream.stage, heartbeat: upstream.heartbeatCount,
 			});
 			if (kind === 'gone' || kind === 'restarted') {
-				this.#crashes.upstreamDown(upstream.id);
+				this.#crashes.upstreamDown(upstream.id, kind);
 			}
 
 			if (kind === 'gone') {
--- a/src/process/fleet/route-request-handler.ts
+++ b/src/process/fleet/route-request-handler.ts
@@ -119,12 +119,18 @@
 				const request = protocol.decode(message, value.bytes);
 				const table = routeTable();
 				const route = table?.match(request.host, request.target);
-				const refusal = this.#findRefusal(request, table, route);
+				const refusal = this.#findRefusal(table, route);
 				if (refusal !== undefined || route === undefined) {
 					this.#refuse(exchange, request, refusal ?? createRefusal('noRoute', 'No route matches.'));
 					return;
 				}
 
+				const fingerprint = dependencies.crashDetector.findCondemned(request);
+				if (fingerprint !== undefined) {
+					this.#refuse(exchange, request, createRefusal('busy', 'The request has crashed upstreams and is not sent again.', defaultRetryMs), fingerprint);
+					return;
+				}
+
 				const service = chooseTarget(route, this.#options.random.next());
 				// `waitMs`: the caller's timeout.
 				dependencies.log.write('request.received', {
@@ -135,7 +141,7 @@
 		});
 	}
 
-	#findRefusal(request: RouteRequest, table: RouteTable | undefined, route: Route | undefined): Refusal | undefined {
+	#findRefusal(table: RouteTable | undefined, route: Route | undefined): Refusal | undefined {
 		if (table === undefined) {
 			// `unprepared`: kind of a refusal without a configuration; it is logged and counted under this name.
 			return createRefusal('unprepared', 'No configuration is known yet.', defaultRetryMs);
@@ -145,13 +151,7 @@
 			return undefined;
 		}
 
-		if (this.#options.refusesRequests()) {
-			return createRefusal('busy', 'The daemon is stopping.', closingRetryMs);
-		}
-
-		return this.#options.dependencies.crashDetector.isCondemned(request)
-			? createRefusal('busy', 'The request has crashed upstreams and is not sent again.', defaultRetryMs)
-			: undefined;
+		return this.#options.refusesRequests() ? createRefusal('busy', 'The daemon is stopping.', closingRetryMs) : undefined;
 	}
 
 	async #deliver({message, response, arrivedAt}: Exchange, request: RouteRequest, route: Route, service: string): Promise<void> {
@@ -191,13 +191,14 @@
 		});
 	}
 
-	#refuse({message, response, arrivedAt}: Exchange, request: RouteRequest, refusal: Refusal): void {
+	/** Refuses a request before it is placed; `fingerprint` is that of a condemned request. */
+	#refuse({message, response, arrivedAt}: Exchange, request: RouteRequest, refusal: Refusal, fingerprint?: string): void {
 		const {dependencies, metrics} = this.#options;
 		this.#createAnswer(message, response, request.id).refuse(refusal);
 		dependencies.log.write('request.refused', {
-			request: request.id, host: request.host, target: request.target, kind: refusal.kind, reason: refusal.message, configuration: this.#options.routeTable()?.version,
+			request: request.id, host: request.host, target: request.target, kind: refusal.kind, reason: refusal.message, configuration: this.#options.routeTable()?.version, fingerprint,
 		});
-		metrics.requestRefused(refusal.kind, dependencies.clock.now() - arrivedAt);
+		metrics.requestRefused(fingerprint === undefined ? refusal.kind : 'condemned', dependencies.clock.now() - arrivedAt);
 	}
 }
 
--- a/test/process/fleet/crash-detector.test.ts
+++ b/test/process/fleet/crash-detector.test.ts
@@ -31,14 +31,14 @@
 		const clock = {now: 0};
 		const daemons = createDaemons(3, clock);
 		for (const [index, daemon] of daemons.entries()) {
-			expect(daemon.isCondemned(crashingRequest)).toBe(false);
+			expect(daemon.findCondemned(crashingRequest)).toBeUndefined();
 			daemon.connectionLost(crashingRequest, `u-${index}`);
 			clock.now += 500;
-			daemon.upstreamDown(`u-${index}`);
+			daemon.upstreamDown(`u-${index}`, 'connectionRefused');
 		}
 
 		for (const daemon of daemons) {
-			expect(daemon.isCondemned({...crashingRequest, id: 'another'})).toBe(true);
+			expect(daemon.findCondemned({...crashingRequest, id: 'another'})).toBeDefined();
 		}
 	});
 
@@ -49,11 +49,11 @@
 			const innocent = createRequest({body: Buffer.from(`innocent ${index}`)});
 			daemon!.connectionLost(crashingRequest, `u-${index}`);
 			daemon!.connectionLost(innocent, `u-${index}`);
-			daemon!.upstreamDown(`u-${index}`);
-			expect(daemon!.isCondemned(innocent)).toBe(false);
+			daemon!.upstreamDown(`u-${index}`, 'connectionRefused');
+			expect(daemon!.findCondemned(innocent)).toBeUndefined();
 		}
 
-		expect(daemon!.isCondemned(createRequest({body: Buffer.from('poison'), callerAddress: '127.0.0.9'}))).toBe(false);
+		expect(daemon!.findCondemned(createRequest({body: Buffer.from('poison'), callerAddress: '127.0.0.9'}))).toBeUndefined();
 	});
 
 	test('does not condemn a request if the upstreams stayed up for long after its connections were lost', () => {
@@ -62,10 +62,10 @@
 		for (const index of [0, 1, 2, 3, 4]) {
 			daemon!.connectionLost(crashingRequest, `u-${index}`);
 			clock.now += 7000;
-			daemon!.upstreamDown(`u-${index}`);
+			daemon!.upstreamDown(`u-${index}`, 'connectionRefused');
 		}
 
-		expect(daemon!.isCondemned(crashingRequest)).toBe(false);
+		expect(daemon!.findCondemned(crashingRequest)).toBeUndefined();
 	});
 
 	test('no longer condemns a request one minute after its last crash', () => {
@@ -74,11 +74,11 @@
 		daemon!.accept([0, 1, 2].map(index => ({fingerprint: 'x', upstream: `u-${index}`})));
 		for (const index of [0, 1, 2]) {
 			daemon!.connectionLost(crashingRequest, `u-${index}`);
-			daemon!.upstreamDown(`u-${index}`);
+			daemon!.upstreamDown(`u-${index}`, 'connectionRefused');
 		}
 
-		expect(daemon!.isCondemned(crashingRequest)).toBe(true);
+		expect(daemon!.findCondemned(crashingRequest)).toBeDefined();
 		clock.now += 61_000;
-		expect(daemon!.isCondemned(crashingRequest)).toBe(false);
+		expect(daemon!.findCondemned(crashingRequest)).toBeUndefined();
 	});
 });
