--- a/test/process/fleet/crash-detector.test.ts
+++ b/test/process/fleet/crash-detector.test.ts
@@ -42,6 +42,19 @@
 		}
 	});
 
+	test('recognises a crashing request that comes back from another address', () => {
+		const clock = {now: 0};
+		const daemons = createDaemons(3, clock);
+		for (const [index, daemon] of daemons.entries()) {
+			daemon.connectionLost({...crashingRequest, callerAddress: `10.0.${index}.7`}, `u-${index}`);
+			daemon.upstreamDown(`u-${index}`, 'connectionRefused');
+		}
+
+		for (const daemon of daemons) {
+			expect(daemon.findCondemned({...crashingRequest, callerAddress: '10.9.9.9'})).toBeDefined();
+		}
+	});
+
 	test('does not condemn a request that lost its connection once together with a crashing request', () => {
 		const clock = {now: 0};
 		const [daemon] = createDaemons(1, clock);
--- /dev/null
+++ b/test/process/fleet/crashing-request.test.ts
@@ -0,0 +1,59 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {describe, expect, test} from 'vitest';
+import {FleetFixture} from '../../fixtures/fleet/fleet-fixture.ts';
+
+const crashPath = '/lookup/21a54b';
+const restartMs = 300;
+/** Time after the third crash within which every daemon must refuse the request, in milliseconds. */
+const contactMs = 3000;
+
+/** Restarts each crashed upstream under a new id, as a platform does, until the returned function is called. */
+function restartCrashed(fleet: FleetFixture): () => Promise<void> {
+	const controller = new AbortController();
+	const loop = (async () => {
+		let starts = 0;
+		while (!controller.signal.aborted) {
+			await delay(20);
+			for (const upstream of fleet.upstreams.filter(({isDown}) => isDown)) {
+				await delay(restartMs);
+				starts += 1;
+				fleet.store.remove('servers', upstream.behaviour.id);
+				await upstream.restart(`u-restarted-${starts}`);
+				fleet.store.put('servers', upstream.behaviour.id, upstream.entry());
+			}
+		}
+	})();
+	return async () => {
+		controller.abort();
+		await loop;
+	};
+}
+
+describe('a request that crashes the upstreams that run it', () => {
+	test('is refused after the third crash when it comes back from another address', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1', crashPath}, {id: 'u-2', crashPath}, {id: 'u-3', crashPath}]);
+		const stop = restartCrashed(fleet);
+		const countCrashes = () => fleet.upstreams.reduce((sum, {startedRequestIds}) => sum + startedRequestIds.length, 0);
+		for (let caller = 2; countCrashes() < 3 && caller < 60; caller += 1) {
+			await fleet.send({path: crashPath, callerHost: `127.0.1.${caller}`});
+			await delay(100);
+		}
+
+		await delay(contactMs);
+		await fleet.waitUntil(() => fleet.upstreams.every(({isDown}) => !isDown));
+		const crashes = countCrashes();
+		const answers = [];
+		for (let caller = 2; caller < 8; caller += 1) {
+			answers.push(await fleet.send({path: crashPath, callerHost: `127.0.2.${caller}`}));
+			await delay(100);
+		}
+
+		await stop();
+		expect(countCrashes()).toBe(crashes);
+		for (const {status, headers} of answers) {
+			expect(status).toBe(503);
+			expect(Number(headers['retry-after'])).toBeGreaterThan(0);
+		}
+	});
+});
