--- a/src/process/fleet/crash-detector.ts
+++ b/src/process/fleet/crash-detector.ts
@@ -1,5 +1,6 @@
 import {createHash} from 'node:crypto';
 import type {RouteRequest} from '../../request/delivery/route-request.ts';
+import {normalizeHost} from '../../version/routes/route-table.ts';
 import type {PeerCrash} from '../peers/peer-message.ts';
 import type {DecisionLog} from './decision-log.ts';
 
@@ -9,6 +10,8 @@
 	readonly log: DecisionLog;
 	/** Announces a crash to the other daemons. */
 	readonly announce: (crash: PeerCrash) => void;
+	/** Announces to the other daemons that a suspected request has completed. */
+	readonly announceCleared: (fingerprint: string) => void;
 };
 
 /** Number of upstreams that a request must have crashed before it is condemned. */
@@ -85,6 +88,28 @@
 		}
 	}
 
+	/** Records a complete answer: a request that crashes every upstream that runs it never gets one, so this one is cleared at all daemons. */
+	completed(request: RouteRequest): void {
+		if (this.#suspects.size === 0) {
+			return;
+		}
+
+		const fingerprint = createFingerprint(request);
+		if (this.#suspects.has(fingerprint)) {
+			this.acceptCleared([fingerprint]);
+			this.#options.announceCleared(fingerprint);
+		}
+	}
+
+	/** Forgets the crashes of requests that have completed at this or another daemon. */
+	acceptCleared(fingerprints: readonly string[]): void {
+		for (const fingerprint of fingerprints) {
+			if (this.#suspects.delete(fingerprint)) {
+				this.#options.log.write('crash.cleared', {fingerprint});
+			}
+		}
+	}
+
 	/** Returns the fingerprint of a condemned request: one that has crashed several upstreams and is refused by all daemons (a poison request). */
 	findCondemned(request: RouteRequest): string | undefined {
 		if (this.#suspects.size === 0) {
@@ -126,7 +151,7 @@
 	}
 }
 
-/** Computes a fingerprint that identifies a repeated request independently of its id. */
-export function createFingerprint({method, host, target, callerAddress: caller, body}: RouteRequest): string {
-	return createHash('sha256').update(`${method}\n${host}\n${target}\n${caller}\n`).update(body).digest('base64url');
+/** Computes a fingerprint of what an upstream would run; the id and the caller's address differ from one repetition to the next. */
+export function createFingerprint({method, host, target, body}: RouteRequest): string {
+	return createHash('sha256').update(`${method}\n${normalizeHost(host)}\n${target}\n`).update(body).digest('base64url');
 }
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -97,6 +97,9 @@
 			announce: crash => {
 				this.#peers.announceCrash(crash);
 			},
+			announceCleared: fingerprint => {
+				this.#peers.announceCleared(fingerprint);
+			},
 		});
 		this.#peers = new PeerLink({
 			clock,
@@ -116,6 +119,9 @@
 			onCrashes: crashes => {
 				this.#crashes.accept(crashes);
 			},
+			onCleared: fingerprints => {
+				this.#crashes.acceptCleared(fingerprints);
+			},
 			ownTables: () => this.#tables.announcements,
 			onTables: (daemon, announcements) => {
 				this.#tables.accept(daemon, announcements);
--- a/src/process/peers/message-buffer.ts
+++ b/src/process/peers/message-buffer.ts
@@ -46,10 +46,11 @@
 	};
 }
 
-function mergeHints(earlier: PeerMessage, later: PeerMessage): Pick<PeerMessage, 'prefills' | 'crashes' | 'tables'> {
+function mergeHints(earlier: PeerMessage, later: PeerMessage): Pick<PeerMessage, 'prefills' | 'crashes' | 'cleared' | 'tables'> {
 	return {
 		prefills: [...earlier.prefills, ...later.prefills].slice(-maxBufferedPrefills),
 		crashes: [...earlier.crashes, ...later.crashes],
+		cleared: [...earlier.cleared, ...later.cleared],
 		tables: later.tables.length > 0 ? later.tables : earlier.tables,
 	};
 }
--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -25,6 +25,8 @@
 	readonly ownQueuedTokens: () => ReadonlyMap<number, number>;
 	readonly onPrefills: (prefills: readonly PeerPrefill[]) => void;
 	readonly onCrashes: (crashes: readonly PeerCrash[]) => void;
+	/** Receives the fingerprints of suspected requests that have completed at another daemon. */
+	readonly onCleared: (fingerprints: readonly string[]) => void;
 	/** Returns the state of the tables that this daemon reads from the store for the others. */
 	readonly ownTables: () => readonly TableAnnouncement[];
 	readonly onTables: (daemon: string, tables: readonly TableAnnouncement[]) => void;
@@ -59,6 +61,7 @@
 	readonly #changedUpstreams = new Set<string>();
 	#pendingPrefills: PeerPrefill[] = [];
 	#pendingCrashes: PeerCrash[] = [];
+	#pendingCleared: string[] = [];
 	#hasChangedTables = false;
 	#batchTimer: NodeJS.Timeout | undefined;
 	#keepAliveTimer: NodeJS.Timeout | undefined;
@@ -137,6 +140,12 @@
 		this.#scheduleSend();
 	}
 
+	/** Announces that a request suspected of crashes has completed. */
+	announceCleared(fingerprint: string): void {
+		this.#pendingCleared.push(fingerprint);
+		this.#scheduleSend();
+	}
+
 	/** Schedules a message about the tables, of which this daemon has read a change. */
 	announceTables(): void {
 		this.#hasChangedTables = true;
@@ -173,10 +182,12 @@
 			prefills: this.#pendingPrefills,
 			queued: this.#options.ownQueuedTokens(),
 			crashes: this.#pendingCrashes,
+			cleared: this.#pendingCleared,
 			tables: isKeepAlive || this.#hasChangedTables ? this.#options.ownTables() : [],
 		};
 		this.#pendingPrefills = [];
 		this.#pendingCrashes = [];
+		this.#pendingCleared = [];
 		this.#hasChangedTables = false;
 		const targets = this.topology.ownTargets(now);
 		this.#setCurrentRelay(this.topology.isDirect ? 'none' : targets[0]?.daemon ?? 'self');
@@ -289,6 +300,7 @@
 		this.topology.recordMessage(daemon, now);
 		this.#options.onPrefills(message.prefills);
 		this.#options.onCrashes(message.crashes);
+		this.#options.onCleared(message.cleared);
 		if (message.tables.length > 0) {
 			this.#options.onTables(daemon, message.tables);
 		}
--- a/src/process/peers/peer-message.ts
+++ b/src/process/peers/peer-message.ts
@@ -57,6 +57,8 @@
 	/** Prompt tokens that are queued at the daemon: pairs of priority and tokens. */
 	q: optional(array(tuple([number, number]))),
 	c: optional(array(crashCodec)),
+	/** Fingerprints of requests that have completed although they were suspected of crashes. */
+	x: optional(array(string)),
 	d: optional(array(tableCodec)),
 });
 
@@ -123,6 +125,8 @@
 	/** Prompt tokens that are queued at the daemon, by priority. */
 	readonly queued: ReadonlyMap<number, number>;
 	readonly crashes: readonly PeerCrash[];
+	/** Fingerprints of suspected requests that have completed. */
+	readonly cleared: readonly string[];
 	/** State of the tables that the daemon reads from the store for the others. */
 	readonly tables: readonly TableAnnouncement[];
 };
@@ -136,7 +140,7 @@
 };
 
 /** Encodes a message as JSON text. */
-function encodePeerMessage({daemon, entry, isSnapshot, loads, prefills, queued, crashes, tables}: PeerMessage): string {
+function encodePeerMessage({daemon, entry, isSnapshot, loads, prefills, queued, crashes, cleared, tables}: PeerMessage): string {
 	const message: GetType<typeof messageCodec> = {
 		n: daemon,
 		e: entry === undefined ? undefined : {a: entry.address, z: entry.availabilityZone, b: entry.linkMbps},
@@ -145,6 +149,7 @@
 		p: omitEmpty(prefills.map(({upstream, parts}) => ({u: upstream, p: parts.map(({id, tokens}): [string, number] => [id, tokens])}))),
 		q: omitEmpty(encodeTokens(queued)),
 		c: omitEmpty(crashes.map(({fingerprint, upstream}) => ({f: fingerprint, u: upstream}))),
+		x: omitEmpty([...cleared]),
 		d: omitEmpty(tables.map(({table, version, digest, ageMs}): [string, number, number, number] => [table, version, digest, ageMs])),
 	};
 	return JSON.stringify(message);
@@ -182,6 +187,7 @@
 		loads: loads.slice(index * maxLoadsPerFragment, (index + 1) * maxLoadsPerFragment),
 		prefills: prefills.slice(index * maxPrefillsPerFragment, (index + 1) * maxPrefillsPerFragment),
 		crashes: index === 0 ? message.crashes : [],
+		cleared: index === 0 ? message.cleared : [],
 		tables: index === 0 ? message.tables : [],
 	}));
 }
@@ -200,7 +206,7 @@
 	}
 }
 
-function decodeMessage({n, e, w, l, p, q, c, d}: GetType<typeof messageCodec>): PeerMessage {
+function decodeMessage({n, e, w, l, p, q, c, x, d}: GetType<typeof messageCodec>): PeerMessage {
 	return {
 		daemon: n,
 		entry: e === undefined ? undefined : {address: e.a, availabilityZone: e.z, linkMbps: e.b},
@@ -209,6 +215,7 @@
 		prefills: (p ?? []).map(({u, p: parts}) => ({upstream: u, parts: parts.map(([id, tokens]) => ({id, tokens}))})),
 		queued: new Map(q),
 		crashes: (c ?? []).map(({f, u}) => ({fingerprint: f, upstream: u})),
+		cleared: x ?? [],
 		tables: (d ?? []).map(([table, version, digest, ageMs]) => ({
 			table, version, digest, ageMs,
 		})),
--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -122,6 +122,10 @@
 	}
 
 	#decideAnswer({answer, body}: Extract<CallResult, {kind: 'answered'}>, kind: 'served' | 'failed'): Step {
+		if (kind === 'served') {
+			this.dependencies.crashDetector.completed(this.job.request);
+		}
+
 		const deliver = () => {
 			this.markFirstAnswer();
 			this.job.answer.sendComplete(answer.status, answer.headers, body);
--- a/src/request/delivery/route-request.ts
+++ b/src/request/delivery/route-request.ts
@@ -23,7 +23,7 @@
 	/** Names and values alternate; without hop-by-hop headers and headers that only the daemon sets. */
 	readonly headers: readonly string[];
 	readonly body: Uint8Array;
-	/** Address of the caller; part of the fingerprint of requests that crash upstreams. */
+	/** Network address of the caller, for logs; it does not identify the caller, who may connect from several. */
 	readonly callerAddress: string;
 	/** Time from the arrival for which the caller waits, in milliseconds. */
 	readonly callerTimeoutMs: number | undefined;
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -199,6 +199,7 @@
 		const {job} = this;
 		switch (result.kind) {
 			case 'complete': {
+				this.dependencies.crashDetector.completed(job.request);
 				return this.createResult('delivered', `status ${result.status ?? 200}`);
 			}
 
--- a/src/version/routes/route-table.ts
+++ b/src/version/routes/route-table.ts
@@ -60,7 +60,8 @@
 	return targets.at(-1)?.service;
 }
 
-function normalizeHost(host: string): string {
+/** Returns the name of a `host` header in lower case, without the port. */
+export function normalizeHost(host: string): string {
 	const colon = host.lastIndexOf(':');
 	return (colon === -1 ? host : host.slice(0, colon)).toLowerCase();
 }
--- a/test/process/fleet/crashing-request.test.ts
+++ b/test/process/fleet/crashing-request.test.ts
@@ -56,4 +56,21 @@
 			expect(Number(headers['retry-after'])).toBeGreaterThan(0);
 		}
 	});
+
+	test('is no longer suspected once an upstream has answered it', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1', crashPath}, {id: 'u-2', crashPath}, {id: 'u-3'}]);
+		const stop = restartCrashed(fleet);
+		const isAttributed = () => fleet.logLines.some(({event}) => event === 'crash.attributed');
+		for (let count = 0; !isAttributed() && count < 50; count += 1) {
+			await fleet.send({path: crashPath});
+			await delay(100);
+		}
+
+		fleet.upstreams[0]!.behaviour.crashPath = undefined;
+		fleet.upstreams[1]!.behaviour.crashPath = undefined;
+		expect(await fleet.status({path: crashPath})).toBe(200);
+		await fleet.waitForLine('crash.cleared');
+		await stop();
+	});
 });
--- a/test/process/peers/peer-link.test.ts
+++ b/test/process/peers/peer-link.test.ts
@@ -36,6 +36,9 @@
 				onCrashes() {
 					// This test announces no crashes.
 				},
+				onCleared() {
+					// This test announces no crashes.
+				},
 				ownTables: () => [],
 				onTables() {
 					// No daemon of this test reads tables.
