--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -1,6 +1,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Socket} from 'node:net';
 import {errors, type Dispatcher} from 'undici';
+import {EndlessAnswerError} from '../connection/answer-guard.ts';
 import {captureNextSocket, guardPausedSocket} from '../connection/attempt-socket.ts';
 import type {AttemptEnd} from './attempt-listener.ts';
 import type {RunState} from './caller-error.ts';
@@ -257,7 +258,7 @@
 		return 'connection_lost';
 	}
 
-	return error instanceof errors.HTTPParserError || error instanceof errors.HeadersOverflowError
+	return error instanceof errors.HTTPParserError || error instanceof errors.HeadersOverflowError || error instanceof EndlessAnswerError
 		? 'invalid_answer'
 		: 'connection_lost';
 }
--- a/src/stand-ins/service/service-server.ts
+++ b/src/stand-ins/service/service-server.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	noFaults, readText, sendAnswer, StandInServer, type CommonFaults,
@@ -16,14 +17,17 @@
 export type ServiceFaults = CommonFaults & {
 	/** Executes requests, then closes the connection without an answer. */
 	readonly loseAnswers: boolean;
+	/** Answers requests with a chunk extension that never ends, until the caller closes the connection. */
+	readonly endlessAnswers: boolean;
 	/** Refuses new work and announces that the service is leaving. */
 	readonly leaving: boolean;
 	/** Time to execute a request, in milliseconds. */
 	readonly executionMs: number;
 };
 
+const fillerBytes = 4096;
 const healthyFaults: ServiceFaults = {
-	...noFaults, loseAnswers: false, leaving: false, executionMs: 0,
+	...noFaults, loseAnswers: false, endlessAnswers: false, leaving: false, executionMs: 0,
 };
 
 /** Stand-in for a plain service: records and numbers each execution. */
@@ -72,6 +76,26 @@
 			return;
 		}
 
+		if (this.faults.endlessAnswers) {
+			writeWithoutEnd(request.socket);
+			return;
+		}
+
 		sendAnswer(response, {status: 200, body: {number, method, path}});
 	}
 }
+
+function writeWithoutEnd(socket: Socket): void {
+	socket.write('HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;a=');
+	const filler = 'x'.repeat(fillerBytes);
+	const write = () => {
+		while (!socket.destroyed) {
+			if (!socket.write(filler)) {
+				socket.once('drain', write);
+				return;
+			}
+		}
+	};
+
+	write();
+}
