--- a/bench/capacity/fleet.ts
+++ b/bench/capacity/fleet.ts
@@ -90,7 +90,7 @@
 		})),
 		prefills: [{upstream: chooseEngine(), parts: Array.from({length: 2}, () => ({id: random.integer(2 ** 30).toString(16), tokens: random.integer(20_000)}))}],
 		queued: new Map(),
-		crashes: [], cleared: [], tables: [],
+		crashNews: [], tables: [],
 	}));
 	return encodePeerDatagrams({sender: 'relay', scope: 'final', messages}, maxDatagramBytes);
 }
--- a/examples/crashes.ts
+++ b/examples/crashes.ts
@@ -15,6 +15,8 @@
 	for (const attemptId of attemptIds) {
 		localAttribution.attemptEnded(attemptId, 'lost', now + 10);
 	}
+
+	localAttribution.upstreamDown(upstream, 'refused', now + 20);
 }
 
 crash('e1', ['culprit', 'bystander'], 0);
--- a/src/process/crashes/crash-attribution.ts
+++ b/src/process/crashes/crash-attribution.ts
@@ -3,7 +3,7 @@
 } from './crash-history.ts';
 import {InFlightAttempts, type InFlightAttempt} from './in-flight-attempts.ts';
 
-/** Result of an attempt as far as crashes are concerned: `lost` if the upstream may have crashed under it. */
+/** Result of an attempt as far as crashes are concerned: `lost` if its connection broke while the upstream may have run it. */
 export type AttemptResult = 'complete' | 'lost' | 'other';
 
 /** Crash information that daemons send to each other. */
@@ -23,24 +23,35 @@
 	readonly clearsCompleted: boolean;
 };
 
+/** Sign that an upstream is down or has restarted: it refuses connections, it answers as a new start or another upstream, or it has left the list. */
+export type DownEvidence = 'refused' | 'restarted' | 'gone';
+
 /** A possible crash of an upstream, with the attempts that were in flight when the first of them lost its connection. */
 type SuspectedCrash = {
 	readonly upstream: string;
 	readonly startedAt: number;
 	readonly attempts: ReadonlyMap<number, InFlightAttempt>;
-	/** Ids of the attempts that have lost their connection. */
-	readonly lost: Set<number>;
-	/** Ids of the attempts that have not ended yet. */
-	readonly open: Set<number>;
+	/** True once the upstream was found to be down; the crash is then recorded, and attempts that end later belong to it. */
+	readonly isConfirmed: boolean;
 };
 
-/** Time within which all attempts on a crashed upstream lose their connections, in milliseconds. */
-const crashWindowMs = 2000;
+/** Time after a lost connection within which evidence must show that the upstream is down, in milliseconds; an entry leaves the list after three heartbeats. */
+const confirmationMs = 6000;
+
+/** Time after a refused connection for which a connection that was lost at the same moment may still be reported, in milliseconds. */
+const lateLossMs = 500;
+
+/** Time for which a completed request is not suspected, in milliseconds. */
+const completedTtlMs = 60_000;
 
 /** Maximum number of requests of one crash that are reported to peers; bounds the control traffic. */
 const maxReportedRequests = 32;
 const maxCompletedRequests = 10_000;
 
+/** Age up to which suspicions are repeated to peers that may have missed them, in milliseconds, and their maximum number. */
+const repeatedForMs = 10_000;
+const maxRepeatedNews = 24;
+
 /** All safety checks enabled. */
 export const allCrashAttributionGuards: CrashAttributionGuards = {
 	requiresUniqueCulprit: true, waitsForOtherCulprits: true, excludesCorrelatedFailures: true, separatesSuspects: true, clearsCompleted: true,
@@ -51,8 +62,11 @@
 	readonly #guards: CrashAttributionGuards;
 	readonly #attempts = new InFlightAttempts();
 	readonly #history: CrashHistory;
-	readonly #completed = new Set<string>();
+	/** Time at which each request completed last, the most recent ones at the end. */
+	readonly #completed = new Map<string, number>();
+	/** The latest suspected crash of each upstream. */
 	readonly #suspectedCrashes = new Map<string, SuspectedCrash>();
+	readonly #refusedAt = new Map<string, number>();
 	#news: CrashNews[] = [];
 
 	constructor(guards: CrashAttributionGuards = allCrashAttributionGuards) {
@@ -65,34 +79,66 @@
 		this.#attempts.add(attemptId, attempt);
 	}
 
-	/** Records the end of an attempt. */
-	attemptEnded(attemptId: number, result: AttemptResult, now: number): void {
+	/** Records the end of an attempt; returns the attempts of the crash that it confirms, because the upstream was already known to be down. */
+	attemptEnded(attemptId: number, result: AttemptResult, now: number): readonly InFlightAttempt[] {
 		const attempt = this.#attempts.get(attemptId);
 		if (attempt === undefined) {
-			return;
+			return [];
 		}
 
-		if (result === 'lost' && !this.#suspectedCrashes.has(attempt.upstream)) {
-			this.#openSuspectedCrash(attempt.upstream, now);
+		const {upstream, fingerprint} = attempt;
+		const crash = this.#suspectedCrashes.get(upstream);
+		const isInSuspectedCrash = crash?.attempts.has(attemptId) === true;
+		if (result === 'lost' && !isInSuspectedCrash) {
+			this.#suspectedCrashes.set(upstream, {
+				upstream, startedAt: now, attempts: this.#attempts.attemptsOn(upstream), isConfirmed: false,
+			});
 		}
 
 		this.#attempts.remove(attemptId);
 		if (result === 'complete') {
-			this.#clearCompleted(attempt.fingerprint, now);
+			this.#clearCompleted(fingerprint, now);
+			if (isInSuspectedCrash && !crash.isConfirmed) {
+				// The upstream still answers, so it lost a connection without crashing.
+				this.#suspectedCrashes.delete(upstream);
+			}
+		}
+
+		const refusedAt = this.#refusedAt.get(upstream);
+		return result === 'lost' && refusedAt !== undefined && now - refusedAt < lateLossMs ? this.#confirmCrash(upstream, now) : [];
+	}
+
+	/** True while an upstream has lost a connection and nothing shows yet whether it is down. */
+	isUndecided(upstream: string): boolean {
+		return this.#suspectedCrashes.get(upstream)?.isConfirmed === false;
+	}
+
+	/** Records evidence that an upstream is down or has restarted; returns the attempts of the crash that this confirms, if there is one. */
+	upstreamDown(upstream: string, evidence: DownEvidence, now: number): readonly InFlightAttempt[] {
+		if (evidence === 'refused') {
+			this.#refusedAt.set(upstream, now);
 		}
 
-		this.#updateSuspectedCrash(attempt.upstream, attemptId, result, now);
+		return this.#confirmCrash(upstream, now);
 	}
 
-	/** Decides suspected crashes whose time window has passed, and re-evaluates the records. */
+	/** Drops suspected crashes without evidence, and re-evaluates the records. */
 	tick(now: number): void {
-		for (const crash of this.#suspectedCrashes.values()) {
-			if (now - crash.startedAt >= crashWindowMs) {
-				this.#closeSuspectedCrash(crash, now, crash.lost.size >= crash.open.size);
+		for (const {upstream, startedAt} of this.#suspectedCrashes.values()) {
+			if (now - startedAt >= confirmationMs) {
+				this.#suspectedCrashes.delete(upstream);
 			}
 		}
 
-		this.#evaluate(now);
+		for (const [upstream, at] of this.#refusedAt) {
+			if (now - at >= lateLossMs) {
+				this.#refusedAt.delete(upstream);
+			}
+		}
+
+		if (!this.#history.isEmpty) {
+			this.#evaluate(now);
+		}
 	}
 
 	/** Returns how strongly a request is suspected. */
@@ -101,11 +147,21 @@
 		return status === 'free' && this.#isInSuspectedCrash(fingerprint) ? 'suspect' : status;
 	}
 
+	/** Number of crashes that a request may have caused. */
+	countCrashes(fingerprint: string): number {
+		return this.#history.countCrashes(fingerprint);
+	}
+
+	/** Time for which a condemned request is still refused, in milliseconds. */
+	refusedForMs(fingerprint: string, now: number): number {
+		return Math.max(0, this.#history.refusedUntil(fingerprint) - now);
+	}
+
 	/** Applies news from another daemon. */
 	applyNews(news: CrashNews, now: number): void {
 		switch (news.kind) {
 			case 'suspected': {
-				if (!this.#completed.has(news.fingerprint)) {
+				if (!this.#hasCompleted(news.fingerprint, now)) {
 					this.#history.addPeerReport(news.upstream, now - news.ageMs, news.fingerprint);
 				}
 
@@ -118,6 +174,7 @@
 			}
 
 			case 'cleared': {
+				this.#recordCompleted(news.fingerprint, now);
 				this.#history.removePeerRefusal(news.fingerprint);
 				this.#history.removeRequest(news.fingerprint);
 				break;
@@ -164,50 +221,42 @@
 		return news;
 	}
 
-	#openSuspectedCrash(upstream: string, now: number): void {
-		const attempts = this.#attempts.attemptsOn(upstream);
-		this.#suspectedCrashes.set(upstream, {
-			upstream, startedAt: now, attempts, lost: new Set(), open: new Set(attempts.keys()),
-		});
-	}
-
-	#updateSuspectedCrash(upstream: string, attemptId: number, result: AttemptResult, now: number): void {
-		const crash = this.#suspectedCrashes.get(upstream);
-		if (crash?.attempts.has(attemptId) !== true) {
-			return;
-		}
-
-		crash.open.delete(attemptId);
-		if (result === 'complete') {
-			// The upstream still answers, so it lost a connection without crashing.
-			this.#closeSuspectedCrash(crash, now, false);
-			return;
+	/** Returns the news that a daemon needs which has just started or missed earlier ones; without `isRelay`, only about crashes that this daemon observed itself. */
+	repeatNews(now: number, isRelay: boolean): readonly CrashNews[] {
+		if (this.#history.isEmpty) {
+			return [];
 		}
 
-		if (result === 'lost') {
-			crash.lost.add(attemptId);
-		}
+		const condemned = this.#history.condemned(now, !isRelay).map(entry => ({kind: 'condemned' as const, ...entry}));
+		const suspected = this.#history.localSuspects(now - repeatedForMs).map(({fingerprint, upstream, at}) => ({
+			kind: 'suspected' as const, fingerprint, upstream, ageMs: Math.round(now - at),
+		}));
+		return [...condemned.slice(-maxRepeatedNews), ...suspected.slice(-maxRepeatedNews)];
+	}
 
-		if (crash.open.size === 0) {
-			this.#closeSuspectedCrash(crash, now, true);
+	#confirmCrash(upstream: string, now: number): readonly InFlightAttempt[] {
+		const crash = this.#suspectedCrashes.get(upstream);
+		if (crash === undefined || crash.isConfirmed || now - crash.startedAt >= confirmationMs) {
+			return [];
 		}
-	}
 
-	#closeSuspectedCrash({upstream, attempts}: SuspectedCrash, now: number, isCrash: boolean): void {
-		this.#suspectedCrashes.delete(upstream);
-		const suspects = new Set(attempts.values().map(({fingerprint}) => fingerprint)).difference(this.#completed);
-		if (!isCrash || suspects.size === 0) {
-			return;
+		this.#suspectedCrashes.set(upstream, {...crash, isConfirmed: true});
+		this.#refusedAt.delete(upstream);
+		const attempts = [...crash.attempts.values()].filter(({fingerprint}) => !this.#hasCompleted(fingerprint, now));
+		const suspects = new Set(attempts.map(({fingerprint}) => fingerprint));
+		if (suspects.size === 0) {
+			return [];
 		}
 
-		this.#history.addLocalCrash(upstream, now, suspects);
+		this.#history.addLocalCrash(upstream, crash.startedAt, suspects);
 		for (const fingerprint of [...suspects].slice(0, maxReportedRequests)) {
 			this.#news.push({
-				kind: 'suspected', fingerprint, upstream, ageMs: 0,
+				kind: 'suspected', fingerprint, upstream, ageMs: Math.round(now - crash.startedAt),
 			});
 		}
 
 		this.#evaluate(now);
+		return attempts;
 	}
 
 	#evaluate(now: number): void {
@@ -228,28 +277,39 @@
 			return;
 		}
 
+		this.#recordCompleted(fingerprint, now);
+		if (this.#history.countCrashes(fingerprint) > 0) {
+			this.#history.removeRequest(fingerprint);
+			this.#news.push({kind: 'cleared', fingerprint});
+		}
+	}
+
+	#recordCompleted(fingerprint: string, now: number): void {
 		this.#completed.delete(fingerprint);
-		this.#completed.add(fingerprint);
-		const [oldest] = this.#completed;
+		this.#completed.set(fingerprint, now);
+		const [oldest] = this.#completed.keys();
 		if (this.#completed.size > maxCompletedRequests && oldest !== undefined) {
 			this.#completed.delete(oldest);
 		}
+	}
 
-		if (this.#history.countCrashes(fingerprint) > 0) {
-			this.#history.removeRequest(fingerprint);
-			this.#news.push({kind: 'cleared', fingerprint});
-			this.#evaluate(now);
-		}
+	#hasCompleted(fingerprint: string, now: number): boolean {
+		const completedAt = this.#completed.get(fingerprint);
+		return completedAt !== undefined && now - completedAt < completedTtlMs;
+	}
+
+	get #undecidedCrashes(): readonly SuspectedCrash[] {
+		return [...this.#suspectedCrashes.values()].filter(({isConfirmed}) => !isConfirmed);
 	}
 
 	#listSuspects(): ReadonlySet<string> {
-		const inSuspectedCrashes = [...this.#suspectedCrashes.values()].flatMap(({attempts}) => [...attempts.values()]);
+		const inSuspectedCrashes = this.#undecidedCrashes.flatMap(({attempts}) => [...attempts.values()]);
 		return new Set([...this.#history.suspects, ...inSuspectedCrashes.map(attempt => attempt.fingerprint)]);
 	}
 
 	/** True if the request was in flight in a suspected crash that is still undecided. */
 	#isInSuspectedCrash(fingerprint: string): boolean {
-		return this.#suspectedCrashes.values().some(({attempts}) => attempts.values().some(attempt => attempt.fingerprint === fingerprint));
+		return this.#undecidedCrashes.some(({attempts}) => [...attempts.values()].some(attempt => attempt.fingerprint === fingerprint));
 	}
 }
 
--- a/src/process/crashes/in-flight-attempts.ts
+++ b/src/process/crashes/in-flight-attempts.ts
@@ -1,10 +1,12 @@
 /** An attempt that is in flight. */
 export type InFlightAttempt = {
 	readonly upstream: string;
-	/** Hash of customer, path and body. */
+	/** Identifies the request in all its repetitions. */
 	readonly fingerprint: string;
 	/** Monotonic time in milliseconds. */
 	readonly startedAt: number;
+	/** Fields that describe the request in logs. */
+	readonly details?: Readonly<Record<string, unknown>>;
 };
 
 /** Attempts in flight, indexed by upstream and by request. */
--- a/src/process/crashes/upstream-crash-registry.ts
+++ b/src/process/crashes/upstream-crash-registry.ts
@@ -3,34 +3,23 @@
 import {createRefusal, type CallerError} from '../../request/caller-error.ts';
 import {CrashRegistry} from '../../request/crash-registry.ts';
 import type {RequestDemand} from '../../request/request-demand.ts';
-import type {Clock} from '../clock.ts';
-import {CrashAttribution, type CrashNews, type AttemptResult} from './crash-attribution.ts';
-
-/** What the registry needs from the rest of the daemon. */
-export type UpstreamCrashRegistryOptions = {
-	readonly clock: Clock;
-	/** Sends news to the other daemons. */
-	readonly announce: (news: CrashNews) => void;
-	/** @default an attribution with all safety checks enabled */
-	readonly attribution?: CrashAttribution;
-};
+import type {AttemptResult} from './crash-attribution.ts';
+import type {CrashMonitor} from './crash-monitor.ts';
 
 const condemnedRefusal = createRefusal(422, 'request_crashes_upstreams', 'The request has crashed the upstreams that ran it.');
 const pendingRefusal = createRefusal(503, 'request_under_suspicion', 'The request may have crashed upstreams; this is being settled.', 2);
 
-/** Refuses requests that crash upstreams, based on the crashes that this daemon and its peers observe. */
+/** Refuses requests that crash upstreams on the product's own interface. */
 export class UpstreamCrashRegistry extends CrashRegistry {
-	readonly #options: UpstreamCrashRegistryOptions;
-	readonly #attribution: CrashAttribution;
+	readonly #monitor: CrashMonitor;
 
-	constructor(options: UpstreamCrashRegistryOptions) {
+	constructor(monitor: CrashMonitor) {
 		super();
-		this.#options = options;
-		this.#attribution = options.attribution ?? new CrashAttribution();
+		this.#monitor = monitor;
 	}
 
 	checkCondemned({fingerprint}: RequestDemand): CallerError | undefined {
-		const status = this.#attribution.statusOf(fingerprint, this.#now());
+		const status = this.#monitor.statusOf(fingerprint);
 		if (status === 'condemned') {
 			return condemnedRefusal;
 		}
@@ -39,38 +28,23 @@
 	}
 
 	selectAllowed({fingerprint}: RequestDemand, candidates: readonly Host[]): readonly Host[] {
-		return this.#attribution.selectAllowed(fingerprint, candidates, this.#now());
+		return this.#monitor.selectAllowed(fingerprint, candidates);
 	}
 
 	attemptStarted({attemptId, demand, upstream, startedAt}: Attempt): void {
-		this.#attribution.attemptStarted(attemptId, {upstream: upstream.id, fingerprint: demand.fingerprint, startedAt});
-	}
-
-	attemptEnded({attemptId}: Attempt, end: AttemptEnd): void {
-		this.#attribution.attemptEnded(attemptId, toAttemptResult(end), this.#now());
-		this.#announceNews();
-	}
-
-	/** Applies news from another daemon. */
-	applyNews(news: CrashNews): void {
-		this.#attribution.applyNews(news, this.#now());
-		this.#announceNews();
-	}
-
-	/** Re-evaluates what depends on elapsed time; called every second. */
-	tick(): void {
-		this.#attribution.tick(this.#now());
-		this.#announceNews();
-	}
-
-	#now(): number {
-		return this.#options.clock.now();
-	}
-
-	#announceNews(): void {
-		for (const news of this.#attribution.takeNews()) {
-			this.#options.announce(news);
-		}
+		this.#monitor.attemptStarted(attemptId, {
+			upstream: upstream.id,
+			address: upstream.address,
+			fingerprint: demand.fingerprint,
+			startedAt,
+			details: {
+				request: demand.requestId, customer: demand.customer, method: demand.method, path: demand.call.path,
+			},
+		});
+	}
+
+	attemptEnded({attemptId, upstream}: Attempt, end: AttemptEnd): void {
+		this.#monitor.attemptEnded(attemptId, upstream.id, toAttemptResult(end));
 	}
 }
 
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -3,6 +3,8 @@
 import {createCallerServer} from '../../connection/caller-server.ts';
 import {closeAbruptly, listen} from '../../connection/http-listener.ts';
 import {UpstreamClients} from '../../connection/links/upstream-clients.ts';
+import {refusesConnections} from '../../connection/refusal-probe.ts';
+import {serveSharedRows} from '../../connection/row-exchange.ts';
 import type {CallerProtocol} from '../../ports/caller-protocol.ts';
 import type {RowFeed} from '../../ports/row-feed.ts';
 import type {Table} from '../../ports/table.ts';
@@ -11,19 +13,19 @@
 import type {FleetSettings} from '../../version/fleet-settings.ts';
 import {parseAddress} from '../address.ts';
 import {SuspendAwareClock, SystemClock} from '../clock.ts';
+import {CrashMonitor} from '../crashes/crash-monitor.ts';
 import {LeaseTask} from '../lease/lease-task.ts';
 import {Log} from '../log.ts';
 import {SeededRandom} from '../random.ts';
 import {PeerLink} from '../peers/peer-link.ts';
 import {createControllerTimes, StageController, type StageGroup} from '../stages/stage-controller.ts';
-import {serveSharedRows} from '../../connection/row-exchange.ts';
 import {ConfigurationHolder, type ConfigurationDecoder} from './configuration-holder.ts';
-import {CrashDetector} from './crash-detector.ts';
 import type {DecisionLog} from './decision-log.ts';
 import {FleetScheduler} from './fleet-scheduler.ts';
 import {FleetTables} from './fleet-tables.ts';
 import {FleetMetrics} from './fleet-metrics.ts';
 import {SharedRetryBudget, type RetryBounds} from './shared-retry-budget.ts';
+import {RouteCrashes} from './route-crashes.ts';
 import {RouteRequestHandler} from './route-request-handler.ts';
 import {createShutdownTimes, Shutdown} from './shutdown.ts';
 import {UpstreamRegistry, type RegistryEvent} from './upstream-registry.ts';
@@ -72,7 +74,7 @@
 	readonly #requestHandler: RouteRequestHandler;
 	readonly #shutdown: Shutdown;
 	readonly #peers: PeerLink;
-	readonly #crashes: CrashDetector;
+	readonly #crashes: CrashMonitor;
 	readonly #lease: LeaseTask;
 	readonly #controller: StageController;
 	readonly #metrics = new FleetMetrics();
@@ -91,14 +93,15 @@
 		this.#configuration = new ConfigurationHolder(platform.configurationKey, platform.decodeConfiguration, log);
 		this.#upstreamClients = new UpstreamClients(this.#clock);
 		const clock = this.#clock;
-		this.#crashes = new CrashDetector({
-			now: () => clock.now(),
-			log,
-			announce: crash => {
-				this.#peers.announceCrash(crash);
+		this.#crashes = new CrashMonitor({
+			clock,
+			announce: news => {
+				this.#peers.announceCrash(news);
 			},
-			announceCleared: fingerprint => {
-				this.#peers.announceCleared(fingerprint);
+			refusesConnections,
+			isServing: upstream => this.#registry.get(upstream) !== undefined,
+			report(event, fields) {
+				log.write(event, fields);
 			},
 		});
 		this.#peers = new PeerLink({
@@ -116,12 +119,10 @@
 			onPrefills: prefills => {
 				this.#scheduler.acceptPrefills(prefills);
 			},
-			onCrashes: crashes => {
-				this.#crashes.accept(crashes);
-			},
-			onCleared: fingerprints => {
-				this.#crashes.acceptCleared(fingerprints);
+			onCrashNews: news => {
+				this.#crashes.applyNews(news);
 			},
+			repeatedCrashNews: isRelay => this.#crashes.repeatNews(isRelay),
 			ownTables: () => this.#tables.announcements,
 			onTables: (daemon, announcements) => {
 				this.#tables.accept(daemon, announcements);
@@ -143,8 +144,8 @@
 			},
 			availabilityZone: settings.daemon.availabilityZone,
 			services: () => this.#configuration.routeTable?.services ?? new Map(),
-			onUpstreamDown: upstream => {
-				this.#crashes.upstreamDown(upstream, 'connectionRefused');
+			onUpstreamDown: (upstream, evidence) => {
+				this.#crashes.upstreamDown(upstream, evidence);
 			},
 		});
 		this.#retryBudget = new SharedRetryBudget(toRetryBounds(settings.bounds), () => this.#peers.knownDaemons);
@@ -154,7 +155,7 @@
 			protocol: platform.upstreamProtocol,
 			scheduler: this.#scheduler,
 			retryBudget: this.#retryBudget,
-			crashDetector: this.#crashes,
+			crashes: new RouteCrashes(this.#crashes, this.#registry),
 			log,
 		};
 		this.#requestHandler = new RouteRequestHandler({
@@ -245,6 +246,7 @@
 		await listen(this.#rowServer, {host: daemon.host, port: addresses.peerPort});
 		this.#housekeepingTimer = setInterval(() => {
 			this.#upstreamClients.closeExpired();
+			this.#crashes.tick();
 			this.#applyRegistryEvents(this.#registry.expire(this.#clock.now()));
 			if (this.isReady) {
 				this.#controller.tick();
--- a/src/process/fleet/fleet-scheduler.ts
+++ b/src/process/fleet/fleet-scheduler.ts
@@ -4,6 +4,7 @@
 } from '../../request/delivery/upstream-scheduler.ts';
 import type {Service} from '../../version/routes/route-configuration.ts';
 import type {Clock} from '../clock.ts';
+import type {DownEvidence} from '../crashes/crash-attribution.ts';
 import type {PeerLoadTracker} from '../peers/peer-load-tracker.ts';
 import type {PeerLoad, PeerPrefill} from '../peers/peer-message.ts';
 import type {Random} from '../random.ts';
@@ -36,8 +37,8 @@
 	readonly availabilityZone: string;
 	/** Services of the active configuration, by name. */
 	readonly services: () => ReadonlyMap<string, Service>;
-	/** Called when an upstream refuses connections. */
-	readonly onUpstreamDown: (upstream: string) => void;
+	/** Called when an upstream refuses connections or another one has its address. */
+	readonly onUpstreamDown: (upstream: string, evidence: DownEvidence) => void;
 };
 
 /** Chooses upstreams by this daemon's own sends, the load that upstreams and the other daemons report, and the prompt parts that engines have cached. */
--- a/src/process/fleet/placements.ts
+++ b/src/process/fleet/placements.ts
@@ -3,6 +3,7 @@
 	PlacementDemand, Placement, PlacementRefusal, SendResult,
 } from '../../request/delivery/upstream-scheduler.ts';
 import type {Clock} from '../clock.ts';
+import type {DownEvidence} from '../crashes/crash-attribution.ts';
 import type {Random} from '../random.ts';
 import type {DecisionLog} from './decision-log.ts';
 import type {UpstreamState} from './upstream-state.ts';
@@ -16,8 +17,8 @@
 	readonly onLoadChanged: (upstream: string) => void;
 	/** Called when a placement has been released. */
 	readonly onReleased: () => void;
-	/** Called when an upstream refuses connections. */
-	readonly onUpstreamDown: (upstream: string) => void;
+	/** Called when an upstream refuses connections or another one has its address. */
+	readonly onUpstreamDown: (upstream: string, evidence: DownEvidence) => void;
 };
 
 /** Shortest delay, before jitter, after which a refused caller is told to retry. */
@@ -59,8 +60,8 @@
 
 				isReleased = true;
 				finish(end, clock.now());
-				if (end.kind === 'refused') {
-					onUpstreamDown(id);
+				if (end.kind === 'refused' || end.kind === 'misdirected') {
+					onUpstreamDown(id, end.kind === 'refused' ? 'refused' : 'restarted');
 				}
 
 				onLoadChanged(id);
--- /dev/null
+++ b/src/process/fleet/route-crashes.ts
@@ -0,0 +1,68 @@
+import type {Upstream} from '../../ports/upstream.ts';
+import type {RouteRequest} from '../../request/delivery/route-request.ts';
+import type {AttemptResult} from '../crashes/crash-attribution.ts';
+import type {CrashMonitor} from '../crashes/crash-monitor.ts';
+import type {UpstreamRegistry} from './upstream-registry.ts';
+
+/** A request that must not be sent now, with the time after which it may be. */
+export type CrashRefusal = {
+	readonly status: 'condemned' | 'pending';
+	readonly retryAfterMs: number;
+};
+
+/** Time in which a pending request is condemned or freed, in milliseconds. */
+const pendingRetryMs = 2000;
+const noUpstreams: ReadonlySet<string> = new Set();
+let lastAttemptId = 0;
+
+/** Keeps requests that crash upstreams off the upstreams of routes. */
+export class RouteCrashes {
+	readonly #monitor: CrashMonitor;
+	readonly #registry: UpstreamRegistry;
+
+	constructor(monitor: CrashMonitor, registry: UpstreamRegistry) {
+		this.#monitor = monitor;
+		this.#registry = registry;
+	}
+
+	/** Returns why a request must not be sent; undefined if it may be. */
+	findRefusal(fingerprint: string): CrashRefusal | undefined {
+		const status = this.#monitor.statusOf(fingerprint);
+		if (status === 'condemned') {
+			return {status, retryAfterMs: this.#monitor.refusedForMs(fingerprint)};
+		}
+
+		return status === 'pending' ? {status, retryAfterMs: pendingRetryMs} : undefined;
+	}
+
+	/** Records the start of a send to an upstream; the returned function must be called with its result. */
+	begin({id: request, method, host, target, callerAddress: caller}: RouteRequest, fingerprint: string, upstream: Upstream): (result: AttemptResult) => void {
+		lastAttemptId += 1;
+		const attemptId = lastAttemptId;
+		this.#monitor.attemptStarted(attemptId, {
+			upstream: upstream.id,
+			address: upstream.address,
+			fingerprint,
+			startedAt: performance.now(),
+			details: {
+				request, method, host, target, caller,
+			},
+		});
+		return result => {
+			this.#monitor.attemptEnded(attemptId, upstream.id, result);
+		};
+	}
+
+	/** Returns the upstreams of a service on which a suspected request must not run, because another suspect runs there. */
+	excludedUpstreams(fingerprint: string, service: string): ReadonlySet<string> {
+		if (this.#monitor.statusOf(fingerprint) === 'free') {
+			return noUpstreams;
+		}
+
+		const serving = this.#registry.serving(service);
+		const stages = new Set(serving.map(({stage}) => stage));
+		// A request may need an upstream of each stage.
+		const allowed = new Set([...stages].flatMap(stage => this.#monitor.selectAllowed(fingerprint, serving.filter(upstream => upstream.stage === stage)).map(({id}) => id)));
+		return new Set(serving.map(({id}) => id).filter(id => !allowed.has(id)));
+	}
+}
--- a/src/process/fleet/route-request-handler.ts
+++ b/src/process/fleet/route-request-handler.ts
@@ -6,6 +6,7 @@
 import {cancelOnDisconnect, cancelOnDeadline} from '../../request/cancellation.ts';
 import type {DeliveryResult, DeliveryJob, DeliveryDependencies} from '../../request/delivery/delivery.ts';
 import {PlainDelivery} from '../../request/delivery/plain-delivery.ts';
+import {createFingerprint} from '../../request/delivery/request-fingerprint.ts';
 import type {RouteRequest} from '../../request/delivery/route-request.ts';
 import {StreamDelivery} from '../../request/delivery/stream-delivery.ts';
 import {readBody} from '../../request/request-body.ts';
@@ -37,10 +38,14 @@
 	readonly arrivedAt: number;
 };
 
-/** Retry delay when no configuration is known, when memory for bodies is short, or when the request is condemned. */
+/** Retry delay when no configuration is known or memory for bodies is short. */
 const defaultRetryMs = 500;
 /** Retry delay while shutting down; short because the load balancer no longer routes to this daemon, so a new connection reaches another one. */
 const closingRetryMs = 50;
+const crashMessages = {
+	condemned: 'The request has crashed upstreams and is not sent again.',
+	pending: 'The request may have crashed upstreams; this is being settled.',
+};
 /** Limit on request bodies until a configuration has been received. */
 const defaultBodyBytes = 4_194_304;
 
@@ -125,9 +130,10 @@
 					return;
 				}
 
-				const fingerprint = dependencies.crashDetector.findCondemned(request);
-				if (fingerprint !== undefined) {
-					this.#refuse(exchange, request, createRefusal('busy', 'The request has crashed upstreams and is not sent again.', defaultRetryMs), fingerprint);
+				const fingerprint = createFingerprint(request);
+				const crashRefusal = dependencies.crashes.findRefusal(fingerprint);
+				if (crashRefusal !== undefined) {
+					this.#refuse(exchange, request, createRefusal('busy', crashMessages[crashRefusal.status], crashRefusal.retryAfterMs), {fingerprint, outcome: crashRefusal.status});
 					return;
 				}
 
@@ -136,7 +142,7 @@
 				dependencies.log.write('request.received', {
 					request: request.id, route: route.name, kind: route.kind, service, configuration: table?.version, waitMs: request.callerTimeoutMs, promptTokens: request.prompt?.tokens,
 				});
-				await this.#deliver(exchange, request, route, service ?? '');
+				await this.#deliver(exchange, {request, fingerprint}, route, service ?? '');
 			},
 		});
 	}
@@ -154,7 +160,7 @@
 		return this.#options.refusesRequests() ? createRefusal('busy', 'The daemon is stopping.', closingRetryMs) : undefined;
 	}
 
-	async #deliver({message, response, arrivedAt}: Exchange, request: RouteRequest, route: Route, service: string): Promise<void> {
+	async #deliver({message, response, arrivedAt}: Exchange, {request, fingerprint}: Pick<DeliveryJob, 'request' | 'fingerprint'>, route: Route, service: string): Promise<void> {
 		const {dependencies, metrics} = this.#options;
 		const controller = new AbortController();
 		const deadlineAt = arrivedAt + Math.min(request.callerTimeoutMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
@@ -162,7 +168,7 @@
 		using _deadline = cancelOnDeadline(Math.max(0, deadlineAt - dependencies.clock.now()), controller);
 		dependencies.retryBudget.earn(service, dependencies.clock.now());
 		const job: DeliveryJob = {
-			request, route, service, arrivedAt, deadlineAt, answer: this.#createAnswer(message, response, request.id), signal: controller.signal,
+			request, fingerprint, route, service, arrivedAt, deadlineAt, answer: this.#createAnswer(message, response, request.id), signal: controller.signal,
 		};
 		const delivery = route.kind === 'stream' && dependencies.scheduler.isModelService(service) ? new StreamDelivery(dependencies, job) : new PlainDelivery(dependencies, job);
 		const result = await delivery.run();
@@ -191,14 +197,14 @@
 		});
 	}
 
-	/** Refuses a request before it is placed; `fingerprint` is that of a condemned request. */
-	#refuse({message, response, arrivedAt}: Exchange, request: RouteRequest, refusal: Refusal, fingerprint?: string): void {
+	/** Refuses a request before it is placed; `crash` is given for one that may crash upstreams. */
+	#refuse({message, response, arrivedAt}: Exchange, request: RouteRequest, refusal: Refusal, crash?: {readonly fingerprint: string; readonly outcome: string}): void {
 		const {dependencies, metrics} = this.#options;
 		this.#createAnswer(message, response, request.id).refuse(refusal);
 		dependencies.log.write('request.refused', {
-			request: request.id, host: request.host, target: request.target, kind: refusal.kind, reason: refusal.message, configuration: this.#options.routeTable()?.version, fingerprint,
+			request: request.id, host: request.host, target: request.target, kind: refusal.kind, reason: refusal.message, configuration: this.#options.routeTable()?.version, fingerprint: crash?.fingerprint,
 		});
-		metrics.requestRefused(fingerprint === undefined ? refusal.kind : 'condemned', dependencies.clock.now() - arrivedAt);
+		metrics.requestRefused(crash?.outcome ?? refusal.kind, dependencies.clock.now() - arrivedAt);
 	}
 }
 
--- a/src/process/peers/message-buffer.ts
+++ b/src/process/peers/message-buffer.ts
@@ -2,6 +2,8 @@
 
 /** Maximum number of prefills of one daemon that are buffered. Beyond it the oldest are dropped, which is harmless because they are hints. */
 const maxBufferedPrefills = 100;
+/** Maximum number of items of crash news of one daemon that are buffered; the daemon repeats its recent ones. */
+const maxBufferedCrashNews = 100;
 
 /** Messages to relay, at most one per daemon: a later message of a daemon is merged into the earlier one. */
 export class MessageBuffer {
@@ -46,11 +48,10 @@
 	};
 }
 
-function mergeHints(earlier: PeerMessage, later: PeerMessage): Pick<PeerMessage, 'prefills' | 'crashes' | 'cleared' | 'tables'> {
+function mergeHints(earlier: PeerMessage, later: PeerMessage): Pick<PeerMessage, 'prefills' | 'crashNews' | 'tables'> {
 	return {
 		prefills: [...earlier.prefills, ...later.prefills].slice(-maxBufferedPrefills),
-		crashes: [...earlier.crashes, ...later.crashes],
-		cleared: [...earlier.cleared, ...later.cleared],
+		crashNews: [...earlier.crashNews, ...later.crashNews].slice(-maxBufferedCrashNews),
 		tables: later.tables.length > 0 ? later.tables : earlier.tables,
 	};
 }
--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -2,13 +2,14 @@
 import type {Table} from '../../ports/table.ts';
 import {parseAddress} from '../address.ts';
 import type {Clock} from '../clock.ts';
+import type {CrashNews} from '../crashes/crash-attribution.ts';
 import type {DecisionLog} from '../fleet/decision-log.ts';
 import type {TableAnnouncement} from '../tables/table-sharing.ts';
 import {MessageBuffer} from './message-buffer.ts';
 import {PeerLoadTracker} from './peer-load-tracker.ts';
 import {PeerDirectory} from './peer-directory.ts';
 import {
-	decodePeerDatagram, encodePeerDatagrams, type PeerCrash, type PeerDatagram, type PeerLoad, type PeerMessage, type PeerPrefill, type PeerScope,
+	decodePeerDatagram, encodePeerDatagrams, type PeerDatagram, type PeerLoad, type PeerMessage, type PeerPrefill, type PeerScope,
 } from './peer-message.ts';
 import {PeerTopology, type PeerMember} from './peer-topology.ts';
 
@@ -24,9 +25,9 @@
 	/** Returns the prompt tokens that are queued at this daemon, by priority. */
 	readonly ownQueuedTokens: () => ReadonlyMap<number, number>;
 	readonly onPrefills: (prefills: readonly PeerPrefill[]) => void;
-	readonly onCrashes: (crashes: readonly PeerCrash[]) => void;
-	/** Receives the fingerprints of suspected requests that have completed at another daemon. */
-	readonly onCleared: (fingerprints: readonly string[]) => void;
+	readonly onCrashNews: (news: CrashNews) => void;
+	/** Returns the crash news that keep-alive messages repeat for daemons that have just started or missed it. */
+	readonly repeatedCrashNews: (isRelay: boolean) => readonly CrashNews[];
 	/** Returns the state of the tables that this daemon reads from the store for the others. */
 	readonly ownTables: () => readonly TableAnnouncement[];
 	readonly onTables: (daemon: string, tables: readonly TableAnnouncement[]) => void;
@@ -60,8 +61,7 @@
 	readonly #otherZonesBuffer = new MessageBuffer();
 	readonly #changedUpstreams = new Set<string>();
 	#pendingPrefills: PeerPrefill[] = [];
-	#pendingCrashes: PeerCrash[] = [];
-	#pendingCleared: string[] = [];
+	#pendingCrashNews: CrashNews[] = [];
 	#hasChangedTables = false;
 	#batchTimer: NodeJS.Timeout | undefined;
 	#keepAliveTimer: NodeJS.Timeout | undefined;
@@ -134,15 +134,9 @@
 		this.#scheduleSend();
 	}
 
-	/** Announces that an upstream crashed while it ran a request. */
-	announceCrash(crash: PeerCrash): void {
-		this.#pendingCrashes.push(crash);
-		this.#scheduleSend();
-	}
-
-	/** Announces that a request suspected of crashes has completed. */
-	announceCleared(fingerprint: string): void {
-		this.#pendingCleared.push(fingerprint);
+	/** Announces news about a request that may crash upstreams. */
+	announceCrash(news: CrashNews): void {
+		this.#pendingCrashNews.push(news);
 		this.#scheduleSend();
 	}
 
@@ -172,7 +166,7 @@
 	}
 
 	#sendOwnMessage(loads: readonly PeerLoad[], isKeepAlive: boolean): void {
-		const {self: {daemon, ...entry}, clock} = this.#options;
+		const {self: {daemon, ...entry}, clock, repeatedCrashNews} = this.#options;
 		const now = clock.now();
 		const message: PeerMessage = {
 			daemon,
@@ -181,13 +175,11 @@
 			loads,
 			prefills: this.#pendingPrefills,
 			queued: this.#options.ownQueuedTokens(),
-			crashes: this.#pendingCrashes,
-			cleared: this.#pendingCleared,
+			crashNews: isKeepAlive ? [...repeatedCrashNews(this.topology.isDirect || this.topology.isRelay(now)), ...this.#pendingCrashNews] : this.#pendingCrashNews,
 			tables: isKeepAlive || this.#hasChangedTables ? this.#options.ownTables() : [],
 		};
 		this.#pendingPrefills = [];
-		this.#pendingCrashes = [];
-		this.#pendingCleared = [];
+		this.#pendingCrashNews = [];
 		this.#hasChangedTables = false;
 		const targets = this.topology.ownTargets(now);
 		this.#setCurrentRelay(this.topology.isDirect ? 'none' : targets[0]?.daemon ?? 'self');
@@ -299,8 +291,10 @@
 
 		this.topology.recordMessage(daemon, now);
 		this.#options.onPrefills(message.prefills);
-		this.#options.onCrashes(message.crashes);
-		this.#options.onCleared(message.cleared);
+		for (const news of message.crashNews) {
+			this.#options.onCrashNews(news);
+		}
+
 		if (message.tables.length > 0) {
 			this.#options.onTables(daemon, message.tables);
 		}
--- a/src/process/peers/peer-message.ts
+++ b/src/process/peers/peer-message.ts
@@ -4,6 +4,7 @@
 import {
 	array, boolean, Codec, exactly, number, oneOf, optional, string, tuple, type GetType,
 } from 'purify-ts/Codec';
+import type {CrashNews} from '../crashes/crash-attribution.ts';
 import type {TableAnnouncement} from '../tables/table-sharing.ts';
 
 /*
@@ -36,11 +37,16 @@
 	p: array(tuple([string, number])),
 });
 
+/** News about a request that may crash upstreams. */
 const crashCodec = Codec.interface({
-	/** Fingerprint of a request. */
+	/** Fingerprint of the request. */
 	f: string,
-	/** Upstream that crashed while it ran the request. */
-	u: string,
+	/** Upstream that crashed while the request was in flight there; set only for a suspected request. */
+	u: optional(string),
+	/** Age of that crash in milliseconds. */
+	a: optional(number),
+	/** Time for which a condemned request is still refused, in milliseconds; without this and `u`, the request has been cleared. */
+	r: optional(number),
 });
 
 /** Copy of a table of the platform: name, version, digest and age in milliseconds. */
@@ -56,9 +62,7 @@
 	p: optional(array(prefillCodec)),
 	/** Prompt tokens that are queued at the daemon: pairs of priority and tokens. */
 	q: optional(array(tuple([number, number]))),
-	c: optional(array(crashCodec)),
-	/** Fingerprints of requests that have completed although they were suspected of crashes. */
-	x: optional(array(string)),
+	k: optional(array(crashCodec)),
 	d: optional(array(tableCodec)),
 });
 
@@ -75,9 +79,10 @@
 const jsonObjectStart = 0x7B;
 /** Maximum size of a datagram after decompression. */
 const maxInflatedBytes = 256 * 1024;
-/** Maximum numbers of loads and prefills in one fragment of a message, so that a fragment fits one network frame. */
+/** Maximum numbers of loads, prefills and items of crash news in one fragment of a message, so that a fragment fits one network frame. */
 const maxLoadsPerFragment = 8;
 const maxPrefillsPerFragment = 6;
+const maxCrashNewsPerFragment = 6;
 
 /**
 Stage of a datagram on its way: `direct` from a daemon to all that it knows, `own` from a daemon to its relay, `zones` from a
@@ -107,12 +112,6 @@
 	readonly parts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
 };
 
-/** A crash of an upstream while it ran a request. */
-export type PeerCrash = {
-	readonly fingerprint: string;
-	readonly upstream: string;
-};
-
 /** Message of one daemon to the others. */
 export type PeerMessage = {
 	readonly daemon: string;
@@ -124,9 +123,7 @@
 	readonly prefills: readonly PeerPrefill[];
 	/** Prompt tokens that are queued at the daemon, by priority. */
 	readonly queued: ReadonlyMap<number, number>;
-	readonly crashes: readonly PeerCrash[];
-	/** Fingerprints of suspected requests that have completed. */
-	readonly cleared: readonly string[];
+	readonly crashNews: readonly CrashNews[];
 	/** State of the tables that the daemon reads from the store for the others. */
 	readonly tables: readonly TableAnnouncement[];
 };
@@ -140,7 +137,7 @@
 };
 
 /** Encodes a message as JSON text. */
-function encodePeerMessage({daemon, entry, isSnapshot, loads, prefills, queued, crashes, cleared, tables}: PeerMessage): string {
+function encodePeerMessage({daemon, entry, isSnapshot, loads, prefills, queued, crashNews, tables}: PeerMessage): string {
 	const message: GetType<typeof messageCodec> = {
 		n: daemon,
 		e: entry === undefined ? undefined : {a: entry.address, z: entry.availabilityZone, b: entry.linkMbps},
@@ -148,8 +145,7 @@
 		l: omitEmpty(loads.map(({upstream, runs, tokensByPriority}) => ({u: upstream, r: runs, t: encodeTokens(tokensByPriority)}))),
 		p: omitEmpty(prefills.map(({upstream, parts}) => ({u: upstream, p: parts.map(({id, tokens}): [string, number] => [id, tokens])}))),
 		q: omitEmpty(encodeTokens(queued)),
-		c: omitEmpty(crashes.map(({fingerprint, upstream}) => ({f: fingerprint, u: upstream}))),
-		x: omitEmpty([...cleared]),
+		k: omitEmpty(crashNews.map(news => encodeCrashNews(news))),
 		d: omitEmpty(tables.map(({table, version, digest, ageMs}): [string, number, number, number] => [table, version, digest, ageMs])),
 	};
 	return JSON.stringify(message);
@@ -178,20 +174,57 @@
 
 /** Splits a message into fragments that have the same effect when applied in order. */
 function splitMessage(message: PeerMessage): readonly PeerMessage[] {
-	const {loads, prefills} = message;
-	const count = Math.max(1, Math.ceil(loads.length / maxLoadsPerFragment), Math.ceil(prefills.length / maxPrefillsPerFragment));
+	const {loads, prefills, crashNews} = message;
+	const count = Math.max(
+		1,
+		Math.ceil(loads.length / maxLoadsPerFragment),
+		Math.ceil(prefills.length / maxPrefillsPerFragment),
+		Math.ceil(crashNews.length / maxCrashNewsPerFragment),
+	);
 	return Array.from({length: count}, (_, index) => ({
 		...message,
 		entry: index === 0 ? message.entry : undefined,
 		isSnapshot: message.isSnapshot && index === 0,
 		loads: loads.slice(index * maxLoadsPerFragment, (index + 1) * maxLoadsPerFragment),
 		prefills: prefills.slice(index * maxPrefillsPerFragment, (index + 1) * maxPrefillsPerFragment),
-		crashes: index === 0 ? message.crashes : [],
-		cleared: index === 0 ? message.cleared : [],
+		crashNews: crashNews.slice(index * maxCrashNewsPerFragment, (index + 1) * maxCrashNewsPerFragment),
 		tables: index === 0 ? message.tables : [],
 	}));
 }
 
+function encodeCrashNews(news: CrashNews): GetType<typeof crashCodec> {
+	const f = news.fingerprint;
+	switch (news.kind) {
+		case 'suspected': {
+			return {
+				f, u: news.upstream, a: news.ageMs, r: undefined,
+			};
+		}
+
+		case 'condemned': {
+			return {
+				f, u: undefined, a: undefined, r: Math.ceil(news.refusedForMs),
+			};
+		}
+
+		case 'cleared': {
+			return {
+				f, u: undefined, a: undefined, r: undefined,
+			};
+		}
+	}
+}
+
+function decodeCrashNews({f, u, a, r}: GetType<typeof crashCodec>): CrashNews {
+	if (u !== undefined) {
+		return {
+			kind: 'suspected', fingerprint: f, upstream: u, ageMs: a ?? 0,
+		};
+	}
+
+	return r === undefined ? {kind: 'cleared', fingerprint: f} : {kind: 'condemned', fingerprint: f, refusedForMs: r};
+}
+
 /** Decodes a datagram; a failure is a short message. */
 export function decodePeerDatagram(bytes: Uint8Array): Either<string, PeerDatagram> {
 	try {
@@ -206,7 +239,7 @@
 	}
 }
 
-function decodeMessage({n, e, w, l, p, q, c, x, d}: GetType<typeof messageCodec>): PeerMessage {
+function decodeMessage({n, e, w, l, p, q, k, d}: GetType<typeof messageCodec>): PeerMessage {
 	return {
 		daemon: n,
 		entry: e === undefined ? undefined : {address: e.a, availabilityZone: e.z, linkMbps: e.b},
@@ -214,8 +247,7 @@
 		loads: (l ?? []).map(({u, r, t}) => ({upstream: u, runs: r, tokensByPriority: new Map(t)})),
 		prefills: (p ?? []).map(({u, p: parts}) => ({upstream: u, parts: parts.map(([id, tokens]) => ({id, tokens}))})),
 		queued: new Map(q),
-		crashes: (c ?? []).map(({f, u}) => ({fingerprint: f, upstream: u})),
-		cleared: x ?? [],
+		crashNews: (k ?? []).map(news => decodeCrashNews(news)),
 		tables: (d ?? []).map(([table, version, digest, ageMs]) => ({
 			table, version, digest, ageMs,
 		})),
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -7,6 +7,7 @@
 import {PeerClients} from '../connection/peer-clients.ts';
 import {PeerServer} from '../connection/peer-server.ts';
 import {probeUpstream} from '../connection/probe.ts';
+import {refusesConnections} from '../connection/refusal-probe.ts';
 import {UpstreamPool} from '../connection/upstream-pool.ts';
 import {DynamoTable} from '../ports/dynamo-table.ts';
 import {HttpEngine} from '../ports/engine.ts';
@@ -29,6 +30,7 @@
 import {PlatformClaimStore} from './claims/platform-claim-store.ts';
 import {groupedWrites, WriteBatcher} from './claims/write-batcher.ts';
 import {decodeCrashNews, encodeCrashNews} from './crashes/crash-news.ts';
+import {CrashMonitor, crashMessages} from './crashes/crash-monitor.ts';
 import {CrashRowTask} from './crashes/crash-row-task.ts';
 import {UpstreamCrashRegistry} from './crashes/upstream-crash-registry.ts';
 import {parseAddress, type Address} from './address.ts';
@@ -406,32 +408,38 @@
 
 /** Creates the registry of requests that crash upstreams, and connects it to news of crashes seen by other daemons. */
 function createCrashRegistry({resources, log, clock, table}: BaseComponents, {membership}: PeerComponents): CrashRegistry {
-	const registry = new UpstreamCrashRegistry({
+	const crashLog = log.child('crashes');
+	const monitor = new CrashMonitor({
 		clock,
 		announce(news) {
 			membership.announce(encodeCrashNews(news));
 			rows.record(news);
 		},
+		refusesConnections,
+		isServing: upstream => !membership.isLeaving(upstream),
+		report(event, fields) {
+			crashLog.info(crashMessages[event], fields);
+		},
 	});
 	const rows = resources.use(new CrashRowTask({
-		log: log.child('crashes'),
+		log: crashLog,
 		table,
 		applyNews(news) {
-			registry.applyNews(news);
+			monitor.applyNews(news);
 		},
 		tick() {
-			registry.tick();
+			monitor.tick();
 		},
 		isSweeper: () => membership.isAmongTopRanked('crashes', 1),
 		now: () => Date.now(),
 	}));
 	membership.subscribe(event => {
 		if (event.kind === 'news' && event.news.item.case === 'crashingRequest') {
-			registry.applyNews(decodeCrashNews(event.news.item.value));
+			monitor.applyNews(decodeCrashNews(event.news.item.value));
 		}
 	});
 	rows.run();
-	return registry;
+	return new UpstreamCrashRegistry(monitor);
 }
 
 function isUnrepeatable(contract: Contract | undefined, {method, call}: RequestDemand): boolean {
--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -7,7 +7,8 @@
 import type {Clock} from '../../process/clock.ts';
 import type {DecisionLog} from '../../process/fleet/decision-log.ts';
 import type {SharedRetryBudget} from '../../process/fleet/shared-retry-budget.ts';
-import type {CrashDetector} from '../../process/fleet/crash-detector.ts';
+import type {AttemptResult} from '../../process/crashes/crash-attribution.ts';
+import type {RouteCrashes} from '../../process/fleet/route-crashes.ts';
 import type {Route} from '../../version/routes/route-configuration.ts';
 import type {RouteRequest} from './route-request.ts';
 import type {
@@ -21,13 +22,15 @@
 	readonly protocol: UpstreamProtocol;
 	readonly scheduler: UpstreamScheduler;
 	readonly retryBudget: SharedRetryBudget;
-	readonly crashDetector: CrashDetector;
+	readonly crashes: RouteCrashes;
 	readonly log: DecisionLog;
 };
 
 /** One request to be delivered to upstreams. */
 export type DeliveryJob = {
 	readonly request: RouteRequest;
+	/** Identifies the request in all its repetitions. */
+	readonly fingerprint: string;
 	readonly route: Route;
 	readonly service: string;
 	readonly answer: CallerAnswer;
@@ -89,9 +92,10 @@
 	}
 
 	protected get demand(): PlacementDemand {
-		const {request, route, service, arrivedAt, deadlineAt, signal} = this.job;
+		const {request, fingerprint, route, service, arrivedAt, deadlineAt, signal} = this.job;
+		const excluded = this.dependencies.crashes.excludedUpstreams(fingerprint, service);
 		return {
-			request, route, service, triedUpstreams: this.triedUpstreams, arrivedAt, deadlineAt, signal,
+			request, route, service, triedUpstreams: excluded.size === 0 ? this.triedUpstreams : new Set([...this.triedUpstreams, ...excluded]), arrivedAt, deadlineAt, signal,
 		};
 	}
 
@@ -143,6 +147,12 @@
 		});
 	}
 
+	/** Records the start of a send for the search for requests that crash upstreams; the returned function must be called with its result. */
+	protected beginAttempt(upstream: Upstream): (result: AttemptResult) => void {
+		const {request, fingerprint} = this.job;
+		return this.dependencies.crashes.begin(request, fingerprint, upstream);
+	}
+
 	/** Logs the result of a send, as the event `sent`. */
 	protected logSendResult({id}: Upstream, outcome: string, elapsedMs: number, fields: Readonly<Record<string, unknown>>): void {
 		this.log('sent', {
--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -1,4 +1,5 @@
 import {callUpstream, type CallResult} from '../../connection/links/upstream-call.ts';
+import type {AttemptResult} from '../../process/crashes/crash-attribution.ts';
 import {classifyRejection, Delivery, type DeliveryResult} from './delivery.ts';
 import {isPlaced, type Placement, type SendResult} from './upstream-scheduler.ts';
 
@@ -57,6 +58,7 @@
 		const isLast = !this.#isIdempotent || this.possibleRuns + 1 >= job.route.attemptLimit;
 		const silenceTimeoutMs = Math.max(minSilenceTimeoutMs, job.route.targetLatencyMs * silenceTimeoutFactor);
 		this.recordSend(placement, 'plain');
+		const endAttempt = this.beginAttempt(upstream);
 		const result = await callUpstream({
 			upstreamClients: dependencies.upstreamClients,
 			protocol: dependencies.protocol,
@@ -72,11 +74,12 @@
 		});
 		const elapsedMs = dependencies.clock.now() - sentAt;
 		const sendResult = this.#toSendResult(result, elapsedMs);
+		endAttempt(toAttemptResult(result, sendResult));
 		placement.release(sendResult);
 		this.logSendResult(upstream, sendResult.kind, elapsedMs, result.kind === 'answered'
 			? {status: result.answer.status, isFramed: result.answer.isFramed, bytes: result.body.length}
 			: {cause: result.failure.message});
-		return this.#decide(result, sendResult, upstream.id);
+		return this.#decide(result, sendResult);
 	}
 
 	#toSendResult(result: CallResult, elapsedMs: number): SendResult {
@@ -93,7 +96,7 @@
 		return {kind: classifyRejection(answer) ?? (status >= 500 ? 'failed' : 'served'), elapsedMs, load};
 	}
 
-	#decide(result: CallResult, {kind}: SendResult, upstreamId: string): Step {
+	#decide(result: CallResult, {kind}: SendResult): Step {
 		switch (kind) {
 			case 'served':
 			case 'failed': {
@@ -116,16 +119,12 @@
 			case 'lost':
 			case 'silent':
 			case 'cancelled': {
-				return this.#decideLoss(result, upstreamId);
+				return this.#decideLoss(result);
 			}
 		}
 	}
 
 	#decideAnswer({answer, body}: Extract<CallResult, {kind: 'answered'}>, kind: 'served' | 'failed'): Step {
-		if (kind === 'served') {
-			this.dependencies.crashDetector.completed(this.job.request);
-		}
-
 		const deliver = () => {
 			this.markFirstAnswer();
 			this.job.answer.sendComplete(answer.status, answer.headers, body);
@@ -137,7 +136,7 @@
 			: {kind: 'done', end: deliver()};
 	}
 
-	#decideLoss(result: CallResult, upstreamId: string): Step {
+	#decideLoss(result: CallResult): Step {
 		const failure = result.kind === 'failed' ? result.failure : undefined;
 		if (failure?.wasSent === false) {
 			return {kind: 'done', end: this.#refuseOrFail('The request was not sent.')};
@@ -148,10 +147,6 @@
 			return {kind: 'done', end: this.isCallerGone ? this.createResult('callerGone', 'the caller disconnected') : this.fail('expired', 'The upstream did not answer in time.')};
 		}
 
-		if (failure?.kind === 'lost') {
-			this.dependencies.crashDetector.connectionLost(this.job.request, upstreamId);
-		}
-
 		const fallback = () => this.fail('badAnswer', 'The answer of the upstream was lost.');
 		return this.#isIdempotent ? {kind: 'again', fallback, hasUpstreamAnswer: false} : {kind: 'done', end: fallback()};
 	}
@@ -162,3 +157,11 @@
 			: this.fail('badAnswer', message);
 	}
 }
+
+function toAttemptResult(result: CallResult, {kind}: SendResult): AttemptResult {
+	if (kind === 'served') {
+		return 'complete';
+	}
+
+	return result.kind === 'failed' && result.failure.kind === 'lost' && result.failure.wasSent ? 'lost' : 'other';
+}
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -89,6 +89,7 @@
 		const {upstream, fetchFrom} = placement;
 		const sentAt = dependencies.clock.now();
 		this.recordSend(placement, 'prefill', {fetchFrom: fetchFrom?.id});
+		const endAttempt = this.beginAttempt(upstream);
 		const result = await callUpstream({
 			upstreamClients: dependencies.upstreamClients,
 			protocol: dependencies.protocol,
@@ -102,15 +103,14 @@
 		const elapsedMs = dependencies.clock.now() - sentAt;
 		if (result.kind === 'failed') {
 			const sendResult = this.classifyFailure(result.failure, elapsedMs);
+			endAttempt(result.failure.kind === 'lost' ? 'lost' : 'other');
 			placement.release(sendResult);
-			if (result.failure.kind === 'lost') {
-				dependencies.crashDetector.connectionLost(job.request, upstream.id);
-			}
-
 			this.logSendResult(upstream, sendResult.kind, elapsedMs, {cause: result.failure.message});
 			return {kind: result.failure.wasSent ? 'failed' : 'notSent'};
 		}
 
+		// A request that crashes upstreams may do so only when it generates, so a read prompt does not clear it.
+		endAttempt('other');
 		const {answer, body} = result;
 		const prompt = answer.status === 200 && (answer.requestId === undefined || answer.requestId === job.request.id)
 			? dependencies.protocol.decodePrefill(body).map(({handle}) => ({source: upstream, handle})).toMaybe().extract()
@@ -177,7 +177,9 @@
 				this.markFirstAnswer();
 			},
 		});
+		const endAttempt = this.beginAttempt(upstream);
 		const result = await run.run();
+		endAttempt(result.kind === 'complete' || (result.kind === 'lost' && result.mayHaveRun) ? result.kind : 'other');
 		this.#lastEventId = result.lastEventId;
 		if (result.mayHaveRun) {
 			this.possibleRuns += 1;
@@ -199,7 +201,6 @@
 		const {job} = this;
 		switch (result.kind) {
 			case 'complete': {
-				this.dependencies.crashDetector.completed(job.request);
 				return this.createResult('delivered', `status ${result.status ?? 200}`);
 			}
 
@@ -215,10 +216,6 @@
 			case 'lost':
 			case 'silent':
 			case 'cancelled': {
-				if (result.kind === 'lost') {
-					this.dependencies.crashDetector.connectionLost(job.request, upstream.id);
-				}
-
 				if (this.isCallerGone) {
 					return this.createResult('callerGone', 'the caller disconnected');
 				}
--- a/src/stand-ins/engine/engine-server.ts
+++ b/src/stand-ins/engine/engine-server.ts
@@ -96,17 +96,13 @@
 		}
 	}
 
-	/** Simulates a crash: aborts all requests, closes all connections and refuses service for `restartMs`. */
+	/** Simulates a crash: aborts all requests, closes all connections and refuses new ones for `restartMs`. */
 	crash(): void {
 		this.#crashes += 1;
 		this.#orders.orders.crash(this.#clock.now());
 		this.#driver[Symbol.dispose]();
 		this.#driver = this.#createDriver();
-		this.setFaults({down: true});
-		this.server.closeAllConnections();
-		setTimeout(() => {
-			this.setFaults({down: false});
-		}, this.faults.restartMs).unref();
+		this.refuseConnections(this.faults.restartMs);
 	}
 
 	override async [Symbol.asyncDispose](): Promise<void> {
--- a/src/stand-ins/stand-in-server.ts
+++ b/src/stand-ins/stand-in-server.ts
@@ -34,6 +34,7 @@
 	readonly #sockets = new Set<Socket>();
 	readonly #silenced = new WeakSet();
 	#inFlight = 0;
+	#isDisposed = false;
 	/** Socket of the request that is setting the faults; it is not silenced, so that the request gets its answer. */
 	#faultRequestSocket: Socket | undefined;
 	#faults: Faults;
@@ -77,9 +78,26 @@
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
+		this.#isDisposed = true;
 		await closeAbruptly(this.#server);
 	}
 
+	/** Closes the listener and all connections, and listens again after a time in milliseconds, as a process does that crashes and is restarted. */
+	protected refuseConnections(durationMs: number): void {
+		const address = this.#server.address();
+		if (address === null || typeof address === 'string') {
+			return;
+		}
+
+		this.#server.close();
+		this.#server.closeAllConnections();
+		setTimeout(() => {
+			if (!this.#isDisposed) {
+				this.#server.listen(address.port, address.address);
+			}
+		}, durationMs).unref();
+	}
+
 	/** HTTP server, for subclasses that set their own connection limits. */
 	protected get server(): Server {
 		return this.#server;
--- a/test/process/crashes/crash-attribution.test.ts
+++ b/test/process/crashes/crash-attribution.test.ts
@@ -25,6 +25,8 @@
 	for (const id of ids) {
 		attribution.attemptEnded(id, 'lost', now + 10);
 	}
+
+	attribution.upstreamDown(upstream, 'refused', now + 10);
 }
 
 describe('CrashAttribution', () => {
