--- a/src/process/crashes/crash-attribution.ts
+++ b/src/process/crashes/crash-attribution.ts
@@ -1,5 +1,5 @@
 import {
-	CrashHistory, refusalDurationMs, type CrashHistoryGuards, type SuspicionStatus,
+	CrashHistory, condemnationDelayMs, refusalDurationMs, type CrashHistoryGuards, type SuspicionStatus,
 } from './crash-history.ts';
 import {InFlightAttempts, type InFlightAttempt} from './in-flight-attempts.ts';
 
@@ -152,9 +152,26 @@
 		return this.#history.countCrashes(fingerprint);
 	}
 
-	/** Time for which a condemned request is still refused, in milliseconds. */
-	refusedForMs(fingerprint: string, now: number): number {
-		return Math.max(0, this.#history.refusedUntil(fingerprint) - now);
+	/** Time for which a request must not be sent, in milliseconds: until its refusal ends, its suspicion is settled, or its next turn begins; 0 if it may be sent. */
+	withheldForMs(fingerprint: string, now: number): number {
+		switch (this.#history.statusOf(fingerprint, now)) {
+			case 'condemned': {
+				return this.#history.refusedUntil(fingerprint) - now;
+			}
+
+			case 'pending': {
+				return condemnationDelayMs;
+			}
+
+			case 'contested': {
+				return this.#guards.separatesSuspects ? this.#history.turnDelayMs(fingerprint, now) : 0;
+			}
+
+			case 'suspect':
+			case 'free': {
+				return 0;
+			}
+		}
 	}
 
 	/** Applies news from another daemon. */
@@ -191,7 +208,7 @@
 		}
 
 		const status = this.statusOf(fingerprint, now);
-		if (status === 'condemned' || status === 'pending') {
+		if (this.withheldForMs(fingerprint, now) > 0) {
 			return [];
 		}
 
@@ -249,7 +266,9 @@
 		}
 
 		this.#history.addLocalCrash(upstream, crash.startedAt, suspects);
-		for (const fingerprint of [...suspects].slice(0, maxReportedRequests)) {
+		// Without those that were in earlier crashes too, a peer could take another request for the only one in all of them.
+		const mostSuspected = [...suspects].toSorted((a, b) => this.#history.countCrashes(b) - this.#history.countCrashes(a));
+		for (const fingerprint of mostSuspected.slice(0, maxReportedRequests)) {
 			this.#news.push({
 				kind: 'suspected', fingerprint, upstream, ageMs: Math.round(now - crash.startedAt),
 			});
--- a/src/process/crashes/crash-history.ts
+++ b/src/process/crashes/crash-history.ts
@@ -3,7 +3,7 @@
 
 - `free`: not suspected.
 - `suspect`: was in flight in one unexplained crash, or in a suspected crash that is still undecided.
-- `contested`: was in flight in several crashes, but nothing shows yet that it caused them.
+- `contested`: was in flight in several crashes, but so were others; contested requests run in turn, so that the next crash tells them apart.
 - `pending`: the likely cause of several crashes; it is not dispatched until this is confirmed or disproved.
 - `condemned`: has crashed upstreams and is refused on all daemons (a poison request).
 */
@@ -45,6 +45,15 @@
 /** Number of crashes after which a request is condemned, unless other requests were in all of them too. */
 const minCrashesToCondemn = 2;
 
+/** Time after a crash in which its news reaches all daemons and no contested request may start, in milliseconds. */
+const newsDelayMs = 300;
+
+/** Time in which the contested requests of one turn may start, in milliseconds; longer than most requests take to crash an upstream. */
+const turnMs = 500;
+
+/** Maximum number of turns; with more contested requests, several share a turn and need a further crash to be told apart. */
+const maxTurns = 8;
+
 /** Number of crashes after which a request is condemned even if other likely culprits could explain all of them. */
 const conclusiveCrashes = 4;
 
@@ -135,9 +144,35 @@
 
 	/** Rank of a contested request among all contested ones; daemons with the same records compute the same rank. */
 	rankOf(fingerprint: string): number {
-		return [...this.#recordsOf]
-			.filter(([other, records]) => records.length >= minCrashesToCondemn && other < fingerprint)
-			.length;
+		return this.#contested.filter(other => other < fingerprint).length;
+	}
+
+	/**
+	Time until the next turn of a contested request, in milliseconds; 0 while it may start.
+
+	Turns begin at the last crash of a contested request. Daemons with the same records compute the same turns, so that no other
+	contested request runs beside this one at any daemon.
+	*/
+	turnDelayMs(fingerprint: string, now: number): number {
+		const contested = this.#contested;
+		const lastCrashAt = Math.max(...contested.flatMap(other => this.#recordsOf.get(other)!.map(({at}) => at)));
+		const sinceStart = now - lastCrashAt - newsDelayMs;
+		const turns = Math.min(maxTurns, contested.length);
+		const turnStart = (this.rankOf(fingerprint) % turns) * turnMs;
+		if (sinceStart < 0) {
+			return turnStart - sinceStart;
+		}
+
+		const position = sinceStart % (turns * turnMs);
+		if (position >= turnStart && position < turnStart + turnMs) {
+			return 0;
+		}
+
+		return turnStart > position ? turnStart - position : turnStart + (turns * turnMs) - position;
+	}
+
+	get #contested(): readonly string[] {
+		return [...this.#recordsOf].filter(([, records]) => records.length >= minCrashesToCondemn).map(([fingerprint]) => fingerprint);
 	}
 
 	/** Returns how strongly a request is suspected. */
--- a/src/process/crashes/crash-monitor.ts
+++ b/src/process/crashes/crash-monitor.ts
@@ -105,9 +105,9 @@
 		return this.#attribution.statusOf(fingerprint, this.#now());
 	}
 
-	/** Time for which a condemned request is still refused, in milliseconds. */
-	refusedForMs(fingerprint: string): number {
-		return this.#attribution.refusedForMs(fingerprint, this.#now());
+	/** Time for which a request must not be sent, in milliseconds; 0 if it may be. */
+	withheldForMs(fingerprint: string): number {
+		return this.#attribution.withheldForMs(fingerprint, this.#now());
 	}
 
 	/** Selects the upstreams on which a request may run; see `CrashAttribution`. */
--- a/src/process/crashes/upstream-crash-registry.ts
+++ b/src/process/crashes/upstream-crash-registry.ts
@@ -7,7 +7,7 @@
 import type {CrashMonitor} from './crash-monitor.ts';
 
 const condemnedRefusal = createRefusal(422, 'request_crashes_upstreams', 'The request has crashed the upstreams that ran it.');
-const pendingRefusal = createRefusal(503, 'request_under_suspicion', 'The request may have crashed upstreams; this is being settled.', 2);
+const millisecondsPerSecond = 1000;
 
 /** Refuses requests that crash upstreams on the product's own interface. */
 export class UpstreamCrashRegistry extends CrashRegistry {
@@ -19,12 +19,12 @@
 	}
 
 	checkCondemned({fingerprint}: RequestDemand): CallerError | undefined {
-		const status = this.#monitor.statusOf(fingerprint);
-		if (status === 'condemned') {
-			return condemnedRefusal;
+		const withheldMs = this.#monitor.withheldForMs(fingerprint);
+		if (withheldMs === 0) {
+			return undefined;
 		}
 
-		return status === 'pending' ? pendingRefusal : undefined;
+		return this.#monitor.statusOf(fingerprint) === 'condemned' ? condemnedRefusal : createPendingRefusal(withheldMs);
 	}
 
 	selectAllowed({fingerprint}: RequestDemand, candidates: readonly Host[]): readonly Host[] {
@@ -48,6 +48,10 @@
 	}
 }
 
+function createPendingRefusal(withheldMs: number): CallerError {
+	return createRefusal(503, 'request_under_suspicion', 'The request may have crashed upstreams; this is being settled.', Math.ceil(withheldMs / millisecondsPerSecond));
+}
+
 function toAttemptResult({outcome, status, isLeaving}: AttemptEnd): AttemptResult {
 	if (outcome === 'complete') {
 		return 'complete';
--- a/src/process/fleet/route-crashes.ts
+++ b/src/process/fleet/route-crashes.ts
@@ -4,14 +4,12 @@
 import type {CrashMonitor} from '../crashes/crash-monitor.ts';
 import type {UpstreamRegistry} from './upstream-registry.ts';
 
-/** A request that must not be sent now, with the time after which it may be. */
+/** A request that must not be sent now, with the time after which it may be; `pending`: it is not settled whether the request crashes upstreams. */
 export type CrashRefusal = {
 	readonly status: 'condemned' | 'pending';
 	readonly retryAfterMs: number;
 };
 
-/** Time in which a pending request is condemned or freed, in milliseconds. */
-const pendingRetryMs = 2000;
 const noUpstreams: ReadonlySet<string> = new Set();
 let lastAttemptId = 0;
 
@@ -27,12 +25,8 @@
 
 	/** Returns why a request must not be sent; undefined if it may be. */
 	findRefusal(fingerprint: string): CrashRefusal | undefined {
-		const status = this.#monitor.statusOf(fingerprint);
-		if (status === 'condemned') {
-			return {status, retryAfterMs: this.#monitor.refusedForMs(fingerprint)};
-		}
-
-		return status === 'pending' ? {status, retryAfterMs: pendingRetryMs} : undefined;
+		const retryAfterMs = this.#monitor.withheldForMs(fingerprint);
+		return retryAfterMs > 0 ? {status: this.#monitor.statusOf(fingerprint) === 'condemned' ? 'condemned' : 'pending', retryAfterMs} : undefined;
 	}
 
 	/** Records the start of a send to an upstream; the returned function must be called with its result. */
--- a/test/process/crashes/crash-attribution.test.ts
+++ b/test/process/crashes/crash-attribution.test.ts
@@ -53,12 +53,28 @@
 		crash(attribution, 'u1', ['p', 'a'], 0);
 		crash(attribution, 'u2', ['p', 'a'], 1000);
 		expect(['p', 'a'].map(name => attribution.statusOf(name, 1100))).toEqual(['contested', 'contested']);
-		attribution.attemptStarted(1, {upstream: 'u1', fingerprint: 'a', startedAt: 1200});
-		expect(attribution.selectAllowed('p', [{id: 'u1'}], 1200)).toEqual([]);
-		expect(attribution.selectAllowed('p', [{id: 'u1'}, {id: 'u2'}], 1200)).toEqual([{id: 'u2'}]);
-		crash(attribution, 'u2', ['p'], 1300);
-		attribution.tick(1310 + decisionDelayMs);
-		expect(['p', 'a'].map(name => attribution.statusOf(name, 3400))).toEqual(['condemned', 'free']);
+		attribution.attemptStarted(1, {upstream: 'u1', fingerprint: 'a', startedAt: 1400});
+		expect(attribution.selectAllowed('p', [{id: 'u1'}], 1900)).toEqual([]);
+		expect(attribution.selectAllowed('p', [{id: 'u1'}, {id: 'u2'}], 1900)).toEqual([{id: 'u2'}]);
+		crash(attribution, 'u2', ['p'], 2000);
+		attribution.tick(2010 + decisionDelayMs);
+		expect(['p', 'a'].map(name => attribution.statusOf(name, 4100))).toEqual(['condemned', 'free']);
+	});
+
+	// Guards against contested requests running beside each other at different daemons, so that the next crash tells nothing.
+	it('lets contested requests start in turn, at all daemons in the same', () => {
+		const attribution = new CrashAttribution();
+		crash(attribution, 'u1', ['p', 'a'], 0);
+		crash(attribution, 'u2', ['p', 'a'], 1000);
+		const maySend = (name: string) => Array.from({length: 24}, (_, index) => 1050 + (index * 100)).filter(now => attribution.withheldForMs(name, now) === 0);
+		const [a, p] = [maySend('a'), maySend('p')];
+		expect(a.length).toBeGreaterThan(0);
+		expect(p.length).toBeGreaterThan(0);
+		expect(a.filter(time => p.includes(time))).toEqual([]);
+		for (const time of [1100, 1500, 2500]) {
+			const withheldMs = attribution.withheldForMs('p', time);
+			expect(attribution.withheldForMs('p', time + withheldMs)).toBe(0);
+		}
 	});
 
 	it('stops suspecting a request once another request on the same upstream completes', () => {
@@ -149,6 +165,25 @@
 		expect(new Set(completedHarmlessRequests)).toEqual(new Set([singleCulprit.harmlessRequests]));
 	});
 
+	/** Crashes that one request may cause in all, whatever the number of daemons. */
+	const maxCrashes = 4;
+
+	// Guards against each daemon counting for itself, or all of them running several suspects beside each other.
+	it.each([
+		['one daemon before 3 upstreams', {daemons: 1, upstreams: 3}],
+		['one daemon before 8 upstreams', {daemons: 1, upstreams: 8}],
+		['2 daemons before 8 upstreams', {daemons: 2, upstreams: 8}],
+		['8 daemons before 8 upstreams', {daemons: 8, upstreams: 8}],
+		['8 daemons before 13 upstreams', {daemons: 8, upstreams: 13}],
+		['2 daemons before 3 upstreams', {daemons: 2, upstreams: 3}],
+	])('%s that restart in 600 ms: crashes at most four, and condemns no harmless request', (_, options) => {
+		const reports = Array.from({length: 100}, (__, seed) => new CrashSchedule({
+			...singleCulprit, ...options, restartMs: 600, seed: seed + 1,
+		}).run());
+		expect(reports.reduce((sum, report) => sum + report.condemnedHarmlessRequests, 0)).toBe(0);
+		expect(Math.max(...reports.flatMap(({crashes}) => crashes))).toBeLessThanOrEqual(maxCrashes);
+	});
+
 	// Shows that the schedules above detect an implementation without the guard.
 	it.each<[keyof CrashAttributionGuards, Omit<CrashScheduleOptions, 'seed'>, 'condemned' | 'crashes']>([
 		['requiresUniqueCulprit', singleCulprit, 'condemned'],
--- a/test/process/crashes/crash-monitor.test.ts
+++ b/test/process/crashes/crash-monitor.test.ts
@@ -79,7 +79,7 @@
 		expect(daemons.statuses(poison)).toEqual(['pending', 'pending', 'pending']);
 		daemons.settle();
 		expect(daemons.statuses(poison)).toEqual(['condemned', 'condemned', 'condemned']);
-		expect(daemons.monitors[2]!.refusedForMs(poison)).toBeGreaterThan(refusalDurationMs - 100);
+		expect(daemons.monitors[2]!.withheldForMs(poison)).toBeGreaterThan(refusalDurationMs - 100);
 	});
 
 	test('is recognised under another id, from another address and under another spelling of its host', () => {
