--- a/src/connection/row-exchange.ts
+++ b/src/connection/row-exchange.ts
@@ -50,16 +50,28 @@
 
 /** Answers another daemon's request for rows; `share` returns undefined for a table that this daemon does not read. */
 export function serveSharedRows(request: IncomingMessage, response: ServerResponse, share: (table: string, after: number | undefined) => SharedRows | undefined): void {
-	const url = new URL(request.url ?? '/', 'http://daemon');
-	const after = url.searchParams.get('after');
-	const shared = url.pathname.startsWith(pathPrefix)
-		? share(decodeURIComponent(url.pathname.slice(pathPrefix.length)), after === null ? undefined : Number(after))
-		: undefined;
+	const target = parseTarget(request.url ?? '/');
+	const shared = target === undefined ? undefined : share(target.table, target.after);
 	response.statusCode = shared === undefined ? 404 : 200;
 	response.setHeader('connection', 'close');
 	response.end(shared === undefined ? '' : JSON.stringify(encodeAnswer(shared)));
 }
 
+/** Returns the table and version of a request's target; undefined if it names no table or cannot be decoded. */
+function parseTarget(target: string): {readonly table: string; readonly after: number | undefined} | undefined {
+	const [path = '', query = ''] = target.split('?', 2);
+	if (!path.startsWith(pathPrefix)) {
+		return undefined;
+	}
+
+	const after = new URLSearchParams(query).get('after');
+	try {
+		return {table: decodeURIComponent(path.slice(pathPrefix.length)), after: after === null ? undefined : Number(after)};
+	} catch {
+		return undefined;
+	}
+}
+
 function encodeAnswer({rows, ...rest}: SharedRows): GetType<typeof answerCodec> {
 	return {
 		...rest,
