--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -63,6 +63,7 @@
 	#pendingPrefills: PeerPrefill[] = [];
 	#pendingCrashNews: CrashNews[] = [];
 	#hasChangedTables = false;
+	#isSnapshotDue = false;
 	#batchTimer: NodeJS.Timeout | undefined;
 	#keepAliveTimer: NodeJS.Timeout | undefined;
 	#relayTimer: NodeJS.Timeout | undefined;
@@ -83,10 +84,16 @@
 			log,
 			self,
 			onMembers: members => {
+				const isFirst = !this.#isDirectoryRead;
 				this.#isDirectoryRead = true;
 				for (const member of members) {
 					this.topology.add(member, clock.now());
 				}
+
+				if (isFirst) {
+					// The others answer a daemon that has just started with the crash news that it lacks.
+					this.#scheduleSnapshot();
+				}
 			},
 		});
 		this.#socket.on('message', bytes => {
@@ -155,9 +162,20 @@
 		this.#socket.close();
 	}
 
+	/** Schedules a message that is like a keep-alive. */
+	#scheduleSnapshot(): void {
+		this.#isSnapshotDue = true;
+		this.#scheduleSend();
+	}
+
 	#scheduleSend(): void {
 		this.#batchTimer ??= setTimeout(() => {
 			this.#batchTimer = undefined;
+			if (this.#isSnapshotDue) {
+				this.#sendOwnMessage(this.#options.ownLoads(), true);
+				return;
+			}
+
 			const loads = new Map(this.#options.ownLoads().map(load => [load.upstream, load]));
 			const changedLoads = [...this.#changedUpstreams].map(upstream => loads.get(upstream) ?? {upstream, runs: 0, tokensByPriority: new Map<number, number>()});
 			this.#changedUpstreams.clear();
@@ -180,6 +198,7 @@
 		};
 		this.#pendingPrefills = [];
 		this.#pendingCrashNews = [];
+		this.#isSnapshotDue = false;
 		this.#hasChangedTables = false;
 		const targets = this.topology.ownTargets(now);
 		this.#setCurrentRelay(this.topology.isDirect ? 'none' : targets[0]?.daemon ?? 'self');
@@ -283,6 +302,9 @@
 		const {daemon, entry} = message;
 		if (this.peerLoads.apply(message, now)) {
 			this.#options.log.write('peers.seen', {peer: daemon, address: entry?.address});
+			if (this.#options.repeatedCrashNews(true).length > 0) {
+				this.#scheduleSnapshot();
+			}
 		}
 
 		if (entry !== undefined) {
--- a/test/process/peers/peer-link.test.ts
+++ b/test/process/peers/peer-link.test.ts
@@ -1,7 +1,9 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import {
 	describe, expect, test, vi,
 } from 'vitest';
 import {SystemClock} from '../../../src/process/clock.ts';
+import type {CrashNews} from '../../../src/process/crashes/crash-attribution.ts';
 import {DecisionLog} from '../../../src/process/fleet/decision-log.ts';
 import {PeerLink} from '../../../src/process/peers/peer-link.ts';
 import type {PeerPrefill} from '../../../src/process/peers/peer-message.ts';
@@ -13,12 +15,17 @@
 class LinkFixture implements AsyncDisposable {
 	readonly links: PeerLink[] = [];
 	readonly prefills: PeerPrefill[][] = [];
+	readonly crashNews: CrashNews[][] = [];
+	/** Crash news that each daemon has to repeat. */
+	repeatedCrashNews: readonly CrashNews[] = [];
 	readonly #table = new MemoryTable();
 
 	async start(zones: number, perZone: number): Promise<void> {
 		const ports = await chooseFreePorts(zones * perZone);
-		for (const [index, port] of ports.entries()) {
+		for (const port of ports) {
+			const index = this.links.length;
 			const prefills: PeerPrefill[] = [];
+			const received: CrashNews[] = [];
 			const link = new PeerLink({
 				clock: new SystemClock(),
 				log: new DecisionLog({}, (_bytes, done) => {
@@ -33,10 +40,10 @@
 				onPrefills(found) {
 					prefills.push(...found);
 				},
-				onCrashNews() {
-					// This test announces no crashes.
+				onCrashNews(news) {
+					received.push(news);
 				},
-				repeatedCrashNews: () => [],
+				repeatedCrashNews: () => this.repeatedCrashNews,
 				ownTables: () => [],
 				onTables() {
 					// No daemon of this test reads tables.
@@ -44,6 +51,7 @@
 			});
 			this.links.push(link);
 			this.prefills.push(prefills);
+			this.crashNews.push(received);
 			await link.start();
 		}
 	}
@@ -75,4 +83,18 @@
 			expect(prefills.slice(0, -1).every(found => hasShared(found))).toBe(true);
 		}, {timeout: 1000, interval: 10});
 	});
+
+	// Guards against a daemon that has just started sending a condemned request, because it hears of it only with the next keep-alive.
+	test('tell a daemon that has just started which requests are condemned', async () => {
+		await using fixture = new LinkFixture();
+		await fixture.start(2, 2);
+		fixture.repeatedCrashNews = [{kind: 'condemned', fingerprint: 'p', refusedForMs: 1000}];
+		await delay(1000);
+		const startedAt = performance.now();
+		await fixture.start(1, 1);
+		await vi.waitFor(() => {
+			expect(fixture.crashNews.at(-1)!.some(({fingerprint}) => fingerprint === 'p')).toBe(true);
+		}, {timeout: 400, interval: 10});
+		expect(performance.now() - startedAt).toBeLessThan(300);
+	});
 });
