--- a/test/soak/fault-proxy.ts
+++ b/test/soak/fault-proxy.ts
@@ -11,6 +11,8 @@
 /** TCP proxy on loopback in front of one server that delays or drops data and resets connections. */
 export class FaultProxy implements AsyncDisposable {
 	mode: ProxyMode = 'open';
+	/** Port while the proxy refuses connections. */
+	#port = 0;
 	readonly #target: string;
 	readonly #sockets = new Set<Socket>();
 	readonly #server = createServer({allowHalfOpen: true}, socket => {
@@ -23,8 +25,8 @@
 
 	/** Address as `IP:PORT`; empty before the start. */
 	get address(): string {
-		const address = this.#server.address();
-		return typeof address === 'object' && address !== null ? `127.0.0.1:${address.port}` : '';
+		const port = this.#listeningPort;
+		return port === 0 ? '' : `127.0.0.1:${port}`;
 	}
 
 	/** Listens on a free loopback port. */
@@ -33,6 +35,19 @@
 		await once(this.#server, 'listening');
 	}
 
+	/** Refuses connections, as the address of a process that has ended does, until `reopen`. */
+	refuse(): void {
+		this.#port = this.#listeningPort;
+		this.#server.close();
+		this.reset();
+	}
+
+	/** Accepts connections at the same address again. */
+	async reopen(): Promise<void> {
+		this.#server.listen(this.#port, '127.0.0.1');
+		await once(this.#server, 'listening');
+	}
+
 	/** Resets all connections. */
 	reset(): void {
 		for (const socket of this.#sockets) {
@@ -45,6 +60,11 @@
 		this.reset();
 	}
 
+	get #listeningPort(): number {
+		const address = this.#server.address();
+		return typeof address === 'object' && address !== null ? address.port : this.#port;
+	}
+
 	#accept(socket: Socket): void {
 		if (this.mode === 'refused') {
 			socket.resetAndDestroy();
--- a/test/soak/invariants.ts
+++ b/test/soak/invariants.ts
@@ -1,6 +1,7 @@
 import type {ReceivedRequest} from '../fixtures/fleet/upstream-server.ts';
 import {readEventIds} from '../fixtures/fleet/fleet-fixture.ts';
 import {requestKinds, type CallerRequest} from './caller-load.ts';
+import {crashTarget} from './crashing-caller.ts';
 
 /** A span of time on the monotonic clock, in milliseconds. */
 export type TimeSpan = {readonly from: number; readonly to: number};
@@ -16,6 +17,8 @@
 	/** All requests that upstreams received. */
 	readonly seen: readonly ReceivedRequest[];
 	readonly orders: readonly ObservedOrder[];
+	/** Times at which the request of the crashing caller crashed an upstream. */
+	readonly crashTimes: readonly number[];
 	/** Requests that reached an upstream after it was marked as leaving. */
 	readonly afterLeaving: ReadonlyArray<{readonly request: string; readonly upstream: string; readonly leftAt: number; readonly at: number}>;
 	/** For each daemon, the times during which a fault affected it or its connection to the store. */
@@ -38,6 +41,9 @@
 const machineDelayMs = 1000;
 /** Least time between orders of two lease holders (setting `lease-ms`). */
 const leaseMs = 3000;
+/** Crashes after which all daemons must recognise a request, and the number of later ones that is tolerated. */
+const crashesToRecognise = 3;
+const maxLateCrashes = 3;
 /** Statuses with which a daemon refuses a request that did not run. */
 const refusalStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
@@ -47,6 +53,7 @@
 		...checkRuns(observations),
 		...checkAnswers(observations),
 		...checkTimes(observations),
+		...checkCrashes(observations),
 		...checkOrders(observations.orders),
 		...checkLeaving(observations),
 		...checkPlannedStops(observations),
@@ -61,7 +68,7 @@
 		counts.set(id, (counts.get(id) ?? 0) + 1);
 	}
 
-	const unexpected = seen.filter(({url}) => !url.startsWith('/api/')).flatMap(({headers, url, body}) => {
+	const unexpected = seen.filter(({url}) => !url.startsWith('/api/') && url !== crashTarget).flatMap(({headers, url, body}) => {
 		const request = requestsById.get(String(headers['x-request-id']));
 		return request?.body === body && url === `${requestKinds[request.kind].path}${request.id}` ? [] : [`an upstream received ${url}, which no caller sent in this form`];
 	});
@@ -99,6 +106,14 @@
 	});
 }
 
+/** Checks that a request that crashes upstreams is recognised by all daemons in time. */
+function checkCrashes({crashTimes}: Observations): readonly string[] {
+	const sorted = crashTimes.toSorted((a, b) => a - b);
+	const conclusiveAt = sorted[crashesToRecognise - 1] ?? Number.POSITIVE_INFINITY;
+	const late = sorted.filter(at => at > conclusiveAt + reconnectMs);
+	return late.length > maxLateCrashes ? [`a request that had crashed ${crashesToRecognise} upstreams crashed ${late.length} more later than ${reconnectMs} ms after them`] : [];
+}
+
 function checkOrders(orders: readonly ObservedOrder[]): readonly string[] {
 	const holders = new Map<number, string>();
 	const sorted = orders.toSorted((a, b) => a.at - b.at);
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -12,10 +12,11 @@
 import {runSoak} from './soak.ts';
 
 const millisecondsPerSecond = 1000;
-const {seeds, seconds, daemons, logs} = await yargs(hideBin(process.argv))
+const {seeds, seconds, daemons, crashing, logs} = await yargs(hideBin(process.argv))
 	.option('seeds', {type: 'string', default: '1-5', describe: 'Seeds to run: FIRST-LAST or a single seed'})
 	.option('seconds', {type: 'number', default: 8, describe: 'Seconds during which faults are injected'})
 	.option('daemons', {type: 'number', default: 4, describe: 'Number of daemon processes'})
+	.option('crashing', {type: 'boolean', default: false, describe: 'Adds a caller with a request that crashes upstreams'})
 	.option('logs', {type: 'string', describe: 'Folder for the faults and logs of runs with violations'})
 	.strict()
 	.parse();
@@ -24,10 +25,10 @@
 let failures = 0;
 for (let seed = first; seed <= last; seed += 1) {
 	const result = await runSoak({
-		bundle, seed, daemons, faultPeriodMs: seconds * millisecondsPerSecond,
+		bundle, seed, daemons, faultPeriodMs: seconds * millisecondsPerSecond, hasCrashingCaller: crashing,
 	});
 	failures += result.violations.length === 0 ? 0 : 1;
-	console.log(`seed ${seed}: ${result.faults.length} faults, ${result.served} of ${result.requests} requests served, ${result.violations.length} violations`);
+	console.log(`seed ${seed}: ${result.faults.length} faults, ${crashing ? `${result.crashes} crashes, ` : ''}${result.served} of ${result.requests} requests served, ${result.violations.length} violations`);
 	for (const line of result.violations) {
 		console.log(`  ${line}`);
 	}
--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -70,7 +70,7 @@
 	readonly storeProxies: FaultProxy[] = [];
 	/** For each daemon, the times during which a fault affected it or its connection to the store. */
 	readonly disruptions: TimeSpan[][] = [];
-	#heartbeat: NodeJS.Timeout | undefined;
+	readonly #timers: NodeJS.Timeout[] = [];
 	#version = 1;
 
 	/** Starts the store, the upstreams and the daemons, and waits until all daemons are ready. */
@@ -83,11 +83,11 @@
 			await this.#addUpstream({id: `engine-${index + zones.length}`, stage: 'decode', eventCount: 4}, availabilityZone);
 		}
 
-		this.#heartbeat = setInterval(() => {
+		this.repeat(heartbeatMs, () => {
 			for (const upstream of this.upstreams) {
 				upstream.writeEntry(this.store);
 			}
-		}, heartbeatMs);
+		});
 		const ports = await chooseFreePorts(daemons * portsPerDaemon);
 		for (let index = 0; index < daemons; index += 1) {
 			const proxy = new FaultProxy(this.store.address);
@@ -104,6 +104,11 @@
 		await this.waitUntilReady();
 	}
 
+	/** Calls a function at an interval in milliseconds until the deployment ends. */
+	repeat(intervalMs: number, run: () => void): void {
+		this.#timers.push(setInterval(run, intervalMs));
+	}
+
 	/** Waits until all daemons report that they are ready; throws after a timeout. */
 	async waitUntilReady(): Promise<void> {
 		for (const deadline = performance.now() + readyTimeoutMs; ;) {
@@ -127,7 +132,7 @@
 	}
 
 	/** Returns what the upstreams observed, as input for the checks. */
-	observe(): Pick<Observations, 'ran' | 'seen' | 'orders' | 'afterLeaving'> {
+	observe(): Pick<Observations, 'ran' | 'seen' | 'orders' | 'crashTimes' | 'afterLeaving'> {
 		const servers = this.upstreams.map(({server}) => server);
 		return {
 			ran: servers.flatMap(({startedRequestIds: ran}) => ran),
@@ -138,6 +143,7 @@
 					engine: address, holder, fence, at,
 				};
 			})),
+			crashTimes: servers.flatMap(({crashTimes}) => crashTimes),
 			afterLeaving: this.upstreams.flatMap(({server, leavingSince}) => server.receivedRequests.flatMap(({headers, url, receivedAt: at}) => {
 				const upstream = String(headers['x-expect-instance']);
 				const leftAt = leavingSince.get(upstream);
@@ -151,7 +157,10 @@
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
-		clearInterval(this.#heartbeat);
+		for (const timer of this.#timers) {
+			clearInterval(timer);
+		}
+
 		await Promise.all(this.daemons.map(async daemon => daemon[Symbol.asyncDispose]()));
 		await Promise.all([...this.storeProxies, ...this.upstreams.map(({proxy}) => proxy)].map(async proxy => proxy[Symbol.asyncDispose]()));
 		await Promise.all(this.upstreams.map(async ({server}) => server[Symbol.asyncDispose]()));
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -16,13 +16,14 @@
 	});
 
 	test.each([
-		['short run', 1, 3, 5000],
-		['short run', 2, 3, 5000],
-		['the proxy forwarded a reset as a FIN', 10, 4, 8000],
-		['a SIGHUP during startup ended a daemon', 42, 4, 8000],
-	])('has no violations: %s, seed %i', async (_reason, seed, daemons, faultPeriodMs) => {
+		['short run', 1, 3, 5000, false],
+		['short run', 2, 3, 5000, false],
+		['the proxy forwarded a reset as a FIN', 10, 4, 8000, false],
+		['a SIGHUP during startup ended a daemon', 42, 4, 8000, false],
+		['with a request that crashes upstreams', 3, 4, 12_000, true],
+	])('has no violations: %s, seed %i', async (_reason, seed, daemons, faultPeriodMs, hasCrashingCaller) => {
 		const {violations, served} = await runSoak({
-			bundle, seed, daemons, faultPeriodMs,
+			bundle, seed, daemons, faultPeriodMs, hasCrashingCaller,
 		});
 		expect(violations).toEqual([]);
 		expect(served).toBeGreaterThan(50);
@@ -43,7 +44,7 @@
 		id: 'r1', kind: 'book', daemon: 0, body: 'body of r1', sentAt: 0, endedAt: 100, status: 200, seal: 'seal-desk-1', answeredId: 'r1', received: 'done1', isComplete: true,
 	};
 	const healthyRun: Observations = {
-		requests: [book], ran: ['r1'], seen: [], orders: [], afterLeaving: [], disruptions: [[]], plannedStops: [], unexpectedEnds: [],
+		requests: [book], ran: ['r1'], seen: [], orders: [], crashTimes: [], afterLeaving: [], disruptions: [[]], plannedStops: [], unexpectedEnds: [],
 	};
 	const order = {
 		engine: 'e', holder: 'daemon-0', fence: 1, at: 0,
@@ -65,6 +66,7 @@
 				method: 'POST', url: '/book/r9', headers: {'x-request-id': 'r9'}, body: '', receivedAt: 0,
 			}],
 		}, /no caller sent/v],
+		['a crashing request that is not recognised', {crashTimes: [0, 1, 2, 6000, 6001, 6002, 6003]}, /crashed 4 more/v],
 		['two daemons that order with the same fencing number', {orders: [order, {...order, holder: 'daemon-1', at: 9000}]}, /fencing number 1/v],
 		['orders of two lease holders within one lease period', {
 			orders: [order, {
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -1,5 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {CallerLoad, requestKinds, type RequestKind} from './caller-load.ts';
+import {CrashingCaller, crashTarget} from './crashing-caller.ts';
 import type {ProxyMode} from './fault-proxy.ts';
 import {generateFaults, type Fault} from './fault-schedule.ts';
 import {findViolations} from './invariants.ts';
@@ -13,6 +14,8 @@
 	readonly daemons: number;
 	/** Time during which faults are injected, in milliseconds. */
 	readonly faultPeriodMs: number;
+	/** Adds a caller with a request that crashes plain upstreams. @default false */
+	readonly hasCrashingCaller?: boolean;
 };
 
 /** Result of a soak run. */
@@ -21,6 +24,8 @@
 	readonly violations: readonly string[];
 	readonly requests: number;
 	readonly served: number;
+	/** Upstreams that the request of the crashing caller has crashed. */
+	readonly crashes: number;
 	readonly faults: readonly Fault[];
 	/** End of the log of each daemon. */
 	readonly logs: readonly string[];
@@ -29,17 +34,26 @@
 /** Time after the last fault within which each daemon must serve each kind of request again, in milliseconds. */
 const recoveryMs = 12_000;
 const restartDelayMs = 300;
+const crashCheckIntervalMs = 5;
+const crashedForMs = 400;
 const linkModes: readonly ProxyMode[] = ['silent', 'answersLost', 'refused', 'slow'];
 const answerFaultFlags = ['losesAnswer', 'cutsBody', 'sendsExtra', 'crossesAnswers', 'resetsUnframed', 'endsAndResets', 'endsUnframed'] as const;
 /** A stop counts as planned when no other fault is active this long before it or begins this long after it; otherwise the other fault may have broken an answer. */
 const quietAroundStopMs = 3000;
 
 /** Runs callers and seeded faults against real daemon processes and checks the invariants with what callers and upstreams observed. */
-export async function runSoak({bundle, seed, daemons, faultPeriodMs}: SoakOptions): Promise<SoakResult> {
+export async function runSoak({bundle, seed, daemons, faultPeriodMs, hasCrashingCaller = false}: SoakOptions): Promise<SoakResult> {
 	await using deployment = new SoakDeployment();
 	await deployment.start(bundle, daemons);
-	await using load = new CallerLoad(deployment.daemons.map(({callerAddress: callers}) => callers), seed);
+	const addresses = deployment.daemons.map(({callerAddress: callers}) => callers);
+	await using load = new CallerLoad(addresses, seed);
 	load.start();
+	await using crashingCaller = new CrashingCaller(addresses);
+	if (hasCrashingCaller) {
+		restartCrashed(deployment);
+		crashingCaller.start();
+	}
+
 	const faults = generateFaults(seed, faultPeriodMs);
 	const plannedStops: Array<{readonly daemon: number; readonly at: number}> = [];
 	const startedAt = performance.now();
@@ -67,6 +81,7 @@
 		],
 		requests: load.requests.length,
 		served: load.requests.filter(({status, isComplete}) => status === 200 && isComplete).length,
+		crashes: deployment.observe().crashTimes.length,
 		faults,
 		logs: deployment.daemons.map(({output}) => output),
 	};
@@ -216,6 +231,26 @@
 	}
 }
 
+/** Makes plain upstreams crash under the request of the crashing caller, and restarts them until the deployment ends. */
+function restartCrashed(deployment: SoakDeployment): void {
+	const plainUpstreams = deployment.upstreams.filter(({server}) => server.behaviour.stage === undefined);
+	for (const {server} of plainUpstreams) {
+		server.behaviour.crashPath = crashTarget;
+	}
+
+	deployment.repeat(crashCheckIntervalMs, () => {
+		for (const upstream of plainUpstreams.filter(({server, isListed}) => server.isDown && isListed)) {
+			void restartRefusing(deployment, upstream);
+		}
+	});
+}
+
+async function restartRefusing(deployment: SoakDeployment, upstream: SoakUpstream): Promise<void> {
+	upstream.proxy.refuse();
+	await crashAndRestart(deployment, upstream, crashedForMs);
+	await upstream.proxy.reopen();
+}
+
 let incarnations = 0;
 
 async function restart(upstream: SoakUpstream): Promise<void> {
@@ -234,7 +269,10 @@
 	// The entry stays in the store for a while without heartbeats, as after a real crash.
 	upstream.isListed = false;
 	const {id} = upstream.server.behaviour;
-	await upstream.server.crash();
+	if (!upstream.server.isDown) {
+		await upstream.server.crash();
+	}
+
 	await delay(forMs);
 	store.remove('servers', id);
 	await restart(upstream);
