--- a/src/process/crashes/crash-attribution.ts
+++ b/src/process/crashes/crash-attribution.ts
@@ -48,9 +48,14 @@
 const maxReportedRequests = 32;
 const maxCompletedRequests = 10_000;
 
-/** Age up to which suspicions are repeated to peers that may have missed them, in milliseconds, and their maximum number. */
-const repeatedForMs = 10_000;
-const maxRepeatedNews = 24;
+/** Age up to which suspicions are repeated to peers that may have missed them, in milliseconds. */
+const repeatedForMs = 5000;
+/** Maximum numbers of condemnations and suspicions that are repeated; each daemon repeats its own. */
+const maxRepeatedCondemnations = 8;
+const maxRepeatedSuspicions = 6;
+
+/** Least time between two evaluations because of news, in milliseconds; many upstreams that fail together bring thousands of items. */
+const newsEvaluationIntervalMs = 20;
 
 /** All safety checks enabled. */
 export const allCrashAttributionGuards: CrashAttributionGuards = {
@@ -68,6 +73,8 @@
 	readonly #suspectedCrashes = new Map<string, SuspectedCrash>();
 	readonly #refusedAt = new Map<string, number>();
 	#news: CrashNews[] = [];
+	#hasUnevaluatedNews = false;
+	#evaluatedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(guards: CrashAttributionGuards = allCrashAttributionGuards) {
 		this.#guards = guards;
@@ -143,6 +150,7 @@
 
 	/** Returns how strongly a request is suspected. */
 	statusOf(fingerprint: string, now: number): SuspicionStatus {
+		this.#evaluateNews(now);
 		const status = this.#history.statusOf(fingerprint, now);
 		return status === 'free' && this.#isInSuspectedCrash(fingerprint) ? 'suspect' : status;
 	}
@@ -198,7 +206,8 @@
 			}
 		}
 
-		this.#evaluate(now);
+		this.#hasUnevaluatedNews = true;
+		this.#evaluateNews(now);
 	}
 
 	/** Selects the upstreams on which a request may run: suspects run on different upstreams, and other requests avoid them if enough upstreams remain. */
@@ -245,10 +254,12 @@
 		}
 
 		const condemned = this.#history.condemned(now, !isRelay).map(entry => ({kind: 'condemned' as const, ...entry}));
-		const suspected = this.#history.localSuspects(now - repeatedForMs).map(({fingerprint, upstream, at}) => ({
-			kind: 'suspected' as const, fingerprint, upstream, ageMs: Math.round(now - at),
-		}));
-		return [...condemned.slice(-maxRepeatedNews), ...suspected.slice(-maxRepeatedNews)];
+		const suspected = this.#history.localSuspects(now - repeatedForMs)
+			.toSorted((a, b) => this.#history.countCrashes(b.fingerprint) - this.#history.countCrashes(a.fingerprint) || b.at - a.at)
+			.map(({fingerprint, upstream, at}) => ({
+				kind: 'suspected' as const, fingerprint, upstream, ageMs: Math.round(now - at),
+			}));
+		return [...condemned.slice(-maxRepeatedCondemnations), ...suspected.slice(0, maxRepeatedSuspicions)];
 	}
 
 	#confirmCrash(upstream: string, now: number): readonly InFlightAttempt[] {
@@ -278,7 +289,15 @@
 		return attempts;
 	}
 
+	#evaluateNews(now: number): void {
+		if (this.#hasUnevaluatedNews && now - this.#evaluatedAt >= newsEvaluationIntervalMs) {
+			this.#evaluate(now);
+		}
+	}
+
 	#evaluate(now: number): void {
+		this.#hasUnevaluatedNews = false;
+		this.#evaluatedAt = now;
 		const {condemned, lifted} = this.#history.evaluate(now);
 		// All daemons come to the same conclusions; only those that observed a crash themselves announce them.
 		for (const fingerprint of condemned.filter(candidate => this.#history.hasLocalCrash(candidate))) {
--- a/src/process/crashes/crash-history.ts
+++ b/src/process/crashes/crash-history.ts
@@ -39,6 +39,8 @@
 /** Crashes of several upstreams within this time may share a cause other than a request, in milliseconds. */
 const correlatedFailureWindowMs = 2000;
 const maxCrashRecords = 300;
+/** Interval at which refusals that have ended are deleted, in milliseconds; they have no effect before. */
+const refusalExpiryIntervalMs = 1000;
 /** Condemned requests that are remembered; beyond it the oldest are free again. */
 const maxCondemned = 10_000;
 
@@ -63,6 +65,7 @@
 	readonly #pendingSince = new Map<string, number>();
 	readonly #condemnedUntil = new Map<string, number>();
 	readonly #peerRefusedUntil = new Map<string, number>();
+	#refusalsExpiredAt = Number.NEGATIVE_INFINITY;
 	#records: readonly CrashRecord[] = [];
 	#recordsOf = new Map<string, readonly CrashRecord[]>();
 
@@ -210,7 +213,9 @@
 		}
 
 		// A request whose crashes are no longer recorded, because there were many others since, stays condemned.
-		const lifted = [...this.#condemnedUntil.keys()].filter(fingerprint => !likely.has(fingerprint) && this.countCrashes(fingerprint) >= minCrashesToCondemn);
+		const lifted = [...this.#recordsOf]
+			.filter(([fingerprint, records]) => records.length >= minCrashesToCondemn && this.#condemnedUntil.has(fingerprint) && !likely.has(fingerprint))
+			.map(([fingerprint]) => fingerprint);
 		for (const fingerprint of lifted) {
 			this.#condemnedUntil.delete(fingerprint);
 		}
@@ -243,12 +248,10 @@
 
 	#expire(now: number): void {
 		this.#records = this.#records.filter(({at}) => now - at < refusalDurationMs);
-		for (const refusals of [this.#peerRefusedUntil, this.#condemnedUntil]) {
-			for (const [fingerprint, until] of refusals) {
-				if (until <= now) {
-					refusals.delete(fingerprint);
-				}
-			}
+		if (now - this.#refusalsExpiredAt >= refusalExpiryIntervalMs) {
+			this.#refusalsExpiredAt = now;
+			deleteExpired(this.#peerRefusedUntil, now);
+			deleteExpired(this.#condemnedUntil, now);
 		}
 	}
 
@@ -299,3 +302,11 @@
 		entries.delete(oldest);
 	}
 }
+
+function deleteExpired(entries: Map<string, number>, now: number): void {
+	for (const [key, until] of entries) {
+		if (until <= now) {
+			entries.delete(key);
+		}
+	}
+}
--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -43,6 +43,8 @@
 const relayIntervalMs = 50;
 /** Interval at which a relay sends even without messages to forward, in milliseconds, so that its silence shows that it is gone. */
 const relayKeepAliveIntervalMs = 100;
+/** Maximum number of items of crash news that wait for the next message; those of the latest crashes are kept. */
+const maxPendingCrashNews = 100;
 /** Fraction of its host's bandwidth that a relay may use; on a slow link it forwards less often. */
 const maxRelayLinkFraction = 0.2;
 /** Fits one Ethernet frame of 1,500 bytes; longer datagrams are lost on networks that do not reassemble fragments. */
@@ -143,7 +145,7 @@
 
 	/** Announces news about a request that may crash upstreams. */
 	announceCrash(news: CrashNews): void {
-		this.#pendingCrashNews.push(news);
+		this.#pendingCrashNews = [...this.#pendingCrashNews, news].slice(-maxPendingCrashNews);
 		this.#scheduleSend();
 	}
 
--- a/test/process/crashes/crash-attribution.test.ts
+++ b/test/process/crashes/crash-attribution.test.ts
@@ -128,6 +128,19 @@
 		expect(['a', 'b'].map(name => attribution.statusOf(name, 2600))).toEqual([status, status]);
 	});
 
+	// Guards against memory that grows with the number of crashing requests, and against new ones freeing those condemned before.
+	it('keeps 10,000 requests condemned, and no more', {timeout: 60_000}, () => {
+		const attribution = new CrashAttribution();
+		for (let index = 0; index <= 10_000; index += 1) {
+			attribution.applyNews({kind: 'condemned', fingerprint: `p${index}`, refusedForMs: 600_000}, index * 10);
+		}
+
+		const now = 100_010;
+		const condemned = Array.from({length: 10_001}, (_, index) => attribution.statusOf(`p${index}`, now)).filter(status => status === 'condemned');
+		expect(condemned).toHaveLength(10_000);
+		expect(attribution.repeatNews(now, true).length).toBeLessThanOrEqual(14);
+	});
+
 	it('returns the candidates unchanged while nothing has crashed', () => {
 		const candidates = [{id: 'u1'}, {id: 'u2'}];
 		expect(new CrashAttribution().selectAllowed('a', candidates, 0)).toBe(candidates);
@@ -169,21 +182,34 @@
 	const maxCrashes = 4;
 
 	// Guards against each daemon counting for itself, or all of them running several suspects beside each other.
-	it.each([
+	it.each<[string, Pick<CrashScheduleOptions, 'daemons' | 'upstreams'>, number?]>([
 		['one daemon before 3 upstreams', {daemons: 1, upstreams: 3}],
 		['one daemon before 8 upstreams', {daemons: 1, upstreams: 8}],
 		['2 daemons before 8 upstreams', {daemons: 2, upstreams: 8}],
 		['8 daemons before 8 upstreams', {daemons: 8, upstreams: 8}],
 		['8 daemons before 13 upstreams', {daemons: 8, upstreams: 13}],
-		['2 daemons before 3 upstreams', {daemons: 2, upstreams: 3}],
-	])('%s that restart in 600 ms: crashes at most four, and condemns no harmless request', (_, options) => {
-		const reports = Array.from({length: 100}, (__, seed) => new CrashSchedule({
+		['2 daemons before 3 upstreams', {daemons: 2, upstreams: 3}, 1000],
+	])('%s that restart in 600 ms: crashes at most four, and condemns no harmless request', (_, options, schedules = 100) => {
+		const reports = Array.from({length: schedules}, (__, seed) => new CrashSchedule({
 			...singleCulprit, ...options, restartMs: 600, seed: seed + 1,
 		}).run());
 		expect(reports.reduce((sum, report) => sum + report.condemnedHarmlessRequests, 0)).toBe(0);
 		expect(Math.max(...reports.flatMap(({crashes}) => crashes))).toBeLessThanOrEqual(maxCrashes);
 	});
 
+	/** Time after its third crash within which a request must be known to all daemons, in milliseconds. */
+	const knownAfterMs = 3000;
+
+	// Guards against news that is told once and lost.
+	it.each([[2, 8], [8, 13]])('%i daemons before %i upstreams, with a third of the news lost: no crash later than 3 s after the third, and condemns no harmless request', (daemons, upstreams) => {
+		const reports = Array.from({length: 50}, (_, seed) => new CrashSchedule({
+			...singleCulprit, daemons, upstreams, restartMs: 600, newsLoss: 1 / 3, seed: seed + 1,
+		}).run());
+		const late = reports.flatMap(({crashTimes}) => crashTimes.filter(time => time > (crashTimes[2] ?? Number.POSITIVE_INFINITY) + knownAfterMs));
+		expect(late).toEqual([]);
+		expect(reports.reduce((sum, report) => sum + report.condemnedHarmlessRequests, 0)).toBe(0);
+	});
+
 	// Shows that the schedules above detect an implementation without the guard.
 	it.each<[keyof CrashAttributionGuards, Omit<CrashScheduleOptions, 'seed'>, 'condemned' | 'crashes']>([
 		['requiresUniqueCulprit', singleCulprit, 'condemned'],
--- a/test/process/crashes/crash-monitor.test.ts
+++ b/test/process/crashes/crash-monitor.test.ts
@@ -11,6 +11,7 @@
 import {createRequest} from '../../fixtures/fleet/configuration.ts';
 
 const settleMs = 2000;
+const crashAfterMs = 60;
 const crashingRequest = createRequest({body: Buffer.from('poison')});
 const poison = createFingerprint(crashingRequest);
 
@@ -54,6 +55,7 @@
 
 	/** Runs a request at one daemon until it crashes its upstream. */
 	crash(daemon: number, fingerprint: string, upstream: string): void {
+		this.clock.advance(crashAfterMs);
 		this.run(daemon, fingerprint, upstream, 'lost');
 		this.monitors[daemon]!.upstreamDown(upstream, 'refused');
 	}
