--- a/examples/crashes.ts
+++ b/examples/crashes.ts
@@ -16,7 +16,7 @@
 		localAttribution.attemptEnded(attemptId, 'lost', now + 10);
 	}
 
-	localAttribution.upstreamDown(upstream, 'refused', now + 20);
+	localAttribution.upstreamDown(upstream, 'refused', now + 10);
 }
 
 crash('e1', ['culprit', 'bystander'], 0);
--- a/src/index.ts
+++ b/src/index.ts
@@ -92,7 +92,7 @@
 	refusalDurationMs, condemnationDelayMs, type CrashHistoryGuards, type SuspicionStatus,
 } from './process/crashes/crash-history.ts';
 export {
-	allCrashAttributionGuards, CrashAttribution, type CrashNews, type AttemptResult, type CrashAttributionGuards,
+	allCrashAttributionGuards, CrashAttribution, type CrashNews, type AttemptResult, type CrashAttributionGuards, type DownEvidence,
 } from './process/crashes/crash-attribution.ts';
 export type {InFlightAttempt} from './process/crashes/in-flight-attempts.ts';
 
