--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -10,6 +10,8 @@
 const zones = ['zone-a', 'zone-b', 'zone-c'];
 const heartbeatMs = 400;
 const readyTimeoutMs = 15_000;
+/** Part of the output of a daemon that does not become ready, in characters. */
+const maxReportedOutput = 2000;
 
 /** An upstream with the proxy whose address its entry in the store gives. */
 export class SoakUpstream {
@@ -118,7 +120,8 @@
 			}
 
 			if (performance.now() > deadline) {
-				throw new Error(`only ${ready.filter(Boolean).length} of ${ready.length} daemons became ready in time`);
+				const output = this.daemons.filter((_daemon, index) => ready[index] !== true).map(daemon => daemon.output.slice(-maxReportedOutput)).join('\n');
+				throw new Error(`only ${ready.filter(Boolean).length} of ${ready.length} daemons became ready in time; the others wrote: ${output}`);
 			}
 
 			await delay(50);
