Log which parts of prompts were in flight in a crash

The lines about a crash did not show what the prompts of different requests have in common, so that a shared part that crashes engines could not be told from a repeated request or from engines that crash by themselves.

--- a/src/process/fleet/route-crashes.ts
+++ b/src/process/fleet/route-crashes.ts
@@ -30,7 +30,7 @@
 	}
 
 	/** Records the start of a send to an upstream; the returned function must be called with its result. */
-	begin({id: request, method, host, target, callerAddress: caller}: RouteRequest, fingerprint: string, upstream: Upstream): (result: AttemptResult) => void {
+	begin({id: request, method, host, target, callerAddress: caller, prompt}: RouteRequest, fingerprint: string, upstream: Upstream): (result: AttemptResult) => void {
 		lastAttemptId += 1;
 		const attemptId = lastAttemptId;
 		this.#monitor.attemptStarted(attemptId, {
@@ -39,7 +39,7 @@
 			fingerprint,
 			startedAt: performance.now(),
 			details: {
-				request, method, host, target, caller,
+				request, method, host, target, caller, promptParts: prompt?.parts.slice(0, -1).map(({id}) => id),
 			},
 		});
 		return result => {
