--- a/test/process/fleet/crashing-request.test.ts
+++ b/test/process/fleet/crashing-request.test.ts
@@ -7,33 +7,11 @@
 /** Time after the third crash within which every daemon must refuse the request, in milliseconds. */
 const contactMs = 3000;
 
-/** Restarts each crashed upstream under a new id, as a platform does, until the returned function is called. */
-function restartCrashed(fleet: FleetFixture): () => Promise<void> {
-	const controller = new AbortController();
-	const loop = (async () => {
-		let starts = 0;
-		while (!controller.signal.aborted) {
-			await delay(20);
-			for (const upstream of fleet.upstreams.filter(({isDown}) => isDown)) {
-				await delay(restartMs);
-				starts += 1;
-				fleet.store.remove('servers', upstream.behaviour.id);
-				await upstream.restart(`u-restarted-${starts}`);
-				fleet.store.put('servers', upstream.behaviour.id, upstream.entry());
-			}
-		}
-	})();
-	return async () => {
-		controller.abort();
-		await loop;
-	};
-}
-
 describe('a request that crashes the upstreams that run it', () => {
 	test('crashes at most three, and is refused then when it comes back from another address', async () => {
 		await using fleet = new FleetFixture();
 		await fleet.start([{id: 'u-1', crashPath}, {id: 'u-2', crashPath}, {id: 'u-3', crashPath}]);
-		const stop = restartCrashed(fleet);
+		const stop = fleet.restartCrashed(restartMs);
 		const countCrashes = () => fleet.upstreams.reduce((sum, {startedRequestIds}) => sum + startedRequestIds.length, 0);
 		for (let caller = 2; caller < 12; caller += 1) {
 			await fleet.send({path: crashPath, callerHost: `127.0.1.${caller}`});
@@ -61,7 +39,7 @@
 	test('is no longer suspected once an upstream has answered it', async () => {
 		await using fleet = new FleetFixture();
 		await fleet.start([{id: 'u-1', crashPath: '/book/7'}, {id: 'u-2', crashPath: '/book/7'}, {id: 'u-3', crashPath: '/book/7'}]);
-		const stop = restartCrashed(fleet);
+		const stop = fleet.restartCrashed(restartMs);
 		expect(await fleet.status({path: '/book/7', method: 'POST'})).toBe(502);
 		await fleet.waitForLine('crash.attributed');
 		for (const {behaviour} of fleet.upstreams) {
