--- a/src/index.ts
+++ b/src/index.ts
@@ -89,8 +89,11 @@
 
 // Crash registry
 export {
-	refusalDurationMs, condemnationDelayMs, type CrashHistoryGuards, type SuspicionStatus,
+	type CrashHistoryGuards, type SuspicionStatus,
 } from './process/crashes/crash-history.ts';
+export {refusalDurationMs, condemnationDelayMs} from './process/crashes/crash-timing.ts';
+export type {CondemnedParts, PartRestriction} from './process/crashes/prompt-part-history.ts';
+export type {RequestIdentity} from './request/request-identity.ts';
 export {
 	allCrashAttributionGuards, CrashAttribution, type CrashNews, type AttemptResult, type CrashAttributionGuards, type DownEvidence,
 } from './process/crashes/crash-attribution.ts';
--- a/src/process/crashes/crash-attribution.ts
+++ b/src/process/crashes/crash-attribution.ts
@@ -1,19 +1,33 @@
-import {
-	CrashHistory, condemnationDelayMs, refusalDurationMs, type CrashHistoryGuards, type SuspicionStatus,
-} from './crash-history.ts';
+import type {RequestIdentity} from '../../request/request-identity.ts';
+import {CrashHistory, type CrashHistoryGuards, type SuspicionStatus} from './crash-history.ts';
+import {CrashRecords} from './crash-records.ts';
+import {condemnationDelayMs, refusalDurationMs} from './crash-timing.ts';
+import {PromptPartHistory, type CondemnedParts, type PartRestriction} from './prompt-part-history.ts';
 import {InFlightAttempts, type InFlightAttempt} from './in-flight-attempts.ts';
 
-/** Result of an attempt as far as crashes are concerned: `lost` if its connection broke while the upstream may have run it. */
-export type AttemptResult = 'complete' | 'lost' | 'other';
+/**
+Result of an attempt as far as crashes are concerned.
+
+- `complete`: the upstream has answered with a result.
+- `unframed`: the same, but only the end of the connection shows that the answer is complete, as after a crash.
+- `declined`: the upstream has answered with an error, which says nothing about the parts of the prompt.
+- `lost`: the connection broke while the upstream may have run the request.
+- `other`: the attempt ended otherwise, such as by its deadline.
+*/
+export type AttemptResult = 'complete' | 'unframed' | 'declined' | 'lost' | 'other';
 
 /** Crash information that daemons send to each other. */
 export type CrashNews
 	/** The request was in flight when an upstream crashed. */
-	= | {readonly kind: 'suspected'; readonly fingerprint: string; readonly upstream: string; readonly ageMs: number}
+	= | (RequestIdentity & {readonly kind: 'suspected'; readonly upstream: string; readonly ageMs: number})
 		/** The request is refused from now on. */
 		| {readonly kind: 'condemned'; readonly fingerprint: string; readonly refusedForMs: number}
 		/** The request has completed, or its crashes have another explanation. */
-		| {readonly kind: 'cleared'; readonly fingerprint: string};
+		| {readonly kind: 'cleared'; readonly fingerprint: string}
+		/** Requests that hold all these parts of prompts are refused from now on. */
+		| (CondemnedParts & {readonly kind: 'partsCondemned'})
+		/** A request with these parts has completed. */
+		| {readonly kind: 'partsCleared'; readonly promptParts: readonly string[]};
 
 /** Safety checks of crash attribution; tests disable single checks to show which failure each one prevents. */
 export type CrashAttributionGuards = CrashHistoryGuards & {
@@ -41,11 +55,14 @@
 /** Time after a refused connection for which a connection that was lost at the same moment may still be reported, in milliseconds. */
 const lateLossMs = 500;
 
+/** Time around the end of an unframed answer within which a sign of a crash shows that the answer was cut short, in milliseconds. */
+const cutAnswerWindowMs = 500;
+
 /** Time for which a completed request is not suspected, in milliseconds. */
 const completedTtlMs = 60_000;
 
 /** Maximum number of requests of one crash that are reported to peers; bounds the control traffic. */
-const maxReportedRequests = 32;
+const maxReportedRequests = 64;
 const maxCompletedRequests = 10_000;
 
 /** Age up to which suspicions are repeated to peers that may have missed them, in milliseconds. */
@@ -66,23 +83,30 @@
 export class CrashAttribution {
 	readonly #guards: CrashAttributionGuards;
 	readonly #attempts = new InFlightAttempts();
+	readonly #records = new CrashRecords();
+	readonly #parts = new PromptPartHistory(this.#records);
 	readonly #history: CrashHistory;
 	/** Time at which each request completed last, the most recent ones at the end. */
 	readonly #completed = new Map<string, number>();
 	/** The latest suspected crash of each upstream. */
 	readonly #suspectedCrashes = new Map<string, SuspectedCrash>();
 	readonly #refusedAt = new Map<string, number>();
+	/** Attempts with an unframed answer that a crash may have cut short, by id. */
+	readonly #unconfirmedAnswers = new Map<number, {readonly attempt: InFlightAttempt; readonly endedAt: number}>();
 	#news: CrashNews[] = [];
 	#hasUnevaluatedNews = false;
+	/** Position from which the next repetition of suspicions goes on. */
+	#rotation = 0;
 	#evaluatedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(guards: CrashAttributionGuards = allCrashAttributionGuards) {
 		this.#guards = guards;
-		this.#history = new CrashHistory(guards);
+		this.#history = new CrashHistory(guards, this.#records, this.#parts);
 	}
 
 	/** Records the start of an attempt. */
 	attemptStarted(attemptId: number, attempt: InFlightAttempt): void {
+		this.#parts.recordRequest(attempt.promptParts);
 		this.#attempts.add(attemptId, attempt);
 	}
 
@@ -93,18 +117,20 @@
 			return [];
 		}
 
-		const {upstream, fingerprint} = attempt;
+		const {upstream} = attempt;
 		const crash = this.#suspectedCrashes.get(upstream);
 		const isInSuspectedCrash = crash?.attempts.has(attemptId) === true;
 		if (result === 'lost' && !isInSuspectedCrash) {
 			this.#suspectedCrashes.set(upstream, {
-				upstream, startedAt: now, attempts: this.#attempts.attemptsOn(upstream), isConfirmed: false,
+				upstream, startedAt: now, attempts: new Map([...this.#attempts.attemptsOn(upstream), ...this.#findCutAnswers(upstream, now)]), isConfirmed: false,
 			});
 		}
 
 		this.#attempts.remove(attemptId);
-		if (result === 'complete') {
-			this.#clearCompleted(fingerprint, now);
+		if (result === 'unframed') {
+			this.#unconfirmedAnswers.set(attemptId, {attempt, endedAt: now});
+		} else if (result === 'complete' || result === 'declined') {
+			this.#clearCompleted(result === 'complete' ? attempt : {...attempt, promptParts: []}, now);
 			if (isInSuspectedCrash && !crash.isConfirmed) {
 				// The upstream still answers, so it lost a connection without crashing.
 				this.#suspectedCrashes.delete(upstream);
@@ -126,6 +152,13 @@
 			this.#refusedAt.set(upstream, now);
 		}
 
+		const cutAnswers = this.#findCutAnswers(upstream, now);
+		if (cutAnswers.size > 0 && !this.#suspectedCrashes.has(upstream)) {
+			this.#suspectedCrashes.set(upstream, {
+				upstream, startedAt: now, attempts: cutAnswers, isConfirmed: false,
+			});
+		}
+
 		return this.#confirmCrash(upstream, now);
 	}
 
@@ -143,16 +176,31 @@
 			}
 		}
 
-		if (!this.#history.isEmpty) {
+		this.#confirmAnswers(now);
+		if (!this.#history.isEmpty || !this.#parts.isEmpty) {
 			this.#evaluate(now);
 		}
 	}
 
-	/** Returns how strongly a request is suspected. */
-	statusOf(fingerprint: string, now: number): SuspicionStatus {
+	/** Returns how strongly a request is suspected, by itself or because of its prompt. */
+	statusOf(request: RequestIdentity, now: number): SuspicionStatus {
 		this.#evaluateNews(now);
-		const status = this.#history.statusOf(fingerprint, now);
-		return status === 'free' && this.#isInSuspectedCrash(fingerprint) ? 'suspect' : status;
+		const status = this.#history.statusOf(request.fingerprint, now);
+		if (status === 'condemned' || status === 'pending') {
+			return status;
+		}
+
+		const restriction = this.restrictionOf(request, now);
+		if (restriction !== undefined) {
+			return restriction.kind;
+		}
+
+		return status === 'free' && this.#isInSuspectedCrash(request.fingerprint) ? 'suspect' : status;
+	}
+
+	/** Returns why a request must not be sent because of its prompt; undefined if its prompt is no reason. */
+	restrictionOf({promptParts}: RequestIdentity, now: number): PartRestriction | undefined {
+		return this.#parts.restrictionOf(promptParts, now);
 	}
 
 	/** Number of crashes that a request may have caused. */
@@ -160,26 +208,15 @@
 		return this.#history.countCrashes(fingerprint);
 	}
 
-	/** Time for which a request must not be sent, in milliseconds: until its refusal ends, its suspicion is settled, or its next turn begins; 0 if it may be sent. */
-	withheldForMs(fingerprint: string, now: number): number {
-		switch (this.#history.statusOf(fingerprint, now)) {
-			case 'condemned': {
-				return this.#history.refusedUntil(fingerprint) - now;
-			}
-
-			case 'pending': {
-				return condemnationDelayMs;
-			}
-
-			case 'contested': {
-				return this.#guards.separatesSuspects ? this.#history.turnDelayMs(fingerprint, now) : 0;
-			}
+	/** Number of crashes that each part of a prompt may have caused, for logs; parts without any are left out. */
+	countPartCrashes(promptParts: readonly string[]): Readonly<Record<string, number>> {
+		const counts = promptParts.map((part): readonly [string, number] => [part, this.#parts.countCrashes(part)]);
+		return Object.fromEntries(counts.filter(([, crashes]) => crashes > 0));
+	}
 
-			case 'suspect':
-			case 'free': {
-				return 0;
-			}
-		}
+	/** Time for which a request must not be sent, in milliseconds: until its refusal ends, its suspicion is settled, or its next turn begins; 0 if it may be sent. */
+	withheldForMs(request: RequestIdentity, now: number): number {
+		return Math.max(this.#withheldByItself(request.fingerprint, now), this.restrictionOf(request, now)?.withheldForMs ?? 0);
 	}
 
 	/** Applies news from another daemon. */
@@ -187,7 +224,7 @@
 		switch (news.kind) {
 			case 'suspected': {
 				if (!this.#hasCompleted(news.fingerprint, now)) {
-					this.#history.addPeerReport(news.upstream, now - news.ageMs, news.fingerprint);
+					this.#records.addPeerReport(news.upstream, now - news.ageMs, news);
 				}
 
 				break;
@@ -204,6 +241,17 @@
 				this.#history.removeRequest(news.fingerprint);
 				break;
 			}
+
+			case 'partsCondemned': {
+				// A daemon that has restarted may take a part for a culprit that others have seen in complete answers since.
+				this.#announceCleared(this.#parts.addPeerCondemnation(news, now));
+				break;
+			}
+
+			case 'partsCleared': {
+				this.#parts.clear(news.promptParts, now);
+				break;
+			}
 		}
 
 		this.#hasUnevaluatedNews = true;
@@ -211,13 +259,14 @@
 	}
 
 	/** Selects the upstreams on which a request may run: suspects run on different upstreams, and other requests avoid them if enough upstreams remain. */
-	selectAllowed<Upstream extends {readonly id: string}>(fingerprint: string, candidates: readonly Upstream[], now: number): readonly Upstream[] {
-		if (this.#history.isEmpty && this.#suspectedCrashes.size === 0) {
+	selectAllowed<Upstream extends {readonly id: string}>(request: RequestIdentity, candidates: readonly Upstream[], now: number): readonly Upstream[] {
+		if (this.#history.isEmpty && this.#parts.isEmpty && this.#suspectedCrashes.size === 0) {
 			return candidates;
 		}
 
-		const status = this.statusOf(fingerprint, now);
-		if (this.withheldForMs(fingerprint, now) > 0) {
+		const {fingerprint} = request;
+		const status = this.statusOf({fingerprint, promptParts: []}, now);
+		if (this.withheldForMs(request, now) > 0) {
 			return [];
 		}
 
@@ -249,17 +298,76 @@
 
 	/** Returns the news that a daemon needs which has just started or missed earlier ones; without `isRelay`, only about crashes that this daemon observed itself. */
 	repeatNews(now: number, isRelay: boolean): readonly CrashNews[] {
-		if (this.#history.isEmpty) {
+		if (this.#history.isEmpty && this.#parts.isEmpty) {
 			return [];
 		}
 
 		const condemned = this.#history.condemned(now, !isRelay).map(entry => ({kind: 'condemned' as const, ...entry}));
-		const suspected = this.#history.localSuspects(now - repeatedForMs)
-			.toSorted((a, b) => this.#history.countCrashes(b.fingerprint) - this.#history.countCrashes(a.fingerprint) || b.at - a.at)
-			.map(({fingerprint, upstream, at}) => ({
-				kind: 'suspected' as const, fingerprint, upstream, ageMs: Math.round(now - at),
-			}));
-		return [...condemned.slice(-maxRepeatedCondemnations), ...suspected.slice(0, maxRepeatedSuspicions)];
+		const parts = this.#parts.condemned(now, !isRelay).map(entry => ({kind: 'partsCondemned' as const, ...entry}));
+		return [
+			...condemned.slice(-maxRepeatedCondemnations),
+			...parts.slice(-maxRepeatedCondemnations),
+			...this.#repeatSuspicions(now),
+		];
+	}
+
+	/** News of some of the requests that were in flight in crashes that this daemon has just observed: the most suspected ones, and others in rotation. */
+	#repeatSuspicions(now: number): readonly CrashNews[] {
+		const suspicions = this.#records.all
+			.filter(({isLocal, at}) => isLocal && now - at <= repeatedForMs)
+			.flatMap(({upstream, at, requests}) => [...requests].map(([fingerprint, promptParts]) => ({
+				kind: 'suspected' as const, fingerprint, promptParts, upstream, ageMs: Math.round(now - at),
+			})));
+		const ordered = this.#orderBySuspicion(suspicions.toSorted((a, b) => a.ageMs - b.ageMs));
+		const others = ordered.slice(maxRepeatedSuspicions);
+		this.#rotation = others.length === 0 ? 0 : (this.#rotation + maxRepeatedSuspicions) % others.length;
+		const rotated = [...others.slice(this.#rotation), ...others.slice(0, this.#rotation)];
+		return [...ordered.slice(0, maxRepeatedSuspicions), ...rotated.slice(0, maxRepeatedSuspicions)];
+	}
+
+	/**
+	Orders requests by how strongly they, or the parts of their prompts, are suspected; the first ones hold all suspected parts.
+
+	Without those that were in earlier crashes too, a peer could take another request or part for the only one in all of them.
+	*/
+	#orderBySuspicion<Request extends RequestIdentity>(requests: readonly Request[]): readonly Request[] {
+		const sorted = requests.toSorted((a, b) => this.#countSuspicions(b) - this.#countSuspicions(a));
+		const named = new Set<string>();
+		const representatives = new Set(sorted.filter(({promptParts}) => {
+			const isFirst = promptParts.some(part => !named.has(part) && this.#parts.countCrashes(part) > 0);
+			for (const part of promptParts) {
+				named.add(part);
+			}
+
+			return isFirst;
+		}));
+		return [...representatives, ...sorted.filter(request => !representatives.has(request))];
+	}
+
+	/** Largest number of crashes that a request or one of the parts of its prompt may have caused. */
+	#countSuspicions({fingerprint, promptParts}: RequestIdentity): number {
+		return Math.max(this.#history.countCrashes(fingerprint), ...promptParts.map(part => this.#parts.countCrashes(part)));
+	}
+
+	#withheldByItself(fingerprint: string, now: number): number {
+		switch (this.#history.statusOf(fingerprint, now)) {
+			case 'condemned': {
+				return this.#history.refusedUntil(fingerprint) - now;
+			}
+
+			case 'pending': {
+				return condemnationDelayMs;
+			}
+
+			case 'contested': {
+				return this.#guards.separatesSuspects ? this.#history.turnDelayMs(fingerprint, now) : 0;
+			}
+
+			case 'suspect':
+			case 'free': {
+				return 0;
+			}
+		}
 	}
 
 	#confirmCrash(upstream: string, now: number): readonly InFlightAttempt[] {
@@ -271,17 +379,17 @@
 		this.#suspectedCrashes.set(upstream, {...crash, isConfirmed: true});
 		this.#refusedAt.delete(upstream);
 		const attempts = [...crash.attempts.values()].filter(({fingerprint}) => !this.#hasCompleted(fingerprint, now));
-		const suspects = new Set(attempts.map(({fingerprint}) => fingerprint));
+		const suspects = new Map(attempts.map(({fingerprint, promptParts}) => [fingerprint, promptParts]));
 		if (suspects.size === 0) {
 			return [];
 		}
 
-		this.#history.addLocalCrash(upstream, crash.startedAt, suspects);
-		// Without those that were in earlier crashes too, a peer could take another request for the only one in all of them.
-		const mostSuspected = [...suspects].toSorted((a, b) => this.#history.countCrashes(b) - this.#history.countCrashes(a));
-		for (const fingerprint of mostSuspected.slice(0, maxReportedRequests)) {
+		this.#records.addLocalCrash(upstream, crash.startedAt, suspects);
+		this.#parts.indexRecords();
+		const requests = [...suspects].map(([fingerprint, promptParts]) => ({fingerprint, promptParts}));
+		for (const request of this.#orderBySuspicion(requests).slice(0, maxReportedRequests)) {
 			this.#news.push({
-				kind: 'suspected', fingerprint, upstream, ageMs: Math.round(now - crash.startedAt),
+				kind: 'suspected', ...request, upstream, ageMs: Math.round(now - crash.startedAt),
 			});
 		}
 
@@ -289,6 +397,25 @@
 		return attempts;
 	}
 
+	/** Returns the attempts on an upstream whose unframed answers have just ended. */
+	#findCutAnswers(upstream: string, now: number): ReadonlyMap<number, InFlightAttempt> {
+		return new Map([...this.#unconfirmedAnswers]
+			.filter(([, {attempt, endedAt}]) => attempt.upstream === upstream && now - endedAt <= cutAnswerWindowMs)
+			.map(([attemptId, {attempt}]) => [attemptId, attempt]));
+	}
+
+	/** Counts unframed answers as complete that no crash can have cut short. */
+	#confirmAnswers(now: number): void {
+		for (const [attemptId, {attempt, endedAt}] of this.#unconfirmedAnswers) {
+			if (now - endedAt > cutAnswerWindowMs) {
+				this.#unconfirmedAnswers.delete(attemptId);
+				if (this.#suspectedCrashes.get(attempt.upstream)?.attempts.has(attemptId) !== true) {
+					this.#clearCompleted(attempt, now);
+				}
+			}
+		}
+	}
+
 	#evaluateNews(now: number): void {
 		if (this.#hasUnevaluatedNews && now - this.#evaluatedAt >= newsEvaluationIntervalMs) {
 			this.#evaluate(now);
@@ -298,6 +425,11 @@
 	#evaluate(now: number): void {
 		this.#hasUnevaluatedNews = false;
 		this.#evaluatedAt = now;
+		this.#records.expire(now);
+		for (const parts of this.#parts.evaluate(now, fingerprint => this.#history.isCondemned(fingerprint))) {
+			this.#news.push({kind: 'partsCondemned', ...parts});
+		}
+
 		const {condemned, lifted} = this.#history.evaluate(now);
 		// All daemons come to the same conclusions; only those that observed a crash themselves announce them.
 		for (const fingerprint of condemned.filter(candidate => this.#history.hasLocalCrash(candidate))) {
@@ -309,12 +441,13 @@
 		}
 	}
 
-	/** Clears a request of suspicion: one that crashes every upstream that runs it never completes. */
-	#clearCompleted(fingerprint: string, now: number): void {
+	/** Clears a request and the parts of its prompt of suspicion: one that crashes every upstream that runs it never completes. */
+	#clearCompleted({fingerprint, promptParts}: RequestIdentity, now: number): void {
 		if (!this.#guards.clearsCompleted) {
 			return;
 		}
 
+		this.#announceCleared(this.#parts.recordAnswer(promptParts, now));
 		this.#recordCompleted(fingerprint, now);
 		if (this.#history.countCrashes(fingerprint) > 0) {
 			this.#history.removeRequest(fingerprint);
@@ -322,6 +455,12 @@
 		}
 	}
 
+	#announceCleared(promptParts: readonly string[]): void {
+		if (promptParts.length > 0) {
+			this.#news.push({kind: 'partsCleared', promptParts});
+		}
+	}
+
 	#recordCompleted(fingerprint: string, now: number): void {
 		this.#completed.delete(fingerprint);
 		this.#completed.set(fingerprint, now);
--- a/src/process/crashes/crash-history.ts
+++ b/src/process/crashes/crash-history.ts
@@ -1,3 +1,9 @@
+import type {CrashRecord, CrashRecords} from './crash-records.ts';
+import {
+	computeTurnDelay, condemnationDelayMs, correlatedFailureWindowMs, maxTurns, refusalDurationMs,
+} from './crash-timing.ts';
+import type {PromptPartHistory} from './prompt-part-history.ts';
+
 /**
 How strongly a request is suspected of crashing upstreams.
 
@@ -19,26 +25,6 @@
 	readonly excludesCorrelatedFailures: boolean;
 };
 
-type CrashRecord = {
-	readonly upstream: string;
-	readonly at: number;
-	/** True if this daemon observed the crash itself. */
-	readonly isLocal: boolean;
-	readonly fingerprints: ReadonlySet<string>;
-};
-
-/** Time for which a condemned request is refused and a crash is remembered, in milliseconds. */
-export const refusalDurationMs = 600_000;
-
-/** Time for which a request stays pending before it is condemned, in milliseconds; peers report the requests that they had in flight in the same crashes meanwhile. */
-export const condemnationDelayMs = 2000;
-
-/** Reports about one upstream that lie no further apart than this are attributed to the same crash, in milliseconds. */
-const sameCrashWindowMs = 500;
-
-/** Crashes of several upstreams within this time may share a cause other than a request, in milliseconds. */
-const correlatedFailureWindowMs = 2000;
-const maxCrashRecords = 300;
 /** Interval at which refusals that have ended are deleted, in milliseconds; they have no effect before. */
 const refusalExpiryIntervalMs = 1000;
 /** Condemned requests that are remembered; beyond it the oldest are free again. */
@@ -47,35 +33,29 @@
 /** Number of crashes after which a request is condemned, unless other requests were in all of them too. */
 const minCrashesToCondemn = 2;
 
-/** Time after a crash in which its news reaches all daemons and no contested request may start, in milliseconds. */
-const newsDelayMs = 300;
-
-/** Time in which the contested requests of one turn may start, in milliseconds; longer than most requests take to crash an upstream. */
-const turnMs = 500;
-
-/** Maximum number of turns; with more contested requests, several share a turn and need a further crash to be told apart. */
-const maxTurns = 8;
-
 /** Number of crashes after which a request is condemned even if other likely culprits could explain all of them. */
 const conclusiveCrashes = 4;
 
-/** Records upstream crashes with the requests that were in flight in each, and concludes which requests caused them. */
+/** Concludes from recorded crashes which requests caused them. */
 export class CrashHistory {
 	readonly #guards: CrashHistoryGuards;
 	readonly #pendingSince = new Map<string, number>();
 	readonly #condemnedUntil = new Map<string, number>();
 	readonly #peerRefusedUntil = new Map<string, number>();
+	readonly #records: CrashRecords;
+	readonly #parts: PromptPartHistory;
 	#refusalsExpiredAt = Number.NEGATIVE_INFINITY;
-	#records: readonly CrashRecord[] = [];
 	#recordsOf = new Map<string, readonly CrashRecord[]>();
 
-	constructor(guards: CrashHistoryGuards) {
+	constructor(guards: CrashHistoryGuards, records: CrashRecords, parts: PromptPartHistory) {
 		this.#guards = guards;
+		this.#records = records;
+		this.#parts = parts;
 	}
 
 	/** True if no request is suspected or refused. */
 	get isEmpty(): boolean {
-		return this.#records.length === 0 && this.#peerRefusedUntil.size === 0 && this.#condemnedUntil.size === 0;
+		return this.#records.all.length === 0 && this.#peerRefusedUntil.size === 0 && this.#condemnedUntil.size === 0;
 	}
 
 	/** Fingerprints of requests that may have caused a recorded crash; a crash with condemned requests counts only for those. */
@@ -83,27 +63,9 @@
 		return this.#recordsOf.keys();
 	}
 
-	/** Adds a crash that this daemon observed; merges it with the reports that peers have sent about the same crash. */
-	addLocalCrash(upstream: string, at: number, fingerprints: ReadonlySet<string>): void {
-		const reported = this.#findNearest(upstream, at, record => !record.isLocal);
-		this.#replace(reported, {
-			upstream, at, isLocal: true, fingerprints: new Set([...fingerprints, ...reported?.fingerprints ?? []]),
-		});
-	}
-
-	/** Adds a request that a peer had in flight when an upstream crashed. */
-	addPeerReport(upstream: string, at: number, fingerprint: string): void {
-		const known = this.#findNearest(upstream, at, () => true);
-		this.#replace(known, {
-			upstream, at, isLocal: false, ...known, fingerprints: new Set([fingerprint, ...known?.fingerprints ?? []]),
-		});
-	}
-
 	/** Removes a request from all crashes, and frees it if it was condemned here; what follows for other requests is decided by the next evaluation. */
 	removeRequest(fingerprint: string): void {
-		this.#records = this.#records
-			.map(record => (record.fingerprints.has(fingerprint) ? {...record, fingerprints: new Set([...record.fingerprints].filter(other => other !== fingerprint))} : record))
-			.filter(record => record.fingerprints.size > 0);
+		this.#records.removeRequest(fingerprint);
 		this.#recordsOf.delete(fingerprint);
 		this.#pendingSince.delete(fingerprint);
 		this.#condemnedUntil.delete(fingerprint);
@@ -117,11 +79,9 @@
 			.filter(({refusedForMs}) => refusedForMs > 0);
 	}
 
-	/** Requests that were in flight in the crashes that this daemon has observed itself since a time. */
-	localSuspects(since: number): ReadonlyArray<{readonly fingerprint: string; readonly upstream: string; readonly at: number}> {
-		return this.#records
-			.filter(({isLocal, at}) => isLocal && at >= since)
-			.flatMap(({fingerprints, upstream, at}) => [...fingerprints].map(fingerprint => ({fingerprint, upstream, at})));
+	/** True if a request is condemned, here or by another daemon. */
+	isCondemned(fingerprint: string): boolean {
+		return this.#condemnedUntil.has(fingerprint) || this.#peerRefusedUntil.has(fingerprint);
 	}
 
 	/** Adds a refusal of a request that another daemon has condemned; `until` is a monotonic time in milliseconds. */
@@ -142,7 +102,7 @@
 
 	/** True if this daemon observed a crash while the request was in flight. */
 	hasLocalCrash(fingerprint: string): boolean {
-		return this.#records.some(record => record.isLocal && record.fingerprints.has(fingerprint));
+		return this.#records.all.some(record => record.isLocal && record.requests.has(fingerprint));
 	}
 
 	/** Rank of a contested request among all contested ones; daemons with the same records compute the same rank. */
@@ -150,28 +110,12 @@
 		return this.#contested.filter(other => other < fingerprint).length;
 	}
 
-	/**
-	Time until the next turn of a contested request, in milliseconds; 0 while it may start.
-
-	Turns begin at the last crash of a contested request. Daemons with the same records compute the same turns, so that no other
-	contested request runs beside this one at any daemon.
-	*/
+	/** Time until the next turn of a contested request, in milliseconds; 0 while it may start. */
 	turnDelayMs(fingerprint: string, now: number): number {
 		const contested = this.#contested;
 		const lastCrashAt = Math.max(...contested.flatMap(other => this.#recordsOf.get(other)!.map(({at}) => at)));
-		const sinceStart = now - lastCrashAt - newsDelayMs;
 		const turns = Math.min(maxTurns, contested.length);
-		const turnStart = (this.rankOf(fingerprint) % turns) * turnMs;
-		if (sinceStart < 0) {
-			return turnStart - sinceStart;
-		}
-
-		const position = sinceStart % (turns * turnMs);
-		if (position >= turnStart && position < turnStart + turnMs) {
-			return 0;
-		}
-
-		return turnStart > position ? turnStart - position : turnStart + (turns * turnMs) - position;
+		return computeTurnDelay(this.rankOf(fingerprint) % turns, turns, now - lastCrashAt);
 	}
 
 	get #contested(): readonly string[] {
@@ -236,18 +180,7 @@
 		return {condemned, lifted};
 	}
 
-	#findNearest(upstream: string, at: number, matches: (record: CrashRecord) => boolean): CrashRecord | undefined {
-		return this.#records
-			.filter(record => record.upstream === upstream && Math.abs(record.at - at) <= sameCrashWindowMs && matches(record))
-			.toSorted((a, b) => Math.abs(a.at - at) - Math.abs(b.at - at))[0];
-	}
-
-	#replace(known: CrashRecord | undefined, record: CrashRecord): void {
-		this.#records = [...this.#records.filter(other => other !== known), record].slice(-maxCrashRecords);
-	}
-
 	#expire(now: number): void {
-		this.#records = this.#records.filter(({at}) => now - at < refusalDurationMs);
 		if (now - this.#refusalsExpiredAt >= refusalExpiryIntervalMs) {
 			this.#refusalsExpiredAt = now;
 			deleteExpired(this.#peerRefusedUntil, now);
@@ -257,9 +190,10 @@
 
 	#indexUnexplained(): Map<string, readonly CrashRecord[]> {
 		const index = new Map<string, readonly CrashRecord[]>();
-		for (const record of this.#records) {
-			const condemned = [...record.fingerprints].filter(fingerprint => this.#condemnedUntil.has(fingerprint) || this.#peerRefusedUntil.has(fingerprint));
-			for (const fingerprint of condemned.length > 0 ? condemned : record.fingerprints) {
+		for (const record of this.#records.all.filter(candidate => !this.#parts.isExplained(candidate))) {
+			const fingerprints = [...record.requests.keys()];
+			const condemned = fingerprints.filter(fingerprint => this.isCondemned(fingerprint));
+			for (const fingerprint of condemned.length > 0 ? condemned : fingerprints) {
 				index.set(fingerprint, [...index.get(fingerprint) ?? [], record]);
 			}
 		}
@@ -270,30 +204,31 @@
 	/** Finds the requests that were in several crashes without any other request in all of them, and whose crashes no other likely culprits explain. */
 	#findLikelyCulprits(): ReadonlySet<string> {
 		const repeated = [...this.#recordsOf].filter(([, records]) => records.length >= minCrashesToCondemn);
-		const uniqueSuspects = new Map(repeated.filter(([suspect, records]) => !this.#guards.requiresUniqueCulprit || isOnlyCommonRequest(suspect, records)));
+		const uniqueSuspects = new Map(repeated.filter(([suspect, records]) => !this.#guards.requiresUniqueCulprit || (isOnlyCommonRequest(suspect, records) && !this.#parts.explainsWithout(suspect, records))));
 		const likely = new Map([...uniqueSuspects].filter(([suspect, records]) => records.length > minCrashesToCondemn || !this.#isCorrelatedFailure(suspect, records, uniqueSuspects)));
 		return new Set([...likely.keys()].filter(suspect => !this.#isExplainedByOthers(suspect, likely)));
 	}
 
 	/** True if other upstreams crashed at the same time for no known reason, as when a rack fails. */
 	#isCorrelatedFailure(suspect: string, records: readonly CrashRecord[], uniqueSuspects: ReadonlyMap<string, readonly CrashRecord[]>): boolean {
-		return this.#guards.excludesCorrelatedFailures && this.#records.some(other =>
-			!other.fingerprints.has(suspect)
+		return this.#guards.excludesCorrelatedFailures && this.#records.all.some(other =>
+			!other.requests.has(suspect)
+			&& !this.#parts.isExplained(other)
 			&& records.some(({at, upstream}) => upstream !== other.upstream && Math.abs(at - other.at) <= correlatedFailureWindowMs)
-			&& ![...other.fingerprints].some(fingerprint => this.#condemnedUntil.has(fingerprint)
-				|| uniqueSuspects.get(fingerprint)?.every(({fingerprints}) => !fingerprints.has(suspect)) === true));
+			&& ![...other.requests.keys()].some(fingerprint => this.#condemnedUntil.has(fingerprint)
+				|| uniqueSuspects.get(fingerprint)?.every(({requests}) => !requests.has(suspect)) === true));
 	}
 
 	#isExplainedByOthers(suspect: string, likely: ReadonlyMap<string, readonly CrashRecord[]>): boolean {
 		const records = likely.get(suspect)!;
-		return this.#guards.waitsForOtherCulprits && records.length < conclusiveCrashes && records.every(record => [...record.fingerprints].some(other =>
-			other !== suspect && likely.get(other)?.some(({fingerprints}) => !fingerprints.has(suspect)) === true));
+		return this.#guards.waitsForOtherCulprits && records.length < conclusiveCrashes && records.every(record => [...record.requests.keys()].some(other =>
+			other !== suspect && likely.get(other)?.some(({requests}) => !requests.has(suspect)) === true));
 	}
 }
 
 function isOnlyCommonRequest(suspect: string, records: readonly CrashRecord[]): boolean {
 	const [first, ...rest] = records;
-	return [...first!.fingerprints].every(other => other === suspect || rest.some(({fingerprints}) => !fingerprints.has(other)));
+	return [...first!.requests.keys()].every(other => other === suspect || rest.some(({requests}) => !requests.has(other)));
 }
 
 function deleteOldest(entries: Map<string, number>, limit: number): void {
--- a/src/process/crashes/crash-monitor.ts
+++ b/src/process/crashes/crash-monitor.ts
@@ -1,10 +1,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import type {RequestIdentity} from '../../request/request-identity.ts';
 import type {Clock} from '../clock.ts';
 import {
 	CrashAttribution, type AttemptResult, type CrashNews, type DownEvidence,
 } from './crash-attribution.ts';
 import type {InFlightAttempt} from './in-flight-attempts.ts';
 import type {SuspicionStatus} from './crash-history.ts';
+import type {PartRestriction} from './prompt-part-history.ts';
 
 /** An attempt with the address at which its upstream is checked. */
 export type MonitoredAttempt = InFlightAttempt & {
@@ -27,8 +29,8 @@
 	readonly attribution?: CrashAttribution;
 };
 
-/** Decisions that are reported: a request was in flight in a crash here or at a peer, it is refused from now on, or it is no longer suspected. */
-export type CrashEvent = 'crash.attributed' | 'crash.reported' | 'request.condemned' | 'crash.cleared';
+/** Decisions that are reported: a request was in flight in a crash here or at a peer, a request or prompt part is refused from now on, or is no longer suspected. */
+export type CrashEvent = 'crash.attributed' | 'crash.reported' | 'request.condemned' | 'crash.cleared' | 'parts.condemned' | 'parts.cleared';
 
 /** Log messages of the events, for a log of sentences. */
 export const crashMessages: Readonly<Record<CrashEvent, string>> = {
@@ -36,6 +38,12 @@
 	'crash.reported': 'A peer reported a request that may crash upstreams.',
 	'request.condemned': 'A request crashes upstreams and is refused from now on.',
 	'crash.cleared': 'A request is no longer suspected of crashing upstreams.',
+	'parts.condemned': 'Requests with certain prompt parts crash upstreams and are refused from now on.',
+	'parts.cleared': 'Prompt parts are no longer suspected of crashing upstreams.',
+};
+
+const announcedEvents: Readonly<Record<Exclude<CrashNews['kind'], 'suspected'>, CrashEvent>> = {
+	condemned: 'request.condemned', cleared: 'crash.cleared', partsCondemned: 'parts.condemned', partsCleared: 'parts.cleared',
 };
 
 /** Pauses before the checks whether an upstream that has lost a connection is down, in milliseconds; a process may close connections before its listener. */
@@ -83,12 +91,12 @@
 
 	/** Applies news from another daemon. */
 	applyNews(news: CrashNews): void {
-		const {fingerprint} = news;
-		const status = this.statusOf(fingerprint);
-		const crashes = this.#attribution.countCrashes(fingerprint);
+		const subject = {fingerprint: '', promptParts: [], ...news};
+		const status = this.statusOf(subject);
+		const crashes = this.#attribution.countCrashes(subject.fingerprint);
 		this.#attribution.applyNews(news, this.#now());
-		if (this.#attribution.countCrashes(fingerprint) > crashes || this.statusOf(fingerprint) !== status) {
-			this.#options.report('crash.reported', {...news, crashes: this.#attribution.countCrashes(fingerprint), status: this.statusOf(fingerprint)});
+		if (this.#attribution.countCrashes(subject.fingerprint) > crashes || this.statusOf(subject) !== status) {
+			this.#options.report('crash.reported', {...news, crashes: this.#attribution.countCrashes(subject.fingerprint), status: this.statusOf(subject)});
 		}
 
 		this.#announceNews();
@@ -101,18 +109,23 @@
 	}
 
 	/** Returns how strongly a request is suspected. */
-	statusOf(fingerprint: string): SuspicionStatus {
-		return this.#attribution.statusOf(fingerprint, this.#now());
+	statusOf(request: RequestIdentity): SuspicionStatus {
+		return this.#attribution.statusOf(request, this.#now());
 	}
 
 	/** Time for which a request must not be sent, in milliseconds; 0 if it may be. */
-	withheldForMs(fingerprint: string): number {
-		return this.#attribution.withheldForMs(fingerprint, this.#now());
+	withheldForMs(request: RequestIdentity): number {
+		return this.#attribution.withheldForMs(request, this.#now());
+	}
+
+	/** Returns why a request must not be sent because of its prompt; undefined if its prompt is no reason. */
+	restrictionOf(request: RequestIdentity): PartRestriction | undefined {
+		return this.#attribution.restrictionOf(request, this.#now());
 	}
 
 	/** Selects the upstreams on which a request may run; see `CrashAttribution`. */
-	selectAllowed<Upstream extends {readonly id: string}>(fingerprint: string, candidates: readonly Upstream[]): readonly Upstream[] {
-		return this.#attribution.selectAllowed(fingerprint, candidates, this.#now());
+	selectAllowed<Upstream extends {readonly id: string}>(request: RequestIdentity, candidates: readonly Upstream[]): readonly Upstream[] {
+		return this.#attribution.selectAllowed(request, candidates, this.#now());
 	}
 
 	/** Returns the news that a daemon needs which has just started or missed earlier ones. */
@@ -143,9 +156,16 @@
 	}
 
 	#reportCrash(attempts: readonly InFlightAttempt[], evidence: DownEvidence): void {
-		for (const {upstream, fingerprint, startedAt, details} of attempts.slice(0, maxReportedAttempts)) {
+		for (const {upstream, fingerprint, promptParts, startedAt, details} of attempts.slice(0, maxReportedAttempts)) {
 			this.#options.report('crash.attributed', {
-				...details, fingerprint, upstream, evidence, inFlight: attempts.length, runMs: Math.round(this.#now() - startedAt), crashes: this.#attribution.countCrashes(fingerprint),
+				...details,
+				fingerprint,
+				promptParts: this.#attribution.countPartCrashes(promptParts),
+				upstream,
+				evidence,
+				inFlight: attempts.length,
+				runMs: Math.round(this.#now() - startedAt),
+				crashes: this.#attribution.countCrashes(fingerprint),
 			});
 		}
 	}
@@ -158,7 +178,7 @@
 	#announceNews(): void {
 		for (const news of this.#attribution.takeNews()) {
 			if (news.kind !== 'suspected') {
-				this.#options.report(news.kind === 'condemned' ? 'request.condemned' : 'crash.cleared', {...news, kind: undefined});
+				this.#options.report(announcedEvents[news.kind], {...news, kind: undefined});
 			}
 
 			this.#options.announce(news);
--- a/src/process/crashes/in-flight-attempts.ts
+++ b/src/process/crashes/in-flight-attempts.ts
@@ -1,8 +1,8 @@
+import type {RequestIdentity} from '../../request/request-identity.ts';
+
 /** An attempt that is in flight. */
-export type InFlightAttempt = {
+export type InFlightAttempt = RequestIdentity & {
 	readonly upstream: string;
-	/** Identifies the request in all its repetitions. */
-	readonly fingerprint: string;
 	/** Monotonic time in milliseconds. */
 	readonly startedAt: number;
 	/** Fields that describe the request in logs. */
--- a/src/process/crashes/upstream-crash-registry.ts
+++ b/src/process/crashes/upstream-crash-registry.ts
@@ -18,17 +18,17 @@
 		this.#monitor = monitor;
 	}
 
-	checkCondemned({fingerprint}: RequestDemand): CallerError | undefined {
-		const withheldMs = this.#monitor.withheldForMs(fingerprint);
+	checkCondemned(demand: RequestDemand): CallerError | undefined {
+		const withheldMs = this.#monitor.withheldForMs(demand);
 		if (withheldMs === 0) {
 			return undefined;
 		}
 
-		return this.#monitor.statusOf(fingerprint) === 'condemned' ? condemnedRefusal : createPendingRefusal(withheldMs);
+		return this.#monitor.statusOf(demand) === 'condemned' ? condemnedRefusal : createPendingRefusal(withheldMs);
 	}
 
-	selectAllowed({fingerprint}: RequestDemand, candidates: readonly Host[]): readonly Host[] {
-		return this.#monitor.selectAllowed(fingerprint, candidates);
+	selectAllowed(demand: RequestDemand, candidates: readonly Host[]): readonly Host[] {
+		return this.#monitor.selectAllowed(demand, candidates);
 	}
 
 	attemptStarted({attemptId, demand, upstream, startedAt}: Attempt): void {
@@ -36,6 +36,7 @@
 			upstream: upstream.id,
 			address: upstream.address,
 			fingerprint: demand.fingerprint,
+			promptParts: demand.promptParts,
 			startedAt,
 			details: {
 				request: demand.requestId, customer: demand.customer, method: demand.method, path: demand.call.path,
--- a/src/process/fleet/route-request-handler.ts
+++ b/src/process/fleet/route-request-handler.ts
@@ -6,7 +6,7 @@
 import {cancelOnDisconnect, cancelOnDeadline} from '../../request/cancellation.ts';
 import type {DeliveryResult, DeliveryJob, DeliveryDependencies} from '../../request/delivery/delivery.ts';
 import {PlainDelivery} from '../../request/delivery/plain-delivery.ts';
-import {createFingerprint} from '../../request/delivery/request-fingerprint.ts';
+import {identifyRouteRequest} from '../../request/delivery/route-request-identity.ts';
 import type {RouteRequest} from '../../request/delivery/route-request.ts';
 import {StreamDelivery} from '../../request/delivery/stream-delivery.ts';
 import {readBody} from '../../request/request-body.ts';
@@ -14,6 +14,7 @@
 import {chooseTarget, type RouteTable} from '../../version/routes/route-table.ts';
 import type {Random} from '../random.ts';
 import type {FleetMetrics} from './fleet-metrics.ts';
+import {crashRefusalMessages, type CrashRefusal} from './route-crashes.ts';
 
 /** Options of the request handler. */
 export type RouteRequestHandlerOptions = {
@@ -42,10 +43,6 @@
 const defaultRetryMs = 500;
 /** Retry delay while shutting down; short because the load balancer no longer routes to this daemon, so a new connection reaches another one. */
 const closingRetryMs = 50;
-const crashMessages = {
-	condemned: 'The request has crashed upstreams and is not sent again.',
-	pending: 'The request may have crashed upstreams; this is being settled.',
-};
 /** Limit on request bodies until a configuration has been received. */
 const defaultBodyBytes = 4_194_304;
 
@@ -130,10 +127,10 @@
 					return;
 				}
 
-				const fingerprint = createFingerprint(request);
-				const crashRefusal = dependencies.crashes.findRefusal(fingerprint);
+				const identity = identifyRouteRequest(request);
+				const crashRefusal = dependencies.crashes.findRefusal(identity);
 				if (crashRefusal !== undefined) {
-					this.#refuse(exchange, request, createRefusal('busy', crashMessages[crashRefusal.status], crashRefusal.retryAfterMs), {fingerprint, outcome: crashRefusal.status});
+					this.#refuse(exchange, request, createRefusal('busy', crashRefusalMessages[crashRefusal.status], crashRefusal.retryAfterMs), {fingerprint: identity.fingerprint, ...crashRefusal});
 					return;
 				}
 
@@ -142,7 +139,7 @@
 				dependencies.log.write('request.received', {
 					request: request.id, route: route.name, kind: route.kind, service, configuration: table?.version, waitMs: request.callerTimeoutMs, promptTokens: request.prompt?.tokens,
 				});
-				await this.#deliver(exchange, {request, fingerprint}, route, service ?? '');
+				await this.#deliver(exchange, {request, identity}, route, service ?? '');
 			},
 		});
 	}
@@ -160,7 +157,7 @@
 		return this.#options.refusesRequests() ? createRefusal('busy', 'The daemon is stopping.', closingRetryMs) : undefined;
 	}
 
-	async #deliver({message, response, arrivedAt}: Exchange, {request, fingerprint}: Pick<DeliveryJob, 'request' | 'fingerprint'>, route: Route, service: string): Promise<void> {
+	async #deliver({message, response, arrivedAt}: Exchange, {request, identity}: Pick<DeliveryJob, 'request' | 'identity'>, route: Route, service: string): Promise<void> {
 		const {dependencies, metrics} = this.#options;
 		const controller = new AbortController();
 		const deadlineAt = arrivedAt + Math.min(request.callerTimeoutMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
@@ -168,7 +165,7 @@
 		using _deadline = cancelOnDeadline(Math.max(0, deadlineAt - dependencies.clock.now()), controller);
 		dependencies.retryBudget.earn(service, dependencies.clock.now());
 		const job: DeliveryJob = {
-			request, fingerprint, route, service, arrivedAt, deadlineAt, answer: this.#createAnswer(message, response, request.id), signal: controller.signal,
+			request, identity, route, service, arrivedAt, deadlineAt, answer: this.#createAnswer(message, response, request.id), signal: controller.signal,
 		};
 		const delivery = route.kind === 'stream' && dependencies.scheduler.isModelService(service) ? new StreamDelivery(dependencies, job) : new PlainDelivery(dependencies, job);
 		const result = await delivery.run();
@@ -198,13 +195,13 @@
 	}
 
 	/** Refuses a request before it is placed; `crash` is given for one that may crash upstreams. */
-	#refuse({message, response, arrivedAt}: Exchange, request: RouteRequest, refusal: Refusal, crash?: {readonly fingerprint: string; readonly outcome: string}): void {
+	#refuse({message, response, arrivedAt}: Exchange, request: RouteRequest, refusal: Refusal, crash?: CrashRefusal & {readonly fingerprint: string}): void {
 		const {dependencies, metrics} = this.#options;
 		this.#createAnswer(message, response, request.id).refuse(refusal);
 		dependencies.log.write('request.refused', {
-			request: request.id, host: request.host, target: request.target, kind: refusal.kind, reason: refusal.message, configuration: this.#options.routeTable()?.version, fingerprint: crash?.fingerprint,
+			request: request.id, host: request.host, target: request.target, kind: refusal.kind, reason: refusal.message, configuration: this.#options.routeTable()?.version, fingerprint: crash?.fingerprint, promptParts: crash?.promptParts,
 		});
-		metrics.requestRefused(crash?.outcome ?? refusal.kind, dependencies.clock.now() - arrivedAt);
+		metrics.requestRefused(crash?.status ?? refusal.kind, dependencies.clock.now() - arrivedAt);
 	}
 }
 
--- a/src/process/membership/news-queue.ts
+++ b/src/process/membership/news-queue.ts
@@ -138,7 +138,8 @@
 		}
 
 		case 'crashingRequest': {
-			return `crash ${origin} ${item.value.fingerprint} ${item.value.upstream}`;
+			const {fingerprint, promptParts, upstream} = item.value;
+			return `crash ${origin} ${fingerprint === '' ? promptParts.join(' ') : fingerprint} ${upstream}`;
 		}
 
 		case 'memberState': {
@@ -163,8 +164,8 @@
 	if (copy.item.case === 'upstreamLeaving') {
 		copy.item.value.ageMs += waited;
 	} else if (copy.item.case === 'crashingRequest') {
-		const {refusedForMs, upstream} = copy.item.value;
-		copy.item.value.ageMs += upstream === '' ? 0n : waited;
+		const {refusedForMs} = copy.item.value;
+		copy.item.value.ageMs += waited;
 		copy.item.value.refusedForMs = refusedForMs === 0n ? 0n : (refusedForMs > waited ? refusedForMs - waited : 1n);
 	}
 
--- a/src/process/peers/peer-message.ts
+++ b/src/process/peers/peer-message.ts
@@ -37,15 +37,17 @@
 	p: array(tuple([string, number])),
 });
 
-/** News about a request that may crash upstreams. */
+/** News about a request, or about parts of prompts, that may crash upstreams. */
 const crashCodec = Codec.interface({
-	/** Fingerprint of the request. */
+	/** Fingerprint of the request; empty in news about parts. */
 	f: string,
+	/** Keys of the prompt parts of a suspected request, or of the parts that the news is about. */
+	p: optional(array(string)),
 	/** Upstream that crashed while the request was in flight there; set only for a suspected request. */
 	u: optional(string),
-	/** Age of that crash in milliseconds. */
+	/** Age of that crash in milliseconds; for condemned parts, of their first crash. */
 	a: optional(number),
-	/** Time for which a condemned request is still refused, in milliseconds; without this and `u`, the request has been cleared. */
+	/** Time for which a condemned request, or requests with condemned parts, are still refused, in milliseconds; without this and `u`, they have been cleared. */
 	r: optional(number),
 });
 
@@ -193,35 +195,52 @@
 }
 
 function encodeCrashNews(news: CrashNews): GetType<typeof crashCodec> {
-	const f = news.fingerprint;
+	const empty = {
+		p: undefined, u: undefined, a: undefined, r: undefined,
+	};
 	switch (news.kind) {
 		case 'suspected': {
 			return {
-				f, u: news.upstream, a: news.ageMs, r: undefined,
+				...empty, f: news.fingerprint, p: omitEmpty([...news.promptParts]), u: news.upstream, a: news.ageMs,
 			};
 		}
 
 		case 'condemned': {
-			return {
-				f, u: undefined, a: undefined, r: Math.ceil(news.refusedForMs),
-			};
+			return {...empty, f: news.fingerprint, r: Math.ceil(news.refusedForMs)};
 		}
 
 		case 'cleared': {
+			return {...empty, f: news.fingerprint};
+		}
+
+		case 'partsCondemned': {
 			return {
-				f, u: undefined, a: undefined, r: undefined,
+				...empty, f: '', p: [...news.promptParts], a: news.firstCrashAgeMs, r: Math.ceil(news.refusedForMs),
 			};
 		}
+
+		case 'partsCleared': {
+			return {...empty, f: '', p: [...news.promptParts]};
+		}
 	}
 }
 
-function decodeCrashNews({f, u, a, r}: GetType<typeof crashCodec>): CrashNews {
+function decodeCrashNews({f, p, u, a, r}: GetType<typeof crashCodec>): CrashNews {
+	const promptParts = p ?? [];
 	if (u !== undefined) {
 		return {
-			kind: 'suspected', fingerprint: f, upstream: u, ageMs: a ?? 0,
+			kind: 'suspected', fingerprint: f, promptParts, upstream: u, ageMs: a ?? 0,
 		};
 	}
 
+	if (f === '') {
+		return r === undefined
+			? {kind: 'partsCleared', promptParts}
+			: {
+				kind: 'partsCondemned', promptParts, refusedForMs: r, firstCrashAgeMs: a ?? 0,
+			};
+	}
+
 	return r === undefined ? {kind: 'cleared', fingerprint: f} : {kind: 'condemned', fingerprint: f, refusedForMs: r};
 }
 
--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -8,8 +8,9 @@
 import type {DecisionLog} from '../../process/fleet/decision-log.ts';
 import type {SharedRetryBudget} from '../../process/fleet/shared-retry-budget.ts';
 import type {AttemptResult} from '../../process/crashes/crash-attribution.ts';
-import type {RouteCrashes} from '../../process/fleet/route-crashes.ts';
+import {crashRefusalMessages, type CrashRefusal, type RouteCrashes} from '../../process/fleet/route-crashes.ts';
 import type {Route} from '../../version/routes/route-configuration.ts';
+import type {RequestIdentity} from '../request-identity.ts';
 import type {RouteRequest} from './route-request.ts';
 import type {
 	PlacementDemand, Placement, PlacementRefusal, SendResult, UpstreamScheduler,
@@ -29,8 +30,7 @@
 /** One request to be delivered to upstreams. */
 export type DeliveryJob = {
 	readonly request: RouteRequest;
-	/** Identifies the request in all its repetitions. */
-	readonly fingerprint: string;
+	readonly identity: RequestIdentity;
 	readonly route: Route;
 	readonly service: string;
 	readonly answer: CallerAnswer;
@@ -92,8 +92,8 @@
 	}
 
 	protected get demand(): PlacementDemand {
-		const {request, fingerprint, route, service, arrivedAt, deadlineAt, signal} = this.job;
-		const excluded = this.dependencies.crashes.excludedUpstreams(fingerprint, service);
+		const {request, identity, route, service, arrivedAt, deadlineAt, signal} = this.job;
+		const excluded = this.dependencies.crashes.excludedUpstreams(identity, service);
 		return {
 			request, route, service, triedUpstreams: excluded.size === 0 ? this.triedUpstreams : new Set([...this.triedUpstreams, ...excluded]), arrivedAt, deadlineAt, signal,
 		};
@@ -116,9 +116,14 @@
 	/**
 	Reserves the next send, or uses the reservation that was carried over to it.
 
-	The first send of a request is free, each further one needs retry budget. Returns false when none is left.
+	The first send of a request is free, each further one needs retry budget. Returns false when none is left, or when the request
+	was found to crash upstreams while it waited.
 	*/
 	protected reserveSend(): boolean {
+		if (this.#crashRefusal !== undefined) {
+			return false;
+		}
+
 		if (this.#isReservationCarried) {
 			this.#isReservationCarried = false;
 			return true;
@@ -149,8 +154,8 @@
 
 	/** Records the start of a send for the search for requests that crash upstreams; the returned function must be called with its result. */
 	protected beginAttempt(upstream: Upstream): (result: AttemptResult) => void {
-		const {request, fingerprint} = this.job;
-		return this.dependencies.crashes.begin(request, fingerprint, upstream);
+		const {request, identity} = this.job;
+		return this.dependencies.crashes.begin(request, identity, upstream);
 	}
 
 	/** Logs the result of a send, as the event `sent`. */
@@ -208,9 +213,14 @@
 		return this.createResult('failed', message);
 	}
 
+	/** Refuses a request for which no send could be reserved. */
+	protected refuseUnreserved(): DeliveryResult {
+		return this.#refuseCrashing() ?? this.refuse('No further attempt is allowed.', 0);
+	}
+
 	/** Refuses a request that the scheduler could not place. */
 	protected refusePlacement({reason, retryAfterMs}: PlacementRefusal): DeliveryResult {
-		return this.refuse(reason === 'noUpstream' ? 'No upstream is available.' : 'The service has no room in time.', retryAfterMs);
+		return this.#refuseCrashing() ?? this.refuse(reason === 'noUpstream' ? 'No upstream is available.' : 'The service has no room in time.', retryAfterMs);
 	}
 
 	protected get isCallerGone(): boolean {
@@ -226,6 +236,15 @@
 		const isIdAccepted = requestId === undefined ? isNotRun : requestId === this.job.request.id;
 		return isIdAccepted && (status >= 300 || (isSigned && !hasContentEncoding));
 	}
+
+	get #crashRefusal(): CrashRefusal | undefined {
+		return this.dependencies.crashes.findRefusal(this.job.identity);
+	}
+
+	#refuseCrashing(): DeliveryResult | undefined {
+		const refusal = this.#crashRefusal;
+		return refusal === undefined ? undefined : this.refuse(crashRefusalMessages[refusal.status], refusal.retryAfterMs);
+	}
 }
 
 /** Returns how an upstream declined a request, or undefined when the upstream may have run the request. */
--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -26,7 +26,7 @@
 
 			if (this.job.signal.aborted || !this.reserveSend()) {
 				placement.release({kind: 'cancelled', elapsedMs: 0});
-				return fallback?.() ?? this.refuse('No further attempt is allowed.', 0);
+				return fallback?.() ?? this.refuseUnreserved();
 			}
 
 			const step = await this.#send(placement);
@@ -159,8 +159,8 @@
 }
 
 function toAttemptResult(result: CallResult, {kind}: SendResult): AttemptResult {
-	if (kind === 'served') {
-		return 'complete';
+	if (kind === 'served' && result.kind === 'answered') {
+		return result.answer.isFramed ? 'complete' : 'unframed';
 	}
 
 	return result.kind === 'failed' && result.failure.kind === 'lost' && result.failure.wasSent ? 'lost' : 'other';
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -1,4 +1,5 @@
 import {callUpstream} from '../../connection/links/upstream-call.ts';
+import type {AttemptResult} from '../../process/crashes/crash-attribution.ts';
 import type {PromptWork} from '../../ports/upstream-protocol.ts';
 import type {Upstream} from '../../ports/upstream.ts';
 import {classifyRejection, Delivery, type DeliveryResult} from './delivery.ts';
@@ -134,7 +135,7 @@
 
 			if (this.job.signal.aborted || !this.reserveSend()) {
 				placement.release({kind: 'cancelled', elapsedMs: 0});
-				end = this.#endUnfinished(() => this.refuse('No further attempt is allowed.', 0));
+				end = this.#endUnfinished(() => this.refuseUnreserved());
 				break;
 			}
 
@@ -179,7 +180,7 @@
 		});
 		const endAttempt = this.beginAttempt(upstream);
 		const result = await run.run();
-		endAttempt(result.kind === 'complete' || (result.kind === 'lost' && result.mayHaveRun) ? result.kind : 'other');
+		endAttempt(toAttemptResult(result));
 		this.#lastEventId = result.lastEventId;
 		if (result.mayHaveRun) {
 			this.possibleRuns += 1;
@@ -264,3 +265,11 @@
 		this.log('prompt.released', {upstream: prompt.source.id});
 	}
 }
+
+function toAttemptResult({kind, isFramed, mayHaveRun}: StreamRunResult): AttemptResult {
+	if (kind === 'complete') {
+		return isFramed ? 'complete' : 'unframed';
+	}
+
+	return kind === 'lost' && mayHaveRun ? 'lost' : 'other';
+}
--- a/src/request/delivery/stream-run.ts
+++ b/src/request/delivery/stream-run.ts
@@ -26,6 +26,8 @@
 	readonly kind: 'complete' | SendResult['kind'];
 	readonly message: string;
 	readonly status: number | undefined;
+	/** False when only the end of the connection ends the answer. */
+	readonly isFramed: boolean;
 	/** True when a byte of the request may have reached the upstream. */
 	readonly mayHaveArrived: boolean;
 	/** True when the upstream may have run the request; the prompt's handle cannot be used again then. */
@@ -228,6 +230,7 @@
 			kind,
 			message,
 			status: this.#answer?.status,
+			isFramed: this.#answer?.isFramed ?? false,
 			mayHaveArrived,
 			mayHaveRun: mayHaveArrived && !isRejected,
 			lastEventId: this.#lastEventId,
--- a/src/request/parsed-request.ts
+++ b/src/request/parsed-request.ts
@@ -76,6 +76,7 @@
 			call,
 			serviceClass,
 			body: body.bytes,
+			promptParts: [],
 			fingerprint: createHash('sha256').update(JSON.stringify([customer, method, url])).update(body.bytes).digest('hex'),
 			...(remainingMs === undefined ? {} : {deadlineMs: nowMs + remainingMs}),
 		},
--- a/test/process/crashes/crash-attribution.test.ts
+++ b/test/process/crashes/crash-attribution.test.ts
@@ -2,6 +2,7 @@
 import {
 	allCrashAttributionGuards, CrashAttribution, type CrashNews, type CrashAttributionGuards,
 } from '../../../src/process/crashes/crash-attribution.ts';
+import {identify} from '../../fixtures/request-identity.ts';
 import {CrashSchedule, type CrashScheduleOptions} from '../../fixtures/crash-schedule.ts';
 
 /** Time after a crash by which `tick` has condemned or freed its suspects, in milliseconds. */
@@ -19,7 +20,7 @@
 function crash(attribution: CrashAttribution, upstream: string, fingerprints: readonly string[], now: number): void {
 	const ids = fingerprints.map((_, index) => (now * 100) + index);
 	for (const [index, fingerprint] of fingerprints.entries()) {
-		attribution.attemptStarted(ids[index]!, {upstream, fingerprint, startedAt: now});
+		attribution.attemptStarted(ids[index]!, {upstream, ...identify(fingerprint), startedAt: now});
 	}
 
 	for (const id of ids) {
@@ -33,18 +34,18 @@
 	it('holds a request back after two crashes, and condemns it if nothing else explains them', () => {
 		const attribution = new CrashAttribution();
 		crash(attribution, 'u1', ['p', 'a', 'b'], 0);
-		expect(['p', 'a', 'b', 'c'].map(name => attribution.statusOf(name, 100))).toEqual(['suspect', 'suspect', 'suspect', 'free']);
+		expect(['p', 'a', 'b', 'c'].map(name => attribution.statusOf(identify(name), 100))).toEqual(['suspect', 'suspect', 'suspect', 'free']);
 		crash(attribution, 'u2', ['p', 'c'], 1000);
-		expect(attribution.statusOf('p', 1100)).toBe('pending');
+		expect(attribution.statusOf(identify('p'), 1100)).toBe('pending');
 		attribution.tick(1010 + decisionDelayMs);
-		expect(['p', 'a', 'c'].map(name => attribution.statusOf(name, 3100))).toEqual(['condemned', 'free', 'free']);
+		expect(['p', 'a', 'c'].map(name => attribution.statusOf(identify(name), 3100))).toEqual(['condemned', 'free', 'free']);
 	});
 
 	it('keeps a request condemned for as long as the news says (10 minutes)', () => {
 		const attribution = new CrashAttribution();
 		attribution.applyNews({kind: 'condemned', fingerprint: 'p', refusedForMs: 600_000}, 0);
-		expect(attribution.statusOf('p', 599_999)).toBe('condemned');
-		expect(attribution.statusOf('p', 600_000)).toBe('free');
+		expect(attribution.statusOf(identify('p'), 599_999)).toBe('condemned');
+		expect(attribution.statusOf(identify('p'), 600_000)).toBe('free');
 	});
 
 	// Guards against the wrong one of two requests being condemned: they are distinguished by a third crash, not by chance.
@@ -52,13 +53,13 @@
 		const attribution = new CrashAttribution();
 		crash(attribution, 'u1', ['p', 'a'], 0);
 		crash(attribution, 'u2', ['p', 'a'], 1000);
-		expect(['p', 'a'].map(name => attribution.statusOf(name, 1100))).toEqual(['contested', 'contested']);
-		attribution.attemptStarted(1, {upstream: 'u1', fingerprint: 'a', startedAt: 1400});
-		expect(attribution.selectAllowed('p', [{id: 'u1'}], 1900)).toEqual([]);
-		expect(attribution.selectAllowed('p', [{id: 'u1'}, {id: 'u2'}], 1900)).toEqual([{id: 'u2'}]);
+		expect(['p', 'a'].map(name => attribution.statusOf(identify(name), 1100))).toEqual(['contested', 'contested']);
+		attribution.attemptStarted(1, {upstream: 'u1', ...identify('a'), startedAt: 1400});
+		expect(attribution.selectAllowed(identify('p'), [{id: 'u1'}], 1900)).toEqual([]);
+		expect(attribution.selectAllowed(identify('p'), [{id: 'u1'}, {id: 'u2'}], 1900)).toEqual([{id: 'u2'}]);
 		crash(attribution, 'u2', ['p'], 2000);
 		attribution.tick(2010 + decisionDelayMs);
-		expect(['p', 'a'].map(name => attribution.statusOf(name, 4100))).toEqual(['condemned', 'free']);
+		expect(['p', 'a'].map(name => attribution.statusOf(identify(name), 4100))).toEqual(['condemned', 'free']);
 	});
 
 	// Guards against contested requests running beside each other at different daemons, so that the next crash tells nothing.
@@ -66,56 +67,56 @@
 		const attribution = new CrashAttribution();
 		crash(attribution, 'u1', ['p', 'a'], 0);
 		crash(attribution, 'u2', ['p', 'a'], 1000);
-		const maySend = (name: string) => Array.from({length: 24}, (_, index) => 1050 + (index * 100)).filter(now => attribution.withheldForMs(name, now) === 0);
+		const maySend = (name: string) => Array.from({length: 24}, (_, index) => 1050 + (index * 100)).filter(now => attribution.withheldForMs(identify(name), now) === 0);
 		const [a, p] = [maySend('a'), maySend('p')];
 		expect(a.length).toBeGreaterThan(0);
 		expect(p.length).toBeGreaterThan(0);
 		expect(a.filter(time => p.includes(time))).toEqual([]);
 		for (const time of [1100, 1500, 2500]) {
-			const withheldMs = attribution.withheldForMs('p', time);
-			expect(attribution.withheldForMs('p', time + withheldMs)).toBe(0);
+			const withheldMs = attribution.withheldForMs(identify('p'), time);
+			expect(attribution.withheldForMs(identify('p'), time + withheldMs)).toBe(0);
 		}
 	});
 
 	it('stops suspecting a request once another request on the same upstream completes', () => {
 		const attribution = new CrashAttribution();
-		attribution.attemptStarted(1, {upstream: 'u1', fingerprint: 'a', startedAt: 0});
-		attribution.attemptStarted(2, {upstream: 'u1', fingerprint: 'b', startedAt: 0});
+		attribution.attemptStarted(1, {upstream: 'u1', ...identify('a'), startedAt: 0});
+		attribution.attemptStarted(2, {upstream: 'u1', ...identify('b'), startedAt: 0});
 		attribution.attemptEnded(1, 'lost', 10);
-		expect(attribution.statusOf('a', 10)).toBe('suspect');
+		expect(attribution.statusOf(identify('a'), 10)).toBe('suspect');
 		attribution.attemptEnded(2, 'complete', 20);
-		expect(attribution.statusOf('a', 20)).toBe('free');
+		expect(attribution.statusOf(identify('a'), 20)).toBe('free');
 	});
 
 	it('counts a crash once if several daemons report it', () => {
 		const attribution = new CrashAttribution();
 		attribution.applyNews({
-			kind: 'suspected', fingerprint: 'p', upstream: 'u1', ageMs: 50,
+			kind: 'suspected', ...identify('p'), upstream: 'u1', ageMs: 50,
 		}, 100);
 		crash(attribution, 'u1', ['p'], 60);
-		expect(attribution.statusOf('p', 200)).toBe('suspect');
+		expect(attribution.statusOf(identify('p'), 200)).toBe('suspect');
 	});
 
 	it('clears a request that completes, and announces it to the other daemons', () => {
 		const attribution = new CrashAttribution();
 		crash(attribution, 'u1', ['a'], 0);
 		attribution.takeNews();
-		attribution.attemptStarted(1, {upstream: 'u2', fingerprint: 'a', startedAt: 100});
+		attribution.attemptStarted(1, {upstream: 'u2', ...identify('a'), startedAt: 100});
 		attribution.attemptEnded(1, 'complete', 200);
 		expect(attribution.takeNews()).toEqual([{kind: 'cleared', fingerprint: 'a'}] satisfies CrashNews[]);
 		crash(attribution, 'u2', ['a'], 300);
-		expect(attribution.statusOf('a', 400)).toBe('free');
+		expect(attribution.statusOf(identify('a'), 400)).toBe('free');
 	});
 
 	// Guards against a popular request being condemned because it was in flight in crashes that other requests caused.
 	it.each([[true, 'free'], [false, 'condemned']])('with the guard clearsCompleted set to %s, a request that has completed is %s', (clearsCompleted, status) => {
 		const attribution = new CrashAttribution({...allCrashAttributionGuards, clearsCompleted});
 		crash(attribution, 'u1', ['a', 'p'], 0);
-		attribution.attemptStarted(1, {upstream: 'u2', fingerprint: 'a', startedAt: 100});
+		attribution.attemptStarted(1, {upstream: 'u2', ...identify('a'), startedAt: 100});
 		attribution.attemptEnded(1, 'complete', 200);
 		crash(attribution, 'u3', ['a', 'q'], 1000);
 		attribution.tick(1010 + decisionDelayMs);
-		expect(attribution.statusOf('a', 3100)).toBe(status);
+		expect(attribution.statusOf(identify('a'), 3100)).toBe(status);
 	});
 
 	// Guards against requests being condemned when a rack fails: a retry on another host of the rack puts them in a second crash that they did not cause.
@@ -125,7 +126,7 @@
 		crash(attribution, 'u2', ['a', 'd'], 300);
 		crash(attribution, 'u3', ['b', 'e'], 500);
 		attribution.tick(510 + decisionDelayMs);
-		expect(['a', 'b'].map(name => attribution.statusOf(name, 2600))).toEqual([status, status]);
+		expect(['a', 'b'].map(name => attribution.statusOf(identify(name), 2600))).toEqual([status, status]);
 	});
 
 	// Guards against memory that grows with the number of crashing requests, and against new ones freeing those condemned before.
@@ -136,14 +137,14 @@
 		}
 
 		const now = 100_010;
-		const condemned = Array.from({length: 10_001}, (_, index) => attribution.statusOf(`p${index}`, now)).filter(status => status === 'condemned');
+		const condemned = Array.from({length: 10_001}, (_, index) => attribution.statusOf(identify(`p${index}`), now)).filter(status => status === 'condemned');
 		expect(condemned).toHaveLength(10_000);
 		expect(attribution.repeatNews(now, true).length).toBeLessThanOrEqual(14);
 	});
 
 	it('returns the candidates unchanged while nothing has crashed', () => {
 		const candidates = [{id: 'u1'}, {id: 'u2'}];
-		expect(new CrashAttribution().selectAllowed('a', candidates, 0)).toBe(candidates);
+		expect(new CrashAttribution().selectAllowed(identify('a'), candidates, 0)).toBe(candidates);
 	});
 });
 
--- a/test/process/crashes/crash-monitor.test.ts
+++ b/test/process/crashes/crash-monitor.test.ts
@@ -5,15 +5,16 @@
 } from 'vitest';
 import {ManualClock} from '../../../src/process/clock.ts';
 import type {AttemptResult, CrashNews} from '../../../src/process/crashes/crash-attribution.ts';
-import {refusalDurationMs} from '../../../src/process/crashes/crash-history.ts';
 import {CrashMonitor} from '../../../src/process/crashes/crash-monitor.ts';
-import {createFingerprint} from '../../../src/request/delivery/request-fingerprint.ts';
+import {refusalDurationMs} from '../../../src/process/crashes/crash-timing.ts';
+import {identifyRouteRequest} from '../../../src/request/delivery/route-request-identity.ts';
+import {identify} from '../../fixtures/request-identity.ts';
 import {createRequest} from '../../fixtures/fleet/configuration.ts';
 
 const settleMs = 2000;
 const crashAfterMs = 60;
 const crashingRequest = createRequest({body: Buffer.from('poison')});
-const poison = createFingerprint(crashingRequest);
+const poison = identifyRouteRequest(crashingRequest).fingerprint;
 
 /** Monitors of several daemons that hear of each other's news at once. */
 class Daemons {
@@ -48,7 +49,7 @@
 		this.#attempts += 1;
 		const monitor = this.monitors[daemon]!;
 		monitor.attemptStarted(this.#attempts, {
-			upstream, fingerprint, startedAt: this.clock.now(), address: `address of ${upstream}`,
+			upstream, ...identify(fingerprint), startedAt: this.clock.now(), address: `address of ${upstream}`,
 		});
 		monitor.attemptEnded(this.#attempts, upstream, result);
 	}
@@ -68,7 +69,7 @@
 	}
 
 	statuses(fingerprint: string): readonly string[] {
-		return this.monitors.map(monitor => monitor.statusOf(fingerprint));
+		return this.monitors.map(monitor => monitor.statusOf(identify(fingerprint)));
 	}
 }
 
@@ -81,18 +82,18 @@
 		expect(daemons.statuses(poison)).toEqual(['pending', 'pending', 'pending']);
 		daemons.settle();
 		expect(daemons.statuses(poison)).toEqual(['condemned', 'condemned', 'condemned']);
-		expect(daemons.monitors[2]!.withheldForMs(poison)).toBeGreaterThan(refusalDurationMs - 100);
+		expect(daemons.monitors[2]!.withheldForMs(identify(poison))).toBeGreaterThan(refusalDurationMs - 100);
 	});
 
 	test('is recognised under another id, from another address and under another spelling of its host', () => {
 		for (const other of [{id: 'another'}, {callerAddress: '10.9.9.9'}, {host: 'A.example'}, {host: 'a.example:80'}]) {
-			expect(createFingerprint({...crashingRequest, ...other})).toBe(poison);
+			expect(identifyRouteRequest({...crashingRequest, ...other}).fingerprint).toBe(poison);
 		}
 	});
 
 	test('is told from requests that differ in method, host, path, query or body', () => {
 		for (const other of [{body: Buffer.from('poison2')}, {method: 'GET'}, {target: '/x/2'}, {target: '/x/1?page=2'}, {host: 'b.example'}]) {
-			expect(createFingerprint({...crashingRequest, ...other})).not.toBe(poison);
+			expect(identifyRouteRequest({...crashingRequest, ...other}).fingerprint).not.toBe(poison);
 		}
 	});
 
@@ -103,7 +104,7 @@
 			const upstream = `u-${index}`;
 			for (const [offset, fingerprint] of [poison, `innocent ${index}`].entries()) {
 				monitor!.attemptStarted((index * 2) + offset, {
-					upstream, fingerprint, startedAt: 0, address: '',
+					upstream, ...identify(fingerprint), startedAt: 0, address: '',
 				});
 			}
 
@@ -183,7 +184,7 @@
 		const [monitor] = daemons.monitors;
 		for (const attemptId of [1, 2, 3]) {
 			monitor!.attemptStarted(attemptId, {
-				upstream: 'u-0', fingerprint: poison, startedAt: 0, address: '',
+				upstream: 'u-0', ...identify(poison), startedAt: 0, address: '',
 			});
 		}
 
@@ -213,14 +214,14 @@
 			late.applyNews(news);
 		}
 
-		expect(late.statusOf(poison)).toBe('suspect');
+		expect(late.statusOf(identify(poison))).toBe('suspect');
 		daemons.crash(1, poison, 'u-1');
 		daemons.settle();
 		for (const news of daemons.monitors[0]!.repeatNews(false)) {
 			late.applyNews(news);
 		}
 
-		expect(late.statusOf(poison)).toBe('condemned');
+		expect(late.statusOf(identify(poison))).toBe('condemned');
 	});
 
 	test('counts a crash once although it is reported repeatedly', () => {
--- a/test/process/crashes/upstream-crash-registry.test.ts
+++ b/test/process/crashes/upstream-crash-registry.test.ts
@@ -16,6 +16,7 @@
 import {MemoryTable} from '../../../src/stand-ins/platform/memory-table.ts';
 import {succeed} from '../../either.ts';
 import {FaultyTable, type CallFault} from '../../fixtures/faulty-table.ts';
+import {identify} from '../../fixtures/request-identity.ts';
 
 const demand: RequestDemand = {
 	requestId: 'r',
@@ -25,7 +26,7 @@
 		kind: 'model', model: 'press', path: '/v1/completions', stream: false,
 	},
 	serviceClass: 'live',
-	fingerprint: 'p',
+	...identify('p'),
 	body: new Uint8Array(),
 };
 
@@ -87,10 +88,14 @@
 describe('crash news', () => {
 	it.each<CrashNews>([
 		{
-			kind: 'suspected', fingerprint: 'p', upstream: 'u1', ageMs: 40,
+			kind: 'suspected', ...identify('p'), upstream: 'u1', ageMs: 40,
 		},
 		{kind: 'condemned', fingerprint: 'p', refusedForMs: 600_000},
 		{kind: 'cleared', fingerprint: 'p'},
+		{
+			kind: 'partsCondemned', promptParts: ['a', 'b'], refusedForMs: 600_000, firstCrashAgeMs: 4000,
+		},
+		{kind: 'partsCleared', promptParts: ['a']},
 	])('of kind $kind is unchanged after encoding and decoding', news => {
 		const item = encodeCrashNews(news);
 		expect(item.case === 'crashingRequest' && decodeCrashNews(create(CrashingRequestSchema, item.value))).toEqual(news);
--- a/test/process/fleet/crashing-prompt-part.test.ts
+++ b/test/process/fleet/crashing-prompt-part.test.ts
@@ -4,7 +4,9 @@
 import {holdsPart, type UpstreamBehaviour} from '../../fixtures/fleet/upstream-server.ts';
 
 const crashPart = 'dead';
-const engine: Partial<UpstreamBehaviour> = {stage: 'decode', crashPart, eventCount: 10, eventIntervalMs: 20};
+const engine: Partial<UpstreamBehaviour> = {
+	stage: 'decode', crashPart, eventCount: 10, eventIntervalMs: 20,
+};
 const restartMs = 700;
 const arrivalIntervalMs = 100;
 const trafficMs = 12_000;
--- a/test/process/peers/peer-link.test.ts
+++ b/test/process/peers/peer-link.test.ts
@@ -93,7 +93,7 @@
 		const startedAt = performance.now();
 		await fixture.start(1, 1);
 		await vi.waitFor(() => {
-			expect(fixture.crashNews.at(-1)!.some(({fingerprint}) => fingerprint === 'p')).toBe(true);
+			expect(fixture.crashNews.at(-1)!.some(news => 'fingerprint' in news && news.fingerprint === 'p')).toBe(true);
 		}, {timeout: 400, interval: 10});
 		expect(performance.now() - startedAt).toBeLessThan(300);
 	});
--- a/test/process/peers/peers.test.ts
+++ b/test/process/peers/peers.test.ts
@@ -4,6 +4,7 @@
 import {PeerLoadTracker, peerLoadTimeoutMs} from '../../../src/process/peers/peer-load-tracker.ts';
 import {decodePeerDatagram, encodePeerDatagrams, type PeerMessage} from '../../../src/process/peers/peer-message.ts';
 import {SeededRandom} from '../../../src/process/random.ts';
+import {identify} from '../../fixtures/request-identity.ts';
 
 const message: PeerMessage = {
 	daemon: 'a',
@@ -14,10 +15,14 @@
 	queued: new Map([[1, 50], [2, 600]]),
 	crashNews: [
 		{
-			kind: 'suspected' as const, fingerprint: 'f', upstream: 'u-2', ageMs: 40,
+			kind: 'suspected' as const, ...identify('f', 'part-1', 'part-2'), upstream: 'u-2', ageMs: 40,
 		},
 		{kind: 'condemned' as const, fingerprint: 'g', refusedForMs: 600_000},
 		{kind: 'cleared' as const, fingerprint: 'h'},
+		{
+			kind: 'partsCondemned' as const, promptParts: ['part-1', 'part-2'], refusedForMs: 600_000, firstCrashAgeMs: 4000,
+		},
+		{kind: 'partsCleared' as const, promptParts: ['part-1']},
 	],
 	tables: [{
 		table: 'servers', version: 530, digest: 2 ** 47, ageMs: 120,
