Refuse chat messages that crash engines on the own interface

Cause: only whole requests were followed on the own interface.

Change: the messages of a chat (the first 32, by a hash of customer, model and message) are the parts of its prompt, for the decision that exists. An answer with an error status does not clear parts. News names only parts that are still suspected.

--- a/src/process/crashes/crash-attribution.ts
+++ b/src/process/crashes/crash-attribution.ts
@@ -316,7 +316,7 @@
 		const suspicions = this.#records.all
 			.filter(({isLocal, at}) => isLocal && now - at <= repeatedForMs)
 			.flatMap(({upstream, at, requests}) => [...requests].map(([fingerprint, promptParts]) => ({
-				kind: 'suspected' as const, fingerprint, promptParts, upstream, ageMs: Math.round(now - at),
+				kind: 'suspected' as const, ...this.#selectSuspects({fingerprint, promptParts}), upstream, ageMs: Math.round(now - at),
 			})));
 		const ordered = this.#orderBySuspicion(suspicions.toSorted((a, b) => a.ageMs - b.ageMs));
 		const others = ordered.slice(maxRepeatedSuspicions);
@@ -344,6 +344,11 @@
 		return [...representatives, ...sorted.filter(request => !representatives.has(request))];
 	}
 
+	/** Leaves out the parts of a prompt that have been in a complete answer since their crashes. */
+	#selectSuspects({fingerprint, promptParts}: RequestIdentity): RequestIdentity {
+		return {fingerprint, promptParts: promptParts.filter(part => this.#parts.countCrashes(part) > 0)};
+	}
+
 	/** Largest number of crashes that a request or one of the parts of its prompt may have caused. */
 	#countSuspicions({fingerprint, promptParts}: RequestIdentity): number {
 		return Math.max(this.#history.countCrashes(fingerprint), ...promptParts.map(part => this.#parts.countCrashes(part)));
@@ -389,7 +394,7 @@
 		const requests = [...suspects].map(([fingerprint, promptParts]) => ({fingerprint, promptParts}));
 		for (const request of this.#orderBySuspicion(requests).slice(0, maxReportedRequests)) {
 			this.#news.push({
-				kind: 'suspected', ...request, upstream, ageMs: Math.round(now - crash.startedAt),
+				kind: 'suspected', ...this.#selectSuspects(request), upstream, ageMs: Math.round(now - crash.startedAt),
 			});
 		}
 
--- a/src/process/crashes/crash-row-task.ts
+++ b/src/process/crashes/crash-row-task.ts
@@ -25,18 +25,28 @@
 		| {readonly kind: 'news'; readonly news: CrashNews};
 
 /** A row to be written; the row is deleted if `refusedUntil` is 0. */
-type PendingRow = {readonly fingerprint: string; readonly refusedUntil: number};
+type PendingRow = z.infer<typeof rowSchema>;
 
 const tickIntervalMs = 1000;
 const ticksPerRead = 30;
 const maxRowsPerRead = 1000;
 const condemnationReason = 'in flight in at least two crashes of upstreams';
-const rowSchema = z.object({fingerprint: z.string(), refusedUntil: z.number()});
+const rowSchema = z.object({
+	/** Fingerprint of a request, or a name made of the condemned parts; also the sort key. */
+	fingerprint: z.string(),
+	/** Wall time in milliseconds. */
+	refusedUntil: z.number(),
+	/** Condemned parts and the wall time of their first crash in milliseconds; absent in the row of a request. */
+	parts: z.object({keys: z.array(z.string()), firstCrashAt: z.number()}).optional(),
+});
+const partsPrefix = 'parts ';
 
-/** Stores condemned requests in the platform's table, so that daemons that start later or miss the news refuse them too. */
+/** Stores condemned requests and prompt parts in the platform's table, so that daemons that start later or miss the news refuse them too. */
 export class CrashRowTask extends Task<Message> {
 	readonly #options: CrashRowTaskOptions;
 	readonly #pending = new Map<string, PendingRow>();
+	/** Condemned parts that have a row, by its sort key. */
+	readonly #partRows = new Map<string, readonly string[]>();
 	#ticks = 0;
 	#isWriting = false;
 
@@ -89,22 +99,67 @@
 	}
 
 	#queueWrite(news: CrashNews): void {
-		if (news.kind === 'condemned') {
-			const {fingerprint, refusedForMs} = news;
-			this.#pending.set(fingerprint, {fingerprint, refusedUntil: this.#options.now() + refusedForMs});
-		} else if (news.kind === 'cleared') {
-			this.#pending.set(news.fingerprint, {fingerprint: news.fingerprint, refusedUntil: 0});
+		switch (news.kind) {
+			case 'condemned': {
+				const {fingerprint, refusedForMs} = news;
+				this.#queueRow({fingerprint, refusedUntil: this.#options.now() + refusedForMs});
+				break;
+			}
+
+			case 'partsCondemned': {
+				const {promptParts, refusedForMs, firstCrashAgeMs} = news;
+				const now = this.#options.now();
+				const fingerprint = nameParts(promptParts);
+				this.#partRows.set(fingerprint, promptParts);
+				this.#queueRow({fingerprint, refusedUntil: now + refusedForMs, parts: {keys: [...promptParts], firstCrashAt: now - firstCrashAgeMs}});
+				break;
+			}
+
+			case 'cleared': {
+				this.#queueDeletion(news.fingerprint);
+				break;
+			}
+
+			case 'partsCleared': {
+				const cleared = [...this.#partRows].filter(([, promptParts]) => promptParts.some(part => news.promptParts.includes(part)));
+				for (const [fingerprint] of cleared) {
+					this.#queueDeletion(fingerprint);
+				}
+
+				break;
+			}
+
+			case 'suspected': {
+				break;
+			}
 		}
 	}
 
+	#queueRow(row: PendingRow): void {
+		this.#pending.set(row.fingerprint, row);
+	}
+
+	#queueDeletion(fingerprint: string): void {
+		this.#partRows.delete(fingerprint);
+		this.#queueRow({fingerprint, refusedUntil: 0});
+	}
+
 	#applyRows(rows: readonly Row[]): void {
 		const now = this.#options.now();
 		for (const row of rows) {
-			const {fingerprint, refusedUntil} = rowSchema.parse(JSON.parse(row.body));
+			const {fingerprint, refusedUntil, parts} = rowSchema.parse(JSON.parse(row.body));
 			if (refusedUntil > now && this.#pending.get(fingerprint)?.refusedUntil !== 0) {
-				this.#options.applyNews({kind: 'condemned', fingerprint, refusedForMs: refusedUntil - now});
+				if (parts !== undefined) {
+					this.#partRows.set(fingerprint, parts.keys);
+				}
+
+				this.#options.applyNews(parts === undefined
+					? {kind: 'condemned', fingerprint, refusedForMs: refusedUntil - now}
+					: {
+						kind: 'partsCondemned', promptParts: parts.keys, refusedForMs: refusedUntil - now, firstCrashAgeMs: now - parts.firstCrashAt,
+					});
 			} else if (refusedUntil <= now && this.#options.isSweeper()) {
-				this.#pending.set(fingerprint, {fingerprint, refusedUntil: 0});
+				this.#queueDeletion(fingerprint);
 			}
 		}
 	}
@@ -141,7 +196,7 @@
 		this.#isWriting = false;
 	}
 
-	async #write({fingerprint, refusedUntil}: PendingRow): Promise<boolean> {
+	async #write({fingerprint, refusedUntil, parts}: PendingRow): Promise<boolean> {
 		const {table} = this.#options;
 		const key: RowKey = {partition: 'crash', sort: fingerprint};
 		const read = await table.get(key);
@@ -154,7 +209,9 @@
 			return true;
 		}
 
-		const body = JSON.stringify({fingerprint, refusedUntil, reason: condemnationReason});
+		const body = JSON.stringify({
+			fingerprint, refusedUntil, parts, reason: condemnationReason,
+		});
 		const written = await table.write([refusedUntil === 0
 			? {kind: 'delete', key, expected}
 			: {
@@ -163,3 +220,7 @@
 		return written.isRight();
 	}
 }
+
+function nameParts(promptParts: readonly string[]): string {
+	return `${partsPrefix}${promptParts.join(' ')}`;
+}
--- a/src/process/crashes/upstream-crash-registry.ts
+++ b/src/process/crashes/upstream-crash-registry.ts
@@ -55,7 +55,7 @@
 
 function toAttemptResult({outcome, status, isLeaving}: AttemptEnd): AttemptResult {
 	if (outcome === 'complete') {
-		return 'complete';
+		return status === undefined || status < 300 ? 'complete' : 'declined';
 	}
 
 	// An upstream that refuses a request with 503 has not crashed.
--- a/src/request/call.ts
+++ b/src/request/call.ts
@@ -4,8 +4,15 @@
 
 /** Model or service that a request addresses, resolved from its method, path and body. */
 export type Call
-	= | {readonly kind: 'model'; readonly model: string; readonly path: string; readonly stream: boolean}
-		| {readonly kind: 'service'; readonly service: string; readonly path: string};
+	= | {
+		readonly kind: 'model';
+		readonly model: string;
+		readonly path: string;
+		readonly stream: boolean;
+		/** Messages of a chat as the caller sent them; undefined for other prompts. */
+		readonly messages?: readonly unknown[];
+	}
+	| {readonly kind: 'service'; readonly service: string; readonly path: string};
 
 const modelPaths: ReadonlySet<string> = new Set(['/v1/chat/completions', '/v1/completions']);
 const servicePathPattern = /^\/services\/(?<service>[\w.\-]+)(?<path>\/[^?]*(?:\?.*)?)?$/v;
@@ -18,6 +25,7 @@
 const modelBodySchema = z.looseObject({
 	model: z.string().min(1),
 	stream: z.boolean().optional(),
+	messages: z.unknown().optional(),
 });
 
 /** Resolves the call of a request; refuses a path or body that cannot be served. */
@@ -37,7 +45,7 @@
 	}
 
 	return parseModelBody(body).map(value => ({
-		kind: 'model', model: value.model, path, stream: value.stream ?? false,
+		kind: 'model', model: value.model, path, stream: value.stream ?? false, ...(Array.isArray(value.messages) ? {messages: value.messages as readonly unknown[]} : {}),
 	}));
 }
 
--- a/src/request/parsed-request.ts
+++ b/src/request/parsed-request.ts
@@ -5,6 +5,7 @@
 import {createRefusal, type CallerError} from './caller-error.ts';
 import {deadlineHeader, parseDeadline} from './deadline.ts';
 import type {RequestBody} from './request-body.ts';
+import {identifyMessages} from './prompt-parts.ts';
 import type {RequestDemand, ServiceClass} from './request-demand.ts';
 
 /** Validated head of a request, before its body is read. */
@@ -76,7 +77,7 @@
 			call,
 			serviceClass,
 			body: body.bytes,
-			promptParts: [],
+			promptParts: identifyMessages(customer, call),
 			fingerprint: createHash('sha256').update(JSON.stringify([customer, method, url])).update(body.bytes).digest('hex'),
 			...(remainingMs === undefined ? {} : {deadlineMs: nowMs + remainingMs}),
 		},
--- a/test/process/crashes/upstream-crash-registry.test.ts
+++ b/test/process/crashes/upstream-crash-registry.test.ts
@@ -129,6 +129,23 @@
 		expect(reader).toBeDefined();
 	});
 
+	// Guards against a daemon that starts later dispatching requests with a part that crashes engines.
+	it('passes condemned parts to a daemon that starts later, until one of them is in a complete answer', async () => {
+		const table = new MemoryTable();
+		await using writer = createTask(table, []);
+		writer.record({
+			kind: 'partsCondemned', promptParts: ['a', 'b'], refusedForMs: 600_000, firstCrashAgeMs: 4000,
+		});
+		await vi.advanceTimersByTimeAsync(2000);
+		const learned: CrashNews[] = [];
+		await using reader = createTask(table, learned);
+		await vi.advanceTimersByTimeAsync(100);
+		expect(learned).toMatchObject([{kind: 'partsCondemned', promptParts: ['a', 'b']}]);
+		reader.record({kind: 'partsCleared', promptParts: ['b']});
+		await vi.advanceTimersByTimeAsync(2000);
+		expect(await succeed(table.query('crash'))).toHaveLength(0);
+	});
+
 	it('deletes expired rows', async () => {
 		const table = new MemoryTable();
 		await table.write([{
