--- a/test/request/delivery/stream-delivery.test.ts
+++ b/test/request/delivery/stream-delivery.test.ts
@@ -39,6 +39,18 @@
 		}
 	});
 
+	// Guards against a stream that is cut short being passed on as complete, when only the end of its connection ends it.
+	test.each([
+		['ends after its last event', {endsUnframed: true}, {isWhole: true, ids: ['1', '2', '3']}],
+		['ends inside an event', {endsInsideEvent: true}, {isWhole: false, ids: ['1', '2']}],
+		['is reset', {resetsUnframed: true}, {isWhole: false, ids: ['1', '2', '3']}],
+	])('relays a stream without length or chunks that %s, complete only if it was', async (_end, trouble, expected) => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'p-1', stage: 'prefill'}, {id: 'd-1', stage: 'decode', ...trouble}]);
+		const {status, body, isWhole} = await fleet.stream('/flag/1');
+		expect({status, isWhole, ids: readEventIds(body)}).toEqual({status: 200, ...expected});
+	});
+
 	test('lets the decoding engine prefill the prompt when no other one can', async () => {
 		await using fleet = new FleetFixture();
 		await fleet.start([{id: 'd-1', stage: 'decode'}]);
