Pass only the final head of an answer on, on the own interface

Callers got 502 for a sound answer that was preceded by an informational one (103), and an upstream that sends informational answers without end counted as crashed: once it left, the caller's request was refused with 422.

Cause: the decorator of the client library asserts that an answer has one head; the second one ended the attempt as a lost connection. Evidence: the error of the attempt is that assertion.

Change: informational heads are not passed on; an endless sequence of them is ended by the answer guard, as an invalid answer. A test states for each kind of endless answer that its attempt ends as invalid, never as lost.

--- a/src/connection/upstream-connection.ts
+++ b/src/connection/upstream-connection.ts
@@ -171,6 +171,9 @@
 	}
 }
 
+/** Lower statuses are those of informational answers. */
+const minFinalStatus = 200;
+
 type ObservedEvents = ConnectionEvents & {readonly onStart: (controller: Dispatcher.DispatchController) => void; readonly onData: (bytes: number) => void};
 
 /** Reports the events of a request before passing them to the request's own handler. */
@@ -191,7 +194,10 @@
 
 	onResponseStart(...[controller, status, headers, message]: Parameters<NonNullable<Dispatcher.DispatchHandler['onResponseStart']>>): void {
 		this.#events.onHead(status, headers);
-		this.#inner.onResponseStart?.(controller, status, headers, message);
+		// The decorator takes a second head for an error, and informational answers precede the one that counts.
+		if (status >= minFinalStatus) {
+			this.#inner.onResponseStart?.(controller, status, headers, message);
+		}
 	}
 
 	onResponseData(...[controller, chunk]: Parameters<NonNullable<Dispatcher.DispatchHandler['onResponseData']>>): void {
--- a/test/request/endless-answers.test.ts
+++ b/test/request/endless-answers.test.ts
@@ -3,6 +3,7 @@
 import {
 	createEndlessAnswers, createEndlessBodies, writeEndlessly, type EndlessAnswer,
 } from '../fixtures/endless-answers.ts';
+import {AttemptListener, type Attempt, type AttemptEnd} from '../../src/request/attempt-listener.ts';
 import {createRequestHandlerFixture, fixtureKey} from './request-handler-fixture.ts';
 import {completeStream, createRawUpstream} from './upstream-fixture.ts';
 
@@ -16,6 +17,19 @@
 const answers = createEndlessAnswers('');
 const eventStream = createEndlessBodies('').at(-1)!;
 
+/** Records how attempts end. */
+class RecordedEnds extends AttemptListener {
+	readonly outcomes: string[] = [];
+
+	attemptStarted(): void {
+		// Only the end is of interest.
+	}
+
+	attemptEnded(_attempt: Attempt, {outcome}: AttemptEnd): void {
+		this.outcomes.push(outcome);
+	}
+}
+
 async function ask(url: string, answer: string): Promise<Response> {
 	return fetch(`${url}/v1/chat/completions`, {
 		method: 'POST', headers: {authorization: `Bearer ${fixtureKey}`}, body: JSON.stringify({model: 'model-a', stream: true, user: answer}),
@@ -54,6 +68,30 @@
 		}
 	});
 
+	// Guards against a request being refused as one that crashes upstreams because the daemon itself closes connections with endless answers.
+	it.each([...answers, eventStream])('ends its attempt as an invalid answer, never as a lost connection: $name', async answer => {
+		const closed = Promise.withResolvers<number>();
+		await using upstream = await createUpstream(answer, closed.resolve);
+		const ends = new RecordedEnds();
+		await using fixture = await createRequestHandlerFixture([upstream.host], {listeners: [ends]});
+		const response = await ask(fixture.url, 'endless');
+		await response.text().catch(() => 'aborted');
+		await closed.promise;
+		expect(new Set(ends.outcomes)).toEqual(new Set(['invalid_answer']));
+	});
+
+	// Guards against the second head of an answer being taken for an error of the connection.
+	it.each([1, 3])('does not include an answer after %i informational ones, which is relayed', async count => {
+		await using upstream = await createRawUpstream('u', async socket => {
+			socket.write(`${'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'.repeat(count)}${completeStream}`);
+		});
+		const ends = new RecordedEnds();
+		await using fixture = await createRequestHandlerFixture([upstream.host], {listeners: [ends]});
+		const response = await ask(fixture.url, 'short');
+		expect(await response.text()).toContain('[DONE]');
+		expect([response.status, ends.outcomes]).toEqual([200, ['complete']]);
+	});
+
 	it('is broken off visibly when one of its events has no end', async () => {
 		const closed = Promise.withResolvers<number>();
 		await using upstream = await createUpstream(eventStream, closed.resolve);
