Do not take a connection that the daemon closes for a crash, on the operator's platform

A request was suspected of crashing upstreams when the daemon itself had closed its connection: because of an endless head or body, bytes that are no HTTP, an answer with another request's id, or an event or body over its limit.

Cause: an exchange told only lost connections and cancelled ones apart. Change: such an exchange ends as invalid, by the same classification as on the own interface, and only a broken connection counts as a possible crash. What callers and the scheduler see of these sends is unchanged.

--- a/src/connection/answer-guard.ts
+++ b/src/connection/answer-guard.ts
@@ -1,5 +1,5 @@
 import type {Socket} from 'node:net';
-import type {buildConnector} from 'undici';
+import {errors, type buildConnector} from 'undici';
 
 /** Largest part of an answer that is not its body (head, informational answers, chunk framing and trailers), in bytes. */
 const maxFramingBytes = 256 * 1024;
@@ -15,6 +15,12 @@
 	}
 }
 
+/** True if an exchange ended because of what the upstream sent, and not because the connection broke, as in a crash. */
+export function isInvalidAnswerError(error: Error): boolean {
+	const isTruncated = error instanceof errors.HTTPParserError && error.code === 'HPE_INVALID_EOF_STATE';
+	return !isTruncated && (error instanceof errors.HTTPParserError || error instanceof errors.HeadersOverflowError || error instanceof EndlessAnswerError);
+}
+
 /**
 Closes a connection whose answers consist of bytes that belong to no body.
 
--- a/src/connection/links/exchange.ts
+++ b/src/connection/links/exchange.ts
@@ -1,11 +1,12 @@
 import type {Dispatcher} from 'undici';
+import {isInvalidAnswerError} from '../answer-guard.ts';
 
 /** Reason why an exchange did not end with a complete answer. */
 export type ExchangeFailure = {
 	/** False only when no byte of the request can have reached the upstream. */
 	readonly wasSent: boolean;
-	/** `refused`: the connection was refused; `unreachable`: it was not established in time; `lost`: it broke; `cancelled`: the daemon cancelled the exchange. */
-	readonly kind: 'refused' | 'unreachable' | 'lost' | 'cancelled';
+	/** `refused`: the connection was refused; `unreachable`: it was not established in time; `lost`: it broke; `invalid`: the daemon closed it because of what the upstream sent; `cancelled`: the daemon cancelled the exchange. */
+	readonly kind: 'refused' | 'unreachable' | 'lost' | 'invalid' | 'cancelled';
 	readonly message: string;
 };
 
@@ -26,6 +27,11 @@
 	override name = 'ExchangeCancelledError';
 }
 
+/** Error of an exchange whose answer is not valid. */
+class InvalidAnswerError extends Error {
+	override name = 'InvalidAnswerError';
+}
+
 const unreachableCodes: ReadonlySet<string> = new Set(['UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'ETIMEDOUT']);
 
 /** One request and its answer on one connection. */
@@ -66,7 +72,7 @@
 	/** Ends the exchange because the answer is not valid; its connection is closed. */
 	rejectAnswer(message: string): void {
 		if (!this.#hasEnded) {
-			this.#abort(new Error(message));
+			this.#abort(new InvalidAnswerError(message));
 		}
 	}
 
@@ -136,6 +142,10 @@
 			return 'cancelled';
 		}
 
+		if (error instanceof InvalidAnswerError || isInvalidAnswerError(error)) {
+			return 'invalid';
+		}
+
 		const {code = ''} = error as {readonly code?: string};
 		if (code === 'ECONNREFUSED') {
 			return 'refused';
--- a/src/request/attempt.ts
+++ b/src/request/attempt.ts
@@ -1,7 +1,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {Socket} from 'node:net';
 import {errors, type Dispatcher} from 'undici';
-import {EndlessAnswerError} from '../connection/answer-guard.ts';
+import {isInvalidAnswerError} from '../connection/answer-guard.ts';
 import {captureNextSocket, guardPausedSocket} from '../connection/attempt-socket.ts';
 import type {AttemptEnd} from './attempt-listener.ts';
 import type {RunState} from './caller-error.ts';
@@ -253,12 +253,5 @@
 		return 'timed_out';
 	}
 
-	const isTruncated = error instanceof errors.HTTPParserError && error.code === 'HPE_INVALID_EOF_STATE';
-	if (isTruncated) {
-		return 'connection_lost';
-	}
-
-	return error instanceof errors.HTTPParserError || error instanceof errors.HeadersOverflowError || error instanceof EndlessAnswerError
-		? 'invalid_answer'
-		: 'connection_lost';
+	return isInvalidAnswerError(error) ? 'invalid_answer' : 'connection_lost';
 }
--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -166,12 +166,12 @@
 	}
 
 	/** Classifies a failed call for the scheduler; a call that the daemon abandoned counts as silent, unless the request itself was aborted. */
-	protected classifyFailure({kind, wasSent}: ExchangeFailure, elapsedMs: number): SendResult {
-		if (kind === 'cancelled') {
+	protected classifyFailure(failure: ExchangeFailure, elapsedMs: number): SendResult {
+		if (failure.kind === 'cancelled') {
 			return {kind: this.job.signal.aborted ? 'cancelled' : 'silent', elapsedMs};
 		}
 
-		return {kind: wasSent ? 'lost' : kind, elapsedMs};
+		return {kind: toSendResultKind(failure), elapsedMs};
 	}
 
 	protected log(event: string, fields: Readonly<Record<string, unknown>>): void {
@@ -255,3 +255,8 @@
 
 	return isMisdirected ? 'misdirected' : 'rejected';
 }
+
+/** Returns the result of a send that the exchange did not answer. */
+export function toSendResultKind({kind, wasSent}: ExchangeFailure): SendResult['kind'] {
+	return wasSent || kind === 'invalid' || kind === 'cancelled' ? 'lost' : kind;
+}
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -266,10 +266,10 @@
 	}
 }
 
-function toAttemptResult({kind, isFramed, mayHaveRun}: StreamRunResult): AttemptResult {
+function toAttemptResult({kind, isFramed, isConnectionLost, mayHaveRun}: StreamRunResult): AttemptResult {
 	if (kind === 'complete') {
 		return isFramed ? 'complete' : 'unframed';
 	}
 
-	return kind === 'lost' && mayHaveRun ? 'lost' : 'other';
+	return isConnectionLost && mayHaveRun ? 'lost' : 'other';
 }
--- a/src/request/delivery/stream-run.ts
+++ b/src/request/delivery/stream-run.ts
@@ -1,7 +1,9 @@
 import {Buffer} from 'node:buffer';
 import type {Exchange, ExchangeFailure} from '../../connection/links/exchange.ts';
 import type {UpstreamAnswer, WireRequest} from '../../ports/upstream-protocol.ts';
-import {classifyRejection, type DeliveryJob, type DeliveryDependencies} from './delivery.ts';
+import {
+	classifyRejection, toSendResultKind, type DeliveryJob, type DeliveryDependencies,
+} from './delivery.ts';
 import {EventSplitter} from './event-splitter.ts';
 import type {Placement, SendResult} from './upstream-scheduler.ts';
 
@@ -28,6 +30,8 @@
 	readonly status: number | undefined;
 	/** False when only the end of the connection ends the answer. */
 	readonly isFramed: boolean;
+	/** True when the connection broke, as in a crash; false when the daemon closed it. */
+	readonly isConnectionLost: boolean;
 	/** True when a byte of the request may have reached the upstream. */
 	readonly mayHaveArrived: boolean;
 	/** True when the upstream may have run the request; the prompt's handle cannot be used again then. */
@@ -66,6 +70,7 @@
 	#silenceTimer: NodeJS.Timeout | undefined;
 	#cancelCause: {readonly kind: StreamRunResult['kind']; readonly message: string} | undefined;
 	#hasEnded = false;
+	#isConnectionLost = false;
 
 	constructor(options: StreamRunOptions) {
 		this.#options = options;
@@ -166,6 +171,7 @@
 	#handleEnd(): void {
 		const answer = this.#answer;
 		if (answer === undefined) {
+			this.#isConnectionLost = true;
 			this.#finish('lost', 'the answer has no head');
 			return;
 		}
@@ -176,6 +182,7 @@
 		} else if (answer.status >= 300) {
 			this.#finish('failed', `status ${answer.status}`);
 		} else if (this.#splitter.pendingBytes > 0) {
+			this.#isConnectionLost = true;
 			this.#finish('lost', 'the stream ended in the middle of an event');
 		} else {
 			this.#options.job.answer.end();
@@ -189,7 +196,8 @@
 			return;
 		}
 
-		this.#finish(failure.wasSent || failure.kind === 'cancelled' ? 'lost' : failure.kind, failure.message);
+		this.#isConnectionLost = failure.kind === 'lost';
+		this.#finish(toSendResultKind(failure), failure.message);
 	}
 
 	#cancel(kind: StreamRunResult['kind'], message: string): void {
@@ -231,6 +239,7 @@
 			message,
 			status: this.#answer?.status,
 			isFramed: this.#answer?.isFramed ?? false,
+			isConnectionLost: this.#isConnectionLost,
 			mayHaveArrived,
 			mayHaveRun: mayHaveArrived && !isRejected,
 			lastEventId: this.#lastEventId,
--- a/test/connection/endless-answers.test.ts
+++ b/test/connection/endless-answers.test.ts
@@ -47,7 +47,8 @@
 			const result = await callUpstream({
 				upstreamClients, protocol, upstream, wire: protocol.encodeReportRequest(upstream), timeoutMs,
 			});
-			return result.kind === 'failed' && result.failure.wasSent;
+			// The daemon closes the connection, so this is no sign of a crash of the upstream.
+			return result.kind === 'failed' && result.failure.wasSent && result.failure.kind === 'invalid';
 		});
 	});
 
