--- a/src/process/crashes/part-suspects.ts
+++ b/src/process/crashes/part-suspects.ts
@@ -47,12 +47,15 @@
 /** Fewer requests than this say nothing about what most requests hold. */
 const minSamples = 32;
 
+/** Number of crashes that weigh as much as being in the most requests; reports of single requests may be missing, so that a culprit is not known from each of its crashes. */
+const holdersWeight = 2;
+
 /** Number of groups of suspects that are followed at once. */
 const maxGroups = 8;
 
 const partSeparator = '\n';
 
-/** Explains the crashes by as few parts as possible: by the part of the most requests first, then by that of the most requests of the crashes that remain. */
+/** Explains the crashes by as few parts as possible: by the most suspected part first, then by the most suspected one of the crashes that remain. */
 export function findSuspectGroups(evidence: PartEvidence): readonly SuspectGroup[] {
 	const groups: SuspectGroup[] = [];
 	let unexplained = evidence.records;
@@ -99,10 +102,12 @@
 	return new Map(suspected.map(([part, crashes]) => [part, {records: new Set(crashes), holders: holdersOf.get(part)!.size}]));
 }
 
-/** Returns the suspicion of the part that was in the most different requests, among those whose crashes are no coincidence. */
+/** Returns the strongest suspicion, among those of parts whose crashes are no coincidence. */
 function findLeader(suspicions: ReadonlyMap<string, Suspicion>, answeredAt: ReadonlyMap<string, number>, unexplained: readonly CrashRecord[]): Suspicion | undefined {
-	const sorted = [...suspicions].toSorted(([a, {holders}], [b, {holders: others}]) => others - holders || (a < b ? -1 : 1));
-	// A part of fewer requests is in more crashes than another one only where reports are missing, so only the parts before it can explain its crashes.
+	const maxHolders = Math.max(1, ...[...suspicions.values()].map(({holders}) => holders));
+	const weigh = ({records, holders}: Suspicion) => records.size + (holdersWeight * holders / maxHolders);
+	const sorted = [...suspicions].toSorted(([a, suspicion], [b, other]) => weigh(other) - weigh(suspicion) || (a < b ? -1 : 1));
+	// A weaker suspicion is in more crashes than a stronger one only where reports are missing, so only stronger ones can explain its crashes.
 	const leader = sorted.find(([part, {records}], index) => isConclusive(part, [...records], answeredAt, unexplained)
 		&& !sorted.slice(0, index).some(([, other]) => other.records.size > records.size && includesAll(other.records, records)));
 	return leader?.[1];
--- a/test/process/crashes/prompt-part-attribution.test.ts
+++ b/test/process/crashes/prompt-part-attribution.test.ts
@@ -339,4 +339,19 @@
 			expect(completedHarmlessRequests).toBe(schedule.harmlessRequests);
 		}
 	});
+
+	// Guards against parts being confused when no upstream stays up for long and most parts are new.
+	it.each([
+		[120, 0], [120, 1 / 3], [800, 0], [1500, 0],
+	])('6 daemons before 3 upstreams that restart in 3 s, a crashing request every %i ms and %f of the news lost: condemns the part alone, and no harmless request', (crashingPartIntervalMs, newsLoss) => {
+		const reports = Array.from({length: 15}, (_, seed) => new CrashSchedule({
+			...schedule, daemons: 6, upstreams: 3, restartMs: 3000, crashingPartIntervalMs, newsLoss, seed: seed + 1,
+		}).run());
+		for (const {crashTimes, condemnedParts, condemnedHarmlessRequests} of reports) {
+			const decisiveAt = crashTimes[decisiveCrashes - 1] ?? Number.POSITIVE_INFINITY;
+			expect(crashTimes.filter(time => time > decisiveAt + contactMs).length).toBeLessThanOrEqual(maxLateCrashes);
+			expect(condemnedParts).toEqual(['crashing']);
+			expect(condemnedHarmlessRequests).toBe(0);
+		}
+	});
 });
