--- a/src/process/fleet/route-request-handler.ts
+++ b/src/process/fleet/route-request-handler.ts
@@ -184,6 +184,8 @@
 			reason: result.reason,
 			runs: result.possibleRuns,
 			sends: result.sends,
+			lastUpstream: result.lastSend?.upstream,
+			lastOutcome: result.lastSend?.outcome,
 			firstAnswerMs: result.firstAnswerMs === undefined ? undefined : Math.round(result.firstAnswerMs),
 			targetMs: route.targetLatencyMs,
 			totalMs: Math.round(dependencies.clock.now() - arrivedAt),
--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -52,6 +52,8 @@
 	readonly possibleRuns: number;
 	/** All sends, including those that only prefill the prompt. */
 	readonly sends: number;
+	/** Upstream and outcome of the send that ended last. */
+	readonly lastSend: {readonly upstream: string; readonly outcome: string} | undefined;
 	/** Time from the arrival to the answer or its first event, in milliseconds. */
 	readonly firstAnswerMs: number | undefined;
 };
@@ -74,6 +76,7 @@
 	/** Sends reserved so far; all but the first are charged to the shared retry budget. */
 	protected reservedSends = 0;
 	protected firstAnswerMs: number | undefined;
+	#lastSend: DeliveryResult['lastSend'];
 	/** True when the next call of `reserveSend` uses the reservation that was made earlier. */
 	#isReservationCarried = false;
 
@@ -162,6 +165,7 @@
 
 	/** Logs the result of a send, as the event `sent`. */
 	protected logSendResult({id}: Upstream, outcome: string, elapsedMs: number, fields: Readonly<Record<string, unknown>>): void {
+		this.#lastSend = {upstream: id, outcome};
 		this.log('sent', {
 			upstream: id, outcome, elapsedMs: Math.round(elapsedMs), ...fields,
 		});
@@ -182,7 +186,7 @@
 
 	protected createResult(outcome: DeliveryResult['outcome'], reason: string): DeliveryResult {
 		return {
-			outcome, reason, possibleRuns: this.possibleRuns, sends: this.sends, firstAnswerMs: this.firstAnswerMs,
+			outcome, reason, possibleRuns: this.possibleRuns, sends: this.sends, lastSend: this.#lastSend, firstAnswerMs: this.firstAnswerMs,
 		};
 	}
 
