Add failing tests for upstreams that stand still for a second

On this commit a stream is cut after event 3 of 6, or gets 502 before its first event, when its engine stands still for 1.3 s and the only other one rejects the work or fails; five of 20 lookups get 502 or 504 before two upstreams that take 1,200 ms of the callers' 1,400 ms.

--- /dev/null
+++ b/test/process/fleet/silent-upstreams.test.ts
@@ -0,0 +1,66 @@
+import {setTimeout as delay} from 'node:timers/promises';
+import {describe, expect, test} from 'vitest';
+import {createOperatorConfiguration, FleetFixture, readEventIds} from '../../fixtures/fleet/fleet-fixture.ts';
+import type {UpstreamServer} from '../../fixtures/fleet/upstream-server.ts';
+
+const silenceMs = 1300;
+const engines = [{id: 'p-1', stage: 'prefill'}, {id: 'd-1', stage: 'decode'}, {id: 'd-2', stage: 'decode'}] as const;
+
+/** Returns the engine that has run the most requests. */
+function findBusy(fleet: FleetFixture): UpstreamServer {
+	return fleet.upstreams.toSorted((a, b) => b.startedRequestIds.length - a.startedRequestIds.length)[0]!;
+}
+
+describe('an engine that stands still for a second and goes on', () => {
+	test.each([
+		['rejects all requests', {status: 503, isMarkedNotRun: true}],
+		['breaks off its streams', {closesAfterEvents: 0}],
+	])('keeps its stream when the only other engine %s, beside a change of the configuration', async (_other, trouble) => {
+		await using fleet = new FleetFixture();
+		await fleet.start(engines);
+		for (const {behaviour} of fleet.upstreams) {
+			Object.assign(behaviour, {eventCount: 6, eventIntervalMs: 50});
+		}
+
+		const streaming = fleet.stream('/brief/1', {deadlineMs: 4000});
+		await fleet.waitUntil(() => findBusy(fleet).startedRequestIds.length === 1);
+		await delay(120);
+		const silent = findBusy(fleet);
+		silent.pause(silenceMs);
+		Object.assign(fleet.upstreams.find(upstream => upstream !== silent && upstream.behaviour.stage === 'decode')!.behaviour, trouble);
+		fleet.store.put('op', 'config', createOperatorConfiguration({version: 2}));
+		const {status, isWhole, body} = await streaming;
+		expect({status, isWhole, ids: readEventIds(body)}).toEqual({status: 200, isWhole: true, ids: ['1', '2', '3', '4', '5', '6']});
+	});
+
+	test('answers a stream without events yet, when the only other engine rejects all requests', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start(engines);
+		const decoders = fleet.upstreams.filter(({behaviour}) => behaviour.stage === 'decode');
+		for (const upstream of decoders) {
+			upstream.pause(silenceMs);
+		}
+
+		const streaming = fleet.stream('/brief/1', {deadlineMs: 4000});
+		const hasStream = ({executedRequests}: UpstreamServer) => executedRequests.length > 0;
+		await fleet.waitUntil(() => decoders.some(upstream => hasStream(upstream)));
+		for (const {behaviour} of decoders.filter(upstream => !hasStream(upstream))) {
+			Object.assign(behaviour, {status: 503, isMarkedNotRun: true});
+		}
+
+		const {status, isWhole} = await streaming;
+		expect({status, isWhole}).toEqual({status: 200, isWhole: true});
+	});
+});
+
+describe('plain upstreams that need most of the time that a caller has', () => {
+	test('answer all lookups, also those of a daemon that has just started', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1', delayMs: 1200}, {id: 'u-2', delayMs: 1200}]);
+		const statuses = await Promise.all(Array.from({length: 40}, async (_, index) => {
+			await delay(index * 25);
+			return fleet.status({path: index % 2 === 0 ? `/lookup/${index}` : `/book/${index}`, deadlineMs: 1400});
+		}));
+		expect(statuses.filter(status => status !== 200)).toEqual([]);
+	});
+});
