--- a/test/process/fleet/request-accounting.test.ts
+++ b/test/process/fleet/request-accounting.test.ts
@@ -35,7 +35,7 @@
 		await using fleet = new FleetFixture();
 		await fleet.start([{id: 'u-1', delayMs: 300}]);
 		const socket = connectTo(fleet);
-		socket.write(`POST /lookup/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: cut\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n`);
+		socket.write('POST /lookup/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: cut\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n');
 		setTimeout(() => {
 			socket.write('nonsense\r\n');
 		}, 50);
