Treat an upstream with an unusable address as unreachable

What callers saw: a request that was placed at an upstream whose address in the list has a port above 65,535 got a closed connection and no answer.

Cause: the client library checks the address in its constructor, and UpstreamClients.send let the error through. The delivery was rejected, the handler destroyed the connection, and the place at the upstream was never released.

Change: send never throws; such a send ends as unreachable with nothing sent. It reports so in a microtask, because a stream run takes a failure before send has returned for one that may have arrived.

--- a/src/connection/links/upstream-clients.ts
+++ b/src/connection/links/upstream-clients.ts
@@ -57,12 +57,21 @@
 		return this.#openedCount;
 	}
 
-	/** Sends a request on an idle connection, or on a new one. */
+	/** Sends a request on an idle connection, or on a new one; never throws. */
 	send(upstream: Upstream, {method, path, headers, body}: WireRequest, listener: ExchangeListener): Exchange {
 		const {id, address} = upstream;
 		let startedAt = 0;
 		const idle = this.#takeIdle(id);
-		const {client, guard} = idle ?? this.#connect(address);
+		const connection = idle ?? this.#tryConnect(address);
+		if (connection instanceof Error) {
+			const failed = new Exchange(listener, () => undefined);
+			queueMicrotask(() => {
+				failed.cancelConnecting(connection.message);
+			});
+			return failed;
+		}
+
+		const {client, guard} = connection;
 		const timer = setTimeout(() => {
 			exchange.cancelConnecting(`no connection within ${this.#timeouts.connectTimeoutMs} ms`);
 		}, this.#timeouts.connectTimeoutMs);
@@ -149,6 +158,15 @@
 		await Promise.all([...this.#open].map(async client => client.destroy()));
 	}
 
+	/** Opens a connection; returns the error if the address cannot be used, such as a port above 65,535. */
+	#tryConnect(address: string): GuardedClient | Error {
+		try {
+			return this.#connect(address);
+		} catch (error) {
+			return error as Error;
+		}
+	}
+
 	#connect(address: string): GuardedClient {
 		this.#openedCount += 1;
 		const guard = new AnswerGuard();
