--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -49,6 +49,8 @@
 	#prompt: PrefilledPrompt | undefined;
 	/** Id of the last complete event that was sent to the caller. */
 	#lastEventId: string | undefined;
+	/** Result of the last run that an upstream may have begun. */
+	#lastRun: StreamRunResult | undefined;
 
 	async run(): Promise<DeliveryResult> {
 		const whole = this.dependencies.scheduler.placeWhole(this.demand);
@@ -252,6 +254,7 @@
 		this.#runs.delete(run);
 		endAttempt(toAttemptResult(result));
 		if (result.mayHaveRun) {
+			this.#lastRun = result;
 			this.possibleRuns += 1;
 		} else if (!result.mayHaveArrived) {
 			this.reservedSends -= 1;
@@ -315,7 +318,11 @@
 	#endUnfinished(refuse: () => DeliveryResult): DeliveryResult {
 		if (this.job.answer.hasBegun) {
 			this.job.answer.abort();
-			return this.createResult(this.isCallerGone ? 'callerGone' : 'brokenOff', 'the stream was aborted before its end');
+			const {kind = 'lost', message = ''} = this.#lastRun ?? {};
+			return {
+				...this.createResult(this.isCallerGone ? 'callerGone' : 'brokenOff', `the stream was aborted before its end: ${kind}, ${message}`),
+				isCutByUpstream: kind === 'lost' || kind === 'failed' || this.job.signal.aborted,
+			};
 		}
 
 		if (this.possibleRuns > 0) {
