Reject entries of the list whose address, numbers or texts cannot be used

Seen by callers: with one entry in the list whose port or octet is out of range, requests placed there got a closed connection instead of an answer, and the daemon that gives orders to engines ended with code 1, again after each restart. With an id that cannot be sent in a header, requests that may be sent once got 503.

Cause: the decoder accepted any 1 to 3 digits as an octet and any 1 to 5 digits as a port. The client library throws on such an address, in the delivery of a request (`request.crashed`) and in the order of a stage, which nobody awaits:

TypeError: Invalid URL at new Client at #connect at UpstreamClients.send at callUpstream at #readReport at #sendOrder

Numbers had no bounds (1e308, -1 and 0.5 slots or heartbeats), a missing start time was taken for one of another type, the stage `constructor` was decoded as a function by a look-up in an object, and texts had no bound on their length.

Change: an address must be one to which a host can connect, counts must be whole numbers within named bounds, ids must fit a header, service and zone are at most 200 characters without control characters, the bytes must be UTF-8, and a stage, if there is one, must be known. All other entries are dropped as before.

--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -1,9 +1,12 @@
 import {Buffer} from 'node:buffer';
+import fc from 'fast-check';
 import {describe, expect, test} from 'vitest';
 import {decodeConfiguration} from '../../platform/configuration-row.ts';
 import {HttpUpstreamProtocol} from '../../platform/http-upstream-protocol.ts';
 import {decodeUpstream} from '../../platform/upstream-row.ts';
+import type {Upstream} from '../../src/ports/upstream.ts';
 import {createOperatorConfiguration} from '../fixtures/fleet/fleet-fixture.ts';
+import {absentUpstreams, unusableEntries} from '../fixtures/fleet/odd-entries.ts';
 
 function encode(value: unknown): Uint8Array {
 	return Buffer.from(JSON.stringify(value));
@@ -13,6 +16,35 @@
 	service: 'model', address: '10.1.64.9:8080', zone: 'zone-a', version: 'v1', slots: 128, state: 'ready', cold_remaining_ms: 0, stage: 'prefill', sequence: 4, born: 1000,
 };
 
+/** Usable and odd values of one field. */
+function randomField(usable: unknown): fc.Arbitrary<unknown> {
+	return fc.oneof(
+		{weight: 40, arbitrary: fc.constant(usable)},
+		fc.jsonValue(),
+		fc.double(),
+		fc.integer(),
+		fc.string({unit: 'binary'}),
+		fc.constantFrom('constructor', '__proto__', undefined),
+		fc.tuple(fc.ipV4(), fc.integer({min: -1, max: 100_000})).map(([host, port]) => `${host}:${port}`),
+	);
+}
+
+/** Entries with some odd fields, and any other JSON text. */
+const randomEntry = fc.oneof(
+	{weight: 9, arbitrary: fc.record(Object.fromEntries(Object.entries(upstreamEntry).map(([name, usable]) => [name, randomField(usable)]))).map(entry => JSON.stringify(entry))},
+	fc.json(),
+);
+
+function expectUsable(upstream: Upstream): void {
+	const {address, slots, heartbeatCount, startedAt = 0} = upstream;
+	const {hostname, port} = new URL(`http://${address}`);
+	expect(`${hostname}:${port === '' ? 80 : port}`).toBe(address);
+	expect(slots).toBeGreaterThan(0);
+	expect([slots, heartbeatCount, startedAt].every(value => Number.isSafeInteger(value) && value >= 0)).toBe(true);
+	expect([upstream.id, upstream.service, upstream.availabilityZone].every(text => text.length > 0 && text.length <= 200)).toBe(true);
+	expect([undefined, 'prefill', 'decode']).toContain(upstream.stage);
+}
+
 describe('an upstream\'s entry', () => {
 	test('is decoded into the fields of an upstream', () => {
 		expect(decodeUpstream('u-1', encode(upstreamEntry)).extract()).toEqual({
@@ -31,6 +63,28 @@
 		expect(decodeUpstream('u-1', encode(value)).isLeft()).toBe(true);
 	});
 
+	test.each(unusableEntries.map(({kind, id, value}) => ({
+		kind, id: id.slice(0, 40), key: id, value,
+	})))('is rejected: $kind, $id', ({key, value}) => {
+		expect(decodeUpstream(key, value instanceof Uint8Array ? value : Buffer.from(typeof value === 'string' ? value : JSON.stringify(value))).isLeft()).toBe(true);
+	});
+
+	test.each(absentUpstreams.map(({id, value}) => ({id: id.slice(0, 40), key: id, value})))('is decoded although nothing may answer there: $id', ({key, value}) => {
+		expect(decodeUpstream(key, encode(value)).isRight()).toBe(true);
+	});
+
+	test('never makes the decoder throw or yield an address, a number or a text that the daemon cannot use', () => {
+		let accepted = 0;
+		fc.assert(fc.property(fc.oneof({weight: 4, arbitrary: fc.constant('u-1')}, fc.string({unit: 'binary'})), randomEntry, (id, entry) => {
+			decodeUpstream(id, Buffer.from(entry)).ifRight(upstream => {
+				accepted += 1;
+				expectUsable(upstream);
+			});
+		}), {seed: 39, numRuns: 4000});
+		// Too few accepted entries would leave the checks above without effect.
+		expect(accepted).toBeGreaterThan(100);
+	});
+
 	test('is rejected when it is missing or not JSON', () => {
 		expect(decodeUpstream('u-1', Buffer.from([0xFF, 0x00, 0x7B])).isLeft()).toBe(true);
 		expect(decodeUpstream('u-1', undefined).isLeft()).toBe(true);
