Check in the fault soak that each request sent whole ends, beside changes

The fault soak could not find that: an exchange that ended without an answer counted only when it was in flight at an isolated planned stop.

Change: a new invariant requires that each request that was sent whole ends with a complete answer or a refusal. Its excuses are a kill of its daemon, a stream that its upstream broke off or that reached its timeout, and a request that a stopping daemon did not read on an idle connection. Two more report own answers that deny a configured route and streams with a missing event. A second schedule adds configurations in series beside long work, upstreams that stand still, odd entries in the list, and overlapping planned stops, with one slow caller for each daemon. It has its own random numbers, so the failures of a seed are the same as before.

--- a/test/soak/caller-load.ts
+++ b/test/soak/caller-load.ts
@@ -1,4 +1,5 @@
-import {Agent, request as createRequest} from 'node:http';
+import {Agent, request as createRequest, type ClientRequest} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
 import {SeededRandom} from '../../src/process/random.ts';
 
 /** Kinds of requests that callers send, each with its route. */
@@ -15,11 +16,21 @@
 	flag: {
 		path: '/flag/', isRepeatable: false, isStream: true, timeoutMs: 4000,
 	},
+	/** Its route is in some configurations only. */
+	extra: {
+		path: '/extra/', isRepeatable: false, isStream: false, timeoutMs: 1500,
+	},
 } as const;
 
 /** A kind of request. */
 export type RequestKind = keyof typeof requestKinds;
 
+/** Kinds whose routes are in all configurations. */
+export const usualKinds = ['lookup', 'book', 'brief', 'flag'] as const satisfies readonly RequestKind[];
+
+/** How a caller sends its body and reads the answer. */
+type Pace = 'prompt' | 'slowBody' | 'slowReader';
+
 /** A request and the answer that its caller received; times in milliseconds of the monotonic clock. */
 export type CallerRequest = {
 	readonly id: string;
@@ -27,6 +38,8 @@
 	readonly daemon: number;
 	readonly body: string;
 	readonly sentAt: number;
+	/** Time at which the last byte was handed to the operating system; undefined before that. */
+	wholeAt?: number;
 	/** Undefined while the request is in flight. */
 	endedAt?: number;
 	/** HTTP status; 0 when no answer arrived. */
@@ -37,6 +50,8 @@
 	answeredId?: string;
 	/** Body received so far. */
 	received: string;
+	/** Error that ended the exchange. */
+	cause?: string;
 	/** True when the answer arrived in full. */
 	isComplete: boolean;
 };
@@ -45,7 +60,13 @@
 const minPauseMs = 20;
 const maxPauseMs = 120;
 const deadlineMs = 5000;
-const kinds = Object.keys(requestKinds) as RequestKind[];
+/** Slow callers keep idle connections for up to this time, less than the shortest idle timeout. */
+const maxSlowPauseMs = 1500;
+const bodyPieces = 4;
+const pieceGapMs = 300;
+const readDelayMs = 600;
+const slowKinds: readonly RequestKind[] = [...usualKinds, 'extra'];
+const paces: readonly Pace[] = ['prompt', 'slowBody', 'slowReader'];
 
 /** Callers that send requests to the daemons, each one request at a time on a keep-alive connection. */
 export class CallerLoad implements AsyncDisposable {
@@ -53,18 +74,23 @@
 	readonly #random: SeededRandom;
 	readonly #addresses: readonly string[];
 	readonly #agents: Agent[] = [];
+	readonly #hasSlowCallers: boolean;
 	#isStopped = false;
 	#running: ReadonlyArray<Promise<void>> = [];
 	#count = 0;
 
-	constructor(addresses: readonly string[], seed: number) {
+	constructor(addresses: readonly string[], seed: number, hasSlowCallers = false) {
 		this.#addresses = addresses;
+		this.#hasSlowCallers = hasSlowCallers;
 		this.#random = new SeededRandom(seed);
 	}
 
 	/** Starts all callers. */
 	start(): void {
-		this.#running = this.#addresses.flatMap((_address, daemon) => Array.from({length: callersPerDaemon}, async () => this.#call(daemon)));
+		this.#running = this.#addresses.flatMap((_address, daemon) => [
+			...Array.from({length: callersPerDaemon}, async () => this.#call(daemon)),
+			...(this.#hasSlowCallers ? [this.#callSlowly(daemon)] : []),
+		]);
 	}
 
 	/** Stops sending and waits for the requests in flight. */
@@ -74,7 +100,7 @@
 	}
 
 	/** Sends one request and waits until its answer ends or its connection closes. */
-	async send(daemon: number, kind: RequestKind, agent?: Agent): Promise<CallerRequest> {
+	async send(daemon: number, kind: RequestKind, agent?: Agent, pace: Pace = 'prompt'): Promise<CallerRequest> {
 		this.#count += 1;
 		const sent: CallerRequest = {
 			id: `r${this.#count}`, kind, daemon, body: `body of r${this.#count}`, sentAt: performance.now(), status: 0, received: '', isComplete: false,
@@ -99,6 +125,13 @@
 			sent.status = response.statusCode ?? 0;
 			sent.seal = response.headers['x-response-seal'] as string | undefined;
 			sent.answeredId = response.headers['x-request-id'] as string | undefined;
+			if (pace === 'slowReader') {
+				response.pause();
+				setTimeout(() => {
+					response.resume();
+				}, readDelayMs);
+			}
+
 			response.setEncoding('utf8');
 			response.on('data', (text: string) => {
 				sent.received += text;
@@ -106,18 +139,28 @@
 			response.once('end', () => {
 				sent.isComplete = response.complete;
 			});
-			response.once('error', () => {
+			response.once('error', error => {
+				sent.cause = error.message;
 				sent.isComplete = false;
 			});
 			response.once('close', resolve);
 		});
-		request.once('error', () => {
+		request.once('finish', () => {
+			sent.wholeAt = performance.now();
+		});
+		request.once('error', error => {
+			sent.cause = error.message;
 			resolve();
 		});
 		request.setTimeout(deadlineMs * 2, () => {
 			request.destroy();
 		});
-		request.end(sent.body);
+		if (pace === 'slowBody') {
+			await sendSlowly(request, sent.body);
+		} else {
+			request.end(sent.body);
+		}
+
 		await promise;
 		sent.endedAt = performance.now();
 		return sent;
@@ -134,14 +177,33 @@
 		const agent = new Agent({keepAlive: true, maxSockets: 1});
 		this.#agents.push(agent);
 		while (!this.#isStopped) {
-			await this.send(daemon, kinds[this.#random.integer(kinds.length)]!, agent);
-			await new Promise(resolve => {
-				setTimeout(resolve, minPauseMs + this.#random.integer(maxPauseMs - minPauseMs));
-			});
+			await this.send(daemon, usualKinds[this.#random.integer(usualKinds.length)]!, agent);
+			await delay(minPauseMs + this.#random.integer(maxPauseMs - minPauseMs));
+		}
+	}
+
+	/** Calls seldom on one connection, and mostly sends or reads slowly. */
+	async #callSlowly(daemon: number): Promise<void> {
+		const agent = new Agent({keepAlive: true, maxSockets: 1});
+		this.#agents.push(agent);
+		while (!this.#isStopped) {
+			await this.send(daemon, slowKinds[this.#random.integer(slowKinds.length)]!, agent, paces[this.#random.integer(paces.length)]);
+			await delay(minPauseMs + this.#random.integer(maxSlowPauseMs - minPauseMs));
 		}
 	}
 }
 
+/** Sends a body in pieces, in chunks without a length. */
+async function sendSlowly(request: ClientRequest, body: string): Promise<void> {
+	const size = Math.ceil(body.length / bodyPieces);
+	for (let start = 0; start < body.length && !request.destroyed; start += size) {
+		request.write(body.slice(start, start + size));
+		await delay(pieceGapMs);
+	}
+
+	request.end();
+}
+
 /** Headers of a prompt that a decode engine may prefill itself, or, for every other number, of one that is too long for that. */
 function createPromptHeaders(number: number): Readonly<Record<string, string>> {
 	const sharedTokens = number % 2 === 0 ? 800 : 13_300;
--- a/test/soak/fault-proxy.ts
+++ b/test/soak/fault-proxy.ts
@@ -15,6 +15,8 @@
 	#port = 0;
 	readonly #target: string;
 	readonly #sockets = new Set<Socket>();
+	/** Number of overlapping standstills. */
+	#standstills = 0;
 	readonly #server = createServer({allowHalfOpen: true}, socket => {
 		this.#accept(socket);
 	});
@@ -35,6 +37,22 @@
 		await once(this.#server, 'listening');
 	}
 
+	/** Reads nothing until `resume`, as a server that stands still: connections stay open and are still accepted, and no data is lost. */
+	pause(): void {
+		this.#standstills += 1;
+		for (const socket of this.#sockets) {
+			socket.pause();
+		}
+	}
+
+	/** Ends a standstill; data that arrived meanwhile is forwarded once no other standstill is left. */
+	resume(): void {
+		this.#standstills -= 1;
+		for (const socket of this.#standstills === 0 ? this.#sockets : []) {
+			socket.resume();
+		}
+	}
+
 	/** Refuses connections, as the address of a process that has ended does, until `reopen`. */
 	refuse(): void {
 		this.#port = this.#listeningPort;
@@ -80,6 +98,10 @@
 	#forward(from: Socket, to: Socket, shouldForward: () => boolean): void {
 		this.#sockets.add(from);
 		from.setNoDelay(true);
+		if (this.#standstills > 0) {
+			from.pause();
+		}
+
 		from.on('data', chunk => {
 			if (!shouldForward()) {
 				return;
--- a/test/soak/invariants.ts
+++ b/test/soak/invariants.ts
@@ -23,6 +23,13 @@
 	readonly afterLeaving: ReadonlyArray<{readonly request: string; readonly upstream: string; readonly leftAt: number; readonly at: number}>;
 	/** For each daemon, the times during which a fault affected it or its connection to the store. */
 	readonly disruptions: ReadonlyArray<readonly TimeSpan[]>;
+	/** For each request, the times during which a fault could break off an answer of an upstream that it reached. */
+	readonly upstreamDisruptions: ReadonlyMap<string, readonly TimeSpan[]>;
+	/** For each daemon, the times from a SIGKILL to the restart, and from a SIGTERM to the restart. */
+	readonly kills: ReadonlyArray<readonly TimeSpan[]>;
+	readonly stops: ReadonlyArray<readonly TimeSpan[]>;
+	/** Smallest part of its usual timeout that a route has had. */
+	readonly leastTimeoutRatio: number;
 	/** Planned stops without another fault shortly before or after. */
 	readonly plannedStops: ReadonlyArray<{readonly daemon: number; readonly at: number}>;
 	/** A line for each daemon process that ended unasked or ended a planned stop with a code other than 0. */
@@ -31,6 +38,7 @@
 
 /** Events in the stream of each engine of the deployment. */
 const expectedEvents = 4;
+const expectedIds = Array.from({length: expectedEvents}, (_, index) => String(index + 1)).join(',');
 /** Time after which a daemon counts as connected again after a disruption (setting `contact-ms`). */
 const reconnectMs = 3000;
 /** Time within which sends to a leaving upstream end (setting `drain-ms`). */
@@ -42,6 +50,8 @@
 /** Least time between orders of two lease holders (setting `lease-ms`). */
 const leaseMs = 3000;
 /** Crashes after which all daemons must recognise a request, and the number of later ones that is tolerated. */
+/** Time within which a stopping daemon may close a connection on which a request has just arrived that it has not read (setting `loss_slack_ms` of the platform). */
+const unreadCloseMs = 200;
 const crashesToRecognise = 3;
 const maxLateCrashes = 3;
 /** Statuses with which a daemon refuses a request that did not run. */
@@ -52,6 +62,7 @@
 	return [
 		...checkRuns(observations),
 		...checkAnswers(observations),
+		...checkEnds(observations),
 		...checkTimes(observations),
 		...checkCrashes(observations),
 		...checkOrders(observations.orders),
@@ -82,6 +93,19 @@
 }
 
 function checkAnswers({requests}: Observations): readonly string[] {
+	const wrong = requests.flatMap(({id, kind, status, received, isComplete}) => {
+		const isDenied = status >= 300 && status < 500 && !refusalStatuses.has(status) && kind !== 'extra';
+		const events = readEventIds(received).join(',');
+		const isOutOfOrder = requestKinds[kind].isStream && status === 200 && !isComplete && !expectedIds.startsWith(events);
+		return [
+			...(isDenied ? [`${kind} ${id} was denied with ${status} although its route is in all configurations`] : []),
+			...(isOutOfOrder ? [`${kind} ${id} was broken off with the events ${events}`] : []),
+		];
+	});
+	return [...wrong, ...checkCompleteAnswers(requests)];
+}
+
+function checkCompleteAnswers(requests: readonly CallerRequest[]): readonly string[] {
 	return requests.filter(({status, isComplete}) => status >= 200 && status < 300 && isComplete).flatMap(({id, kind, seal, answeredId, received}) => {
 		const upstream = seal?.replace('seal-', '') ?? '';
 		if (answeredId !== id || seal === undefined) {
@@ -89,15 +113,38 @@
 		}
 
 		if (requestKinds[kind].isStream) {
-			const expected = Array.from({length: expectedEvents}, (_, index) => String(index + 1)).join(',');
 			const found = readEventIds(received).join(',');
-			return found === expected ? [] : [`${kind} ${id} ended as complete with the events ${found}`];
+			return found === expectedIds ? [] : [`${kind} ${id} ended as complete with the events ${found}`];
 		}
 
 		return [`done${upstream.at(-1)}`, 'unframed'].includes(received) ? [] : [`${kind} ${id} got the body ${received} of ${upstream}`];
 	});
 }
 
+/** Checks that each request that a daemon could read ended with an answer or a refusal. */
+function checkEnds({
+	requests, seen, upstreamDisruptions, kills, stops, leastTimeoutRatio,
+}: Observations): readonly string[] {
+	const passedOn = new Set(seen.map(({headers}) => String(headers['x-request-id'])));
+	return requests.flatMap(({id, kind, daemon, status, sentAt, wholeAt, endedAt, isComplete, cause}) => {
+		if (wholeAt === undefined || endedAt === undefined || isComplete || isDisrupted(kills[daemon]!, sentAt, endedAt)) {
+			return [];
+		}
+
+		// Only the answer of a stream begins before its end is known.
+		const {isStream, timeoutMs} = requestKinds[kind];
+		const hasBegun = status > 0 && isStream;
+		const isBrokenOff = hasBegun && isDisrupted(upstreamDisruptions.get(id) ?? [], sentAt, endedAt);
+		const isExpired = hasBegun && endedAt - sentAt >= timeoutMs * leastTimeoutRatio;
+		// A daemon that ends closes its idle connections; a request on the way to it cannot be answered, and has not run.
+		const isCrossing = status === 0 && !passedOn.has(id) && endedAt - wholeAt <= unreadCloseMs && isDisrupted(stops[daemon]!, sentAt, endedAt);
+		const answer = status === 0 ? 'no answer' : `only a part of an answer with ${status}`;
+		return isBrokenOff || isExpired || isCrossing
+			? []
+			: [`${kind} ${id} was sent whole to daemon-${daemon} and got ${answer} after ${Math.round(endedAt - wholeAt)} ms (${cause}; ${passedOn.has(id) ? '' : 'not '}passed on)`];
+	});
+}
+
 function checkTimes({requests, disruptions}: Observations): readonly string[] {
 	return requests.flatMap(({id, kind, daemon, sentAt, endedAt}) => {
 		const end = endedAt ?? performance.now();
--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -6,10 +6,15 @@
 import {chooseFreePorts} from '../fixtures/free-ports.ts';
 import {FaultProxy} from './fault-proxy.ts';
 import type {Observations, ObservedOrder, TimeSpan} from './invariants.ts';
+import {spareServices} from './changed-configuration.ts';
 
 const zones = ['zone-a', 'zone-b', 'zone-c'];
 const heartbeatMs = 400;
+/** Pace of the upstreams' work, in milliseconds. */
+const shortWork = {delayMs: 10, eventIntervalMs: 20};
+const longWork = {delayMs: 300, eventIntervalMs: 150};
 const readyTimeoutMs = 15_000;
+const restartDelayMs = 300;
 /** Part of the output of a daemon that does not become ready, in characters. */
 const maxReportedOutput = 2000;
 
@@ -23,10 +28,15 @@
 	state: 'ready' | 'draining' = 'ready';
 	/** Birth number of the entry, raised at each restart. */
 	bornAt = 1000;
+	/** Times during which a fault could break off answers of this upstream. */
+	readonly disruptions: TimeSpan[] = [];
+	readonly #service: string | undefined;
 	readonly #leavingSince = new Map<string, number>();
 	#sequence = 1;
 
-	constructor(server: UpstreamServer, proxy: FaultProxy, availabilityZone: string) {
+	/** `service` is undefined for the service that the stand-in names by itself. */
+	constructor(server: UpstreamServer, proxy: FaultProxy, availabilityZone: string, service: string | undefined) {
+		this.#service = service;
 		this.server = server;
 		this.proxy = proxy;
 		this.availabilityZone = availabilityZone;
@@ -45,7 +55,7 @@
 
 		this.#sequence += 1;
 		store.put('servers', this.server.behaviour.id, this.server.entry({
-			address: this.proxy.address, zone: this.availabilityZone, state: this.state, sequence: this.#sequence, born: this.bornAt,
+			address: this.proxy.address, zone: this.availabilityZone, state: this.state, sequence: this.#sequence, born: this.bornAt, ...(this.#service === undefined ? {} : {service: this.#service}),
 		}));
 	}
 
@@ -72,11 +82,16 @@
 	readonly storeProxies: FaultProxy[] = [];
 	/** For each daemon, the times during which a fault affected it or its connection to the store. */
 	readonly disruptions: TimeSpan[][] = [];
+	/** For each daemon, the times from a SIGKILL to the restart. */
+	readonly kills: TimeSpan[][] = [];
+	/** For each daemon, the times from a SIGTERM to the restart. */
+	readonly stops: TimeSpan[][] = [];
 	readonly #timers: NodeJS.Timeout[] = [];
 	#version = 1;
+	#longWorkCount = 0;
 
-	/** Starts the store, the upstreams and the daemons, and waits until all daemons are ready. */
-	async start(bundle: string, daemons: number): Promise<void> {
+	/** Starts the store, the upstreams and the daemons, and waits until all daemons are ready; `hasSpareServices` adds services to which routes can be moved. */
+	async start(bundle: string, daemons: number, hasSpareServices = false): Promise<void> {
 		await this.store.start();
 		this.store.put('op', 'config', createOperatorConfiguration());
 		for (const [index, availabilityZone] of zones.entries()) {
@@ -85,6 +100,11 @@
 			await this.#addUpstream({id: `engine-${index + zones.length}`, stage: 'decode', eventCount: 4}, availabilityZone);
 		}
 
+		for (const [index, availabilityZone] of hasSpareServices ? zones.entries() : []) {
+			await this.#addUpstream({id: `annex-${index}`}, availabilityZone, spareServices.desk);
+			await this.#addUpstream({id: `spare-${index}`, stage: 'decode', eventCount: 4}, availabilityZone, spareServices.model);
+		}
+
 		this.repeat(heartbeatMs, () => {
 			for (const upstream of this.upstreams) {
 				upstream.writeEntry(this.store);
@@ -101,6 +121,8 @@
 			daemon.start();
 			this.daemons.push(daemon);
 			this.disruptions.push([]);
+			this.kills.push([]);
+			this.stops.push([]);
 		}
 
 		await this.waitUntilReady();
@@ -129,15 +151,52 @@
 	}
 
 	/** Writes a configuration with a higher version. */
-	configure(): void {
+	configure(create: (version: number) => Readonly<Record<string, unknown>> = version => createOperatorConfiguration({version})): void {
 		this.#version += 1 + (this.#version % 3);
-		this.store.put('op', 'config', createOperatorConfiguration({version: this.#version}));
+		this.store.put('op', 'config', create(this.#version));
+	}
+
+	/** Ends a daemon with a signal and starts it again. */
+	async stopAndRestart(index: number, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
+		const daemon = this.daemons[index]!;
+		const from = performance.now();
+		// Several signals may hit the same process; only the first of them restarts it.
+		const isFirst = !daemon.isStopRequested;
+		daemon.signal(signal);
+		await daemon.waitForExit();
+		if (isFirst) {
+			await delay(restartDelayMs);
+			daemon.start();
+		}
+
+		const span = {from, to: performance.now()};
+		this.disruptions[index]!.push(span);
+		(signal === 'SIGKILL' ? this.kills : this.stops)[index]!.push(span);
+	}
+
+	/** Lengthens the work of all upstreams during an operation. */
+	async withLongWork(operation: () => Promise<void>): Promise<void> {
+		this.#changeLongWork(1);
+		await operation();
+		this.#changeLongWork(-1);
 	}
 
 	/** Returns what the upstreams observed, as input for the checks. */
-	observe(): Pick<Observations, 'ran' | 'seen' | 'orders' | 'crashTimes' | 'afterLeaving'> {
+	observe(): Pick<Observations, 'ran' | 'seen' | 'orders' | 'crashTimes' | 'afterLeaving' | 'disruptions' | 'upstreamDisruptions' | 'kills' | 'stops'> {
 		const servers = this.upstreams.map(({server}) => server);
+		const upstreamDisruptions = new Map<string, TimeSpan[]>();
+		for (const {server, disruptions} of this.upstreams) {
+			for (const {headers} of disruptions.length === 0 ? [] : server.receivedRequests) {
+				const id = String(headers['x-request-id']);
+				upstreamDisruptions.set(id, [...upstreamDisruptions.get(id) ?? [], ...disruptions]);
+			}
+		}
+
 		return {
+			disruptions: this.disruptions,
+			upstreamDisruptions,
+			kills: this.kills,
+			stops: this.stops,
 			ran: servers.flatMap(({startedRequestIds: ran}) => ran),
 			seen: servers.flatMap(({receivedRequests: seen}) => seen),
 			orders: servers.flatMap(({receivedRequests: seen, address}) => seen.filter(({url}) => url === '/api/order').map(({body, receivedAt: at}): ObservedOrder => {
@@ -170,12 +229,19 @@
 		await this.store[Symbol.asyncDispose]();
 	}
 
-	async #addUpstream(behaviour: Partial<UpstreamBehaviour>, availabilityZone: string): Promise<void> {
-		const server = new UpstreamServer({delayMs: 10, eventIntervalMs: 20, ...behaviour});
+	#changeLongWork(difference: number): void {
+		this.#longWorkCount += difference;
+		for (const {server} of this.upstreams) {
+			Object.assign(server.behaviour, this.#longWorkCount === 0 ? shortWork : longWork);
+		}
+	}
+
+	async #addUpstream(behaviour: Partial<UpstreamBehaviour>, availabilityZone: string, service?: string): Promise<void> {
+		const server = new UpstreamServer({...shortWork, ...behaviour});
 		await server.start();
 		const proxy = new FaultProxy(server.address);
 		await proxy.start();
-		const upstream = new SoakUpstream(server, proxy, availabilityZone);
+		const upstream = new SoakUpstream(server, proxy, availabilityZone, service);
 		this.upstreams.push(upstream);
 		upstream.writeEntry(this.store);
 	}
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -3,7 +3,7 @@
 } from 'vitest';
 import {buildDaemon} from '../fixtures/fleet/daemon-process.ts';
 import type {CallerRequest} from './caller-load.ts';
-import {generateFaults} from './fault-schedule.ts';
+import {generateFaults, isChange} from './fault-schedule.ts';
 import {findViolations, type Observations} from './invariants.ts';
 import {runSoak} from './soak.ts';
 
@@ -32,9 +32,15 @@
 
 // Guards against runs that a seed does not reproduce, and against faults that last into the check of the recovery.
 describe('fault schedule', () => {
+	const bothGroups = {hasFailures: true, hasChanges: true};
+
 	test('is the same for the same seed and ends within the fault period', () => {
-		expect(generateFaults(7, 8000)).toEqual(generateFaults(7, 8000));
-		expect(Math.max(...generateFaults(7, 8000).map(({at, forMs}) => at + forMs))).toBeLessThanOrEqual(8000);
+		expect(generateFaults(7, 8000, bothGroups)).toEqual(generateFaults(7, 8000, bothGroups));
+		expect(Math.max(...generateFaults(7, 8000, bothGroups).map(({at, forMs}) => at + forMs))).toBeLessThanOrEqual(8000);
+	});
+
+	test('has the same failures with and without changes', () => {
+		expect(generateFaults(7, 8000, bothGroups).filter(fault => !isChange(fault))).toEqual(generateFaults(7, 8000));
 	});
 });
 
@@ -44,14 +50,43 @@
 		id: 'r1', kind: 'book', daemon: 0, body: 'body of r1', sentAt: 0, endedAt: 100, status: 200, seal: 'seal-desk-1', answeredId: 'r1', received: 'done1', isComplete: true,
 	};
 	const healthyRun: Observations = {
-		requests: [book], ran: ['r1'], seen: [], orders: [], crashTimes: [], afterLeaving: [], disruptions: [[]], plannedStops: [], unexpectedEnds: [],
+		requests: [book],
+		ran: ['r1'],
+		seen: [],
+		orders: [],
+		crashTimes: [],
+		afterLeaving: [],
+		disruptions: [[]],
+		upstreamDisruptions: new Map(),
+		kills: [[]],
+		stops: [[]],
+		leastTimeoutRatio: 1,
+		plannedStops: [],
+		unexpectedEnds: [],
 	};
 	const order = {
 		engine: 'e', holder: 'daemon-0', fence: 1, at: 0,
 	};
 
-	test('report nothing for a run without violations', () => {
-		expect(findViolations(healthyRun)).toEqual([]);
+	const unanswered: CallerRequest = {
+		...book, status: 0, wholeAt: 50, received: '', isComplete: false,
+	};
+	const passedOn = {
+		method: 'POST', url: '/book/r1', headers: {'x-request-id': 'r1'}, body: book.body, receivedAt: 60,
+	};
+
+	test.each<[string, Partial<Observations>]>([
+		['a run without violations', {}],
+		['a request in flight at a process that is killed', {requests: [unanswered], seen: [passedOn], kills: [[{from: 80, to: 900}]]}],
+		['a request that arrives as an idle connection of a stopping daemon closes', {requests: [unanswered], ran: [], stops: [[{from: 0, to: 900}]]}],
+		['a stream that its upstream broke off', {requests: [{...unanswered, kind: 'flag', status: 200}], upstreamDisruptions: new Map([['r1', [{from: 80, to: 900}]]])}],
+		['a stream that lasted until the timeout of its route', {
+			requests: [{
+				...unanswered, kind: 'flag', status: 200, endedAt: 4000,
+			}],
+		}],
+	])('report nothing for %s', (_name, change) => {
+		expect(findViolations({...healthyRun, ...change})).toEqual([]);
 	});
 
 	test.each<[string, Partial<Observations>, RegExp]>([
@@ -80,6 +115,19 @@
 			}],
 		}, /marked as leaving/v],
 		['a request in flight that a planned stop aborted', {plannedStops: [{daemon: 0, at: 50}], requests: [{...book, isComplete: false, status: 0}]}, /planned stop/v],
+		['a request that was sent whole and got neither an answer nor a refusal', {requests: [{...unanswered, endedAt: 900}]}, /r1 was sent whole .* no answer/v],
+		['a request that was passed on and lost at a planned stop', {requests: [unanswered], seen: [passedOn], stops: [[{from: 0, to: 900}]]}, /r1 was sent whole/v],
+		['a stream that was broken off while its upstream was sound', {
+			requests: [{
+				...unanswered, kind: 'flag', status: 200, received: 'id: 1\n\n',
+			}],
+		}, /only a part/v],
+		['an incomplete stream that lacks an event', {
+			requests: [{
+				...unanswered, kind: 'flag', status: 200, received: 'id: 2\n\n',
+			}],
+		}, /broken off with the events 2/v],
+		['a request that was denied although its route is configured', {requests: [{...book, status: 404}]}, /denied with 404/v],
 		['a process that ended unexpectedly', {unexpectedEnds: ['daemon-0 ended with code 1']}, /ended with code 1/v],
 	])('report %s', (_name, change, expected) => {
 		expect(findViolations({...healthyRun, ...change}).join('\n')).toMatch(expected);
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -1,8 +1,13 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {CallerLoad, requestKinds, type RequestKind} from './caller-load.ts';
+import {CallerLoad, usualKinds, type RequestKind} from './caller-load.ts';
 import {CrashingCaller, crashTarget} from './crashing-caller.ts';
 import type {ProxyMode} from './fault-proxy.ts';
-import {generateFaults, type Fault} from './fault-schedule.ts';
+import {applyChange} from './changes.ts';
+import {leastTimeoutRatio} from './changed-configuration.ts';
+import {keepEvidence} from './evidence.ts';
+import {
+	generateFaults, isChange, onlyFailures, type FailureKind, type Fault, type FaultGroups,
+} from './fault-schedule.ts';
 import {findViolations} from './invariants.ts';
 import {SoakDeployment, type SoakUpstream} from './soak-deployment.ts';
 
@@ -16,6 +21,10 @@
 	readonly faultPeriodMs: number;
 	/** Adds a caller with a request that crashes plain upstreams. @default false */
 	readonly hasCrashingCaller?: boolean;
+	/** Kinds of faults. @default failures only */
+	readonly groups?: FaultGroups;
+	/** Folder for the evidence of violations. @default target/soak */
+	readonly evidenceFolder?: string;
 };
 
 /** Result of a soak run. */
@@ -27,13 +36,12 @@
 	/** Upstreams that the request of the crashing caller has crashed. */
 	readonly crashes: number;
 	readonly faults: readonly Fault[];
-	/** End of the log of each daemon. */
-	readonly logs: readonly string[];
+	/** Folder with the evidence of violations; undefined if there are none. */
+	readonly evidence: string | undefined;
 };
 
 /** Time after the last fault within which each daemon must serve each kind of request again, in milliseconds. */
 const recoveryMs = 12_000;
-const restartDelayMs = 300;
 const crashCheckIntervalMs = 5;
 const crashedForMs = 400;
 const linkModes: readonly ProxyMode[] = ['silent', 'answersLost', 'refused', 'slow'];
@@ -42,11 +50,13 @@
 const quietAroundStopMs = 3000;
 
 /** Runs callers and seeded faults against real daemon processes and checks the invariants with what callers and upstreams observed. */
-export async function runSoak({bundle, seed, daemons, faultPeriodMs, hasCrashingCaller = false}: SoakOptions): Promise<SoakResult> {
+export async function runSoak({
+	bundle, seed, daemons, faultPeriodMs, hasCrashingCaller = false, groups = onlyFailures, evidenceFolder = 'target/soak',
+}: SoakOptions): Promise<SoakResult> {
 	await using deployment = new SoakDeployment();
-	await deployment.start(bundle, daemons);
+	await deployment.start(bundle, daemons, groups.hasChanges);
 	const addresses = deployment.daemons.map(({callerAddress: callers}) => callers);
-	await using load = new CallerLoad(addresses, seed);
+	await using load = new CallerLoad(addresses, seed, groups.hasChanges);
 	load.start();
 	await using crashingCaller = new CrashingCaller(addresses);
 	if (hasCrashingCaller) {
@@ -54,7 +64,7 @@
 		crashingCaller.start();
 	}
 
-	const faults = generateFaults(seed, faultPeriodMs);
+	const faults = generateFaults(seed, faultPeriodMs, groups);
 	const plannedStops: Array<{readonly daemon: number; readonly at: number}> = [];
 	const startedAt = performance.now();
 	await Promise.all(faults.map(async fault => {
@@ -63,39 +73,43 @@
 			plannedStops.push({daemon: fault.target % daemons, at: performance.now()});
 		}
 
-		await applyFault(deployment, fault);
+		await (isChange(fault) ? applyChange(deployment, fault) : applyFailure(deployment, fault as Fault<FailureKind>));
 	}));
 	await delay(Math.max(0, startedAt + faultPeriodMs - performance.now()));
 	const unserved = await findUnrecovered(deployment, load);
 	await load.stop();
+	const violations = [
+		...findViolations({
+			...deployment.observe(),
+			requests: load.requests,
+			leastTimeoutRatio: groups.hasChanges ? leastTimeoutRatio : 1,
+			plannedStops,
+			unexpectedEnds: deployment.daemons.flatMap(({unexpectedExits: unexpectedEnds}) => unexpectedEnds),
+		}),
+		...unserved,
+	];
 	return {
-		violations: [
-			...findViolations({
-				...deployment.observe(),
-				requests: load.requests,
-				disruptions: deployment.disruptions,
-				plannedStops,
-				unexpectedEnds: deployment.daemons.flatMap(({unexpectedExits: unexpectedEnds}) => unexpectedEnds),
-			}),
-			...unserved,
-		],
+		violations,
 		requests: load.requests.length,
 		served: load.requests.filter(({status, isComplete}) => status === 200 && isComplete).length,
 		crashes: deployment.observe().crashTimes.length,
 		faults,
-		logs: deployment.daemons.map(({output}) => output),
+		evidence: violations.length === 0
+			? undefined
+			: keepEvidence(evidenceFolder, {
+				seed, violations, faults, startedAt, requests: load.requests, logs: deployment.daemons.map(({output}) => output),
+			}),
 	};
 }
 
 function isIsolated(fault: Fault, faults: readonly Fault[]): boolean {
-	return faults.every(other => other === fault || other.at + other.forMs + quietAroundStopMs < fault.at || other.at > fault.at + quietAroundStopMs);
+	return faults.every(other => other === fault || isChange(other) || other.at + other.forMs + quietAroundStopMs < fault.at || other.at > fault.at + quietAroundStopMs);
 }
 
 /** Checks after the faults that each daemon serves each kind of request again; returns a line for each that does not. */
 async function findUnrecovered(deployment: SoakDeployment, load: CallerLoad): Promise<readonly string[]> {
 	const deadline = performance.now() + recoveryMs;
-	const kinds = Object.keys(requestKinds) as RequestKind[];
-	const unserved = new Set(deployment.daemons.flatMap((_daemon, index) => kinds.map(kind => `${index} ${kind}`)));
+	const unserved = new Set(deployment.daemons.flatMap((_daemon, index) => usualKinds.map(kind => `${index} ${kind}`)));
 	while (unserved.size > 0 && performance.now() < deadline) {
 		await Promise.all([...unserved].map(async name => {
 			const [daemon, kind] = name.split(' ') as [string, RequestKind];
@@ -110,7 +124,7 @@
 	return [...unserved].map(name => `daemon ${name} was not served again within ${recoveryMs} ms`);
 }
 
-async function applyFault(deployment: SoakDeployment, fault: Fault): Promise<void> {
+async function applyFailure(deployment: SoakDeployment, fault: Fault<FailureKind>): Promise<void> {
 	const {store, daemons, upstreams, storeProxies} = deployment;
 	const index = fault.target % daemons.length;
 	const daemon = daemons[index]!;
@@ -127,16 +141,7 @@
 	switch (fault.kind) {
 		case 'daemonKill':
 		case 'daemonTerm': {
-			// Several signals may hit the same process; only the first of them restarts it.
-			const isFirst = !daemon.isStopRequested;
-			daemon.signal(fault.kind === 'daemonKill' ? 'SIGKILL' : 'SIGTERM');
-			await daemon.waitForExit();
-			if (isFirst) {
-				await delay(restartDelayMs);
-				daemon.start();
-			}
-
-			recordDisruption([index]);
+			await deployment.stopAndRestart(index, fault.kind === 'daemonKill' ? 'SIGKILL' : 'SIGTERM');
 			break;
 		}
 
@@ -202,16 +207,19 @@
 
 		case 'upstreamLink': {
 			await impairLink(upstream.proxy, linkModes[fault.variant]!, fault.forMs);
+			upstream.disruptions.push({from: startedAt, to: performance.now()});
 			break;
 		}
 
 		case 'upstreamAnswer': {
 			await applyAnswerFault(upstream, fault);
+			upstream.disruptions.push({from: startedAt, to: performance.now()});
 			break;
 		}
 
 		case 'upstreamLeave': {
 			await leaveAndReturn(deployment, upstream, fault.forMs);
+			upstream.disruptions.push({from: startedAt, to: performance.now()});
 			break;
 		}
 
@@ -247,7 +255,7 @@
 
 async function restartRefusing(deployment: SoakDeployment, upstream: SoakUpstream): Promise<void> {
 	upstream.proxy.refuse();
-	await crashAndRestart(deployment, upstream, crashedForMs);
+	await crashAndRestart(deployment, upstream, crashedForMs, upstream.server.crashTimes.at(-1));
 	await upstream.proxy.reopen();
 }
 
@@ -261,7 +269,7 @@
 	upstream.isListed = true;
 }
 
-async function crashAndRestart({store}: SoakDeployment, upstream: SoakUpstream, forMs: number): Promise<void> {
+async function crashAndRestart({store}: SoakDeployment, upstream: SoakUpstream, forMs: number, from = performance.now()): Promise<void> {
 	if (!upstream.isListed || upstream.state === 'draining') {
 		return;
 	}
@@ -275,6 +283,7 @@
 
 	await delay(forMs);
 	store.remove('servers', id);
+	upstream.disruptions.push({from, to: performance.now()});
 	await restart(upstream);
 	upstream.writeEntry(store);
 }
