Do not take a pause of an upstream for the loss of its connections

Callers of the product's own interface got 502 with the run state "unknown" for unrepeatable work, and 502 or 503 for a live stream, after their upstream had stood still for 1.5 to 3 s and gone on. A healthy neighbour got a live stream a second time although the first upstream would have answered.

Cause: an idle connection was asked first and a new one a second later, so that a pause that ended in between looked like a lost connection. All busy connections of that age were then presumed silent for good, also after bytes had arrived on them, and closed after a second of silence, which any answer in one piece reaches. A live stream was closed after 3.5 s as soon as a new connection was answered, also if that had waited for the end of the same pause.

The decisions are now a module of their own, src/connection/silence.ts. Silence counts only while new connections are answered. A byte withdraws the presumption. The limit of a live stream is 3 s, so that a lost connection is still found within 5 s (silent-connections.test.ts, unchanged).

--- a/src/connection/probe.ts
+++ b/src/connection/probe.ts
@@ -1,10 +1,11 @@
 import {Client, type Dispatcher} from 'undici';
+import {newConnectionTimeoutMs} from './silence.ts';
 
 /** Outcome of a health probe; `silent` covers every failure to answer. */
 export type ProbeResult = 'healthy' | 'leaving' | 'unhealthy' | 'silent';
 
-/** Timeout for the answer to a probe. */
-export const probeTimeoutMs = 1000;
+/** Timeout for the answer to a probe over a new connection. */
+const probeTimeoutMs = newConnectionTimeoutMs;
 
 const leavingHeader = 'wagtailtack-leaving';
 
@@ -24,10 +25,10 @@
 }
 
 /** Probes the health of an upstream over the given connection; never rejects. */
-export async function probeOver(dispatcher: Dispatcher): Promise<ProbeResult> {
+export async function probeOver(dispatcher: Dispatcher, timeoutMs = probeTimeoutMs): Promise<ProbeResult> {
 	try {
 		const response = await dispatcher.request({
-			method: 'GET', path: '/healthz', signal: AbortSignal.timeout(probeTimeoutMs),
+			method: 'GET', path: '/healthz', signal: AbortSignal.timeout(timeoutMs),
 		});
 		await response.body.dump();
 		if (isLeavingAnswer(response.statusCode, response.headers)) {
--- a/src/connection/upstream-connection.ts
+++ b/src/connection/upstream-connection.ts
@@ -4,6 +4,9 @@
 import {requestIdHeader} from '../request/headers.ts';
 import {AnswerGuard} from './answer-guard.ts';
 import {probeOver, type ProbeResult} from './probe.ts';
+import {
+	countSilenceFrom, isOverdue, type ConnectionTrial, type ObservedConnection,
+} from './silence.ts';
 
 /** Timeout for connecting to an upstream of the same deployment. */
 export const connectTimeoutMs = 1000;
@@ -33,12 +36,13 @@
 }
 
 /** One connection to an upstream; carries one request at a time. */
-export class UpstreamConnection {
+export class UpstreamConnection implements ObservedConnection {
 	readonly #client: Client;
 	readonly #guard = new AnswerGuard();
 	readonly #now: () => number;
 	#openedAt: number;
 	#lastByteAt: number;
+	#silentSince: number;
 	#isBusy = false;
 	#isReusable = true;
 	#isPresumedSilent = false;
@@ -49,6 +53,7 @@
 		this.#now = now;
 		this.#openedAt = now();
 		this.#lastByteAt = this.#openedAt;
+		this.#silentSince = this.#openedAt;
 		this.#client = new Client(origin, {
 			pipelining: 1,
 			connect: this.#guard.wrap(buildConnector({timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs})),
@@ -75,6 +80,11 @@
 		return this.#isBusy;
 	}
 
+	/** True while a request, other than a probe, has been written and is not complete. */
+	get isWaiting(): boolean {
+		return this.#isBusy && this.#silenceTimeoutMs < Infinity;
+	}
+
 	/** False once the connection must not carry further requests. */
 	get isReusable(): boolean {
 		return this.#isReusable;
@@ -85,21 +95,31 @@
 		return this.#lastByteAt;
 	}
 
-	/** Time that a request has waited for a byte, in milliseconds; a paused answer does not count as silent. */
+	/** Time from which the silence of the request counts, in milliseconds. */
+	get silentSince(): number {
+		return this.#silentSince;
+	}
+
+	/** Time that a request has waited for a byte while the upstream answered on new connections, in milliseconds; a paused answer does not count as silent. */
 	get silentMs(): number {
 		if (this.#controller?.paused === true) {
-			this.#lastByteAt = this.#now();
+			this.#restartSilence();
 		}
 
-		return this.#isBusy ? this.#now() - this.#lastByteAt : 0;
+		return this.#isBusy ? this.#now() - this.#silentSince : 0;
+	}
+
+	/** Silence after which the request may be given up, in milliseconds. */
+	get silenceTimeoutMs(): number {
+		return this.#silenceTimeoutMs;
 	}
 
-	/** True when the request has waited for a byte for longer than its silence timeout. */
+	/** True when the request has waited for a byte for as long as it may. */
 	get isOverdue(): boolean {
-		return this.silentMs >= this.#silenceTimeoutMs;
+		return this.isWaiting && this.silentMs > 0 && isOverdue(this, this.#now());
 	}
 
-	/** True when a newer connection to the same upstream has gone silent. */
+	/** True when a connection of the same age to the same upstream is lost, and no byte has arrived since. */
 	get isPresumedSilent(): boolean {
 		return this.#isPresumedSilent;
 	}
@@ -109,7 +129,7 @@
 		this.#isBusy = true;
 		this.#silenceTimeoutMs = Infinity;
 		this.#controller = undefined;
-		this.#lastByteAt = this.#now();
+		this.#restartSilence();
 	}
 
 	/** Sends a request on the reserved connection. */
@@ -117,19 +137,19 @@
 		const observer = new ObservingHandler(handler, {
 			onStart: controller => {
 				this.#guard.begin();
-				this.#lastByteAt = this.#now();
+				this.#restartSilence();
 				this.#silenceTimeoutMs = silenceTimeoutMs;
 				this.#controller = controller;
 			},
 			onHead: (status, headers) => {
-				this.#lastByteAt = this.#now();
+				this.#receive();
 				// Without the id, a late second copy of this answer could not be told from the answer to the next request.
 				this.#isReusable &&= status < 200 || headers[requestIdHeader] !== undefined;
 				events.onHead(status, headers);
 			},
 			onData: bytes => {
 				this.#guard.countBody(bytes);
-				this.#lastByteAt = this.#now();
+				this.#receive();
 			},
 			onError: error => {
 				this.#isReusable = false;
@@ -137,7 +157,7 @@
 			},
 			onEnd: () => {
 				this.#isBusy = false;
-				this.#lastByteAt = this.#now();
+				this.#restartSilence();
 				events.onEnd();
 			},
 		});
@@ -145,20 +165,25 @@
 	}
 
 	/** Probes the health of the upstream over this connection, which must be idle. */
-	async probe(): Promise<ProbeResult> {
+	async probe(timeoutMs?: number): Promise<ProbeResult> {
 		this.reserve();
-		const result = await probeOver(this.#client);
+		const result = await probeOver(this.#client, timeoutMs);
 		this.#isBusy = false;
-		this.#lastByteAt = this.#now();
+		this.#restartSilence();
 		return result;
 	}
 
-	/** Marks the connection as probably silent, because a newer one is. */
+	/** Marks the connection as probably silent, because one of its age is; a byte proves otherwise. */
 	presumeSilent(): void {
 		this.#isPresumedSilent = true;
 		this.#isReusable = false;
 	}
 
+	/** Records how a new connection to the same upstream was answered. */
+	recordTrial(trial: ConnectionTrial): void {
+		this.#silentSince = countSilenceFrom(this.#silentSince, trial);
+	}
+
 	/** Prevents further requests on the connection. */
 	preventReuse(): void {
 		this.#isReusable = false;
@@ -169,6 +194,16 @@
 		this.#isReusable = false;
 		await this.#client.destroy(reason);
 	}
+
+	#receive(): void {
+		this.#restartSilence();
+		this.#isPresumedSilent = false;
+	}
+
+	#restartSilence(): void {
+		this.#lastByteAt = this.#now();
+		this.#silentSince = this.#lastByteAt;
+	}
 }
 
 /** Lower statuses are those of informational answers. */
--- a/src/connection/upstream-host.ts
+++ b/src/connection/upstream-host.ts
@@ -1,6 +1,9 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Dispatcher} from 'undici';
 import {isLeavingAnswer, type ProbeResult} from './probe.ts';
+import {
+	confirmationMs, idleConnectionTimeoutMs, isLost, isLostWithIdle,
+} from './silence.ts';
 import {SilentConnectionError, UpstreamConnection} from './upstream-connection.ts';
 
 /** Receives what the connections show about the state of an upstream; calls are synchronous. */
@@ -17,9 +20,10 @@
 	readonly onSilentConnections: (origin: string, closed: number) => void;
 };
 
-/** Silence on a busy connection after which the host is checked; shorter than the 1.5 s that idle connections live, so that some are left for comparison. */
+/** Silence on a busy connection after which an idle one is asked; shorter than the 1.5 s that idle connections live, so that some are left. */
 const suspectAfterMs = 1000;
-const checkIntervalMs = 2500;
+/** With the time for the idle connection and the confirmation, finds a lost connection within 5 s. */
+const checkIntervalMs = 1250;
 /** A connection that was idle for longer is verified with a probe before a request is sent on it. */
 const verifyAfterIdleMs = 250;
 const verifyTimeoutMs = 250;
@@ -32,7 +36,8 @@
 	readonly #now: () => number;
 	readonly #observer: UpstreamObserver;
 	readonly #connections = new Set<UpstreamConnection>();
-	#isChecking = false;
+	#isCheckingIdle = false;
+	#isCheckingOverdue = false;
 	#checkedAt = -Infinity;
 	#isProbingRefusal = false;
 
@@ -59,21 +64,9 @@
 		}
 	}
 
-	/** Compares silent busy connections with a new connection, and closes those that are lost. */
+	/** Gives up requests whose connections are lost, and finds out about idle connections if requests are silent. */
 	async check(): Promise<void> {
-		const suspects = this.#busy().filter(connection => connection.silentMs >= suspectAfterMs);
-		const isDue = this.#now() - this.#checkedAt >= checkIntervalMs || suspects.some(connection => connection.isOverdue);
-		if (suspects.length === 0 || this.#isChecking || !isDue) {
-			return;
-		}
-
-		this.#isChecking = true;
-		this.#checkedAt = this.#now();
-		try {
-			await this.#compare(suspects);
-		} finally {
-			this.#isChecking = false;
-		}
+		await Promise.all([this.#checkOverdue(), this.#checkIdle()]);
 	}
 
 	/** Closes all connections. */
@@ -84,9 +77,8 @@
 	/** Sends a request on an idle connection if that answers a probe quickly, otherwise on a new connection. */
 	async #sendVerified(idle: UpstreamConnection, options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, silenceTimeoutMs: number): Promise<void> {
 		const aliveAt = idle.lastByteAt;
-		const probe = idle.probe();
-		const quickResult = await Promise.race([probe, delay(verifyTimeoutMs, undefined, {ref: false})]);
-		if (quickResult !== undefined && quickResult !== 'silent' && idle.isReusable) {
+		const probe = idle.probe(idleConnectionTimeoutMs);
+		if (await this.#isAnsweredQuickly(probe) && idle.isReusable) {
 			idle.reserve();
 			this.#sendOn(idle, options, handler, silenceTimeoutMs);
 			return;
@@ -95,9 +87,7 @@
 		const fresh = this.#open();
 		fresh.reserve();
 		this.#sendOn(fresh, options, handler, silenceTimeoutMs);
-		if (await probe === 'silent') {
-			await this.#compareIdle(idle, aliveAt);
-		}
+		await this.#compare(idle, probe, aliveAt);
 	}
 
 	#sendOn(connection: UpstreamConnection, options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler, silenceTimeoutMs: number): void {
@@ -121,43 +111,91 @@
 		});
 	}
 
-	/** Compares an idle connection that did not answer a probe with a new connection. */
-	async #compareIdle(idle: UpstreamConnection, aliveAt: number): Promise<void> {
-		idle.preventReuse();
-		await (await this.#probeNew() === 'silent' ? idle.close() : this.#closeSilent([idle], aliveAt));
+	/** Gives up the requests that were overdue when a new connection was answered, and have had no byte until the confirmation. */
+	async #checkOverdue(): Promise<void> {
+		const overdue = this.#busy().filter(connection => connection.isOverdue);
+		if (overdue.length === 0 || this.#isCheckingOverdue) {
+			return;
+		}
+
+		this.#isCheckingOverdue = true;
+		try {
+			if (await this.#probeNew() !== 'silent') {
+				await this.#closeUnlessContinued(overdue.filter(connection => connection.isOverdue));
+			}
+		} finally {
+			this.#isCheckingOverdue = false;
+		}
+	}
+
+	async #closeUnlessContinued(overdue: readonly UpstreamConnection[]): Promise<void> {
+		const lastBytesAt = overdue.map(({lastByteAt}) => lastByteAt);
+		await delay(confirmationMs, undefined, {ref: false});
+		const lost = overdue.filter((connection, index) => connection.isBusy && isLost(connection, lastBytesAt[index]!, this.#now()));
+		if (lost.length > 0) {
+			await this.#closeSilent(lost);
+		}
 	}
 
-	/** Compares silent busy connections with a new connection and with the most recently used idle one. */
-	async #compare(suspects: readonly UpstreamConnection[]): Promise<void> {
-		const [sibling] = this.#idle().toSorted((a, b) => b.lastByteAt - a.lastByteAt);
-		const aliveAt = sibling?.lastByteAt ?? -Infinity;
-		const [fresh, siblingResult] = await Promise.all([this.#probeNew(), sibling?.probe()]);
-		if (fresh === 'silent') {
+	/** Asks the most recently used idle connection if requests are silent, since a request that waits cannot be asked itself. */
+	async #checkIdle(): Promise<void> {
+		const isDue = this.#now() - this.#checkedAt >= checkIntervalMs && !this.#isCheckingIdle;
+		if (!isDue || !this.#busy().some(connection => connection.isWaiting && connection.silentMs >= suspectAfterMs)) {
 			return;
 		}
 
-		const silentSiblings = sibling !== undefined && siblingResult === 'silent' ? [sibling] : [];
-		const presumedSilentUpTo = silentSiblings.length > 0 ? aliveAt : -Infinity;
-		const closed = suspects.filter(connection =>
-			connection.silentMs >= suspectAfterMs
-			&& (connection.isOverdue || connection.isPresumedSilent || connection.openedAt <= presumedSilentUpTo));
-		if (closed.length + silentSiblings.length > 0) {
-			await this.#closeSilent([...closed, ...silentSiblings], presumedSilentUpTo);
+		const [idle] = this.#idle().toSorted((a, b) => b.lastByteAt - a.lastByteAt);
+		if (idle === undefined) {
+			return;
+		}
+
+		this.#isCheckingIdle = true;
+		this.#checkedAt = this.#now();
+		try {
+			const aliveAt = idle.lastByteAt;
+			await this.#compare(idle, idle.probe(idleConnectionTimeoutMs), aliveAt);
+		} finally {
+			this.#isCheckingIdle = false;
 		}
 	}
 
-	/**
-	Closes silent connections and prevents new requests on all connections of their age or older.
+	/** Compares an idle connection, which was sent a probe, with a new one if it is not answered quickly; it is lost if only the new one is answered. */
+	async #compare(idle: UpstreamConnection, probe: Promise<ProbeResult>, aliveAt: number): Promise<void> {
+		const askedAt = this.#now();
+		if (await this.#isAnsweredQuickly(probe)) {
+			return;
+		}
+
+		const [idleResult, newResult] = await Promise.all([probe, this.#probeNew()]);
+		if (idleResult === 'silent' && newResult === 'silent') {
+			await idle.close();
+		} else if (idleResult === 'silent') {
+			await this.#closeIdleAndSilent(idle, aliveAt, askedAt);
+		}
+	}
 
-	Busy connections opened up to `presumedSilentUpTo` are closed as well once they are silent: an idle connection that worked at
-	that time and does not answer now shows that connections of its age are lost. A silent request alone may just be slow.
-	*/
-	async #closeSilent(closed: readonly UpstreamConnection[], presumedSilentUpTo: number): Promise<void> {
-		const newestOpenedAt = Math.max(...closed.map(connection => connection.openedAt));
+	/** Closes an idle connection that is lost, with the connections opened while it worked that have been silent since it was asked. */
+	async #closeIdleAndSilent(idle: UpstreamConnection, aliveAt: number, askedAt: number): Promise<void> {
 		for (const connection of this.#connections) {
-			if (connection.openedAt <= presumedSilentUpTo) {
+			if (connection.openedAt <= aliveAt) {
 				connection.presumeSilent();
-			} else if (connection.openedAt <= newestOpenedAt) {
+			}
+		}
+
+		const silent = this.#busy().filter(connection => connection.isWaiting && connection.silentMs > 0 && isLostWithIdle(connection, askedAt));
+		await this.#closeSilent([idle, ...silent]);
+	}
+
+	async #isAnsweredQuickly(probe: Promise<ProbeResult>): Promise<boolean> {
+		const result = await Promise.race([probe, delay(verifyTimeoutMs, undefined, {ref: false})]);
+		return result !== undefined && result !== 'silent';
+	}
+
+	/** Closes silent connections and prevents new requests on all connections of their age or older. */
+	async #closeSilent(closed: readonly UpstreamConnection[]): Promise<void> {
+		const newestOpenedAt = Math.max(...closed.map(connection => connection.openedAt));
+		for (const connection of this.#connections) {
+			if (connection.openedAt <= newestOpenedAt) {
 				connection.preventReuse();
 			}
 		}
@@ -172,8 +210,13 @@
 
 	/** Probes over a new connection, which is kept for requests when it works. */
 	async #probeNew(): Promise<ProbeResult> {
+		const startedAt = this.#now();
 		const connection = this.#open();
 		const result = await connection.probe();
+		for (const busy of this.#busy()) {
+			busy.recordTrial({startedAt, endedAt: this.#now(), isAnswered: result !== 'silent'});
+		}
+
 		if (result === 'silent') {
 			await connection.close();
 		}
--- a/src/request/dispatch.ts
+++ b/src/request/dispatch.ts
@@ -57,8 +57,8 @@
 };
 
 const defaultTimeoutMs = 60_000;
-/** Together with the time for a probe, detects a silent live stream within 5 s. */
-const liveStreamSilenceTimeoutMs = 3500;
+/** Together with the time for a probe and its confirmation, finds a silent live stream within 5 s. */
+const liveStreamSilenceTimeoutMs = 3000;
 /** No bytes arrive during prefill; this allows for 1,000 prompt tokens a second at four bytes a token. */
 const silenceTimeoutMsPerPromptByte = 0.25;
 const maxAttempts = 16;
