Fail a send to an address that the client library rejects, instead of throwing

Cause: a new connection was created outside of the `try` around the dispatch.

Change: `send` ends the exchange as unreachable with nothing sent, after it has returned the exchange to its caller, so that the request goes to another upstream. Only connections that were created count as opened.

--- a/src/connection/links/upstream-clients.ts
+++ b/src/connection/links/upstream-clients.ts
@@ -57,12 +57,20 @@
 		return this.#openedCount;
 	}
 
-	/** Sends a request on an idle connection, or on a new one. */
+	/** Sends a request on an idle connection, or on a new one; never throws. */
 	send(upstream: Upstream, {method, path, headers, body}: WireRequest, listener: ExchangeListener): Exchange {
 		const {id, address} = upstream;
 		let startedAt = 0;
 		const idle = this.#takeIdle(id);
-		const {client, guard} = idle ?? this.#connect(address);
+		let connection: GuardedClient;
+		try {
+			connection = idle ?? this.#connect(address);
+		} catch (error) {
+			// The client library rejects the address.
+			return failAsUnreachable(listener, error);
+		}
+
+		const {client, guard} = connection;
 		const timer = setTimeout(() => {
 			exchange.cancelConnecting(`no connection within ${this.#timeouts.connectTimeoutMs} ms`);
 		}, this.#timeouts.connectTimeoutMs);
@@ -150,7 +158,6 @@
 	}
 
 	#connect(address: string): GuardedClient {
-		this.#openedCount += 1;
 		const guard = new AnswerGuard();
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
@@ -166,6 +173,7 @@
 			keepAliveTimeoutThreshold: 500,
 			maxHeaderSize: maxAnswerHeadBytes,
 		});
+		this.#openedCount += 1;
 		this.#open.add(client);
 		client.on('disconnect', () => {
 			this.#close(client);
@@ -226,6 +234,15 @@
 	}
 }
 
+/** Ends an exchange without a connection, after the caller has received it. */
+function failAsUnreachable(listener: ExchangeListener, error: unknown): Exchange {
+	const exchange = new Exchange(listener, () => undefined);
+	queueMicrotask(() => {
+		exchange.cancelConnecting(error instanceof Error ? error.message : String(error));
+	});
+	return exchange;
+}
+
 /**
 Resets a connection whose exchange was cancelled.
 
