Connect to upstreams on port 80

Seen by callers: an upstream whose entry names port 80 could not be reached.

Cause: a URL leaves out the default port, so the client library passed an empty port to the connector, which took it for port 0.

Change: the connector takes host and port from the address itself.

Before, the test printed:

expected 'connect ECONNREFUSED 127.0.0.1' to match /^an answer$|127\.0\.0\.1:80$/v

It passes now, as do test/connection and the tests of the fleet daemon.

--- a/src/connection/links/upstream-clients.ts
+++ b/src/connection/links/upstream-clients.ts
@@ -2,6 +2,7 @@
 import type {buildConnector} from 'undici';
 import type {WireRequest} from '../../ports/upstream-protocol.ts';
 import type {Upstream} from '../../ports/upstream.ts';
+import {parseAddress} from '../../process/address.ts';
 import type {Clock} from '../../process/clock.ts';
 import {AnswerGuard} from '../answer-guard.ts';
 import {Exchange, type ExchangeListener} from './exchange.ts';
@@ -161,9 +162,10 @@
 		const guard = new AnswerGuard();
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
-			connect: ({hostname, port}, callback) => {
+			connect: (_options, callback) => {
+				// The options leave out port 80.
 				const socket = connect({
-					host: hostname, port: Number(port), noDelay: true, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs,
+					...parseAddress(address), noDelay: true, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs,
 				});
 				guard.watch(socket);
 				this.#watchSocket(socket, client, callback);
--- a/test/connection/unconnectable-upstreams.test.ts
+++ b/test/connection/unconnectable-upstreams.test.ts
@@ -28,4 +28,9 @@
 	])('fails instead of throwing if its id cannot be sent in a header, or its port is not a number: %j', async values => {
 		expect(await call(createUpstream(values))).toMatchObject({kind: 'failed', failure: {wasSent: false}});
 	});
+
+	test('connects to port 80, which a URL leaves out', async () => {
+		const result = await call(createUpstream({address: '127.0.0.1:80'}));
+		expect(result.kind === 'failed' ? result.failure.message : 'an answer').toMatch(/^an answer$|127\.0\.0\.1:80$/v);
+	});
 });
