--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -126,6 +126,20 @@
 		expect(decoded?.limits.bodyBytes).toBe(100_000);
 	});
 
+	test('is invalid without an exception when a deeply nested route cannot be decoded', () => {
+		const depth = 10_000;
+		const text = JSON.stringify(createOperatorConfiguration({routes: ['?']})).replace('"?"', `{"host":${'{"a":'.repeat(depth)}0${'}'.repeat(depth)}}`);
+		expect(decodeConfiguration(Buffer.from(text)).isLeft()).toBe(true);
+	});
+
+	test.each(['constructor', '__proto__', 'toString'])('is invalid when a route has the unknown kind %s', kind => {
+		expect(decodeConfiguration(encode(createOperatorConfiguration({
+			routes: [{
+				host: 'a.example', path_prefix: '/', service: 'desk', kind,
+			}],
+		}))).isLeft()).toBe(true);
+	});
+
 	test('is invalid as a whole when a route cannot be decoded, because a missing route would get a 404', () => {
 		expect(decodeConfiguration(encode(createOperatorConfiguration({routes: [{host: 'a.example'}]}))).isLeft()).toBe(true);
 	});
