Ignore entries of daemons whose address or link cannot be used, and news with numbers that are not finite

Seen by callers: one entry among those of the daemons with a port out of range, in the store or in a datagram, would have ended every daemon that read it, and again after each restart.

Cause: the socket throws when it is told to send to a port out of range, from a timer. Nothing checked the addresses of other daemons. JSON texts such as 1e999 were decoded as infinite loads, versions and times.

Change: an entry in the directory whose address is not one of a host, or whose bandwidth is not a positive number, is ignored; a message with such an entry is applied without it; a datagram with a number that is not finite is rejected.

Before, the tests printed:

go on beside an odd entry in the directory: expected [ 1, +0 ] to deeply equal [ 1, 1 ], and 16 unhandled errors RangeError: Port should be > 0 and < 65536. Received type number (99999). (ERR_SOCKET_BAD_PORT) RangeError: Port should be > 0 and < 65536. Received type number (NaN). (ERR_SOCKET_BAD_PORT) with numbers that are not finite are rejected: expected false to be true

All pass now, as do test/process/peers, test/platform and the tests of the fleet daemon.

--- a/src/process/peers/peer-directory.ts
+++ b/src/process/peers/peer-directory.ts
@@ -1,4 +1,5 @@
 import type {Table} from '../../ports/table.ts';
+import {isHostAddress} from '../address.ts';
 import type {DecisionLog} from '../fleet/decision-log.ts';
 import type {PeerMember} from './peer-topology.ts';
 
@@ -83,11 +84,13 @@
 	return [address, availabilityZone, linkMbps].join(' ');
 }
 
+/** Decodes an entry; another writer may have left one that cannot be used. */
 function decodeMember(daemon: string, body: string): readonly PeerMember[] {
-	const [address, availabilityZone, linkMbps] = body.split(' ');
-	return address === undefined || availabilityZone === undefined || linkMbps === undefined
+	const [address, availabilityZone, link] = body.split(' ');
+	const linkMbps = Number(link);
+	return address === undefined || !isHostAddress(address) || availabilityZone === undefined || !Number.isFinite(linkMbps) || linkMbps <= 0
 		? []
 		: [{
-			daemon, address, availabilityZone, linkMbps: Number(linkMbps),
+			daemon, address, availabilityZone, linkMbps,
 		}];
 }
--- a/src/process/peers/peer-message.ts
+++ b/src/process/peers/peer-message.ts
@@ -1,10 +1,11 @@
 import {Buffer} from 'node:buffer';
 import {constants, deflateRawSync, inflateRawSync} from 'node:zlib';
-import {Left, type Either} from 'purify-ts';
+import {Left, Right, type Either} from 'purify-ts';
 import {
-	array, boolean, Codec, exactly, number, oneOf, optional, string, tuple, type GetType,
+	array, boolean, Codec, exactly, oneOf, optional, string, tuple, type GetType,
 } from 'purify-ts/Codec';
 import type {Upstream} from '../../ports/upstream.ts';
+import {isHostAddress} from '../address.ts';
 import type {LimitUse} from '../backpressure/shared-rate-limit.ts';
 import type {CrashNews} from '../crashes/crash-attribution.ts';
 import type {TableAnnouncement} from '../tables/table-sharing.ts';
@@ -14,29 +15,35 @@
 connection for each pair of daemons would cost more than the hints are worth.
 */
 
+/** JSON has texts such as 1e999 that are decoded as infinite numbers. */
+const finite = Codec.custom<number>({
+	decode: value => typeof value === 'number' && Number.isFinite(value) ? Right(value) : Left('a number is missing or not finite'),
+	encode: value => value,
+});
+
 const entryCodec = Codec.interface({
 	/** IP address and port. */
 	a: string,
 	/** Availability zone. */
 	z: string,
 	/** Bandwidth of the host's link in megabits per second. */
-	b: number,
+	b: finite,
 });
 
 const loadCodec = Codec.interface({
 	/** Upstream. */
 	u: string,
 	/** Number of the daemon's requests that run or wait there. */
-	r: number,
+	r: finite,
 	/** The daemon's prompt tokens in prefill there: pairs of priority and tokens. */
-	t: array(tuple([number, number])),
+	t: array(tuple([finite, finite])),
 });
 
 const prefillCodec = Codec.interface({
 	/** Upstream that prefills a prompt. */
 	u: string,
 	/** Parts of the prompt: pairs of id and tokens. */
-	p: array(tuple([string, number])),
+	p: array(tuple([string, finite])),
 });
 
 /** News about a request, or about parts of prompts, that may crash upstreams. */
@@ -48,19 +55,19 @@
 	/** Upstream that crashed while the request was in flight there; set only for a suspected request. */
 	u: optional(string),
 	/** Age of that crash in milliseconds; for condemned parts, of their first crash. */
-	a: optional(number),
+	a: optional(finite),
 	/** Time for which a condemned request, or requests with condemned parts, are still refused, in milliseconds; without this and `u`, they have been cleared. */
-	r: optional(number),
+	r: optional(finite),
 });
 
 /** Limit that an upstream named: upstream, requests per second (zero if it has ended), age in milliseconds, requests that the daemon has sent under it, and requests per second that it asks for. */
-const limitCodec = tuple([string, number, number, number, number]);
+const limitCodec = tuple([string, finite, finite, finite, finite]);
 
 /** Upstream that is leaving, and the start time of its process in Unix milliseconds, or -1 if it is unknown. */
-const leavingCodec = tuple([string, number]);
+const leavingCodec = tuple([string, finite]);
 
 /** Copy of a table of the platform: name, version, digest and age in milliseconds. */
-const tableCodec = tuple([string, number, number, number]);
+const tableCodec = tuple([string, finite, finite, finite]);
 
 const messageCodec = Codec.interface({
 	/** Name of the daemon that the message describes. */
@@ -71,7 +78,7 @@
 	l: optional(array(loadCodec)),
 	p: optional(array(prefillCodec)),
 	/** Prompt tokens that are queued at the daemon: pairs of priority and tokens. */
-	q: optional(array(tuple([number, number]))),
+	q: optional(array(tuple([finite, finite]))),
 	k: optional(array(crashCodec)),
 	g: optional(array(limitCodec)),
 	v: optional(array(leavingCodec)),
@@ -301,7 +308,8 @@
 function decodeMessage({n, e, w, l, p, q, k, g, v, d}: GetType<typeof messageCodec>): PeerMessage {
 	return {
 		daemon: n,
-		entry: e === undefined ? undefined : {address: e.a, availabilityZone: e.z, linkMbps: e.b},
+		// A socket throws when it is told to send to a port out of range.
+		entry: e === undefined || !isHostAddress(e.a) || e.b <= 0 ? undefined : {address: e.a, availabilityZone: e.z, linkMbps: e.b},
 		isSnapshot: w ?? false,
 		loads: (l ?? []).map(({u, r, t}) => ({upstream: u, runs: r, tokensByPriority: new Map(t)})),
 		prefills: (p ?? []).map(({u, p: parts}) => ({upstream: u, parts: parts.map(([id, tokens]) => ({id, tokens}))})),
--- a/test/process/peers/peer-link.test.ts
+++ b/test/process/peers/peer-link.test.ts
@@ -21,7 +21,7 @@
 	limits: readonly PeerLimit[] = [];
 	/** Limits that each daemon has heard of. */
 	readonly heardLimits: PeerLimit[][] = [];
-	readonly #table = new MemoryTable();
+	readonly table = new MemoryTable();
 
 	async start(zones: number, perZone: number): Promise<void> {
 		const ports = await chooseFreePorts(zones * perZone);
@@ -35,7 +35,7 @@
 				log: new DecisionLog({}, (_bytes, done) => {
 					done(undefined);
 				}),
-				table: this.#table,
+				table: this.table,
 				self: {
 					daemon: `daemon-${String(index).padStart(2, '0')}`, address: `127.0.0.1:${port}`, availabilityZone: `zone-${index % zones}`, linkMbps: index < zones ? 200 : 10,
 				},
@@ -131,4 +131,17 @@
 		}, {timeout: 400, interval: 10});
 		expect(performance.now() - startedAt).toBeLessThan(300);
 	});
+
+	// Guards against the end of the process: a socket throws when it is told to send to a port out of range.
+	test.each(['127.0.0.1:99999 zone-0 100', '127.0.0.1 zone-0 100', '999.0.0.1:80 zone-0 100', '127.0.0.1:1 zone-0 many', 'x'])('go on beside an odd entry in the directory: %s', async body => {
+		await using fixture = new LinkFixture();
+		await fixture.table.write([{
+			kind: 'put', key: {partition: 'daemons', sort: 'odd'}, expected: 0, body,
+		}]);
+		await fixture.start(1, 2);
+		await vi.waitFor(() => {
+			expect(fixture.links.map(({peerLoads}, index) => peerLoads.runs(`u-${1 - index}`, performance.now()))).toEqual([1, 1]);
+		}, {timeout: 2000, interval: 20});
+		expect(fixture.links.map(({knownDaemons}) => knownDaemons)).toEqual([2, 2]);
+	});
 });
--- a/test/process/peers/peers.test.ts
+++ b/test/process/peers/peers.test.ts
@@ -51,6 +51,21 @@
 		expect(decodePeerDatagram(text!).extract()).toEqual(datagram);
 	});
 
+	test.each([
+		{address: '127.0.0.1:99999', linkMbps: 100},
+		{address: 'host', linkMbps: 100},
+		{address: '127.0.0.1:80', linkMbps: -1},
+		{address: '127.0.0.1:80', linkMbps: 0},
+	])('are applied without the entry of their daemon if it cannot be used: %j', values => {
+		const [text] = encodePeerDatagrams({sender: 'a', scope: 'direct', messages: [{...message, entry: {availabilityZone: 'zone-a', ...values}}]}, 8000);
+		expect(decodePeerDatagram(text!).extract()).toEqual({sender: 'a', scope: 'direct', messages: [{...message, entry: undefined}]});
+	});
+
+	test.each(['{"l":[{"u":"u-1","r":1e999,"t":[]}]}', '{"d":[["servers",1e999,1,1]]}', '{"v":[["u-1",-1e999]]}'])('with numbers that are not finite are rejected: %s', fields => {
+		const text = JSON.stringify({n: 'a', s: 'direct', m: ['?']}).replace('"?"', fields.replace('{', '{"n":"a",'));
+		expect(decodePeerDatagram(Buffer.from(text)).isLeft()).toBe(true);
+	});
+
 	test('are distributed over datagrams within the size limit', () => {
 		const random = new SeededRandom(4);
 		const drawPrefill = () => ({upstream: 'u-1', parts: [{id: random.integer(2 ** 30).toString(16), tokens: random.integer(9999)}]});
