Drop, count and log single rows with which the daemon cannot deal, at a bounded rate

An exception in the listener of a table would have ended the process: nothing caught it in the loop that reads the table.

Change: `TableWatch` delivers changed rows one by one.

One commit, because the guard reports to the same count and log.

--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -266,6 +266,7 @@
 			pausedUpstreams: () => this.#backpressure.pauseCount,
 			configurationVersion: () => this.#configuration.routeTable?.version ?? 0,
 			droppedLogLines: () => log.droppedLines,
+			droppedRows: () => this.#tables.droppedRows,
 		});
 	}
 
--- a/src/process/fleet/fleet-metrics.ts
+++ b/src/process/fleet/fleet-metrics.ts
@@ -13,6 +13,8 @@
 	readonly pausedUpstreams: () => number;
 	readonly configurationVersion: () => number;
 	readonly droppedLogLines: () => number;
+	/** Times that a row of the platform's tables was read and dropped. */
+	readonly droppedRows: () => number;
 };
 
 const secondsBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 4, 8];
@@ -37,7 +39,7 @@
 	});
 
 	/** Registers gauges whose values are read at each scrape. */
-	addGauges({openRequests, upstreams, connectionsOpened, limitedUpstreams, pausedUpstreams, configurationVersion, droppedLogLines}: FleetGauges): void {
+	addGauges({openRequests, upstreams, connectionsOpened, limitedUpstreams, pausedUpstreams, configurationVersion, droppedLogLines, droppedRows}: FleetGauges): void {
 		this.#addGauge('wagtailtack_route_open_requests', 'Requests in flight', openRequests);
 		this.#addGauge('wagtailtack_upstreams', 'Upstreams that accept work', upstreams);
 		this.#addGauge('wagtailtack_upstream_connections_opened', 'Connections opened to upstreams', connectionsOpened);
@@ -45,6 +47,7 @@
 		this.#addGauge('wagtailtack_paused_upstreams', 'Upstreams that want nothing from this daemon for a while', pausedUpstreams);
 		this.#addGauge('wagtailtack_configuration_version', 'Version of the active configuration', configurationVersion);
 		this.#addGauge('wagtailtack_log_lines_left_out', 'Log lines dropped to stay within the limits', droppedLogLines);
+		this.#addGauge('wagtailtack_dropped_entries', 'Times that an entry of the platform was read and dropped, because it cannot be used', droppedRows);
 	}
 
 	/** Records a request whose delivery has ended, successfully or not. */
--- a/src/process/fleet/fleet-tables.ts
+++ b/src/process/fleet/fleet-tables.ts
@@ -7,6 +7,7 @@
 import type {Clock} from '../clock.ts';
 import type {PeerLink} from '../peers/peer-link.ts';
 import type {Random} from '../random.ts';
+import {DroppedRows} from '../tables/dropped-rows.ts';
 import {readersPerZone, type TableAnnouncement} from '../tables/table-sharing.ts';
 import {TableWatch, type TablePeers, type TableWatchOptions} from '../tables/table-watch.ts';
 import {createConfigurationTimes, createListTimes} from '../tables/watch-times.ts';
@@ -37,10 +38,12 @@
 	readonly #options: FleetTablesOptions;
 	readonly #configurationWatch: TableWatch;
 	readonly #listWatch: TableWatch;
+	readonly #droppedRows: DroppedRows;
 	#hasUpstreamList = false;
 
 	constructor(options: FleetTablesOptions) {
 		this.#options = options;
+		this.#droppedRows = new DroppedRows(options.clock);
 		this.#configurationWatch = this.#createConfigurationWatch();
 		this.#listWatch = this.#createListWatch();
 	}
@@ -50,6 +53,11 @@
 		return this.#hasUpstreamList;
 	}
 
+	/** Number of times that a row of the tables was read and dropped, because it could not be used. */
+	get droppedRows(): number {
+		return this.#droppedRows.total;
+	}
+
 	/** State of the tables that this daemon reads from the store for the others. */
 	get announcements(): readonly TableAnnouncement[] {
 		return this.#watches.map(({announcement}) => announcement).filter(announcement => announcement !== undefined);
@@ -92,10 +100,17 @@
 	}
 
 	/** Dependencies that both watches share. */
-	#watchTools(): Pick<TableWatchOptions, 'feed' | 'peers' | 'clock' | 'log' | 'random'> {
+	#watchTools(): Pick<TableWatchOptions, 'feed' | 'peers' | 'clock' | 'log' | 'random' | 'onRowFailed'> {
 		const {platform: {feed}, suspendAwareClock: clock, log, random} = this.#options;
 		return {
-			feed, peers: this.#createTablePeers(), clock, log, random,
+			feed,
+			peers: this.#createTablePeers(),
+			clock,
+			log,
+			random,
+			onRowFailed: (key, error) => {
+				this.#reportDropped(key, error instanceof Error ? error.message : String(error));
+			},
 		};
 	}
 
@@ -165,13 +180,19 @@
 	}
 
 	#decodeUpstream({key, value}: FeedRow): readonly Upstream[] {
-		const {platform, log} = this.#options;
-		return platform.decodeUpstream(key, value).caseOf({
-			Left(cause) {
-				log.write('upstream.invalidEntry', {upstream: key, cause});
+		return this.#options.platform.decodeUpstream(key, value).caseOf({
+			Left: cause => {
+				this.#reportDropped(key, cause);
 				return [];
 			},
 			Right: (upstream): readonly Upstream[] => [upstream],
 		});
 	}
+
+	#reportDropped(key: string, cause: string): void {
+		const count = this.#droppedRows.drop(key);
+		if (count !== undefined) {
+			this.#options.log.write('upstream.invalidEntry', {upstream: key, cause, count});
+		}
+	}
 }
--- a/src/process/tables/table-watch.ts
+++ b/src/process/tables/table-watch.ts
@@ -41,6 +41,8 @@
 	readonly clock: Clock;
 	readonly log: DecisionLog;
 	readonly random: Random;
+	/** Called with a row that made the listener or `contentOf` throw; the row is dropped. */
+	readonly onRowFailed: (key: string, error: unknown) => void;
 };
 
 const minBackoffMs = 100;
@@ -73,7 +75,7 @@
 
 	constructor(options: TableWatchOptions) {
 		this.#options = options;
-		this.#copy = new TableCopy(options.contentOf);
+		this.#copy = new TableCopy(row => this.#readContent(row));
 		this.#times = options.times;
 		this.#sharing = new TableSharing(options.times.maxAgeMs);
 	}
@@ -134,7 +136,7 @@
 			if (followMs > 0) {
 				await this.#pause(followMs + (this.#options.random.next() * takeoverSpreadMs));
 			} else {
-				await this.#poll();
+				await this.#tryPoll();
 				await this.#pause(this.#failures === 0 ? this.#times.pauseMs : this.#backoffMs());
 			}
 		}
@@ -158,6 +160,15 @@
 		}
 	}
 
+	/** Polls; an error of the daemon itself must not end the watch. */
+	async #tryPoll(): Promise<void> {
+		try {
+			await this.#poll();
+		} catch (error) {
+			this.#handleFailure({kind: 'unavailable', message: describe(error)});
+		}
+	}
+
 	async #poll(): Promise<void> {
 		const {feed, peers} = this.#options;
 		const {version: knownVersion} = this.#copy;
@@ -188,15 +199,47 @@
 	/** Updates the copy and tells the listener; returns true when the content has changed. */
 	#apply(rows: readonly FeedRow[], version: number, isWhole: boolean): boolean {
 		const isChanged = this.#copy.apply({rows, version, isWhole});
-		if (isWhole) {
-			this.#options.listener.onSnapshot(rows);
-		} else if (rows.length > 0) {
-			this.#options.listener.onChanges(rows);
+		if (!isWhole || !this.#deliverSnapshot(rows)) {
+			this.#deliverChanges(rows);
 		}
 
 		return isChanged;
 	}
 
+	/** Returns false if the listener throws; the rows are then delivered one by one. */
+	#deliverSnapshot(rows: readonly FeedRow[]): boolean {
+		const {listener, log} = this.#options;
+		try {
+			listener.onSnapshot(rows);
+			return true;
+		} catch (error) {
+			log.write('store.snapshotFailed', {table: this.table, rows: rows.length, cause: describe(error)});
+			return false;
+		}
+	}
+
+	/** Delivers each row by itself, so that one with which the listener cannot deal does not hold up the others. */
+	#deliverChanges(rows: readonly FeedRow[]): void {
+		const {listener, onRowFailed} = this.#options;
+		for (const row of rows) {
+			try {
+				listener.onChanges([row]);
+			} catch (error) {
+				onRowFailed(row.key, error);
+			}
+		}
+	}
+
+	#readContent(row: FeedRow): string {
+		const {contentOf, onRowFailed} = this.#options;
+		try {
+			return contentOf(row);
+		} catch (error) {
+			onRowFailed(row.key, error);
+			return '';
+		}
+	}
+
 	/** Fetches the rows that a reader has and this daemon lacks, unless this daemon reads the store itself without failures. */
 	async #catchUp(): Promise<void> {
 		const {clock, peers} = this.#options;
@@ -307,3 +350,7 @@
 		clearTimeout(timer);
 	}
 }
+
+function describe(error: unknown): string {
+	return error instanceof Error ? error.message : String(error);
+}
--- a/test/process/fleet/fleet-daemon.test.ts
+++ b/test/process/fleet/fleet-daemon.test.ts
@@ -92,6 +92,19 @@
 		expect(await fleet.status({path: '/lookup/1'})).toBe(200);
 	});
 
+	test('with an entry that is written again and again and cannot be used are logged once, and all of its drops are counted', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1'}]);
+		const dropped = async () => Number(/^wagtailtack_dropped_entries (\d+)$/mv.exec(await fleet.metrics())?.[1]);
+		for (let count = 1; count <= 4; count += 1) {
+			fleet.store.put('servers', 'odd', fleet.upstreams[0]!.entry({address: '127.0.0.1:99999', sequence: count}));
+			await expect.poll(dropped, {timeout: 2000}).toBe(count);
+		}
+
+		await fleet.waitForLine('upstream.invalidEntry');
+		expect(fleet.logLines.filter(({event}) => event === 'upstream.invalidEntry')).toMatchObject([{upstream: 'odd', cause: 'the address is not an IPv4 address of a host with a port', count: 1}]);
+	});
+
 	test('are still tracked after the connection to the store stops responding', async () => {
 		await using fleet = new FleetFixture();
 		await fleet.start([{id: 'u-1'}]);
--- a/test/process/tables/table-watch.test.ts
+++ b/test/process/tables/table-watch.test.ts
@@ -22,6 +22,8 @@
 	readonly feed: MemoryFeed;
 	readonly values = new Map<string, string>();
 	readonly events: string[] = [];
+	/** Keys of the rows that were dropped. */
+	readonly failedKeys: string[] = [];
 	/** False while the daemon has been killed. */
 	isAlive = true;
 	/** True while its messages to the other daemons and theirs to it are lost. */
@@ -46,8 +48,18 @@
 			log: new DecisionLog({}, (_bytes, done) => {
 				done(undefined);
 			}),
-			// Text after a blank is a heartbeat.
-			contentOf: ({value}) => new TextDecoder().decode(value).split(' ')[0]!,
+			onRowFailed: key => {
+				this.failedKeys.push(key);
+			},
+			contentOf({value}) {
+				const text = new TextDecoder().decode(value);
+				if (text === 'no content') {
+					throw new Error('no content');
+				}
+
+				// Text after a blank is a heartbeat.
+				return text.split(' ')[0]!;
+			},
 			peers: {
 				isReader: () => this.isReader,
 				fetchRows: async (daemon, _table, after) => fetchRows(this, daemon, after),
@@ -73,6 +85,10 @@
 
 	#accept(rows: readonly FeedRow[]): void {
 		for (const {key, value, isRemoved} of rows) {
+			if (new TextDecoder().decode(value) === 'bad') {
+				throw new Error('bad row');
+			}
+
 			this.events.push(`${isRemoved ? 'removed' : 'set'} ${key}`);
 			if (isRemoved) {
 				this.values.delete(key);
@@ -256,4 +272,21 @@
 		await zone.waitForValue(zone.followers, 'c', 'ready');
 		await zone.waitForValue(zone.followers, 'a', undefined);
 	});
+
+	test.each(['bad', 'no content'])('go on following, and apply all other rows, beside a row with which the daemon cannot deal: %s', async value => {
+		await using zone = new ZoneFixture();
+		await zone.settle();
+		zone.rows.put('odd', value);
+		zone.rows.put('b', 'ready 1');
+		await zone.waitForValue(zone.daemons, 'b', 'ready');
+		for (const reader of zone.readers) {
+			reader.feed.faults.hasLostHistory = true;
+		}
+
+		zone.rows.put('c', 'ready 1');
+		await zone.waitForValue(zone.daemons, 'c', 'ready');
+		zone.rows.put('a', undefined);
+		await zone.waitForValue(zone.daemons, 'a', undefined);
+		expect(zone.daemons.every(({failedKeys}) => failedKeys.includes('odd') && new Set(failedKeys).size === 1)).toBe(true);
+	});
 });
