--- a/src/connection/links/upstream-clients.ts
+++ b/src/connection/links/upstream-clients.ts
@@ -2,6 +2,7 @@
 import type {buildConnector} from 'undici';
 import type {WireRequest} from '../../ports/upstream-protocol.ts';
 import type {Upstream} from '../../ports/upstream.ts';
+import {parseAddress} from '../../process/address.ts';
 import type {Clock} from '../../process/clock.ts';
 import {AnswerGuard} from '../answer-guard.ts';
 import {Exchange, type ExchangeListener} from './exchange.ts';
@@ -62,13 +63,12 @@
 		const {id, address} = upstream;
 		let startedAt = 0;
 		const idle = this.#takeIdle(id);
-		const connection = idle ?? this.#tryConnect(address);
-		if (connection instanceof Error) {
-			const failed = new Exchange(listener, () => undefined);
-			queueMicrotask(() => {
-				failed.cancelConnecting(connection.message);
-			});
-			return failed;
+		let connection: GuardedClient;
+		try {
+			connection = idle ?? this.#connect(address);
+		} catch (error) {
+			// The client library rejects the address.
+			return failAsUnreachable(listener, error);
 		}
 
 		const {client, guard} = connection;
@@ -158,23 +158,14 @@
 		await Promise.all([...this.#open].map(async client => client.destroy()));
 	}
 
-	/** Opens a connection; returns the error if the address cannot be used, such as a port above 65,535. */
-	#tryConnect(address: string): GuardedClient | Error {
-		try {
-			return this.#connect(address);
-		} catch (error) {
-			return error as Error;
-		}
-	}
-
 	#connect(address: string): GuardedClient {
-		this.#openedCount += 1;
 		const guard = new AnswerGuard();
 		const client = new Client(`http://${address}`, {
 			pipelining: 1,
-			connect: ({hostname, port}, callback) => {
+			connect: (_options, callback) => {
+				// The options leave out port 80.
 				const socket = connect({
-					host: hostname, port: Number(port), noDelay: true, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs,
+					...parseAddress(address), noDelay: true, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs,
 				});
 				guard.watch(socket);
 				this.#watchSocket(socket, client, callback);
@@ -184,6 +175,7 @@
 			keepAliveTimeoutThreshold: 500,
 			maxHeaderSize: maxAnswerHeadBytes,
 		});
+		this.#openedCount += 1;
 		this.#open.add(client);
 		client.on('disconnect', () => {
 			this.#close(client);
@@ -244,6 +236,15 @@
 	}
 }
 
+/** Ends an exchange without a connection, after the caller has received it. */
+function failAsUnreachable(listener: ExchangeListener, error: unknown): Exchange {
+	const exchange = new Exchange(listener, () => undefined);
+	queueMicrotask(() => {
+		exchange.cancelConnecting(error instanceof Error ? error.message : String(error));
+	});
+	return exchange;
+}
+
 /**
 Resets a connection whose exchange was cancelled.
 
