Give each request that was read one owner until it has been answered

What callers saw: when the daemon itself failed while it handled a request, the connection was closed without an answer, although nothing had been sent to an upstream. A delivery that never ended left its caller without an answer past the deadline.

Cause: the handler destroyed the response on any exception, and nothing knew whether an upstream might have run the request.

Change: OpenRequest owns the answer from the head of the request on. Each send that may run the request is announced to it, so that its disposal gives a request that nothing has settled the true answer: 503 with Retry-After if no upstream can have run it, 502 if one may have, a visible cut if the answer has begun. It lets no send begin once it is settled, and throws when it is settled twice or as ended without an answer. A delivery that does not end within 200 ms after it was aborted is answered for. A delivery that fails releases its places and ends its attempts.

--- a/src/connection/links/caller-answer.ts
+++ b/src/connection/links/caller-answer.ts
@@ -2,16 +2,17 @@
 import type {ServerResponse} from 'node:http';
 import type {CallerProtocol, Refusal} from '../../ports/caller-protocol.ts';
 
-/** Answer to one caller; ends with exactly one call of `sendComplete`, `refuse`, `end` or `abort`. */
+/** Answer to one caller; ends with exactly one call of `sendComplete`, `refuse`, `end` or `abort`, and throws at a second one. */
 export class CallerAnswer {
 	readonly #response: ServerResponse;
 	readonly #protocol: CallerProtocol;
-	readonly #requestId: string;
+	readonly #requestId: () => string;
 	readonly #beforeHead: () => void;
+	#hasEnded = false;
 	#isAborted = false;
 
 	/** `beforeHead` is called right before the head of the answer is sent. */
-	constructor(response: ServerResponse, protocol: CallerProtocol, requestId: string, beforeHead: () => void) {
+	constructor(response: ServerResponse, protocol: CallerProtocol, requestId: () => string, beforeHead: () => void) {
 		this.#response = response;
 		this.#protocol = protocol;
 		this.#requestId = requestId;
@@ -23,6 +24,11 @@
 		return this.#response.headersSent;
 	}
 
+	/** True once the answer has been completed, refused or aborted. */
+	get hasEnded(): boolean {
+		return this.#hasEnded;
+	}
+
 	/** True once a streamed answer has been aborted. */
 	get isAborted(): boolean {
 		return this.#isAborted;
@@ -48,6 +54,7 @@
 
 	/** Ends a complete streamed answer. */
 	end(): void {
+		this.#markEnded();
 		this.#response.end();
 	}
 
@@ -55,22 +62,33 @@
 	sendComplete(status: number, headers: readonly string[], body: Uint8Array): void {
 		this.#beforeHead();
 		this.#response.writeHead(status, [...omitContentLength(headers), 'content-length', String(body.length)]);
+		this.#markEnded();
 		this.#response.end(body);
 	}
 
 	/** Sends an error answer from the daemon itself. */
 	refuse(refusal: Refusal): void {
-		const {status, headers, body} = this.#protocol.encodeRefusal(refusal, this.#requestId);
+		const {status, headers, body} = this.#protocol.encodeRefusal(refusal, this.#requestId());
 		this.#beforeHead();
 		this.#response.writeHead(status, [...headers, 'content-length', String(Buffer.byteLength(body))]);
+		this.#markEnded();
 		this.#response.end(body);
 	}
 
 	/** Aborts a streamed answer, so that it does not look complete. */
 	abort(): void {
+		this.#markEnded();
 		this.#isAborted = true;
 		this.#response.destroy();
 	}
+
+	#markEnded(): void {
+		if (this.#hasEnded) {
+			throw new Error('The answer has already ended.');
+		}
+
+		this.#hasEnded = true;
+	}
 }
 
 function omitContentLength(headers: readonly string[]): string[] {
--- a/src/process/fleet/route-request-handler.ts
+++ b/src/process/fleet/route-request-handler.ts
@@ -40,6 +40,7 @@
 	readonly message: IncomingMessage;
 	readonly response: ServerResponse;
 	readonly arrivedAt: number;
+	readonly answer: CallerAnswer;
 	readonly open: OpenRequest;
 };
 
@@ -49,6 +50,8 @@
 const closingRetryMs = 50;
 /** Ids of requests in a log line about a closed connection, at most. */
 const maxLoggedRequests = 8;
+/** A delivery ends at once when it is aborted; one that does not is answered for after this time. Callers are owed an answer within half a second of the deadline. */
+const overdueMs = 200;
 /** Limit on request bodies until a configuration has been received. */
 const defaultBodyBytes = 4_194_304;
 const emptyBody = new Uint8Array(0);
@@ -81,14 +84,13 @@
 			response.destroy();
 		});
 		const {socket} = message;
-		const exchange = {
-			message, response, arrivedAt: dependencies.clock.now(), open: new OpenRequest(),
-		};
+		const exchange = this.#createExchange(message, response);
 		this.#open.set(response, exchange.open);
 		if (this.#closingSockets.has(socket)) {
 			// The previous response told the caller that the connection closes, so this request must not run.
 			exchange.open.id = this.#options.protocol.decode(message, emptyBody).id;
-			this.#end(exchange, 'connectionClosing', {reason: 'The previous response closed the connection.', runs: 0, sends: 0});
+			exchange.open.settle('connectionClosing');
+			this.#recordEnd(exchange, 'connectionClosing', {reason: 'The previous response closed the connection.', runs: 0, sends: 0});
 			return;
 		}
 
@@ -98,12 +100,8 @@
 			await this.#serve(exchange);
 			await waitUntilSent(response);
 		} catch (error) {
-			response.destroy();
-			if (message.complete) {
-				// The handler threw; no crash of an upstream is meant.
-				dependencies.log.write('request.crashed', {request: exchange.open.id, cause: error instanceof Error ? error.stack : String(error)});
-				this.#end(exchange, 'handlerError', {reason: 'The daemon failed.'});
-			}
+			this.#answerAfterError(exchange, error);
+			await waitUntilSent(response);
 		} finally {
 			this.#openRequests -= 1;
 			this.#unansweredRequests.set(socket, (this.#unansweredRequests.get(socket) ?? 1) - 1);
@@ -119,7 +117,7 @@
 		}
 
 		for (const open of requests) {
-			if (open.isWhole && open.outcome !== 'callerGone' && !open.isCutByUpstream) {
+			if (open.isWhole && !open.isCutByUpstream) {
 				metrics.requestUnanswered();
 			}
 		}
@@ -199,7 +197,7 @@
 	}
 
 	async #deliver(exchange: Exchange, {request, identity}: Pick<DeliveryJob, 'request' | 'identity'>, route: Route, service: string): Promise<void> {
-		const {message, response, arrivedAt, open} = exchange;
+		const {message, response, arrivedAt, answer, open} = exchange;
 		const {dependencies, metrics} = this.#options;
 		const controller = new AbortController();
 		const deadlineAt = arrivedAt + Math.min(request.callerTimeoutMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
@@ -208,12 +206,12 @@
 		await readPendingEvents();
 		dependencies.retryBudget.earn(service, dependencies.clock.now());
 		const job: DeliveryJob = {
-			request, identity, route, service, arrivedAt, deadlineAt, answer: this.#createAnswer(exchange, request.id), signal: controller.signal,
+			request, identity, route, service, arrivedAt, deadlineAt, answer, open, signal: controller.signal,
 		};
 		const delivery = route.kind === 'stream' && dependencies.scheduler.isModelService(service) ? new StreamDelivery(dependencies, job) : new PlainDelivery(dependencies, job);
-		const result = await delivery.run();
-		open.isCutByUpstream = result.isCutByUpstream ?? false;
-		this.#end(exchange, result.outcome, {
+		const result = await this.#runUntilOverdue(delivery.run(), controller.signal);
+		open.settle(result.outcome, result.isCutByUpstream);
+		this.#recordEnd(exchange, result.outcome, {
 			route: route.name,
 			reason: result.reason,
 			runs: result.possibleRuns,
@@ -224,32 +222,82 @@
 		metrics.requestEnded(route, result, dependencies.clock.now() - arrivedAt);
 	}
 
-	/** Records the outcome of a request. */
-	#end({open, arrivedAt}: Exchange, outcome: RequestOutcome, fields: Readonly<Record<string, unknown>>): void {
+	/** Waits for a delivery; throws if it has not ended some time after the deadline has passed or the caller has left. */
+	async #runUntilOverdue(running: Promise<DeliveryResult>, signal: AbortSignal): Promise<DeliveryResult> {
+		const {promise, reject} = Promise.withResolvers<never>();
+		let timer: NodeJS.Timeout | undefined;
+		const startTimer = () => {
+			timer = setTimeout(() => {
+				reject(new Error(`The delivery did not end within ${overdueMs} ms after it was aborted.`));
+			}, overdueMs);
+		};
+
+		signal.addEventListener('abort', startTimer);
+		if (signal.aborted) {
+			startTimer();
+		}
+
+		try {
+			return await Promise.race([running, promise]);
+		} finally {
+			clearTimeout(timer);
+			signal.removeEventListener('abort', startTimer);
+		}
+	}
+
+	/** Logs and counts the outcome of a request. */
+	#recordEnd({open, arrivedAt}: Exchange, outcome: RequestOutcome, fields: Readonly<Record<string, unknown>>): void {
 		const {dependencies, metrics} = this.#options;
-		open.outcome = outcome;
 		metrics.outcomeKnown(outcome);
 		dependencies.log.write('request.ended', {
 			request: open.id, outcome, ...fields, totalMs: Math.round(dependencies.clock.now() - arrivedAt),
 		});
 	}
 
-	#createAnswer({message, response, open}: Exchange, requestId: string): CallerAnswer {
-		open.answer = new CallerAnswer(response, this.#options.protocol, requestId, () => {
+	#createExchange(message: IncomingMessage, response: ServerResponse): Exchange {
+		const answer: CallerAnswer = new CallerAnswer(response, this.#options.protocol, () => open.id, () => {
 			this.#announceClose(message, response);
 		});
-		return open.answer;
+		const open: OpenRequest = new OpenRequest(answer);
+		return {
+			message, response, arrivedAt: this.#options.dependencies.clock.now(), answer, open,
+		};
+	}
+
+	/** Answers a request whose handling threw; a request that was not read completely has no caller left. */
+	#answerAfterError(exchange: Exchange, error: unknown): void {
+		const {message, response, open} = exchange;
+		if (!open.isWhole && !message.complete) {
+			response.destroy();
+			return;
+		}
+
+		// The handler threw; no crash of an upstream is meant.
+		this.#options.dependencies.log.write('request.crashed', {request: open.id, cause: error instanceof Error ? error.stack : String(error)});
+		if (open.outcome !== undefined) {
+			return;
+		}
+
+		try {
+			open[Symbol.dispose]();
+		} catch {
+			response.destroy();
+		}
+
+		this.#recordEnd(exchange, 'handlerError', {reason: 'The daemon failed.'});
 	}
 
 	/** Refuses a request before it is placed; `crash` is given for one that may crash upstreams. */
 	#refuse(exchange: Exchange, request: RouteRequest, refusal: Refusal, crash?: CrashRefusal & {readonly fingerprint: string}): void {
 		const {dependencies, metrics} = this.#options;
-		this.#createAnswer(exchange, request.id).refuse(refusal);
+		exchange.answer.refuse(refusal);
 		dependencies.log.write('request.refused', {
 			request: request.id, host: request.host, target: request.target, kind: refusal.kind, reason: refusal.message, configuration: this.#options.routeTable()?.version, fingerprint: crash?.fingerprint, promptParts: crash?.promptParts,
 		});
 		metrics.requestRefused(crash?.status ?? refusal.kind, dependencies.clock.now() - exchange.arrivedAt);
-		this.#end(exchange, exchange.open.isWhole ? 'refused' : 'refusedUnread', {reason: refusal.message, runs: 0, sends: 0});
+		const outcome = exchange.open.isWhole ? 'refused' : 'refusedUnread';
+		exchange.open.settle(outcome);
+		this.#recordEnd(exchange, outcome, {reason: refusal.message, runs: 0, sends: 0});
 	}
 }
 
@@ -259,7 +307,7 @@
 		return 'handlerError';
 	}
 
-	return requests.some(({answer}) => answer?.isAborted === true) ? 'brokenOff' : undefined;
+	return requests.some(({isAnswerAborted}) => isAnswerAborted) ? 'brokenOff' : undefined;
 }
 
 function createRefusal(kind: Refusal['kind'], message: string, retryAfterMs?: number): Refusal {
--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -11,6 +11,7 @@
 import type {AttemptResult} from '../../process/crashes/crash-attribution.ts';
 import {crashRefusalMessages, type CrashRefusal, type RouteCrashes} from '../../process/fleet/route-crashes.ts';
 import type {Route} from '../../version/routes/route-configuration.ts';
+import type {OpenRequest} from '../open-request.ts';
 import type {RequestIdentity} from '../request-identity.ts';
 import type {RouteRequest} from './route-request.ts';
 import type {
@@ -36,6 +37,8 @@
 	readonly route: Route;
 	readonly service: string;
 	readonly answer: CallerAnswer;
+	/** Owner of the answer; each send that may run the request is announced to it. */
+	readonly open: Pick<OpenRequest, 'beginSend' | 'endSend'>;
 	readonly arrivedAt: number;
 	/** Deadline of the request on the daemon's clock, in milliseconds. */
 	readonly deadlineAt: number;
@@ -78,14 +81,26 @@
 	protected firstAnswerMs: number | undefined;
 	/** True when the next call of `reserveSend` uses the reservation that was made earlier. */
 	#isReservationCarried = false;
+	/** Release the places and end the attempts of all sends; without effect on those that have ended. */
+	readonly #releases: Array<() => void> = [];
 
 	constructor(dependencies: DeliveryDependencies, job: DeliveryJob) {
 		this.dependencies = dependencies;
 		this.job = job;
 	}
 
-	/** Delivers the request; never rejects. */
-	abstract run(): Promise<DeliveryResult>;
+	/** Delivers the request; rejects only if the daemon itself fails, with the places at upstreams released. */
+	async run(): Promise<DeliveryResult> {
+		try {
+			return await this.deliver();
+		} catch (error) {
+			for (const release of this.#releases) {
+				release();
+			}
+
+			throw error;
+		}
+	}
 
 	protected get remainingMs(): number {
 		return this.job.deadlineAt - this.dependencies.clock.now();
@@ -149,8 +164,12 @@
 	}
 
 	/** Counts and logs the start of a send. */
-	protected recordSend({upstream, predictedMs}: Placement, work: PromptWork['kind'] | 'plain', fields: Readonly<Record<string, unknown>> = {}): void {
+	protected recordSend(placement: Placement, work: PromptWork['kind'] | 'plain', fields: Readonly<Record<string, unknown>> = {}): void {
+		const {upstream, predictedMs} = placement;
 		this.sends += 1;
+		this.#releases.push(() => {
+			placement.release({kind: 'cancelled', elapsedMs: 0});
+		});
 		this.log('send', {
 			upstream: upstream.id, address: upstream.address, work, ...fields, predictedMs: Math.round(predictedMs), remainingMs: Math.round(this.remainingMs),
 		});
@@ -159,7 +178,19 @@
 	/** Records the start of a send for the search for requests that crash upstreams; the returned function must be called with its result. */
 	protected beginAttempt(upstream: Upstream): (result: AttemptResult) => void {
 		const {request, identity} = this.job;
-		return this.dependencies.crashes.begin(request, identity, upstream);
+		const end = this.dependencies.crashes.begin(request, identity, upstream);
+		let hasEnded = false;
+		const endOnce = (result: AttemptResult) => {
+			if (!hasEnded) {
+				hasEnded = true;
+				end(result);
+			}
+		};
+
+		this.#releases.push(() => {
+			endOnce('other');
+		});
+		return endOnce;
 	}
 
 	/** Logs the result of a send, as the event `sent`. */
@@ -245,6 +276,8 @@
 		return this.isOwnAnswer(answer, isReused) && (status >= 300 || (isSigned && !hasContentEncoding));
 	}
 
+	protected abstract deliver(): Promise<DeliveryResult>;
+
 	get #crashRefusal(): CrashRefusal | undefined {
 		return this.dependencies.crashes.findRefusal(this.job.identity);
 	}
--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -15,7 +15,7 @@
 
 /** Delivers a request to a plain service; the answer is buffered completely before it is passed on. */
 export class PlainDelivery extends Delivery {
-	async run(): Promise<DeliveryResult> {
+	protected override async deliver(): Promise<DeliveryResult> {
 		let fallback: (() => DeliveryResult) | undefined;
 		let hasUpstreamAnswer = false;
 		for (let sends = 0; sends < maxSends;) {
@@ -69,12 +69,14 @@
 			timeoutMs: this.remainingMs,
 			isOwnAnswer: (answer, isReused) => this.isAuthenticAnswer(answer, isReused),
 			signal: job.signal,
+			shouldStart: () => job.open.beginSend(),
 			...(isLast
 				? {}
 				: {silence: {afterMs: silenceTimeoutMs, shouldCancel: () => this.reserveFailover()}}),
 		});
 		const elapsedMs = dependencies.clock.now() - sentAt;
 		const sendResult = this.#toSendResult(result, elapsedMs);
+		job.open.endSend(sendResult.kind !== 'rejected' && sendResult.kind !== 'misdirected');
 		endAttempt(toAttemptResult(result, sendResult));
 		placement.release(sendResult);
 		this.logSendResult(upstream, sendResult.kind, elapsedMs, result.kind === 'answered'
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -43,7 +43,7 @@
 	/** Result of the last run that an upstream may have begun. */
 	#lastRun: StreamRunResult | undefined;
 
-	async run(): Promise<DeliveryResult> {
+	protected override async deliver(): Promise<DeliveryResult> {
 		const whole = this.dependencies.scheduler.placeWhole(this.demand);
 		if (whole !== undefined) {
 			return this.#generate(undefined, whole);
@@ -185,6 +185,7 @@
 		});
 		const endAttempt = this.beginAttempt(upstream);
 		const result = await run.run();
+		job.open.endSend(result.mayHaveRun);
 		endAttempt(toAttemptResult(result));
 		this.#lastEventId = result.lastEventId;
 		if (result.mayHaveRun) {
--- a/src/request/delivery/stream-run.ts
+++ b/src/request/delivery/stream-run.ts
@@ -80,13 +80,14 @@
 
 	/** Sends the request and relays the answer to its end; never rejects. */
 	async run(): Promise<StreamRunResult> {
-		const {dependencies, job: {signal}, placement, wire} = this.#options;
+		const {dependencies, job: {signal, open}, placement, wire} = this.#options;
 		const cancel = () => {
 			this.#cancel('cancelled', String(signal.reason));
 		};
 
 		signal.addEventListener('abort', cancel);
 		this.#exchange = dependencies.upstreamClients.send(placement.upstream, wire, {
+			shouldStart: () => open.beginSend(),
 			onStarted: () => {
 				this.#restartSilenceTimer();
 			},
