Begin no send for a request that was read after its deadline

What happened: a request whose last byte arrived after its deadline was placed and a send to an upstream began, with a negative time left.

Cause: the deadline was put on a timer of 0 ms, which fires only after the placement.

Evidence: before the change the test in request-accounting.test.ts found a line "send" with remainingMs -199 for the request.

Change: cancelOnDeadline aborts at once when no time is left.

Result: the test passes: 503, and no send. test/request passes.

--- a/src/request/cancellation.ts
+++ b/src/request/cancellation.ts
@@ -23,13 +23,18 @@
 	};
 }
 
-/** Aborts the controller after the remaining time; disposal clears the timer. */
+/** Aborts the controller after the remaining time, or at once if there is none; disposal clears the timer. */
 export function cancelOnDeadline(remainingMs: number | undefined, controller: AbortController): Disposable {
-	const timer = remainingMs === undefined
-		? undefined
-		: setTimeout(() => {
-			controller.abort('deadline' satisfies CancelReason);
-		}, remainingMs);
+	const cancel = () => {
+		controller.abort('deadline' satisfies CancelReason);
+	};
+
+	// A timer would fire only after a send had begun.
+	if (remainingMs !== undefined && remainingMs <= 0) {
+		cancel();
+	}
+
+	const timer = remainingMs === undefined ? undefined : setTimeout(cancel, remainingMs);
 	return {
 		[Symbol.dispose]() {
 			clearTimeout(timer);
--- a/test/process/fleet/request-accounting.test.ts
+++ b/test/process/fleet/request-accounting.test.ts
@@ -100,3 +100,22 @@
 		expect(await fleet.metric(unanswered)).toBe(0);
 	});
 });
+
+test('a request whose last byte arrives after its deadline is refused as not run, and no send begins', async () => {
+	await using fleet = new FleetFixture();
+	await fleet.start([{id: 'u-1'}]);
+	// Leaves a kept connection to the upstream.
+	await fleet.send({path: '/lookup/1'});
+	const socket = connectTo(fleet);
+	let text = '';
+	socket.setEncoding('utf8').on('data', (chunk: string) => {
+		text += chunk;
+	});
+	socket.write('POST /book/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: late\r\nX-Deadline-Ms: 100\r\nContent-Length: 2\r\n\r\na');
+	await delay(300);
+	socket.write('b');
+	await fleet.waitUntil(() => fleet.logLines.some(({event, request}) => event === 'request.ended' && request === 'late'));
+	socket.destroy();
+	expect(text).toContain('HTTP/1.1 503');
+	expect(fleet.logLines.filter(({event, request}) => event === 'send' && request === 'late')).toEqual([]);
+});
