--- a/src/request/delivery/attempt-race.ts
+++ b/src/request/delivery/attempt-race.ts
@@ -1,7 +1,7 @@
 /** Attempts of one request that are in progress at the same time; the delivery takes their results one after the other. */
 export class AttemptRace<Result> {
 	readonly #running = new Set<Promise<Result>>();
-	readonly #ended: Result[] = [];
+	readonly #ended: Array<() => Result> = [];
 	#isSilent = false;
 	#wake: (() => void) | undefined;
 	#silence = new AbortController();
@@ -11,7 +11,7 @@
 		return this.#running.size + this.#ended.length;
 	}
 
-	/** Adds an attempt; `result` must not reject. */
+	/** Adds an attempt. */
 	add(result: Promise<Result>): void {
 		this.#running.add(result);
 		void this.#await(result);
@@ -29,7 +29,7 @@
 		this.#silence.abort();
 	}
 
-	/** Returns the next result, or `silent` after a report of silence. At least one attempt must be in progress. */
+	/** Returns the next result, or `silent` after a report of silence; rejects if the attempt did. At least one attempt must be in progress. */
 	async next(): Promise<Result | 'silent'> {
 		while (this.#ended.length === 0 && !this.#isSilent) {
 			const {promise, resolve} = Promise.withResolvers<void>();
@@ -37,8 +37,9 @@
 			await promise;
 		}
 
-		if (this.#ended.length > 0) {
-			return this.#ended.shift()!;
+		const takeResult = this.#ended.shift();
+		if (takeResult !== undefined) {
+			return takeResult();
 		}
 
 		this.#isSilent = false;
@@ -52,9 +53,16 @@
 	}
 
 	async #await(result: Promise<Result>): Promise<void> {
-		const value = await result;
+		try {
+			const value = await result;
+			this.#ended.push(() => value);
+		} catch (error) {
+			this.#ended.push(() => {
+				throw error;
+			});
+		}
+
 		this.#running.delete(result);
-		this.#ended.push(value);
 		this.#silence.abort();
 		this.#wake?.();
 	}
--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -28,7 +28,7 @@
 	/** Places of attempts that have not been answered in time. */
 	readonly #silent = new Set<Placement>();
 
-	async run(): Promise<DeliveryResult> {
+	protected override async deliver(): Promise<DeliveryResult> {
 		using signals = combineSignals(this.job.signal, this.#attempts.signal);
 		try {
 			return await this.#run(signals.signal);
@@ -114,6 +114,7 @@
 		this.triedUpstreams.add(upstream.id);
 		this.recordSend(placement, 'plain');
 		const endAttempt = this.beginAttempt(upstream);
+		let hasBegun = false;
 		const result = await callUpstream({
 			upstreamClients: dependencies.upstreamClients,
 			protocol: dependencies.protocol,
@@ -124,6 +125,10 @@
 			timeoutMs: this.remainingMs,
 			isOwnAnswer: (answer, isReused) => this.isAuthenticAnswer(answer, isReused),
 			signal,
+			shouldStart() {
+				hasBegun = job.open.beginSend();
+				return hasBegun;
+			},
 			silence: {
 				afterMs: Math.max(minSilenceTimeoutMs, job.route.targetLatencyMs * silenceTimeoutFactor),
 				report: () => {
@@ -135,6 +140,10 @@
 		this.#silent.delete(placement);
 		const elapsedMs = dependencies.clock.now() - sentAt;
 		const sendResult = this.#toSendResult(result, elapsedMs, signal);
+		if (hasBegun) {
+			job.open.endSend(sendResult.kind !== 'rejected' && sendResult.kind !== 'misdirected');
+		}
+
 		endAttempt(toAttemptResult(result, sendResult));
 		placement.release(sendResult);
 		this.logSendResult(upstream, sendResult.kind, elapsedMs, result.kind === 'answered'
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -52,7 +52,7 @@
 	/** Result of the last run that an upstream may have begun. */
 	#lastRun: StreamRunResult | undefined;
 
-	async run(): Promise<DeliveryResult> {
+	protected override async deliver(): Promise<DeliveryResult> {
 		const whole = this.dependencies.scheduler.placeWhole(this.demand);
 		if (whole !== undefined) {
 			return this.#generate(undefined, whole);
@@ -139,28 +139,34 @@
 	/** Runs the request until it ends; `firstPlacement` is the place of the first send, if it has been chosen already. */
 	async #generate(prefilledPrompt: PrefilledPrompt | undefined, firstPlacement: Placement | undefined): Promise<DeliveryResult> {
 		this.#prompt = prefilledPrompt;
-		let end: DeliveryResult | undefined;
+		try {
+			return await this.#runUntilEnd(firstPlacement);
+		} finally {
+			for (const run of this.#runs.keys()) {
+				run.cancel('cancelled', 'the stream has ended');
+			}
+
+			this.#releasePrompt(this.#prompt);
+		}
+	}
+
+	async #runUntilEnd(firstPlacement: Placement | undefined): Promise<DeliveryResult> {
 		let isSilent = false;
-		for (let placement = firstPlacement; end === undefined; placement = undefined) {
+		for (let placement = firstPlacement; ; placement = undefined) {
 			if (this.#race.size === 0 || (isSilent && this.#mayRunBeside)) {
 				const refuse = await this.#start(placement);
 				if (this.#race.size === 0) {
-					end = this.#endUnfinished(refuse ?? (() => this.refuse('No upstream took the request.', 0)));
-					break;
+					return this.#endUnfinished(refuse ?? (() => this.refuse('No upstream took the request.', 0)));
 				}
 			}
 
 			const result = await this.#race.next();
 			isSilent = result === 'silent' || result.kind !== 'cancelled';
-			end = result === 'silent' ? undefined : this.#handleResult(result);
-		}
-
-		for (const run of this.#runs.keys()) {
-			run.cancel('cancelled', 'the stream has ended');
+			const end = result === 'silent' ? undefined : this.#handleResult(result);
+			if (end !== undefined) {
+				return end;
+			}
 		}
-
-		this.#releasePrompt(this.#prompt);
-		return end;
 	}
 
 	/** Takes the result of a run; returns the result of the delivery, or undefined when it goes on. */
@@ -252,6 +258,10 @@
 		const endAttempt = this.beginAttempt(upstream);
 		const result = await run.run();
 		this.#runs.delete(run);
+		if (result.mayHaveArrived) {
+			job.open.endSend(result.mayHaveRun);
+		}
+
 		endAttempt(toAttemptResult(result));
 		if (result.mayHaveRun) {
 			this.#lastRun = result;
