Do not send a request again after a configuration forbade it

A request whose route a customer's contract marked as unrepeatable while it ran was sent to a second upstream when its attempt failed, although the new configuration was in force at the daemon.

Cause: whether a request may run twice was decided once, as it was dispatched. The decision is now made at each retry and at a restart of preempted work, with the configuration in force; one that permits repetition only since the dispatch changes nothing.

The new test failed before for an upstream that closes and for one that is busy: AssertionError: expected 'yes' to be 'unknown' Now test/request passes (149 tests, 1 skipped as before).

--- a/src/request/dispatch.ts
+++ b/src/request/dispatch.ts
@@ -68,7 +68,8 @@
 export class Dispatch {
 	readonly #options: DispatchOptions;
 	readonly #request: DispatchRequest;
-	readonly #isRepeatable: boolean;
+	/** True when the request was repeatable as it was dispatched. */
+	readonly #wasRepeatable: boolean;
 	readonly #listeners: readonly AttemptListener[];
 	readonly #tried = new Set<string>();
 	#runState: RunState = 'no';
@@ -80,14 +81,14 @@
 		this.#options = options;
 		this.#request = request;
 		this.#listeners = [options.router, options.crashRegistry, ...options.listeners ?? []];
-		this.#isRepeatable = head.idempotencyKey === undefined
+		this.#wasRepeatable = head.idempotencyKey === undefined
 			&& isRepeatableCall(demand.method, demand.call)
 			&& !options.isUnrepeatableRoute(demand);
 	}
 
-	/** True when the request may safely run twice. */
+	/** True when the request may safely run twice; a configuration that is applied while it runs can only forbid it. */
 	get isRepeatable(): boolean {
-		return this.#isRepeatable;
+		return this.#wasRepeatable && !this.#options.isUnrepeatableRoute(this.#request.parsedRequest.demand);
 	}
 
 	/** Runs attempts one after another; each goes to another upstream. */
@@ -138,7 +139,7 @@
 		return mayRetry({
 			result,
 			hasBegun: this.#request.relay.hasBegun,
-			isRepeatable: this.#isRepeatable,
+			isRepeatable: this.isRepeatable,
 			takeBudget: () => this.#takeBudget(upstream),
 		});
 	}
@@ -195,7 +196,7 @@
 					return true;
 				}
 
-				this.#isRetryGranted = status === 503 && this.#isRepeatable && this.#takeBudget(upstream);
+				this.#isRetryGranted = status === 503 && this.isRepeatable && this.#takeBudget(upstream);
 				return this.#isRetryGranted;
 			},
 			onFirstByte: () => {
--- a/test/request/retries.test.ts
+++ b/test/request/retries.test.ts
@@ -176,6 +176,23 @@
 		expect(countRequests([upstreams.list[1]!])).toBe(isRetried ? 1 : 0);
 	});
 
+	// Guards against a second run of work that a configuration marked as unrepeatable while it ran.
+	it.each<{name: string; first: RawAnswer}>([
+		{name: 'closes', first: close}, {name: 'is busy', first: busy},
+	])('is not made after a configuration marked the route as unrepeatable, if its upstream $name', async ({first}) => {
+		let isMarked = false;
+		await using upstreams = await createUpstreams([(...args) => {
+			isMarked = true;
+			first(...args);
+		}, answer], model);
+		await using fixture = await createRequestHandlerFixture(upstreams.list.map(upstream => upstream.host), {
+			router: new OrderedRouter(), isUnrepeatableRoute: () => isMarked,
+		});
+		const response = await send(fixture, model);
+		expect(response.headers.get('wagtailtack-ran')).toBe('unknown');
+		expect(countRequests(upstreams.list)).toBe(1);
+	});
+
 	// Guards against a retry storm when all upstreams fail.
 	it('is limited to 5% of the requests plus the initial token', async () => {
 		await using upstreams = await createUpstreams([close, close, close], model);
