Refuse waiting requests once no upstream serves their model

Requests that waited for admission to a model went on to wait after its last upstream was gone: until the work that was still running there ended, 2 s for live work, or up to the deadline of patient work (8 hours by default). Then they got the refusal that they could have had at once.

Cause: the capacity of a model is at least one slot, also without an upstream, and running work on a leaving upstream keeps that slot.

Admission now refuses all that wait for such a model with the refusal that a new request gets, 503 no_upstream, not run, in its next tick (50 ms).

--- a/src/process/admission/admission.ts
+++ b/src/process/admission/admission.ts
@@ -1,7 +1,7 @@
 import {Rate} from '../rate.ts';
 import {FairQueue} from './fair-queue.ts';
 import {
-	queueKindOf, type AdmissionDecision, type QueueKind, type Ticket,
+	queueKindOf, type AdmissionDecision, type QueueKind, type RefusalReason, type Ticket,
 } from './ticket.ts';
 
 /** Options of admission. */
@@ -135,6 +135,12 @@
 		return [...expired.map(ticket => this.#refuse(now, ticket, 'deadline')), ...this.decide(now)];
 	}
 
+	/** Refuses all waiting tickets, since nothing serves them any more. */
+	refuseWaiting(now: number): readonly AdmissionDecision[] {
+		const waiting = queueKinds.flatMap(queueKind => this.#queues[queueKind].takeHeadsWhile(() => true));
+		return waiting.map(ticket => this.#refuse(now, ticket, 'no_upstream'));
+	}
+
 	/** Grants tickets that fit, live work first, and preempts patient work to free capacity for short live work. */
 	decide(now: number): readonly AdmissionDecision[] {
 		const decisions: AdmissionDecision[] = [];
@@ -243,7 +249,7 @@
 		return Math.min(tokensAhead / (rate * weightFraction), queue.tokens / rate);
 	}
 
-	#refuse(now: number, ticket: Ticket, reason: 'queue_full' | 'deadline'): AdmissionDecision {
+	#refuse(now: number, ticket: Ticket, reason: RefusalReason): AdmissionDecision {
 		const waitS = Math.ceil(this.#expectedWaitMs(now, ticket) / 1000);
 		return {
 			kind: 'refuse', ticket, reason, retryAfterS: Math.min(maxRetryAfterS, Math.max(1, waitS)),
--- a/src/process/admission/fair-admission.ts
+++ b/src/process/admission/fair-admission.ts
@@ -2,6 +2,7 @@
 import {Admission as RequestAdmission, type Ticket as RequestTicket} from '../../request/admission.ts';
 import {AttemptListener, type Attempt} from '../../request/attempt-listener.ts';
 import {createRefusal, type CallerError} from '../../request/caller-error.ts';
+import {noUpstream} from '../../request/failure.ts';
 import type {RequestDemand} from '../../request/request-demand.ts';
 import type {Contract} from '../../version/contract.ts';
 import type {Clock} from '../clock.ts';
@@ -10,7 +11,7 @@
 import {Admission} from './admission.ts';
 import {slotCost, tokenCost, isLongWork} from './cost.ts';
 import {ConcurrencyLimit, type TypicalLatency} from './concurrency-limit.ts';
-import type {AdmissionDecision, Ticket} from './ticket.ts';
+import type {AdmissionDecision, RefusalReason, Ticket} from './ticket.ts';
 
 /** What admission reads from the rest of the daemon. */
 export type FairAdmissionOptions = {
@@ -103,14 +104,15 @@
 		return this.#models.values().reduce((sum, {admission}) => sum + admission.waitingTokens(customer), 0);
 	}
 
-	/** Adapts the capacity, refuses expired requests and grants those that fit; called every 50 ms. */
+	/** Adapts the capacity, refuses requests that have expired or whose model has no engine any more, and grants those that fit; called every 50 ms. */
 	tick(): void {
 		const now = this.#options.clock.now();
 		for (const [name, model] of this.#models) {
 			model.limit.update(now, this.#options.typicalLatency(name), model.admission.usedSlots / model.capacitySlots);
 			model.capacitySlots = this.#capacityFor(name, model.limit);
 			this.#apply(model.admission.resize(now, model.capacitySlots));
-			this.#apply(model.admission.tick(now));
+			// Behind running work they would wait in vain, patient work for hours.
+			this.#apply(this.#options.engines(name) === 0 ? model.admission.refuseWaiting(now) : model.admission.tick(now));
 		}
 	}
 
@@ -235,8 +237,10 @@
 	}
 }
 
-function createQueueRefusal(reason: 'queue_full' | 'deadline', retryAfterS: number): CallerError {
-	return reason === 'queue_full'
-		? createRefusal(429, 'queue_full', 'Too many requests of this customer wait.', retryAfterS)
-		: createRefusal(503, 'deadline_not_met', 'The request cannot be admitted in the time that it may wait.', retryAfterS);
+function createQueueRefusal(reason: RefusalReason, retryAfterS: number): CallerError {
+	return {
+		queue_full: createRefusal(429, 'queue_full', 'Too many requests of this customer wait.', retryAfterS),
+		deadline: createRefusal(503, 'deadline_not_met', 'The request cannot be admitted in the time that it may wait.', retryAfterS),
+		no_upstream: noUpstream,
+	}[reason];
 }
--- a/src/process/admission/ticket.ts
+++ b/src/process/admission/ticket.ts
@@ -18,10 +18,13 @@
 	readonly startBy: number;
 };
 
+/** Why a ticket is refused: too many of its customer wait, it cannot be admitted in time, or nothing serves it any more. */
+export type RefusalReason = 'queue_full' | 'deadline' | 'no_upstream';
+
 /** Action to take for a ticket. */
 export type AdmissionDecision
 	= | {readonly kind: 'grant'; readonly ticket: Ticket}
-		| {readonly kind: 'refuse'; readonly ticket: Ticket; readonly reason: 'queue_full' | 'deadline'; readonly retryAfterS: number}
+		| {readonly kind: 'refuse'; readonly ticket: Ticket; readonly reason: RefusalReason; readonly retryAfterS: number}
 		| {readonly kind: 'preempt'; readonly ticket: Ticket};
 
 /** Kind of work with its own queues and its own limits on the capacity it may use. */
