Run preempted patient work again instead of ending it

Patient work that was preempted for live work ended with 499 caller_gone, although its caller waited, instead of being admitted again.

Cause: admission aborted the preemption signal without a reason, and the dispatch takes a cancellation without a known reason for a caller that has closed its connection. The reason is now "preempted", for which the pipeline admits repeatable work again.

--- a/src/process/admission/fair-admission.ts
+++ b/src/process/admission/fair-admission.ts
@@ -2,6 +2,7 @@
 import {Admission as RequestAdmission, type Ticket as RequestTicket} from '../../request/admission.ts';
 import {AttemptListener, type Attempt} from '../../request/attempt-listener.ts';
 import {createRefusal, type CallerError} from '../../request/caller-error.ts';
+import type {CancelReason} from '../../request/cancellation.ts';
 import {noUpstream} from '../../request/failure.ts';
 import type {RequestDemand} from '../../request/request-demand.ts';
 import type {Contract} from '../../version/contract.ts';
@@ -186,7 +187,7 @@
 
 				case 'preempt': {
 					this.#openRequests.delete(ticket.id);
-					openRequest?.preemption.abort();
+					openRequest?.preemption.abort('preempted' satisfies CancelReason);
 				}
 			}
 		}
