Do not refuse work as not run that was preempted after it was sent

Patient work that had been sent to an upstream, was preempted and then refused at its second admission, or found no upstream, was reported to its caller with the run state "no", although an upstream may have run it.

Cause: the second run through admission and dispatch starts with the run state "no", and its refusal was returned as it was. It now keeps the run state of the dispatch before.

--- a/src/request/request-pipeline.ts
+++ b/src/request/request-pipeline.ts
@@ -1,6 +1,8 @@
 import type {ServerResponse} from 'node:http';
 import type {Admission, RequestUsage, Ticket} from './admission.ts';
-import {runStateHeader, toRunState, type CallerError} from './caller-error.ts';
+import {
+	runStateHeader, toRunState, type CallerError, type RunState,
+} from './caller-error.ts';
 import {combineSignals, type CancelReason} from './cancellation.ts';
 import type {Claim, ClaimStore, StoredAnswer} from './claim-store.ts';
 import {Dispatch, type DispatchOptions, type DispatchOutcome} from './dispatch.ts';
@@ -119,8 +121,7 @@
 
 		const canRestart = outcome.error.code === 'preempted' && dispatch.isRepeatable && !relay.hasBegun;
 		if (canRestart) {
-			const restarted = await this.#admit(request, claim);
-			return restarted;
+			return keepRunState(await this.#admit(request, claim), outcome.error.ran);
 		}
 
 		return this.#createOutcome(outcome, relay, startMs);
@@ -168,6 +169,11 @@
 	return {error, attempts: 0, answerBytes: 0};
 }
 
+/** Corrects a refusal after a restart: the request may have run before it, although not since. */
+function keepRunState(restarted: PipelineOutcome, earlier: RunState): PipelineOutcome {
+	return restarted.error?.ran === 'no' ? {...restarted, error: {...restarted.error, ran: earlier}} : restarted;
+}
+
 function sendStoredAnswer({parsedRequest, response}: PipelineRequest, answer: StoredAnswer): PipelineOutcome {
 	response.writeHead(answer.status, {
 		...answer.headers, 'x-request-id': parsedRequest.head.requestId, [runStateHeader]: toRunState(answer.status), 'content-length': answer.body.length,
--- a/test/request/preempted-work.test.ts
+++ b/test/request/preempted-work.test.ts
@@ -27,6 +27,9 @@
 		{
 			name: 'is answered later', isGone: false, status: 200, ran: 'yes',
 		},
+		{
+			name: 'is refused as possibly run if its model is gone', isGone: true, status: 503, ran: 'unknown',
+		},
 	])('$name', async ({isGone, status, ran}) => {
 		let hasGone = false;
 		let patientSent = 0;
