--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -52,6 +52,8 @@
 	readonly possibleRuns: number;
 	/** All sends, including those that only prefill the prompt. */
 	readonly sends: number;
+	/** Upstream and outcome of the send that ended last. */
+	readonly lastSend: {readonly upstream: string; readonly outcome: string} | undefined;
 	/** Time from the arrival to the answer or its first event, in milliseconds. */
 	readonly firstAnswerMs: number | undefined;
 };
@@ -74,6 +76,7 @@
 	/** Sends reserved so far; all but the first are charged to the shared retry budget. */
 	protected reservedSends = 0;
 	protected firstAnswerMs: number | undefined;
+	#lastSend: DeliveryResult['lastSend'];
 	/** True when the next call of `reserveSend` uses the reservation that was made earlier. */
 	#isReservationCarried = false;
 
@@ -101,20 +104,6 @@
 		};
 	}
 
-	/**
-	Reserves a further send, so that a silent one can be abandoned; returns false when no other upstream or retry budget is left.
-
-	The silent upstream may merely be slow: abandoning it without a certain replacement would lose the caller's request.
-	*/
-	protected reserveFailover(): boolean {
-		const isReserved = this.dependencies.scheduler.hasUntriedUpstream(this.demand) && this.reserveSend();
-		if (isReserved) {
-			this.carryReservation();
-		}
-
-		return isReserved;
-	}
-
 	/**
 	Reserves the next send, or uses the reservation that was carried over to it.
 
@@ -162,15 +151,16 @@
 
 	/** Logs the result of a send, as the event `sent`. */
 	protected logSendResult({id}: Upstream, outcome: string, elapsedMs: number, fields: Readonly<Record<string, unknown>>): void {
+		this.#lastSend = {upstream: id, outcome};
 		this.log('sent', {
 			upstream: id, outcome, elapsedMs: Math.round(elapsedMs), ...fields,
 		});
 	}
 
-	/** Classifies a failed call for the scheduler; a call that the daemon abandoned counts as silent, unless the request itself was aborted. */
-	protected classifyFailure(failure: ExchangeFailure, elapsedMs: number): SendResult {
+	/** Classifies a failed call for the scheduler; a call that the daemon ended because it timed out counts as silent. */
+	protected classifyFailure(failure: ExchangeFailure, elapsedMs: number, signal = this.job.signal): SendResult {
 		if (failure.kind === 'cancelled') {
-			return {kind: this.job.signal.aborted ? 'cancelled' : 'silent', elapsedMs};
+			return {kind: signal.aborted ? 'cancelled' : 'silent', elapsedMs};
 		}
 
 		return {kind: toSendResultKind(failure), elapsedMs};
@@ -182,7 +172,7 @@
 
 	protected createResult(outcome: DeliveryResult['outcome'], reason: string): DeliveryResult {
 		return {
-			outcome, reason, possibleRuns: this.possibleRuns, sends: this.sends, firstAnswerMs: this.firstAnswerMs,
+			outcome, reason, possibleRuns: this.possibleRuns, sends: this.sends, lastSend: this.#lastSend, firstAnswerMs: this.firstAnswerMs,
 		};
 	}
 
