Send some bodies so slowly that a stopping daemon stays open in the fault soak

Change: one slow caller in six sends its body over 6 s, and the time that its caller takes for the body is added to the bound of its final answer. A daemon that is stopping meanwhile stays open beyond the first 3 s, after which it refuses new requests, so that the end of a planned stop meets callers that still use its connections.

--- a/test/soak/caller-load.ts
+++ b/test/soak/caller-load.ts
@@ -29,7 +29,7 @@
 export const usualKinds = ['lookup', 'book', 'brief', 'flag'] as const satisfies readonly RequestKind[];
 
 /** How a caller sends its body and reads the answer. */
-type Pace = 'prompt' | 'slowBody' | 'slowReader';
+type Pace = 'prompt' | 'slowBody' | 'verySlowBody' | 'slowReader';
 
 /** A request and the answer that its caller received; times in milliseconds of the monotonic clock. */
 export type CallerRequest = {
@@ -50,6 +50,8 @@
 	answeredId?: string;
 	/** Body received so far. */
 	received: string;
+	/** Least time that its caller takes to send the body, in milliseconds. */
+	readonly bodyMs: number;
 	/** Error that ended the exchange. */
 	cause?: string;
 	/** True when the answer arrived in full. */
@@ -63,10 +65,11 @@
 /** Slow callers keep idle connections for up to this time, less than the shortest idle timeout. */
 const maxSlowPauseMs = 1500;
 const bodyPieces = 4;
-const pieceGapMs = 300;
+/** Time between the pieces of a body; a very slow one outlasts the first seconds of a planned stop, after which the daemon refuses new requests. */
+const pieceGapsMs: Readonly<Partial<Record<Pace, number>>> = {slowBody: 300, verySlowBody: 1500};
 const readDelayMs = 600;
 const slowKinds: readonly RequestKind[] = [...usualKinds, 'extra'];
-const paces: readonly Pace[] = ['prompt', 'slowBody', 'slowReader'];
+const paces: readonly Pace[] = ['prompt', 'slowBody', 'slowBody', 'verySlowBody', 'slowReader', 'slowReader'];
 
 /** Callers that send requests to the daemons, each one request at a time on a keep-alive connection. */
 export class CallerLoad implements AsyncDisposable {
@@ -102,8 +105,9 @@
 	/** Sends one request and waits until its answer ends or its connection closes. */
 	async send(daemon: number, kind: RequestKind, agent?: Agent, pace: Pace = 'prompt'): Promise<CallerRequest> {
 		this.#count += 1;
+		const pieceGapMs = pieceGapsMs[pace];
 		const sent: CallerRequest = {
-			id: `r${this.#count}`, kind, daemon, body: `body of r${this.#count}`, sentAt: performance.now(), status: 0, received: '', isComplete: false,
+			id: `r${this.#count}`, kind, daemon, body: `body of r${this.#count}`, sentAt: performance.now(), status: 0, received: '', isComplete: false, bodyMs: (pieceGapMs ?? 0) * bodyPieces,
 		};
 		this.requests.push(sent);
 		const {promise, resolve} = Promise.withResolvers<void>();
@@ -155,10 +159,10 @@
 		request.setTimeout(deadlineMs * 2, () => {
 			request.destroy();
 		});
-		if (pace === 'slowBody') {
-			await sendSlowly(request, sent.body);
-		} else {
+		if (pieceGapMs === undefined) {
 			request.end(sent.body);
+		} else {
+			await sendSlowly(request, sent.body, pieceGapMs);
 		}
 
 		await promise;
@@ -194,7 +198,7 @@
 }
 
 /** Sends a body in pieces, in chunks without a length. */
-async function sendSlowly(request: ClientRequest, body: string): Promise<void> {
+async function sendSlowly(request: ClientRequest, body: string, pieceGapMs: number): Promise<void> {
 	const size = Math.ceil(body.length / bodyPieces);
 	for (let start = 0; start < body.length && !request.destroyed; start += size) {
 		request.write(body.slice(start, start + size));
--- a/test/soak/invariants.ts
+++ b/test/soak/invariants.ts
@@ -146,9 +146,9 @@
 }
 
 function checkTimes({requests, disruptions}: Observations): readonly string[] {
-	return requests.flatMap(({id, kind, daemon, sentAt, endedAt}) => {
+	return requests.flatMap(({id, kind, daemon, sentAt, endedAt, bodyMs}) => {
 		const end = endedAt ?? performance.now();
-		const limit = requestKinds[kind].timeoutMs + finalAnswerGraceMs + machineDelayMs;
+		const limit = bodyMs + requestKinds[kind].timeoutMs + finalAnswerGraceMs + machineDelayMs;
 		return end - sentAt > limit && !isDisrupted(disruptions[daemon]!, sentAt - reconnectMs, end) ? [`${kind} ${id} had no final answer after ${Math.round(end - sentAt)} ms`] : [];
 	});
 }
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -47,7 +47,7 @@
 // Guards against checks that miss a violation.
 describe('soak invariants', () => {
 	const book: CallerRequest = {
-		id: 'r1', kind: 'book', daemon: 0, body: 'body of r1', sentAt: 0, endedAt: 100, status: 200, seal: 'seal-desk-1', answeredId: 'r1', received: 'done1', isComplete: true,
+		id: 'r1', kind: 'book', daemon: 0, body: 'body of r1', sentAt: 0, endedAt: 100, status: 200, seal: 'seal-desk-1', answeredId: 'r1', received: 'done1', isComplete: true, bodyMs: 0,
 	};
 	const healthyRun: Observations = {
 		requests: [book],
