End each request in flight with an answer before a planned stop's exit

Callers saw requests cut without an answer at the end of the grace period of a planned stop, among them requests that must not be repeated.

Cause: requests were taken for 3 s after SIGTERM whatever their deadline and refused afterwards whatever it was; at 0.25 s before the end of the grace period the process exited with those in flight, at work or still queued.

Why it works: nothing is in flight when the process exits, except what a slow caller has not read, and work that would outlast the exit is not begun.

--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -28,8 +28,10 @@
 import {FleetMetrics} from './fleet-metrics.ts';
 import {SharedRetryBudget, type RetryBounds} from './shared-retry-budget.ts';
 import {RouteCrashes} from './route-crashes.ts';
+import {RouteDurations} from './route-durations.ts';
 import {RouteRequestHandler} from './route-request-handler.ts';
-import {createShutdownTimes, Shutdown} from './shutdown.ts';
+import {Shutdown} from './shutdown.ts';
+import {createStopTimes} from './stop-schedule.ts';
 import {UpstreamRegistry, type RegistryEvent} from './upstream-registry.ts';
 
 /** Access to the operator's platform. */
@@ -201,11 +203,11 @@
 			random: this.#random,
 			metrics: this.#metrics,
 			routeTable: () => this.#configuration.routeTable,
-			closesConnections: () => this.#shutdown.hasStarted,
-			refusesRequests: () => this.#shutdown.isClosing,
+			shutdown: () => this.#shutdown,
+			durations: new RouteDurations(),
 			bodyBudgetBytes: settings.limits.memoryMb * mebibyte * bodyMemoryFraction,
 		});
-		this.#shutdown = new Shutdown(clock, log, createShutdownTimes(settings.bounds.graceMs), () => this.#requestHandler.openRequests);
+		this.#shutdown = new Shutdown(clock, log, createStopTimes(settings.bounds.graceMs), this.#requestHandler);
 		const leaseClock = this.#suspendAwareClock;
 		this.#lease = new LeaseTask({
 			log: createTaskLog(log), table: platform.table, clock: leaseClock, daemon: settings.daemon.name, group: 'stages',
--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -133,6 +133,10 @@
 
 	/** Places a prefill; waits in the queue until an upstream can start it soon. */
 	async place(demand: PlacementDemand): Promise<PlacementResult> {
+		if (demand.signal.aborted) {
+			return {reason: 'cancelled', retryAfterMs: 0};
+		}
+
 		const engine = this.#options.services().get(demand.service)?.engine;
 		const {prompt} = demand.request;
 		if (engine === undefined || prompt === undefined || this.#prefillUpstreams(demand).length === 0) {
--- a/src/process/fleet/route-request-handler.ts
+++ b/src/process/fleet/route-request-handler.ts
@@ -4,8 +4,10 @@
 import {CallerAnswer} from '../../connection/links/caller-answer.ts';
 import type {CallerProtocol, Refusal} from '../../ports/caller-protocol.ts';
 import {ByteBudget} from '../../request/byte-budget.ts';
-import {cancelOnDisconnect, cancelOnDeadline} from '../../request/cancellation.ts';
-import type {DeliveryResult, DeliveryJob, DeliveryDependencies} from '../../request/delivery/delivery.ts';
+import {cancelOnDisconnect, cancelOnDeadline, combineSignals} from '../../request/cancellation.ts';
+import {
+	stopReason, type DeliveryResult, type DeliveryJob, type DeliveryDependencies,
+} from '../../request/delivery/delivery.ts';
 import {PlainDelivery} from '../../request/delivery/plain-delivery.ts';
 import {identifyRouteRequest} from '../../request/delivery/route-request-identity.ts';
 import type {RouteRequest} from '../../request/delivery/route-request.ts';
@@ -15,7 +17,9 @@
 import {chooseTarget, type RouteTable} from '../../version/routes/route-table.ts';
 import type {Random} from '../random.ts';
 import type {FleetMetrics} from './fleet-metrics.ts';
+import type {RouteDurations} from './route-durations.ts';
 import {crashRefusalMessages, type CrashRefusal} from './route-crashes.ts';
+import type {OpenRequests, Shutdown} from './shutdown.ts';
 
 /** Options of the request handler. */
 export type RouteRequestHandlerOptions = {
@@ -25,10 +29,9 @@
 	readonly metrics: FleetMetrics;
 	/** Active routes; undefined until a configuration has been received. */
 	readonly routeTable: () => RouteTable | undefined;
-	/** True from the start of the shutdown: each connection is closed with its next response. Requests are still served at first. */
-	readonly closesConnections: () => boolean;
-	/** True later in the shutdown: new requests are refused. */
-	readonly refusesRequests: () => boolean;
+	/** From its start each connection is closed with its next response; it decides which requests are still served. */
+	readonly shutdown: () => Pick<Shutdown, 'hasStarted' | 'endRequestsAt' | 'canEnd'>;
+	readonly durations: RouteDurations;
 	/** Memory available for request bodies, in bytes. */
 	readonly bodyBudgetBytes: number;
 };
@@ -40,6 +43,17 @@
 	readonly arrivedAt: number;
 };
 
+/** A request that has been taken and has not ended. */
+type TakenRequest = {
+	readonly route: Route;
+	readonly arrivedAt: number;
+	readonly callerDeadlineAt: number;
+	/** Aborts the request. */
+	readonly controller: AbortController;
+	/** Aborts the request unless it has been sent. */
+	readonly startController: AbortController;
+};
+
 /** Retry delay when no configuration is known or memory for bodies is short. */
 const defaultRetryMs = 500;
 /** Retry delay while shutting down; short because the load balancer no longer routes to this daemon, so a new connection reaches another one. */
@@ -48,13 +62,14 @@
 const defaultBodyBytes = 4_194_304;
 
 /** Receives callers' requests, matches them to routes and delivers them. */
-export class RouteRequestHandler {
+export class RouteRequestHandler implements OpenRequests {
 	readonly #options: RouteRequestHandlerOptions;
 	readonly #budget: ByteBudget;
 	/** Number of requests per connection that have been read but not answered. */
 	readonly #unansweredRequests = new WeakMap<Socket, number>();
 	/** Connections that a response has announced to be closed. */
 	readonly #closingSockets = new WeakSet<Socket>();
+	readonly #takenRequests = new Set<TakenRequest>();
 	#openRequests = 0;
 
 	constructor(options: RouteRequestHandlerOptions) {
@@ -67,6 +82,20 @@
 		return this.#openRequests;
 	}
 
+	refuseUnsent(): void {
+		for (const {route, arrivedAt, callerDeadlineAt, startController} of this.#takenRequests) {
+			if (!this.#canEnd(route, arrivedAt, callerDeadlineAt)) {
+				startController.abort(stopReason);
+			}
+		}
+	}
+
+	endAll(): void {
+		for (const {controller} of this.#takenRequests) {
+			controller.abort(stopReason);
+		}
+	}
+
 	/** Handles one request until its response has been sent; never rejects. */
 	async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const {dependencies} = this.#options;
@@ -98,14 +127,14 @@
 
 	/** Closes the connection with this response if the daemon is shutting down and no further request has been read on it. */
 	#announceClose({socket}: IncomingMessage, response: ServerResponse): void {
-		if (this.#options.closesConnections() && this.#unansweredRequests.get(socket) === 1) {
+		if (this.#options.shutdown().hasStarted && this.#unansweredRequests.get(socket) === 1) {
 			response.shouldKeepAlive = false;
 			this.#closingSockets.add(socket);
 		}
 	}
 
 	async #serve(exchange: Exchange): Promise<void> {
-		const {message, response} = exchange;
+		const {message, response, arrivedAt} = exchange;
 		const {routeTable, dependencies, protocol} = this.#options;
 		const limit = routeTable()?.limits.bodyBytes ?? defaultBodyBytes;
 		const body = await readBody(message, {maxBodyBytes: limit, budget: this.#budget});
@@ -122,7 +151,7 @@
 				const request = protocol.decode(message, value.bytes);
 				const table = routeTable();
 				const route = table?.match(request.host, request.target);
-				const refusal = this.#findRefusal(table, route);
+				const refusal = this.#findRefusal(table, route, arrivedAt, getDeadline(exchange, request, route));
 				if (refusal !== undefined || route === undefined) {
 					this.#refuse(exchange, request, refusal ?? createRefusal('noRoute', 'No route matches.'));
 					return;
@@ -145,7 +174,7 @@
 		});
 	}
 
-	#findRefusal(table: RouteTable | undefined, route: Route | undefined): Refusal | undefined {
+	#findRefusal(table: RouteTable | undefined, route: Route | undefined, arrivedAt: number, deadlineAt: number): Refusal | undefined {
 		if (table === undefined) {
 			// `unprepared`: kind of a refusal without a configuration; it is logged and counted under this name.
 			return createRefusal('unprepared', 'No configuration is known yet.', defaultRetryMs);
@@ -155,24 +184,57 @@
 			return undefined;
 		}
 
-		return this.#options.refusesRequests() ? createRefusal('busy', 'The daemon is stopping.', closingRetryMs) : undefined;
+		return this.#canEnd(route, arrivedAt, deadlineAt) ? undefined : createRefusal('busy', 'The daemon is stopping.', closingRetryMs);
+	}
+
+	/** True if a request that has not been sent can end before the daemon exits. */
+	#canEnd({name, kind, targetLatencyMs}: Route, arrivedAt: number, deadlineAt: number): boolean {
+		const {dependencies: {clock}, shutdown, durations} = this.#options;
+		if (!shutdown().hasStarted) {
+			return true;
+		}
+
+		const now = clock.now();
+		return shutdown().canEnd({
+			kind, targetLatencyMs, remainingMs: deadlineAt - now, usualMs: durations.usualMs(name, now),
+		}, arrivedAt);
 	}
 
-	async #deliver({message, response, arrivedAt}: Exchange, {request, identity}: Pick<DeliveryJob, 'request' | 'identity'>, route: Route, service: string): Promise<void> {
+	async #deliver(exchange: Exchange, {request, identity}: Pick<DeliveryJob, 'request' | 'identity'>, route: Route, service: string): Promise<void> {
 		const {dependencies, metrics} = this.#options;
+		const {message, response, arrivedAt} = exchange;
 		const controller = new AbortController();
-		const deadlineAt = arrivedAt + Math.min(request.callerTimeoutMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
+		const startController = new AbortController();
+		const callerDeadlineAt = getDeadline(exchange, request, route);
+		const deadlineAt = Math.min(callerDeadlineAt, this.#options.shutdown().endRequestsAt);
+		using start = combineSignals(controller.signal, startController.signal);
+		using _taken = this.#track({
+			route, arrivedAt, callerDeadlineAt, controller, startController,
+		});
 		using _caller = cancelOnDisconnect(message, response, controller);
 		using _deadline = cancelOnDeadline(Math.max(0, deadlineAt - dependencies.clock.now()), controller);
 		await readPendingEvents();
 		dependencies.retryBudget.earn(service, dependencies.clock.now());
 		const job: DeliveryJob = {
-			request, identity, route, service, arrivedAt, deadlineAt, answer: this.#createAnswer(message, response, request.id), signal: controller.signal,
+			request, identity, route, service, arrivedAt, deadlineAt, answer: this.#createAnswer(message, response, request.id), signal: controller.signal, startSignal: start.signal,
 		};
 		const delivery = route.kind === 'stream' && dependencies.scheduler.isModelService(service) ? new StreamDelivery(dependencies, job) : new PlainDelivery(dependencies, job);
 		const result = await delivery.run();
 		this.#logResult(request, route, result, arrivedAt);
-		metrics.requestEnded(route, result, dependencies.clock.now() - arrivedAt);
+		const endedAt = dependencies.clock.now();
+		metrics.requestEnded(route, result, endedAt - arrivedAt);
+		if (result.outcome === 'delivered') {
+			this.#options.durations.record(route.name, endedAt - arrivedAt, endedAt);
+		}
+	}
+
+	#track(taken: TakenRequest): Disposable {
+		this.#takenRequests.add(taken);
+		return {
+			[Symbol.dispose]: () => {
+				this.#takenRequests.delete(taken);
+			},
+		};
 	}
 
 	#logResult(request: RouteRequest, route: Route, result: DeliveryResult, arrivedAt: number): void {
@@ -207,6 +269,11 @@
 	}
 }
 
+/** Time at which the caller or the route gives up, in milliseconds of the clock. */
+function getDeadline({arrivedAt}: Exchange, {callerTimeoutMs}: RouteRequest, route: Route | undefined): number {
+	return arrivedAt + Math.min(callerTimeoutMs ?? Number.POSITIVE_INFINITY, route?.timeoutMs ?? Number.POSITIVE_INFINITY);
+}
+
 function createRefusal(kind: Refusal['kind'], message: string, retryAfterMs?: number): Refusal {
 	return {
 		ran: 'notRun', kind, message, retryAfterMs,
--- a/src/process/fleet/run-queue.ts
+++ b/src/process/fleet/run-queue.ts
@@ -56,6 +56,10 @@
 
 	/** Places a run, or waits until an upstream takes it. */
 	async place(run: RunDemand): Promise<PlacementResult> {
+		if (run.demand.signal.aborted) {
+			return {reason: 'cancelled', retryAfterMs: 0};
+		}
+
 		const ahead = this.#countAhead(run);
 		const result = ahead === 0 ? this.#tryPlace(run) : 'limited';
 		return result === 'limited' ? this.#wait(run, ahead) : result;
--- a/src/process/fleet/shutdown.ts
+++ b/src/process/fleet/shutdown.ts
@@ -1,41 +1,38 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Clock} from '../clock.ts';
 import type {DecisionLog} from './decision-log.ts';
+import {canEndBeforeExit, type RequestTimes, type StopTimes} from './stop-schedule.ts';
 
-/** Timing of a graceful shutdown, in milliseconds from its start. */
-export type ShutdownTimes = {
-	/** Time that the load balancer needs to take the daemon out of rotation: it checks readiness once a second and needs two failures. */
-	readonly rotationDelayMs: number;
-	/** Time after which new requests are refused; earlier ones may finish within the grace period. */
-	readonly refuseAfterMs: number;
-	/** Time after which the process exits even with requests in flight. */
-	readonly graceMs: number;
-};
+/** Requests of a daemon, as far as its shutdown deals with them. */
+export abstract class OpenRequests {
+	/** Number of requests in flight. */
+	abstract readonly openRequests: number;
+
+	/** Refuses requests that have not been sent and could not end before the exit. */
+	abstract refuseUnsent(): void;
+
+	/** Gives each request in flight its final answer. */
+	abstract endAll(): void;
+}
 
 const pollIntervalMs = 50;
 /** Shortest wait for requests that were in transit when the listener closed. */
 const lateRequestWaitMs = 100;
-/** The process exits this long before it would be killed. */
-const graceMarginMs = 250;
-
-/** Derives the shutdown times from the time after which the process is killed, in milliseconds. */
-export function createShutdownTimes(graceMs: number): ShutdownTimes {
-	return {rotationDelayMs: 2600, refuseAfterMs: 3000, graceMs: Math.max(0, graceMs - graceMarginMs)};
-}
 
-/** Graceful shutdown: leaves the rotation, then refuses new requests, then ends once no request is in flight. */
+/** Graceful shutdown: leaves the rotation, takes what can still end, ends the rest, and resolves once no request is in flight. */
 export class Shutdown {
 	readonly #clock: Clock;
 	readonly #log: DecisionLog;
-	readonly #times: ShutdownTimes;
-	readonly #openRequests: () => number;
+	readonly #times: StopTimes;
+	readonly #requests: OpenRequests;
 	#startedAt: number | undefined;
+	#hasEndedRequests = false;
 
-	constructor(clock: Clock, log: DecisionLog, times: ShutdownTimes, openRequests: () => number) {
+	constructor(clock: Clock, log: DecisionLog, times: StopTimes, requests: OpenRequests) {
 		this.#clock = clock;
 		this.#log = log;
 		this.#times = times;
-		this.#openRequests = openRequests;
+		this.#requests = requests;
 	}
 
 	/** True from the first stop signal on. */
@@ -43,21 +40,21 @@
 		return this.#startedAt !== undefined;
 	}
 
-	/** True once new requests are refused. */
-	get isClosing(): boolean {
-		return this.#startedAt !== undefined && this.#clock.now() - this.#startedAt >= this.#times.refuseAfterMs;
+	/** Time at which requests in flight are ended, in milliseconds of the clock; infinite before the shutdown. */
+	get endRequestsAt(): number {
+		return this.#startedAt === undefined ? Number.POSITIVE_INFINITY : this.#startedAt + this.#times.endRequestsMs;
+	}
+
+	/** True if a request that arrived at the given time and has not been sent can end before the exit. */
+	canEnd(request: Omit<RequestTimes, 'arrivedAfterMs'>, arrivedAt: number): boolean {
+		const startedAt = this.#startedAt;
+		return startedAt === undefined || (!this.#hasEndedRequests && canEndBeforeExit(this.#times, this.#clock.now() - startedAt, {...request, arrivedAfterMs: arrivedAt - startedAt}));
 	}
 
 	/** Waits for requests that were in transit when the listener closed, within the grace period. */
 	async waitForLateRequests(): Promise<void> {
-		const startedAt = this.#startedAt ?? this.#clock.now();
-		for (let waitedMs = 0; waitedMs < lateRequestWaitMs || this.#openRequests() > 0; waitedMs += pollIntervalMs) {
-			if (this.#clock.now() - startedAt >= this.#times.graceMs) {
-				return;
-			}
-
-			await delay(pollIntervalMs);
-		}
+		const closedAt = this.#clock.now();
+		await this.#waitUntil(() => this.#requests.openRequests === 0 && this.#clock.now() - closedAt >= lateRequestWaitMs);
 	}
 
 	/** Starts the shutdown and resolves when the process may exit; resolves at once if it has already started. */
@@ -67,15 +64,26 @@
 		}
 
 		this.#startedAt = this.#clock.now();
-		this.#log.write('process.stopping', {openRequests: this.#openRequests(), graceMs: this.#times.graceMs});
+		this.#log.write('process.stopping', {openRequests: this.#requests.openRequests, endRequestsMs: this.#times.endRequestsMs, exitMs: this.#times.exitMs});
+		await this.#waitUntil(passedMs => this.#requests.openRequests === 0 && passedMs >= this.#times.rotationDelayMs);
+		this.#log.write('process.stopped', {openRequests: this.#requests.openRequests, passedMs: Math.round(this.#clock.now() - this.#startedAt)});
+	}
+
+	/** Waits until a condition is met, at most until the exit, and meanwhile ends requests that have no more time. */
+	async #waitUntil(isMet: (passedMs: number) => boolean): Promise<void> {
+		const startedAt = this.#startedAt ?? this.#clock.now();
 		for (;;) {
-			const passedMs = this.#clock.now() - this.#startedAt;
-			const isIdle = this.#openRequests() === 0 && passedMs >= this.#times.rotationDelayMs;
-			if (isIdle || passedMs >= this.#times.graceMs) {
-				this.#log.write('process.stopped', {openRequests: this.#openRequests(), passedMs: Math.round(passedMs)});
+			const passedMs = this.#clock.now() - startedAt;
+			if (passedMs >= this.#times.endRequestsMs && !this.#hasEndedRequests) {
+				this.#hasEndedRequests = true;
+				this.#requests.endAll();
+			}
+
+			if (isMet(passedMs) || passedMs >= this.#times.exitMs) {
 				return;
 			}
 
+			this.#requests.refuseUnsent();
 			await delay(pollIntervalMs);
 		}
 	}
--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -29,6 +29,9 @@
 	readonly log: DecisionLog;
 };
 
+/** Reason with which a stopping daemon aborts requests. */
+export const stopReason = 'stopping';
+
 /** One request to be delivered to upstreams. */
 export type DeliveryJob = {
 	readonly request: RouteRequest;
@@ -39,8 +42,10 @@
 	readonly arrivedAt: number;
 	/** Deadline of the request on the daemon's clock, in milliseconds. */
 	readonly deadlineAt: number;
-	/** Aborts with the reason `caller_gone` or `deadline`. */
+	/** Aborts with the reason `caller_gone`, `deadline` or `stopping`. */
 	readonly signal: AbortSignal;
+	/** Aborts with `signal`, and once a stopping daemon has too little time left to send the request. */
+	readonly startSignal: AbortSignal;
 };
 
 /** Result of a delivery, returned after the answer to the caller has been ended. */
@@ -94,10 +99,10 @@
 	}
 
 	protected get demand(): PlacementDemand {
-		const {request, identity, route, service, arrivedAt, deadlineAt, signal} = this.job;
+		const {request, identity, route, service, arrivedAt, deadlineAt, startSignal} = this.job;
 		const excluded = this.dependencies.crashes.excludedUpstreams(identity, service);
 		return {
-			request, route, service, triedUpstreams: excluded.size === 0 ? this.triedUpstreams : new Set([...this.triedUpstreams, ...excluded]), arrivedAt, deadlineAt, signal,
+			request, route, service, triedUpstreams: excluded.size === 0 ? this.triedUpstreams : new Set([...this.triedUpstreams, ...excluded]), arrivedAt, deadlineAt, signal: startSignal,
 		};
 	}
 
@@ -107,7 +112,7 @@
 	The silent upstream may merely be slow: abandoning it without a certain replacement would lose the caller's request.
 	*/
 	protected reserveFailover(): boolean {
-		const isReserved = this.dependencies.scheduler.hasUntriedUpstream(this.demand) && this.reserveSend();
+		const isReserved = !this.job.startSignal.aborted && this.dependencies.scheduler.hasUntriedUpstream(this.demand) && this.reserveSend();
 		if (isReserved) {
 			this.carryReservation();
 		}
@@ -198,7 +203,10 @@
 
 		const maxRetryAfterMs = Math.max(0, this.remainingMs * maxRetryAfterRatio);
 		this.job.answer.refuse({
-			ran: 'notRun', kind: 'busy', message, retryAfterMs: Math.max(minRetryAfterMs, Math.min(retryAfterMs, maxRetryAfterMs)),
+			ran: 'notRun',
+			kind: 'busy',
+			message: this.job.startSignal.reason === stopReason ? 'The daemon is stopping.' : message,
+			retryAfterMs: Math.max(minRetryAfterMs, Math.min(retryAfterMs, maxRetryAfterMs)),
 		});
 		return this.createResult('refused', message);
 	}
--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -24,7 +24,7 @@
 				return fallback?.() ?? this.refusePlacement(placement);
 			}
 
-			if (this.job.signal.aborted || !this.reserveSend()) {
+			if (this.job.startSignal.aborted || !this.reserveSend()) {
 				placement.release({kind: 'cancelled', elapsedMs: 0});
 				return fallback?.() ?? this.refuseUnreserved();
 			}
@@ -38,7 +38,7 @@
 			fallback = hasUpstreamAnswer && !step.hasUpstreamAnswer ? fallback : step.fallback;
 			hasUpstreamAnswer ||= step.hasUpstreamAnswer;
 			sends += 1;
-			if (this.possibleRuns >= this.job.route.attemptLimit || this.job.signal.aborted) {
+			if (this.possibleRuns >= this.job.route.attemptLimit || this.job.startSignal.aborted) {
 				break;
 			}
 		}
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -64,7 +64,7 @@
 				return placement.reason === 'overloaded' ? {kind: 'refused', refusal: placement} : {kind: 'unread'};
 			}
 
-			if (this.job.signal.aborted || !this.reserveSend()) {
+			if (this.job.startSignal.aborted || !this.reserveSend()) {
 				placement.release({kind: 'cancelled', elapsedMs: 0});
 				return {kind: 'unread'};
 			}
@@ -136,7 +136,7 @@
 				break;
 			}
 
-			if (this.job.signal.aborted || !this.reserveSend()) {
+			if (this.job.startSignal.aborted || !this.reserveSend()) {
 				placement.release({kind: 'cancelled', elapsedMs: 0});
 				end = this.#endUnfinished(() => this.refuseUnreserved());
 				break;
@@ -224,7 +224,7 @@
 					return this.createResult('callerGone', 'the caller disconnected');
 				}
 
-				const mayRetry = job.route.isResumable && this.possibleRuns < job.route.attemptLimit && !job.signal.aborted && this.remainingMs >= minResumeTimeMs;
+				const mayRetry = job.route.isResumable && this.possibleRuns < job.route.attemptLimit && !job.startSignal.aborted && this.remainingMs >= minResumeTimeMs;
 				return mayRetry ? undefined : this.#finishFailed(result);
 			}
 		}
