Take no request while a stopping daemon writes its last log lines

A caller whose request arrived after the last wait for late requests could see it cut without an answer: it was taken and passed on while the log was flushed, for up to 100 ms, and the process then exited. Found by reading; no caller is known to have seen it.

Change: after that wait nothing is taken any more, idle connections are closed again, and the exit waits until refusals have been written.

The new test failed before: expected true to be false, for a request of 100 ms that `canEnd` took after the wait.

--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -317,7 +317,9 @@
 		this.#callerServer.closeIdleConnections();
 		// Answers requests that were in transit when the listener closed.
 		await this.#shutdown.waitForLateRequests();
+		this.#callerServer.closeIdleConnections();
 		await this.#options.log.flush(100);
+		await this.#shutdown.waitForRefusals();
 	}
 
 	async [Symbol.asyncDispose](): Promise<void> {
--- a/src/process/fleet/shutdown.ts
+++ b/src/process/fleet/shutdown.ts
@@ -51,10 +51,16 @@
 		return startedAt === undefined || (!this.#hasEndedRequests && canEndBeforeExit(this.#times, this.#clock.now() - startedAt, {...request, arrivedAfterMs: arrivedAt - startedAt}));
 	}
 
-	/** Waits for requests that were in transit when the listener closed, within the grace period. */
+	/** Waits for requests that were in transit when the listener closed, within the grace period; later ones are refused. */
 	async waitForLateRequests(): Promise<void> {
 		const closedAt = this.#clock.now();
 		await this.#waitUntil(() => this.#requests.openRequests === 0 && this.#clock.now() - closedAt >= lateRequestWaitMs);
+		this.#hasEndedRequests = true;
+	}
+
+	/** Waits until the last refusals have been handed to the operating system, within the grace period. */
+	async waitForRefusals(): Promise<void> {
+		await this.#waitUntil(() => this.#requests.openRequests === 0);
 	}
 
 	/** Starts the shutdown and resolves when the process may exit; resolves at once if it has already started. */
--- /dev/null
+++ b/test/process/fleet/shutdown.test.ts
@@ -0,0 +1,21 @@
+import {expect, test} from 'vitest';
+import {SystemClock} from '../../../src/process/clock.ts';
+import {DecisionLog} from '../../../src/process/fleet/decision-log.ts';
+import {Shutdown} from '../../../src/process/fleet/shutdown.ts';
+
+test('a shutdown takes no request once it has waited for late ones, so that the exit cuts none that arrives while the log is written', async () => {
+	const clock = new SystemClock();
+	const log = new DecisionLog({}, (_bytes, done) => {
+		done(undefined);
+	});
+	const shutdown = new Shutdown(clock, log, {rotationDelayMs: 0, endRequestsMs: 2000, exitMs: 2200}, {
+		openRequests: 0, refuseUnsent: () => undefined, endAll: () => undefined,
+	});
+	await shutdown.run();
+	const short = {
+		kind: 'unrepeatable', remainingMs: 100, targetLatencyMs: 10, usualMs: 10,
+	} as const;
+	expect(shutdown.canEnd(short, clock.now())).toBe(true);
+	await shutdown.waitForLateRequests();
+	expect(shutdown.canEnd(short, clock.now())).toBe(false);
+});
