Refuse requests with an incomplete body at the end of a planned stop

A caller that was still sending its body when a stopping daemon exited saw its connection close without an answer, although its request had not run and will not run.

Cause: only requests that had been read were ended with the stop.

Change: the wait for a body ends with the other requests, and the request is refused as not run. `process.stopped` is now written at the end and counts the requests that the stop refused on arrival, refused later, failed and broke off; what it still reports as open is cut by the exit.

The new test failed before: expected '' to match /^HTTP\/1\.1 503 /. It passes with the change, and checks the counts.

--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -318,6 +318,7 @@
 		// Answers requests that were in transit when the listener closed.
 		await this.#shutdown.waitForLateRequests();
 		this.#callerServer.closeIdleConnections();
+		this.#shutdown.logEnd();
 		await this.#options.log.flush(100);
 		await this.#shutdown.waitForRefusals();
 	}
--- a/src/process/fleet/route-request-handler.ts
+++ b/src/process/fleet/route-request-handler.ts
@@ -1,8 +1,10 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
+import type {Either} from 'purify-ts';
 import {CallerAnswer} from '../../connection/links/caller-answer.ts';
 import type {CallerProtocol, Refusal} from '../../ports/caller-protocol.ts';
+import type {CallerError} from '../../request/caller-error.ts';
 import {ByteBudget} from '../../request/byte-budget.ts';
 import {cancelOnDisconnect, cancelOnDeadline, combineSignals} from '../../request/cancellation.ts';
 import {
@@ -12,14 +14,14 @@
 import {identifyRouteRequest} from '../../request/delivery/route-request-identity.ts';
 import type {RouteRequest} from '../../request/delivery/route-request.ts';
 import {StreamDelivery} from '../../request/delivery/stream-delivery.ts';
-import {readBody} from '../../request/request-body.ts';
+import {readBody, type RequestBody} from '../../request/request-body.ts';
 import type {Route} from '../../version/routes/route-configuration.ts';
 import {chooseTarget, type RouteTable} from '../../version/routes/route-table.ts';
 import type {Random} from '../random.ts';
 import type {FleetMetrics} from './fleet-metrics.ts';
 import type {RouteDurations} from './route-durations.ts';
 import {crashRefusalMessages, type CrashRefusal} from './route-crashes.ts';
-import type {OpenRequests, Shutdown} from './shutdown.ts';
+import type {OpenRequests, Shutdown, StopCounts} from './shutdown.ts';
 
 /** Options of the request handler. */
 export type RouteRequestHandlerOptions = {
@@ -36,6 +38,8 @@
 	readonly bodyBudgetBytes: number;
 };
 
+type BodyResult = Either<CallerError, RequestBody>;
+
 /** One request with its response. */
 type Exchange = {
 	readonly message: IncomingMessage;
@@ -70,6 +74,12 @@
 	/** Connections that a response has announced to be closed. */
 	readonly #closingSockets = new WeakSet<Socket>();
 	readonly #takenRequests = new Set<TakenRequest>();
+	/** Ends the wait for a body that is being read. */
+	readonly #bodyWaits = new Set<() => void>();
+	readonly #stopCounts = {
+		refusedOnArrival: 0, refused: 0, failed: 0, brokenOff: 0,
+	};
+
 	#openRequests = 0;
 
 	constructor(options: RouteRequestHandlerOptions) {
@@ -77,6 +87,11 @@
 		this.#budget = new ByteBudget(options.bodyBudgetBytes);
 	}
 
+	/** Requests that the shutdown has ended so far. */
+	get stopCounts(): StopCounts {
+		return {...this.#stopCounts};
+	}
+
 	/** Number of requests in flight. */
 	get openRequests(): number {
 		return this.#openRequests;
@@ -94,6 +109,10 @@
 		for (const {controller} of this.#takenRequests) {
 			controller.abort(stopReason);
 		}
+
+		for (const endWait of this.#bodyWaits) {
+			endWait();
+		}
 	}
 
 	/** Handles one request until its response has been sent; never rejects. */
@@ -137,7 +156,13 @@
 		const {message, response, arrivedAt} = exchange;
 		const {routeTable, dependencies, protocol} = this.#options;
 		const limit = routeTable()?.limits.bodyBytes ?? defaultBodyBytes;
-		const body = await readBody(message, {maxBodyBytes: limit, budget: this.#budget});
+		const body = await this.#readBody(message, limit);
+		if (body === undefined) {
+			this.#stopCounts.refused += 1;
+			this.#refuse(exchange, protocol.decode(message, new Uint8Array(0)), createStopRefusal());
+			return;
+		}
+
 		await body.caseOf({
 			Left: async ({status}) => {
 				const request = protocol.decode(message, new Uint8Array(0));
@@ -174,6 +199,27 @@
 		});
 	}
 
+	/** Reads the body of a request; undefined if the shutdown ends first. */
+	async #readBody(message: IncomingMessage, maxBodyBytes: number): Promise<BodyResult | undefined> {
+		const {promise, resolve} = Promise.withResolvers<undefined>();
+		const endWait = () => {
+			resolve(undefined);
+		};
+
+		this.#bodyWaits.add(endWait);
+		try {
+			const reading = readBody(message, {maxBodyBytes, budget: this.#budget});
+			const body = await Promise.race([reading, promise]);
+			if (body === undefined) {
+				void releaseBody(reading);
+			}
+
+			return body;
+		} finally {
+			this.#bodyWaits.delete(endWait);
+		}
+	}
+
 	#findRefusal(table: RouteTable | undefined, route: Route | undefined, arrivedAt: number, deadlineAt: number): Refusal | undefined {
 		if (table === undefined) {
 			// `unprepared`: kind of a refusal without a configuration; it is logged and counted under this name.
@@ -184,7 +230,12 @@
 			return undefined;
 		}
 
-		return this.#canEnd(route, arrivedAt, deadlineAt) ? undefined : createRefusal('busy', 'The daemon is stopping.', closingRetryMs);
+		if (this.#canEnd(route, arrivedAt, deadlineAt)) {
+			return undefined;
+		}
+
+		this.#stopCounts.refusedOnArrival += 1;
+		return createStopRefusal();
 	}
 
 	/** True if a request that has not been sent can end before the daemon exits. */
@@ -221,6 +272,10 @@
 		const delivery = route.kind === 'stream' && dependencies.scheduler.isModelService(service) ? new StreamDelivery(dependencies, job) : new PlainDelivery(dependencies, job);
 		const result = await delivery.run();
 		this.#logResult(request, route, result, arrivedAt);
+		if (start.signal.reason === stopReason && isEndedByDaemon(result.outcome)) {
+			this.#stopCounts[result.outcome] += 1;
+		}
+
 		const endedAt = dependencies.clock.now();
 		metrics.requestEnded(route, result, endedAt - arrivedAt);
 		if (result.outcome === 'delivered') {
@@ -274,6 +329,26 @@
 	return arrivedAt + Math.min(callerTimeoutMs ?? Number.POSITIVE_INFINITY, route?.timeoutMs ?? Number.POSITIVE_INFINITY);
 }
 
+function createStopRefusal(): Refusal {
+	return createRefusal('busy', 'The daemon is stopping.', closingRetryMs);
+}
+
+function isEndedByDaemon(outcome: DeliveryResult['outcome']): outcome is 'refused' | 'failed' | 'brokenOff' {
+	return outcome === 'refused' || outcome === 'failed' || outcome === 'brokenOff';
+}
+
+/** Returns the bytes of a body that nobody waits for any more to the byte budget. */
+async function releaseBody(reading: Promise<BodyResult>): Promise<void> {
+	try {
+		const body = await reading;
+		body.ifRight(value => {
+			value[Symbol.dispose]();
+		});
+	} catch {
+		// The connection was closed, and its bytes have been returned.
+	}
+}
+
 function createRefusal(kind: Refusal['kind'], message: string, retryAfterMs?: number): Refusal {
 	return {
 		ran: 'notRun', kind, message, retryAfterMs,
--- a/src/process/fleet/shutdown.ts
+++ b/src/process/fleet/shutdown.ts
@@ -3,11 +3,26 @@
 import type {DecisionLog} from './decision-log.ts';
 import {canEndBeforeExit, type RequestTimes, type StopTimes} from './stop-schedule.ts';
 
+/** Requests that a shutdown has ended, by how. */
+export type StopCounts = {
+	/** Refused as not run without being taken. */
+	readonly refusedOnArrival: number;
+	/** Refused as not run after they were taken. */
+	readonly refused: number;
+	/** Failed as perhaps run. */
+	readonly failed: number;
+	/** Streams that were aborted after they had begun. */
+	readonly brokenOff: number;
+};
+
 /** Requests of a daemon, as far as its shutdown deals with them. */
 export abstract class OpenRequests {
 	/** Number of requests in flight. */
 	abstract readonly openRequests: number;
 
+	/** Requests that the shutdown has ended so far. */
+	abstract readonly stopCounts: StopCounts;
+
 	/** Refuses requests that have not been sent and could not end before the exit. */
 	abstract refuseUnsent(): void;
 
@@ -58,6 +73,12 @@
 		this.#hasEndedRequests = true;
 	}
 
+	/** Logs how the requests ended; those that are still open are cut by the exit. */
+	logEnd(): void {
+		const passedMs = this.#clock.now() - (this.#startedAt ?? this.#clock.now());
+		this.#log.write('process.stopped', {openRequests: this.#requests.openRequests, ...this.#requests.stopCounts, passedMs: Math.round(passedMs)});
+	}
+
 	/** Waits until the last refusals have been handed to the operating system, within the grace period. */
 	async waitForRefusals(): Promise<void> {
 		await this.#waitUntil(() => this.#requests.openRequests === 0);
@@ -72,7 +93,6 @@
 		this.#startedAt = this.#clock.now();
 		this.#log.write('process.stopping', {openRequests: this.#requests.openRequests, endRequestsMs: this.#times.endRequestsMs, exitMs: this.#times.exitMs});
 		await this.#waitUntil(passedMs => this.#requests.openRequests === 0 && passedMs >= this.#times.rotationDelayMs);
-		this.#log.write('process.stopped', {openRequests: this.#requests.openRequests, passedMs: Math.round(this.#clock.now() - this.#startedAt)});
 	}
 
 	/** Waits until a condition is met, at most until the exit, and meanwhile ends requests that have no more time. */
--- a/test/process/fleet/planned-stop.test.ts
+++ b/test/process/fleet/planned-stop.test.ts
@@ -1,4 +1,5 @@
 import {Agent, request} from 'node:http';
+import {connect} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {describe, expect, test} from 'vitest';
 import {FleetFixture} from '../../fixtures/fleet/fleet-fixture.ts';
@@ -189,3 +190,28 @@
 		}
 	}, 15_000);
 });
+
+test('a planned stop refuses a request whose body is still incomplete at its end, so that the caller knows that it has not run', async () => {
+	await using fleet = new FleetFixture();
+	await fleet.start([{id: 'u-1'}], {graceMs, configuration});
+	const [host, port] = fleet.callerAddress.split(':');
+	const socket = connect(Number(port), host);
+	let text = '';
+	socket.setEncoding('utf8');
+	socket.on('data', (chunk: string) => {
+		text += chunk;
+	});
+	socket.on('error', () => undefined);
+	socket.write('POST /book/1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: slow\r\nX-Deadline-Ms: 20000\r\nContent-Length: 10\r\n\r\n12345');
+	await delay(100);
+	await fleet.stopDaemons();
+	expect(text).toMatch(/^HTTP\/1\.1 503 /v);
+	expect(text.toLowerCase()).toContain('connection: close');
+	const {refused, failed, brokenOff, openRequests} = await fleet.waitForLine('process.stopped');
+	expect({
+		refused, failed, brokenOff, openRequests,
+	}).toEqual({
+		refused: 1, failed: 0, brokenOff: 0, openRequests: 0,
+	});
+	socket.destroy();
+}, 15_000);
--- a/test/process/fleet/shutdown.test.ts
+++ b/test/process/fleet/shutdown.test.ts
@@ -9,7 +9,11 @@
 		done(undefined);
 	});
 	const shutdown = new Shutdown(clock, log, {rotationDelayMs: 0, endRequestsMs: 2000, exitMs: 2200}, {
-		openRequests: 0, refuseUnsent: () => undefined, endAll: () => undefined,
+		openRequests: 0,
+		stopCounts: {
+			refusedOnArrival: 0, refused: 0, failed: 0, brokenOff: 0,
+		},
+		refuseUnsent: () => undefined, endAll: () => undefined,
 	});
 	await shutdown.run();
 	const short = {
