Announce the close of a draining connection with the head of the answer

On the product's own interface, a caller that had pipelined two requests on a connection of a draining daemon got one answer; the second request was passed on and cut. A caller whose request came before the signal was not told that its connection closes, so that its next request could cross the close.

Cause: `connection: close` was set when a request arrived while the daemon drained. It was thus set on the first of two pipelined answers, after which the connection ends, and missing on answers to earlier requests.

Change: the caller server decides when a head is sent, and announces the close only if no other request is open on the connection. Requests that are read after an announced close are not run.

--- a/src/connection/caller-server.ts
+++ b/src/connection/caller-server.ts
@@ -1,5 +1,5 @@
 import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
+	createServer, ServerResponse, type IncomingMessage, type OutgoingHttpHeader, type OutgoingHttpHeaders, type Server,
 } from 'node:http';
 import type {Duplex} from 'node:stream';
 import {
@@ -21,8 +21,12 @@
 	readonly idleTimeoutMs?: number;
 	/** Interval between checks of these timeouts, in milliseconds. @default 1000 */
 	readonly checkIntervalMs?: number;
+	/** True while each connection is closed with its next answer. @default never */
+	readonly closesConnections?: () => boolean;
 };
 
+type Headers = OutgoingHttpHeaders | OutgoingHttpHeader[];
+
 const tcpKeepAliveDelayMs = 30_000;
 
 const malformedRequest = createRefusal(400, 'malformed_request', 'The request is not valid HTTP.');
@@ -40,7 +44,16 @@
 	handle: (request: IncomingMessage, response: ServerResponse) => void,
 ): Server {
 	const open = new WeakMap<Duplex, Set<ServerResponse>>();
+	const closing = new WeakSet<Duplex>();
 	const server = createServer({
+		ServerResponse: createAnnouncingResponse(({socket}) => {
+			const isLast = open.get(socket)?.size === 1;
+			if (isLast && options.closesConnections?.() === true) {
+				closing.add(socket);
+			}
+
+			return closing.has(socket);
+		}),
 		maxHeaderSize: options.maxHeaderBytes,
 		headersTimeout: options.headersTimeoutMs ?? 10_000,
 		requestTimeout: options.requestTimeoutMs ?? 60_000,
@@ -50,6 +63,11 @@
 		keepAliveInitialDelay: tcpKeepAliveDelayMs,
 		insecureHTTPParser: false,
 	}, (request, response) => {
+		if (closing.has(request.socket)) {
+			// The last answer told the caller that the connection closes, so this request must not run.
+			return;
+		}
+
 		trackResponse(open, request, response);
 		handle(request, response);
 	});
@@ -61,6 +79,24 @@
 	return server;
 }
 
+/**
+Creates a class of answers that announce the close of their connection.
+
+Whether to close is asked when the head is sent: a header set on the arrival would close the connection before the answer to a
+request that was pipelined behind, and would be missing if the daemon began to stop in between.
+*/
+function createAnnouncingResponse(shouldClose: (request: IncomingMessage) => boolean): typeof ServerResponse {
+	return class <Request extends IncomingMessage = IncomingMessage> extends ServerResponse<Request> {
+		override writeHead(statusCode: number, message?: string | Headers, headers?: Headers): this {
+			if (shouldClose(this.req)) {
+				this.shouldKeepAlive = false;
+			}
+
+			return typeof message === 'string' ? super.writeHead(statusCode, message, headers) : super.writeHead(statusCode, message ?? headers);
+		}
+	};
+}
+
 function trackResponse(open: WeakMap<Duplex, Set<ServerResponse>>, {socket}: IncomingMessage, response: ServerResponse): void {
 	const responses = open.get(socket) ?? new Set();
 	open.set(socket, responses);
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -117,11 +117,10 @@
 	peers.status.addSection('leases', () => engineGroups.heldGroups);
 	peers.status.addSection('drainingForPlans', () => [...engineGroups.draining]);
 	const requestHandler = createRequestHandler(base, peers, engineGroups);
-	const server = createCallerServer({maxHeaderBytes: settings.limits['header-bytes']}, (request, response) => {
-		if (lifecycle.phase === 'draining') {
-			response.setHeader('connection', 'close');
-		}
-
+	const server = createCallerServer({
+		maxHeaderBytes: settings.limits['header-bytes'],
+		closesConnections: () => lifecycle.phase === 'draining',
+	}, (request, response) => {
 		void requestHandler.handle(request, response);
 	});
 	addStatusSections(peers.status, {
--- a/test/process/lifecycle.test.ts
+++ b/test/process/lifecycle.test.ts
@@ -1,4 +1,5 @@
 import {once} from 'node:events';
+import {connect} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	describe, expect, it, vi,
@@ -31,6 +32,30 @@
 		expect(await exit).toEqual([0, null]);
 	});
 
+	it('answers both of two requests that are pipelined on one connection, so that none is run and cut', async () => {
+		await using deployment = await SpawnedDeployment.create(['a1'], 3000);
+		const {url, child} = deployment.daemons.get('a1')!;
+		child.kill('SIGTERM');
+		await vi.waitFor(async () => {
+			expect(await isReady(url)).toBe(false);
+		});
+		const text = await exchange(url, bookingText(1) + bookingText(2));
+		expect(text.match(/HTTP\/1\.1 200/gv)).toHaveLength(2);
+		expect(text.match(/connection: close/giv)).toHaveLength(1);
+	});
+
+	it('announces the close of a connection with the answer to a request that came before, so that no next request crosses it', async () => {
+		await using deployment = await SpawnedDeployment.create(['a1'], balancerDelayMs);
+		const {url, child} = deployment.daemons.get('a1')!;
+		const body = JSON.stringify({
+			model: demoModels[0], stream: false, max_tokens: 200, messages: [{role: 'user', content: 'check'}],
+		});
+		const answer = exchange(url, requestText('/v1/chat/completions', body));
+		await delay(100);
+		child.kill('SIGTERM');
+		expect(await answer).toMatch(/^HTTP\/1\.1 200[\s\S]*connection: close/iv);
+	});
+
 	it('is reported to its peers as draining during the balancer delay, so that they no longer rely on it', async () => {
 		await using deployment = await SpawnedDeployment.create(['a1', 'a2'], 3000);
 		const peer = deployment.daemons.get('a2')!.peerAddress!;
@@ -65,6 +90,28 @@
 	});
 });
 
+function requestText(path: string, body: string): string {
+	return `POST ${path} HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer ${demoKey}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+function bookingText(run: number): string {
+	return requestText(`/services/${demoService}/bookings`, JSON.stringify({run}));
+}
+
+/** Sends bytes on one connection and returns what arrives until the daemon closes it. */
+async function exchange(url: string, text: string): Promise<string> {
+	const {hostname, port} = new URL(url);
+	const socket = connect(Number(port), hostname);
+	socket.setEncoding('utf8');
+	socket.write(text);
+	let received = '';
+	for await (const chunk of socket as AsyncIterable<string>) {
+		received += chunk;
+	}
+
+	return received;
+}
+
 /** Load of streams and bookings that a simulated balancer distributes over the daemons that report ready. */
 class BalancedLoad {
 	readonly failures: string[] = [];
