--- a/src/connection/caller-server.ts
+++ b/src/connection/caller-server.ts
@@ -1,5 +1,5 @@
 import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
+	createServer, ServerResponse, type IncomingMessage, type OutgoingHttpHeader, type OutgoingHttpHeaders, type Server,
 } from 'node:http';
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
@@ -24,6 +24,8 @@
 	readonly checkIntervalMs?: number;
 	/** Called when a connection has closed with responses that were not sent completely. */
 	readonly onClosed?: (connection: ClosedConnection) => void;
+	/** True while each connection is closed with its next answer. @default never */
+	readonly closesConnections?: () => boolean;
 };
 
 /** Reason for which a caller's connection closed; `unattributed`: closed by the daemon, but not by this server. */
@@ -50,6 +52,8 @@
 /** Errors of a connection that the caller has ended or reset. */
 const callerLeftCodes: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT', 'HPE_INVALID_EOF_STATE']);
 
+type Headers = OutgoingHttpHeaders | OutgoingHttpHeader[];
+
 const tcpKeepAliveDelayMs = 30_000;
 
 const malformedRequest = createRefusal(400, 'malformed_request', 'The request is not valid HTTP.');
@@ -67,7 +71,16 @@
 	handle: (request: IncomingMessage, response: ServerResponse) => void,
 ): Server {
 	const connections = new WeakMap<Duplex, Connection>();
+	const closing = new WeakSet<Duplex>();
 	const server = createServer({
+		ServerResponse: createAnnouncingResponse(({socket}) => {
+			const isLast = connections.get(socket)?.responses.size === 1;
+			if (isLast && options.closesConnections?.() === true) {
+				closing.add(socket);
+			}
+
+			return closing.has(socket);
+		}),
 		maxHeaderSize: options.maxHeaderBytes,
 		headersTimeout: options.headersTimeoutMs ?? 10_000,
 		requestTimeout: options.requestTimeoutMs ?? 60_000,
@@ -77,6 +90,11 @@
 		keepAliveInitialDelay: tcpKeepAliveDelayMs,
 		insecureHTTPParser: false,
 	}, (request, response) => {
+		if (closing.has(request.socket)) {
+			// The last answer told the caller that the connection closes, so this request must not run.
+			return;
+		}
+
 		trackResponse(connections.get(request.socket), response);
 		handle(request, response);
 	});
@@ -117,6 +135,24 @@
 	return connection;
 }
 
+/**
+Creates a class of answers that announce the close of their connection.
+
+Whether to close is asked when the head is sent: a header set on the arrival would close the connection before the answer to a
+request that was pipelined behind, and would be missing if the daemon began to stop in between.
+*/
+function createAnnouncingResponse(shouldClose: (request: IncomingMessage) => boolean): typeof ServerResponse {
+	return class <Request extends IncomingMessage = IncomingMessage> extends ServerResponse<Request> {
+		override writeHead(statusCode: number, message?: string | Headers, headers?: Headers): this {
+			if (shouldClose(this.req)) {
+				this.shouldKeepAlive = false;
+			}
+
+			return typeof message === 'string' ? super.writeHead(statusCode, message, headers) : super.writeHead(statusCode, message ?? headers);
+		}
+	};
+}
+
 function trackResponse(connection: Connection | undefined, response: ServerResponse): void {
 	connection?.responses.add(response);
 	response.once('close', () => {
--- a/src/process/fleet/route-request-handler.ts
+++ b/src/process/fleet/route-request-handler.ts
@@ -1,23 +1,29 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
+import type {Either} from 'purify-ts';
 import type {ClosedConnection} from '../../connection/caller-server.ts';
 import {CallerAnswer} from '../../connection/links/caller-answer.ts';
 import type {CallerProtocol, Refusal} from '../../ports/caller-protocol.ts';
+import type {CallerError} from '../../request/caller-error.ts';
 import {ByteBudget} from '../../request/byte-budget.ts';
-import {cancelOnDisconnect, cancelOnDeadline} from '../../request/cancellation.ts';
-import type {DeliveryResult, DeliveryJob, DeliveryDependencies} from '../../request/delivery/delivery.ts';
+import {cancelOnDisconnect, cancelOnDeadline, combineSignals} from '../../request/cancellation.ts';
+import {
+	stopReason, type DeliveryResult, type DeliveryJob, type DeliveryDependencies,
+} from '../../request/delivery/delivery.ts';
 import {PlainDelivery} from '../../request/delivery/plain-delivery.ts';
 import {identifyRouteRequest} from '../../request/delivery/route-request-identity.ts';
 import type {RouteRequest} from '../../request/delivery/route-request.ts';
 import {StreamDelivery} from '../../request/delivery/stream-delivery.ts';
 import {OpenRequest, type RequestOutcome} from '../../request/open-request.ts';
-import {readBody} from '../../request/request-body.ts';
+import {readBody, type RequestBody} from '../../request/request-body.ts';
 import type {Route} from '../../version/routes/route-configuration.ts';
 import {chooseTarget, type RouteTable} from '../../version/routes/route-table.ts';
 import type {Random} from '../random.ts';
 import type {FleetMetrics} from './fleet-metrics.ts';
+import type {RouteDurations} from './route-durations.ts';
 import {crashRefusalMessages, type CrashRefusal} from './route-crashes.ts';
+import type {OpenRequests, Shutdown, StopCounts} from './shutdown.ts';
 
 /** Options of the request handler. */
 export type RouteRequestHandlerOptions = {
@@ -27,14 +33,15 @@
 	readonly metrics: FleetMetrics;
 	/** Active routes; undefined until a configuration has been received. */
 	readonly routeTable: () => RouteTable | undefined;
-	/** True from the start of the shutdown: each connection is closed with its next response. Requests are still served at first. */
-	readonly closesConnections: () => boolean;
-	/** True later in the shutdown: new requests are refused. */
-	readonly refusesRequests: () => boolean;
+	/** From its start each connection is closed with its next response; it decides which requests are still served. */
+	readonly shutdown: () => Pick<Shutdown, 'hasStarted' | 'endRequestsAt' | 'canEnd'>;
+	readonly durations: RouteDurations;
 	/** Memory available for request bodies, in bytes. */
 	readonly bodyBudgetBytes: number;
 };
 
+type BodyResult = Either<CallerError, RequestBody>;
+
 /** One request with its response. */
 type Exchange = {
 	readonly message: IncomingMessage;
@@ -44,6 +51,17 @@
 	readonly open: OpenRequest;
 };
 
+/** A request that has been taken and has not ended. */
+type TakenRequest = {
+	readonly route: Route;
+	readonly arrivedAt: number;
+	readonly callerDeadlineAt: number;
+	/** Aborts the request. */
+	readonly controller: AbortController;
+	/** Aborts the request unless it has been sent. */
+	readonly startController: AbortController;
+};
+
 /** Retry delay when no configuration is known or memory for bodies is short. */
 const defaultRetryMs = 500;
 /** Retry delay while shutting down; short because the load balancer no longer routes to this daemon, so a new connection reaches another one. */
@@ -57,7 +75,7 @@
 const emptyBody = new Uint8Array(0);
 
 /** Receives callers' requests, matches them to routes and delivers them. */
-export class RouteRequestHandler {
+export class RouteRequestHandler implements OpenRequests {
 	readonly #options: RouteRequestHandlerOptions;
 	readonly #budget: ByteBudget;
 	/** Number of requests per connection that have been read but not answered. */
@@ -65,6 +83,13 @@
 	/** Connections that a response has announced to be closed. */
 	readonly #closingSockets = new WeakSet<Socket>();
 	readonly #open = new WeakMap<ServerResponse, OpenRequest>();
+	readonly #takenRequests = new Set<TakenRequest>();
+	/** Ends the wait for a body that is being read. */
+	readonly #bodyWaits = new Set<() => void>();
+	readonly #stopCounts = {
+		refusedOnArrival: 0, refused: 0, failed: 0, brokenOff: 0,
+	};
+
 	#openRequests = 0;
 
 	constructor(options: RouteRequestHandlerOptions) {
@@ -72,11 +97,34 @@
 		this.#budget = new ByteBudget(options.bodyBudgetBytes);
 	}
 
+	/** Requests that the shutdown has ended so far. */
+	get stopCounts(): StopCounts {
+		return {...this.#stopCounts};
+	}
+
 	/** Number of requests in flight. */
 	get openRequests(): number {
 		return this.#openRequests;
 	}
 
+	refuseUnsent(): void {
+		for (const {route, arrivedAt, callerDeadlineAt, startController} of this.#takenRequests) {
+			if (!this.#canEnd(route, arrivedAt, callerDeadlineAt)) {
+				startController.abort(stopReason);
+			}
+		}
+	}
+
+	endAll(): void {
+		for (const {controller} of this.#takenRequests) {
+			controller.abort(stopReason);
+		}
+
+		for (const endWait of this.#bodyWaits) {
+			endWait();
+		}
+	}
+
 	/** Handles one request until its response has been sent; never rejects. */
 	async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
 		const {dependencies} = this.#options;
@@ -133,18 +181,24 @@
 
 	/** Closes the connection with this response if the daemon is shutting down and no further request has been read on it. */
 	#announceClose({socket}: IncomingMessage, response: ServerResponse): void {
-		if (this.#options.closesConnections() && this.#unansweredRequests.get(socket) === 1) {
+		if (this.#options.shutdown().hasStarted && this.#unansweredRequests.get(socket) === 1) {
 			response.shouldKeepAlive = false;
 			this.#closingSockets.add(socket);
 		}
 	}
 
 	async #serve(exchange: Exchange): Promise<void> {
-		const {message, response} = exchange;
+		const {message, arrivedAt} = exchange;
 		const {routeTable, dependencies, protocol, metrics} = this.#options;
 		const limit = routeTable()?.limits.bodyBytes ?? defaultBodyBytes;
 		exchange.open.id = protocol.decode(message, emptyBody).id;
-		const body = await readBody(message, {maxBodyBytes: limit, budget: this.#budget});
+		const body = await this.#readBody(message, limit);
+		if (body === undefined) {
+			this.#stopCounts.refused += 1;
+			this.#refuse(exchange, protocol.decode(message, emptyBody), createStopRefusal());
+			return;
+		}
+
 		await body.caseOf({
 			Left: async ({status}) => {
 				const request = protocol.decode(message, emptyBody);
@@ -160,7 +214,7 @@
 				const request = protocol.decode(message, value.bytes);
 				const table = routeTable();
 				const route = table?.match(request.host, request.target);
-				const refusal = this.#findRefusal(table, route);
+				const refusal = this.#findRefusal(table, route, arrivedAt, getDeadline(exchange, request, route));
 				if (refusal !== undefined || route === undefined) {
 					this.#refuse(exchange, request, refusal ?? createRefusal('noRoute', 'No route matches.'));
 					return;
@@ -183,7 +237,28 @@
 		});
 	}
 
-	#findRefusal(table: RouteTable | undefined, route: Route | undefined): Refusal | undefined {
+	/** Reads the body of a request; undefined if the shutdown ends first. */
+	async #readBody(message: IncomingMessage, maxBodyBytes: number): Promise<BodyResult | undefined> {
+		const {promise, resolve} = Promise.withResolvers<undefined>();
+		const endWait = () => {
+			resolve(undefined);
+		};
+
+		this.#bodyWaits.add(endWait);
+		try {
+			const reading = readBody(message, {maxBodyBytes, budget: this.#budget});
+			const body = await Promise.race([reading, promise]);
+			if (body === undefined) {
+				void releaseBody(reading);
+			}
+
+			return body;
+		} finally {
+			this.#bodyWaits.delete(endWait);
+		}
+	}
+
+	#findRefusal(table: RouteTable | undefined, route: Route | undefined, arrivedAt: number, deadlineAt: number): Refusal | undefined {
 		if (table === undefined) {
 			// `unprepared`: kind of a refusal without a configuration; it is logged and counted under this name.
 			return createRefusal('unprepared', 'No configuration is known yet.', defaultRetryMs);
@@ -193,24 +268,52 @@
 			return undefined;
 		}
 
-		return this.#options.refusesRequests() ? createRefusal('busy', 'The daemon is stopping.', closingRetryMs) : undefined;
+		if (this.#canEnd(route, arrivedAt, deadlineAt)) {
+			return undefined;
+		}
+
+		this.#stopCounts.refusedOnArrival += 1;
+		return createStopRefusal();
+	}
+
+	/** True if a request that has not been sent can end before the daemon exits. */
+	#canEnd({name, kind, targetLatencyMs}: Route, arrivedAt: number, deadlineAt: number): boolean {
+		const {dependencies: {clock}, shutdown, durations} = this.#options;
+		if (!shutdown().hasStarted) {
+			return true;
+		}
+
+		const now = clock.now();
+		return shutdown().canEnd({
+			kind, targetLatencyMs, remainingMs: deadlineAt - now, usualMs: durations.usualMs(name, now),
+		}, arrivedAt);
 	}
 
 	async #deliver(exchange: Exchange, {request, identity}: Pick<DeliveryJob, 'request' | 'identity'>, route: Route, service: string): Promise<void> {
-		const {message, response, arrivedAt, answer, open} = exchange;
 		const {dependencies, metrics} = this.#options;
+		const {message, response, arrivedAt, answer, open} = exchange;
 		const controller = new AbortController();
-		const deadlineAt = arrivedAt + Math.min(request.callerTimeoutMs ?? Number.POSITIVE_INFINITY, route.timeoutMs);
+		const startController = new AbortController();
+		const callerDeadlineAt = getDeadline(exchange, request, route);
+		const deadlineAt = Math.min(callerDeadlineAt, this.#options.shutdown().endRequestsAt);
+		using start = combineSignals(controller.signal, startController.signal);
+		using _taken = this.#track({
+			route, arrivedAt, callerDeadlineAt, controller, startController,
+		});
 		using _caller = cancelOnDisconnect(message, response, controller);
 		using _deadline = cancelOnDeadline(Math.max(0, deadlineAt - dependencies.clock.now()), controller);
 		await readPendingEvents();
 		dependencies.retryBudget.earn(service, dependencies.clock.now());
 		const job: DeliveryJob = {
-			request, identity, route, service, arrivedAt, deadlineAt, answer, open, signal: controller.signal,
+			request, identity, route, service, arrivedAt, deadlineAt, answer, open, signal: controller.signal, startSignal: start.signal,
 		};
 		const delivery = route.kind === 'stream' && dependencies.scheduler.isModelService(service) ? new StreamDelivery(dependencies, job) : new PlainDelivery(dependencies, job);
 		const result = await this.#runUntilOverdue(delivery.run(), controller.signal);
 		open.settle(result.outcome, result.isCutByUpstream);
+		if (start.signal.reason === stopReason && isEndedByDaemon(result.outcome)) {
+			this.#stopCounts[result.outcome] += 1;
+		}
+
 		this.#recordEnd(exchange, result.outcome, {
 			route: route.name,
 			reason: result.reason,
@@ -221,7 +324,20 @@
 			firstAnswerMs: result.firstAnswerMs === undefined ? undefined : Math.round(result.firstAnswerMs),
 			targetMs: route.targetLatencyMs,
 		});
-		metrics.requestEnded(route, result, dependencies.clock.now() - arrivedAt);
+		const endedAt = dependencies.clock.now();
+		metrics.requestEnded(route, result, endedAt - arrivedAt);
+		if (result.outcome === 'delivered') {
+			this.#options.durations.record(route.name, endedAt - arrivedAt, endedAt);
+		}
+	}
+
+	#track(taken: TakenRequest): Disposable {
+		this.#takenRequests.add(taken);
+		return {
+			[Symbol.dispose]: () => {
+				this.#takenRequests.delete(taken);
+			},
+		};
 	}
 
 	/** Waits for a delivery; throws if it has not ended some time after the deadline has passed or the caller has left. */
@@ -312,6 +428,31 @@
 	return requests.some(({isAnswerAborted}) => isAnswerAborted) ? 'brokenOff' : undefined;
 }
 
+/** Time at which the caller or the route gives up, in milliseconds of the clock. */
+function getDeadline({arrivedAt}: Exchange, {callerTimeoutMs}: RouteRequest, route: Route | undefined): number {
+	return arrivedAt + Math.min(callerTimeoutMs ?? Number.POSITIVE_INFINITY, route?.timeoutMs ?? Number.POSITIVE_INFINITY);
+}
+
+function createStopRefusal(): Refusal {
+	return createRefusal('busy', 'The daemon is stopping.', closingRetryMs);
+}
+
+function isEndedByDaemon(outcome: DeliveryResult['outcome']): outcome is 'refused' | 'failed' | 'brokenOff' {
+	return outcome === 'refused' || outcome === 'failed' || outcome === 'brokenOff';
+}
+
+/** Returns the bytes of a body that nobody waits for any more to the byte budget. */
+async function releaseBody(reading: Promise<BodyResult>): Promise<void> {
+	try {
+		const body = await reading;
+		body.ifRight(value => {
+			value[Symbol.dispose]();
+		});
+	} catch {
+		// The connection was closed, and its bytes have been returned.
+	}
+}
+
 function createRefusal(kind: Refusal['kind'], message: string, retryAfterMs?: number): Refusal {
 	return {
 		ran: 'notRun', kind, message, retryAfterMs,
--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -76,7 +76,7 @@
 	/** True if the route allows another attempt beside or after the present ones. */
 	get #mayStart(): boolean {
 		const possibleRuns = this.possibleRuns + this.#race.size;
-		return this.sends < maxSends && possibleRuns < this.job.route.attemptLimit && !this.job.signal.aborted && (this.#isIdempotent || possibleRuns === 0);
+		return this.sends < maxSends && possibleRuns < this.job.route.attemptLimit && !this.job.startSignal.aborted && (this.#isIdempotent || possibleRuns === 0);
 	}
 
 	/** Starts an attempt; returns the refusal to give if no other attempt is in progress. */
@@ -87,7 +87,7 @@
 			return undefined;
 		}
 
-		using signals = combineSignals(this.job.signal, isFirst ? undefined : this.#race.silenceSignal());
+		using signals = combineSignals(this.job.startSignal, isFirst ? undefined : this.#race.silenceSignal());
 		const placement = await scheduler.placePlain({...this.demand, signal: signals.signal});
 		if (!isPlaced(placement)) {
 			return () => this.refusePlacement(placement);
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -75,7 +75,7 @@
 				return placement.reason === 'overloaded' ? {kind: 'refused', refusal: placement} : {kind: 'unread'};
 			}
 
-			if (this.job.signal.aborted || !this.reserveSend()) {
+			if (this.job.startSignal.aborted || !this.reserveSend()) {
 				placement.release({kind: 'cancelled', elapsedMs: 0});
 				return {kind: 'unread'};
 			}
@@ -201,7 +201,7 @@
 		}
 
 		const isFirst = this.#race.size === 0;
-		using signals = combineSignals(this.job.signal, isFirst ? undefined : this.#race.silenceSignal());
+		using signals = combineSignals(this.job.startSignal, isFirst ? undefined : this.#race.silenceSignal());
 		const {signal} = signals;
 		// The upstream of a run in progress may have fetched the prompt.
 		const prompt = isFirst ? this.#prompt : undefined;
@@ -307,7 +307,7 @@
 					return this.createResult('callerGone', 'the caller disconnected');
 				}
 
-				const mayRetry = job.route.isResumable && this.possibleRuns < job.route.attemptLimit && !job.signal.aborted && this.remainingMs >= minResumeTimeMs;
+				const mayRetry = job.route.isResumable && this.possibleRuns < job.route.attemptLimit && !job.startSignal.aborted && this.remainingMs >= minResumeTimeMs;
 				return mayRetry ? undefined : this.#finishFailed(result);
 			}
 		}
