Drop single items of the host list that cannot be used, instead of the whole list

Seen by operators: one item of the host list (product's own interface) with an unknown kind or without labels made each read of the list fail, so that daemons no longer followed it. A port out of range was accepted.

Cause: the document was validated as a whole, and addresses were not validated.

Change: each group and each address is validated by itself; those that cannot be used are dropped, and their number is logged whenever it changes. A list of which no item can be used is still a failure, so that the previous one stays in use.

--- a/src/ports/host-list.ts
+++ b/src/ports/host-list.ts
@@ -1,6 +1,7 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {request} from 'undici';
 import {z} from 'zod';
+import {isHostAddress} from '../process/address.ts';
 
 /** State of a host in the list. */
 export type HostState = 'live' | 'leaving';
@@ -22,6 +23,11 @@
 
 /** List of live and leaving hosts; it may lag behind the actual state. */
 export abstract class HostList {
+	/** Items of the last list that were dropped, because they cannot be used. */
+	get droppedItems(): number {
+		return 0;
+	}
+
 	/** Reads the list; a failure is an error message. */
 	abstract read(): Promise<Either<string, readonly Host[]>>;
 }
@@ -29,7 +35,9 @@
 const readTimeoutMs = 2000;
 const notModified = 304;
 
-const targetGroupsSchema = z.array(z.object({
+const documentSchema = z.array(z.unknown());
+
+const targetGroupSchema = z.object({
 	targets: z.array(z.string()),
 	labels: z.object({
 		kind: z.enum(['daemon', 'engine', 'service']),
@@ -39,21 +47,29 @@
 		serves: z.string().default(''),
 		fencing: z.enum(['enforced', 'ignored']).default('ignored'),
 	}),
-}));
+});
 
 /** Hosts of the last read, with the ETag for conditional requests. */
 type CachedHosts = {readonly etag: string; readonly hosts: readonly Host[]};
 
+/** Hosts of a list, and the number of its items that cannot be used. */
+type ParsedHosts = {readonly hosts: readonly Host[]; readonly droppedItems: number};
+
 /** Host list in the JSON format of Prometheus HTTP service discovery; an unchanged list is not transferred again. */
 export class HttpHostList extends HostList {
 	readonly #url: string;
 	#cached: CachedHosts | undefined;
+	#droppedItems = 0;
 
 	constructor(url: string) {
 		super();
 		this.#url = url;
 	}
 
+	override get droppedItems(): number {
+		return this.#droppedItems;
+	}
+
 	async read(): Promise<Either<string, readonly Host[]>> {
 		try {
 			const response = await request(this.#url, {
@@ -65,7 +81,12 @@
 				return Right(this.#cached.hosts);
 			}
 
-			const hosts = parseHosts(await response.body.json());
+			const {hosts, droppedItems} = parseHosts(await response.body.json());
+			this.#droppedItems = droppedItems;
+			if (hosts.length === 0 && droppedItems > 0) {
+				return Left('no item of the host list can be used');
+			}
+
 			const etag = response.headers.etag?.toString();
 			this.#cached = etag === undefined ? undefined : {etag, hosts};
 			return Right(hosts);
@@ -75,14 +96,24 @@
 	}
 }
 
-function parseHosts(document: unknown): readonly Host[] {
-	return targetGroupsSchema.parse(document).flatMap(group => group.targets.map(address => ({
-		kind: group.labels.kind,
+/** Drops each item that cannot be used by itself, because one of them must not keep the others from being followed. */
+function parseHosts(document: unknown): ParsedHosts {
+	const items = documentSchema.parse(document).flatMap((item): ReadonlyArray<Host | undefined> => {
+		const {data: group} = targetGroupSchema.safeParse(item);
+		return group === undefined ? [undefined] : group.targets.map(address => isHostAddress(address) ? toHost(address, group.labels) : undefined);
+	});
+	const hosts = items.filter(host => host !== undefined);
+	return {hosts, droppedItems: items.length - hosts.length};
+}
+
+function toHost(address: string, labels: z.infer<typeof targetGroupSchema>['labels']): Host {
+	return {
+		kind: labels.kind,
 		address,
-		id: group.labels.id,
-		availabilityZone: group.labels.availability_zone,
-		state: group.labels.state,
-		serves: group.labels.serves,
-		enforcesFencing: group.labels.fencing === 'enforced',
-	})));
+		id: labels.id,
+		availabilityZone: labels.availability_zone,
+		state: labels.state,
+		serves: labels.serves,
+		enforcesFencing: labels.fencing === 'enforced',
+	};
 }
--- a/src/process/host-list-poller.ts
+++ b/src/process/host-list-poller.ts
@@ -17,6 +17,7 @@
 	readonly #listeners: Array<(hosts: readonly Host[]) => void> = [];
 	#readAt: number | undefined;
 	#isReading = false;
+	#loggedDrops = 0;
 
 	constructor(log: Log, list: HostList) {
 		super(log);
@@ -61,6 +62,15 @@
 		}
 	}
 
+	/** Logs items that cannot be used whenever their number changes; an unchanged list is read every second. */
+	#logDroppedItems(): void {
+		const {droppedItems} = this.#list;
+		if (droppedItems !== this.#loggedDrops) {
+			this.#loggedDrops = droppedItems;
+			this.log.warn('Dropped items of the host list that cannot be used.', {items: droppedItems});
+		}
+	}
+
 	/** Ignores an empty list after a non-empty one: it is a fault of the list, as a deployment does not lose all hosts at once. */
 	#update(hosts: readonly Host[]): void {
 		if (hosts.length === 0 && this.#hosts.length > 0) {
@@ -83,6 +93,7 @@
 		this.#isReading = true;
 		const result = await this.#list.read();
 		this.#isReading = false;
+		this.#logDroppedItems();
 		result.caseOf({
 			Left: message => {
 				this.post({kind: 'failed', message});
