Apply the entries of an upstream again after another writer's with a far larger heartbeat

Cause: the registry ignores entries with a lower heartbeat than the last one, since a page of the list may arrive late.

Change: an ignored heartbeat is remembered, and an entry that exceeds the highest one ignored is applied. A late page holds one entry of each upstream, so only an upstream that goes on writing brings a second, higher one.

Before, the tests printed:

uses the entries of an upstream again: expected '127.0.0.1:9' to be '127.0.0.1:1' restores a removed upstream that keeps writing: expected [] to deeply equal [ 'u-1' ]

Both pass now, as does a third that guards the other direction (it passed before, too), and the tests of the fleet daemon.

--- a/src/process/fleet/upstream-registry.ts
+++ b/src/process/fleet/upstream-registry.ts
@@ -24,6 +24,8 @@
 	readonly #servingByService = new Map<string, readonly Upstream[]>();
 	/** Last entry of each removed upstream, so that a late entry does not restore it. */
 	readonly #removed = new Map<string, Upstream>();
+	/** Highest heartbeat of the entries that were ignored as late since the last one that was applied. */
+	readonly #lateHeartbeats = new Map<string, number>();
 	#isStoreLost = false;
 	#storeRecoveredAt = Number.NEGATIVE_INFINITY;
 
@@ -79,10 +81,12 @@
 		const current = this.#entries.get(id)?.upstream;
 		const lastSeen = current ?? this.#removed.get(id);
 		const isSameStart = lastSeen !== undefined && lastSeen.startedAt === entry.startedAt;
-		if (isSameStart && (entry.heartbeatCount < lastSeen.heartbeatCount || (current === undefined && (lastSeen.isDraining || entry.heartbeatCount === lastSeen.heartbeatCount)))) {
+		if (isSameStart && ((current === undefined && (lastSeen.isDraining || entry.heartbeatCount === lastSeen.heartbeatCount)) || this.#isLate(entry, lastSeen))) {
 			return [];
 		}
 
+		this.#lateHeartbeats.delete(id);
+
 		const upstream = isSameStart && lastSeen.isDraining ? {...entry, isDraining: true} : entry;
 		this.#entries.set(id, {upstream, expiresAt: undefined});
 		this.#removed.delete(id);
@@ -142,6 +146,22 @@
 		return [...this.#entries.values()].flatMap(({upstream, expiresAt}) => expiresAt !== undefined && now >= expiresAt ? this.#removeNow(upstream) : []);
 	}
 
+	/**
+	Returns true for an entry that is older than the last one of the same start.
+
+	A page of the list that arrives late holds one entry of each upstream, so an upstream whose heartbeats go on below the last one
+	writes now, and the last one came from another writer.
+	*/
+	#isLate({id, heartbeatCount}: Upstream, lastSeen: Upstream): boolean {
+		const latest = this.#lateHeartbeats.get(id);
+		if (heartbeatCount >= lastSeen.heartbeatCount || (latest !== undefined && heartbeatCount > latest)) {
+			return false;
+		}
+
+		this.#lateHeartbeats.set(id, latest ?? heartbeatCount);
+		return true;
+	}
+
 	#removeNow(upstream: Upstream): readonly RegistryEvent[] {
 		this.#entries.delete(upstream.id);
 		this.#servingByService.clear();
@@ -149,6 +169,7 @@
 		const [oldest] = this.#removed.keys();
 		if (this.#removed.size > maxRemovedUpstreams && oldest !== undefined) {
 			this.#removed.delete(oldest);
+			this.#lateHeartbeats.delete(oldest);
 		}
 
 		return [{kind: 'gone', upstream}];
--- a/test/process/fleet/upstream-registry.test.ts
+++ b/test/process/fleet/upstream-registry.test.ts
@@ -24,6 +24,38 @@
 		expect(listServing(registry)).toEqual([]);
 	});
 
+	// Guards against an entry of another writer under a real id, after which the entries of the upstream itself were ignored until its restart.
+	test('uses the entries of an upstream again after one with a far larger heartbeat, once two of them have followed', () => {
+		const registry = new UpstreamRegistry();
+		registry.set(createUpstream({heartbeatCount: 5}));
+		registry.set(createUpstream({heartbeatCount: Number.MAX_SAFE_INTEGER, address: '127.0.0.1:9'}));
+		registry.set(createUpstream({heartbeatCount: 6}));
+		registry.set(createUpstream({heartbeatCount: 7}));
+		expect(registry.get('u-1')?.address).toBe('127.0.0.1:1');
+		registry.set(createUpstream({heartbeatCount: 8, isDraining: true}));
+		expect(listServing(registry)).toEqual([]);
+	});
+
+	test('restores a removed upstream that keeps writing after one entry with a far larger heartbeat', () => {
+		const registry = new UpstreamRegistry();
+		registry.set(createUpstream({heartbeatCount: Number.MAX_SAFE_INTEGER}));
+		registry.remove('u-1', 10_000);
+		registry.set(createUpstream({heartbeatCount: 6}));
+		expect(listServing(registry)).toEqual([]);
+		registry.set(createUpstream({heartbeatCount: 7}));
+		expect(listServing(registry)).toEqual(['u-1']);
+	});
+
+	test('is not taken back to an older state by one late entry, however often it arrives', () => {
+		const registry = new UpstreamRegistry();
+		registry.set(createUpstream({heartbeatCount: 9, stage: 'prefill'}));
+		for (const heartbeatCount of [7, 7, 6, 7]) {
+			registry.set(createUpstream({heartbeatCount, stage: 'decode'}));
+		}
+
+		expect(registry.get('u-1')?.stage).toBe('prefill');
+	});
+
 	test('does not restore a removed upstream because of a late entry', () => {
 		const registry = new UpstreamRegistry();
 		registry.set(createUpstream({heartbeatCount: 5}));
