Catch errors of the call that releases a prompt

What would happen: an error thrown while the release of a prompt is sent had nobody to receive it, and an unhandled rejection ends the process with all its requests.

Change: the call is awaited in a method of its own, which logs an error.

--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -269,13 +269,22 @@
 			return;
 		}
 
-		const {upstreamClients, protocol, backpressure} = this.dependencies;
-		backpressure.count(prompt.source.id);
-		void callUpstream({
-			upstreamClients, protocol, upstream: prompt.source, wire: protocol.encodeReleaseRequest(prompt.source, prompt.handle), timeoutMs: 1000,
-		});
+		this.dependencies.backpressure.count(prompt.source.id);
+		void this.#sendRelease(prompt);
 		this.log('prompt.released', {upstream: prompt.source.id});
 	}
+
+	/** Nothing waits for this call; an error that left it would end the process. */
+	async #sendRelease({source, handle}: PrefilledPrompt): Promise<void> {
+		const {upstreamClients, protocol} = this.dependencies;
+		try {
+			await callUpstream({
+				upstreamClients, protocol, upstream: source, wire: protocol.encodeReleaseRequest(source, handle), timeoutMs: 1000,
+			});
+		} catch (error) {
+			this.log('request.crashed', {cause: error instanceof Error ? error.stack : String(error)});
+		}
+	}
 }
 
 function toAttemptResult({kind, isFramed, isConnectionLost, mayHaveRun}: StreamRunResult): AttemptResult {
