--- a/scripts/check-mutations.ts
+++ b/scripts/check-mutations.ts
@@ -8,7 +8,7 @@
 import process from 'node:process';
 import {mutations, type Mutation} from '../test/mutations.ts';
 
-const copiedPaths = ['src', 'test', 'bench', 'package.json', 'tsconfig.json', 'vitest.config.ts', 'KNOWN-RED.txt'];
+const copiedPaths = ['src', 'test', 'bench', 'platform', 'package.json', 'tsconfig.json', 'vitest.config.ts', 'KNOWN-RED.txt'];
 const vitest = 'node_modules/vitest/vitest.mjs';
 const filter = process.argv[2] ?? '';
 
--- a/test/mutations.ts
+++ b/test/mutations.ts
@@ -14,6 +14,8 @@
 const schedules = ['test/process/membership/membership-schedules.test.ts'];
 const connections = ['test/connection/silent-connections.test.ts'];
 const lifecycle = ['test/process/lifecycle.test.ts'];
+const requestModel = ['test/process/fleet/request-model.test.ts'];
+const openRequest = 'src/request/open-request.ts';
 const folder = 'src/process/membership';
 
 /** Mutations of the membership, the leaving marks, the connection pool and the lifecycle. */
@@ -193,4 +195,46 @@
 		to: 'server.closeAllConnections();',
 		tests: lifecycle,
 	},
+	{
+		guard: 'open request: send that has not ended',
+		file: openRequest,
+		from: 'this.#openSends > 0 ||',
+		to: '',
+		tests: requestModel,
+	},
+	{
+		guard: 'open request: ended send that may have run',
+		file: openRequest,
+		from: '+= mayHaveRun ? 1 : 0;',
+		to: '+= mayHaveRun ? 0 : 0;',
+		tests: requestModel,
+	},
+	{
+		guard: 'open request: no send after the end',
+		file: openRequest,
+		from: 'if (this.#outcome !== undefined) {\n\t\t\treturn false;',
+		to: 'if (this.#outcome === \'connectionClosing\') {\n\t\t\treturn false;',
+		tests: requestModel,
+	},
+	{
+		guard: 'open request: visible cut',
+		file: openRequest,
+		from: 'this.#answer.abort();',
+		to: '',
+		tests: requestModel,
+	},
+	{
+		guard: 'open request: overdue delivery',
+		file: 'src/process/fleet/route-request-handler.ts',
+		from: 'const overdueMs = 200;',
+		to: 'const overdueMs = 2000;',
+		tests: requestModel,
+	},
+	{
+		guard: 'open request: answer after a fault',
+		file: 'src/process/fleet/route-request-handler.ts',
+		from: 'open[Symbol.dispose]();',
+		to: 'response.destroy();',
+		tests: requestModel,
+	},
 ];
