Read waiting requests before a stop closes its connections

Cause: after a pause the event loop runs due timers before it reads sockets. The poll of the shutdown saw no request in flight and closed the listener and the idle connections, with requests unread on them.

Change: once nothing seems to be in flight, the event loop first accepts and reads what waits, and the condition is checked again. The test prints "expected '' to match /^HTTP/1.1 (?:200|503) /" without the change, and passes.

--- a/src/process/fleet/route-request-handler.ts
+++ b/src/process/fleet/route-request-handler.ts
@@ -1,6 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {setImmediate} from 'node:timers/promises';
 import type {Either} from 'purify-ts';
 import type {ClosedConnection} from '../../connection/caller-server.ts';
 import {CallerAnswer} from '../../connection/links/caller-answer.ts';
@@ -19,6 +18,7 @@
 import {readBody, type RequestBody} from '../../request/request-body.ts';
 import type {Route} from '../../version/routes/route-configuration.ts';
 import {chooseTarget, type RouteTable} from '../../version/routes/route-table.ts';
+import {readPendingEvents} from '../pending-events.ts';
 import type {Random} from '../random.ts';
 import type {FleetMetrics} from './fleet-metrics.ts';
 import type {RouteDurations} from './route-durations.ts';
@@ -302,6 +302,7 @@
 		});
 		using _caller = cancelOnDisconnect(message, response, controller);
 		using _deadline = cancelOnDeadline(Math.max(0, deadlineAt - dependencies.clock.now()), controller);
+		// A caller may have closed its connection before the daemon read its request; the end of the connection is read after the request.
 		await readPendingEvents();
 		dependencies.retryBudget.earn(service, dependencies.clock.now());
 		const job: DeliveryJob = {
@@ -459,17 +460,6 @@
 	};
 }
 
-/**
-Resolves after the event loop has read all sockets once more.
-
-A caller may have closed its connection before the daemon read its request; the end of the connection is read after the request.
-*/
-async function readPendingEvents(): Promise<void> {
-	// The first call ends the current iteration of the event loop, the second one the next, which reads the sockets.
-	await setImmediate();
-	await setImmediate();
-}
-
 /** Resolves once the response has been handed to the operating system or its connection has closed; at once if the response was never ended. */
 async function waitUntilSent(response: ServerResponse): Promise<void> {
 	if (response.writableFinished || response.destroyed || !response.writableEnded) {
--- a/src/process/fleet/shutdown.ts
+++ b/src/process/fleet/shutdown.ts
@@ -1,5 +1,6 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import type {Clock} from '../clock.ts';
+import {readPendingEvents} from '../pending-events.ts';
 import type {DecisionLog} from './decision-log.ts';
 import {canEndBeforeExit, type RequestTimes, type StopTimes} from './stop-schedule.ts';
 
@@ -105,6 +106,11 @@
 				this.#requests.endAll();
 			}
 
+			if (isMet(passedMs)) {
+				// If the process stood still, requests may wait that have not been read.
+				await readPendingEvents(3);
+			}
+
 			if (isMet(passedMs) || passedMs >= this.#times.exitMs) {
 				return;
 			}
--- a/test/process/fleet/planned-stop.test.ts
+++ b/test/process/fleet/planned-stop.test.ts
@@ -1,6 +1,6 @@
 import {Agent, request} from 'node:http';
 import {connect} from 'node:net';
-import {setTimeout as delay} from 'node:timers/promises';
+import {setImmediate, setTimeout as delay} from 'node:timers/promises';
 import {describe, expect, test} from 'vitest';
 import {FleetFixture} from '../../fixtures/fleet/fleet-fixture.ts';
 
@@ -214,3 +214,31 @@
 	});
 	socket.destroy();
 }, 15_000);
+
+test('a daemon that stood still at the end of its stop answers what it has not read yet', async () => {
+	await using fleet = new FleetFixture();
+	await fleet.start([{id: 'u-1'}], {graceMs: 6000, configuration});
+	const [host, port] = fleet.callerAddress.split(':');
+	const socket = connect({host: host!, port: Number(port)});
+	let received = '';
+	socket.setEncoding('utf8').on('data', (text: string) => {
+		received += text;
+	});
+	socket.on('error', () => undefined);
+	const head = 'POST /book/1 HTTP/1.1\r\nhost: a.example\r\nx-deadline-ms: 1000\r\ncontent-length: 1\r\nx-request-id: ';
+	socket.write(`${head}before\r\n\r\nx`);
+	await fleet.waitUntil(() => received.includes('HTTP/1.1 200'));
+	const startedAt = performance.now();
+	const stopped = fleet.stopDaemons();
+	await delay(2570);
+	// The timers of the next iteration of the event loop run before it reads the socket.
+	await setImmediate();
+	received = '';
+	socket.write(`${head}late\r\n\r\nx`);
+	while (performance.now() - startedAt < 2800) {
+		// The daemon runs in this process and stands still as well.
+	}
+
+	await stopped;
+	expect(received).toMatch(/^HTTP\/1\.1 (?:200|503) /v);
+});
