--- a/review/stand-ins/replica.mjs
+++ b/review/stand-ins/replica.mjs
@@ -14,6 +14,8 @@
 	arrivals = [];
 	/** Returns bytes that the replica sends instead of its answer to a request, or undefined. */
 	spoil = () => undefined;
+	/** Returns a status with which the replica fails a request that it has run, or undefined. */
+	failWith = () => undefined;
 	/** Called when the replica begins to run a request; returns true if the request crashes it. */
 	crashes = () => false;
 	/** Called with a replica that a request has crashed. */
@@ -135,6 +137,14 @@
 			return;
 		}
 
+		const failureStatus = this.failWith();
+		if (failureStatus !== undefined) {
+			arrival.outcome = `failed with ${failureStatus}`;
+			response.writeHead(failureStatus, {...headers, 'x-response-seal': `seal.${this.id}.${id}`, 'content-type': 'text/plain'});
+			response.end('failed');
+			return;
+		}
+
 		arrival.outcome = 'answered';
 		response.writeHead(200, {
 			...headers, 'x-server-load': this.#load, 'x-response-seal': `seal.${this.id}.${id}`, 'content-type': 'text/plain',
