--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -68,6 +68,11 @@
 		});
 	}
 
+	/** The process is not started again after its next end. */
+	expectEnd() {
+		this.#isStopped = true;
+	}
+
 	signal(name) {
 		this.#child.kill(name);
 	}
@@ -129,7 +134,7 @@
 }
 
 /** Sends one request on a new connection; resolves with the status (0 without a complete answer), the times and the body. */
-export async function send({address, path: target, method = 'GET', id = '', host = '', deadlineMs, body, timeoutMs = 10_000}) {
+export async function send({address, path: target, method = 'GET', id = '', host = '', deadlineMs, headers = {}, body, timeoutMs = 10_000}) {
 	const sentAt = performance.now();
 	return new Promise(resolve => {
 		const finish = result => {
@@ -146,7 +151,9 @@
 			method,
 			agent: false,
 			timeout: timeoutMs,
-			headers: {host, 'x-request-id': id, ...(deadlineMs === undefined ? {} : {'x-deadline-ms': String(deadlineMs)})},
+			headers: {
+				host, 'x-request-id': id, ...(deadlineMs === undefined ? {} : {'x-deadline-ms': String(deadlineMs)}), ...headers,
+			},
 		}, response => {
 			let text = '';
 			response.setEncoding('utf8').on('data', chunk => {
