Make failed assertions of libraries cheap in the bundled daemon

Cause: the HTTP client fails an assertion that has no message. For that, Node.js 20 reads the source file back and parses it from the start of the line to quote the condition; the bundle has no white space, so that the line holds most of the program, and the event loop stands still.

Ruled out: the size of the file or its white space, which stay as they are.

Change: both builds replace node:assert by one that always gives a message. It covers each assertion of each library in the bundle.

--- a/scripts/build-daemon.ts
+++ b/scripts/build-daemon.ts
@@ -6,6 +6,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {build} from 'esbuild';
+import {cheapAssertions} from './bundle/cheap-assertions.ts';
 
 const outfile = process.argv[2] ?? 'target/wagtailtack-daemon.cjs';
 
@@ -19,5 +20,6 @@
 	outfile,
 	minifySyntax: true,
 	minifyWhitespace: true,
+	plugins: [cheapAssertions],
 	logLevel: 'error',
 });
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -7,6 +7,7 @@
 } from 'node:fs';
 import process from 'node:process';
 import {build} from 'esbuild';
+import {cheapAssertions} from './bundle/cheap-assertions.ts';
 
 const fuse = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
 const executable = 'dist/wagtailtack';
@@ -22,6 +23,7 @@
 	// The yargs package resolves its locale files from import.meta.url, which CommonJS lacks.
 	define: {'import.meta.url': 'importMetaUrl', builtVersion: JSON.stringify(describeVersion())},
 	banner: {js: 'const importMetaUrl = require(\'node:url\').pathToFileURL(__filename).href;'},
+	plugins: [cheapAssertions],
 	logLevel: 'error',
 });
 writeFileSync('dist/sea.json', JSON.stringify({
--- a/test/process/fleet/daemon-process.test.ts
+++ b/test/process/fleet/daemon-process.test.ts
@@ -11,6 +11,7 @@
 import {StoreServer} from '../../fixtures/fleet/store-server.ts';
 import {UpstreamServer} from '../../fixtures/fleet/upstream-server.ts';
 import {chooseFreePorts} from '../../fixtures/free-ports.ts';
+import {createRawUpstream} from '../../request/upstream-fixture.ts';
 
 /** The built daemon in a separate process, with a store and one upstream. */
 class DaemonFixture implements AsyncDisposable {
@@ -19,10 +20,11 @@
 	process!: DaemonProcess;
 	ports!: DaemonPorts;
 
-	async start(bundle: string): Promise<void> {
+	/** `entry` overrides fields of the upstream's row. */
+	async start(bundle: string, entry: Readonly<Record<string, unknown>> = {}): Promise<void> {
 		await this.store.start();
 		await this.upstream.start();
-		this.store.put('servers', 'u-1', this.upstream.entry());
+		this.store.put('servers', 'u-1', this.upstream.entry(entry));
 		this.store.put('op', 'config', createOperatorConfiguration());
 		this.ports = toDaemonPorts(await chooseFreePorts(portsPerDaemon));
 		this.process = new DaemonProcess({
@@ -66,6 +68,36 @@
 	return promise;
 }
 
+async function sendLater(port: number, target: string, delayMs: number): Promise<number> {
+	await delay(delayMs);
+	return sendRequest(port, target);
+}
+
+/** Longest time between two answers of the readiness endpoint, which is asked all the time until `end` resolves, in milliseconds. */
+async function measureStandstill(port: number, end: Promise<unknown>): Promise<number> {
+	const controller = new AbortController();
+	const stop = () => {
+		controller.abort();
+	};
+
+	void end.then(stop, stop);
+	let longestMs = 0;
+	let answeredAt = performance.now();
+	while (!controller.signal.aborted) {
+		await sendRequest(port, '/api/ready');
+		longestMs = Math.max(longestMs, performance.now() - answeredAt);
+		answeredAt = performance.now();
+		await delay(5);
+	}
+
+	return longestMs;
+}
+
+/** A request must have its answer within half a second of its timeout, in milliseconds. */
+const maxStandstillMs = 500;
+/** Bytes that are no answer and make the HTTP client fail an assertion. */
+const assertingAnswers = ['HTTP/1.1 073 \r\nContent-Length: 4\r\n\r\nZ%q{', 'HTTP/1.1 000 \r\n\r\nZ%q{'];
+
 describe('daemon process', () => {
 	let bundle = '';
 	beforeAll(() => {
@@ -121,6 +153,19 @@
 		expect(second.output).toContain('EADDRINUSE');
 	}, 10_000);
 
+	// Guards against an assertion that stops the event loop: Node.js 20 parses the bundle to quote the condition, which takes seconds.
+	test.each(assertingAnswers)('goes on serving when an answer makes the HTTP client fail an assertion: %j', async answer => {
+		await using daemon = new DaemonFixture();
+		await using faulty = await createRawUpstream('faulty', socket => {
+			socket.write(answer);
+		});
+		await daemon.start(bundle, {address: faulty.host.address});
+		await daemon.waitUntilReady();
+		const status = sendLater(daemon.ports.callers, '/book/1', 100);
+		expect(await measureStandstill(daemon.ports.readiness, Promise.all([status, delay(1000)]))).toBeLessThan(maxStandstillMs);
+		expect(await status).toBe(502);
+	}, 40_000);
+
 	test('reloads its settings on SIGHUP while it serves requests, and exposes metrics', async () => {
 		await using daemon = new DaemonFixture();
 		await daemon.start(bundle);
