Keep what is known of crashes in the store, on both ways of running

Cause: on the platform, crashes and condemned requests were only in the memory of daemons. The own interface stored condemnations, but not the crashes before them, so that a request that crashes one upstream in each life of the daemons never counted as a repeated one.

Change: CrashMemoryTask keeps crashes, condemned requests and prompt parts in one row of the table and replaces CrashRowTask. Each daemon reads it when it starts; the first daemons by rank merge and write it. What has been cleared since is not read back.

--- a/src/process/crashes/crash-attribution.ts
+++ b/src/process/crashes/crash-attribution.ts
@@ -1,5 +1,6 @@
 import type {RequestIdentity} from '../../request/request-identity.ts';
 import {CrashHistory, type CrashHistoryGuards, type SuspicionStatus} from './crash-history.ts';
+import {limitCrashMemory, type CrashMemory} from './crash-memory.ts';
 import {CrashRecords} from './crash-records.ts';
 import {condemnationDelayMs, refusalDurationMs} from './crash-timing.ts';
 import {PromptPartHistory, type CondemnedParts, type PartRestriction} from './prompt-part-history.ts';
@@ -98,12 +99,20 @@
 	/** Position from which the next repetition of suspicions goes on. */
 	#rotation = 0;
 	#evaluatedAt = Number.NEGATIVE_INFINITY;
+	/** Time at which each condemnation was lifted; older ones may still be stored. */
+	readonly #liftedAt = new Map<string, number>();
+	#memoryRevision = 0;
 
 	constructor(guards: CrashAttributionGuards = allCrashAttributionGuards) {
 		this.#guards = guards;
 		this.#history = new CrashHistory(guards, this.#records, this.#parts);
 	}
 
+	/** Changes whenever `remember` may return something else, but for the passing of time. */
+	get memoryRevision(): number {
+		return this.#memoryRevision + this.#records.revision;
+	}
+
 	/** Records the start of an attempt. */
 	attemptStarted(attemptId: number, attempt: InFlightAttempt): void {
 		this.#parts.recordRequest(attempt.promptParts);
@@ -170,6 +179,12 @@
 			}
 		}
 
+		for (const [fingerprint, at] of this.#liftedAt) {
+			if (now - at >= completedTtlMs) {
+				this.#liftedAt.delete(fingerprint);
+			}
+		}
+
 		for (const [upstream, at] of this.#refusedAt) {
 			if (now - at >= lateLossMs) {
 				this.#refusedAt.delete(upstream);
@@ -254,6 +269,7 @@
 			}
 		}
 
+		this.#memoryRevision += 1;
 		this.#hasUnevaluatedNews = true;
 		this.#evaluateNews(now);
 	}
@@ -289,6 +305,48 @@
 		return status === 'suspect' || (minSuspects === 0 && leastSuspects.length * 2 >= candidates.length) ? leastSuspects : candidates;
 	}
 
+	/** Returns what is known of crashes, for daemons that start after all present ones have ended. */
+	remember(now: number): CrashMemory {
+		const crashes = this.#records.all.map(({upstream, at, requests}) => {
+			const ordered = this.#orderBySuspicion([...requests].map(([fingerprint, promptParts]) => ({fingerprint, promptParts})));
+			return {
+				upstream,
+				ageMs: now - at,
+				suspicions: Math.max(...ordered.map(request => this.#countSuspicions(request))),
+				requests: ordered.slice(0, maxReportedRequests).map(request => this.#selectSuspects(request)),
+			};
+		});
+		return limitCrashMemory({
+			crashes: crashes
+				.toSorted((a, b) => b.suspicions - a.suspicions || a.ageMs - b.ageMs)
+				.map(({upstream, ageMs, requests}) => ({upstream, ageMs, requests})),
+			condemned: this.#history.condemned(now, false),
+			parts: this.#parts.condemned(now, false),
+		});
+	}
+
+	/** Adds what daemons knew of crashes that may have ended since; what has been cleared meanwhile is left out. */
+	recall({crashes, condemned, parts}: CrashMemory, now: number): void {
+		for (const {upstream, ageMs, requests} of crashes) {
+			for (const request of requests.filter(({fingerprint}) => !this.#hasCompleted(fingerprint, now))) {
+				this.#records.addRemembered(upstream, now - ageMs, request);
+			}
+		}
+
+		for (const {fingerprint, refusedForMs} of condemned) {
+			const wasLifted = now - (this.#liftedAt.get(fingerprint) ?? Number.NEGATIVE_INFINITY) < completedTtlMs;
+			if (!wasLifted && !this.#hasCompleted(fingerprint, now) && !this.#history.isCondemned(fingerprint)) {
+				this.applyNews({kind: 'condemned', fingerprint, refusedForMs}, now);
+			}
+		}
+
+		for (const entry of parts) {
+			this.applyNews({kind: 'partsCondemned', ...entry}, now);
+		}
+
+		this.#evaluate(now);
+	}
+
 	/** Returns and removes the news for other daemons that has accumulated since the last call. */
 	takeNews(): readonly CrashNews[] {
 		const news = this.#news;
@@ -432,6 +490,7 @@
 		this.#evaluatedAt = now;
 		this.#records.expire(now);
 		for (const parts of this.#parts.evaluate(now, fingerprint => this.#history.isCondemned(fingerprint))) {
+			this.#memoryRevision += 1;
 			this.#news.push({kind: 'partsCondemned', ...parts});
 		}
 
@@ -441,6 +500,12 @@
 			this.#news.push({kind: 'condemned', fingerprint, refusedForMs: refusalDurationMs});
 		}
 
+		this.#memoryRevision += condemned.length + lifted.length;
+		for (const fingerprint of lifted) {
+			this.#liftedAt.set(fingerprint, now);
+			this.#history.removePeerRefusal(fingerprint);
+		}
+
 		for (const fingerprint of lifted.filter(candidate => this.#history.hasLocalCrash(candidate))) {
 			this.#news.push({kind: 'cleared', fingerprint});
 		}
@@ -462,6 +527,7 @@
 
 	#announceCleared(promptParts: readonly string[]): void {
 		if (promptParts.length > 0) {
+			this.#memoryRevision += 1;
 			this.#news.push({kind: 'partsCleared', promptParts});
 		}
 	}
--- a/src/process/crashes/crash-monitor.ts
+++ b/src/process/crashes/crash-monitor.ts
@@ -4,6 +4,7 @@
 import {
 	CrashAttribution, type AttemptResult, type CrashNews, type DownEvidence,
 } from './crash-attribution.ts';
+import type {CrashMemory} from './crash-memory.ts';
 import type {InFlightAttempt} from './in-flight-attempts.ts';
 import type {SuspicionStatus} from './crash-history.ts';
 import type {PartRestriction} from './prompt-part-history.ts';
@@ -133,6 +134,22 @@
 		return this.#attribution.repeatNews(this.#now(), isRelay);
 	}
 
+	/** Changes whenever `remember` may return something else, but for the passing of time. */
+	get memoryRevision(): number {
+		return this.#attribution.memoryRevision;
+	}
+
+	/** Returns what is known of crashes, to be stored. */
+	remember(): CrashMemory {
+		return this.#attribution.remember(this.#now());
+	}
+
+	/** Adds what was stored of crashes, unless it has been cleared since. */
+	recall(memory: CrashMemory): void {
+		this.#attribution.recall(memory, this.#now());
+		this.#announceNews();
+	}
+
 	/** Checks whether an upstream that has lost a connection refuses new ones. */
 	async #check(upstream: string, address: string): Promise<void> {
 		if (this.#checked.has(upstream)) {
--- a/src/process/crashes/crash-records.ts
+++ b/src/process/crashes/crash-records.ts
@@ -15,6 +15,11 @@
 /** Reports about one upstream that lie no further apart than this are attributed to the same crash, in milliseconds. */
 const sameCrashWindowMs = 500;
 const maxCrashRecords = 300;
+/**
+The same for crashes that are read back from the store, in milliseconds: the clocks of the hosts that wrote them differ, and an
+upstream needs longer than this to restart and crash again under the same id.
+*/
+const rememberedCrashWindowMs = 5000;
 
 /** The latest crashes of upstreams, as observed here and as reported by peers. */
 export class CrashRecords {
@@ -40,15 +45,13 @@
 	}
 
 	/** Adds a request that a peer had in flight when an upstream crashed. */
-	addPeerReport(upstream: string, at: number, {fingerprint, promptParts}: RequestIdentity): void {
-		const known = this.#findNearest(upstream, at, () => true);
-		if (known?.requests.has(fingerprint) === true) {
-			return;
-		}
+	addPeerReport(upstream: string, at: number, request: RequestIdentity): void {
+		this.#addReport(upstream, at, request, sameCrashWindowMs);
+	}
 
-		this.#replace(known, {
-			upstream, at, isLocal: false, ...known, requests: new Map([[fingerprint, promptParts], ...known?.requests ?? []]),
-		});
+	/** Adds a request of a crash that was read back from the store. */
+	addRemembered(upstream: string, at: number, request: RequestIdentity): void {
+		this.#addReport(upstream, at, request, rememberedCrashWindowMs);
 	}
 
 	/** Removes a request from all crashes; a crash without requests is forgotten. */
@@ -70,9 +73,20 @@
 		this.#records = kept;
 	}
 
-	#findNearest(upstream: string, at: number, matches: (record: CrashRecord) => boolean): CrashRecord | undefined {
+	#addReport(upstream: string, at: number, {fingerprint, promptParts}: RequestIdentity, windowMs: number): void {
+		const known = this.#findNearest(upstream, at, () => true, windowMs);
+		if (known?.requests.has(fingerprint) === true) {
+			return;
+		}
+
+		this.#replace(known, {
+			upstream, at, isLocal: false, ...known, requests: new Map([[fingerprint, promptParts], ...known?.requests ?? []]),
+		});
+	}
+
+	#findNearest(upstream: string, at: number, matches: (record: CrashRecord) => boolean, windowMs = sameCrashWindowMs): CrashRecord | undefined {
 		return this.#records
-			.filter(record => record.upstream === upstream && Math.abs(record.at - at) <= sameCrashWindowMs && matches(record))
+			.filter(record => record.upstream === upstream && Math.abs(record.at - at) <= windowMs && matches(record))
 			.toSorted((a, b) => Math.abs(a.at - at) - Math.abs(b.at - at))[0];
 	}
 
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -14,6 +14,7 @@
 import {parseAddress} from '../address.ts';
 import {UpstreamBackpressure} from '../backpressure/upstream-backpressure.ts';
 import {SuspendAwareClock, SystemClock} from '../clock.ts';
+import {CrashMemoryTask} from '../crashes/crash-memory-task.ts';
 import {CrashMonitor} from '../crashes/crash-monitor.ts';
 import {LeaseTask} from '../lease/lease-task.ts';
 import {Log} from '../log.ts';
@@ -82,6 +83,7 @@
 	readonly #shutdown: Shutdown;
 	readonly #peers: PeerLink;
 	readonly #crashes: CrashMonitor;
+	readonly #crashMemory: CrashMemoryTask;
 	readonly #lease: LeaseTask;
 	readonly #controller: StageController;
 	readonly #metrics = new FleetMetrics();
@@ -165,6 +167,16 @@
 				this.#tables.accept(daemon, announcements);
 			},
 		});
+		this.#crashMemory = new CrashMemoryTask({
+			log: createTaskLog(log, 'crashes'),
+			table: platform.table,
+			clock,
+			monitor: this.#crashes,
+			rank: () => this.#peers.topology.relayRank(clock.now()),
+			// Datagrams repeat the news to daemons that miss it.
+			readIntervalMs: Number.POSITIVE_INFINITY,
+			now: () => Date.now(),
+		});
 		this.#scheduler = new FleetScheduler({
 			clock,
 			random: this.#random,
@@ -210,7 +222,7 @@
 		this.#shutdown = new Shutdown(clock, log, createStopTimes(settings.bounds.graceMs), this.#requestHandler);
 		const leaseClock = this.#suspendAwareClock;
 		this.#lease = new LeaseTask({
-			log: createTaskLog(log), table: platform.table, clock: leaseClock, daemon: settings.daemon.name, group: 'stages',
+			log: createTaskLog(log, 'lease'), table: platform.table, clock: leaseClock, daemon: settings.daemon.name, group: 'stages',
 		});
 		this.#controller = new StageController({
 			clock: leaseClock,
@@ -294,12 +306,12 @@
 		await listen(this.#rowServer, {host: daemon.host, port: addresses.peerPort});
 		this.#housekeepingTimer = setInterval(() => {
 			this.#upstreamClients.closeExpired();
-			this.#crashes.tick();
 			this.#applyRegistryEvents(this.#registry.expire(this.#clock.now()));
 			if (this.isReady) {
 				this.#controller.tick();
 			}
 		}, housekeepingIntervalMs);
+		this.#crashMemory.run();
 		await this.#peers.start();
 		this.#lease.run();
 	}
@@ -333,6 +345,7 @@
 		clearInterval(this.#housekeepingTimer);
 		await this.#peers[Symbol.asyncDispose]();
 		await this.#lease[Symbol.asyncDispose]();
+		await this.#crashMemory[Symbol.asyncDispose]();
 		await this.#options.platform.table[Symbol.asyncDispose]();
 		await this.#options.platform.feed[Symbol.asyncDispose]();
 		await this.#tables[Symbol.asyncDispose]();
@@ -404,7 +417,7 @@
 }
 
 /** Forwards the log lines of tasks to the decision log. */
-function createTaskLog(log: DecisionLog): Log {
+function createTaskLog(log: DecisionLog, component: string): Log {
 	const write = (message: string, fields: Readonly<Record<string, unknown>>) => {
 		log.write('task', {message, ...fields});
 	};
@@ -418,5 +431,5 @@
 		error(message, error, fields) {
 			write(message, {...fields, cause: error.message});
 		},
-	}, 'lease');
+	}, component);
 }
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -31,7 +31,7 @@
 import {groupedWrites, WriteBatcher} from './claims/write-batcher.ts';
 import {decodeCrashNews, encodeCrashNews} from './crashes/crash-news.ts';
 import {CrashMonitor, crashMessages} from './crashes/crash-monitor.ts';
-import {CrashRowTask} from './crashes/crash-row-task.ts';
+import {CrashMemoryTask} from './crashes/crash-memory-task.ts';
 import {UpstreamCrashRegistry} from './crashes/upstream-crash-registry.ts';
 import {parseAddress, type Address} from './address.ts';
 import {EngineGroupManager, type EngineGroupTimings} from './engine-group-manager.ts';
@@ -58,6 +58,9 @@
 import {createTraces} from './traces.ts';
 import {UpstreamDirectory} from './upstream-directory.ts';
 
+/** Interval at which daemons read what others have stored of crashes, in milliseconds; news may be lost on its way. */
+const crashMemoryReadIntervalMs = 30_000;
+
 /** A running daemon. */
 export type Daemon = AsyncDisposable & {
 	/** Address that callers connect to. */
@@ -412,7 +415,6 @@
 		clock,
 		announce(news) {
 			membership.announce(encodeCrashNews(news));
-			rows.record(news);
 		},
 		refusesConnections,
 		isServing: upstream => !membership.isLeaving(upstream),
@@ -420,16 +422,13 @@
 			crashLog.info(crashMessages[event], fields);
 		},
 	});
-	const rows = resources.use(new CrashRowTask({
+	const memory = resources.use(new CrashMemoryTask({
 		log: crashLog,
 		table,
-		applyNews(news) {
-			monitor.applyNews(news);
-		},
-		tick() {
-			monitor.tick();
-		},
-		isSweeper: () => membership.isAmongTopRanked('crashes', 1),
+		clock,
+		monitor,
+		rank: () => membership.isAmongTopRanked('crashes', 1) ? 0 : (membership.isAmongTopRanked('crashes', 2) ? 1 : Number.POSITIVE_INFINITY),
+		readIntervalMs: crashMemoryReadIntervalMs,
 		now: () => Date.now(),
 	}));
 	membership.subscribe(event => {
@@ -437,7 +436,7 @@
 			monitor.applyNews(decodeCrashNews(event.news.item.value));
 		}
 	});
-	rows.run();
+	memory.run();
 	return new UpstreamCrashRegistry(monitor);
 }
 
--- a/test/process/crashes/upstream-crash-registry.test.ts
+++ b/test/process/crashes/upstream-crash-registry.test.ts
@@ -7,15 +7,10 @@
 import {ManualClock} from '../../../src/process/clock.ts';
 import {decodeCrashNews, encodeCrashNews} from '../../../src/process/crashes/crash-news.ts';
 import {CrashMonitor} from '../../../src/process/crashes/crash-monitor.ts';
-import {CrashRowTask} from '../../../src/process/crashes/crash-row-task.ts';
 import type {CrashNews} from '../../../src/process/crashes/crash-attribution.ts';
 import {UpstreamCrashRegistry} from '../../../src/process/crashes/upstream-crash-registry.ts';
-import {createLog} from '../../../src/process/create-log.ts';
 import type {AttemptEnd, Attempt} from '../../../src/request/attempt-listener.ts';
 import type {RequestDemand} from '../../../src/request/request-demand.ts';
-import {MemoryTable} from '../../../src/stand-ins/platform/memory-table.ts';
-import {succeed} from '../../either.ts';
-import {FaultyTable, type CallFault} from '../../fixtures/faulty-table.ts';
 import {identify} from '../../fixtures/request-identity.ts';
 
 const demand: RequestDemand = {
@@ -101,75 +96,3 @@
 		expect(item.case === 'crashingRequest' && decodeCrashNews(create(CrashingRequestSchema, item.value))).toEqual(news);
 	});
 });
-
-describe('CrashRowTask', () => {
-	beforeEach(() => {
-		vi.useFakeTimers();
-	});
-
-	afterEach(() => {
-		vi.useRealTimers();
-	});
-
-	// Guards against a daemon that dispatches a condemned request because it started within the 10 minutes or missed the news.
-	it('passes a condemned request to a daemon that starts later, despite a store outage', async () => {
-		const table = new MemoryTable();
-		const faults: CallFault[] = ['unavailable', 'none', 'unavailable', 'lost-after'];
-		await using writer = createTask(new FaultyTable(table, () => faults.shift() ?? 'none'), []);
-		writer.record({kind: 'condemned', fingerprint: 'p', refusedForMs: 600_000});
-		await vi.advanceTimersByTimeAsync(5000);
-		expect(await succeed(table.query('crash'))).toHaveLength(1);
-		const learned: CrashNews[] = [];
-		await using reader = createTask(table, learned);
-		await vi.advanceTimersByTimeAsync(100);
-		expect(learned).toMatchObject([{kind: 'condemned', fingerprint: 'p'}]);
-		writer.record({kind: 'cleared', fingerprint: 'p'});
-		await vi.advanceTimersByTimeAsync(2000);
-		expect(await succeed(table.query('crash'))).toHaveLength(0);
-		expect(reader).toBeDefined();
-	});
-
-	// Guards against a daemon that starts later dispatching requests with a part that crashes engines.
-	it('passes condemned parts to a daemon that starts later, until one of them is in a complete answer', async () => {
-		const table = new MemoryTable();
-		await using writer = createTask(table, []);
-		writer.record({
-			kind: 'partsCondemned', promptParts: ['a', 'b'], refusedForMs: 600_000, firstCrashAgeMs: 4000,
-		});
-		await vi.advanceTimersByTimeAsync(2000);
-		const learned: CrashNews[] = [];
-		await using reader = createTask(table, learned);
-		await vi.advanceTimersByTimeAsync(100);
-		expect(learned).toMatchObject([{kind: 'partsCondemned', promptParts: ['a', 'b']}]);
-		reader.record({kind: 'partsCleared', promptParts: ['b']});
-		await vi.advanceTimersByTimeAsync(2000);
-		expect(await succeed(table.query('crash'))).toHaveLength(0);
-	});
-
-	it('deletes expired rows', async () => {
-		const table = new MemoryTable();
-		await table.write([{
-			kind: 'put', key: {partition: 'crash', sort: 'p'}, expected: 0, body: JSON.stringify({fingerprint: 'p', refusedUntil: 1}),
-		}]);
-		const learned: CrashNews[] = [];
-		await using task = createTask(table, learned);
-		await vi.advanceTimersByTimeAsync(2000);
-		expect(await succeed(table.query('crash'))).toHaveLength(0);
-		expect([learned, task]).toEqual([[], task]);
-	});
-
-	function createTask(table: ConstructorParameters<typeof CrashRowTask>[0]['table'], learned: CrashNews[]): CrashRowTask {
-		const task = new CrashRowTask({
-			log: createLog('error', 'hidden'),
-			table,
-			applyNews(news) {
-				learned.push(news);
-			},
-			tick: () => undefined,
-			isSweeper: () => true,
-			now: () => Date.now(),
-		});
-		task.run();
-		return task;
-	}
-});
--- a/test/process/fleet/crashing-request.test.ts
+++ b/test/process/fleet/crashing-request.test.ts
@@ -36,6 +36,32 @@
 		}
 	});
 
+	// Guards against crashes that are known only in the memory of daemons: all of them may be killed at once, and more than once.
+	test.each([
+		['two crashes', 2],
+		['each crash', 1],
+	])('crashes at most three when all daemons are killed after %s', async (_, sendsPerLife) => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1', crashPath}, {id: 'u-2', crashPath}, {id: 'u-3', crashPath}], {daemons: 2});
+		const stop = fleet.restartCrashed(restartMs);
+		const countCrashes = () => fleet.upstreams.reduce((sum, {startedRequestIds}) => sum + startedRequestIds.length, 0);
+		for (let life = 0; life < 8; life += 1) {
+			for (let send = 0; send < sendsPerLife; send += 1) {
+				await fleet.send({path: crashPath, method: 'POST', daemon: send % 2});
+				await delay(3 * restartMs);
+			}
+
+			await fleet.killDaemons();
+			await fleet.startDaemon();
+			await fleet.startDaemon();
+			await fleet.waitUntil(() => fleet.areReady);
+		}
+
+		await stop();
+		expect(countCrashes()).toBeGreaterThanOrEqual(2);
+		expect(countCrashes()).toBeLessThanOrEqual(3);
+	}, 40_000);
+
 	test('is no longer suspected once an upstream has answered it', async () => {
 		await using fleet = new FleetFixture();
 		await fleet.start([{id: 'u-1', crashPath: '/book/7'}, {id: 'u-2', crashPath: '/book/7'}, {id: 'u-3', crashPath: '/book/7'}]);
