Answer 504 when the call's own timer for the deadline fires first

Seen once in some thirty runs of "ends a request at the timeout of its route": 502 in place of 504. A call to a plain service has a timer of its own for the same deadline as the request. When it fires first, its cancellation was taken for a lost answer. Both statuses promise nothing.

Traced by reading; which timer fires first cannot be chosen in a test. That test covers it.

--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -220,7 +220,8 @@
 		}
 
 		this.possibleRuns += 1;
-		if (this.job.signal.aborted) {
+		// The call's own timer for the deadline may fire just before the one that aborts the request.
+		if (this.job.signal.aborted || failure?.kind === 'cancelled') {
 			return {kind: 'done', end: () => this.isCallerGone ? this.createResult('callerGone', 'the caller disconnected') : this.fail('expired', 'The upstream did not answer in time.')};
 		}
 
