Give endless answers up before they are parsed, and bound collected bodies

Cause, by a profile: after its own limit the HTTP client parses on what it has read and creates an error with a stack for each further field (806 of 1,100 ms). Collected bodies were lists of chunks, whose memory no limit counted, and all answers together had no limit.

Change: AnswerScreen follows the framing before the client reads and ends the answer at limits on head, trailers and small chunks; it also keeps statuses below 100 from the client's assertion. Bodies are collected in one block, and all of a daemon share a budget beyond 16 KiB each. A counter and a log line name the limit.

Why it works: nothing beyond a limit is parsed or kept, whatever the bytes.

--- a/src/connection/links/exchange.ts
+++ b/src/connection/links/exchange.ts
@@ -1,5 +1,5 @@
 import type {Dispatcher} from 'undici';
-import {isInvalidAnswerError} from '../answer-guard.ts';
+import {EndlessAnswerError, isInvalidAnswerError, type AnswerLimit} from '../answer-guard.ts';
 
 /** Reason why an exchange did not end with a complete answer. */
 export type ExchangeFailure = {
@@ -8,6 +8,8 @@
 	/** `refused`: the connection was refused; `unreachable`: it was not established in time; `lost`: it broke; `invalid`: the daemon closed it because of what the upstream sent; `cancelled`: the daemon cancelled the exchange. */
 	readonly kind: 'refused' | 'unreachable' | 'lost' | 'invalid' | 'cancelled';
 	readonly message: string;
+	/** Limit at which the answer was given up; undefined if it ended otherwise. */
+	readonly limit?: AnswerLimit;
 };
 
 /** Receives the events of one exchange; calls are synchronous, and the last one is `onEnd` or `onFailed`. */
@@ -28,11 +30,6 @@
 	override name = 'ExchangeCancelledError';
 }
 
-/** Error of an exchange whose answer is not valid. */
-class InvalidAnswerError extends Error {
-	override name = 'InvalidAnswerError';
-}
-
 const unreachableCodes: ReadonlySet<string> = new Set(['UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH', 'ETIMEDOUT']);
 
 /** One request and its answer on one connection. */
@@ -78,10 +75,10 @@
 		}
 	}
 
-	/** Ends the exchange because the answer is not valid; its connection is closed. */
-	rejectAnswer(message: string): void {
+	/** Ends the exchange because of the size of the answer's body; its connection is closed. */
+	rejectBody(bytes: number): void {
 		if (!this.#hasEnded) {
-			this.#abort(new InvalidAnswerError(message));
+			this.#abort(new EndlessAnswerError('body', bytes));
 		}
 	}
 
@@ -132,7 +129,9 @@
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
 		if (!this.#hasEnded) {
 			this.#hasEnded = true;
-			this.#listener.onFailed({wasSent: this.#isStarted, kind: this.#classify(error), message: error.message});
+			this.#listener.onFailed({
+				wasSent: this.#isStarted, kind: this.#classify(error), message: error.message, limit: error instanceof EndlessAnswerError ? error.limit : undefined,
+			});
 		}
 	}
 
@@ -151,7 +150,7 @@
 			return 'cancelled';
 		}
 
-		if (error instanceof InvalidAnswerError || isInvalidAnswerError(error)) {
+		if (isInvalidAnswerError(error)) {
 			return 'invalid';
 		}
 
--- a/src/connection/links/upstream-call.ts
+++ b/src/connection/links/upstream-call.ts
@@ -1,6 +1,6 @@
-import {Buffer} from 'node:buffer';
 import type {UpstreamAnswer, UpstreamProtocol, WireRequest} from '../../ports/upstream-protocol.ts';
 import type {Upstream} from '../../ports/upstream.ts';
+import {BudgetedBuffer} from '../../request/byte-buffer.ts';
 import type {ExchangeFailure} from './exchange.ts';
 import type {UpstreamClients} from './upstream-clients.ts';
 
@@ -32,8 +32,7 @@
 /** Makes a call and buffers the complete answer; never rejects. */
 export async function callUpstream({upstreamClients, protocol, upstream, wire, timeoutMs, isOwnAnswer, signal, silence, shouldStart}: CallOptions): Promise<CallResult> {
 	const {promise, resolve} = Promise.withResolvers<CallResult>();
-	const chunks: Uint8Array[] = [];
-	let size = 0;
+	using body = new BudgetedBuffer(upstreamClients.answerBudget, maxAnswerBytes);
 	let answer: UpstreamAnswer | undefined;
 	let isOwn = true;
 	const exchange = upstreamClients.send(upstream, wire, {
@@ -47,20 +46,15 @@
 			return isOwn;
 		},
 		onData(chunk) {
-			size += chunk.length;
-			if (size > maxAnswerBytes) {
-				exchange.rejectAnswer('the answer is too large');
-				return;
+			if (!body.append(chunk)) {
+				exchange.rejectBody(body.length + chunk.length);
 			}
-
-			// Copied because the client library reuses the memory of a chunk.
-			chunks.push(Buffer.from(chunk));
 		},
 		onEnd() {
 			resolve(answer === undefined
 				? {kind: 'failed', failure: {wasSent: true, kind: 'lost', message: 'the answer has no head'}}
 				: {
-					kind: 'answered', answer, body: Buffer.concat(chunks), isOwn,
+					kind: 'answered', answer, body: body.take(), isOwn,
 				});
 		},
 		onFailed(failure) {
--- a/src/connection/links/upstream-clients.ts
+++ b/src/connection/links/upstream-clients.ts
@@ -4,7 +4,9 @@
 import type {Upstream} from '../../ports/upstream.ts';
 import {parseAddress} from '../../process/address.ts';
 import type {Clock} from '../../process/clock.ts';
-import {AnswerGuard} from '../answer-guard.ts';
+import {ByteBudget} from '../../request/byte-budget.ts';
+import {AnswerGuard, type AnswerLimit} from '../answer-guard.ts';
+import {maxHeadBytes} from '../answer-screen.ts';
 import {Exchange, type ExchangeListener} from './exchange.ts';
 import {Client} from './http-client.ts';
 
@@ -28,18 +30,35 @@
 /** Called with the head of each final answer, also of one that nobody waits for; `startedAt` is when its request was written. */
 export type HeadObserver = (upstream: Upstream, status: number, headers: Readonly<Record<string, string | string[] | undefined>>, startedAt: number) => void;
 
+/** Called when an answer was given up at a limit. */
+export type LimitObserver = (upstream: Upstream, limit: AnswerLimit, message: string) => void;
+
+/** Options of the connections, apart from the clock. */
+export type UpstreamClientsOptions = {
+	/** @default defaultConnectionTimeouts */
+	readonly timeouts?: ConnectionTimeouts;
+	readonly observeHead?: HeadObserver;
+	readonly observeLimit?: LimitObserver;
+	/** Memory of all answers that are being collected, in bytes. @default 32 MiB */
+	readonly answerBudgetBytes?: number;
+};
+
 type IdleClient = GuardedClient & {
 	readonly idleSince: number;
 };
 
 const tcpKeepAliveDelayMs = 5000;
-const maxAnswerHeadBytes = 64 * 1024;
+/** Memory of the answers that are being collected, in bytes, where no other limit is given. */
+const defaultAnswerBudgetBytes = 32 * 1024 * 1024;
 
 /** HTTP connections to all upstreams; each carries one request at a time and is reused only after a complete answer. */
 export class UpstreamClients implements AsyncDisposable {
+	/** Limits the memory of all answers that are being collected. */
+	readonly answerBudget: ByteBudget;
 	readonly #clock: Clock;
 	readonly #timeouts: ConnectionTimeouts;
 	readonly #observeHead: HeadObserver;
+	readonly #observeLimit: LimitObserver;
 	readonly #idle = new Map<string, IdleClient[]>();
 	readonly #open = new Set<Client>();
 	/** Connections that broke; needed because the client library reports an answer without a length as complete when a reset cuts it short. */
@@ -47,10 +66,12 @@
 	readonly #sockets = new WeakMap<Client, Socket>();
 	#openedCount = 0;
 
-	constructor(clock: Clock, timeouts: ConnectionTimeouts = defaultConnectionTimeouts, observeHead: HeadObserver = () => undefined) {
+	constructor(clock: Clock, {timeouts = defaultConnectionTimeouts, observeHead = () => undefined, observeLimit = () => undefined, answerBudgetBytes = defaultAnswerBudgetBytes}: UpstreamClientsOptions = {}) {
+		this.answerBudget = new ByteBudget(answerBudgetBytes);
 		this.#clock = clock;
 		this.#timeouts = timeouts;
 		this.#observeHead = observeHead;
+		this.#observeLimit = observeLimit;
 	}
 
 	/** Number of connections opened so far. */
@@ -110,6 +131,10 @@
 			onFailed: failure => {
 				clearTimeout(timer);
 				this.#close(client);
+				if (failure.limit !== undefined) {
+					this.#observeLimit(upstream, failure.limit, failure.message);
+				}
+
 				listener.onFailed(failure);
 			},
 		}, reason => {
@@ -173,7 +198,7 @@
 			keepAliveTimeout: this.#timeouts.idleTimeoutMs,
 			keepAliveMaxTimeout: this.#timeouts.idleTimeoutMs,
 			keepAliveTimeoutThreshold: 500,
-			maxHeaderSize: maxAnswerHeadBytes,
+			maxHeaderSize: maxHeadBytes,
 		});
 		this.#openedCount += 1;
 		this.#open.add(client);
--- a/src/connection/row-exchange.ts
+++ b/src/connection/row-exchange.ts
@@ -6,6 +6,7 @@
 } from 'purify-ts/Codec';
 import type {TableDelta} from '../process/tables/table-copy.ts';
 import {parseAddress} from '../process/address.ts';
+import {ByteBuffer} from '../request/byte-buffer.ts';
 
 /** Answer of a reader to another daemon that lacks rows. */
 export type SharedRows = TableDelta & {
@@ -34,6 +35,7 @@
 const fetchTimeoutMs = 500;
 /** Largest answer that is read; a list of 12,000 upstreams takes a third of it. */
 const maxAnswerBytes = 16 * 1024 * 1024;
+const decoder = new TextDecoder();
 const pathPrefix = '/tables/';
 
 /** Fetches the rows of a table that changed after a version from another daemon; a failure is a short message. */
@@ -98,18 +100,16 @@
 	const request = get({
 		host, port, path, agent: false,
 	}, response => {
-		const chunks: Uint8Array[] = [];
-		let size = 0;
+		const body = new ByteBuffer();
 		response.on('data', (chunk: Uint8Array) => {
-			chunks.push(chunk);
-			size += chunk.length;
-			if (size > maxAnswerBytes) {
+			body.append(chunk);
+			if (body.length > maxAnswerBytes) {
 				request.destroy(new Error('the answer is too large'));
 			}
 		});
 		response.once('end', () => {
 			if (response.statusCode === 200 && response.complete) {
-				resolve(Buffer.concat(chunks).toString('utf8'));
+				resolve(decoder.decode(body.bytes));
 			} else {
 				reject(new Error(`status ${response.statusCode}`));
 			}
--- a/src/connection/upstream-connection.ts
+++ b/src/connection/upstream-connection.ts
@@ -3,6 +3,7 @@
 } from 'undici';
 import {requestIdHeader} from '../request/headers.ts';
 import {AnswerGuard} from './answer-guard.ts';
+import {maxHeadBytes} from './answer-screen.ts';
 import {probeOver, type ProbeResult} from './probe.ts';
 import {
 	countSilenceFrom, isOverdue, type ConnectionTrial, type ObservedConnection,
@@ -13,7 +14,6 @@
 /** Shorter than the 2 s after which engines close idle connections, so that no request is sent on a closing one. */
 const idleTimeoutMs = 1500;
 const tcpKeepAliveDelayMs = 5000;
-const maxAnswerHeadBytes = 64 * 1024;
 
 /** Events of the request that a connection carries. */
 export type ConnectionEvents = {
@@ -59,7 +59,7 @@
 			connect: this.#guard.wrap(buildConnector({timeout: connectTimeoutMs, keepAlive: true, keepAliveInitialDelay: tcpKeepAliveDelayMs})),
 			keepAliveTimeout: idleTimeoutMs,
 			keepAliveMaxTimeout: idleTimeoutMs,
-			maxHeaderSize: maxAnswerHeadBytes,
+			maxHeaderSize: maxHeadBytes,
 		});
 		this.#client.on('connect', () => {
 			this.#openedAt = now();
@@ -167,6 +167,7 @@
 	/** Probes the health of the upstream over this connection, which must be idle. */
 	async probe(timeoutMs?: number): Promise<ProbeResult> {
 		this.reserve();
+		this.#guard.begin();
 		const result = await probeOver(this.#client, timeoutMs);
 		this.#isBusy = false;
 		this.#restartSilence();
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -2,7 +2,7 @@
 import type {Either} from 'purify-ts';
 import {createCallerServer} from '../../connection/caller-server.ts';
 import {closeAbruptly, listen} from '../../connection/http-listener.ts';
-import {defaultConnectionTimeouts, UpstreamClients} from '../../connection/links/upstream-clients.ts';
+import {UpstreamClients} from '../../connection/links/upstream-clients.ts';
 import {refusesConnections} from '../../connection/refusal-probe.ts';
 import {serveSharedRows} from '../../connection/row-exchange.ts';
 import type {CallerProtocol} from '../../ports/caller-protocol.ts';
@@ -65,6 +65,8 @@
 const mebibyte = 1024 * 1024;
 /** Fraction of the host's memory that request bodies may use. */
 const bodyMemoryFraction = 0.2;
+/** Fraction of the host's memory that answers may use while they are collected. */
+const answerMemoryFraction = 0.1;
 
 /** One daemon on the operator's platform. */
 export class FleetDaemon implements AsyncDisposable {
@@ -116,13 +118,20 @@
 				log.write(event, fields);
 			},
 		});
-		this.#upstreamClients = new UpstreamClients(clock, defaultConnectionTimeouts, (upstream, status, headers, startedAt) => {
-			const backpressure = platform.upstreamProtocol.decodeBackpressure(status, headers);
-			// What an upstream asks for ends with its process.
-			const isSameStart = this.#registry.get(upstream.id)?.startedAt === upstream.startedAt;
-			if (backpressure !== undefined && isSameStart) {
-				this.#backpressure.hear(upstream.id, backpressure, startedAt);
-			}
+		this.#upstreamClients = new UpstreamClients(clock, {
+			answerBudgetBytes: settings.limits.memoryMb * mebibyte * answerMemoryFraction,
+			observeLimit: ({id}, limit, cause) => {
+				this.#metrics.answerGivenUp(limit);
+				log.write('answer.givenUp', {upstream: id, limit, cause});
+			},
+			observeHead: (upstream, status, headers, startedAt) => {
+				const backpressure = platform.upstreamProtocol.decodeBackpressure(status, headers);
+				// What an upstream asks for ends with its process.
+				const isSameStart = this.#registry.get(upstream.id)?.startedAt === upstream.startedAt;
+				if (backpressure !== undefined && isSameStart) {
+					this.#backpressure.hear(upstream.id, backpressure, startedAt);
+				}
+			},
 		});
 		this.#crashes = new CrashMonitor({
 			clock,
--- a/src/process/fleet/fleet-metrics.ts
+++ b/src/process/fleet/fleet-metrics.ts
@@ -1,6 +1,7 @@
 import {
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import type {AnswerLimit} from '../../connection/answer-guard.ts';
 import type {DeliveryResult} from '../../request/delivery/delivery.ts';
 import type {RequestOutcome} from '../../request/open-request.ts';
 import type {Route} from '../../version/routes/route-configuration.ts';
@@ -43,6 +44,10 @@
 		name: 'wagtailtack_upstream_sends_total', help: 'Sends to upstreams, by kind of route', labelNames: ['kind'], registers: [this.#registry],
 	});
 
+	readonly #answersGivenUp = new Counter({
+		name: 'wagtailtack_answers_given_up_total', help: 'Answers of upstreams that were given up at a limit, by limit', labelNames: ['limit'], registers: [this.#registry],
+	});
+
 	readonly #firstAnswer = new Histogram({
 		name: 'wagtailtack_first_answer_seconds', help: 'Time from arrival to the response or its first event', labelNames: ['kind', 'priority'], buckets: secondsBuckets, registers: [this.#registry],
 	});
@@ -78,6 +83,11 @@
 		this.#requestsUnanswered.inc();
 	}
 
+	/** Records an answer that was given up at a limit. */
+	answerGivenUp(limit: AnswerLimit): void {
+		this.#answersGivenUp.inc({limit});
+	}
+
 	/** Records a request whose delivery has ended, successfully or not. */
 	requestEnded({kind, priority}: Route, {outcome, sends, firstAnswerMs}: DeliveryResult, totalMs: number): void {
 		this.#requests.inc({kind, outcome});
--- a/test/request/endless-answers.test.ts
+++ b/test/request/endless-answers.test.ts
@@ -1,4 +1,5 @@
 import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
 import {describe, expect, it} from 'vitest';
 import {
 	createEndlessAnswers, createEndlessBodies, writeEndlessly, type EndlessAnswer,
@@ -9,12 +10,15 @@
 
 /** Time within which the caller must have its answer, in milliseconds. */
 const answerBoundMs = 2000;
+/** Time by which a sound request must be answered beside such answers, in milliseconds. */
+const maxDelayMs = 1000;
 /** Bytes that the upstream may have sent by then; socket buffers on both sides hold several megabytes. */
 const sentBoundBytes = 32 * 1024 * 1024;
 /** Growth of the process, with the buffers of both ends. */
 const memoryBoundBytes = 96 * 1024 * 1024;
 
 const answers = createEndlessAnswers('');
+const manySmallParts = [...answers, ...createEndlessBodies('Content-Type: text/event-stream\r\n')].filter(({name}) => /small|one byte/v.test(name));
 const eventStream = createEndlessBodies('').at(-1)!;
 
 /** Records how attempts end. */
@@ -36,6 +40,12 @@
 	});
 }
 
+async function askTimed(url: string): Promise<{readonly text: string; readonly elapsedMs: number}> {
+	const startedAt = performance.now();
+	const response = await ask(url, 'short');
+	return {text: await response.text(), elapsedMs: performance.now() - startedAt};
+}
+
 /** An upstream that answers requests of the user "endless" with an endless answer and all others properly. */
 async function createUpstream(answer: EndlessAnswer, onClosed: (bytes: number) => void) {
 	return createRawUpstream('u', async (socket, text) => {
@@ -104,6 +114,24 @@
 		expect(`${response.status} ${text}`).toMatch(/^502|aborted|"code":/v);
 	});
 
+	// Guards against small fields and chunks being parsed without limit, which holds up all callers.
+	it.each(manySmallParts)('does not slow down other requests when many such answers come: $name', async answer => {
+		await using upstream = await createUpstream(answer, () => undefined);
+		await using fixture = await createRequestHandlerFixture([upstream.host]);
+		const endless: Array<Promise<unknown>> = [];
+		const sound: Array<Promise<{readonly text: string; readonly elapsedMs: number}>> = [];
+		for (let count = 0; count < 60; count += 1) {
+			endless.push(ask(fixture.url, 'endless').then(async response => response.text()).catch(() => 'aborted'));
+			sound.push(askTimed(fixture.url));
+			await delay(20);
+		}
+
+		const answered = await Promise.all(sound);
+		expect(answered.filter(({text}) => !text.includes('[DONE]'))).toEqual([]);
+		expect(Math.max(...answered.map(({elapsedMs}) => elapsedMs))).toBeLessThan(maxDelayMs);
+		await Promise.all(endless);
+	});
+
 	it('does not slow down other requests', async () => {
 		const closed = Promise.withResolvers<number>();
 		await using upstream = await createUpstream(answers.find(({name}) => name === 'a chunk extension without end')!, closed.resolve);
