Split events in time that grows with their size

An engine that sent an incomplete event in small chunks had it copied and searched as a whole at each of them, up to 1 MiB, on both ways of running, which holds up all callers of the daemon. Events of a few bytes that a caller left unread counted only their bytes, at a hundred times the memory.

Change: the incomplete event is kept in one block and searched from where the last search ended; it counts for the budget of answers. Unread writes count with 512 bytes beside their own. Request bodies and stored answers are kept in one block as well.

--- a/src/connection/links/caller-answer.ts
+++ b/src/connection/links/caller-answer.ts
@@ -2,6 +2,9 @@
 import type {ServerResponse} from 'node:http';
 import type {CallerProtocol, Refusal} from '../../ports/caller-protocol.ts';
 
+/** Memory that a buffered write uses beside its bytes; events may be as short as three bytes. */
+const writeOverheadBytes = 512;
+
 /** Answer to one caller; ends with exactly one call of `sendComplete`, `refuse`, `end` or `abort`, and throws at a second one. */
 export class CallerAnswer {
 	readonly #response: ServerResponse;
@@ -10,6 +13,8 @@
 	readonly #beforeHead: () => void;
 	#hasEnded = false;
 	#isAborted = false;
+	#pendingWrites = 0;
+	readonly #endWrite: () => void;
 
 	/** `beforeHead` is called right before the head of the answer is sent. */
 	constructor(response: ServerResponse, protocol: CallerProtocol, requestId: () => string, beforeHead: () => void) {
@@ -17,6 +22,9 @@
 		this.#protocol = protocol;
 		this.#requestId = requestId;
 		this.#beforeHead = beforeHead;
+		this.#endWrite = () => {
+			this.#pendingWrites -= 1;
+		};
 	}
 
 	/** True once the head has been sent. */
@@ -34,9 +42,9 @@
 		return this.#isAborted;
 	}
 
-	/** Bytes buffered because the caller has not read them yet. */
+	/** Memory that is used because the caller has not read what was written, in bytes. */
 	get pendingBytes(): number {
-		return this.#response.writableLength;
+		return this.#response.writableLength + (this.#pendingWrites * writeOverheadBytes);
 	}
 
 	/** Sends the head of a streamed answer. */
@@ -49,7 +57,8 @@
 
 	/** Sends a part of a streamed answer. */
 	write(chunk: Uint8Array): void {
-		this.#response.write(chunk);
+		this.#pendingWrites += 1;
+		this.#response.write(chunk, this.#endWrite);
 	}
 
 	/** Ends a complete streamed answer. */
--- a/src/request/delivery/stream-run.ts
+++ b/src/request/delivery/stream-run.ts
@@ -1,6 +1,6 @@
-import {Buffer} from 'node:buffer';
 import type {Exchange, ExchangeFailure} from '../../connection/links/exchange.ts';
 import type {UpstreamAnswer, WireRequest} from '../../ports/upstream-protocol.ts';
+import {BudgetedBuffer} from '../byte-buffer.ts';
 import {
 	classifyRejection, toSendResultKind, type DeliveryJob, type DeliveryDependencies,
 } from './delivery.ts';
@@ -53,13 +53,12 @@
 /** Relays the complete events of one upstream to the caller. */
 export class StreamRun {
 	readonly #options: StreamRunOptions;
-	readonly #splitter = new EventSplitter();
+	readonly #splitter: EventSplitter;
 	readonly #sentAt: number;
 	readonly #result = Promise.withResolvers<StreamRunResult>();
 	#exchange: Exchange | undefined;
 	#answer: UpstreamAnswer | undefined;
-	readonly #failureChunks: Uint8Array[] = [];
-	#failureBytes = 0;
+	readonly #failureBody: BudgetedBuffer;
 	#events = 0;
 	#silenceTimer: NodeJS.Timeout | undefined;
 	#cancelCause: {readonly kind: StreamRunResult['kind']; readonly message: string} | undefined;
@@ -68,7 +67,10 @@
 
 	constructor(options: StreamRunOptions) {
 		this.#options = options;
-		this.#sentAt = options.dependencies.clock.now();
+		const {clock, upstreamClients: {answerBudget}} = options.dependencies;
+		this.#splitter = new EventSplitter(answerBudget);
+		this.#failureBody = new BudgetedBuffer(answerBudget, maxFailureBodyBytes);
+		this.#sentAt = clock.now();
 	}
 
 	/** Sends the request and relays the answer to its end; never rejects. */
@@ -105,6 +107,8 @@
 		} finally {
 			clearInterval(this.#silenceTimer);
 			signal.removeEventListener('abort', cancel);
+			this.#splitter[Symbol.dispose]();
+			this.#failureBody[Symbol.dispose]();
 		}
 	}
 
@@ -142,7 +146,10 @@
 	#handleData(chunk: Uint8Array): void {
 		const {job, onEvent, onFirstEvent} = this.#options;
 		if (this.#answer === undefined || this.#answer.status >= 300) {
-			this.#collectFailureBody(chunk);
+			if (!this.#failureBody.append(chunk)) {
+				this.cancel('lost', 'the answer is too large');
+			}
+
 			return;
 		}
 
@@ -168,17 +175,6 @@
 		}
 	}
 
-	#collectFailureBody(chunk: Uint8Array): void {
-		this.#failureBytes += chunk.length;
-		if (this.#failureBytes > maxFailureBodyBytes) {
-			this.cancel('lost', 'the answer is too large');
-			return;
-		}
-
-		// Copied because the client library reuses the memory of a chunk.
-		this.#failureChunks.push(Buffer.from(chunk));
-	}
-
 	#handleEnd(): void {
 		const answer = this.#answer;
 		if (answer === undefined) {
@@ -242,7 +238,7 @@
 			events: this.#events,
 			elapsedMs,
 			failure: kind === 'failed' && this.#answer !== undefined
-				? {answer: this.#answer, body: Buffer.concat(this.#failureChunks)}
+				? {answer: this.#answer, body: this.#failureBody.bytes}
 				: undefined,
 		});
 	}
--- a/src/request/event-stream-validator.ts
+++ b/src/request/event-stream-validator.ts
@@ -1,8 +1,12 @@
+import {ByteBuffer} from './byte-buffer.ts';
+
 /** Reason why an event stream must not be relayed further. */
 export type StreamErrorCode = 'stream_mixed' | 'stream_malformed' | 'stream_event_too_large';
 
 const empty = new Uint8Array(0);
 const maxEventBytes = 1024 * 1024;
+/** Bytes of the longest end of an event but for its last one. */
+const emptyLineBytes = 2;
 const lineFeed = 10;
 const carriageReturn = 13;
 const decoder = new TextDecoder();
@@ -14,7 +18,7 @@
 Only complete events are passed on. All events must have the id of the first one, and nothing may follow the end marker.
 */
 export class EventStreamValidator {
-	#pending: Uint8Array = empty;
+	readonly #pending = new ByteBuffer();
 	/** Expected start of each event when the id is its first member, as common engines write it; avoids parsing the JSON. */
 	#expectedPrefix: Uint8Array | undefined;
 	#id: string | undefined;
@@ -33,20 +37,42 @@
 
 	/** Adds a chunk and returns the bytes of the complete events that may be relayed now. */
 	accept(chunk: Uint8Array): Uint8Array {
-		const bytes = this.#pending.length === 0 ? chunk : concatenate(this.#pending, chunk);
-		let start = 0;
-		let end = findEventEnd(bytes, start);
-		while (end !== -1 && this.#checkEvent(bytes, start, end)) {
-			start = end;
-			end = findEventEnd(bytes, start);
+		const pending = this.#pending.length;
+		if (pending > 0) {
+			this.#pending.append(chunk);
 		}
 
-		this.#pending = start === bytes.length ? empty : bytes.subarray(start);
+		const bytes = pending === 0 ? chunk : this.#pending.bytes;
+		// The empty line may begin in what was pending.
+		const relayedBytes = this.#checkEvents(bytes, Math.max(0, pending - emptyLineBytes));
+		if (relayedBytes === 0 && pending > 0) {
+			this.#checkSize();
+			return empty;
+		}
+
+		// Memory of relayed bytes is not used again.
+		const relayed = pending === 0 ? bytes : this.#pending.take();
+		this.#pending.append(relayed.subarray(relayedBytes));
+		this.#checkSize();
+		return relayedBytes === relayed.length ? relayed : relayed.subarray(0, relayedBytes);
+	}
+
+	#checkSize(): void {
 		if (this.#pending.length > maxEventBytes) {
 			this.#errorCode ??= 'stream_event_too_large';
 		}
+	}
 
-		return start === bytes.length ? bytes : bytes.subarray(0, start);
+	/** Checks the complete events, the first of which ends after `searchFrom`; returns the number of bytes that may be relayed. */
+	#checkEvents(bytes: Uint8Array, searchFrom: number): number {
+		let start = 0;
+		let end = findEventEnd(bytes, searchFrom);
+		while (end !== -1 && this.#checkEvent(bytes, start, end)) {
+			start = end;
+			end = findEventEnd(bytes, start);
+		}
+
+		return start;
 	}
 
 	#checkEvent(bytes: Uint8Array, start: number, end: number): boolean {
@@ -112,13 +138,6 @@
 	return -1;
 }
 
-function concatenate(first: Uint8Array, second: Uint8Array): Uint8Array {
-	const bytes = new Uint8Array(first.length + second.length);
-	bytes.set(first);
-	bytes.set(second, first.length);
-	return bytes;
-}
-
 function readEventData(event: string): string | undefined {
 	const lines = event.split(/\r?\n/v).filter(line => line.startsWith('data:'));
 	return lines.length === 0
--- a/src/request/relay.ts
+++ b/src/request/relay.ts
@@ -1,8 +1,8 @@
-import {Buffer} from 'node:buffer';
 import type {IncomingHttpHeaders, ServerResponse} from 'node:http';
 import {
 	abortEventStream, runStateHeader, toRunState, type CallerError,
 } from './caller-error.ts';
+import {ByteBuffer} from './byte-buffer.ts';
 import {EventStreamValidator, type StreamErrorCode} from './event-stream-validator.ts';
 import {selectAnswerHeaders} from './headers.ts';
 import type {StoredAnswer} from './claim-store.ts';
@@ -30,7 +30,7 @@
 */
 export class AnswerRelay {
 	readonly #options: RelayOptions;
-	readonly #storedChunks: Uint8Array[] = [];
+	#stored = new ByteBuffer();
 	#head: AnswerHead | undefined;
 	#validator: EventStreamValidator | undefined;
 	#bytes = 0;
@@ -69,7 +69,7 @@
 		const isEventStream = head.status === 200 && (head.headers['content-type'] ?? '').startsWith('text/event-stream');
 		this.#head = head;
 		this.#validator = this.#options.isCompletionStream && isEventStream ? new EventStreamValidator() : undefined;
-		this.#storedChunks.length = 0;
+		this.#stored = new ByteBuffer();
 		this.#bytes = 0;
 	}
 
@@ -82,7 +82,7 @@
 
 		this.#bytes += bytes.length;
 		if (this.#bytes <= this.#options.maxStoredAnswerBytes) {
-			this.#storedChunks.push(bytes);
+			this.#stored.append(bytes);
 		}
 
 		if (this.#options.response.destroyed) {
@@ -130,7 +130,7 @@
 			: {
 				status: this.#head.status,
 				headers: selectAnswerHeaders(this.#head.headers),
-				body: Buffer.concat(this.#storedChunks),
+				body: this.#stored.bytes,
 			};
 	}
 
--- a/src/request/request-body.ts
+++ b/src/request/request-body.ts
@@ -1,7 +1,7 @@
-import {Buffer} from 'node:buffer';
 import type {IncomingMessage} from 'node:http';
 import {Left, Right, type Either} from 'purify-ts';
 import type {ByteBudget} from './byte-budget.ts';
+import {ByteBuffer} from './byte-buffer.ts';
 import {createRefusal, type CallerError} from './caller-error.ts';
 
 /** A request body; disposal returns its bytes to the byte budget. */
@@ -24,7 +24,7 @@
 		return Left(createSizeRefusal(limits.maxBodyBytes));
 	}
 
-	const chunks: Uint8Array[] = [];
+	const body = new ByteBuffer();
 	let size = 0;
 	const release = () => {
 		limits.budget.release(size);
@@ -45,14 +45,14 @@
 			}
 
 			size += chunk.length;
-			chunks.push(chunk);
+			body.append(chunk);
 		}
 	} catch (error) {
 		release();
 		throw error;
 	}
 
-	return Right({bytes: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), [Symbol.dispose]: release});
+	return Right({bytes: body.bytes, [Symbol.dispose]: release});
 }
 
 function createSizeRefusal(limitBytes: number): CallerError {
