Bound what readers of the own interface take from engines and the platform

Change: all of them read through readBoundedBody, and their connections have the guard of answers; orders and states use Node.js's own client, whose parser ends heads at 16 KiB.

--- a/src/connection/probe.ts
+++ b/src/connection/probe.ts
@@ -1,4 +1,5 @@
-import {Client, type Dispatcher} from 'undici';
+import {buildConnector, Client, type Dispatcher} from 'undici';
+import {guardConnections} from './answer-guard.ts';
 import {newConnectionTimeoutMs} from './silence.ts';
 
 /** Outcome of a health probe; `silent` covers every failure to answer. */
@@ -16,7 +17,7 @@
 
 /** Probes the health of an upstream over a new connection; never rejects. */
 export async function probeUpstream(origin: string): Promise<ProbeResult> {
-	const client = new Client(origin, {connectTimeout: probeTimeoutMs});
+	const client = new Client(origin, {connect: guardConnections(buildConnector({timeout: probeTimeoutMs}))});
 	try {
 		return await probeOver(client);
 	} finally {
--- a/src/ports/engine.ts
+++ b/src/ports/engine.ts
@@ -1,6 +1,7 @@
 import {get} from 'node:http';
 import {Left, Right, type Either} from 'purify-ts';
 import {z} from 'zod';
+import {readBoundedText} from '../connection/bounded-body.ts';
 import {sendOrder} from '../connection/order-channel.ts';
 import {parseAddress} from '../process/address.ts';
 import {
@@ -45,6 +46,8 @@
 }
 
 const readTimeoutMs = 2000;
+/** Largest state of an engine, in bytes; it is a short JSON object. */
+const maxStateBytes = 64 * 1024;
 
 /** Client for model engines over HTTP. */
 export class HttpEngine extends Engine {
@@ -66,19 +69,13 @@
 	const request = get({
 		...parseAddress(address), path, agent: false, signal: AbortSignal.timeout(readTimeoutMs),
 	}, response => {
-		let text = '';
-		response.setEncoding('utf8');
-		response.on('data', (chunk: string) => {
-			text += chunk;
-		});
-		response.once('error', reject);
-		response.once('end', () => {
+		readBoundedText(response, maxStateBytes).then(text => {
 			if (response.statusCode === 200) {
 				resolve(text);
 			} else {
 				reject(new Error(`${path} responded with status ${response.statusCode}`));
 			}
-		});
+		}, reject);
 	});
 	request.once('error', reject);
 	return promise;
--- a/src/ports/host-list.ts
+++ b/src/ports/host-list.ts
@@ -1,6 +1,8 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {request} from 'undici';
 import {z} from 'zod';
+import {readBoundedText} from '../connection/bounded-body.ts';
+import {platformAgent} from '../connection/guarded-agent.ts';
 import {isHostAddress} from '../process/address.ts';
 
 /** State of a host in the list. */
@@ -33,6 +35,8 @@
 }
 
 const readTimeoutMs = 2000;
+/** Largest list, in bytes; one of 12,000 hosts takes a quarter of it. */
+const maxListBytes = 16 * 1024 * 1024;
 const notModified = 304;
 
 const documentSchema = z.array(z.unknown());
@@ -74,6 +78,7 @@
 		try {
 			const response = await request(this.#url, {
 				signal: AbortSignal.timeout(readTimeoutMs),
+				dispatcher: platformAgent,
 				headers: this.#cached === undefined ? {} : {'if-none-match': this.#cached.etag},
 			});
 			if (response.statusCode === notModified && this.#cached !== undefined) {
@@ -81,7 +86,7 @@
 				return Right(this.#cached.hosts);
 			}
 
-			const {hosts, droppedItems} = parseHosts(await response.body.json());
+			const {hosts, droppedItems} = parseHosts(JSON.parse(await readBoundedText(response.body, maxListBytes)));
 			this.#droppedItems = droppedItems;
 			if (hosts.length === 0 && droppedItems > 0) {
 				return Left('no item of the host list can be used');
--- a/src/ports/object-store.ts
+++ b/src/ports/object-store.ts
@@ -1,5 +1,7 @@
 import {Left, Right, type Either} from 'purify-ts';
 import {request} from 'undici';
+import {readBoundedBody} from '../connection/bounded-body.ts';
+import {platformAgent} from '../connection/guarded-agent.ts';
 
 /** Object as read from the store. */
 export type StoredObject = {
@@ -30,6 +32,8 @@
 }
 
 const defaultTimeoutMs = 2000;
+/** Largest object, in bytes; stored answers and plans are far smaller. */
+const maxObjectBytes = 16 * 1024 * 1024;
 
 /** Socket errors that occur before any byte of the request is sent. */
 const notSentErrorCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'UND_ERR_CONNECT_TIMEOUT']);
@@ -78,9 +82,9 @@
 		const path = name.split('/').map(part => encodeURIComponent(part)).join('/');
 		try {
 			const response = await request(`${this.#url}/objects/${path}`, {
-				method, ...content, signal: AbortSignal.timeout(this.#timeoutMs),
+				method, ...content, signal: AbortSignal.timeout(this.#timeoutMs), dispatcher: platformAgent,
 			});
-			const body = await response.body.bytes();
+			const body = await readBoundedBody(response.body, maxObjectBytes);
 			return Right({status: response.statusCode, etag: String(response.headers.etag ?? ''), body});
 		} catch (error) {
 			const {code, message} = error as Error & {readonly code?: string};
--- a/src/process/load/load-poller.ts
+++ b/src/process/load/load-poller.ts
@@ -1,4 +1,5 @@
 import type {Dispatcher} from 'undici';
+import {readBoundedText} from '../../connection/bounded-body.ts';
 import type {Host} from '../../ports/host-list.ts';
 import type {Clock} from '../clock.ts';
 import type {Log} from '../log.ts';
@@ -21,6 +22,8 @@
 
 const pollIntervalMs = 1000;
 const readTimeoutMs = 900;
+/** Largest report, in bytes; those of engines have some hundred lines. */
+const maxReportBytes = 1024 * 1024;
 /** Reports read per poll; the others follow in round-robin order, so that the cost does not grow with the fleet. */
 const readsPerPoll = 16;
 /** Typical age of the values in a report. */
@@ -72,7 +75,7 @@
 			const {body} = await this.#options.dispatcher.request({
 				origin: `http://${address}`, path: '/metrics', method: 'GET', signal: AbortSignal.timeout(readTimeoutMs),
 			});
-			const tokens = outstandingPattern.exec(await body.text())?.groups?.tokens;
+			const tokens = outstandingPattern.exec(await readBoundedText(body, maxReportBytes))?.groups?.tokens;
 			if (tokens !== undefined) {
 				this.post({
 					kind: 'read', upstream: id, outstandingTokens: Number(tokens), measuredAt,
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -1,6 +1,6 @@
 import {randomInt} from 'node:crypto';
-import {Agent} from 'undici';
 import {createCallerServer} from '../connection/caller-server.ts';
+import {createGuardedAgent} from '../connection/guarded-agent.ts';
 import {closeAbruptly, listen} from '../connection/http-listener.ts';
 import type {Connectivity} from '../connection/connectivity.ts';
 import {AllowAllPeerAuthenticator} from '../connection/peer-authenticator.ts';
@@ -331,7 +331,7 @@
 
 /** Creates load-based routing and admission, and starts the tasks that poll engines and exchange usage with peers. */
 function createLoadControl({resources, settings, log, clock}: BaseComponents, {directory, membership, configuration}: PeerComponents) {
-	const dispatcher = resources.adopt(new Agent(), async agent => agent.destroy());
+	const dispatcher = resources.adopt(createGuardedAgent(), async agent => agent.destroy());
 	const loads = new LoadTable({
 		availabilityZone: settings.daemon['availability-zone'],
 		random: new SeededRandom(randomInt(maxSeed)),
