Hand no stream over to an engine that stands still as well

Cause: 1.3 s after the last event a second engine runs the stream, and 0.3 s later the first run is given up, whether or not anything was heard of the second engine. It stood still too, and rejected the work when it went on.

Change: engines that have work of this daemon and send nothing for 0.4 s get no second run; one without other work is asked for a report as a sign of life, and without any sign the second run is given up, not the first. Silence is reported every 0.1 s after the first time.

Tests: two cases of silent-upstreams.test.ts failed before and pass. The stand-in's pause holds up its reports too.

--- a/src/connection/links/upstream-clients.ts
+++ b/src/connection/links/upstream-clients.ts
@@ -8,6 +8,7 @@
 import {AnswerGuard, type AnswerLimit} from '../answer-guard.ts';
 import {maxHeadBytes} from '../answer-screen.ts';
 import {Exchange, type ExchangeListener} from './exchange.ts';
+import {UpstreamActivity} from './upstream-activity.ts';
 import {Client} from './http-client.ts';
 
 /** Timeouts of connections to upstreams, in milliseconds. */
@@ -55,6 +56,7 @@
 export class UpstreamClients implements AsyncDisposable {
 	/** Limits the memory of all answers that are being collected. */
 	readonly answerBudget: ByteBudget;
+	readonly #activity = new UpstreamActivity();
 	readonly #clock: Clock;
 	readonly #timeouts: ConnectionTimeouts;
 	readonly #observeHead: HeadObserver;
@@ -79,6 +81,16 @@
 		return this.#openedCount;
 	}
 
+	/** Number of exchanges in progress with an upstream. */
+	countExchanges(id: string): number {
+		return this.#activity.countExchanges(id);
+	}
+
+	/** Upstreams that have sent nothing for a time, although at least `minExchanges` exchanges wait for them. */
+	silentUpstreams(silentMs: number, minExchanges = 1): readonly string[] {
+		return this.#activity.silentUpstreams(this.#clock.now() - silentMs, minExchanges);
+	}
+
 	/** Sends a request on an idle connection, or on a new one; never throws. */
 	send(upstream: Upstream, {method, path, headers, body}: WireRequest, listener: ExchangeListener): Exchange {
 		const {id, address} = upstream;
@@ -102,17 +114,21 @@
 				clearTimeout(timer);
 				startedAt = this.#clock.now();
 				guard.begin();
+				this.#activity.begin(id, startedAt);
 				listener.onStarted();
 			},
 			onHead: (status, answerHeaders, isReused) => {
+				this.#activity.hear(id, this.#clock.now());
 				this.#observeHead(upstream, status, answerHeaders, startedAt);
 				return listener.onHead(status, answerHeaders, isReused);
 			},
-			onData(chunk) {
+			onData: chunk => {
 				guard.countBody(chunk.length);
+				this.#activity.hear(id, this.#clock.now());
 				listener.onData(chunk);
 			},
 			onEnd: () => {
+				this.#activity.end(id);
 				if (this.#broken.has(client)) {
 					this.#close(client);
 					listener.onFailed({wasSent: true, kind: 'lost', message: 'the connection was reset in the middle of the answer'});
@@ -130,6 +146,10 @@
 			},
 			onFailed: failure => {
 				clearTimeout(timer);
+				if (exchange.isStarted) {
+					this.#activity.end(id);
+				}
+
 				this.#close(client);
 				if (failure.limit !== undefined) {
 					this.#observeLimit(upstream, failure.limit, failure.message);
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -22,6 +22,17 @@
 /** Time for which a second upstream may run a stream beside a silent one without an event, in milliseconds; by then it has taken or rejected the work. */
 const maxOverlapMs = 300;
 
+/** Time without a byte from an upstream that has work after which it is no better than the silent one, in milliseconds; engines make an event in far less. */
+const standingMs = 400;
+
+/** With its own exchange alone, an upstream may be at work on a prompt. */
+const minSharedExchanges = 2;
+/** Timeout of a report that is asked for as a sign of life, in milliseconds; longer than the overlap that it decides. */
+const signTimeoutMs = 500;
+
+/** Time without a byte at the end of an overlap that shows that its upstream stands still, in milliseconds; a little shorter than the overlap, whose timer may fire early. */
+const signlessMs = 250;
+
 /** Least remaining time to resume a stream, in milliseconds; with less, no event would arrive in time. */
 const minResumeTimeMs = 100;
 
@@ -203,7 +214,12 @@
 			&& this.#decodeSends < maxDecodeSends
 			&& this.possibleRuns + this.#race.size < this.job.route.attemptLimit
 			&& this.remainingMs >= minResumeTimeMs
-			&& this.dependencies.scheduler.hasUntriedUpstream(this.demand);
+			&& this.dependencies.scheduler.hasUntriedUpstream({...this.demand, triedUpstreams: this.#unusable});
+	}
+
+	/** Upstreams that must not run the stream beside another one: tried ones, and those that stand still themselves. */
+	get #unusable(): ReadonlySet<string> {
+		return new Set([...this.triedUpstreams, ...this.dependencies.upstreamClients.silentUpstreams(standingMs)]);
 	}
 
 	/** Starts a run; returns the refusal to give if none is in progress. */
@@ -217,7 +233,7 @@
 		const {signal} = signals;
 		// The upstream of a run in progress may have fetched the prompt.
 		const prompt = isFirst ? this.#prompt : undefined;
-		const placement = chosen ?? await this.dependencies.scheduler.placeDecode({...this.demand, signal}, prompt?.source);
+		const placement = chosen ?? await this.dependencies.scheduler.placeDecode({...this.demand, signal, ...(isFirst ? {} : {triedUpstreams: this.#unusable})}, prompt?.source);
 		if (!isPlaced(placement)) {
 			return () => this.refusePlacement(placement);
 		}
@@ -255,11 +271,12 @@
 			}),
 			isAuthenticAnswer: (answer, isReused) => this.isAuthenticAnswer(answer, isReused),
 			onStarted: () => {
-				takeover = this.#runs.size > 1
-					? setTimeout(() => {
-						this.#cancelOthers(run);
-					}, maxOverlapMs)
-					: undefined;
+				if (this.#runs.size > 1) {
+					takeover = setTimeout(() => {
+						this.#endOverlap(run, upstream);
+					}, maxOverlapMs);
+					void this.#askForSign(upstream);
+				}
 			},
 			onProgress: () => {
 				this.#silent.delete(placement);
@@ -303,6 +320,26 @@
 		return {...result, hasPrompt: prompt !== undefined};
 	}
 
+	/** Ends the overlap of a run with earlier ones before it has sent an event: the earlier ones are given up, unless its upstream has fallen silent too. */
+	#endOverlap(run: StreamRun, {id}: Upstream): void {
+		if (this.dependencies.upstreamClients.silentUpstreams(signlessMs, minSharedExchanges).includes(id)) {
+			run.cancel('cancelled', 'the upstream stands still as well');
+		} else {
+			this.#cancelOthers(run);
+		}
+	}
+
+	/** Asks an upstream that has nothing else to answer for a report, whose answer shows that it does not stand still. */
+	async #askForSign(upstream: Upstream): Promise<void> {
+		const {upstreamClients, protocol, backpressure} = this.dependencies;
+		if (upstreamClients.countExchanges(upstream.id) < minSharedExchanges) {
+			backpressure.count(upstream.id);
+			await callUpstream({
+				upstreamClients, protocol, upstream, wire: protocol.encodeReportRequest(upstream), timeoutMs: signTimeoutMs,
+			});
+		}
+	}
+
 	/** Cancels the runs beside the one that is heard of, so that no event reaches the caller twice. */
 	#cancelOthers(heard: StreamRun): void {
 		for (const run of this.#runs.keys()) {
--- a/src/request/delivery/stream-run.ts
+++ b/src/request/delivery/stream-run.ts
@@ -21,7 +21,7 @@
 	readonly onFirstEvent: () => void;
 	/** Called with the id of each complete event that was sent to the caller. */
 	readonly onEvent: (id: string | undefined) => void;
-	/** Called after each `silenceMs` milliseconds without an event. */
+	/** Called after `silenceMs` milliseconds without an event, and then repeatedly until the next one. */
 	readonly onSilent: () => void;
 	readonly silenceMs: number;
 };
@@ -47,6 +47,8 @@
 
 /** Largest error answer of an upstream. */
 const maxFailureBodyBytes = 1024 * 1024;
+/** Interval of further reports of silence, in milliseconds: another upstream may become usable meanwhile. */
+const silenceReportIntervalMs = 100;
 /** The run is cancelled when the caller leaves more bytes unread. */
 const maxUnreadBytes = 4 * 1024 * 1024;
 
@@ -105,7 +107,7 @@
 		try {
 			return await this.#result.promise;
 		} finally {
-			clearInterval(this.#silenceTimer);
+			clearTimeout(this.#silenceTimer);
 			signal.removeEventListener('abort', cancel);
 			this.#splitter[Symbol.dispose]();
 			this.#failureBody[Symbol.dispose]();
@@ -210,9 +212,12 @@
 
 	#restartSilenceTimer(): void {
 		const {silenceMs, onSilent} = this.#options;
-		clearInterval(this.#silenceTimer);
+		clearTimeout(this.#silenceTimer);
 		if (!this.#hasEnded) {
-			this.#silenceTimer = setInterval(onSilent, silenceMs);
+			this.#silenceTimer = setTimeout(() => {
+				this.#silenceTimer = setInterval(onSilent, silenceReportIntervalMs);
+				onSilent();
+			}, silenceMs);
 		}
 	}
 
--- a/test/process/fleet/silent-upstreams.test.ts
+++ b/test/process/fleet/silent-upstreams.test.ts
@@ -120,3 +120,32 @@
 		expect(statuses.filter(status => status !== 200)).toEqual([]);
 	});
 });
+
+describe('engines that all stand still for a while and go on', () => {
+	// Guards against a stream that is handed over to an engine which stands still as well and rejects it when it goes on.
+	test.each([
+		['both have streams of the daemon', 12],
+		['one of them has none', 1],
+	])('keep their streams although each rejects those of the other, when %s', async (_, streams) => {
+		await using fleet = new FleetFixture();
+		await fleet.start(engines);
+		const decoders = fleet.upstreams.filter(({behaviour}) => behaviour.stage === 'decode');
+		for (const {behaviour} of decoders) {
+			Object.assign(behaviour, {eventCount: 8, eventIntervalMs: 50});
+		}
+
+		const streaming = Array.from({length: streams}, async (__, index) => {
+			await delay(index * 20);
+			return fleet.stream(`/brief/${index}`, {deadlineMs: 4500});
+		});
+		await fleet.waitUntil(() => decoders.reduce((sum, {startedRequestIds}) => sum + startedRequestIds.length, 0) === streams);
+		await delay(100);
+		for (const upstream of decoders) {
+			upstream.pause(silenceMs);
+			Object.assign(upstream.behaviour, {status: 503, isMarkedNotRun: true});
+		}
+
+		const answers = await Promise.all(streaming);
+		expect(answers.map(({status, isWhole, body}) => ({status, isWhole, events: readEventIds(body).length}))).toEqual(answers.map(() => ({status: 200, isWhole: true, events: 8})));
+	});
+});
