Ask the store again before a call without an answer counts as an outage

Change: after one call without an answer, the next one goes out at once on a new connection and does not wait for changes; only a second failure is an outage. Refusals of the store count at once, as before.

--- a/src/ports/row-feed.ts
+++ b/src/ports/row-feed.ts
@@ -17,7 +17,8 @@
 
 /** Reason why a call to the feed failed; after `history-lost` the whole table must be read again. */
 export type FeedFailure = {
-	readonly kind: 'history-lost' | 'throttled' | 'unavailable';
+	/** `unanswered`: no answer came, so that the store or only the connection to it may have failed. */
+	readonly kind: 'history-lost' | 'throttled' | 'unavailable' | 'unanswered';
 	readonly message: string;
 };
 
--- a/src/process/tables/table-watch.ts
+++ b/src/process/tables/table-watch.ts
@@ -68,6 +68,8 @@
 	#confirmedAt = never;
 	#recoveredAt = never;
 	#isFetching = false;
+	/** True after a call without an answer, until the next one on a new connection shows whether the store has failed. */
+	#isDoubtful = false;
 	#isFollowing = false;
 	/** Ends the current pause. */
 	#wake: (() => void) | undefined;
@@ -137,7 +139,9 @@
 				await this.#pause(followMs + (this.#options.random.next() * takeoverSpreadMs));
 			} else {
 				await this.#tryPoll();
-				await this.#pause(this.#failures === 0 ? this.#times.pauseMs : this.#backoffMs());
+				if (!this.#isDoubtful) {
+					await this.#pause(this.#failures === 0 ? this.#times.pauseMs : this.#backoffMs());
+				}
 			}
 		}
 	}
@@ -174,7 +178,7 @@
 		const {version: knownVersion} = this.#copy;
 		const isWhole = this.#needsWhole || knownVersion === undefined;
 		// The wait varies, because a change ends the waits of all readers at the same time.
-		const waitMs = Math.round(this.#times.waitMs * (minWaitFraction + (this.#options.random.next() * (1 - minWaitFraction))));
+		const waitMs = this.#isDoubtful ? 0 : Math.round(this.#times.waitMs * (minWaitFraction + (this.#options.random.next() * (1 - minWaitFraction))));
 		const page = isWhole ? await feed.readTable(this.table) : await feed.waitForChanges(this.table, knownVersion, waitMs);
 		if (this.#stop.signal.aborted) {
 			return;
@@ -307,6 +311,7 @@
 	}
 
 	#handleSuccess(): void {
+		this.#isDoubtful = false;
 		if (this.#failures > 0) {
 			this.#recoveredAt = this.#options.clock.now();
 			this.#options.log.write('store.regained', {table: this.table, failures: this.#failures});
@@ -318,6 +323,14 @@
 
 	#handleFailure({kind, message}: FeedFailure): void {
 		const {log, listener} = this.#options;
+		if (kind === 'unanswered' && this.#failures === 0 && !this.#isDoubtful) {
+			// An open connection may have gone silent for good while the store works.
+			this.#isDoubtful = true;
+			log.write('store.unanswered', {table: this.table, cause: message});
+			return;
+		}
+
+		this.#isDoubtful = false;
 		if (kind === 'history-lost') {
 			// This failure is a response of the store, so the store itself is available.
 			log.write('store.historyLost', {table: this.table, version: this.#copy.version});
--- a/test/process/tables/table-watch.test.ts
+++ b/test/process/tables/table-watch.test.ts
@@ -241,6 +241,23 @@
 		expect(follower!.events.indexOf('recovered')).toBeLessThan(follower!.events.indexOf('removed a'));
 	});
 
+	// Guards against a silent connection being taken for an outage, after which missing entries stay in use for a while.
+	test('take a call without an answer for an outage only if the next one fails as well', async () => {
+		await using zone = new ZoneFixture();
+		await zone.settle();
+		const {feed, events} = zone.readers[0]!;
+		const outages = () => events.filter(event => event === 'lost' || event === 'recovered');
+		feed.faults.unanswered = 1;
+		zone.rows.put('a', 'draining 2');
+		await zone.waitForValue(zone.readers, 'a', 'draining');
+		await delay(300);
+		expect([feed.faults.unanswered, outages()]).toEqual([0, []]);
+		feed.faults.unanswered = 2;
+		await vi.waitFor(() => {
+			expect(outages()).toEqual(['lost', 'recovered']);
+		}, {timeout: changeBoundMs, interval: 5});
+	});
+
 	test('never return to an older state when a reader with an old copy is the only one left', async () => {
 		await using zone = new ZoneFixture();
 		await zone.settle();
