Answer 502 when an upstream fails a run with a status that promises otherwise

The daemon passed the status on, which callers take for a promise that nothing has run.

Change: where a request must not be repeated, such an answer is replaced by the daemon's own 502 without the signature, unless the upstream states that it has not run the request.

--- a/src/ports/upstream-protocol.ts
+++ b/src/ports/upstream-protocol.ts
@@ -49,6 +49,8 @@
 	readonly isSigned: boolean;
 	/** True when the upstream guarantees that it has not run the request and never will. */
 	readonly isNotRun: boolean;
+	/** True when callers take the status for a promise that the request has not run and never will, which only `isNotRun` makes true. */
+	readonly promisesNotRun: boolean;
 	/** True when the address belongs to another upstream. */
 	readonly isMisdirected: boolean;
 	/** True when the body has a content encoding, so it is not as the upstream wrote it. */
--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -200,6 +200,11 @@
 	}
 
 	#decideAnswer({answer, body}: Extract<CallResult, {kind: 'answered'}>, kind: 'served' | 'failed'): Step {
+		if (answer.promisesNotRun && !this.#isIdempotent) {
+			// The caller would repeat a request that may have run.
+			return {kind: 'done', end: () => this.fail('badAnswer', `The upstream failed the request with status ${answer.status}, but may have run it.`)};
+		}
+
 		const deliver = () => {
 			this.markFirstAnswer();
 			this.job.answer.sendComplete(answer.status, answer.headers, body);
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -383,7 +383,9 @@
 	#finishFailed({message}: StreamRunResult): DeliveryResult {
 		const {answer, signal} = this.job;
 		const failure = this.#failure;
-		if (failure !== undefined && !answer.hasBegun && !this.isCallerGone) {
+		// A caller would repeat a stream that may have run if the status promised that it has not.
+		const isMisleading = failure?.answer.promisesNotRun === true && !this.job.route.isResumable;
+		if (failure !== undefined && !isMisleading && !answer.hasBegun && !this.isCallerGone) {
 			answer.sendComplete(failure.answer.status, failure.answer.headers, failure.body);
 			return this.createResult('delivered', `status ${failure.answer.status}`);
 		}
