--- a/test/soak/fault-proxy.ts
+++ b/test/soak/fault-proxy.ts
@@ -1,5 +1,6 @@
 import {createServer, connect, type Socket} from 'node:net';
 import {once} from 'node:events';
+import {OrderedDelay} from './ordered-delay.ts';
 
 /** How a proxy handles the data on its connections; `answersLost` drops only the data from the server. */
 export type ProxyMode = 'open' | 'silent' | 'answersLost' | 'refused' | 'slow';
@@ -102,28 +103,25 @@
 			from.pause();
 		}
 
+		const order = new OrderedDelay();
 		from.on('data', chunk => {
 			if (!shouldForward()) {
 				return;
 			}
 
-			if (this.mode === 'slow') {
-				setTimeout(() => {
-					to.write(chunk);
-				}, slowDelayMs);
-			} else {
+			order.schedule(this.mode === 'slow' ? slowDelayMs : 0, () => {
 				to.write(chunk);
-			}
+			});
 		});
 		from.once('end', () => {
-			setTimeout(() => {
+			order.schedule(this.mode === 'slow' ? slowDelayMs : endDelayMs, () => {
 				// A reset that follows a FIN is reported as an end; only the missing remote port tells them apart.
 				if (from.remotePort === undefined) {
 					reset(to);
 				} else {
 					to.end();
 				}
-			}, this.mode === 'slow' ? slowDelayMs : endDelayMs);
+			});
 		});
 		from.on('error', () => {
 			// Forwards a reset to the other side.
