--- a/test/soak/fault-schedule.ts
+++ b/test/soak/fault-schedule.ts
@@ -14,7 +14,7 @@
 	storeReset: 1,
 	upstreamCrash: 1,
 	upstreamLink: 4,
-	upstreamAnswer: 10,
+	upstreamAnswer: 11,
 	upstreamLeave: 1,
 	configuration: 1,
 } as const;
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -1,4 +1,5 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {createEndlessAnswers, createEndlessBodies} from '../fixtures/endless-answers.ts';
 import {CallerLoad, usualKinds, type RequestKind} from './caller-load.ts';
 import {CrashingCaller, crashTarget} from './crashing-caller.ts';
 import type {ProxyMode} from './fault-proxy.ts';
@@ -301,7 +302,9 @@
 	upstream.writeEntry(store);
 }
 
-async function applyAnswerFault({server: {behaviour}}: SoakUpstream, {variant, forMs}: Fault): Promise<void> {
+const endlessAnswers = [...createEndlessAnswers(''), ...createEndlessBodies('')];
+
+async function applyAnswerFault({server: {behaviour}}: SoakUpstream, {variant, target, forMs}: Fault): Promise<void> {
 	const flag = answerFaultFlags[variant];
 	if (flag !== undefined) {
 		behaviour[flag] = true;
@@ -311,17 +314,33 @@
 	}
 
 	const original = {...behaviour};
-	if (variant === answerFaultFlags.length) {
-		behaviour.closesAfterEvents = 2;
-	} else if (variant === answerFaultFlags.length + 1) {
-		behaviour.stallsAfterEvents = 1;
-	} else {
-		behaviour.status = 503;
-		behaviour.isMarkedNotRun = true;
+	switch (variant) {
+		case answerFaultFlags.length: {
+			behaviour.closesAfterEvents = 2;
+
+			break;
+		}
+
+		case answerFaultFlags.length + 1: {
+			behaviour.stallsAfterEvents = 1;
+
+			break;
+		}
+
+		case answerFaultFlags.length + 2: {
+			behaviour.endless = endlessAnswers[target % endlessAnswers.length];
+
+			break;
+		}
+
+		default: {
+			behaviour.status = 503;
+			behaviour.isMarkedNotRun = true;
+		}
 	}
 
 	await delay(forMs);
 	Object.assign(behaviour, {
-		closesAfterEvents: original.closesAfterEvents, stallsAfterEvents: original.stallsAfterEvents, status: original.status, isMarkedNotRun: original.isMarkedNotRun,
+		closesAfterEvents: original.closesAfterEvents, stallsAfterEvents: original.stallsAfterEvents, endless: original.endless, status: original.status, isMarkedNotRun: original.isMarkedNotRun,
 	});
 }
