--- a/src/process/fleet/decision-log.ts
+++ b/src/process/fleet/decision-log.ts
@@ -19,7 +19,7 @@
 export const decisionLogLimits: DecisionLogLimits = {pendingBytes: 512 * 1024, routineLinesPerSecond: 600};
 
 /** Events whose number grows with the traffic or with the number of requests that an upstream drops; these lines are dropped first. */
-const routineEvents: ReadonlySet<string> = new Set(['request.received', 'send', 'sent', 'queued', 'crash.attributed', 'crash.reported', 'connection.closed', 'answer.givenUp']);
+const routineEvents: ReadonlySet<string> = new Set(['request.received', 'send', 'sent', 'queued', 'crash.attributed', 'crash.reported', 'connection.closed', 'answer.givenUp', 'retry.denied']);
 const standardOutput = 1;
 const rateWindowMs = 1000;
 const flushDelayMs = 100;
