Count a failed assertion of the HTTP client as an invalid answer

Also: the strict assertions of Node.js stay strict in bundles, which bundle.test.ts now checks, and the names around the check of a silent upstream say what they hold.

Test: one in answer-screen.test.ts failed before.

--- a/scripts/bundle/assertion.cjs
+++ b/scripts/bundle/assertion.cjs
@@ -8,11 +8,16 @@
 
 const message = 'assertion failed';
 
-/** Throws if a condition does not hold. */
-function assert(value, reason = message) {
-	if (!value) {
-		nodeAssert.fail(reason);
-	}
+/** Creates a module with the functions of another one, whose plain assertion always has a message. */
+function createModule(functions) {
+	const assert = (value, reason = message) => {
+		if (!value) {
+			nodeAssert.fail(reason);
+		}
+	};
+
+	return Object.assign(assert, functions, {ok: assert});
 }
 
-module.exports = Object.assign(assert, nodeAssert, {ok: assert, strict: assert});
+const strict = createModule(nodeAssert.strict);
+module.exports = Object.assign(createModule(nodeAssert), {strict: Object.assign(strict, {strict})});
--- a/src/connection/answer-guard.ts
+++ b/src/connection/answer-guard.ts
@@ -33,7 +33,8 @@
 /** True if an exchange ended because of what the upstream sent, and not because the connection broke, as in a crash. */
 export function isInvalidAnswerError(error: Error & {readonly code?: string}): boolean {
 	const isTruncated = error instanceof errors.HTTPParserError && error.code === 'HPE_INVALID_EOF_STATE';
-	return !isTruncated && (error instanceof errors.HTTPParserError || error instanceof errors.HeadersOverflowError || error instanceof EndlessAnswerError);
+	// While it reads an answer, the client library fails assertions because of what the upstream sent.
+	return !isTruncated && (error instanceof errors.HTTPParserError || error instanceof errors.HeadersOverflowError || error instanceof EndlessAnswerError || error.code === 'ERR_ASSERTION');
 }
 
 /**
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -23,15 +23,15 @@
 const maxOverlapMs = 300;
 
 /** Time without a byte from an upstream that has work after which it is no better than the silent one, in milliseconds; engines make an event in far less. */
-const standingMs = 400;
+const standstillMs = 400;
 
 /** With its own exchange alone, an upstream may be at work on a prompt. */
 const minSharedExchanges = 2;
-/** Timeout of a report that is asked for as a sign of life, in milliseconds; longer than the overlap that it decides. */
-const signTimeoutMs = 500;
+/** Timeout of a report that shows whether an upstream responds, in milliseconds; longer than the overlap that it decides. */
+const reportTimeoutMs = 500;
 
 /** Time without a byte at the end of an overlap that shows that its upstream stands still, in milliseconds; a little shorter than the overlap, whose timer may fire early. */
-const signlessMs = 250;
+const overlapSilenceMs = 250;
 
 /** Least remaining time to resume a stream, in milliseconds; with less, no event would arrive in time. */
 const minResumeTimeMs = 100;
@@ -219,7 +219,7 @@
 
 	/** Upstreams that must not run the stream beside another one: tried ones, and those that stand still themselves. */
 	get #unusable(): ReadonlySet<string> {
-		return new Set([...this.triedUpstreams, ...this.dependencies.upstreamClients.silentUpstreams(standingMs)]);
+		return new Set([...this.triedUpstreams, ...this.dependencies.upstreamClients.silentUpstreams(standstillMs)]);
 	}
 
 	/** Starts a run; returns the refusal to give if none is in progress. */
@@ -275,7 +275,7 @@
 					takeover = setTimeout(() => {
 						this.#endOverlap(run, upstream);
 					}, maxOverlapMs);
-					void this.#askForSign(upstream);
+					void this.#requestReport(upstream);
 				}
 			},
 			onProgress: () => {
@@ -322,20 +322,20 @@
 
 	/** Ends the overlap of a run with earlier ones before it has sent an event: the earlier ones are given up, unless its upstream has fallen silent too. */
 	#endOverlap(run: StreamRun, {id}: Upstream): void {
-		if (this.dependencies.upstreamClients.silentUpstreams(signlessMs, minSharedExchanges).includes(id)) {
+		if (this.dependencies.upstreamClients.silentUpstreams(overlapSilenceMs, minSharedExchanges).includes(id)) {
 			run.cancel('cancelled', 'the upstream stands still as well');
 		} else {
 			this.#cancelOthers(run);
 		}
 	}
 
-	/** Asks an upstream that has nothing else to answer for a report, whose answer shows that it does not stand still. */
-	async #askForSign(upstream: Upstream): Promise<void> {
+	/** Requests a report from an upstream that has nothing else to answer; the answer shows that it does not stand still. */
+	async #requestReport(upstream: Upstream): Promise<void> {
 		const {upstreamClients, protocol, backpressure} = this.dependencies;
 		if (upstreamClients.countExchanges(upstream.id) < minSharedExchanges) {
 			backpressure.count(upstream.id);
 			await callUpstream({
-				upstreamClients, protocol, upstream, wire: protocol.encodeReportRequest(upstream), timeoutMs: signTimeoutMs,
+				upstreamClients, protocol, upstream, wire: protocol.encodeReportRequest(upstream), timeoutMs: reportTimeoutMs,
 			});
 		}
 	}
--- a/test/connection/answer-screen.test.ts
+++ b/test/connection/answer-screen.test.ts
@@ -1,5 +1,7 @@
+import {AssertionError} from 'node:assert';
 import {Buffer} from 'node:buffer';
 import {describe, expect, test} from 'vitest';
+import {isInvalidAnswerError} from '../../src/connection/answer-guard.ts';
 import {
 	AnswerScreen, maxHeadBytes, maxHeadFields, maxTrailerBytes, maxTrailerFields, type AnswerFault,
 } from '../../src/connection/answer-screen.ts';
@@ -73,3 +75,9 @@
 		}
 	});
 });
+
+// Guards against an assertion of the client library that counts as a connection lost in a crash of the upstream.
+test('an assertion that fails while an answer is read makes the answer invalid', () => {
+	expect(isInvalidAnswerError(new AssertionError({message: 'assertion failed'}))).toBe(true);
+	expect(isInvalidAnswerError(new Error('other side closed'))).toBe(false);
+});
--- a/test/scripts/bundle.test.ts
+++ b/test/scripts/bundle.test.ts
@@ -9,6 +9,8 @@
 type Bundled = {
 	readonly failures: ReadonlyArray<{readonly name: string; readonly code: string; readonly message: string; readonly generatedMessage: boolean}>;
 	readonly hasPassed: boolean;
+	/** Results of comparing 1 and '1' loosely or strictly, by module. */
+	readonly comparisons: readonly boolean[];
 };
 
 const source = `
@@ -28,7 +30,17 @@
 	assert.strictEqual(1, 1);
 }
 
-module.exports = {failures, hasPassed: true};
+function compares(assert) {
+	try {
+		assert.equal(1, '1');
+		return true;
+	} catch {
+		return false;
+	}
+}
+
+const comparisons = [require('node:assert'), require('node:assert').strict, require('node:assert/strict'), require('assert/strict').strict].map(assert => compares(assert));
+module.exports = {failures, hasPassed: true, comparisons};
 `;
 
 async function runBundle(): Promise<Bundled> {
@@ -49,8 +61,9 @@
 describe('a bundle', () => {
 	// Guards against a failed assertion of a library for whose message Node.js parses the whole bundle.
 	test('fails assertions without quoting their source, under each name of the module', async () => {
-		const {failures, hasPassed} = await runBundle();
+		const {failures, hasPassed, comparisons} = await runBundle();
 		expect(hasPassed).toBe(true);
+		expect(comparisons).toEqual([true, false, false, false]);
 		expect(failures.map(({message}) => message.split('\n')[0])).toEqual(Array.from({length: 3}, () => ['assertion failed', 'assertion failed', 'reason', 'differ']).flat());
 		expect(failures.every(({name, code, generatedMessage}) => name === 'AssertionError' && code === 'ERR_ASSERTION' && !generatedMessage)).toBe(true);
 	});
