Answer the requests in flight before an uncaught error ends the process

Callers saw: every request that a daemon had read was lost, with a closed connection, when an error that nothing handled ended the process.

Cause: the handlers of uncaughtException and unhandledRejection exited at once, and dropped the buffered decision lines. The error itself need not concern any request: a timer, a row of another daemon or a connection that nobody waits for.

Change: the first uncaught error is reported with the ids of the oldest requests in flight (process.failed), and the process ends as on SIGTERM, within the grace period, with exit code 1.

--- a/src/fleet-main.ts
+++ b/src/fleet-main.ts
@@ -3,12 +3,12 @@
 import './with-resolvers.ts';
 import './process/heap.ts';
 /* eslint-enable import-x/no-unassigned-import */
-import {writeSync} from 'node:fs';
 import process from 'node:process';
 import {platformSettingsPath, createPlatform} from '../platform/platform.ts';
 import {DecisionLog} from './process/fleet/decision-log.ts';
 import {SettingsFile} from './process/fleet/settings-file.ts';
 import {FleetDaemon} from './process/fleet/fleet-daemon.ts';
+import {endGracefully, handleUncaughtErrors, reportUncaughtError} from './process/uncaught-errors.ts';
 import {formatFinding} from './version/finding.ts';
 import {parseFleetSettings, type FleetSettings} from './version/fleet-settings.ts';
 /* eslint-enable import-x/order */
@@ -16,16 +16,7 @@
 /** Interval at which the settings file is compared with what was read last, in milliseconds. */
 const settingsCheckIntervalMs = 5000;
 
-/** Ends the process after an error that nothing has handled; the default output would start with the whole bundled file. */
-function exitOnError(error: unknown): void {
-	writeSync(process.stderr.fd, `${error instanceof Error ? error.stack : String(error)}\n`);
-	// Components that are still running would keep the process alive.
-	// eslint-disable-next-line unicorn/no-process-exit
-	process.exit(1);
-}
-
-process.on('uncaughtException', exitOnError);
-process.on('unhandledRejection', exitOnError);
+handleUncaughtErrors();
 
 async function main(): Promise<void> {
 	const file = new SettingsFile(platformSettingsPath(process.env));
@@ -56,13 +47,24 @@
 		void reloadIfChanged(file, daemon, log);
 	}, settingsCheckIntervalMs);
 	let isStopping = false;
+	const stopOnce = () => {
+		if (!isStopping) {
+			isStopping = true;
+			void stopAndExit(daemon);
+		}
+	};
+
+	endGracefully(error => {
+		process.exitCode = 1;
+		daemon.recordFailure(error);
+		stopOnce();
+	});
 	handleSignals(signal => {
 		log.write('process.signal', {signal});
 		if (signal === 'SIGHUP') {
 			void reloadIfChanged(file, daemon, log, true);
-		} else if (!isStopping) {
-			isStopping = true;
-			void stopAndExit(daemon);
+		} else {
+			stopOnce();
 		}
 	});
 }
@@ -89,12 +91,18 @@
 }
 
 async function stopAndExit(daemon: FleetDaemon): Promise<void> {
-	await daemon.stop();
+	try {
+		await daemon.stop();
+	} catch (error) {
+		process.exitCode = 1;
+		reportUncaughtError(error);
+	}
+
 	// Connections that are still open have no request in flight.
 	// eslint-disable-next-line unicorn/no-process-exit
-	process.exit(0);
+	process.exit();
 }
 
 // The daemon is bundled as CommonJS, which has no top-level await.
 // eslint-disable-next-line unicorn/prefer-top-level-await
-void main().catch(exitOnError);
+void main().catch(reportUncaughtError);
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -337,6 +337,12 @@
 		this.#options.log.write('process.reload', {retryRatio: bounds.retryRatio, retrySlack: bounds.retrySlack, isRestartNeeded});
 	}
 
+	/** Logs an uncaught error with the requests in flight, which a graceful shutdown still answers. */
+	recordFailure(error: unknown): void {
+		const {openRequests, openRequestIds} = this.#requestHandler;
+		this.#options.log.write('process.failed', {cause: error instanceof Error ? error.stack : String(error), openRequests, requests: openRequestIds});
+	}
+
 	/** Shuts down gracefully; resolves when the process may exit. */
 	async stop(): Promise<void> {
 		this.#controller.resign();
--- a/src/process/fleet/route-request-handler.ts
+++ b/src/process/fleet/route-request-handler.ts
@@ -66,7 +66,7 @@
 const defaultRetryMs = 500;
 /** Retry delay while shutting down; short because the load balancer no longer routes to this daemon, so a new connection reaches another one. */
 const closingRetryMs = 50;
-/** Ids of requests in a log line about a closed connection, at most. */
+/** Ids of requests in a log line, at most. */
 const maxLoggedRequests = 8;
 /** A delivery ends at once when it is aborted; one that does not is answered for after this time. Callers are owed an answer within half a second of the deadline. */
 const overdueMs = 200;
@@ -90,7 +90,8 @@
 		refusedOnArrival: 0, refused: 0, failed: 0, brokenOff: 0,
 	};
 
-	#openRequests = 0;
+	/** Requests in flight, in the order of their arrival. */
+	readonly #requestsInFlight = new Set<OpenRequest>();
 
 	constructor(options: RouteRequestHandlerOptions) {
 		this.#options = options;
@@ -104,7 +105,12 @@
 
 	/** Number of requests in flight. */
 	get openRequests(): number {
-		return this.#openRequests;
+		return this.#requestsInFlight.size;
+	}
+
+	/** Ids of the oldest requests in flight. */
+	get openRequestIds(): readonly string[] {
+		return [...this.#requestsInFlight].slice(0, maxLoggedRequests).map(({id}) => id);
 	}
 
 	refuseUnsent(): void {
@@ -142,7 +148,7 @@
 			return;
 		}
 
-		this.#openRequests += 1;
+		this.#requestsInFlight.add(exchange.open);
 		this.#unansweredRequests.set(socket, (this.#unansweredRequests.get(socket) ?? 0) + 1);
 		try {
 			await this.#serve(exchange);
@@ -151,7 +157,7 @@
 			this.#answerAfterError(exchange, error);
 			await waitUntilSent(response);
 		} finally {
-			this.#openRequests -= 1;
+			this.#requestsInFlight.delete(exchange.open);
 			this.#unansweredRequests.set(socket, (this.#unansweredRequests.get(socket) ?? 1) - 1);
 		}
 	}
--- a/test/process/fleet/daemon-process.test.ts
+++ b/test/process/fleet/daemon-process.test.ts
@@ -1,5 +1,6 @@
 import {readFileSync, writeFileSync} from 'node:fs';
 import {request} from 'node:http';
+import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	beforeAll, describe, expect, test, vi,
@@ -20,15 +21,15 @@
 	process!: DaemonProcess;
 	ports!: DaemonPorts;
 
-	/** `entry` overrides fields of the upstream's row. */
-	async start(bundle: string, entry: Readonly<Record<string, unknown>> = {}): Promise<void> {
+	/** `entry` overrides fields of the upstream's row; `preload` is loaded before the daemon. */
+	async start(bundle: string, entry: Readonly<Record<string, unknown>> = {}, preload?: string): Promise<void> {
 		await this.store.start();
 		await this.upstream.start();
 		this.store.put('servers', 'u-1', this.upstream.entry(entry));
 		this.store.put('op', 'config', createOperatorConfiguration());
 		this.ports = toDaemonPorts(await chooseFreePorts(portsPerDaemon));
 		this.process = new DaemonProcess({
-			bundle, name: 'daemon-1', availabilityZone: 'zone-a', storeAddress: this.store.address, ports: this.ports,
+			bundle, name: 'daemon-1', availabilityZone: 'zone-a', storeAddress: this.store.address, ports: this.ports, preload,
 		});
 		this.process.start();
 	}
@@ -166,6 +167,23 @@
 		expect(await status).toBe(502);
 	}, 40_000);
 
+	// Guards against requests that were read and lost because an error in another part of the daemon ended the process at once.
+	test('answers the requests in flight when an uncaught error ends it, and exits with code 1', async () => {
+		await using daemon = new DaemonFixture();
+		await daemon.start(bundle, {}, path.join(import.meta.dirname, '../../fixtures/fleet/throw-on-signal.cjs'));
+		await daemon.waitUntilReady();
+		daemon.upstream.behaviour.delayMs = 800;
+		const open = [sendRequest(daemon.ports.callers, '/lookup/1', 'lookup'), sendRequest(daemon.ports.callers, '/book/1', 'booking')];
+		await delay(200);
+		daemon.process.signal('SIGUSR2');
+		await delay(100);
+		daemon.process.signal('SIGUSR2');
+		expect(await Promise.all(open)).toEqual([200, 200]);
+		expect(await daemon.process.waitForExit()).toBe(1);
+		expect(daemon.process.output).toMatch(/"event":"process\.failed".*"requests":\["lookup","booking"\]/v);
+		expect(daemon.process.output.match(/"event":"process\.failed"/gv)).toHaveLength(1);
+	}, 20_000);
+
 	test('reloads its settings on SIGHUP while it serves requests, and exposes metrics', async () => {
 		await using daemon = new DaemonFixture();
 		await daemon.start(bundle);
