Read an idle connection once more before it is closed

Callers saw a reset instead of an answer: a request that reached the host before the idle time-out of its connection, and waited unread while the event loop was held, was dropped with the connection.

Cause: the event loop runs timers before it reads sockets, and the HTTP library closes the connection in the timer.

Evidence: with the event loop held from 100 ms before the time-out until 50, 300 and 900 ms after it, a request written at the start of the hold got no answer in each of the three cases.

The server now handles the time-out itself: it waits until the event loop has read all sockets within the last 100 ms, and closes the connection only if nothing was read on it. A round that is itself held up is repeated.

The three cases of test/connection/idle-connections.test.ts failed before (Node.js 24).

--- a/src/connection/caller-server.ts
+++ b/src/connection/caller-server.ts
@@ -7,6 +7,7 @@
 	createRefusal, formatCallerError, runStateHeader, type CallerError,
 } from '../request/caller-error.ts';
 import {maxHeaderCount} from '../request/parsed-request.ts';
+import {readRecentEvents} from '../process/pending-events.ts';
 
 /** Limits on the connections and requests of callers. */
 export type CallerServerOptions = {
@@ -101,6 +102,10 @@
 	server.on('connection', socket => {
 		connections.set(socket, watchConnection(socket, server, options.onClosed));
 	});
+	// With a listener, the HTTP library does not close the connection itself.
+	server.on('timeout', (socket: Socket) => {
+		void closeExpired(connections.get(socket)!);
+	});
 	server.maxConnections = options.maxConnections ?? 8192;
 	server.maxHeadersCount = maxHeaderCount;
 	server.on('clientError', (error: Error & {readonly code?: string}, socket) => {
@@ -121,9 +126,6 @@
 	socket.once('end', markLeft);
 	// Stays, because the HTTP library removes its own listener at the first error.
 	socket.on('error', markLeft);
-	socket.on('timeout', () => {
-		connection.reason ??= 'idleTimeout';
-	});
 	socket.once('close', () => {
 		const unfinished = [...connection.responses].filter(response => !response.writableFinished);
 		if (unfinished.length > 0) {
@@ -160,6 +162,24 @@
 	});
 }
 
+/**
+Closes a connection whose idle time-out has passed.
+
+The time-out may pass while a request waits unread in the operating system, because the event loop runs timers before it reads
+sockets.
+*/
+async function closeExpired(connection: Connection): Promise<void> {
+	const {socket, responses} = connection;
+	const {bytesRead} = socket;
+	await readRecentEvents();
+	if (socket.destroyed || responses.size > 0 || socket.bytesRead > bytesRead) {
+		return;
+	}
+
+	connection.reason ??= 'idleTimeout';
+	socket.destroy();
+}
+
 /** Answers with an error; while earlier requests are being served, their answers are completed first and the connection is then closed without one. */
 function refuseMalformed(socket: Duplex, connection: Connection | undefined, code: string): void {
 	const error = parserRefusals[code] ?? malformedRequest;
--- a/src/process/pending-events.ts
+++ b/src/process/pending-events.ts
@@ -11,3 +11,23 @@
 		await setImmediate();
 	}
 }
+
+/** Callers are owed an answer to what they sent more than 200 ms ago. */
+const recentMs = 100;
+/** Bounds the wait while each round is held up. */
+const maxRounds = 20;
+
+/**
+Resolves once all sockets have been read within the last 100 ms.
+
+Between the reading and the end of a round, other work may hold the event loop while requests arrive; the round is then repeated.
+*/
+export async function readRecentEvents(iterations?: number): Promise<void> {
+	for (let round = 0; round < maxRounds; round += 1) {
+		const startedAt = performance.now();
+		await readPendingEvents(iterations);
+		if (performance.now() - startedAt < recentMs) {
+			return;
+		}
+	}
+}
--- /dev/null
+++ b/test/connection/idle-connections.test.ts
@@ -0,0 +1,106 @@
+import {connect, type AddressInfo, type Socket} from 'node:net';
+import type {Server} from 'node:http';
+import {setImmediate, setTimeout as delay} from 'node:timers/promises';
+import {
+	afterEach, describe, expect, test,
+} from 'vitest';
+import {createCallerServer, type ClosedConnection} from '../../src/connection/caller-server.ts';
+import {closeAbruptly, listen} from '../../src/connection/http-listener.ts';
+
+const holdTimesMs = [50, 300, 900];
+const get = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
+
+let server: Server;
+const closed: ClosedConnection[] = [];
+
+afterEach(async () => {
+	closed.length = 0;
+	await closeAbruptly(server);
+});
+
+/** What a caller and the server have of one connection. */
+type Pair = {
+	readonly caller: Socket;
+	readonly accepted: Socket;
+	readonly text: () => string;
+	readonly isClosed: () => boolean;
+};
+
+async function startServer(idleTimeoutMs: number): Promise<void> {
+	server = createCallerServer({
+		maxHeaderBytes: 16_384,
+		idleTimeoutMs,
+		onClosed(connection) {
+			closed.push(connection);
+		},
+	}, (request, response) => {
+		request.resume();
+		request.once('end', () => {
+			response.end('ok');
+		});
+	});
+	await listen(server, {host: '127.0.0.1', port: 0});
+}
+
+/** Opens a connection and has one request answered on it, so that it is idle. */
+async function openIdle(): Promise<Pair> {
+	const {promise, resolve} = Promise.withResolvers<Socket>();
+	server.once('connection', resolve);
+	const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	let text = '';
+	let isClosed = false;
+	caller.setNoDelay(true).setEncoding('latin1').on('data', (chunk: string) => {
+		text += chunk;
+	});
+	caller.on('error', () => {
+		caller.destroy();
+	});
+	caller.once('close', () => {
+		isClosed = true;
+	});
+	const pair = {
+		caller, accepted: await promise, text: () => text, isClosed: () => isClosed,
+	};
+	caller.write(get);
+	await expect.poll(() => countAnswers(pair), {interval: 5}).toBe(1);
+	return pair;
+}
+
+function countAnswers({text}: Pair): number {
+	return text().split('HTTP/1.1 200').length - 1;
+}
+
+/** Stands for work that holds the event loop. */
+function hold(durationMs: number): void {
+	for (const endAt = performance.now() + durationMs; performance.now() < endAt;) {
+		// Waits.
+	}
+}
+
+describe('a request that waits unread in the operating system while the event loop is held', () => {
+	test.each(holdTimesMs)('is answered although the idle time-out passes: held for %i ms longer', async holdMs => {
+		await startServer(100);
+		const pair = await openIdle();
+		const marginMs = 100;
+		await delay(pair.accepted.timeout! - marginMs);
+		expect(pair.isClosed()).toBe(false);
+		// Timers run after immediates, and before sockets are read.
+		await setImmediate();
+		pair.caller.write(get);
+		hold(marginMs + holdMs);
+		await expect.poll(() => countAnswers(pair) === 2 || pair.isClosed()).toBe(true);
+		expect(countAnswers(pair)).toBe(2);
+		// The connection is idle again and closes in its time.
+		await expect.poll(pair.isClosed, {timeout: 3000}).toBe(true);
+		expect(closed).toEqual([]);
+	});
+});
+
+describe('an idle connection', () => {
+	test('is closed when the limit has passed', async () => {
+		await startServer(100);
+		const pair = await openIdle();
+		await expect.poll(pair.isClosed, {timeout: 2000}).toBe(true);
+		expect(closed).toEqual([]);
+	});
+});
