Keep idle connections as long as a raised idle limit allows

Callers that reuse connections after four fifths of the idle limit in force found them closed after the limit was raised: each connection kept the time-out that was in force when it became idle, and a request sent near that moment crossed the close.

Evidence: a connection that became idle under a limit of 100 ms, which was then lowered to 50 ms and raised to 3 s, was closed before a request that came 2.4 s later.

When the time-out passes, the server now compares the idle time with the limit in force and waits for the rest. A lowered limit still applies only from the next answer on, since the last answer has promised the longer time (Keep-Alive).

The test of idle-connections.test.ts failed before.

--- a/src/connection/caller-server.ts
+++ b/src/connection/caller-server.ts
@@ -47,6 +47,8 @@
 	readonly responses: Set<ServerResponse>;
 	reason: ClosingReason | undefined;
 	refusedStatus: number | undefined;
+	/** Time of the end of the last response, in milliseconds of the steady clock; undefined before. */
+	idleSince: number | undefined;
 };
 
 const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
@@ -104,7 +106,7 @@
 	});
 	// With a listener, the HTTP library does not close the connection itself.
 	server.on('timeout', (socket: Socket) => {
-		void closeExpired(connections.get(socket)!);
+		void closeExpired(connections.get(socket)!, server);
 	});
 	server.maxConnections = options.maxConnections ?? 8192;
 	server.maxHeadersCount = maxHeaderCount;
@@ -117,7 +119,7 @@
 /** Keeps the responses of a connection and the reason for which it closes. */
 function watchConnection(socket: Socket, server: Server, onClosed: CallerServerOptions['onClosed']): Connection {
 	const connection: Connection = {
-		socket, responses: new Set(), reason: undefined, refusedStatus: undefined,
+		socket, responses: new Set(), reason: undefined, refusedStatus: undefined, idleSince: undefined,
 	};
 	const markLeft = () => {
 		connection.reason ??= 'callerLeft';
@@ -158,24 +160,33 @@
 function trackResponse(connection: Connection | undefined, response: ServerResponse): void {
 	connection?.responses.add(response);
 	response.once('close', () => {
-		connection?.responses.delete(response);
+		if (connection !== undefined) {
+			connection.responses.delete(response);
+			connection.idleSince = performance.now();
+		}
 	});
 }
 
 /**
-Closes a connection whose idle time-out has passed.
+Closes a connection that has been idle for the limit in force.
 
 The time-out may pass while a request waits unread in the operating system, because the event loop runs timers before it reads
-sockets.
+sockets; and the limit may have been raised since the connection became idle.
 */
-async function closeExpired(connection: Connection): Promise<void> {
-	const {socket, responses} = connection;
+async function closeExpired(connection: Connection, server: Server): Promise<void> {
+	const {socket, responses, idleSince = 0} = connection;
 	const {bytesRead} = socket;
 	await readRecentEvents();
 	if (socket.destroyed || responses.size > 0 || socket.bytesRead > bytesRead) {
 		return;
 	}
 
+	const remainingMs = idleSince + server.keepAliveTimeout - performance.now();
+	if (remainingMs > 0) {
+		socket.setTimeout(remainingMs);
+		return;
+	}
+
 	connection.reason ??= 'idleTimeout';
 	socket.destroy();
 }
--- a/test/connection/idle-connections.test.ts
+++ b/test/connection/idle-connections.test.ts
@@ -97,6 +97,19 @@
 });
 
 describe('an idle connection', () => {
+	test('is kept as long as the limit in force allows after the limit was shortened and lengthened', async () => {
+		await startServer(100);
+		const pair = await openIdle();
+		server.keepAliveTimeout = 50;
+		await delay(20);
+		server.keepAliveTimeout = 3000;
+		// Later than the limit in force when the connection became idle, and four fifths of the present one.
+		await delay(2400);
+		pair.caller.write(get);
+		await expect.poll(() => countAnswers(pair) === 2 || pair.isClosed()).toBe(true);
+		expect(countAnswers(pair)).toBe(2);
+	});
+
 	test('is closed when the limit has passed', async () => {
 		await startServer(100);
 		const pair = await openIdle();
