Refuse CONNECT requests with an answer

A caller that sent CONNECT saw its connection closed without an answer.

Cause: without a listener for `connect`, the HTTP library (Node.js 20 and 24) destroys the connection of such a request.

Evidence: a raw CONNECT request got zero bytes and a close on v20.19.0 and v24.22.3.

The server now answers 405 as not run, and closes the connection; requests that are being served on it are answered first. The case of caller-server.test.ts failed before.

--- a/src/connection/caller-server.ts
+++ b/src/connection/caller-server.ts
@@ -52,6 +52,8 @@
 };
 
 const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+/** Stands for the request of a tunnel among the codes of errors. */
+const tunnelCode = 'CONNECT';
 /** Errors of a connection that the caller has ended or reset. */
 const callerLeftCodes: ReadonlySet<string> = new Set(['ECONNRESET', 'EPIPE', 'ETIMEDOUT', 'HPE_INVALID_EOF_STATE']);
 
@@ -64,6 +66,7 @@
 
 	HPE_HEADER_OVERFLOW: createRefusal(431, 'headers_too_large', 'The head of the request is too large.'),
 	HPE_CHUNK_EXTENSIONS_OVERFLOW: createRefusal(413, 'body_too_large', 'The chunk extensions are too large.'),
+	[tunnelCode]: createRefusal(405, 'method_not_allowed', 'The method is not allowed.'),
 	[requestTimeoutCode]: createRefusal(408, 'request_timeout', 'The request did not arrive in time.'),
 
 };
@@ -108,6 +111,10 @@
 	server.on('timeout', (socket: Socket) => {
 		void closeExpired(connections.get(socket)!, server);
 	});
+	// Without a listener, the HTTP library closes the connection without an answer.
+	server.on('connect', (_request, socket) => {
+		refuseMalformed(socket, connections.get(socket), tunnelCode);
+	});
 	server.maxConnections = options.maxConnections ?? 8192;
 	server.maxHeadersCount = maxHeaderCount;
 	server.on('clientError', (error: Error & {readonly code?: string}, socket) => {
--- a/test/connection/caller-server.test.ts
+++ b/test/connection/caller-server.test.ts
@@ -153,6 +153,9 @@
 		{
 			name: 'an unsupported method', parts: [`TRACE ${target} HTTP/1.1\r\nHost: a\r\n${authorization}\r\n\r\n`], status: 405, code: 'method_not_allowed',
 		},
+		{
+			name: 'a request for a tunnel', parts: ['CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n'], status: 405, code: 'method_not_allowed',
+		},
 	])('is refused with a stable code: $name', async ({parts, status, code}) => {
 		expect(await exchange(parts)).toMatchObject({status, code, ran: 'no'});
 	});
