Close no connection whose last answer has not been sent completely

A caller that reads slowly saw its answer cut when a stopping daemon closed its idle connections.

Cause: `closeIdleConnections` of the HTTP library, which `close` calls too, takes a connection for idle once its answer has been ended, although bytes of it wait to be sent. The drain of the own interface calls it while answers are sent; the fleet daemon calls it before that only when its time has run out.

Evidence: an answer of 32 MiB to a caller that had paused was cut by closeIdleConnections.

The caller server replaces the method, and closes only connections whose answers have been handed to the operating system and on which nothing was read since. Answers 417 are now tracked as well, so that their connections count as idle afterwards.

"an answer that waits for a slow caller is sent completely although idle connections are closed" failed before. The tests of heads that were read in part, bodies that were read later and 417 guard what the library did.

--- a/src/connection/caller-server.ts
+++ b/src/connection/caller-server.ts
@@ -47,8 +47,8 @@
 	readonly responses: Set<ServerResponse>;
 	reason: ClosingReason | undefined;
 	refusedStatus: number | undefined;
-	/** Time of the end of the last response, in milliseconds of the steady clock; undefined before. */
-	idleSince: number | undefined;
+	/** Time of the end of the last response or the rest of its request, in milliseconds of the steady clock, and the bytes read until then; undefined before. */
+	idle: {readonly since: number; readonly bytesRead: number} | undefined;
 };
 
 const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
@@ -79,6 +79,7 @@
 	handle: (request: IncomingMessage, response: ServerResponse) => void,
 ): Server {
 	const connections = new WeakMap<Duplex, Connection>();
+	const open = new Set<Connection>();
 	const closing = new WeakSet<Duplex>();
 	const server = createServer({
 		ServerResponse: createAnnouncingResponse(({socket}) => {
@@ -107,12 +108,30 @@
 		handle(request, response);
 	});
 	server.on('connection', socket => {
-		connections.set(socket, watchConnection(socket, server, options.onClosed));
+		const connection = watchConnection(socket, server, options.onClosed);
+		connections.set(socket, connection);
+		open.add(connection);
+		socket.once('close', () => {
+			open.delete(connection);
+		});
 	});
+	// `close` calls this method as well. The one of the library also closes connections whose last answer has not been sent completely.
+	server.closeIdleConnections = () => {
+		for (const {socket, responses, idle} of open) {
+			if (responses.size === 0 && idle?.bytesRead === socket.bytesRead) {
+				socket.destroy();
+			}
+		}
+	};
+
 	// With a listener, the HTTP library does not close the connection itself.
 	server.on('timeout', (socket: Socket) => {
 		void closeExpired(connections.get(socket)!, server);
 	});
+	server.on('checkExpectation', (request, response) => {
+		trackResponse(connections.get(request.socket), response);
+		response.writeHead(417).end();
+	});
 	// Without a listener, the HTTP library closes the connection without an answer.
 	server.on('connect', (_request, socket) => {
 		refuseMalformed(socket, connections.get(socket), tunnelCode);
@@ -128,7 +147,7 @@
 /** Keeps the responses of a connection and the reason for which it closes. */
 function watchConnection(socket: Socket, server: Server, onClosed: CallerServerOptions['onClosed']): Connection {
 	const connection: Connection = {
-		socket, responses: new Set(), reason: undefined, refusedStatus: undefined, idleSince: undefined,
+		socket, responses: new Set(), reason: undefined, refusedStatus: undefined, idle: undefined,
 	};
 	const markLeft = () => {
 		connection.reason ??= 'callerLeft';
@@ -167,13 +186,21 @@
 }
 
 function trackResponse(connection: Connection | undefined, response: ServerResponse): void {
-	connection?.responses.add(response);
+	if (connection === undefined) {
+		return;
+	}
+
+	const markIdle = () => {
+		connection.idle = {since: performance.now(), bytesRead: connection.socket.bytesRead};
+	};
+
+	connection.responses.add(response);
 	response.once('close', () => {
-		if (connection !== undefined) {
-			connection.responses.delete(response);
-			connection.idleSince = performance.now();
-		}
+		connection.responses.delete(response);
+		markIdle();
 	});
+	// The rest of a body may be read after its refusal.
+	response.req.once('close', markIdle);
 }
 
 /**
@@ -183,14 +210,14 @@
 sockets; and the limit may have been raised since the connection became idle.
 */
 async function closeExpired(connection: Connection, server: Server): Promise<void> {
-	const {socket, responses, idleSince = 0} = connection;
+	const {socket, responses, idle} = connection;
 	const {bytesRead} = socket;
 	await readRecentEvents();
 	if (socket.destroyed || responses.size > 0 || socket.bytesRead > bytesRead) {
 		return;
 	}
 
-	const remainingMs = idleSince + server.keepAliveTimeout - performance.now();
+	const remainingMs = (idle?.since ?? 0) + server.keepAliveTimeout - performance.now();
 	if (remainingMs > 0) {
 		socket.setTimeout(remainingMs);
 		return;
--- a/test/connection/idle-connections.test.ts
+++ b/test/connection/idle-connections.test.ts
@@ -4,10 +4,14 @@
 import {
 	afterEach, describe, expect, test,
 } from 'vitest';
-import {closeIdleConnections, createCallerServer, type ClosedConnection} from '../../src/connection/caller-server.ts';
+import {
+	closeIdleConnections, createCallerServer, stopListening, type ClosedConnection,
+} from '../../src/connection/caller-server.ts';
 import {closeAbruptly, listen} from '../../src/connection/http-listener.ts';
 
 const holdTimesMs = [50, 300, 900];
+/** More than the operating system buffers. */
+const largeBytes = 32 * 1024 * 1024;
 const get = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
 
 let server: Server;
@@ -34,9 +38,14 @@
 			closed.push(connection);
 		},
 	}, (request, response) => {
+		if (request.url === '/early') {
+			response.end('ok');
+			return;
+		}
+
 		request.resume();
 		request.once('end', () => {
-			response.end('ok');
+			response.end(request.url === '/large' ? `${'x'.repeat(largeBytes)}end` : 'ok');
 		});
 	});
 	await listen(server, {host: '127.0.0.1', port: 0});
@@ -122,6 +131,30 @@
 	});
 });
 
+test('an answer that waits for a slow caller is sent completely although idle connections are closed', async () => {
+	await startServer(5000);
+	const pair = await openIdle();
+	pair.caller.pause();
+	pair.caller.write(get.replace('/', '/large'));
+	await expect.poll(() => pair.accepted.writableLength).toBeGreaterThan(0);
+	await closeIdleConnections(server);
+	pair.caller.resume();
+	await expect.poll(() => pair.isClosed() || pair.text().endsWith('end'), {timeout: 5000}).toBe(true);
+	expect(pair.text().endsWith('end')).toBe(true);
+});
+
+test('a request whose head has been read in part is answered although idle connections are closed', async () => {
+	await startServer(5000);
+	const pair = await openIdle();
+	const {bytesRead} = pair.accepted;
+	pair.caller.write(get.slice(0, 10));
+	await expect.poll(() => pair.accepted.bytesRead).toBeGreaterThan(bytesRead);
+	await closeIdleConnections(server);
+	pair.caller.write(get.slice(10));
+	await expect.poll(() => countAnswers(pair) === 2 || pair.isClosed()).toBe(true);
+	expect(countAnswers(pair)).toBe(2);
+});
+
 describe('an idle connection', () => {
 	test('is kept as long as the limit in force allows after the limit was shortened and lengthened', async () => {
 		await startServer(100);
@@ -136,6 +169,20 @@
 		expect(countAnswers(pair)).toBe(2);
 	});
 
+	test.each([
+		['a refusal whose body was read later', 'POST /early HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab', 'cd'],
+		['an expectation that is not met', 'GET / HTTP/1.1\r\nHost: a\r\nExpect: more\r\n\r\n', ''],
+	])('is closed by the stop of the server after %s', async (_name, first, rest) => {
+		await startServer(5000);
+		const pair = await openIdle();
+		pair.caller.write(first);
+		await expect.poll(() => pair.text().split('HTTP/1.1').length).toBe(3);
+		pair.caller.write(rest);
+		await delay(50);
+		await stopListening(server);
+		await expect.poll(pair.isClosed).toBe(true);
+	});
+
 	test('is closed when the limit has passed', async () => {
 		await startServer(100);
 		const pair = await openIdle();
