Account for each request that the soak's callers sent whole

Each caller notes how and when an exchange ended. A module joins that with the daemons' log lines, applies the operators' rule on requests lost around planned work, and reports each request without a complete answer.

--- a/test/soak/caller-load.ts
+++ b/test/soak/caller-load.ts
@@ -40,6 +40,10 @@
 	readonly sentAt: number;
 	/** Time at which the last byte was handed to the operating system; undefined before that. */
 	wholeAt?: number;
+	/** How its exchange ended: with a complete answer, closed or reset by the daemon, or given up by the caller after a time without data. */
+	ending?: 'complete' | 'closed' | 'reset' | 'timedOut';
+	/** Time at which the exchange ended, also for a caller that was still sending. */
+	closedAt?: number;
 	/** Undefined while the request is in flight. */
 	endedAt?: number;
 	/** HTTP status; 0 when no answer arrived. */
@@ -111,6 +115,16 @@
 		};
 		this.requests.push(sent);
 		const {promise, resolve} = Promise.withResolvers<void>();
+		let hasTimedOut = false;
+		const end = () => {
+			if (sent.closedAt === undefined) {
+				sent.closedAt = performance.now();
+				sent.ending = findEnding(sent, request, hasTimedOut);
+			}
+
+			resolve();
+		};
+
 		const [host, port] = this.#addresses[daemon]!.split(':');
 		const {path, isStream} = requestKinds[kind];
 		const request = createRequest({
@@ -147,16 +161,17 @@
 				sent.cause = error.message;
 				sent.isComplete = false;
 			});
-			response.once('close', resolve);
+			response.once('close', end);
 		});
 		request.once('finish', () => {
 			sent.wholeAt = performance.now();
 		});
 		request.once('error', error => {
 			sent.cause = error.message;
-			resolve();
+			end();
 		});
 		request.setTimeout(deadlineMs * 2, () => {
+			hasTimedOut = true;
 			request.destroy();
 		});
 		if (pieceGapMs === undefined) {
@@ -197,6 +212,15 @@
 	}
 }
 
+function findEnding({isComplete}: CallerRequest, {socket}: ClientRequest, hasTimedOut: boolean): CallerRequest['ending'] {
+	if (isComplete || hasTimedOut) {
+		return isComplete ? 'complete' : 'timedOut';
+	}
+
+	// A socket that its peer has closed has no error.
+	return (socket?.errored ?? undefined) === undefined ? 'closed' : 'reset';
+}
+
 /** Sends a body in pieces, in chunks without a length. */
 async function sendSlowly(request: ClientRequest, body: string, pieceGapMs: number): Promise<void> {
 	const size = Math.ceil(body.length / bodyPieces);
--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -36,6 +36,10 @@
 		console.log(`  ${line}`);
 	}
 
+	for (const line of result.account) {
+		console.log(`  account: ${line}`);
+	}
+
 	if (result.evidence !== undefined) {
 		console.log(`  evidence: ${result.evidence}`);
 	}
--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -6,6 +6,7 @@
 import {chooseFreePorts} from '../fixtures/free-ports.ts';
 import {FaultProxy} from './fault-proxy.ts';
 import type {Observations, ObservedOrder, TimeSpan} from './invariants.ts';
+import type {Disruption, PlannedWork} from './request-account.ts';
 import {spareServices} from './changed-configuration.ts';
 
 const zones = ['zone-a', 'zone-b', 'zone-c'];
@@ -83,11 +84,14 @@
 	/** Proxy between each daemon and the store. */
 	readonly storeProxies: FaultProxy[] = [];
 	/** For each daemon, the times during which a fault affected it or its connection to the store. */
-	readonly disruptions: TimeSpan[][] = [];
+	readonly disruptions: Disruption[][] = [];
 	/** For each daemon, the times from a SIGKILL to the restart. */
 	readonly kills: TimeSpan[][] = [];
 	/** For each daemon, the times from a SIGTERM to the restart. */
 	readonly stops: TimeSpan[][] = [];
+	readonly plannedWork: PlannedWork[] = [];
+	/** The configurations written so far. */
+	readonly configurations: Array<Readonly<Record<string, unknown>>> = [];
 	readonly #timers: NodeJS.Timeout[] = [];
 	#version = 1;
 	#longWorkCount = 0;
@@ -95,7 +99,7 @@
 	/** Starts the store, the upstreams and the daemons, and waits until all daemons are ready; `hasSpareServices` adds services to which routes can be moved. */
 	async start(bundle: string, daemons: number, hasSpareServices = false): Promise<void> {
 		await this.store.start();
-		this.store.put('op', 'config', createOperatorConfiguration());
+		this.#writeConfiguration(createOperatorConfiguration());
 		for (const [index, availabilityZone] of zones.entries()) {
 			await this.#addUpstream({id: `desk-${index}`}, availabilityZone);
 			await this.#addUpstream({id: `engine-${index}`, stage: 'decode', eventCount: 4}, availabilityZone);
@@ -155,7 +159,7 @@
 	/** Writes a configuration with a higher version. */
 	configure(create: (version: number) => Readonly<Record<string, unknown>> = version => createOperatorConfiguration({version})): void {
 		this.#version += 1 + (this.#version % 3);
-		this.store.put('op', 'config', create(this.#version));
+		this.#writeConfiguration(create(this.#version));
 	}
 
 	/** Ends a daemon with a signal and starts it again. */
@@ -165,6 +169,10 @@
 		// Several signals may hit the same process; only the first of them restarts it.
 		const isFirst = !daemon.isStopRequested;
 		daemon.signal(signal);
+		if (signal === 'SIGTERM') {
+			this.plannedWork.push({kind: signal, daemon: index, at: from});
+		}
+
 		await daemon.waitForExit();
 		if (isFirst) {
 			await delay(restartDelayMs);
@@ -172,7 +180,7 @@
 		}
 
 		const span = {from, to: performance.now()};
-		this.disruptions[index]!.push(span);
+		this.disruptions[index]!.push({...span, cause: signal === 'SIGKILL' ? 'host' : 'plannedStop'});
 		(signal === 'SIGKILL' ? this.kills : this.stops)[index]!.push(span);
 	}
 
@@ -231,6 +239,12 @@
 		await this.store[Symbol.asyncDispose]();
 	}
 
+	#writeConfiguration(configuration: Readonly<Record<string, unknown>>): void {
+		this.plannedWork.push({kind: 'configuration', at: performance.now()});
+		this.configurations.push(configuration);
+		this.store.put('op', 'config', configuration);
+	}
+
 	#changeLongWork(difference: number): void {
 		this.#longWorkCount += difference;
 		for (const {server} of this.upstreams) {
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -1,6 +1,8 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {createEndlessAnswers, createEndlessBodies} from '../fixtures/endless-answers.ts';
-import {CallerLoad, usualKinds, type RequestKind} from './caller-load.ts';
+import {
+	CallerLoad, requestKinds, usualKinds, type CallerRequest, type RequestKind,
+} from './caller-load.ts';
 import {CrashingCaller, crashTarget} from './crashing-caller.ts';
 import type {ProxyMode} from './fault-proxy.ts';
 import {applyChange} from './changes.ts';
@@ -10,6 +12,7 @@
 	generateFaults, isChange, onlyFailures, type FailureKind, type Fault, type FaultGroups,
 } from './fault-schedule.ts';
 import {findViolations} from './invariants.ts';
+import {accountRequests, readRequestLines, type Disruption} from './request-account.ts';
 import {SoakDeployment, type SoakUpstream} from './soak-deployment.ts';
 
 /** Options of a soak run. */
@@ -32,6 +35,8 @@
 export type SoakResult = {
 	/** A line for each violated invariant. */
 	readonly violations: readonly string[];
+	/** A line for each request that was sent whole and got no complete answer, and figures about them. */
+	readonly account: readonly string[];
 	readonly requests: number;
 	readonly served: number;
 	/** Upstreams that the request of the crashing caller has crashed. */
@@ -79,7 +84,9 @@
 	await delay(Math.max(0, startedAt + faultPeriodMs - performance.now()));
 	const unserved = await findUnrecovered(deployment, load);
 	await load.stop();
+	const account = accountLoad(deployment, load.requests, groups.hasChanges ? leastTimeoutRatio : 1);
 	const violations = [
+		...account.violations,
 		...findViolations({
 			...deployment.observe(),
 			requests: load.requests,
@@ -91,6 +98,7 @@
 	];
 	return {
 		violations,
+		account: account.report,
 		requests: load.requests.length,
 		served: load.requests.filter(({status, isComplete}) => status === 200 && isComplete).length,
 		crashes: deployment.observe().crashTimes.length,
@@ -98,11 +106,29 @@
 		evidence: violations.length === 0
 			? undefined
 			: keepEvidence(evidenceFolder, {
-				seed, violations, faults, startedAt, requests: load.requests, logs: deployment.daemons.map(({output}) => output),
+				seed, violations: [...violations, ...account.report], faults, startedAt, requests: load.requests, logs: deployment.daemons.map(({output}) => output),
 			}),
 	};
 }
 
+/** Accounts for the requests of the callers with the logs of the daemons. */
+function accountLoad(deployment: SoakDeployment, requests: readonly CallerRequest[], timeoutRatio: number): ReturnType<typeof accountRequests> {
+	const {seen, upstreamDisruptions} = deployment.observe();
+	const {plannedWork, disruptions, daemons, configurations} = deployment;
+	return accountRequests({
+		requests,
+		lines: daemons.map(({output}) => readRequestLines(output, performance.timeOrigin)),
+		passedOn: new Set(seen.map(({headers}) => String(headers['x-request-id']))),
+		plannedWork,
+		disruptions,
+		upstreamDisruptions,
+		timeoutMs({kind}, version) {
+			const routes = configurations.find(configuration => configuration.version === version)?.routes as ReadonlyArray<{readonly path_prefix: string; readonly timeout_ms: number}> | undefined;
+			return routes?.find(route => route.path_prefix === requestKinds[kind].path)?.timeout_ms ?? requestKinds[kind].timeoutMs * timeoutRatio;
+		},
+	});
+}
+
 function isIsolated(fault: Fault, faults: readonly Fault[]): boolean {
 	return faults.every(other => other === fault || isChange(other) || other.at + other.forMs + quietAroundStopMs < fault.at || other.at > fault.at + quietAroundStopMs);
 }
@@ -131,9 +157,9 @@
 	const daemon = daemons[index]!;
 	const upstream = upstreams[fault.target % upstreams.length]!;
 	const startedAt = performance.now();
-	const recordDisruption = (indexes: readonly number[]) => {
+	const recordDisruption = (indexes: readonly number[], cause: Disruption['cause'] = 'store') => {
 		for (const affected of indexes) {
-			deployment.disruptions[affected]!.push({from: startedAt, to: performance.now()});
+			deployment.disruptions[affected]!.push({from: startedAt, to: performance.now(), cause});
 		}
 	};
 
@@ -150,18 +176,19 @@
 			daemon.signal('SIGSTOP');
 			await delay(fault.forMs);
 			daemon.signal('SIGCONT');
-			recordDisruption([index]);
+			recordDisruption([index], 'host');
 			break;
 		}
 
 		case 'daemonHup': {
+			deployment.plannedWork.push({kind: 'SIGHUP', daemon: index, at: startedAt});
 			daemon.signal('SIGHUP');
 			break;
 		}
 
 		case 'daemonStoreLink': {
 			await impairLink(storeProxies[index]!, linkModes[fault.variant]!, fault.forMs);
-			recordDisruption([index]);
+			recordDisruption([index], 'host');
 			break;
 		}
 
