Add a soak option that holds the daemons to a small share of the processor

Pauses of 70 of each 100 ms put a close that a daemon announces and the request that crosses it hundreds of milliseconds apart. The bounds of time do not hold for a held daemon; the account of requests does.

--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -18,6 +18,9 @@
 /** Time by which each daemon lengthens the start of all, which share the machine, in milliseconds. */
 const startMsPerDaemon = 500;
 const restartDelayMs = 300;
+/** A held daemon is paused for 70 of each 100 ms, so that a close that it announces and a request that crosses it are far apart. */
+const turnMs = 100;
+const heldMs = 70;
 /** Part of the output of a daemon that does not become ready, in characters. */
 const maxReportedOutput = 2000;
 
@@ -93,6 +96,10 @@
 	/** The configurations written so far. */
 	readonly configurations: Array<Readonly<Record<string, unknown>>> = [];
 	readonly #timers: NodeJS.Timeout[] = [];
+	/** For each daemon, the number of pauses that have not ended. */
+	readonly #pauses = new Map<number, number>();
+	/** Daemons that are being started again. */
+	readonly #startingDaemons = new Set<number>();
 	#version = 1;
 	#longWorkCount = 0;
 
@@ -176,7 +183,9 @@
 		await daemon.waitForExit();
 		if (isFirst) {
 			await delay(restartDelayMs);
+			this.#startingDaemons.add(index);
 			daemon.start();
+			void this.#awaitStart(index);
 		}
 
 		const span = {from, to: performance.now()};
@@ -184,6 +193,34 @@
 		(signal === 'SIGKILL' ? this.kills : this.stops)[index]!.push(span);
 	}
 
+	/** Holds each daemon that has started to a small share of the processor, in turns that differ by daemon, until the signal is aborted. */
+	async holdDaemons(signal: AbortSignal): Promise<void> {
+		await Promise.all(this.daemons.map(async (daemon, index) => {
+			await delay(index * turnMs / this.daemons.length);
+			while (!signal.aborted) {
+				if (!this.#startingDaemons.has(index)) {
+					await this.pauseDaemon(index, heldMs);
+				}
+
+				await delay(turnMs - heldMs);
+			}
+		}));
+	}
+
+	/** Pauses the process of a daemon; pauses may overlap. */
+	async pauseDaemon(index: number, forMs: number): Promise<void> {
+		const daemon = this.daemons[index]!;
+		const pauses = this.#pauses.get(index) ?? 0;
+		this.#pauses.set(index, pauses + 1);
+		daemon.signal('SIGSTOP');
+		await delay(forMs);
+		const left = this.#pauses.get(index)! - 1;
+		this.#pauses.set(index, left);
+		if (left === 0) {
+			daemon.signal('SIGCONT');
+		}
+	}
+
 	/** Lengthens the work of all upstreams during an operation. */
 	async withLongWork(operation: () => Promise<void>): Promise<void> {
 		this.#changeLongWork(1);
@@ -239,6 +276,15 @@
 		await this.store[Symbol.asyncDispose]();
 	}
 
+	/** Notes when a daemon that was started again is ready, at the latest after a timeout. */
+	async #awaitStart(index: number): Promise<void> {
+		for (const deadline = performance.now() + readyTimeoutMs; performance.now() < deadline && !(await this.daemons[index]!.isReady());) {
+			await delay(50);
+		}
+
+		this.#startingDaemons.delete(index);
+	}
+
 	#writeConfiguration(configuration: Readonly<Record<string, unknown>>): void {
 		this.plannedWork.push({kind: 'configuration', at: performance.now()});
 		this.configurations.push(configuration);
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -25,6 +25,8 @@
 	readonly faultPeriodMs: number;
 	/** Adds a caller with a request that crashes plain upstreams. @default false */
 	readonly hasCrashingCaller?: boolean;
+	/** Pauses the daemons in short turns, as if each had a small share of a processor. @default false */
+	readonly isHeld?: boolean;
 	/** Kinds of faults. @default failures only */
 	readonly groups?: FaultGroups;
 	/** Folder for the evidence of violations. @default target/soak */
@@ -57,7 +59,7 @@
 
 /** Runs callers and seeded faults against real daemon processes and checks the invariants with what callers and upstreams observed. */
 export async function runSoak({
-	bundle, seed, daemons, faultPeriodMs, hasCrashingCaller = false, groups = onlyFailures, evidenceFolder = 'target/soak',
+	bundle, seed, daemons, faultPeriodMs, hasCrashingCaller = false, isHeld = false, groups = onlyFailures, evidenceFolder = 'target/soak',
 }: SoakOptions): Promise<SoakResult> {
 	await using deployment = new SoakDeployment();
 	await deployment.start(bundle, daemons, groups.hasChanges);
@@ -73,6 +75,8 @@
 	const faults = generateFaults(seed, faultPeriodMs, groups);
 	const plannedStops: Array<{readonly daemon: number; readonly at: number}> = [];
 	const startedAt = performance.now();
+	const holding = new AbortController();
+	const held = isHeld ? deployment.holdDaemons(holding.signal) : undefined;
 	await Promise.all(faults.map(async fault => {
 		await delay(fault.at);
 		if (fault.kind === 'daemonTerm' && isIsolated(fault, faults)) {
@@ -82,6 +86,10 @@
 		await (isChange(fault) ? applyChange(deployment, fault) : applyFailure(deployment, fault as Fault<FailureKind>));
 	}));
 	await delay(Math.max(0, startedAt + faultPeriodMs - performance.now()));
+	holding.abort();
+	await held;
+	// Bounds of time do not hold for a daemon that is slowed; the account of requests applies to it all the same.
+	const slowed = isHeld ? [{from: startedAt, to: performance.now()}] : [];
 	const unserved = await findUnrecovered(deployment, load);
 	await load.stop();
 	const account = accountLoad(deployment, load.requests, groups.hasChanges ? leastTimeoutRatio : 1);
@@ -89,6 +97,7 @@
 		...account.violations,
 		...findViolations({
 			...deployment.observe(),
+			disruptions: deployment.disruptions.map(spans => [...spans, ...slowed]),
 			requests: load.requests,
 			leastTimeoutRatio: groups.hasChanges ? leastTimeoutRatio : 1,
 			plannedStops,
@@ -173,9 +182,7 @@
 		}
 
 		case 'daemonPause': {
-			daemon.signal('SIGSTOP');
-			await delay(fault.forMs);
-			daemon.signal('SIGCONT');
+			await deployment.pauseDaemon(index, fault.forMs);
 			recordDisruption([index], 'host');
 			break;
 		}
