Start the pauses of standing upstreams once the request has arrived

The rows of a pause of the upstream and of its work failed beside load. Reproduced with three busy processes on the core of the test: both rows timed out after 15 s. Trace on a core shared with other work: the tests start 48 deployments in one thread, which takes 2.4 s, and the pause began after a fixed 100 or 300 ms, before the upstream had received the booking. Its work of 6 s then began after the pause of 3 s, so that a case of 6.3 s took 9.3 s, and the test 12 s of its 15 s; all answers were right.

The pause now begins a fixed time after the upstream has received the booking, which is the case the test names, and the 15 s are counted without the time for which the machine ran other work (the time-out by the clock is 60 s). Status, text and number of requests are compared as before. With the same busy processes all three cases pass in 20 s. With an idle connection given up after 400 ms and a confirmation of 100 ms on a scratch copy, without busy processes, two of the three cases fail (502 for bookings that are answered).

--- a/test/connection/standing-upstreams.test.ts
+++ b/test/connection/standing-upstreams.test.ts
@@ -1,7 +1,10 @@
 import {setTimeout as delay} from 'node:timers/promises';
-import {describe, expect, it} from 'vitest';
+import {
+	describe, expect, it, vi,
+} from 'vitest';
 import type {Host} from '../../src/ports/host-list.ts';
 import {LeastOutstandingRouter} from '../../src/request/router.ts';
+import {scheduledNow} from '../fixtures/scheduled-time.ts';
 import {createRequestHandlerFixture, fixtureKey} from '../request/request-handler-fixture.ts';
 import {createRawUpstream, formatEvent} from '../request/upstream-fixture.ts';
 import {createPausableUpstream, type PausableAnswer, type PauseScope} from './pausable-upstream.ts';
@@ -9,6 +12,9 @@
 const service = 'service-a';
 const idleMs = 300;
 const pauseAfterMs = 100;
+const arrivalPoll = {timeout: 20_000, interval: 5};
+/** Time by which all cases of a test must have ended, in milliseconds; the longest takes 6.3 s. */
+const maxCasesMs = 15_000;
 
 const bookingCases = [300, 1000, 1500, 3000].flatMap(pauseMs => [200, 6000].flatMap(workMs => [true, false].map(isKept => ({pauseMs, workMs, isKept}))));
 
@@ -39,7 +45,11 @@
 		await Promise.all(Array.from({length: 3}, async () => book(fixture.url, '/quick')));
 	}
 
+	const before = upstream.requests;
 	const booking = book(fixture.url, '/bookings');
+	await vi.waitFor(() => {
+		expect(upstream.requests).toBe(before + 1);
+	}, arrivalPoll);
 	await delay(isKept ? idleMs : pauseAfterMs);
 	upstream.pause(scope, pauseMs);
 	const others = await Promise.all([book(fixture.url, '/quick'), delay(pauseAfterMs).then(async () => book(fixture.url, '/quick'))]);
@@ -50,11 +60,13 @@
 	// Guards against an answer that is given up since an idle connection was asked during the pause, and a new one after it.
 	it.each<{scope: PauseScope}>([{scope: 'upstream'}, {scope: 'open connections'}, {scope: 'work'}])('is answered after a pause of its $scope', async ({scope}) => {
 		const cases = bookingCases.map(tried => ({...tried, scope}));
+		const startMs = scheduledNow();
 		const results = await Promise.all(cases.map(async tried => ({...tried, ...await bookDuringPause(tried)})));
+		expect(scheduledNow() - startMs).toBeLessThan(maxCasesMs);
 		expect(results).toEqual(cases.map(tried => ({
 			...tried, status: 200, text: 'whole', requests: tried.isKept ? 6 : 3, others: [200, 200],
 		})));
-	}, 15_000);
+	}, 60_000);
 });
 
 type Position = 'before the head' | 'before the body' | 'between events';
