Close the listener of a busy stopping daemon before its exit

Cause: the shutdown kept the listener open until no request was in flight, at most until the exit. Callers that go on sending on kept connections keep the number above zero, so that the time for late requests had passed when it began.

--- a/src/process/fleet/shutdown.ts
+++ b/src/process/fleet/shutdown.ts
@@ -85,7 +85,7 @@
 		await this.#waitUntil(() => this.#requests.openRequests === 0);
 	}
 
-	/** Starts the shutdown and resolves when the process may exit; resolves at once if it has already started. */
+	/** Starts the shutdown and resolves when the listener may close; resolves at once if it has already started. */
 	async run(): Promise<void> {
 		if (this.#startedAt !== undefined) {
 			return;
@@ -93,7 +93,8 @@
 
 		this.#startedAt = this.#clock.now();
 		this.#log.write('process.stopping', {openRequests: this.#requests.openRequests, endRequestsMs: this.#times.endRequestsMs, exitMs: this.#times.exitMs});
-		await this.#waitUntil(passedMs => this.#requests.openRequests === 0 && passedMs >= this.#times.rotationDelayMs);
+		// Callers that keep their connections may go on sending, so that the listener must close while late requests can still be answered.
+		await this.#waitUntil(passedMs => passedMs >= this.#times.endRequestsMs || (this.#requests.openRequests === 0 && passedMs >= this.#times.rotationDelayMs));
 	}
 
 	/** Waits until a condition is met, at most until the exit, and meanwhile ends requests that have no more time. */
