End gracefully after an uncaught error also when nobody reads standard error

Callers saw their requests closed without an answer.

The stop now begins first, and the report is written in a block that cannot throw. The test failed before.

--- a/src/fleet-main.ts
+++ b/src/fleet-main.ts
@@ -56,8 +56,8 @@
 
 	endGracefully(error => {
 		process.exitCode = 1;
-		daemon.recordFailure(error);
 		stopOnce();
+		daemon.recordFailure(error);
 	});
 	handleSignals(signal => {
 		log.write('process.signal', {signal});
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -19,6 +19,7 @@
 import {LeaseTask} from '../lease/lease-task.ts';
 import {Log} from '../log.ts';
 import {SeededRandom} from '../random.ts';
+import {formatError} from '../uncaught-errors.ts';
 import {PeerLink} from '../peers/peer-link.ts';
 import type {UpstreamStart} from '../peers/peer-message.ts';
 import {createControllerTimes, StageController, type StageGroup} from '../stages/stage-controller.ts';
@@ -340,7 +341,7 @@
 	/** Logs an uncaught error with the requests in flight, which a graceful shutdown still answers. */
 	recordFailure(error: unknown): void {
 		const {openRequests, openRequestIds} = this.#requestHandler;
-		this.#options.log.write('process.failed', {cause: error instanceof Error ? error.stack : String(error), openRequests, requests: openRequestIds});
+		this.#options.log.write('process.failed', {cause: formatError(error), openRequests, requests: openRequestIds});
 	}
 
 	/** Shuts down gracefully; resolves when the process may exit. */
--- a/src/process/uncaught-errors.ts
+++ b/src/process/uncaught-errors.ts
@@ -1,5 +1,6 @@
 import {writeSync} from 'node:fs';
 import process from 'node:process';
+import {inspect} from 'node:util';
 
 /** Uncaught errors that are reported, at most; an error in a timer may repeat without end. */
 const maxReportedErrors = 20;
@@ -16,8 +17,7 @@
 export function reportUncaughtError(error: unknown): void {
 	reportedErrors += 1;
 	if (reportedErrors <= maxReportedErrors) {
-		// The default output of the runtime would start with the whole bundled file.
-		writeSync(process.stderr.fd, `${error instanceof Error ? error.stack : String(error)}\n`);
+		writeError(error);
 	}
 
 	if (endProcess === undefined) {
@@ -31,6 +31,21 @@
 	}
 }
 
+/** Writes an error to standard error; an error that left this function would end the process at once. */
+function writeError(error: unknown): void {
+	try {
+		// The default output of the runtime would start with the whole bundled file.
+		writeSync(process.stderr.fd, `${formatError(error)}\n`);
+	} catch {
+		// Nobody reads standard error.
+	}
+}
+
+/** Returns the stack of an error, or any other value as text; never throws. */
+export function formatError(error: unknown): string {
+	return error instanceof Error ? error.stack ?? error.message : inspect(error);
+}
+
 /** Installs the handlers of uncaught errors; before this, the runtime ends the process. */
 export function handleUncaughtErrors(): void {
 	process.on('uncaughtException', reportUncaughtError);
--- a/test/process/fleet/daemon-process.test.ts
+++ b/test/process/fleet/daemon-process.test.ts
@@ -168,7 +168,12 @@
 	}, 40_000);
 
 	// Guards against requests that were read and lost because an error in another part of the daemon ended the process at once.
-	test('answers the requests in flight when an uncaught error ends it, and exits with code 1', async () => {
+	test.each([
+		['', () => undefined],
+		[' and nobody reads its standard error', (daemon: DaemonProcess) => {
+			daemon.closeErrorOutput();
+		}],
+	])('answers the requests in flight when an uncaught error ends it%s, and exits with code 1', async (_, prepare) => {
 		await using daemon = new DaemonFixture();
 		await daemon.start(bundle, {}, path.join(import.meta.dirname, '../../fixtures/fleet/throw-on-signal.cjs'));
 		await daemon.waitUntilReady();
@@ -190,6 +195,7 @@
 		await daemon.waitUntilReady();
 		daemon.process.signal('SIGHUP');
 		expect(await sendRequest(daemon.ports.callers, '/lookup/1')).toBe(200);
+		prepare(daemon.process);
 		expect(await sendRequest(daemon.ports.metrics, '/metrics')).toBe(200);
 		await delay(300);
 		expect(daemon.process.output).toContain('"event":"process.reload"');
