Exit when the port for datagrams of other daemons is in use

A daemon whose UDP port was taken never finished its start: its listener served callers, but SIGTERM and uncaught errors had no effect on it, so that it was killed with requests in flight. The error of the bind was logged and nothing else.

The start now rejects, and the process exits with code 1, to be started again. Found in the review; the test failed before (the process was still running after 8 s).

--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -140,8 +140,12 @@
 	/** Opens the socket and registers this daemon. */
 	async start(): Promise<void> {
 		const {host, port} = parseAddress(this.#options.self.address);
-		await new Promise<void>(resolve => {
-			this.#socket.bind(port, host, resolve);
+		await new Promise<void>((resolve, reject) => {
+			this.#socket.once('error', reject);
+			this.#socket.bind(port, host, () => {
+				this.#socket.off('error', reject);
+				resolve();
+			});
 		});
 		this.#keepAliveTimer = setInterval(() => {
 			this.#sendOwnMessage(this.#options.ownLoads(), true);
--- a/test/process/fleet/daemon-process.test.ts
+++ b/test/process/fleet/daemon-process.test.ts
@@ -1,4 +1,5 @@
 import {readFileSync, writeFileSync} from 'node:fs';
+import {createSocket} from 'node:dgram';
 import {request} from 'node:http';
 import path from 'node:path';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -154,6 +155,22 @@
 		expect(second.output).toContain('EADDRINUSE');
 	}, 10_000);
 
+	// Guards against a daemon that serves, ignores SIGTERM and is killed with requests in flight.
+	test('exits with code 1 if its port for datagrams of other daemons is in use', async () => {
+		await using daemon = new DaemonFixture();
+		await daemon.start(bundle);
+		await daemon.waitUntilReady();
+		daemon.process.signal('SIGTERM');
+		await daemon.process.waitForExit();
+		const other = createSocket('udp4');
+		await new Promise<void>(resolve => {
+			other.bind(daemon.ports.peers, '127.0.0.1', resolve);
+		});
+		daemon.process.start();
+		expect(await Promise.race([daemon.process.waitForExit(), delay(8000, 'running')])).toBe(1);
+		other.close();
+	}, 30_000);
+
 	// Guards against an assertion that stops the event loop: Node.js 20 parses the bundle to quote the condition, which takes seconds.
 	test.each(assertingAnswers)('goes on serving when an answer makes the HTTP client fail an assertion: %j', async answer => {
 		await using daemon = new DaemonFixture();
