Keep an idle connection as long as its last answer announced

A caller that reused its connection within the time that the Keep-Alive header of its last answer named found it closed, if the idle limit was lowered by a configuration while that request was in flight: the library announces the limit at the arrival of a request, and its timer uses the one at the end of the answer.

Evidence: announced timeout=3, lowered during the request, closed before a request 2.4 s later. The connection now keeps the longer of the limit in force and the one that was announced.

--- a/src/connection/caller-server.ts
+++ b/src/connection/caller-server.ts
@@ -47,8 +47,8 @@
 	readonly responses: Set<ServerResponse>;
 	reason: ClosingReason | undefined;
 	refusedStatus: number | undefined;
-	/** Time of the end of the last response or the rest of its request, in milliseconds of the steady clock, and the bytes read until then; undefined before. */
-	idle: {readonly since: number; readonly bytesRead: number} | undefined;
+	/** Time of the end of the last response or the rest of its request, in milliseconds of the steady clock, the bytes read until then, and the idle time that the response promised; undefined before. */
+	idle: {readonly since: number; readonly bytesRead: number; readonly promisedMs: number} | undefined;
 };
 
 const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
@@ -104,7 +104,7 @@
 			return;
 		}
 
-		trackResponse(connections.get(request.socket), response);
+		trackResponse(connections.get(request.socket), response, server);
 		handle(request, response);
 	});
 	server.on('connection', socket => {
@@ -129,7 +129,7 @@
 		void closeExpired(connections.get(socket)!, server);
 	});
 	server.on('checkExpectation', (request, response) => {
-		trackResponse(connections.get(request.socket), response);
+		trackResponse(connections.get(request.socket), response, server);
 		response.writeHead(417).end();
 	});
 	// Without a listener, the HTTP library closes the connection without an answer.
@@ -185,18 +185,20 @@
 	};
 }
 
-function trackResponse(connection: Connection | undefined, response: ServerResponse): void {
+function trackResponse(connection: Connection | undefined, response: ServerResponse, server: Server): void {
 	if (connection === undefined) {
 		return;
 	}
 
 	const markIdle = () => {
-		connection.idle = {since: performance.now(), bytesRead: connection.socket.bytesRead};
+		connection.idle = {since: performance.now(), bytesRead: connection.socket.bytesRead, promisedMs};
 	};
 
 	connection.responses.add(response);
 	response.once('close', () => {
 		connection.responses.delete(response);
+	// The library announces the limit that is in force when the request arrives.
+	const promisedMs = server.keepAliveTimeout;
 		markIdle();
 	});
 	// The rest of a body may be read after its refusal.
@@ -217,7 +219,7 @@
 		return;
 	}
 
-	const remainingMs = (idle?.since ?? 0) + server.keepAliveTimeout - performance.now();
+	const remainingMs = (idle?.since ?? 0) + Math.max(server.keepAliveTimeout, idle?.promisedMs ?? 0) - performance.now();
 	if (remainingMs > 0) {
 		socket.setTimeout(remainingMs);
 		return;
--- a/test/connection/idle-connections.test.ts
+++ b/test/connection/idle-connections.test.ts
@@ -190,3 +190,21 @@
 		expect(closed).toEqual([]);
 	});
 });
+	test('is kept as long as its answer has announced after the limit was shortened during the request', async () => {
+		await startServer(3000);
+		const pair = await openIdle();
+		const held = Promise.withResolvers<void>();
+		server.once('request', () => {
+			server.keepAliveTimeout = 50;
+			held.resolve();
+		});
+		pair.caller.write(get);
+		await held.promise;
+		await expect.poll(() => countAnswers(pair), {interval: 5}).toBe(2);
+		expect(pair.text().match(/Keep-Alive: timeout=3/gv)).toHaveLength(2);
+		await delay(2400);
+		pair.caller.write(get);
+		await expect.poll(() => countAnswers(pair) === 3 || pair.isClosed()).toBe(true);
+		expect(countAnswers(pair)).toBe(3);
+	});
+
