Read what waits before the listener closes and before a request times out

Callers saw a reset instead of an answer when a stopping daemon closed its listener: the event loop accepts one connection in each iteration, so that three iterations left all but three waiting connections unaccepted, and closing the listener reset them.

They also saw 408 for a request whose rest had arrived: the check of the header and request time-outs runs as a timer, before sockets are read.

Before it closes, the server now accepts until a round brings no new connection, for a second at most; a request that timed out is refused only if its rest was not waiting. No further round starts after the time at which the process exits, so that a held stop does not outlast its grace period. The test on a loop that is held between a read and the close now holds it after the last read of a round.

--- a/src/connection/caller-server.ts
+++ b/src/connection/caller-server.ts
@@ -59,8 +59,10 @@
 
 type Headers = OutgoingHttpHeaders | OutgoingHttpHeader[];
 
-/** Iterations of the event loop after which the first request of a connection that waits to be accepted has been read. */
+/** Iterations of the event loop after which the first request of the connection that waits longest to be accepted has been read. */
 const acceptIterations = 3;
+/** Bounds the time in which waiting connections are accepted before the listener closes, in milliseconds; callers may open new ones all the time. */
+const maxAcceptMs = 1000;
 const tcpKeepAliveDelayMs = 30_000;
 
 const malformedRequest = createRefusal(400, 'malformed_request', 'The request is not valid HTTP.');
@@ -139,7 +141,12 @@
 	server.maxConnections = options.maxConnections ?? 8192;
 	server.maxHeadersCount = maxHeaderCount;
 	server.on('clientError', (error: Error & {readonly code?: string}, socket) => {
-		refuseMalformed(socket, connections.get(socket), error.code ?? '');
+		const connection = connections.get(socket);
+		if (error.code === requestTimeoutCode && connection !== undefined) {
+			void refuseExpired(connection);
+		} else {
+			refuseMalformed(socket, connection, error.code ?? '');
+		}
 	});
 	return server;
 }
@@ -190,6 +197,8 @@
 		return;
 	}
 
+	// The library announces the limit that is in force when the request arrives.
+	const promisedMs = server.keepAliveTimeout;
 	const markIdle = () => {
 		connection.idle = {since: performance.now(), bytesRead: connection.socket.bytesRead, promisedMs};
 	};
@@ -197,8 +206,6 @@
 	connection.responses.add(response);
 	response.once('close', () => {
 		connection.responses.delete(response);
-	// The library announces the limit that is in force when the request arrives.
-	const promisedMs = server.keepAliveTimeout;
 		markIdle();
 	});
 	// The rest of a body may be read after its refusal.
@@ -229,15 +236,47 @@
 	socket.destroy();
 }
 
-/** Closes connections that are idle after an answer, once what waits in the operating system has been read. */
-export async function closeIdleConnections(server: Server): Promise<void> {
-	await readRecentEvents(acceptIterations);
+/** Refuses a request that has not arrived in time, unless the rest of it was waiting in the operating system. */
+async function refuseExpired(connection: Connection): Promise<void> {
+	const {socket, responses} = connection;
+	const {bytesRead} = socket;
+	await readRecentEvents();
+	if (socket.destroyed) {
+		return;
+	}
+
+	const isServed = responses.size > 0 && [...responses].every(({req}) => req.complete);
+	const isAnswered = responses.size === 0 && connection.idle?.bytesRead === socket.bytesRead;
+	if (socket.bytesRead === bytesRead || !(isServed || isAnswered)) {
+		refuseMalformed(socket, connection, requestTimeoutCode);
+	}
+}
+
+/** Closes connections that are idle after an answer, once what waits in the operating system has been read; `deadlineAt`: time of the steady clock at which it stops to wait. */
+export async function closeIdleConnections(server: Server, deadlineAt?: number): Promise<void> {
+	await readRecentEvents(acceptIterations, deadlineAt);
 	server.closeIdleConnections();
 }
 
-/** Stops accepting connections, and closes those that are idle after an answer, once what waits in the operating system has been read. */
-export async function stopListening(server: Server, onClosed?: () => void): Promise<void> {
-	await readRecentEvents(acceptIterations);
+/**
+Stops accepting connections, and closes those that are idle after an answer, once what waits in the operating system has been read.
+
+Connections that wait to be accepted are accepted first, for a second or until `deadlineAt` at most, because the close would reset them.
+*/
+export async function stopListening(server: Server, {deadlineAt = Number.POSITIVE_INFINITY, onClosed}: {readonly deadlineAt?: number; readonly onClosed?: () => void} = {}): Promise<void> {
+	const endAt = Math.min(deadlineAt, performance.now() + maxAcceptMs);
+	let accepted = 0;
+	const count = () => {
+		accepted += 1;
+	};
+
+	server.on('connection', count);
+	for (let before = -1; accepted > before && performance.now() < endAt;) {
+		before = accepted;
+		await readRecentEvents(acceptIterations, endAt);
+	}
+
+	server.off('connection', count);
 	server.close(onClosed);
 }
 
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -348,10 +348,10 @@
 	async stop(): Promise<void> {
 		this.#controller.resign();
 		await this.#shutdown.run();
-		await stopListening(this.#callerServer);
+		await stopListening(this.#callerServer, {deadlineAt: this.#shutdown.exitAt});
 		// Answers requests that were in transit when the listener closed.
 		await this.#shutdown.waitForLateRequests();
-		await closeIdleConnections(this.#callerServer);
+		await closeIdleConnections(this.#callerServer, this.#shutdown.exitAt);
 		this.#shutdown.logEnd();
 		await this.#options.log.flush(100);
 		await this.#shutdown.waitForRefusals();
--- a/src/process/fleet/shutdown.ts
+++ b/src/process/fleet/shutdown.ts
@@ -61,6 +61,11 @@
 		return this.#startedAt === undefined ? Number.POSITIVE_INFINITY : this.#startedAt + this.#times.endRequestsMs;
 	}
 
+	/** Time at which the process exits even with requests in flight, in milliseconds of the clock; infinite before the shutdown. */
+	get exitAt(): number {
+		return this.#startedAt === undefined ? Number.POSITIVE_INFINITY : this.#startedAt + this.#times.exitMs;
+	}
+
 	/** True if a request that arrived at the given time and has not been sent can end before the exit. */
 	canEnd(request: Omit<RequestTimes, 'arrivedAfterMs'>, arrivedAt: number): boolean {
 		const startedAt = this.#startedAt;
--- a/src/process/lifecycle.ts
+++ b/src/process/lifecycle.ts
@@ -97,7 +97,7 @@
 	const timer = setInterval(() => {
 		void closeIdleConnections(server);
 	}, idleCheckIntervalMs);
-	await stopListening(server, resolve);
+	await stopListening(server, {onClosed: resolve});
 	await promise;
 	clearInterval(timer);
 }
--- a/src/process/pending-events.ts
+++ b/src/process/pending-events.ts
@@ -3,8 +3,7 @@
 /**
 Resolves after the event loop has read all sockets once more.
 
-The first iteration ends the current one. Reading the first request of a connection that waits to be accepted takes one more
-than reading from an open connection.
+The first iteration ends the current one. Each iteration accepts one connection; its first request is read in the next one.
 */
 export async function readPendingEvents(iterations = 2): Promise<void> {
 	for (let count = 0; count < iterations; count += 1) {
@@ -20,13 +19,15 @@
 /**
 Resolves once all sockets have been read within the last 100 ms.
 
-Between the reading and the end of a round, other work may hold the event loop while requests arrive; the round is then repeated.
+Between the reading and the end of a round, other work may hold the event loop while requests arrive; the round is then repeated,
+unless the deadline, in milliseconds of the steady clock, has passed.
 */
-export async function readRecentEvents(iterations?: number): Promise<void> {
+export async function readRecentEvents(iterations?: number, deadlineAt = Number.POSITIVE_INFINITY): Promise<void> {
 	for (let round = 0; round < maxRounds; round += 1) {
 		const startedAt = performance.now();
 		await readPendingEvents(iterations);
-		if (performance.now() - startedAt < recentMs) {
+		const now = performance.now();
+		if (now - startedAt < recentMs || now >= deadlineAt) {
 			return;
 		}
 	}
--- a/test/connection/idle-connections.test.ts
+++ b/test/connection/idle-connections.test.ts
@@ -1,11 +1,13 @@
 import {connect, type AddressInfo, type Socket} from 'node:net';
 import type {Server} from 'node:http';
+import {once} from 'node:events';
 import {setImmediate, setTimeout as delay} from 'node:timers/promises';
+import {Worker} from 'node:worker_threads';
 import {
 	afterEach, describe, expect, test,
 } from 'vitest';
 import {
-	closeIdleConnections, createCallerServer, stopListening, type ClosedConnection,
+	closeIdleConnections, createCallerServer, stopListening, type CallerServerOptions, type ClosedConnection,
 } from '../../src/connection/caller-server.ts';
 import {closeAbruptly, listen} from '../../src/connection/http-listener.ts';
 
@@ -30,10 +32,11 @@
 	readonly isClosed: () => boolean;
 };
 
-async function startServer(idleTimeoutMs: number): Promise<void> {
+async function startServer(idleTimeoutMs: number, options: Partial<CallerServerOptions> = {}): Promise<void> {
 	server = createCallerServer({
 		maxHeaderBytes: 16_384,
 		idleTimeoutMs,
+		...options,
 		onClosed(connection) {
 			closed.push(connection);
 		},
@@ -86,6 +89,71 @@
 	}
 }
 
+async function writeAndHold({caller}: Pair, holdMs: number): Promise<void> {
+	await setImmediate();
+	await setImmediate();
+	await setImmediate();
+	caller.write(get);
+	hold(holdMs);
+}
+
+/** Opens connections in a thread of its own once it gets a message, sends a request on each, and posts the number of answers. */
+const callerThread = String.raw`
+const {connect} = require('node:net');
+const {parentPort, workerData: {port, count}} = require('node:worker_threads');
+let answers = 0;
+let closed = 0;
+parentPort.once('message', () => {
+	for (let index = 0; index < count; index += 1) {
+		let text = '';
+		const socket = connect(port, '127.0.0.1', () => {
+			socket.write('GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n');
+		});
+		socket.on('data', chunk => {
+			text += chunk;
+		}).on('error', () => {}).once('close', () => {
+			answers += text.includes('200 OK') ? 1 : 0;
+			closed += 1;
+			if (closed === count) {
+				parentPort.postMessage(answers);
+			}
+		});
+	}
+});
+parentPort.postMessage('ready');
+`;
+
+test('requests on connections that wait to be accepted are answered although the server stops listening', async () => {
+	await startServer(5000);
+	const count = 12;
+	const callers = new Worker(callerThread, {eval: true, workerData: {port: (server.address() as AddressInfo).port, count}});
+	await once(callers, 'message');
+	const answers = once(callers, 'message') as Promise<readonly number[]>;
+	callers.postMessage('start');
+	hold(500);
+	await stopListening(server);
+	expect((await answers)[0]).toBe(count);
+	await callers.terminate();
+});
+
+test('a request whose rest waits unread when its time-out passes is answered', async () => {
+	await startServer(5000, {headersTimeoutMs: 300, checkIntervalMs: 50});
+	const accepting = once(server, 'connection') as Promise<readonly Socket[]>;
+	const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+	let text = '';
+	caller.setNoDelay(true).setEncoding('latin1').on('data', (chunk: string) => {
+		text += chunk;
+	});
+	caller.write(get.slice(0, 10));
+	const [accepted] = await accepting;
+	await expect.poll(() => accepted!.bytesRead, {interval: 5}).toBeGreaterThan(0);
+	await setImmediate();
+	caller.write(get.slice(10));
+	hold(500);
+	await expect.poll(() => text).toMatch(/^HTTP\/1\.1 200 OK/v);
+	caller.destroy();
+});
+
 describe('a request that waits unread in the operating system while the event loop is held', () => {
 	test.each(holdTimesMs)('is answered although the idle time-out passes: held for %i ms longer', async holdMs => {
 		await startServer(1000);
@@ -120,12 +188,10 @@
 	test.each([300, 900])('is answered although the event loop is held while the sockets are read before the close: held for %i ms', async holdMs => {
 		await startServer(5000);
 		const pair = await openIdle();
+		// Continues after the last read of a round and before its end.
+		const holding = writeAndHold(pair, holdMs);
 		const closing = closeIdleConnections(server);
-		await setImmediate();
-		await setImmediate();
-		pair.caller.write(get);
-		hold(holdMs);
-		await closing;
+		await Promise.all([holding, closing]);
 		await expect.poll(() => countAnswers(pair) === 2 || pair.isClosed()).toBe(true);
 		expect(countAnswers(pair)).toBe(2);
 	});
@@ -169,6 +235,24 @@
 		expect(countAnswers(pair)).toBe(2);
 	});
 
+	test('is kept as long as its answer has announced after the limit was shortened during the request', async () => {
+		await startServer(3000);
+		const pair = await openIdle();
+		const held = Promise.withResolvers<void>();
+		server.once('request', () => {
+			server.keepAliveTimeout = 50;
+			held.resolve();
+		});
+		pair.caller.write(get);
+		await held.promise;
+		await expect.poll(() => countAnswers(pair), {interval: 5}).toBe(2);
+		expect(pair.text().match(/Keep-Alive: timeout=3/gv)).toHaveLength(2);
+		await delay(2400);
+		pair.caller.write(get);
+		await expect.poll(() => countAnswers(pair) === 3 || pair.isClosed()).toBe(true);
+		expect(countAnswers(pair)).toBe(3);
+	});
+
 	test.each([
 		['a refusal whose body was read later', 'POST /early HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab', 'cd'],
 		['an expectation that is not met', 'GET / HTTP/1.1\r\nHost: a\r\nExpect: more\r\n\r\n', ''],
@@ -190,21 +274,3 @@
 		expect(closed).toEqual([]);
 	});
 });
-	test('is kept as long as its answer has announced after the limit was shortened during the request', async () => {
-		await startServer(3000);
-		const pair = await openIdle();
-		const held = Promise.withResolvers<void>();
-		server.once('request', () => {
-			server.keepAliveTimeout = 50;
-			held.resolve();
-		});
-		pair.caller.write(get);
-		await held.promise;
-		await expect.poll(() => countAnswers(pair), {interval: 5}).toBe(2);
-		expect(pair.text().match(/Keep-Alive: timeout=3/gv)).toHaveLength(2);
-		await delay(2400);
-		pair.caller.write(get);
-		await expect.poll(() => countAnswers(pair) === 3 || pair.isClosed()).toBe(true);
-		expect(countAnswers(pair)).toBe(3);
-	});
-
--- a/test/process/fleet/daemon-process.test.ts
+++ b/test/process/fleet/daemon-process.test.ts
@@ -195,6 +195,7 @@
 		await daemon.start(bundle, {}, path.join(import.meta.dirname, '../../fixtures/fleet/throw-on-signal.cjs'));
 		await daemon.waitUntilReady();
 		daemon.upstream.behaviour.delayMs = 800;
+		prepare(daemon.process);
 		const open = [sendRequest(daemon.ports.callers, '/lookup/1', 'lookup'), sendRequest(daemon.ports.callers, '/book/1', 'booking')];
 		await delay(200);
 		daemon.process.signal('SIGUSR2');
@@ -212,7 +213,6 @@
 		await daemon.waitUntilReady();
 		daemon.process.signal('SIGHUP');
 		expect(await sendRequest(daemon.ports.callers, '/lookup/1')).toBe(200);
-		prepare(daemon.process);
 		expect(await sendRequest(daemon.ports.metrics, '/metrics')).toBe(200);
 		await delay(300);
 		expect(daemon.process.output).toContain('"event":"process.reload"');
