--- a/test/connection/idle-connections.test.ts
+++ b/test/connection/idle-connections.test.ts
@@ -132,7 +132,7 @@
 	callers.postMessage('start');
 	hold(500);
 	await stopListening(server);
-	expect((await answers)[0]).toBe(count);
+	expect(await answers).toEqual([count]);
 	await callers.terminate();
 });
 
