Answer requests of the own interface whose handling threw

Callers saw a closed connection instead of an answer when the handling of their request threw in the daemon, and could not tell whether the request had run.

Cause: the request handler destroyed the response of every request whose handling threw.

Evidence: errors thrown from the key directory, the crash check, the router, its report of an attempt's end and the list of models each gave "other side closed".

Change: if no head has been sent, the request is answered with status 500 and code `internal_error`. It is reported as not run if it had not been handed to the pipeline and has no idempotency key, and as unknown otherwise. A request of which a part has not been read yet is answered too, as refusals are, unless its caller has left; an answer that has begun is still cut, and a complete one is left to be sent.

--- a/src/process/request-handler.ts
+++ b/src/process/request-handler.ts
@@ -1,7 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Tracer} from '@opentelemetry/api';
 import {
-	createRefusal, runStateHeader, sendCallerError, type CallerError,
+	createRefusal, internalError, runStateHeader, sendCallerError, type CallerError,
 } from '../request/caller-error.ts';
 import {cancelOnDisconnect, cancelOnDeadline} from '../request/cancellation.ts';
 import {
@@ -50,6 +50,8 @@
 export class RequestHandler {
 	readonly #options: RequestHandlerOptions;
 	readonly #pipeline: RequestPipeline;
+	/** Responses whose requests may have run. */
+	readonly #dispatchable = new WeakSet<ServerResponse>();
 	#openRequests = 0;
 
 	constructor(options: RequestHandlerOptions) {
@@ -73,15 +75,33 @@
 				await this.#serve({request, response, startMs: this.#options.clock.now()});
 			}
 		} catch (error) {
-			response.destroy();
-			if (request.complete) {
-				this.#options.log.error('Failed to handle a request.', error);
-			}
+			this.#answerAfterError(request, response, error);
 		} finally {
 			this.#openRequests -= 1;
 		}
 	}
 
+	/** Answers a request whose handling threw, unless its caller left before it was read completely. */
+	#answerAfterError(request: IncomingMessage, response: ServerResponse, error: unknown): void {
+		if (request.destroyed && !request.complete) {
+			response.destroy();
+			return;
+		}
+
+		this.#options.log.error('Failed to handle a request.', error);
+		if (response.writableEnded) {
+			return;
+		}
+
+		// An earlier request with the same key may have run.
+		const hasNotRun = !this.#dispatchable.has(response) && request.headers['idempotency-key'] === undefined;
+		try {
+			sendCallerError(response, {...internalError, ran: hasNotRun ? 'no' : 'unknown'});
+		} catch {
+			response.destroy();
+		}
+	}
+
 	async #serve(exchange: Exchange): Promise<void> {
 		const customer = resolveCustomer(this.#options.keys(), exchange.request.headers.authorization);
 		const head = parseHead(exchange.request);
@@ -138,6 +158,7 @@
 		using _caller = cancelOnDisconnect(request, response, controller);
 		using _deadline = cancelOnDeadline(head.remainingMs === undefined ? undefined : head.remainingMs - elapsedMs, controller);
 		using trace = new RequestTrace(this.#options.tracer, head.headers, head.requestId);
+		this.#dispatchable.add(response);
 		const outcome = await this.#pipeline.run({
 			parsedRequest, response, signal: controller.signal, trace,
 		});
--- a/src/request/caller-error.ts
+++ b/src/request/caller-error.ts
@@ -19,6 +19,9 @@
 	readonly retryAfterS?: number;
 };
 
+/** Error of a request whose handling failed in the daemon, without its run state. */
+export const internalError: Omit<CallerError, 'ran'> = {status: 500, code: 'internal_error', message: 'The daemon failed to handle the request.'};
+
 /** Time allowed for an error event to be flushed to the caller before the connection is destroyed. */
 const errorEventFlushTimeoutMs = 1000;
 
