Do not excuse an unread request that a stopping daemon resets in the soak

Callers whose requests were reset unread as a stopping daemon exited saw them lost, and the soak reported nothing.

Cause: the account of requests excused every cut in the last sixth of the grace period of a request that was sent soon after the SIGTERM. The operators' rule excuses such a cut only if an upstream was still at work on the request.

Evidence: the account found no violation in an unread request that was reset 4.4 s after its last byte, 6.9 s after a SIGTERM with 8 s of grace.

Change: the excuse requires that the request was passed on. Whether the upstream was still at work at that moment is not recorded, and so not judged.

The new case of request-account.test.ts failed before.

--- a/test/soak/request-account.test.ts
+++ b/test/soak/request-account.test.ts
@@ -28,6 +28,9 @@
 			}],
 		}],
 		['a request sent late and cut in the last sixth of the grace period', {plannedWork: [{...sigterm, at: 3000}]}],
+		['an early request that was reset unread in the last sixth of the grace period', {
+			plannedWork: [{...sigterm, at: 3500}], passedOn: new Set(), requests: [{...cut, sentAt: 6000, wholeAt: 6010}], timeoutMs: () => 5000,
+		}],
 		['a request sent before the end of the reload', {plannedWork: [{kind: 'SIGHUP', daemon: 0, at: 8100}]}],
 		['a request cut beside a configuration only', {plannedWork: [configuration]}],
 		['a plain request beside a disruption of the store', {plannedWork: [sigterm], disruptions: [[{from: 9000, to: 10_200, cause: 'store'}]]}],
--- a/test/soak/request-account.ts
+++ b/test/soak/request-account.ts
@@ -46,7 +46,13 @@
 type EndedRequest = CallerRequest & {readonly wholeAt: number; readonly closedAt: number};
 
 /** A request that was cut; `excuse` is undefined for a cut that may break the rule. */
-type Cut = {readonly request: EndedRequest; readonly timeoutMs: number; readonly excuse: string | undefined; readonly cause: string};
+type Cut = {
+	readonly request: EndedRequest;
+	readonly isPassedOn: boolean;
+	readonly timeoutMs: number;
+	readonly excuse: string | undefined;
+	readonly cause: string;
+};
 
 type DaemonAccount = {readonly violations: readonly string[]; readonly figures: readonly string[]};
 
@@ -124,6 +130,7 @@
 	const logged = own.map(({at, event, detail}) => `${event} ${detail} ${Math.round(at - wholeAt)} ms after its last byte`);
 	return {
 		request,
+		isPassedOn: passedOn.has(id),
 		timeoutMs: timeout,
 		excuse: Object.entries(excuses).find(([, holds]) => holds)?.[0],
 		cause: `${passedOn.has(id) ? '' : 'not '}passed on; ${logged.length === 0 ? 'no line in the log' : logged.join(', ')}`,
@@ -161,12 +168,13 @@
 	return {violations, figures};
 }
 
-function isCutBy(kind: 'SIGTERM' | 'SIGHUP', at: number, {request: {sentAt, closedAt}}: Cut): boolean {
+function isCutBy(kind: 'SIGTERM' | 'SIGHUP', at: number, {request: {sentAt, closedAt}, isPassedOn}: Cut): boolean {
 	if (kind === 'SIGHUP') {
 		return closedAt >= at && sentAt <= at + configApplyMs;
 	}
 
-	const isLate = closedAt >= at + (graceMs * lastSixth) && sentAt <= at + earlyAfterStopMs;
+	// Only a request at which an upstream is still at work is excused; an unread one is lost by its reset at the exit.
+	const isLate = isPassedOn && closedAt >= at + (graceMs * lastSixth) && sentAt <= at + earlyAfterStopMs;
 	return closedAt >= at && closedAt <= at + graceMs + afterMs && !isLate;
 }
 
