Wait in the change table until the daemon has read the older version

A daemon that applied an older configuration late could have passed the change 'older version'.

Cause: the test waited for 100 ms, which does not show that the row was read, and an ignored row leaves no line in the log.

Change: the test waits until the reader of the feed asks for the changes after the row.

--- a/test/process/fleet/change-table.test.ts
+++ b/test/process/fleet/change-table.test.ts
@@ -113,7 +113,9 @@
 		name: 'older version',
 		async apply(fleet) {
 			fleet.store.put('op', 'config', createOperatorConfiguration({routes: [], services: [], version: version - 1}));
-			await delay(100);
+			// An ignored row leaves no line in the log.
+			const {version: rowVersion} = fleet.store;
+			await fleet.waitUntil(() => fleet.store.hasHandled('op', rowVersion));
 		},
 		expected: {},
 	},
