Try a column of the change table again only if none of its requests has ended

A request that was wrongly refused, or failed, before the change would not have been reported.

Cause: a column was tried again after any failure to bring its requests into their states together.

Change: it is tried again only if no request of the column was refused, crashed or ended. Allowed are the state of an ended request, and the delivery of a request that waited for a limit: logs of runs side by side show it after 1.2 s, for a limit expected to allow it after 0.9 s.

Not shown to fail before.

--- a/test/process/fleet/change-table.test.ts
+++ b/test/process/fleet/change-table.test.ts
@@ -163,6 +163,34 @@
 	readonly lines: ReadonlyArray<Readonly<Record<string, unknown>>>;
 };
 
+/** True for a state in which the request moves on by itself once the upstream's limit allows it. */
+function isLimited({name}: {readonly name: string}): boolean {
+	return name === 'queued for a limit' || name === 'prompt prefilled, decode queued';
+}
+
+/**
+Lines that show a fault before the change: a busy machine delays requests, but does not end, refuse or crash them. A request that
+waited for a limit may have been delivered after about a second, and one state is that of an ended request.
+*/
+function findEarlyEnds(fleet: FleetFixture): ReadonlyArray<Readonly<Record<string, unknown>>> {
+	return requestStates.flatMap((state, index) => {
+		const id = requestId(index);
+		const mayHaveEnded = ({outcome}: Readonly<Record<string, unknown>>) => state.isReached(fleet, id) || (isLimited(state) && outcome === 'delivered');
+		return fleet.logLines.filter(line => line.request === id
+			&& (line.event === 'request.refused' || line.event === 'request.crashed' || (line.event === 'request.ended' && !mayHaveEnded(line))));
+	});
+}
+
+/** Returns the message of a set-up that may be tried again; throws if a request has ended before the change. */
+function checkRepeatable(fleet: FleetFixture, message: string): string {
+	const ends = findEarlyEnds(fleet);
+	if (ends.length > 0) {
+		throw new Error(`Requests ended before the change: ${JSON.stringify(ends)} (${message})`);
+	}
+
+	return message;
+}
+
 /** Brings a request into each state, applies the change and waits for the answers; returns a message if the requests were not in their states together. */
 async function tryColumn({apply, graceMs = stateTimeoutMs + 4000}: Change): Promise<readonly Cell[] | string> {
 	await using resources = new AsyncDisposableStack();
@@ -193,20 +221,19 @@
 		}
 	};
 
-	const isLimited = ({name}: {readonly name: string}) => name === 'queued for a limit' || name === 'prompt prefilled, decode queued';
 	const entered = await Promise.allSettled(requestStates.map(async (state, index) => isLimited(state) ? undefined : enter(index)));
 	// The queues for limits move on by themselves.
 	entered.push(...await Promise.allSettled(requestStates.map(async (state, index) => isLimited(state) ? enter(index) : undefined)));
 	const failed = entered.find(({status}) => status === 'rejected');
 	if (failed?.status === 'rejected') {
-		return String(failed.reason);
+		return checkRepeatable(fleet, String(failed.reason));
 	}
 
 	// The two prompts ahead of one request are in flight as well, and so is an answer that has not been written.
 	expect(await fleet.metric('wagtailtack_route_open_requests')).toBe(requestStates.length + 2);
 	const left = requestStates.flatMap(({isReached, name}, index) => isReached(fleet, requestId(index)) ? [] : [name]);
 	if (left.length > 0) {
-		return `Requests left their states before the change: ${left.join(', ')}.`;
+		return checkRepeatable(fleet, `Requests left their states before the change: ${left.join(', ')}.`);
 	}
 
 	await apply(fleet, upstreams);
@@ -227,7 +254,7 @@
 	}));
 }
 
-/** Tries a column again if a busy machine kept the requests from being in their states together; nothing is judged before the change. */
+/** Tries a column again if a busy machine kept the requests from being in their states together, and none of them has ended. */
 async function runColumn(change: Change): Promise<readonly Cell[]> {
 	let result = await tryColumn(change);
 	for (let retries = 0; retries < 2 && typeof result === 'string'; retries += 1) {
