Set up a column of the change table again if a request was sent before the change was known

Trace: the wait for the limit of 918 ms ended and the request was sent (924 ms) before the daemon's line about the change, so that the cell did not test its change. Sends after that line are judged as before.

--- a/test/process/fleet/change-table.test.ts
+++ b/test/process/fleet/change-table.test.ts
@@ -27,6 +27,8 @@
 };
 
 const version = 5;
+/** Log lines with which a daemon shows that it knows of a change. */
+const changeEvents: ReadonlySet<string> = new Set(['configuration.inForce', 'upstream.gone', 'upstream.leaving', 'process.stopping']);
 
 function requestId(index: number): string {
 	return `cell-${index}`;
@@ -181,6 +183,15 @@
 	});
 }
 
+/** Requests that waited for a limit and were sent before the daemon's last line about the change. */
+function findSentBeforeChange({logLines}: FleetFixture): readonly string[] {
+	const changedAt = logLines.findLastIndex(({event}) => changeEvents.has(event as string));
+	return requestStates.flatMap((state, index) => {
+		const sentAt = logLines.findIndex(({event, request, work}) => event === 'send' && work !== 'prefill' && request === requestId(index));
+		return isLimited(state) && sentAt !== -1 && sentAt < changedAt ? [state.name] : [];
+	});
+}
+
 /** Returns the message of a set-up that may be tried again; throws if a request has ended before the change. */
 function checkRepeatable(fleet: FleetFixture, message: string): string {
 	const ends = findEarlyEnds(fleet);
@@ -237,6 +248,11 @@
 	}
 
 	await apply(fleet, upstreams);
+	const sentEarly = findSentBeforeChange(fleet);
+	if (sentEarly.length > 0) {
+		return checkRepeatable(fleet, `Requests were sent before the daemon knew of the change: ${sentEarly.join(', ')}.`);
+	}
+
 	await delay(100);
 	resolve();
 	for (const release of releases) {
