--- a/src/process/uncaught-errors.ts
+++ b/src/process/uncaught-errors.ts
@@ -41,7 +41,7 @@
 	}
 }
 
-/** Returns the stack of an error, or any other value as text; never throws. */
+/** Returns the stack of an error, or any other value as text. */
 export function formatError(error: unknown): string {
 	return error instanceof Error ? error.stack ?? error.message : inspect(error);
 }
