Log and count restores of the store, and the versions of whole reads

Callers saw nothing of this by itself. The log could not tell whether a daemon missed a change because the store refused the version it asked for, or because that version had been given out again: neither the epoch (the platform's Store-Era) nor the version of an answer was logged.

All calls to the store now read the epoch from the header. Its rise is logged once (store.restored) and counted; a value that is no whole number, or goes back, is counted and logged for the first of a series, and the answer then belongs to the latest epoch. Whole reads log their version and the one known before. No decision uses any of it yet.

--- a/src/ports/row-feed.ts
+++ b/src/ports/row-feed.ts
@@ -13,6 +13,8 @@
 	readonly rows: readonly FeedRow[];
 	/** Version after which the next call continues. */
 	readonly version: number;
+	/** Epoch of the store that the version belongs to; undefined if the store names none. */
+	readonly epoch: number | undefined;
 };
 
 /** Reason why a call to the feed failed; after `history-lost` the whole table must be read again. */
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -21,6 +21,7 @@
 import {SeededRandom} from '../random.ts';
 import {formatError} from '../uncaught-errors.ts';
 import {PeerLink} from '../peers/peer-link.ts';
+import type {StoreEpoch} from '../tables/store-epoch.ts';
 import type {UpstreamStart} from '../peers/peer-message.ts';
 import {createControllerTimes, StageController, type StageGroup} from '../stages/stage-controller.ts';
 import {ConfigurationHolder, type ConfigurationDecoder} from './configuration-holder.ts';
@@ -38,6 +39,8 @@
 
 /** Access to the operator's platform. */
 export type Platform = {
+	/** Epoch of the store, as all calls to it show it. */
+	readonly epoch: StoreEpoch;
 	readonly feed: RowFeed;
 	readonly table: Table;
 	readonly callerProtocol: CallerProtocol;
@@ -269,6 +272,14 @@
 				this.#applyRegistryEvents(events);
 			},
 		});
+		platform.epoch.listen({
+			onRestored({before, after}) {
+				log.write('store.restored', {epochBefore: before, epoch: after});
+			},
+			onUnusable(value) {
+				log.write('store.epochUnusable', {value, epoch: platform.epoch.current});
+			},
+		});
 		this.#callerServer = createCallerServer({
 			maxHeaderBytes,
 			onClosed: connection => {
@@ -297,6 +308,9 @@
 			configurationVersion: () => this.#configuration.routeTable?.version ?? 0,
 			droppedLogLines: () => log.droppedLines,
 			droppedRows: () => this.#tables.droppedRows,
+			storeEpoch: () => platform.epoch.current ?? 0,
+			storeRestores: () => platform.epoch.restores,
+			unusableEpochs: () => platform.epoch.unusable,
 		});
 	}
 
--- a/src/process/fleet/fleet-metrics.ts
+++ b/src/process/fleet/fleet-metrics.ts
@@ -17,6 +17,11 @@
 	readonly droppedLogLines: () => number;
 	/** Times that a row of the platform's tables was read and dropped. */
 	readonly droppedRows: () => number;
+	/** 0 if the store names no epoch. */
+	readonly storeEpoch: () => number;
+	readonly storeRestores: () => number;
+	/** Answers of the store whose epoch was no whole number or went back. */
+	readonly unusableEpochs: () => number;
 };
 
 const secondsBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 4, 8];
@@ -57,7 +62,9 @@
 	});
 
 	/** Registers gauges whose values are read at each scrape. */
-	addGauges({openRequests, upstreams, connectionsOpened, limitedUpstreams, pausedUpstreams, configurationVersion, droppedLogLines, droppedRows}: FleetGauges): void {
+	addGauges({
+		openRequests, upstreams, connectionsOpened, limitedUpstreams, pausedUpstreams, configurationVersion, droppedLogLines, droppedRows, storeEpoch, storeRestores, unusableEpochs,
+	}: FleetGauges): void {
 		this.#addGauge('wagtailtack_route_open_requests', 'Requests in flight', openRequests);
 		this.#addGauge('wagtailtack_upstreams', 'Upstreams that accept work', upstreams);
 		this.#addGauge('wagtailtack_upstream_connections_opened', 'Connections opened to upstreams', connectionsOpened);
@@ -66,6 +73,9 @@
 		this.#addGauge('wagtailtack_configuration_version', 'Version of the active configuration', configurationVersion);
 		this.#addGauge('wagtailtack_log_lines_left_out', 'Log lines dropped to stay within the limits', droppedLogLines);
 		this.#addGauge('wagtailtack_dropped_entries', 'Times that an entry of the platform was read and dropped, because it cannot be used', droppedRows);
+		this.#addGauge('wagtailtack_store_epoch', 'Epoch of the store, which rises when the store is restored from an older copy; 0 if the store names none', storeEpoch);
+		this.#addGauge('wagtailtack_store_restores', 'Restores of the store that this process has noticed', storeRestores);
+		this.#addGauge('wagtailtack_store_epochs_unusable', 'Answers of the store whose epoch is no whole number or an earlier one', unusableEpochs);
 	}
 
 	/** Records a request of which head and body were read completely. */
--- a/src/process/tables/table-copy.ts
+++ b/src/process/tables/table-copy.ts
@@ -3,7 +3,7 @@
 import type {FeedPage, FeedRow} from '../../ports/row-feed.ts';
 
 /** Rows of a table that a daemon with an older copy lacks. */
-export type TableDelta = FeedPage & {
+export type TableDelta = Omit<FeedPage, 'epoch'> & {
 	/** True when the rows are the whole table: all other keys have been removed. */
 	readonly isWhole: boolean;
 };
--- a/src/process/tables/table-watch.ts
+++ b/src/process/tables/table-watch.ts
@@ -189,7 +189,13 @@
 				this.#handleFailure(failure);
 				void this.#catchUp();
 			},
-			Right: ({rows, version}) => {
+			Right: ({rows, version, epoch}) => {
+				if (isWhole) {
+					this.#options.log.write('store.wholeRead', {
+						table: this.table, rows: rows.length, version, epoch, knownVersion,
+					});
+				}
+
 				this.#handleSuccess();
 				this.#needsWhole = false;
 				this.#confirmedAt = this.#options.clock.now();
@@ -333,7 +339,7 @@
 		this.#isDoubtful = false;
 		if (kind === 'history-lost') {
 			// This failure is a response of the store, so the store itself is available.
-			log.write('store.historyLost', {table: this.table, version: this.#copy.version});
+			log.write('store.historyLost', {table: this.table, version: this.#copy.version, cause: message});
 			this.#needsWhole = true;
 			return;
 		}
