Ignore the entry of an earlier start after a restore of the store

An upstream that restarted, or that is leaving after a restart, stands in an older copy with its earlier start. The registry took any other start for a restart: requests in flight counted as crashed, and an upstream that is leaving got work again until it wrote its entry once more.

The test 'does not take the entry of an earlier start for a restart' failed before; the other three new ones pass on the commit before this one, and guard what holds already: entries of the same start are ordered by their heartbeat.

--- a/src/process/fleet/upstream-registry.ts
+++ b/src/process/fleet/upstream-registry.ts
@@ -28,6 +28,7 @@
 	readonly #lateHeartbeats = new Map<string, number>();
 	#isStoreLost = false;
 	#storeRecoveredAt = Number.NEGATIVE_INFINITY;
+	#storeRestoredAt = Number.NEGATIVE_INFINITY;
 
 	/** Number of upstreams that accept work. */
 	get size(): number {
@@ -51,6 +52,7 @@
 	markStoreRestored(now: number): void {
 		this.#isStoreLost = false;
 		this.#storeRecoveredAt = now;
+		this.#storeRestoredAt = now;
 		// The copy holds one older entry of each upstream, as a late page does.
 		this.#lateHeartbeats.clear();
 	}
@@ -78,7 +80,7 @@
 		const listed = new Set(upstreams.map(({id}) => id));
 		const missing = [...this.#entries.keys()].filter(id => !listed.has(id));
 		return [
-			...upstreams.flatMap(upstream => this.set(upstream)),
+			...upstreams.filter(upstream => !this.#isOfEarlierStart(upstream, now)).flatMap(upstream => this.set(upstream)),
 			...missing.flatMap(id => this.remove(id, now)),
 		];
 	}
@@ -170,6 +172,13 @@
 		return true;
 	}
 
+	/** Returns true for an entry from the copy of a store that was just restored, if the upstream has been seen to start again since. */
+	#isOfEarlierStart({id, startedAt}: Upstream, now: number): boolean {
+		const lastSeen = this.#entries.get(id)?.upstream ?? this.#removed.get(id);
+		return now - this.#storeRestoredAt < storeRecoveryGraceMs
+			&& startedAt !== undefined && lastSeen?.startedAt !== undefined && startedAt < lastSeen.startedAt;
+	}
+
 	#removeNow(upstream: Upstream): readonly RegistryEvent[] {
 		this.#entries.delete(upstream.id);
 		this.#servingByService.clear();
--- a/test/process/fleet/upstream-registry.test.ts
+++ b/test/process/fleet/upstream-registry.test.ts
@@ -110,4 +110,52 @@
 		registry.remove('u-1', 10_100);
 		expect(listServing(registry)).toEqual([]);
 	});
+
+	describe('after a restore of the store from an older copy', () => {
+		const restoredAt = 10_000;
+
+		test('keeps an upstream that the copy lacks until it has had time to write its entry again', () => {
+			const registry = new UpstreamRegistry();
+			registry.set(createUpstream());
+			registry.markStoreRestored(restoredAt);
+			registry.replace([], restoredAt);
+			expect(listServing(registry)).toEqual(['u-1']);
+			expect(registry.expire(restoredAt + storeRecoveryGraceMs).map(({kind}) => kind)).toEqual(['gone']);
+		});
+
+		test('does not use an upstream again that is leaving or was removed after the copy', () => {
+			const registry = new UpstreamRegistry();
+			registry.set(createUpstream({heartbeatCount: 5}));
+			registry.set(createUpstream({heartbeatCount: 9, isDraining: true}));
+			registry.set(createUpstream({id: 'u-2', heartbeatCount: 5}));
+			registry.remove('u-2', restoredAt - 1000);
+			registry.markStoreRestored(restoredAt);
+			registry.replace([createUpstream({heartbeatCount: 5}), createUpstream({id: 'u-2', heartbeatCount: 5})], restoredAt);
+			expect(listServing(registry)).toEqual([]);
+			expect(registry.set(createUpstream({id: 'u-2', heartbeatCount: 12})).map(({kind}) => kind)).toEqual(['appeared']);
+		});
+
+		// Guards against the second of two copies being taken for a heartbeat of the upstream.
+		test('does not take an upstream back to the state of a second copy that is newer than the first', () => {
+			const registry = new UpstreamRegistry();
+			registry.set(createUpstream({heartbeatCount: 9, stage: 'prefill'}));
+			for (const heartbeatCount of [3, 6]) {
+				registry.markStoreRestored(restoredAt);
+				registry.replace([createUpstream({heartbeatCount, stage: 'decode'})], restoredAt);
+			}
+
+			expect(registry.get('u-1')?.stage).toBe('prefill');
+		});
+
+		test('does not take the entry of an earlier start for a restart', () => {
+			const registry = new UpstreamRegistry();
+			registry.set(createUpstream({startedAt: 1000, heartbeatCount: 40}));
+			registry.set(createUpstream({startedAt: 2000, heartbeatCount: 1}));
+			registry.set(createUpstream({startedAt: 2000, heartbeatCount: 2, isDraining: true}));
+			registry.markStoreRestored(restoredAt);
+			expect(registry.replace([createUpstream({startedAt: 1000, heartbeatCount: 40})], restoredAt)).toEqual([]);
+			expect(listServing(registry)).toEqual([]);
+			expect(registry.set(createUpstream({startedAt: 3000, heartbeatCount: 1})).map(({kind}) => kind)).toEqual(['restarted']);
+		});
+	});
 });
