--- a/src/ports/table.ts
+++ b/src/ports/table.ts
@@ -29,6 +29,11 @@
 
 /** Transactional table of the platform. */
 export abstract class Table implements AsyncDisposable {
+	/** Epoch that the latest answer named: 1 for a table that was never restored from an older copy, one more after each restore; undefined if the platform does not say. */
+	get epoch(): number | undefined {
+		return undefined;
+	}
+
 	/** Reads one row with strong consistency; `undefined` if it does not exist. */
 	abstract get(key: RowKey): Promise<Either<StoreFailure, Row | undefined>>;
 
--- a/test/platform/store-table.test.ts
+++ b/test/platform/store-table.test.ts
@@ -85,4 +85,71 @@
 		const read = await table.get(key);
 		expect(read.isRight()).toBe(true);
 	});
+
+	// Guards against a condition that fits again because a row version was given out again to another content.
+	test('does not report a write as applied whose condition fit the row of another epoch', async () => {
+		await using store = await start();
+		await using first = new StoreTable(store.address);
+		await using second = new StoreTable(store.address);
+		const copy = store.takeCopy();
+		await first.write([{
+			kind: 'put', key, expected: 0, body: 'one',
+		}]);
+		store.restore(copy);
+		await second.write([{
+			kind: 'put', key, expected: 0, body: 'other',
+		}]);
+		const late = await first.write([{
+			kind: 'put', key, expected: 1, body: 'two',
+		}]);
+		expect(late.swap().extract()).toMatchObject({kind: 'unknown'});
+		const read = await first.get(key);
+		const revision = read.map(row => row?.revision).extract();
+		expect(revision).not.toBe(2);
+		const next = await first.write([{
+			kind: 'put', key, expected: Number(revision), body: 'three',
+		}]);
+		expect(next.isRight()).toBe(true);
+		expect(store.read('wagtailtack', key.partition, key.sort)).toBe('{"revision":3,"body":"three"}');
+	});
+
+	test('does not overwrite a row that was written with knowledge of a restore, also if the row version fits', async () => {
+		await using store = await start();
+		await using first = new StoreTable(store.address);
+		await using second = new StoreTable(store.address);
+		const copy = store.takeCopy();
+		await first.get(key);
+		await first.write([{
+			kind: 'put', key, expected: 0, body: 'one',
+		}]);
+		store.restore(copy);
+		await second.get(key);
+		await second.write([{
+			kind: 'put', key, expected: 0, body: 'other',
+		}]);
+		const late = await first.write([{
+			kind: 'put', key, expected: 1, body: 'two',
+		}]);
+		expect(late.swap().extract()).toMatchObject({kind: 'conflict'});
+		const read = await first.get(key);
+		expect(read.extract()).toMatchObject({body: 'other'});
+		const rows = await first.query(key.partition);
+		expect(rows.map(found => found.length).extract()).toBe(1);
+	});
+
+	test('refuses a condition from before a restore that it knows of without a call', async () => {
+		await using store = await start();
+		await using table = new StoreTable(store.address);
+		await table.write([{
+			kind: 'put', key, expected: 0, body: 'one',
+		}]);
+		store.restore(store.takeCopy());
+		await table.get({partition: 'daemons', sort: 'a'});
+		const calls = store.calls.length;
+		const stale = await table.write([{
+			kind: 'put', key, expected: 1, body: 'two',
+		}]);
+		expect(stale.swap().extract()).toMatchObject({kind: 'conflict'});
+		expect(store.calls.length).toBe(calls);
+	});
 });
