Wait for a whole lease after a restore of the table, and never grant a fencing number again

Two daemons could hold the lease of the stages at once, and a fencing number could be granted twice, after the store was restored: the row of a grant that the store had acknowledged is gone, the lease looks free, and the next grant counts on from the copy's number. Its holder goes on until its next renewal, and both give orders to engines.

Change: a candidate that finds no holder takes the lease only after it has known the table's epoch for a whole lease duration; by then a holder whose row was lost has stopped, since its renewals fail. A row with a holder was observed for the whole duration already, and its revision differs in another epoch, so that the observation starts anew. Fencing numbers of an epoch start above all of earlier epochs. A table that was never restored (epoch 1), or names no epoch, works as before, so that the first grant of a deployment is not delayed.

--- a/src/process/lease/lease-client.ts
+++ b/src/process/lease/lease-client.ts
@@ -51,7 +51,7 @@
 			const result = await table.get(key);
 			post(result.caseOf<LeaseEvent>({
 				Left: toFailed,
-				Right: row => toReadEvent(row),
+				Right: row => toReadEvent(row, table.epoch),
 			}));
 			return;
 		}
@@ -65,9 +65,9 @@
 }
 
 /** Treats a row that cannot be parsed like one that cannot be read, so that no candidate takes the lease over. */
-function toReadEvent(row: Row | undefined): LeaseEvent {
+function toReadEvent(row: Row | undefined, epoch: number | undefined): LeaseEvent {
 	try {
-		return {kind: 'read', row: row === undefined ? undefined : parseLeaseRow(row)};
+		return {kind: 'read', row: row === undefined ? undefined : parseLeaseRow(row), epoch};
 	} catch {
 		return {kind: 'failed', failure: 'unavailable'};
 	}
--- a/src/process/lease/lease-machine.ts
+++ b/src/process/lease/lease-machine.ts
@@ -27,6 +27,11 @@
 	readonly raisesFencing: boolean;
 };
 
+/** Epoch of a table that was never restored. */
+const firstEpoch = 1;
+/** Distance between the fencing numbers of two epochs; far more than the grants of one, and small enough for 2^33 epochs. */
+const grantsPerEpoch = 2 ** 20;
+
 /** All safety rules enabled. */
 export const allLeaseGuards: LeaseGuards = {
 	observesDuration: true, countsFromSend: true, readsBack: true, raisesFencing: true,
@@ -66,13 +71,15 @@
 	readonly pendingWrite?: PendingWrite;
 	readonly held?: HeldLease;
 	readonly nextReadAt: number;
+	/** Epoch of the table, and the time since which it is known; undefined if the table names none. */
+	readonly epoch?: {readonly number: number; readonly since: number} | undefined;
 };
 
 /** Input of the lease state machine. */
 export type LeaseEvent
 	= | {readonly kind: 'tick'; /** Fresh random token, used if the lease is acquired. */ readonly token: string}
 		| {readonly kind: 'candidacy'; readonly isCandidate: boolean}
-		| {readonly kind: 'read'; readonly row: LeaseRow | undefined}
+		| {readonly kind: 'read'; readonly row: LeaseRow | undefined; /** Epoch of the table that the row belongs to. */ readonly epoch?: number | undefined}
 		| {readonly kind: 'written'}
 		| {readonly kind: 'failed'; readonly failure: 'conflict' | 'unavailable' | 'unknown'};
 
@@ -104,7 +111,7 @@
 		}
 
 		case 'read': {
-			return {state: settleRead({...state, inFlight: undefined}, event.row, now, options)};
+			return {state: settleRead({...noteEpoch(state, event.epoch, now), inFlight: undefined}, event.row, now, options)};
 		}
 
 		case 'written': {
@@ -137,7 +144,7 @@
 	}
 
 	const {observation} = state;
-	if (observation !== undefined && canTakeOver(observation, now, options)) {
+	if (observation !== undefined && canTakeOver(state, observation, now, options)) {
 		return acquire(state, token, now, options);
 	}
 
@@ -169,21 +176,37 @@
 	});
 }
 
+function noteEpoch(state: LeaseState, epoch: number | undefined, now: number): LeaseState {
+	const isKnown = state.epoch?.number === epoch;
+	return isKnown ? state : {...state, epoch: epoch === undefined ? undefined : {number: epoch, since: now}};
+}
+
 function canTakeOver(
-	observation: NonNullable<LeaseState['observation']>,
+	{epoch}: LeaseState,
+	{row, since}: NonNullable<LeaseState['observation']>,
 	now: number,
 	{times, guards}: LeaseOptions,
 ): boolean {
-	const {row, since} = observation;
-	return row === undefined
-		|| row.body.holder === ''
-		|| !guards.observesDuration
-		|| now - since >= Math.max(row.body.durationMs, times.durationMs);
+	if (!guards.observesDuration) {
+		return true;
+	}
+
+	if (row === undefined || row.body.holder === '') {
+		// A restore may have taken away the row of a holder that does not know yet.
+		return epoch === undefined || epoch.number <= firstEpoch || now - epoch.since >= times.durationMs;
+	}
+
+	return now - since >= Math.max(row.body.durationMs, times.durationMs);
+}
+
+/** Returns the lowest fencing number of the present epoch, which is above all that were granted in earlier ones. */
+function fencingFloor({epoch}: LeaseState): number {
+	return epoch === undefined || epoch.number <= firstEpoch ? 0 : (epoch.number - firstEpoch) * grantsPerEpoch;
 }
 
 function acquire(state: LeaseState, token: string, now: number, options: LeaseOptions): LeaseDecision {
 	const row = state.observation?.row;
-	const lastFencing = row?.body.fencing ?? 0;
+	const lastFencing = Math.max(row?.body.fencing ?? 0, fencingFloor(state));
 	const body = {
 		holder: options.daemon,
 		token,
