Write again what a restored store lacks of the daemons' own rows

After a restore from an older copy, the row with what is known of crashes and the entries by which daemons find each other were missing until something changed or a minute had passed. If all daemons were killed meanwhile, a request that crashes upstreams was forgotten, and a daemon that started did not find the others.

Cause: both were written once and believed to last, because the store had acknowledged them.

Change: the first answer of a later epoch makes each daemon register again within 2 s, spread at random, and the first daemon by rank compares the crash row with what it knows and writes it if it lacks something.

Tests: 'gets the entries of the daemons again that the copy lacks' failed before (not within 5 s); 'is stored again after a restore of the table, by the first daemon alone' does not compile before, since nothing told the task of a restore.

--- a/src/process/crashes/crash-memory-task.ts
+++ b/src/process/crashes/crash-memory-task.ts
@@ -21,7 +21,7 @@
 	readonly now: () => number;
 };
 
-type Message = {readonly kind: 'tick'} | {readonly kind: 'ended'; readonly result: SyncResult};
+type Message = {readonly kind: 'tick' | 'restored'} | {readonly kind: 'ended'; readonly result: SyncResult};
 
 /** Result of reading the row and replacing it if it was outdated; `conflict`: another daemon has written it in between. */
 type SyncResult = 'current' | 'written' | 'conflict' | 'failed';
@@ -68,12 +68,36 @@
 		this.start({message: {kind: 'tick'}, intervalMs: tickIntervalMs});
 	}
 
+	/** Stores what is known again, because the table was restored from a copy that may lack it. */
+	storeRestored(): void {
+		this.post({kind: 'restored'});
+	}
+
 	protected receive(message: Message): void {
-		if (message.kind === 'tick') {
-			this.#options.monitor.tick();
-			this.#tick(this.#options.clock.now());
-		} else {
-			this.#finish(message.result, this.#options.clock.now());
+		const now = this.#options.clock.now();
+		switch (message.kind) {
+			case 'tick': {
+				this.#options.monitor.tick();
+				this.#tick(now);
+				return;
+			}
+
+			case 'restored': {
+				this.#scheduleComparison(now);
+				return;
+			}
+
+			case 'ended': {
+				this.#finish(message.result, now);
+			}
+		}
+	}
+
+	/** Compares the row with what is known, in the order of the writers. */
+	#scheduleComparison(now: number): void {
+		const rank = this.#options.rank();
+		if (rank < writers && !isEmpty(this.#options.monitor.remember())) {
+			this.#dueAt = Math.min(this.#dueAt, now + (rank * writerDelayMs));
 		}
 	}
 
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -61,6 +61,8 @@
 };
 
 const housekeepingIntervalMs = 250;
+/** Time within which all daemons register again after a restore of the store, in milliseconds. */
+const registrationSpreadMs = 2000;
 /** Requests per second that one slot of an engine decodes, for answers that take a second. */
 const decodesPerSlotPerSecond = 1;
 const maxHeaderBytes = 64 * 1024;
@@ -276,6 +278,8 @@
 			onRestored: ({before, after}) => {
 				log.write('store.restored', {epochBefore: before, epoch: after});
 				this.#tables.noteEpoch(after);
+				this.#crashMemory.storeRestored();
+				this.#peers.storeRestored(this.#random.next() * registrationSpreadMs);
 			},
 			onUnusable(value) {
 				log.write('store.epochUnusable', {value, epoch: platform.epoch.current});
--- a/src/process/peers/peer-directory.ts
+++ b/src/process/peers/peer-directory.ts
@@ -35,6 +35,16 @@
 		void this.#refresh(secondReadDelayMs);
 	}
 
+	/** Reads the entries again after a delay in milliseconds, and writes the own one again if it is missing. */
+	refreshAfter(delayMs: number): void {
+		if (this.#timer !== undefined && !this.#isClosed) {
+			clearTimeout(this.#timer);
+			this.#timer = setTimeout(() => {
+				void this.#refresh(refreshIntervalMs);
+			}, delayMs);
+		}
+	}
+
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#isClosed = true;
 		clearTimeout(this.#timer);
--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -195,6 +195,11 @@
 		this.#scheduleSend();
 	}
 
+	/** Registers again after a delay in milliseconds, because the platform's table was restored from a copy that may lack the entry. */
+	storeRestored(delayMs: number): void {
+		this.#directory.refreshAfter(delayMs);
+	}
+
 	async [Symbol.asyncDispose](): Promise<void> {
 		this.#isClosed = true;
 		clearTimeout(this.#batchTimer);
--- a/test/process/crashes/crash-memory-task.test.ts
+++ b/test/process/crashes/crash-memory-task.test.ts
@@ -56,6 +56,10 @@
 		this.monitor.attemptEnded(attemptId, 'u', 'complete');
 	}
 
+	storeRestored(): void {
+		this.#task.storeRestored();
+	}
+
 	statusOf(fingerprint: string, promptParts: readonly string[] = []): string {
 		return this.monitor.statusOf({fingerprint, promptParts});
 	}
@@ -128,6 +132,29 @@
 		expect(['p', 'innocent-u-1', 'innocent-u-2'].map(fingerprint => last.statusOf(fingerprint))).toEqual(['condemned', 'free', 'free']);
 	});
 
+	// Guards against crash knowledge that is lost with the last daemon, because the store was restored from a copy that lacks it.
+	it('is stored again after a restore of the table, by the first daemon alone', async () => {
+		const table = new MemoryTable();
+		await using first = new Daemon(table);
+		await using second = new Daemon(table, 1);
+		for (const {monitor} of [first, second]) {
+			monitor.applyNews({kind: 'condemned', fingerprint: 'p', refusedForMs});
+		}
+
+		await vi.advanceTimersByTimeAsync(2000);
+		const [row] = await succeed(table.query('crashes'));
+		await succeed(table.write([{kind: 'delete', key, expected: row!.revision}]));
+		await vi.advanceTimersByTimeAsync(2000);
+		expect(await succeed(table.query('crashes'))).toEqual([]);
+		first.storeRestored();
+		second.storeRestored();
+		await vi.advanceTimersByTimeAsync(2000);
+		expect(await succeed(table.query('crashes'))).toMatchObject([{revision: 1}]);
+		await using third = new Daemon(table);
+		await vi.advanceTimersByTimeAsync(100);
+		expect(third.statusOf('p')).toBe('condemned');
+	});
+
 	it('keeps what two daemons write at the same moment, and counts a crash that both have seen once', async () => {
 		const table = new MemoryTable();
 		await using first = new Daemon(table);
--- a/test/process/fleet/restored-store.test.ts
+++ b/test/process/fleet/restored-store.test.ts
@@ -117,4 +117,18 @@
 		await delay(windowMs);
 		expect(fleet.store.calls.length - back).toBeLessThanOrEqual(3 * callsBefore);
 	}, 20_000);
+
+	test('gets the entries of the daemons again that the copy lacks', async () => {
+		await using fleet = new FleetFixture();
+		const copy = fleet.store.takeCopy();
+		await fleet.start([{id: 'u-1'}], {daemons});
+		const entry = () => fleet.store.read('wagtailtack', 'daemons', 'daemon-1');
+		// By then the daemons have read the entries a second time, and read them next after a minute.
+		await delay(4000);
+		await restore(fleet, copy, () => {
+			fleet.store.put('op', 'config', createOperatorConfiguration());
+		});
+		expect(entry()).toBeUndefined();
+		await fleet.waitUntil(() => entry() !== undefined);
+	}, 15_000);
 });
