Ask other daemons at the start for what a restored store lacks

A daemon that was started while the restored store still held the older configuration answered 404 for a route that the other daemons serve, and sent requests to an upstream that they knew to be gone.

Cause: a daemon that runs never goes back to an older configuration or an older entry, but this knowledge was only in its memory; a process that starts had nothing but the store.

Change: daemons serve what they know and the store may lack at their peer port (/knowledge): the active configuration as the operator wrote it, and the last entries of upstreams that are leaving or gone. A configuration replaces an older one only; an entry of the list counts again when its heartbeat is above the last one known. Earlier releases answer 404, and nothing is taken from them.

--- a/src/connection/row-exchange.ts
+++ b/src/connection/row-exchange.ts
@@ -43,10 +43,9 @@
 
 /** Fetches the rows of a table that changed after a position from another daemon; a failure is a short message. */
 export async function fetchSharedRows(address: string, table: string, after: TablePosition | undefined): Promise<Either<string, SharedRows>> {
-	const {host, port} = parseAddress(address);
 	const path = `${pathPrefix}${encodeURIComponent(table)}${after === undefined ? '' : `?${formatPosition(after)}`}`;
 	try {
-		const body = await readAnswer(host, port, path);
+		const body = await fetchAnswer(address, path);
 		return answerCodec.decode(JSON.parse(body)).map(answer => decodeAnswer(answer));
 	} catch (error) {
 		return Left(error instanceof Error ? error.message : String(error));
@@ -110,7 +109,9 @@
 	};
 }
 
-async function readAnswer(host: string, port: number, path: string): Promise<string> {
+/** Fetches the body of another daemon's answer; rejects unless it is complete, in time and has status 200. */
+export async function fetchAnswer(address: string, path: string): Promise<string> {
+	const {host, port} = parseAddress(address);
 	const {promise, resolve, reject} = Promise.withResolvers<string>();
 	const request = get({
 		host, port, path, agent: false,
--- a/src/process/fleet/configuration-holder.ts
+++ b/src/process/fleet/configuration-holder.ts
@@ -13,6 +13,7 @@
 	readonly #decode: ConfigurationDecoder;
 	readonly #log: DecisionLog;
 	#routeTable: RouteTable | undefined;
+	#activeValue: Uint8Array | undefined;
 
 	constructor(key: string, decode: ConfigurationDecoder, log: DecisionLog) {
 		this.#key = key;
@@ -25,6 +26,16 @@
 		return this.#routeTable;
 	}
 
+	/** Value of the active configuration as the operator wrote it. */
+	get activeValue(): Uint8Array | undefined {
+		return this.#activeValue;
+	}
+
+	/** Applies a configuration that another daemon has in force, unless an equal or newer one is active. */
+	inherit(value: Uint8Array): void {
+		this.accept([{key: this.#key, value, isRemoved: false}]);
+	}
+
 	/** Applies rows of the operator's table; an invalid, removed or older configuration leaves the active one unchanged. */
 	accept(rows: readonly FeedRow[]): void {
 		for (const {value, isRemoved} of rows.filter(({key}) => key === this.#key)) {
@@ -38,19 +49,20 @@
 					this.#log.write('configuration.invalid', {cause, inForce: this.#routeTable?.version});
 				},
 				Right: configuration => {
-					this.#apply(configuration);
+					this.#apply(configuration, value);
 				},
 			});
 		}
 	}
 
-	#apply(configuration: RouteConfiguration): void {
+	#apply(configuration: RouteConfiguration, value: Uint8Array | undefined): void {
 		const activeVersion = this.#routeTable?.version;
 		if (activeVersion !== undefined && configuration.version <= activeVersion) {
 			return;
 		}
 
 		this.#routeTable = new RouteTable(configuration);
+		this.#activeValue = value;
 		this.#log.write('configuration.inForce', {version: configuration.version, replaced: activeVersion, routes: configuration.routes.length});
 	}
 }
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -4,6 +4,7 @@
 import {closeAbruptly, listen} from '../../connection/http-listener.ts';
 import {UpstreamClients} from '../../connection/links/upstream-clients.ts';
 import {refusesConnections} from '../../connection/refusal-probe.ts';
+import {fetchKnowledge, serveKnowledge} from '../../connection/knowledge-exchange.ts';
 import {serveSharedRows} from '../../connection/row-exchange.ts';
 import type {CallerProtocol} from '../../ports/caller-protocol.ts';
 import type {RowFeed} from '../../ports/row-feed.ts';
@@ -28,6 +29,7 @@
 import type {DecisionLog} from './decision-log.ts';
 import {FleetScheduler} from './fleet-scheduler.ts';
 import {FleetTables} from './fleet-tables.ts';
+import {inheritKnowledge, type Knowledge} from './inheritance.ts';
 import {FleetMetrics} from './fleet-metrics.ts';
 import {SharedRetryBudget, type RetryBounds} from './shared-retry-budget.ts';
 import {RouteCrashes} from './route-crashes.ts';
@@ -102,6 +104,8 @@
 	/** Gives rows of the platform's tables to the other daemons. */
 	readonly #rowServer: Server;
 	#housekeepingTimer: NodeJS.Timeout | undefined;
+	/** True once the other daemons were asked for what the store may lack. */
+	#hasInherited = false;
 
 	constructor(options: FleetDaemonOptions) {
 		this.#options = options;
@@ -302,7 +306,10 @@
 			void this.#sendMetrics(response);
 		});
 		this.#rowServer = createServer((request, response) => {
-			serveSharedRows(request, response, (table, after) => this.#tables.share(table, after));
+			const isServed = serveKnowledge(request, response, () => ({configuration: this.#configuration.activeValue, pastEntries: this.#registry.pastEntries()}));
+			if (!isServed) {
+				serveSharedRows(request, response, (table, after) => this.#tables.share(table, after));
+			}
 		});
 		this.#metrics.addGauges({
 			openRequests: () => this.#requestHandler.openRequests,
@@ -321,7 +328,7 @@
 
 	/** True while the daemon accepts new connections. */
 	get isReady(): boolean {
-		return this.#configuration.routeTable !== undefined && this.#tables.hasUpstreamList && !this.#shutdown.hasStarted;
+		return this.#configuration.routeTable !== undefined && this.#tables.hasUpstreamList && this.#hasInherited && !this.#shutdown.hasStarted;
 	}
 
 	/** Opens the sockets and starts to watch the platform's tables. */
@@ -344,6 +351,7 @@
 		this.#crashMemory.run();
 		await this.#peers.start();
 		this.#lease.run();
+		void this.#inherit();
 	}
 
 	/** Applies changed settings: the bounds of retries and tables take effect at once, all others at the next start. */
@@ -394,6 +402,34 @@
 		response.end(text);
 	}
 
+	async #inherit(): Promise<void> {
+		const {settings: {daemon}, log} = this.#options;
+		await inheritKnowledge({
+			log,
+			availabilityZone: daemon.availabilityZone,
+			members: this.#peers.membersAtStart,
+			fetch: fetchKnowledge,
+			apply: (knowledge, peer) => {
+				this.#applyKnowledge(knowledge, peer);
+			},
+		});
+		this.#hasInherited = true;
+	}
+
+	#applyKnowledge({configuration, pastEntries}: Knowledge, peer: string): void {
+		const before = this.#configuration.routeTable?.version;
+		if (configuration !== undefined) {
+			this.#configuration.inherit(configuration);
+			this.#applyCallerLimits();
+		}
+
+		const events = this.#registry.inherit(pastEntries);
+		this.#options.log.write('start.inherited', {
+			peer, configurationBefore: before, configuration: this.#configuration.routeTable?.version, pastEntries: pastEntries.length, upstreams: events.map(({upstream}) => upstream.id),
+		});
+		this.#applyRegistryEvents(events);
+	}
+
 	#stageGroups(): readonly StageGroup[] {
 		const services = [...this.#configuration.routeTable?.services.values() ?? []];
 		return services.flatMap(({name, engine}) => engine === undefined
--- a/src/process/fleet/upstream-registry.ts
+++ b/src/process/fleet/upstream-registry.ts
@@ -6,6 +6,19 @@
 /** Removed upstreams that are remembered to detect late entries. */
 const maxRemovedUpstreams = 1000;
 
+/** Removed upstreams that a daemon tells others of when they start; the latest ones. */
+const maxPastEntries = 100;
+
+/** Last entry of an upstream that is leaving or gone, as far as it tells later entries from earlier ones. */
+export type PastEntry = {
+	readonly id: string;
+	readonly startedAt: number | undefined;
+	readonly heartbeatCount: number;
+	readonly isDraining: boolean;
+	/** True if the entry was removed. */
+	readonly isGone: boolean;
+};
+
 /** Effect of a registry change on one upstream. */
 export type RegistryEvent = {
 	readonly kind: 'appeared' | 'changed' | 'restarted' | 'leaving' | 'gone' | 'lapsed';
@@ -23,7 +36,7 @@
 	readonly #entries = new Map<string, Entry>();
 	readonly #servingByService = new Map<string, readonly Upstream[]>();
 	/** Last entry of each removed upstream, so that a late entry does not restore it. */
-	readonly #removed = new Map<string, Upstream>();
+	readonly #removed = new Map<string, Pick<Upstream, 'id' | 'startedAt' | 'heartbeatCount' | 'isDraining'>>();
 	/** Highest heartbeat of the entries that were ignored as late since the last one that was applied. */
 	readonly #lateHeartbeats = new Map<string, number>();
 	#isStoreLost = false;
@@ -122,6 +135,36 @@
 		return [...this.#entries.values()].map(({upstream}) => upstream).filter(({isDraining}) => isDraining);
 	}
 
+	/** Last entries of the upstreams that are leaving or gone. */
+	pastEntries(): readonly PastEntry[] {
+		const toEntry = ({id, startedAt, heartbeatCount, isDraining}: Omit<PastEntry, 'isGone'>, isGone: boolean): PastEntry => ({
+			id, startedAt, heartbeatCount, isDraining, isGone,
+		});
+		return [
+			...this.leaving().map(upstream => toEntry(upstream, false)),
+			...[...this.#removed.values()].slice(-maxPastEntries).map(removed => toEntry(removed, true)),
+		];
+	}
+
+	/** Applies what another daemon knows of upstreams that are leaving or gone, which the list of a restored store may show as serving. */
+	inherit(entries: readonly PastEntry[]): readonly RegistryEvent[] {
+		return entries.flatMap(entry => {
+			const {isGone, ...last} = entry;
+			const current = this.#entries.get(last.id)?.upstream;
+			if (current === undefined) {
+				this.#removed.set(last.id, this.#removed.get(last.id) ?? last);
+				return [];
+			}
+
+			if (!isGone) {
+				return this.markLeaving(last.id, last.startedAt);
+			}
+
+			const isOfCopy = current.startedAt === last.startedAt && current.heartbeatCount <= last.heartbeatCount;
+			return isOfCopy ? this.#removeNow(current) : [];
+		});
+	}
+
 	/** Records that an upstream has said that it is leaving, whatever its entry says; news about an earlier start of it is ignored. */
 	markLeaving(id: string, startedAt: number | undefined): readonly RegistryEvent[] {
 		const entry = this.#entries.get(id);
@@ -162,7 +205,7 @@
 	A page of the list that arrives late holds one entry of each upstream, so an upstream whose heartbeats go on below the last one
 	writes now, and the last one came from another writer.
 	*/
-	#isLate({id, heartbeatCount}: Upstream, lastSeen: Upstream): boolean {
+	#isLate({id, heartbeatCount}: Upstream, lastSeen: Pick<Upstream, 'heartbeatCount'>): boolean {
 		const latest = this.#lateHeartbeats.get(id);
 		if (heartbeatCount >= lastSeen.heartbeatCount || (latest !== undefined && heartbeatCount > latest)) {
 			return false;
--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -87,6 +87,7 @@
 	/** Until this time the bandwidth that a relay may use is spent. */
 	#relayBudgetFreeAt = 0;
 	#isDirectoryRead = false;
+	readonly #membersAtStart = Promise.withResolvers<readonly PeerMember[]>();
 	#hasPredecessor = true;
 	#isClosed = false;
 
@@ -107,6 +108,7 @@
 				}
 
 				if (isFirst) {
+					this.#membersAtStart.resolve(members);
 					// The others answer a daemon that has just started with the crash news that it lacks.
 					this.#scheduleSnapshot();
 				}
@@ -132,6 +134,11 @@
 		return this.#isDirectoryRead ? this.topology.knownDaemons : undefined;
 	}
 
+	/** The other daemons that were registered when this one started; resolves once the directory has been read. */
+	get membersAtStart(): Promise<readonly PeerMember[]> {
+		return this.#membersAtStart.promise;
+	}
+
 	/** False once it is known that no earlier process of this daemon has registered. */
 	get hasPredecessor(): boolean {
 		return this.#hasPredecessor;
--- a/test/process/fleet/restored-store.test.ts
+++ b/test/process/fleet/restored-store.test.ts
@@ -131,4 +131,25 @@
 		expect(entry()).toBeUndefined();
 		await fleet.waitUntil(() => entry() !== undefined);
 	}, 15_000);
+
+	// Guards against a daemon that answers 404 for a route that the others serve.
+	test('does not take a daemon back that starts afterwards: it serves the configuration of the others, and no upstream that they know to be gone', async () => {
+		await using fleet = new FleetFixture();
+		await fleet.start([{id: 'u-1'}, {id: 'u-2'}], {daemons: daemons - 1});
+		const copy = fleet.store.takeCopy();
+		fleet.store.put('op', 'config', withAddedRoute(2));
+		fleet.store.remove('servers', 'u-2');
+		await settle();
+		await restore(fleet, copy, () => undefined);
+		await delay(500);
+		await fleet.startDaemon();
+		await fleet.waitUntil(() => fleet.areReady);
+		expect(await fleet.status({path: '/added/1', daemon: daemons - 1})).toBe(200);
+		const startedAt = performance.now();
+		for (let count = 0; count < 20; count += 1) {
+			await fleet.send({path: `/lookup/${count}`, daemon: daemons - 1});
+		}
+
+		expect(fleet.upstreams[1]!.receivedRequests.filter(({url, receivedAt}) => url.startsWith('/lookup/') && receivedAt > startedAt)).toEqual([]);
+	}, 15_000);
 });
--- a/test/process/fleet/upstream-registry.test.ts
+++ b/test/process/fleet/upstream-registry.test.ts
@@ -157,5 +157,30 @@
 			expect(listServing(registry)).toEqual([]);
 			expect(registry.set(createUpstream({startedAt: 3000, heartbeatCount: 1})).map(({kind}) => kind)).toEqual(['restarted']);
 		});
+
+		test.each(['before', 'after'])('learns from another daemon, %s it has read the list, which upstreams are leaving or gone', order => {
+			const other = new UpstreamRegistry();
+			for (const id of ['leaving', 'gone', 'back']) {
+				other.set(createUpstream({id, heartbeatCount: 5}));
+			}
+
+			other.set(createUpstream({id: 'leaving', heartbeatCount: 6, isDraining: true}));
+			other.remove('gone', restoredAt);
+			other.remove('back', restoredAt);
+			const registry = new UpstreamRegistry();
+			const read = () => {
+				registry.replace([
+					createUpstream({id: 'leaving', heartbeatCount: 5}), createUpstream({id: 'gone', heartbeatCount: 5}), createUpstream({id: 'back', heartbeatCount: 8}), createUpstream({id: 'u-1'}),
+				], restoredAt);
+			};
+
+			if (order === 'after') {
+				read();
+			}
+
+			registry.inherit(other.pastEntries());
+			read();
+			expect(listServing(registry).toSorted()).toEqual(['back', 'u-1']);
+		});
 	});
 });
