Use an upstream again that a restored store lists for good, and let none expire while the store is away again

Their entries expired during the second outage, and the copy's entries, with the heartbeat known last, then looked like late ones; the upstreams live and have no reason to write another content.

Cause: the list's grace period went on while the store could not be read, and an entry of a removed upstream was ignored without end.

Change: nothing expires while the store is away, and entries that are missing get a whole grace period at each return. An entry of a removed upstream that the copy of a restored store lists is held back for 6 s, in which the store removes those that no longer write (three heartbeats); what is listed after that is used.

--- a/src/process/fleet/upstream-registry.ts
+++ b/src/process/fleet/upstream-registry.ts
@@ -3,6 +3,8 @@
 /** Time after a store outage within which upstreams restore the entries that expired during it, in milliseconds. */
 export const storeRecoveryGraceMs = 2000;
 
+/** Time after which an entry that a restored copy lists belongs to a live upstream, in milliseconds: the store removes one that has not written for three heartbeats. */
+export const restoredEntryHoldMs = 6000;
 /** Removed upstreams that are remembered to detect late entries. */
 const maxRemovedUpstreams = 1000;
 
@@ -39,6 +41,8 @@
 	readonly #removed = new Map<string, Pick<Upstream, 'id' | 'startedAt' | 'heartbeatCount' | 'isDraining'>>();
 	/** Highest heartbeat of the entries that were ignored as late since the last one that was applied. */
 	readonly #lateHeartbeats = new Map<string, number>();
+	/** Entries of removed upstreams that the copy of a restored store lists. */
+	readonly #heldBack = new Map<string, Upstream>();
 	#isStoreLost = false;
 	#storeRecoveredAt = Number.NEGATIVE_INFINITY;
 	#storeRestoredAt = Number.NEGATIVE_INFINITY;
@@ -57,15 +61,16 @@
 	markStoreRecovered(now: number): void {
 		if (this.#isStoreLost) {
 			this.#isStoreLost = false;
-			this.#storeRecoveredAt = now;
+			this.#startGracePeriod(now);
 		}
 	}
 
 	/** Records that the store was restored from an older copy; entries that the copy lacks get a grace period, as after an outage. */
 	markStoreRestored(now: number): void {
 		this.#isStoreLost = false;
-		this.#storeRecoveredAt = now;
+		this.#startGracePeriod(now);
 		this.#storeRestoredAt = now;
+		this.#heldBack.clear();
 		// The copy holds one older entry of each upstream, as a late page does.
 		this.#lateHeartbeats.clear();
 	}
@@ -92,6 +97,10 @@
 	replace(upstreams: readonly Upstream[], now: number): readonly RegistryEvent[] {
 		const listed = new Set(upstreams.map(({id}) => id));
 		const missing = [...this.#entries.keys()].filter(id => !listed.has(id));
+		if (this.#isJustRestored(now)) {
+			this.#holdBack(upstreams);
+		}
+
 		return [
 			...upstreams.filter(upstream => !this.#isOfEarlierStart(upstream, now)).flatMap(upstream => this.set(upstream)),
 			...missing.flatMap(id => this.remove(id, now)),
@@ -109,6 +118,7 @@
 		}
 
 		this.#lateHeartbeats.delete(id);
+		this.#heldBack.delete(id);
 
 		const upstream = isSameStart && lastSeen.isDraining ? {...entry, isDraining: true} : entry;
 		this.#entries.set(id, {upstream, expiresAt: undefined});
@@ -180,6 +190,7 @@
 
 	/** Applies the removal of an entry; just after a store outage the upstream may be alive although its entry expired. */
 	remove(id: string, now: number): readonly RegistryEvent[] {
+		this.#heldBack.delete(id);
 		const entry = this.#entries.get(id);
 		if (entry === undefined) {
 			return [];
@@ -194,9 +205,48 @@
 		return this.#removeNow(entry.upstream);
 	}
 
-	/** Removes entries that have not returned within the grace period. */
+	/** Removes entries that have not returned within the grace period, and uses those of removed upstreams that a restored store still lists after a while; neither while the store cannot be read. */
 	expire(now: number): readonly RegistryEvent[] {
-		return [...this.#entries.values()].flatMap(({upstream, expiresAt}) => expiresAt !== undefined && now >= expiresAt ? this.#removeNow(upstream) : []);
+		if (this.#isStoreLost) {
+			return [];
+		}
+
+		return [
+			...[...this.#entries.values()].flatMap(({upstream, expiresAt}) => expiresAt !== undefined && now >= expiresAt ? this.#removeNow(upstream) : []),
+			...now - this.#storeRestoredAt >= restoredEntryHoldMs ? this.#releaseHeldBack() : [],
+		];
+	}
+
+	#startGracePeriod(now: number): void {
+		this.#storeRecoveredAt = now;
+		for (const [id, {upstream, expiresAt}] of this.#entries) {
+			if (expiresAt !== undefined) {
+				this.#entries.set(id, {upstream, expiresAt: now + storeRecoveryGraceMs});
+			}
+		}
+	}
+
+	#isJustRestored(now: number): boolean {
+		return now - this.#storeRestoredAt < storeRecoveryGraceMs;
+	}
+
+	/** Remembers the entries of removed upstreams: the copy may be older than the removal, or the upstream may live and have no reason to change its entry. */
+	#holdBack(upstreams: readonly Upstream[]): void {
+		for (const upstream of upstreams) {
+			const removed = this.#entries.has(upstream.id) ? undefined : this.#removed.get(upstream.id);
+			if (removed?.isDraining === false && removed.startedAt === upstream.startedAt) {
+				this.#heldBack.set(upstream.id, upstream);
+			}
+		}
+	}
+
+	#releaseHeldBack(): readonly RegistryEvent[] {
+		const entries = [...this.#heldBack.values()];
+		for (const {id} of entries) {
+			this.#removed.delete(id);
+		}
+
+		return entries.flatMap(entry => this.set(entry));
 	}
 
 	/**
@@ -218,7 +268,7 @@
 	/** Returns true for an entry from the copy of a store that was just restored, if the upstream has been seen to start again since. */
 	#isOfEarlierStart({id, startedAt}: Upstream, now: number): boolean {
 		const lastSeen = this.#entries.get(id)?.upstream ?? this.#removed.get(id);
-		return now - this.#storeRestoredAt < storeRecoveryGraceMs
+		return this.#isJustRestored(now)
 			&& startedAt !== undefined && lastSeen?.startedAt !== undefined && startedAt < lastSeen.startedAt;
 	}
 
--- a/test/process/fleet/upstream-registry.test.ts
+++ b/test/process/fleet/upstream-registry.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, test} from 'vitest';
-import {storeRecoveryGraceMs, UpstreamRegistry} from '../../../src/process/fleet/upstream-registry.ts';
+import {restoredEntryHoldMs, storeRecoveryGraceMs, UpstreamRegistry} from '../../../src/process/fleet/upstream-registry.ts';
 import {createUpstream} from '../../fixtures/fleet/configuration.ts';
 
 function listServing(registry: UpstreamRegistry): readonly string[] {
@@ -135,6 +135,34 @@
 			expect(registry.set(createUpstream({id: 'u-2', heartbeatCount: 12})).map(({kind}) => kind)).toEqual(['appeared']);
 		});
 
+		// Guards against an upstream that lives, and whose entry does not change, being ignored for good.
+		test('uses a removed upstream again that the copy lists, if it is still listed once the store has removed the dead ones', () => {
+			const registry = new UpstreamRegistry();
+			for (const id of ['u-1', 'u-2']) {
+				registry.set(createUpstream({id}));
+				registry.remove(id, 1000);
+			}
+
+			registry.markStoreRestored(restoredAt);
+			registry.replace([createUpstream(), createUpstream({id: 'u-2'})], restoredAt);
+			registry.remove('u-2', restoredAt + 4000);
+			expect(registry.expire(restoredAt + restoredEntryHoldMs - 1)).toEqual([]);
+			expect(registry.expire(restoredAt + restoredEntryHoldMs).map(({kind}) => kind)).toEqual(['appeared']);
+			expect(listServing(registry)).toEqual(['u-1']);
+		});
+
+		test('keeps an upstream that the copy lacks while the store is away once more', () => {
+			const registry = new UpstreamRegistry();
+			registry.set(createUpstream());
+			registry.markStoreRestored(restoredAt);
+			registry.replace([], restoredAt);
+			registry.markStoreLost();
+			expect(registry.expire(restoredAt + 5000)).toEqual([]);
+			registry.markStoreRecovered(restoredAt + 5000);
+			expect(registry.expire(restoredAt + 5000 + storeRecoveryGraceMs - 1)).toEqual([]);
+			expect(registry.expire(restoredAt + 5000 + storeRecoveryGraceMs).map(({kind}) => kind)).toEqual(['gone']);
+		});
+
 		// Guards against the second of two copies being taken for a heartbeat of the upstream.
 		test('does not take an upstream back to the state of a second copy that is newer than the first', () => {
 			const registry = new UpstreamRegistry();
