--- a/deploy/day-files.ts
+++ b/deploy/day-files.ts
@@ -118,6 +118,26 @@
 const firstAtS = 4;
 const daySeconds = 36;
 const firstSeed = 4300;
+const restoresPerDay = 2;
+const firstRestoreS = 11;
+/** Time between two restores of the store, in seconds. */
+const restoreGapS = 12;
+/** Time for which the store is away before it is back, in seconds. */
+const restoreAwayS = 1.5;
+/** Age of the copy when the store goes away, in seconds. */
+const copyAgeS = 6;
+/** Time from planned work that the copy lacks to the outage, in seconds. */
+const lostWorkS = 3;
+/** Position of the first seed of the restored days after those of the other days. */
+const firstRestoredSeed = 100;
+/** Disruptions while the store is away before it is back from a copy. */
+const besideRestore: ReadonlyArray<Disruption | undefined> = [
+	undefined,
+	{kind: 'herd_kill', fields: {share: 0.4}},
+	{kind: 'zone_cut', fields: {zone: '@z0', for_s: 2}},
+	{kind: 'node_kill', fields: {share: 0.2}},
+	{kind: 'core_cut', fields: {count: 1, for_s: 3}},
+];
 
 /** Kinds of planned work that the day files contain. */
 export const plannedKinds: readonly string[] = Object.keys(plannedVariants);
@@ -161,6 +181,36 @@
 	});
 }
 
+/** Creates the days on which the store is restored from an older copy, with planned work that the copy lacks and that comes right after the return. */
+export function createRestoredDays(): readonly DayFile[] {
+	const days = Math.ceil(plannedKinds.length / restoresPerDay);
+	const uses = new Map<string, number>();
+	return Array.from({length: days}, (_, day) => {
+		const restores = Array.from({length: restoresPerDay}, (_restore, index) => {
+			const number = (day * restoresPerDay) + index;
+			const at = firstRestoreS + (index * restoreGapS);
+			return {
+				at,
+				before: plannedKinds[number % plannedKinds.length]!,
+				after: plannedKinds[(number + Math.floor(plannedKinds.length / 2)) % plannedKinds.length]!,
+				beside: besideRestore[number % besideRestore.length]!,
+			};
+		});
+		return createDay(`beside-a-restore-${day + 1}`, firstRestoredSeed + day, {
+			plan: restores.flatMap(({at, before, after}) => [
+				...takeVariants(before, uses).map(variant => ({...variant, at: at - lostWorkS})),
+				{kind: 'config_change', fields: {how: 'route'}, at: at - (lostWorkS / 2)},
+				...takeVariants(after, uses).map(variant => ({...variant, at: at + restoreAwayS + overlapS})),
+			]),
+			faults: restores.flatMap(({at, beside}) => [
+				{kind: 'platform_down', fields: {how: 'restored', x: copyAgeS, for_s: restoreAwayS}, at},
+				...beside === undefined ? [] : [{...beside, at: at + (restoreAwayS / 2)}],
+			]),
+			closing: closings[day % closings.length],
+		});
+	});
+}
+
 function groupKinds(): ReadonlyArray<readonly string[]> {
 	const limited = new Set<string>(limitedGroups.flat());
 	return [unplannedKinds.filter(kind => !limited.has(kind)), ...limitedGroups];
--- a/test/deploy/day-files.test.ts
+++ b/test/deploy/day-files.test.ts
@@ -2,7 +2,7 @@
 import path from 'node:path';
 import {describe, expect, test} from 'vitest';
 import {
-	createPlannedDays, createUnplannedDays, findVariants, plannedKinds, unplannedKinds, type DayFile,
+	createPlannedDays, createRestoredDays, createUnplannedDays, findVariants, plannedKinds, unplannedKinds, type DayFile,
 } from '../../deploy/day-files.ts';
 
 const daysFolder = path.join(import.meta.dirname, '../../deploy/days');
@@ -58,8 +58,26 @@
 		expect(new Set(kinds.filter(kind => kind !== undefined))).toEqual(new Set(['kill_all', 'power_off_all', 'wipe_after_ack']));
 	});
 
+	test('restore the store from copies that lack each kind of planned work, and follow each kind of planned work upon a return', () => {
+		const seen = {lost: new Set<string>(), after: new Set<string>()};
+		for (const day of createRestoredDays()) {
+			const restores = readEntries(day, 'faults').filter(({kind, fields}) => kind === 'platform_down' && fields.includes('how = "restored"'));
+			expect(restores).toHaveLength(2);
+			for (const {kind, at} of readEntries(day, 'plan')) {
+				if (restores.some(restore => at < restore.at && restore.at - at <= 6)) {
+					seen.lost.add(kind);
+				} else {
+					seen.after.add(kind);
+				}
+			}
+		}
+
+		expect([...seen.lost].toSorted()).toEqual(plannedKinds.toSorted());
+		expect([...seen.after].toSorted()).toEqual(plannedKinds.toSorted());
+	});
+
 	test('are committed as they are written', () => {
-		for (const {name, text} of [...createPlannedDays(), ...createUnplannedDays()]) {
+		for (const {name, text} of [...createPlannedDays(), ...createUnplannedDays(), ...createRestoredDays()]) {
 			expect(readFileSync(path.join(daysFolder, `${name}.toml`), 'utf8')).toBe(text);
 		}
 	});
