--- a/src/process/fleet/upstream-registry.ts
+++ b/src/process/fleet/upstream-registry.ts
@@ -97,6 +97,10 @@
 	replace(upstreams: readonly Upstream[], now: number): readonly RegistryEvent[] {
 		const listed = new Set(upstreams.map(({id}) => id));
 		const missing = [...this.#entries.keys()].filter(id => !listed.has(id));
+		for (const id of [...this.#heldBack.keys()].filter(held => !listed.has(held))) {
+			this.#heldBack.delete(id);
+		}
+
 		if (this.#isJustRestored(now)) {
 			this.#holdBack(upstreams);
 		}
--- a/test/process/fleet/upstream-registry.test.ts
+++ b/test/process/fleet/upstream-registry.test.ts
@@ -151,6 +151,17 @@
 			expect(listServing(registry)).toEqual(['u-1']);
 		});
 
+		// Guards against an upstream that is used again although a second read of the whole list lacks it.
+		test('does not use a removed upstream again that a later snapshot lacks', () => {
+			const registry = new UpstreamRegistry();
+			registry.set(createUpstream());
+			registry.remove('u-1', 1000);
+			registry.markStoreRestored(restoredAt);
+			registry.replace([createUpstream()], restoredAt);
+			registry.replace([], restoredAt + 100);
+			expect(registry.expire(restoredAt + restoredEntryHoldMs)).toEqual([]);
+		});
+
 		test('keeps an upstream that the copy lacks while the store is away once more', () => {
 			const registry = new UpstreamRegistry();
 			registry.set(createUpstream());
