Restore the store from an older copy in the soak

The operator writes its newest configuration again, entries of upstreams that are gone are removed again, and upstreams write theirs with the next heartbeat.

--- a/test/soak/fault-schedule.ts
+++ b/test/soak/fault-schedule.ts
@@ -19,6 +19,11 @@
 	configuration: 1,
 } as const;
 
+/** Number of variants of restores of the store; they are drawn apart, so that the other failures of a seed stay the same. */
+const restoreVariants = {
+	storeRestored: 2,
+} as const;
+
 /** Number of variants of each kind of change that must not cost a caller an answer. */
 const changeVariants = {
 	configurationSeries: 3,
@@ -28,7 +33,7 @@
 } as const;
 
 /** A kind of failure. */
-export type FailureKind = keyof typeof failureVariants;
+export type FailureKind = keyof typeof failureVariants | keyof typeof restoreVariants;
 
 /** A kind of change. */
 export type ChangeKind = keyof typeof changeVariants;
@@ -54,16 +59,19 @@
 
 /** Distance between the seed of the failures and that of the changes, so that adding changes leaves the failures of a seed the same. */
 const changeSeedDistance = 1_000_000;
+const restoreSeedDistance = 2_000_000;
 const failureGapMs = 1000;
 const changeGapMs = 1500;
+const restoreGapMs = 8000;
 const minFaultMs = 200;
 const maxFaultMs = 3500;
 const targets = 1000;
 
-/** Generates a random schedule of faults that may overlap, on average two failures a second and four changes in three seconds; the same seed gives the same schedule. */
+/** Generates a random schedule of faults that may overlap, on average two failures a second, a restore of the store every four seconds and four changes in three seconds; the same seed gives the same schedule. */
 export function generateFaults(seed: number, faultPeriodMs: number, {hasFailures, hasChanges}: FaultGroups = onlyFailures): readonly Fault[] {
 	return [
 		...(hasFailures ? draw(new SeededRandom(seed), faultPeriodMs, failureVariants, failureGapMs) : []),
+		...(hasFailures ? draw(new SeededRandom(seed + restoreSeedDistance), faultPeriodMs, restoreVariants, restoreGapMs) : []),
 		...(hasChanges ? draw(new SeededRandom(seed + changeSeedDistance), faultPeriodMs, changeVariants, changeGapMs) : []),
 	];
 }
--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -1,7 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {DaemonProcess, portsPerDaemon, toDaemonPorts} from '../fixtures/fleet/daemon-process.ts';
 import {createOperatorConfiguration} from '../fixtures/fleet/fleet-fixture.ts';
-import {StoreServer} from '../fixtures/fleet/store-server.ts';
+import {StoreServer, type StoreCopy} from '../fixtures/fleet/store-server.ts';
 import {UpstreamServer, type UpstreamBehaviour} from '../fixtures/fleet/upstream-server.ts';
 import {chooseFreePorts} from '../fixtures/free-ports.ts';
 import {FaultProxy} from './fault-proxy.ts';
@@ -228,6 +228,20 @@
 		this.#changeLongWork(-1);
 	}
 
+	/** Restores the store from a copy; the operator and the platform write again what is lost, and upstreams do so with their next heartbeat. */
+	restoreStore(copy: StoreCopy): void {
+		this.store.restore(copy);
+		const ids = new Set(this.upstreams.map(({server}) => server.behaviour.id));
+		for (const id of this.store.keys('servers').filter(key => !ids.has(key))) {
+			this.store.remove('servers', id);
+		}
+
+		const configuration = this.configurations.at(-1);
+		if (configuration !== undefined) {
+			this.store.put('op', 'config', configuration);
+		}
+	}
+
 	/** Returns what the upstreams observed, as input for the checks. */
 	observe(): Pick<Observations, 'ran' | 'seen' | 'orders' | 'crashTimes' | 'afterLeaving' | 'disruptions' | 'upstreamDisruptions' | 'kills' | 'stops'> {
 		const servers = this.upstreams.map(({server}) => server);
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -160,6 +160,9 @@
 	return [...unserved].map(name => `daemon ${name} was not served again within ${recoveryMs} ms`);
 }
 
+/** Time for which the store is away before it is back from a copy, in milliseconds. */
+const restoreAwayMs = 500;
+
 async function applyFailure(deployment: SoakDeployment, fault: Fault<FailureKind>): Promise<void> {
 	const {store, daemons, upstreams, storeProxies} = deployment;
 	const index = fault.target % daemons.length;
@@ -229,6 +232,25 @@
 			break;
 		}
 
+		case 'storeRestored': {
+			const copy = store.takeCopy();
+			await delay(fault.forMs);
+			const awayFrom = performance.now();
+			if (fault.variant === 0) {
+				faults.status = 503;
+				store.closeConnections();
+				await delay(restoreAwayMs);
+			}
+
+			deployment.restoreStore(copy);
+			faults.status = undefined;
+			for (const disruptions of deployment.disruptions) {
+				disruptions.push({from: awayFrom, to: performance.now(), cause: 'store'});
+			}
+
+			break;
+		}
+
 		case 'storeReset': {
 			store.closeConnections();
 			recordDisruption(allDaemons);
