--- a/test/process/explain/timeline.test.ts
+++ b/test/process/explain/timeline.test.ts
@@ -20,6 +20,12 @@
 		expect(timeline.map(({event}) => event)).toEqual(['upstream.leaving', 'request.received', 'send', 'request.ended']);
 	});
 
+	test('shows a restore of the store, and what its daemon learned from others when it started', () => {
+		const context = ['store.restored', 'start.inherited'].map(event => `{"time":1800,"event":"${event}","daemon":"a"}`);
+		const timeline = selectTimeline(parseLog([...context, log].join('\n')), 'r-1');
+		expect(timeline.map(({event}) => event)).toEqual(['upstream.leaving', 'store.restored', 'start.inherited', 'request.received', 'send', 'request.ended']);
+	});
+
 	test('is empty for a request without log lines', () => {
 		expect(selectTimeline(parseLog(log), 'r-9')).toEqual([]);
 	});
