Ignore a page that arrives after the rows of a later epoch from a reader

A follower that read the store itself while a reader gave it the restored table applied the late page of the earlier epoch: the copy refused it, and the daemon took that for an outage of the store. The test failed before ('lost'). An error in what another daemon told at the start no longer ends the process either; it is logged, and the daemon gets ready.

--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -404,16 +404,21 @@
 
 	async #inherit(): Promise<void> {
 		const {settings: {daemon}, log} = this.#options;
-		await inheritKnowledge({
-			log,
-			availabilityZone: daemon.availabilityZone,
-			members: this.#peers.membersAtStart,
-			fetch: fetchKnowledge,
-			apply: (knowledge, peer) => {
-				this.#applyKnowledge(knowledge, peer);
-			},
-		});
-		this.#hasInherited = true;
+		try {
+			await inheritKnowledge({
+				log,
+				availabilityZone: daemon.availabilityZone,
+				members: this.#peers.membersAtStart,
+				fetch: fetchKnowledge,
+				apply: (knowledge, peer) => {
+					this.#applyKnowledge(knowledge, peer);
+				},
+			});
+		} catch (error) {
+			log.write('start.notInherited', {cause: formatError(error)});
+		} finally {
+			this.#hasInherited = true;
+		}
 	}
 
 	#applyKnowledge({configuration, pastEntries}: Knowledge, peer: string): void {
--- a/src/process/tables/table-watch.ts
+++ b/src/process/tables/table-watch.ts
@@ -212,7 +212,9 @@
 		const waitMs = this.#isDoubtful ? 0 : Math.round(this.#times.waitMs * (minWaitFraction + (this.#options.random.next() * (1 - minWaitFraction))));
 		const isWhole = this.#needsWhole || known === undefined;
 		const page = isWhole ? await this.#readWhole() : await this.#waitForChanges(known, waitMs);
-		if (this.#stop.signal.aborted || page === undefined) {
+		// Rows of another daemon may have brought the copy to a later epoch meanwhile.
+		const isOutdated = this.#copy.position?.epoch !== known?.epoch;
+		if (this.#stop.signal.aborted || page === undefined || isOutdated) {
 			return;
 		}
 
--- a/test/process/tables/table-watch.test.ts
+++ b/test/process/tables/table-watch.test.ts
@@ -393,6 +393,35 @@
 		await zone.waitForValue(zone.daemons, 'b', undefined);
 	});
 
+	// Guards against a late page that takes the copy back, or that counts as an outage of the store.
+	test('ignore a page of the earlier epoch that arrives after the rows of a reader', async () => {
+		await using zone = new ZoneFixture();
+		const copy = zone.rows.takeCopy();
+		zone.rows.put('b', 'ready 1');
+		await zone.settle();
+		const [alone] = zone.followers;
+		const {feed, values, events} = alone!;
+		const late = await feed.waitForChanges('servers', 0, 0);
+		const pending = Promise.withResolvers<typeof late>();
+		let hasAsked = false;
+		feed.waitForChanges = async () => {
+			hasAsked = true;
+			return pending.promise;
+		};
+
+		alone!.isCutOff = true;
+		await vi.waitFor(() => {
+			expect(hasAsked).toBe(true);
+		}, {timeout: changeBoundMs, interval: 5});
+		zone.rows.restore(copy);
+		alone!.isCutOff = false;
+		await zone.waitForValue([alone!], 'b', undefined);
+		events.length = 0;
+		pending.resolve(late);
+		await delay(50);
+		expect([values.has('b'), events]).toEqual([false, []]);
+	});
+
 	// The announcements of earlier releases name no epoch.
 	test('read the store themselves beside readers of an earlier release, and see a restore', async () => {
 		await using zone = new ZoneFixture();
