Hold back entries that other daemons believe to be gone, instead of ignoring them for good

A daemon that starts takes over from others which upstreams are gone. One of them may be wrong by the time it answers: an upstream that was cut off from the store for a while lives, and its entry in the list need not change again. The daemon that started would have ignored it for good. The unit test failed before on its last line; found by reading the change.

--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -428,7 +428,7 @@
 			this.#applyCallerLimits();
 		}
 
-		const events = this.#registry.inherit(pastEntries);
+		const events = this.#registry.inherit(pastEntries, this.#clock.now());
 		this.#options.log.write('start.inherited', {
 			peer, configurationBefore: before, configuration: this.#configuration.routeTable?.version, pastEntries: pastEntries.length, upstreams: events.map(({upstream}) => upstream.id),
 		});
--- a/src/process/fleet/upstream-registry.ts
+++ b/src/process/fleet/upstream-registry.ts
@@ -46,6 +46,8 @@
 	#isStoreLost = false;
 	#storeRecoveredAt = Number.NEGATIVE_INFINITY;
 	#storeRestoredAt = Number.NEGATIVE_INFINITY;
+	/** Time since which entries of removed upstreams are held back: that of a restore, or of what other daemons told at the start. */
+	#heldBackSince = Number.NEGATIVE_INFINITY;
 
 	/** Number of upstreams that accept work. */
 	get size(): number {
@@ -70,6 +72,7 @@
 		this.#isStoreLost = false;
 		this.#startGracePeriod(now);
 		this.#storeRestoredAt = now;
+		this.#heldBackSince = now;
 		this.#heldBack.clear();
 		// The copy holds one older entry of each upstream, as a late page does.
 		this.#lateHeartbeats.clear();
@@ -101,7 +104,7 @@
 			this.#heldBack.delete(id);
 		}
 
-		if (this.#isJustRestored(now)) {
+		if (now - this.#heldBackSince < storeRecoveryGraceMs) {
 			this.#holdBack(upstreams);
 		}
 
@@ -161,7 +164,8 @@
 	}
 
 	/** Applies what another daemon knows of upstreams that are leaving or gone, which the list of a restored store may show as serving. */
-	inherit(entries: readonly PastEntry[]): readonly RegistryEvent[] {
+	inherit(entries: readonly PastEntry[], now: number): readonly RegistryEvent[] {
+		this.#heldBackSince = Math.max(this.#heldBackSince, now);
 		return entries.flatMap(entry => {
 			const {isGone, ...last} = entry;
 			const current = this.#entries.get(last.id)?.upstream;
@@ -174,8 +178,12 @@
 				return this.markLeaving(last.id, last.startedAt);
 			}
 
-			const isOfCopy = current.startedAt === last.startedAt && current.heartbeatCount <= last.heartbeatCount;
-			return isOfCopy ? this.#removeNow(current) : [];
+			if (current.startedAt !== last.startedAt || current.heartbeatCount > last.heartbeatCount) {
+				return [];
+			}
+
+			this.#heldBack.set(last.id, current);
+			return this.#removeNow(current);
 		});
 	}
 
@@ -217,7 +225,7 @@
 
 		return [
 			...[...this.#entries.values()].flatMap(({upstream, expiresAt}) => expiresAt !== undefined && now >= expiresAt ? this.#removeNow(upstream) : []),
-			...now - this.#storeRestoredAt >= restoredEntryHoldMs ? this.#releaseHeldBack() : [],
+			...now - this.#heldBackSince >= restoredEntryHoldMs ? this.#releaseHeldBack() : [],
 		];
 	}
 
--- a/test/process/fleet/upstream-registry.test.ts
+++ b/test/process/fleet/upstream-registry.test.ts
@@ -217,9 +217,12 @@
 				read();
 			}
 
-			registry.inherit(other.pastEntries());
+			registry.inherit(other.pastEntries(), restoredAt);
 			read();
 			expect(listServing(registry).toSorted()).toEqual(['back', 'u-1']);
+			// What is still listed when the store has removed the dead ones lives, whatever the other daemon believed.
+			registry.expire(restoredAt + restoredEntryHoldMs);
+			expect(listServing(registry).toSorted()).toEqual(['back', 'gone', 'u-1']);
 		});
 	});
 });
