Run the paused sender of a test in a process group of its own

A process group that loses its last parent outside while members of it are stopped gets SIGHUP and SIGCONT from the kernel, and the four senders were stopped.

What the test checks is unchanged.

--- a/test/connection/order-channel.test.ts
+++ b/test/connection/order-channel.test.ts
@@ -29,7 +29,11 @@
 	await using engine = new EngineServer({id: 'e', model: 'm', orders: {...orders, changeMs: 50}});
 	const {host, port} = await engine.listen({host: '127.0.0.1', port: 0});
 	const address = `${host}:${port}`;
-	const child = spawn(process.execPath, [fileURLToPath(new URL('../fixtures/paused-sender.ts', import.meta.url)), address, String(leaseMs)], {stdio: ['ignore', 'pipe', 'inherit']});
+	const child = spawn(process.execPath, [fileURLToPath(new URL('../fixtures/paused-sender.ts', import.meta.url)), address, String(leaseMs)], {
+		stdio: ['ignore', 'pipe', 'inherit'],
+		// The kernel hangs up a stopped process when the shell that started its process group ends.
+		detached: true,
+	});
 	const output = text(child.stdout);
 	try {
 		await waitUntilStopped(child);
