Decode client accounts, pool bounds and the address of duties, and define the calls of duties

The configuration of an operator may hold client accounts with keys and bounds for the number of upstreams, and the settings an address for calls that one daemon makes for all. Nothing acts on them yet. The test of decoded routes now also expects the new field of a route.

--- a/src/ports/caller-protocol.ts
+++ b/src/ports/caller-protocol.ts
@@ -5,7 +5,7 @@
 export type Refusal = {
 	/** `notRun` guarantees that the request has not run and never will; `unknown` guarantees nothing. */
 	readonly ran: 'notRun' | 'unknown';
-	readonly kind: 'busy' | 'unprepared' | 'noRoute' | 'tooLarge' | 'malformed' | 'badAnswer' | 'expired';
+	readonly kind: 'busy' | 'unprepared' | 'noRoute' | 'unauthorized' | 'tooLarge' | 'malformed' | 'badAnswer' | 'expired';
 	readonly message: string;
 	/** Delay after which the caller may retry, in milliseconds; undefined for no hint. */
 	readonly retryAfterMs: number | undefined;
--- a/src/ports/upstream-protocol.ts
+++ b/src/ports/upstream-protocol.ts
@@ -21,6 +21,8 @@
 	readonly priority: number | undefined;
 	/** Overrides the `last-event-id` of the caller when the daemon resumes a stream within one answer. */
 	readonly lastEventId: string | undefined;
+	/** Client account of the caller, named to the upstream; undefined if there is none. */
+	readonly account: string | undefined;
 	readonly work: PromptWork;
 };
 
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -11,6 +11,7 @@
 import type {Table} from '../../ports/table.ts';
 import type {UpstreamProtocol} from '../../ports/upstream-protocol.ts';
 import type {Upstream} from '../../ports/upstream.ts';
+import {NoUsageRecorder} from '../../request/delivery/usage-recorder.ts';
 import type {FleetSettings} from '../../version/fleet-settings.ts';
 import {parseAddress} from '../address.ts';
 import {UpstreamBackpressure} from '../backpressure/upstream-backpressure.ts';
@@ -227,6 +228,7 @@
 			backpressure: this.#backpressure,
 			retryBudget: this.#retryBudget,
 			crashes: new RouteCrashes(this.#crashes, this.#registry),
+			usage: new NoUsageRecorder(),
 			log,
 		};
 		this.#requestHandler = new RouteRequestHandler({
--- a/src/process/fleet/route-request-handler.ts
+++ b/src/process/fleet/route-request-handler.ts
@@ -312,7 +312,7 @@
 		await readPendingEvents();
 		dependencies.retryBudget.earn(service, dependencies.clock.now());
 		const job: DeliveryJob = {
-			request, identity, route, service, arrivedAt, deadlineAt, answer, open, signal: controller.signal, startSignal: start.signal,
+			request, identity, route, service, account: undefined, arrivedAt, deadlineAt, answer, open, signal: controller.signal, startSignal: start.signal,
 		};
 		const delivery = route.kind === 'stream' && dependencies.scheduler.isModelService(service) ? new StreamDelivery(dependencies, job) : new PlainDelivery(dependencies, job);
 		const result = await this.#runUntilOverdue(delivery.run(), controller.signal);
--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -14,6 +14,7 @@
 import type {OpenRequest} from '../open-request.ts';
 import type {RequestIdentity} from '../request-identity.ts';
 import type {RouteRequest} from './route-request.ts';
+import type {UsageRecorder} from './usage-recorder.ts';
 import type {
 	PlacementDemand, Placement, PlacementRefusal, SendResult, UpstreamScheduler,
 } from './upstream-scheduler.ts';
@@ -27,6 +28,7 @@
 	readonly backpressure: UpstreamBackpressure;
 	readonly retryBudget: SharedRetryBudget;
 	readonly crashes: RouteCrashes;
+	readonly usage: UsageRecorder;
 	readonly log: DecisionLog;
 };
 
@@ -39,6 +41,8 @@
 	readonly identity: RequestIdentity;
 	readonly route: Route;
 	readonly service: string;
+	/** Client account of the caller; undefined on public routes and without accounts. */
+	readonly account: string | undefined;
 	readonly answer: CallerAnswer;
 	/** Owner of the answer; each send that may run the request is announced to it. */
 	readonly open: Pick<OpenRequest, 'beginSend' | 'endSend'>;
--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -123,7 +123,7 @@
 			protocol: dependencies.protocol,
 			upstream,
 			wire: dependencies.protocol.encode({
-				request: job.request, upstream, remainingMs: this.upstreamRemainingMs, priority: undefined, lastEventId: undefined, work: {kind: 'whole'},
+				request: job.request, upstream, remainingMs: this.upstreamRemainingMs, priority: undefined, lastEventId: undefined, account: job.account, work: {kind: 'whole'},
 			}),
 			timeoutMs: this.remainingMs,
 			isOwnAnswer: (answer, isReused) => this.isAuthenticAnswer(answer, isReused),
--- a/src/request/delivery/route-request.ts
+++ b/src/request/delivery/route-request.ts
@@ -25,6 +25,8 @@
 	readonly body: Uint8Array;
 	/** Network address of the caller, for logs; it does not identify the caller, who may connect from several. */
 	readonly callerAddress: string;
+	/** Key with which the caller shows its client account; it is never forwarded or logged. */
+	readonly key: string | undefined;
 	/** Time from the arrival for which the caller waits, in milliseconds. */
 	readonly callerTimeoutMs: number | undefined;
 	/** Id of the last event that the caller received, when it resumes a stream. */
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -132,7 +132,7 @@
 			protocol: dependencies.protocol,
 			upstream,
 			wire: dependencies.protocol.encode({
-				request: job.request, upstream, remainingMs: this.upstreamRemainingMs, priority: placement.rank, lastEventId: undefined, work: {kind: 'prefill', fetchFrom},
+				request: job.request, upstream, remainingMs: this.upstreamRemainingMs, priority: placement.rank, lastEventId: undefined, account: job.account, work: {kind: 'prefill', fetchFrom},
 			}),
 			timeoutMs: Math.min(this.remainingMs, (placement.predictedMs * prefillTimeoutFactor) + prefillTimeoutMarginMs),
 			// Prefills are answered with or without the id of the request.
@@ -267,7 +267,7 @@
 			job,
 			placement,
 			wire: dependencies.protocol.encode({
-				request: job.request, upstream, remainingMs: this.upstreamRemainingMs, priority: job.route.priority, lastEventId: this.#lastEventId, work,
+				request: job.request, upstream, remainingMs: this.upstreamRemainingMs, priority: job.route.priority, lastEventId: this.#lastEventId, account: job.account, work,
 			}),
 			isAuthenticAnswer: (answer, isReused) => this.isAuthenticAnswer(answer, isReused),
 			onStarted: () => {
--- a/src/version/fleet-settings.ts
+++ b/src/version/fleet-settings.ts
@@ -1,6 +1,6 @@
 import {Left, Right, type Either} from 'purify-ts';
 import type {Finding} from './finding.ts';
-import {parseIniDocument, type IniSection} from './ini-document.ts';
+import {parseIniDocument, type IniEntry, type IniSection} from './ini-document.ts';
 
 /** Settings of a daemon on the operator's platform; durations in milliseconds. */
 export type FleetSettings = {
@@ -20,6 +20,14 @@
 	readonly store: {
 		readonly address: string;
 	};
+	/** Calls to the platform that one daemon makes for all; undefined if the platform expects none. */
+	readonly duties: {
+		readonly address: string;
+		/** Length of a window of the usage report; undefined if no usage is reported. */
+		readonly reportWindowMs: number | undefined;
+		/** Time after the end of a window at which its report is due. */
+		readonly reportDueMs: number;
+	} | undefined;
 	readonly limits: {
 		readonly memoryMb: number;
 		/** Bandwidth of the host's link in megabits a second. */
@@ -44,6 +52,8 @@
 	readonly text: (section: string, key: string) => string;
 	readonly address: (section: string, key: string) => string;
 	readonly number: (section: string, key: string) => number;
+	readonly optionalAddress: (section: string, key: string) => string | undefined;
+	readonly optionalNumber: (section: string, key: string) => number | undefined;
 };
 
 const addressPattern = /^\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}$/v;
@@ -51,10 +61,12 @@
 	daemon: ['name', 'host', 'availability-zone'],
 	listen: ['callers', 'readiness', 'peer-port', 'metrics-port'],
 	store: ['address'],
+	duties: ['address', 'report-window-s', 'report-due-s'],
 	limits: ['memory-mb', 'link-mbps'],
 	bounds: ['retry-ratio', 'retry-slack', 'retry-window-s', 'grace-s', 'contact-ms', 'drain-ms', 'config-apply-ms', 'lease-ms'],
 };
 const millisecondsPerSecond = 1000;
+const defaultReportDueS = 10;
 
 /** Parses settings; reports all findings at once. */
 export function parseFleetSettings(text: string, file: string): Either<readonly Finding[], FleetSettings> {
@@ -63,6 +75,9 @@
 	const reader = createReader(sections, file, finding => {
 		findings.push(finding);
 	});
+	const dutiesAddress = reader.optionalAddress('duties', 'address');
+	const reportWindowS = reader.optionalNumber('duties', 'report-window-s');
+	const reportDueS = reader.optionalNumber('duties', 'report-due-s');
 	const settings: FleetSettings = {
 		daemon: {
 			name: reader.text('daemon', 'name'),
@@ -76,6 +91,13 @@
 			metricsPort: reader.number('listen', 'metrics-port'),
 		},
 		store: {address: reader.address('store', 'address')},
+		duties: dutiesAddress === undefined
+			? undefined
+			: {
+				address: dutiesAddress,
+				reportWindowMs: reportWindowS === undefined || reportWindowS === 0 ? undefined : reportWindowS * millisecondsPerSecond,
+				reportDueMs: (reportDueS ?? defaultReportDueS) * millisecondsPerSecond,
+			},
 		limits: {memoryMb: reader.number('limits', 'memory-mb'), linkMbps: reader.number('limits', 'link-mbps')},
 		bounds: {
 			retryRatio: reader.number('bounds', 'retry-ratio'),
@@ -101,35 +123,44 @@
 }
 
 function createReader(sections: readonly IniSection[], file: string, report: (finding: Finding) => void): SettingsReader {
+	const findOptional = (section: string, key: string) => {
+		const entry = sections.find(({name}) => name === section)?.entries.find(other => other.key === key);
+		return entry?.value === '' ? undefined : entry;
+	};
+
 	const find = (section: string, key: string) => {
 		const found = sections.find(({name}) => name === section);
-		const entry = found?.entries.find(other => other.key === key);
-		if (entry === undefined || entry.value === '') {
-			report({file, line: entry?.line ?? found?.line ?? 1, message: `key "${key}" is missing in section "${section}"`});
-			return undefined;
+		const entry = findOptional(section, key);
+		if (entry === undefined) {
+			const line = found?.entries.find(other => other.key === key)?.line ?? found?.line ?? 1;
+			report({file, line, message: `key "${key}" is missing in section "${section}"`});
 		}
 
 		return entry;
 	};
 
-	return {
-		text: (section, key) => find(section, key)?.value ?? '',
-		address(section, key) {
-			const entry = find(section, key);
-			if (entry !== undefined && !addressPattern.test(entry.value)) {
-				report({file, line: entry.line, message: `"${key}" must be IP:PORT`});
-			}
+	const checkAddress = (key: string, entry: IniEntry | undefined) => {
+		if (entry !== undefined && !addressPattern.test(entry.value)) {
+			report({file, line: entry.line, message: `"${key}" must be IP:PORT`});
+		}
 
-			return entry?.value ?? '';
-		},
-		number(section, key) {
-			const entry = find(section, key);
-			const value = Number(entry?.value ?? 0);
-			if (!Number.isFinite(value) || value < 0) {
-				report({file, line: entry?.line ?? 1, message: `"${key}" must be a number that is not negative`});
-			}
+		return entry?.value;
+	};
 
-			return value;
-		},
+	const checkNumber = (key: string, entry: IniEntry | undefined) => {
+		const value = Number(entry?.value ?? 0);
+		if (!Number.isFinite(value) || value < 0) {
+			report({file, line: entry?.line ?? 1, message: `"${key}" must be a number that is not negative`});
+		}
+
+		return entry === undefined ? undefined : value;
+	};
+
+	return {
+		text: (section, key) => find(section, key)?.value ?? '',
+		address: (section, key) => checkAddress(key, find(section, key)) ?? '',
+		number: (section, key) => checkNumber(key, find(section, key)) ?? 0,
+		optionalAddress: (section, key) => checkAddress(key, findOptional(section, key)),
+		optionalNumber: (section, key) => checkNumber(key, findOptional(section, key)),
 	};
 }
--- a/src/version/routes/route-configuration.ts
+++ b/src/version/routes/route-configuration.ts
@@ -27,6 +27,8 @@
 	readonly attemptLimit: number;
 	/** True when a stream may be resumed at another upstream after its last complete event. */
 	readonly isResumable: boolean;
+	/** True when requests need no key of a client account. */
+	readonly isPublic: boolean;
 	readonly targets: readonly RouteTarget[];
 };
 
@@ -46,6 +48,19 @@
 	readonly stageChangeMs: number;
 };
 
+/** Bounds and prices within which the number of a service's upstreams may be ordered. */
+export type PoolScaling = {
+	/** Fewest and most upstreams in each availability zone, of both kinds together. */
+	readonly minUpstreams: number;
+	readonly maxUpstreams: number;
+	/** Time from an order until a new upstream serves, in milliseconds. */
+	readonly bootMs: number;
+	/** Price of a reclaimable upstream relative to an ordinary one; undefined if the service has none. */
+	readonly reclaimablePrice: number | undefined;
+	/** Price of one second of an upstream, by availability zone. */
+	readonly zonePrices: ReadonlyMap<string, number>;
+};
+
 /** One service of the operator's configuration. */
 export type Service = {
 	readonly name: string;
@@ -53,6 +68,8 @@
 	readonly connectionLimit: number;
 	/** Undefined for plain services. */
 	readonly engine: EngineProfile | undefined;
+	/** Undefined if the number of upstreams is fixed. */
+	readonly scaling: PoolScaling | undefined;
 };
 
 /** Limits on the size and the duration of client requests. */
@@ -63,6 +80,14 @@
 	readonly idleTimeoutMs: number;
 };
 
+/** Client account whose callers show one of its keys. */
+export type ClientAccount = {
+	readonly name: string;
+	readonly keys: readonly string[];
+	/** Priority of the account's requests, 0 is the highest; undefined to use that of the route. */
+	readonly priority: number | undefined;
+};
+
 /** One version of the operator's configuration. */
 export type RouteConfiguration = {
 	/** Increases with each change, not necessarily by one. */
@@ -70,4 +95,6 @@
 	readonly routes: readonly Route[];
 	readonly services: readonly Service[];
 	readonly limits: ClientLimits;
+	/** Undefined if callers need no keys. */
+	readonly accounts: readonly ClientAccount[] | undefined;
 };
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -118,6 +118,7 @@
 			priority: 2,
 			attemptLimit: 2,
 			isResumable: true,
+			isPublic: false,
 			targets: [{service: 'one', weight: 90}, {service: 'two', weight: 10}],
 		}]);
 		expect(decoded?.services.find(({name}) => name === 'model')?.engine).toEqual({
--- a/test/process/fleet/prompt-holders.test.ts
+++ b/test/process/fleet/prompt-holders.test.ts
@@ -21,6 +21,7 @@
 			engine: {
 				slots: 24, memoryCapacityTokens: 20_000, bytesPerToken: 1, linkMbps: 1, handleTtlMs: 1, stageChangeMs: 1,
 			},
+			scaling: undefined,
 		}]]),
 	});
 	const starts = new Map<string, number>();
