Keep libraries that the daemon does not use out of its bundle

A constant beside the parser of the own interface brought zod into the daemon of the operator's platform, one error class the whole client library, and the histogram its WebAssembly and compressor. Every start loaded them.

--- a/src/connection/answer-guard.ts
+++ b/src/connection/answer-guard.ts
@@ -1,6 +1,7 @@
 import type {Socket} from 'node:net';
-import {errors, type buildConnector} from 'undici';
+import type {buildConnector} from 'undici';
 import {AnswerScreen, type AnswerFault} from './answer-screen.ts';
+import {errors} from './links/http-client.ts';
 
 /** Largest part of an answer that is not its body (head, informational answers, chunk framing and trailers), in bytes. */
 const maxFramingBytes = 256 * 1024;
--- a/src/connection/caller-server.ts
+++ b/src/connection/caller-server.ts
@@ -6,7 +6,7 @@
 import {
 	createRefusal, formatCallerError, runStateHeader, type CallerError,
 } from '../request/caller-error.ts';
-import {maxHeaderCount} from '../request/parsed-request.ts';
+import {maxHeaderCount} from '../request/headers.ts';
 import {readRecentEvents} from '../process/pending-events.ts';
 
 /** Limits on the connections and requests of callers. */
--- a/src/process/fleet/route-durations.ts
+++ b/src/process/fleet/route-durations.ts
@@ -1,4 +1,5 @@
-import {build as buildHistogram, type Histogram} from 'hdr-histogram-js';
+import type {Histogram} from 'hdr-histogram-js';
+import {constructorFromBucketSize} from 'hdr-histogram-js/dist/JsHistogramFactory.js';
 
 type Windows = {
 	readonly startedAt: number;
@@ -10,6 +11,7 @@
 const windowMs = 30_000;
 const maxDurationMs = 3_600_000;
 const significantDigits = 2;
+const bucketBits = 32;
 const usualPercentile = 95;
 
 /** Time from the arrival to the end of recent requests that were answered by an upstream, for each route. */
@@ -46,7 +48,8 @@
 }
 
 function createHistogram(): Histogram {
-	return buildHistogram({
-		lowestDiscernibleValue: 1, highestTrackableValue: maxDurationMs, numberOfSignificantValueDigits: significantDigits, bitBucketSize: 32, autoResize: true,
-	});
+	// The main entry point also loads WebAssembly and a compressor, which no histogram here needs.
+	const histogram = new (constructorFromBucketSize(bucketBits))(1, maxDurationMs, significantDigits);
+	histogram.autoResize = true;
+	return histogram;
 }
--- a/src/request/headers.ts
+++ b/src/request/headers.ts
@@ -13,6 +13,9 @@
 	'upgrade',
 ]);
 
+/** Largest number of headers in a request. */
+export const maxHeaderCount = 100;
+
 /** True for a hop-by-hop header, which is not forwarded; the name is in lower case. */
 export function isHopByHopHeader(name: string): boolean {
 	return hopByHopHeaders.has(name);
--- a/src/request/parsed-request.ts
+++ b/src/request/parsed-request.ts
@@ -4,6 +4,7 @@
 import {resolveCall} from './call.ts';
 import {createRefusal, type CallerError} from './caller-error.ts';
 import {deadlineHeader, parseDeadline} from './deadline.ts';
+import {maxHeaderCount} from './headers.ts';
 import type {RequestBody} from './request-body.ts';
 import {identifyMessages} from './prompt-parts.ts';
 import type {RequestDemand, ServiceClass} from './request-demand.ts';
@@ -26,9 +27,6 @@
 	readonly demand: RequestDemand;
 };
 
-/** Largest number of headers in a request. */
-export const maxHeaderCount = 100;
-
 const classHeader = 'wagtailtack-class';
 /** Headers that must not be repeated; Node.js would silently keep one of the values. */
 const singleHeaders: ReadonlySet<string> = new Set(['authorization', 'host', 'idempotency-key', classHeader, deadlineHeader]);
