Ask callers for the key of a client account where the configuration has accounts

Requests ran without regard to the accounts of the operator's configuration, and the keys of callers were forwarded to upstreams. A request on a route that is not public now needs a key of the configuration in force, else it gets a 401; while neither the store nor a reader confirms that configuration, it gets a 503 instead, since a newer one may hold the key. Keys and the callers' own account header are removed, upstreams are told the account in every call, and the priority of the account replaces that of the route. A change of the configuration ends the further sends of the requests whose key it withdraws. Without accounts nothing changes.

--- a/src/ports/caller-protocol.ts
+++ b/src/ports/caller-protocol.ts
@@ -23,6 +23,9 @@
 	/** Decodes a caller's request. */
 	abstract decode(message: IncomingMessage, body: Uint8Array): RouteRequest;
 
+	/** Returns a request without the headers that show or name a client account, for deployments with accounts. */
+	abstract removeCredentials(request: RouteRequest): RouteRequest;
+
 	/** Encodes a refusal for the caller. */
 	abstract encodeRefusal(refusal: Refusal, requestId: string): EncodedRefusal;
 
--- a/src/process/fleet/configuration-holder.ts
+++ b/src/process/fleet/configuration-holder.ts
@@ -2,6 +2,7 @@
 import type {FeedRow} from '../../ports/row-feed.ts';
 import type {RouteConfiguration} from '../../version/routes/route-configuration.ts';
 import {RouteTable} from '../../version/routes/route-table.ts';
+import {AccountDirectory} from '../accounts/account-directory.ts';
 import type {DecisionLog} from './decision-log.ts';
 
 /** Decodes the operator's configuration; the left side is a short error message. */
@@ -13,6 +14,7 @@
 	readonly #decode: ConfigurationDecoder;
 	readonly #log: DecisionLog;
 	#routeTable: RouteTable | undefined;
+	#accounts: AccountDirectory | undefined;
 	#activeValue: Uint8Array | undefined;
 
 	constructor(key: string, decode: ConfigurationDecoder, log: DecisionLog) {
@@ -26,6 +28,11 @@
 		return this.#routeTable;
 	}
 
+	/** Client accounts of the active configuration; undefined if callers need no keys. */
+	get accounts(): AccountDirectory | undefined {
+		return this.#accounts;
+	}
+
 	/** Value of the active configuration as the operator wrote it. */
 	get activeValue(): Uint8Array | undefined {
 		return this.#activeValue;
@@ -62,7 +69,10 @@
 		}
 
 		this.#routeTable = new RouteTable(configuration);
+		this.#accounts = configuration.accounts === undefined ? undefined : new AccountDirectory(configuration.accounts);
 		this.#activeValue = value;
-		this.#log.write('configuration.inForce', {version: configuration.version, replaced: activeVersion, routes: configuration.routes.length});
+		this.#log.write('configuration.inForce', {
+			version: configuration.version, replaced: activeVersion, routes: configuration.routes.length, accounts: configuration.accounts?.length, keys: this.#accounts?.size,
+		});
 	}
 }
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -237,6 +237,8 @@
 			random: this.#random,
 			metrics: this.#metrics,
 			routeTable: () => this.#configuration.routeTable,
+			accounts: () => this.#configuration.accounts,
+			isConfigurationCurrent: () => this.#tables.isConfigurationConfirmed,
 			shutdown: () => this.#shutdown,
 			durations: new RouteDurations(),
 			bodyBudgetBytes: settings.limits.memoryMb * mebibyte * bodyMemoryFraction,
@@ -274,7 +276,7 @@
 			registry: this.#registry,
 			peers: this.#peers,
 			onConfiguration: () => {
-				this.#applyCallerLimits();
+				this.#applyConfiguration();
 			},
 			onRegistryEvents: events => {
 				this.#applyRegistryEvents(events);
@@ -427,7 +429,7 @@
 		const before = this.#configuration.routeTable?.version;
 		if (configuration !== undefined) {
 			this.#configuration.inherit(configuration);
-			this.#applyCallerLimits();
+			this.#applyConfiguration();
 		}
 
 		const events = this.#registry.inherit(pastEntries, this.#clock.now());
@@ -452,7 +454,8 @@
 		};
 	}
 
-	#applyCallerLimits(): void {
+	#applyConfiguration(): void {
+		this.#requestHandler.applyAccounts();
 		const limits = this.#configuration.routeTable?.limits;
 		if (limits !== undefined) {
 			this.#callerServer.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
--- a/src/process/fleet/fleet-metrics.ts
+++ b/src/process/fleet/fleet-metrics.ts
@@ -4,6 +4,7 @@
 import type {AnswerLimit} from '../../connection/answer-guard.ts';
 import type {DeliveryResult} from '../../request/delivery/delivery.ts';
 import type {RequestOutcome} from '../../request/open-request.ts';
+import type {AccessChange, AccessRefusal} from '../accounts/access.ts';
 import type {Route} from '../../version/routes/route-configuration.ts';
 
 /** Values that are read at each scrape. */
@@ -53,6 +54,10 @@
 		name: 'wagtailtack_answers_given_up_total', help: 'Answers of upstreams that were given up at a limit, by limit', labelNames: ['limit'], registers: [this.#registry],
 	});
 
+	readonly #accessRefusals = new Counter({
+		name: 'wagtailtack_access_refusals_total', help: 'Requests refused because of their key, by reason', labelNames: ['reason'], registers: [this.#registry],
+	});
+
 	readonly #firstAnswer = new Histogram({
 		name: 'wagtailtack_first_answer_seconds', help: 'Time from arrival to the response or its first event', labelNames: ['kind', 'priority'], buckets: secondsBuckets, registers: [this.#registry],
 	});
@@ -98,6 +103,11 @@
 		this.#answersGivenUp.inc({limit});
 	}
 
+	/** Records a request that was refused because of its key, or whose sends ended with its access. */
+	accessRefused(reason: AccessRefusal | Exclude<AccessChange, 'kept'>): void {
+		this.#accessRefusals.inc({reason});
+	}
+
 	/** Records a request whose delivery has ended, successfully or not. */
 	requestEnded({kind, priority}: Route, {outcome, sends, firstAnswerMs}: DeliveryResult, totalMs: number): void {
 		this.#requests.inc({kind, outcome});
--- a/src/process/fleet/fleet-tables.ts
+++ b/src/process/fleet/fleet-tables.ts
@@ -54,6 +54,11 @@
 		return this.#hasUpstreamList;
 	}
 
+	/** False while a newer configuration than the copy may be in force. */
+	get isConfigurationConfirmed(): boolean {
+		return this.#configurationWatch.isConfirmed;
+	}
+
 	/** Number of times that a row of the tables was read and dropped, because it could not be used. */
 	get droppedRows(): number {
 		return this.#droppedRows.total;
--- a/src/process/fleet/route-request-handler.ts
+++ b/src/process/fleet/route-request-handler.ts
@@ -1,10 +1,8 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {Either} from 'purify-ts';
 import type {ClosedConnection} from '../../connection/caller-server.ts';
 import {CallerAnswer} from '../../connection/links/caller-answer.ts';
 import type {CallerProtocol, Refusal} from '../../ports/caller-protocol.ts';
-import type {CallerError} from '../../request/caller-error.ts';
 import {ByteBudget} from '../../request/byte-budget.ts';
 import {cancelOnDisconnect, cancelOnDeadline, combineSignals} from '../../request/cancellation.ts';
 import {
@@ -15,14 +13,23 @@
 import type {RouteRequest} from '../../request/delivery/route-request.ts';
 import {StreamDelivery} from '../../request/delivery/stream-delivery.ts';
 import {OpenRequest, type RequestOutcome} from '../../request/open-request.ts';
-import {readBody, type RequestBody} from '../../request/request-body.ts';
 import type {Route} from '../../version/routes/route-configuration.ts';
 import {chooseTarget, type RouteTable} from '../../version/routes/route-table.ts';
+import {
+	accountName, decideAccess, withAccountPriority, type Access,
+} from '../accounts/access.ts';
+import type {AccountDirectory} from '../accounts/account-directory.ts';
 import {readPendingEvents} from '../pending-events.ts';
 import type {Random} from '../random.ts';
+import {BodyReader} from './body-reader.ts';
 import type {FleetMetrics} from './fleet-metrics.ts';
+import {runUntilOverdue} from './overdue.ts';
 import type {RouteDurations} from './route-durations.ts';
 import {crashRefusalMessages, type CrashRefusal} from './route-crashes.ts';
+import {
+	createAccessRefusal, createBodyRefusal, createRefusal, createStopRefusal, createUnpreparedRefusal,
+} from './request-refusals.ts';
+import {TakenRequests} from './taken-requests.ts';
 import type {OpenRequests, Shutdown, StopCounts} from './shutdown.ts';
 
 /** Options of the request handler. */
@@ -33,6 +40,10 @@
 	readonly metrics: FleetMetrics;
 	/** Active routes; undefined until a configuration has been received. */
 	readonly routeTable: () => RouteTable | undefined;
+	/** Client accounts of the active configuration; undefined if callers need no keys. */
+	readonly accounts: () => AccountDirectory | undefined;
+	/** False while a newer configuration than the active one may be in force. */
+	readonly isConfigurationCurrent: () => boolean;
 	/** From its start each connection is closed with its next response; it decides which requests are still served. */
 	readonly shutdown: () => Pick<Shutdown, 'hasStarted' | 'endRequestsAt' | 'canEnd'>;
 	readonly durations: RouteDurations;
@@ -40,8 +51,6 @@
 	readonly bodyBudgetBytes: number;
 };
 
-type BodyResult = Either<CallerError, RequestBody>;
-
 /** One request with its response. */
 type Exchange = {
 	readonly message: IncomingMessage;
@@ -51,25 +60,19 @@
 	readonly open: OpenRequest;
 };
 
-/** A request that has been taken and has not ended. */
-type TakenRequest = {
-	readonly route: Route;
-	readonly arrivedAt: number;
-	readonly callerDeadlineAt: number;
-	/** Aborts the request. */
-	readonly controller: AbortController;
-	/** Aborts the request unless it has been sent. */
-	readonly startController: AbortController;
+type MatchedRequest = {
+	readonly route: Route | undefined;
+	/** Undefined without a route. */
+	readonly access: Access | undefined;
+};
+
+/** A request that may be sent to upstreams of a service. */
+type AdmittedRequest = Pick<DeliveryJob, 'request' | 'identity' | 'route' | 'service'> & {
+	readonly access: Access;
 };
 
-/** Retry delay when no configuration is known or memory for bodies is short. */
-const defaultRetryMs = 500;
-/** Retry delay while shutting down; short because the load balancer no longer routes to this daemon, so a new connection reaches another one. */
-const closingRetryMs = 50;
 /** Ids of requests in a log line, at most. */
 const maxLoggedRequests = 8;
-/** A delivery ends at once when it is aborted; one that does not is answered for after this time. Callers are owed an answer within half a second of the deadline. */
-const overdueMs = 200;
 /** Limit on request bodies until a configuration has been received. */
 const defaultBodyBytes = 4_194_304;
 const emptyBody = new Uint8Array(0);
@@ -77,15 +80,15 @@
 /** Receives callers' requests, matches them to routes and delivers them. */
 export class RouteRequestHandler implements OpenRequests {
 	readonly #options: RouteRequestHandlerOptions;
-	readonly #budget: ByteBudget;
+	readonly #bodies: BodyReader;
 	/** Number of requests per connection that have been read but not answered. */
 	readonly #unansweredRequests = new WeakMap<Socket, number>();
 	/** Connections that a response has announced to be closed. */
 	readonly #closingSockets = new WeakSet<Socket>();
 	readonly #open = new WeakMap<ServerResponse, OpenRequest>();
-	readonly #takenRequests = new Set<TakenRequest>();
-	/** Ends the wait for a body that is being read. */
-	readonly #bodyWaits = new Set<() => void>();
+	readonly #takenRequests = new TakenRequests();
+	/** Accounts against which the requests in flight were checked. */
+	#appliedAccounts: AccountDirectory | undefined;
 	readonly #stopCounts = {
 		refusedOnArrival: 0, refused: 0, failed: 0, brokenOff: 0,
 	};
@@ -95,7 +98,7 @@
 
 	constructor(options: RouteRequestHandlerOptions) {
 		this.#options = options;
-		this.#budget = new ByteBudget(options.bodyBudgetBytes);
+		this.#bodies = new BodyReader(new ByteBudget(options.bodyBudgetBytes));
 	}
 
 	/** Requests that the shutdown has ended so far. */
@@ -114,20 +117,29 @@
 	}
 
 	refuseUnsent(): void {
-		for (const {route, arrivedAt, callerDeadlineAt, startController} of this.#takenRequests) {
-			if (!this.#canEnd(route, arrivedAt, callerDeadlineAt)) {
-				startController.abort(stopReason);
-			}
-		}
+		this.#takenRequests.refuseUnsent(({route, arrivedAt, callerDeadlineAt}) => this.#canEnd(route, arrivedAt, callerDeadlineAt));
 	}
 
 	endAll(): void {
-		for (const {controller} of this.#takenRequests) {
-			controller.abort(stopReason);
+		this.#takenRequests.endAll();
+		this.#bodies.endAll();
+	}
+
+	/** Refuses the requests that no upstream has run and whose access a newer configuration has withdrawn or changed. */
+	applyAccounts(): void {
+		const accounts = this.#options.accounts();
+		if (accounts === this.#appliedAccounts) {
+			return;
 		}
 
-		for (const endWait of this.#bodyWaits) {
-			endWait();
+		this.#appliedAccounts = accounts;
+		const {dependencies, metrics} = this.#options;
+		const ended = this.#takenRequests.endAccess(({route, request}) => decideAccess(accounts, route, request.key, () => true));
+		for (const {taken: {request, access}, change} of ended) {
+			metrics.accessRefused(change);
+			dependencies.log.write('request.accessEnded', {
+				request: request.id, account: accountName(access), change, configuration: this.#options.routeTable()?.version,
+			});
 		}
 	}
 
@@ -195,10 +207,10 @@
 
 	async #serve(exchange: Exchange): Promise<void> {
 		const {message, arrivedAt} = exchange;
-		const {routeTable, dependencies, protocol, metrics} = this.#options;
+		const {routeTable, accounts, isConfigurationCurrent, dependencies, protocol, metrics} = this.#options;
 		const limit = routeTable()?.limits.bodyBytes ?? defaultBodyBytes;
 		exchange.open.id = protocol.decode(message, emptyBody).id;
-		const body = await this.#readBody(message, limit);
+		const body = await this.#bodies.read(message, limit);
 		if (body === undefined) {
 			this.#stopCounts.refused += 1;
 			this.#refuse(exchange, protocol.decode(message, emptyBody), createStopRefusal());
@@ -207,25 +219,25 @@
 
 		await body.caseOf({
 			Left: async ({status}) => {
-				const request = protocol.decode(message, emptyBody);
-				const isTooLarge = status === 413;
-				this.#refuse(exchange, request, isTooLarge
-					? createRefusal('tooLarge', 'The body is too large.')
-					: createRefusal('busy', 'Too many request bodies are being received.', defaultRetryMs));
+				this.#refuse(exchange, protocol.decode(message, emptyBody), createBodyRefusal(status));
 			},
 			Right: async value => {
 				using _body = value;
 				exchange.open.isWhole = true;
 				metrics.requestRead();
-				const request = protocol.decode(message, value.bytes);
+				const received = protocol.decode(message, value.bytes);
 				const table = routeTable();
-				const route = table?.match(request.host, request.target);
-				const refusal = this.#findRefusal(table, route, arrivedAt, getDeadline(exchange, request, route));
-				if (refusal !== undefined || route === undefined) {
-					this.#refuse(exchange, request, refusal ?? createRefusal('noRoute', 'No route matches.'));
+				const matched = table?.match(received.host, received.target);
+				const access = matched === undefined ? undefined : decideAccess(accounts(), matched, received.key, isConfigurationCurrent);
+				const refusal = this.#findRefusal(table, {route: matched, access}, arrivedAt, getDeadline(exchange, received, matched));
+				if (refusal !== undefined || matched === undefined || access === undefined) {
+					this.#refuse(exchange, received, refusal ?? createRefusal('noRoute', 'No route matches.'));
 					return;
 				}
 
+				const request = access.kind === 'open' ? received : protocol.removeCredentials(received);
+				const route = withAccountPriority(matched, access);
+
 				const identity = identifyRouteRequest(request);
 				const crashRefusal = dependencies.crashes.findRefusal(identity);
 				if (crashRefusal !== undefined) {
@@ -236,44 +248,36 @@
 				const service = chooseTarget(route, this.#options.random.next());
 				// `waitMs`: the caller's timeout.
 				dependencies.log.write('request.received', {
-					request: request.id, route: route.name, kind: route.kind, service, configuration: table?.version, waitMs: request.callerTimeoutMs, promptTokens: request.prompt?.tokens,
+					request: request.id,
+					route: route.name,
+					kind: route.kind,
+					service,
+					account: accountName(access),
+					configuration: table?.version,
+					waitMs: request.callerTimeoutMs,
+					promptTokens: request.prompt?.tokens,
+				});
+				await this.#deliver(exchange, {
+					request, identity, route, service: service ?? '', access,
 				});
-				await this.#deliver(exchange, {request, identity}, route, service ?? '');
 			},
 		});
 	}
 
-	/** Reads the body of a request; undefined if the shutdown ends first. */
-	async #readBody(message: IncomingMessage, maxBodyBytes: number): Promise<BodyResult | undefined> {
-		const {promise, resolve} = Promise.withResolvers<undefined>();
-		const endWait = () => {
-			resolve(undefined);
-		};
-
-		this.#bodyWaits.add(endWait);
-		try {
-			const reading = readBody(message, {maxBodyBytes, budget: this.#budget});
-			const body = await Promise.race([reading, promise]);
-			if (body === undefined) {
-				void releaseBody(reading);
-			}
-
-			return body;
-		} finally {
-			this.#bodyWaits.delete(endWait);
-		}
-	}
-
-	#findRefusal(table: RouteTable | undefined, route: Route | undefined, arrivedAt: number, deadlineAt: number): Refusal | undefined {
+	#findRefusal(table: RouteTable | undefined, {route, access}: MatchedRequest, arrivedAt: number, deadlineAt: number): Refusal | undefined {
 		if (table === undefined) {
-			// `unprepared`: kind of a refusal without a configuration; it is logged and counted under this name.
-			return createRefusal('unprepared', 'No configuration is known yet.', defaultRetryMs);
+			return createUnpreparedRefusal();
 		}
 
 		if (route === undefined) {
 			return undefined;
 		}
 
+		if (access?.kind === 'refused') {
+			this.#options.metrics.accessRefused(access.reason);
+			return createAccessRefusal(access.reason);
+		}
+
 		if (this.#canEnd(route, arrivedAt, deadlineAt)) {
 			return undefined;
 		}
@@ -295,7 +299,8 @@
 		}, arrivedAt);
 	}
 
-	async #deliver(exchange: Exchange, {request, identity}: Pick<DeliveryJob, 'request' | 'identity'>, route: Route, service: string): Promise<void> {
+	async #deliver(exchange: Exchange, {access, ...admitted}: AdmittedRequest): Promise<void> {
+		const {request, route, service} = admitted;
 		const {dependencies, metrics} = this.#options;
 		const {message, response, arrivedAt, answer, open} = exchange;
 		const controller = new AbortController();
@@ -303,8 +308,8 @@
 		const callerDeadlineAt = getDeadline(exchange, request, route);
 		const deadlineAt = Math.min(callerDeadlineAt, this.#options.shutdown().endRequestsAt);
 		using start = combineSignals(controller.signal, startController.signal);
-		using _taken = this.#track({
-			route, arrivedAt, callerDeadlineAt, controller, startController,
+		using _taken = this.#takenRequests.track({
+			request, route, access, arrivedAt, callerDeadlineAt, controller, startController,
 		});
 		using _caller = cancelOnDisconnect(message, response, controller);
 		using _deadline = cancelOnDeadline(Math.max(0, deadlineAt - dependencies.clock.now()), controller);
@@ -312,10 +317,10 @@
 		await readPendingEvents();
 		dependencies.retryBudget.earn(service, dependencies.clock.now());
 		const job: DeliveryJob = {
-			request, identity, route, service, account: undefined, arrivedAt, deadlineAt, answer, open, signal: controller.signal, startSignal: start.signal,
+			...admitted, account: accountName(access), arrivedAt, deadlineAt, answer, open, signal: controller.signal, startSignal: start.signal,
 		};
 		const delivery = route.kind === 'stream' && dependencies.scheduler.isModelService(service) ? new StreamDelivery(dependencies, job) : new PlainDelivery(dependencies, job);
-		const result = await this.#runUntilOverdue(delivery.run(), controller.signal);
+		const result = await runUntilOverdue(delivery.run(), controller.signal);
 		open.settle(result.outcome, result.isCutByUpstream);
 		if (start.signal.reason === stopReason && isEndedByDaemon(result.outcome)) {
 			this.#stopCounts[result.outcome] += 1;
@@ -338,38 +343,6 @@
 		}
 	}
 
-	#track(taken: TakenRequest): Disposable {
-		this.#takenRequests.add(taken);
-		return {
-			[Symbol.dispose]: () => {
-				this.#takenRequests.delete(taken);
-			},
-		};
-	}
-
-	/** Waits for a delivery; throws if it has not ended some time after the deadline has passed or the caller has left. */
-	async #runUntilOverdue(running: Promise<DeliveryResult>, signal: AbortSignal): Promise<DeliveryResult> {
-		const {promise, reject} = Promise.withResolvers<never>();
-		let timer: NodeJS.Timeout | undefined;
-		const startTimer = () => {
-			timer = setTimeout(() => {
-				reject(new Error(`The delivery did not end within ${overdueMs} ms after it was aborted.`));
-			}, overdueMs);
-		};
-
-		signal.addEventListener('abort', startTimer);
-		if (signal.aborted) {
-			startTimer();
-		}
-
-		try {
-			return await Promise.race([running, promise]);
-		} finally {
-			clearTimeout(timer);
-			signal.removeEventListener('abort', startTimer);
-		}
-	}
-
 	/** Logs and counts the outcome of a request. */
 	#recordEnd({open, arrivedAt}: Exchange, outcome: RequestOutcome, fields: Readonly<Record<string, unknown>>): void {
 		const {dependencies, metrics} = this.#options;
@@ -417,7 +390,14 @@
 		const {dependencies, metrics} = this.#options;
 		exchange.answer.refuse(refusal);
 		dependencies.log.write('request.refused', {
-			request: request.id, host: request.host, target: request.target, kind: refusal.kind, reason: refusal.message, configuration: this.#options.routeTable()?.version, fingerprint: crash?.fingerprint, promptParts: crash?.promptParts,
+			request: request.id,
+			host: request.host,
+			target: request.target,
+			kind: refusal.kind,
+			reason: refusal.message,
+			configuration: this.#options.routeTable()?.version,
+			fingerprint: crash?.fingerprint,
+			promptParts: crash?.promptParts,
 		});
 		metrics.requestRefused(crash?.status ?? refusal.kind, dependencies.clock.now() - exchange.arrivedAt);
 		const outcome = exchange.open.isWhole ? 'refused' : 'refusedUnread';
@@ -440,32 +420,10 @@
 	return arrivedAt + Math.min(callerTimeoutMs ?? Number.POSITIVE_INFINITY, route?.timeoutMs ?? Number.POSITIVE_INFINITY);
 }
 
-function createStopRefusal(): Refusal {
-	return createRefusal('busy', 'The daemon is stopping.', closingRetryMs);
-}
-
 function isEndedByDaemon(outcome: DeliveryResult['outcome']): outcome is 'refused' | 'failed' | 'brokenOff' {
 	return outcome === 'refused' || outcome === 'failed' || outcome === 'brokenOff';
 }
 
-/** Returns the bytes of a body that nobody waits for any more to the byte budget. */
-async function releaseBody(reading: Promise<BodyResult>): Promise<void> {
-	try {
-		const body = await reading;
-		body.ifRight(value => {
-			value[Symbol.dispose]();
-		});
-	} catch {
-		// The connection was closed, and its bytes have been returned.
-	}
-}
-
-function createRefusal(kind: Refusal['kind'], message: string, retryAfterMs?: number): Refusal {
-	return {
-		ran: 'notRun', kind, message, retryAfterMs,
-	};
-}
-
 /** Resolves once the response has been handed to the operating system or its connection has closed; at once if the response was never ended. */
 async function waitUntilSent(response: ServerResponse): Promise<void> {
 	if (response.writableFinished || response.destroyed || !response.writableEnded) {
--- a/src/process/tables/table-watch.ts
+++ b/src/process/tables/table-watch.ts
@@ -60,6 +60,8 @@
 const minWaitFraction = 0.7;
 /** Spread of the reads of all daemons that see a restore of the store at the same time, in milliseconds. */
 const restoreSpreadMs = 200;
+/** Time from the end of the longest wait of a call to its answer while the store works, in milliseconds. */
+const maxAnswerMs = 1500;
 /** Least time between two reads of the whole table for which the store gives a reason, in milliseconds. */
 const wholeReadIntervalMs = 500;
 const never = Number.NEGATIVE_INFINITY;
@@ -113,6 +115,19 @@
 			};
 	}
 
+	/** False while the store may have newer rows than the copy, because neither it nor a daemon that reads it has been heard of. */
+	get isConfirmed(): boolean {
+		if (this.#copy.position === undefined || this.#awaitedEpoch !== undefined) {
+			return false;
+		}
+
+		const now = this.#options.clock.now();
+		const {kind} = this.#sharing.assess(this.#copy, now);
+		// The store answers a waiting call at once when a row changes, so a confirmation counts until that call must have ended.
+		const isWaiting = this.#failures === 0 && !this.#isDoubtful && now - this.#confirmedAt < this.#times.waitMs + maxAnswerMs;
+		return kind === 'current' || (kind === 'unconfirmed' && isWaiting);
+	}
+
 	/** Changes the timing; it takes effect with the next call. */
 	setTimes(times: WatchTimes): void {
 		this.#times = times;
--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -35,13 +35,16 @@
 /** Reason with which a stopping daemon aborts requests. */
 export const stopReason = 'stopping';
 
+/** Reasons with which the sends of a request end after a change of the configuration: its key was withdrawn, or the request would now be sent for another account. */
+export const accessChangeReasons = {withdrawn: 'key_withdrawn', changed: 'account_changed'} as const;
+
 /** One request to be delivered to upstreams. */
 export type DeliveryJob = {
 	readonly request: RouteRequest;
 	readonly identity: RequestIdentity;
 	readonly route: Route;
 	readonly service: string;
-	/** Client account of the caller; undefined on public routes and without accounts. */
+	/** Client account of the caller; undefined without accounts, and on public routes if no valid key was shown. */
 	readonly account: string | undefined;
 	readonly answer: CallerAnswer;
 	/** Owner of the answer; each send that may run the request is announced to it. */
@@ -51,7 +54,7 @@
 	readonly deadlineAt: number;
 	/** Aborts with the reason `caller_gone`, `deadline` or `stopping`. */
 	readonly signal: AbortSignal;
-	/** Aborts with `signal`, and once a stopping daemon has too little time left to send the request. */
+	/** Aborts with `signal`, once a stopping daemon has too little time left to send the request, and with one of `accessChangeReasons`. */
 	readonly startSignal: AbortSignal;
 };
 
@@ -202,7 +205,7 @@
 	/** Classifies a failed call for the scheduler; a call that the daemon ended because it timed out counts as silent. */
 	protected classifyFailure(failure: ExchangeFailure, elapsedMs: number, signal = this.job.signal): SendResult {
 		if (failure.kind === 'cancelled') {
-			return {kind: signal.aborted ? 'cancelled' : 'silent', elapsedMs};
+			return {kind: signal.aborted || !this.hasAccess ? 'cancelled' : 'silent', elapsedMs};
 		}
 
 		return {kind: toSendResultKind(failure), elapsedMs};
@@ -228,6 +231,10 @@
 			return this.createResult('callerGone', message);
 		}
 
+		if (this.job.startSignal.reason === accessChangeReasons.withdrawn) {
+			return this.#refuseWithdrawn();
+		}
+
 		const maxRetryAfterMs = Math.max(0, this.remainingMs * maxRetryAfterRatio);
 		this.job.answer.refuse({
 			ran: 'notRun',
@@ -260,6 +267,12 @@
 		return this.#refuseCrashing() ?? this.refuse(reason === 'noUpstream' ? 'No upstream is available.' : 'The service has no room in time.', retryAfterMs);
 	}
 
+	/** False once the caller's access has ended; checked right before a send is written, which may wait for a connection. */
+	protected get hasAccess(): boolean {
+		const {startSignal} = this.job;
+		return startSignal.reason !== accessChangeReasons.withdrawn && startSignal.reason !== accessChangeReasons.changed;
+	}
+
 	protected get isCallerGone(): boolean {
 		return this.job.signal.aborted && this.job.signal.reason === 'caller_gone';
 	}
@@ -280,6 +293,14 @@
 
 	protected abstract deliver(): Promise<DeliveryResult>;
 
+	#refuseWithdrawn(): DeliveryResult {
+		const message = 'The key was withdrawn.';
+		this.job.answer.refuse({
+			ran: 'notRun', kind: 'unauthorized', message, retryAfterMs: undefined,
+		});
+		return this.createResult('refused', message);
+	}
+
 	get #crashRefusal(): CrashRefusal | undefined {
 		return this.dependencies.crashes.findRefusal(this.job.identity);
 	}
--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -128,8 +128,8 @@
 			timeoutMs: this.remainingMs,
 			isOwnAnswer: (answer, isReused) => this.isAuthenticAnswer(answer, isReused),
 			signal,
-			shouldStart() {
-				hasBegun = job.open.beginSend();
+			shouldStart: () => {
+				hasBegun = this.hasAccess && job.open.beginSend();
 				return hasBegun;
 			},
 			silence: {
--- a/src/request/delivery/stream-delivery.ts
+++ b/src/request/delivery/stream-delivery.ts
@@ -138,6 +138,7 @@
 			// Prefills are answered with or without the id of the request.
 			isOwnAnswer: (head, isReused) => this.isOwnAnswer(head, isReused) || (head.requestId === undefined && head.status === 200),
 			signal: job.signal,
+			shouldStart: () => this.hasAccess,
 		});
 		const elapsedMs = dependencies.clock.now() - sentAt;
 		if (result.kind === 'failed') {
@@ -269,6 +270,7 @@
 			wire: dependencies.protocol.encode({
 				request: job.request, upstream, remainingMs: this.upstreamRemainingMs, priority: job.route.priority, lastEventId: this.#lastEventId, account: job.account, work,
 			}),
+			shouldStart: () => this.hasAccess && job.open.beginSend(),
 			isAuthenticAnswer: (answer, isReused) => this.isAuthenticAnswer(answer, isReused),
 			onStarted: () => {
 				if (this.#runs.size > 1) {
@@ -390,7 +392,7 @@
 			return this.createResult('delivered', `status ${failure.answer.status}`);
 		}
 
-		return this.#endUnfinished(() => this.fail(signal.aborted ? 'expired' : 'badAnswer', message));
+		return this.#endUnfinished(() => this.hasAccess ? this.fail(signal.aborted ? 'expired' : 'badAnswer', message) : this.refuse('The access of the caller has ended.', 0));
 	}
 
 	/** Ends a request without a complete answer: aborts a stream that has begun, fails a request that may have run, refuses any other. */
--- a/src/request/delivery/stream-run.ts
+++ b/src/request/delivery/stream-run.ts
@@ -14,6 +14,8 @@
 	readonly placement: Placement;
 	readonly wire: WireRequest;
 	readonly isAuthenticAnswer: (answer: UpstreamAnswer, isReused: boolean) => boolean;
+	/** Called right before the request is written; returns false to end the run with nothing sent. */
+	readonly shouldStart: () => boolean;
 	/** Called when the request is about to be written to the upstream. */
 	readonly onStarted: () => void;
 	/** Called before an event, or the end, is sent to the caller; no other run may write from then on. */
@@ -77,14 +79,14 @@
 
 	/** Sends the request and relays the answer to its end; never rejects. */
 	async run(): Promise<StreamRunResult> {
-		const {dependencies, job: {signal, open}, placement, wire} = this.#options;
+		const {dependencies, job: {signal}, placement, wire} = this.#options;
 		const cancel = () => {
 			this.cancel('cancelled', String(signal.reason));
 		};
 
 		signal.addEventListener('abort', cancel);
 		this.#exchange = dependencies.upstreamClients.send(placement.upstream, wire, {
-			shouldStart: () => open.beginSend(),
+			shouldStart: this.#options.shouldStart,
 			onStarted: () => {
 				this.#options.onStarted();
 				this.#restartSilenceTimer();
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -144,6 +144,14 @@
 	test('is invalid as a whole when a route cannot be decoded, because a missing route would get a 404', () => {
 		expect(decodeConfiguration(encode(createOperatorConfiguration({routes: [{host: 'a.example'}]}))).isLeft()).toBe(true);
 	});
+
+	test.each([['an object', {}], ['a text', 'north'], ['a number', 0]])('is invalid when its accounts are %s, because no keys would be needed', (_name, tenants) => {
+		expect(decodeConfiguration(encode(createOperatorConfiguration({tenants}))).isLeft()).toBe(true);
+	});
+
+	test.each([['an empty list', [], []], ['null', null, undefined], ['missing', undefined, undefined]])('has accounts only if they are listed, also if the list is %s', (_name, tenants, accounts) => {
+		expect(decodeConfiguration(encode(createOperatorConfiguration({tenants}))).toMaybe().extract()?.accounts).toEqual(accounts);
+	});
 });
 
 describe('an upstream\'s answer', () => {
