--- a/test/process/fleet/client-accounts.test.ts
+++ b/test/process/fleet/client-accounts.test.ts
@@ -120,7 +120,7 @@
 		await using fleet = new FleetFixture();
 		await fleet.start([{id: 'u-1'}], {configuration});
 		fleet.store.faults.status = 500;
-		await fleet.waitForLine('store.lost');
+		await fleet.waitUntil(() => fleet.logLines.some(({event, table}) => event === 'store.lost' && table === 'op'));
 		expect(await fleet.status({path: '/lookup/1', headers: {authorization: 'Bearer key-of-nobody'}})).toBe(503);
 		expect(await fleet.status({path: '/lookup/1', headers: asNorth})).toBe(200);
 	}, 15_000);
