--- a/src/fleet-main.ts
+++ b/src/fleet-main.ts
@@ -39,7 +39,7 @@
 async function serve(settings: FleetSettings, file: SettingsFile): Promise<void> {
 	const log = new DecisionLog({daemon: settings.daemon.name});
 	const daemon = new FleetDaemon({
-		settings, platform: createPlatform(settings.store.address), log, seed: Math.floor(Math.random() * (2 ** 31)),
+		settings, platform: createPlatform(settings.store.address, settings.duties?.address), log, seed: Math.floor(Math.random() * (2 ** 31)),
 	});
 	await daemon.start();
 	// The platform may change the file without a signal.
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -7,6 +7,7 @@
 import {fetchKnowledge, serveKnowledge} from '../../connection/knowledge-exchange.ts';
 import {serveSharedRows} from '../../connection/row-exchange.ts';
 import type {CallerProtocol} from '../../ports/caller-protocol.ts';
+import type {PlatformDuties} from '../../ports/platform-duties.ts';
 import type {RowFeed} from '../../ports/row-feed.ts';
 import type {Table} from '../../ports/table.ts';
 import type {UpstreamProtocol} from '../../ports/upstream-protocol.ts';
@@ -48,6 +49,8 @@
 	readonly table: Table;
 	readonly callerProtocol: CallerProtocol;
 	readonly upstreamProtocol: UpstreamProtocol;
+	/** Undefined if the platform expects no calls of duties. */
+	readonly duties: PlatformDuties | undefined;
 	readonly tables: {readonly operator: string; readonly upstreams: string};
 	readonly configurationKey: string;
 	readonly decodeConfiguration: ConfigurationDecoder;
@@ -393,6 +396,7 @@
 		await this.#crashMemory[Symbol.asyncDispose]();
 		await this.#options.platform.table[Symbol.asyncDispose]();
 		await this.#options.platform.feed[Symbol.asyncDispose]();
+		await this.#options.platform.duties?.[Symbol.asyncDispose]();
 		await this.#tables[Symbol.asyncDispose]();
 		await Promise.all([this.#callerServer, this.#readinessServer, this.#metricsServer, this.#rowServer].map(async server => closeAbruptly(server)));
 		await this.#upstreamClients[Symbol.asyncDispose]();
