Order the number of upstreams from the platform by the work that arrives

Cause: the number of engines of a service was fixed, though the platform bills each second of them and takes orders for their number. Change: daemons tell each other the engine time that arrives; the holder of the duty sizes the pool, spreads it over zones and kinds and orders it. Off unless a service has bounds and the daemon is given the duty.

--- a/bench/capacity/fleet.ts
+++ b/bench/capacity/fleet.ts
@@ -95,6 +95,7 @@
 		limits: [],
 		leaving: [],
 		tables: [],
+		work: [],
 	}));
 	return encodePeerDatagrams({sender: 'relay', scope: 'final', messages}, maxDatagramBytes);
 }
--- a/src/ports/upstream.ts
+++ b/src/ports/upstream.ts
@@ -17,4 +17,8 @@
 	readonly heartbeatCount: number;
 	/** Start time of the process, in Unix milliseconds; distinguishes restarts under the same ID. */
 	readonly startedAt: number | undefined;
+	/** True if the platform may reclaim this upstream, together with all such ones of the service in its availability zone. */
+	readonly isReclaimable?: boolean;
+	/** Time until a draining upstream leaves, in milliseconds; undefined if it is not known. */
+	readonly leavesInMs?: number;
 };
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -25,6 +25,9 @@
 import {PeerLink} from '../peers/peer-link.ts';
 import type {StoreEpoch} from '../tables/store-epoch.ts';
 import type {UpstreamStart} from '../peers/peer-message.ts';
+import {createPoolController, type PoolDuty} from '../pool/create-pool-controller.ts';
+import type {PoolController} from '../pool/pool-controller.ts';
+import {WorkRates} from '../pool/work-rates.ts';
 import {createControllerTimes, StageController, type StageGroup} from '../stages/stage-controller.ts';
 import {ConfigurationHolder, type ConfigurationDecoder} from './configuration-holder.ts';
 import type {DecisionLog} from './decision-log.ts';
@@ -61,6 +64,8 @@
 	readonly log: DecisionLog;
 	/** Seed of the random decisions. */
 	readonly seed: number;
+	/** Calls to the platform by which upstreams are ordered; undefined if their number is fixed. */
+	readonly poolDuty?: PoolDuty;
 };
 
 const housekeepingIntervalMs = 250;
@@ -99,6 +104,9 @@
 	readonly #controller: StageController;
 	readonly #metrics = new FleetMetrics();
 	readonly #tables: FleetTables;
+	/** Work that arrives at all daemons for the services whose number of upstreams is ordered. */
+	readonly #workRates: WorkRates;
+	readonly #pool: PoolController | undefined;
 	readonly #callerServer: Server;
 	readonly #readinessServer: Server;
 	readonly #metricsServer: Server;
@@ -114,6 +122,7 @@
 		this.#random = new SeededRandom(seed);
 		this.#configuration = new ConfigurationHolder(platform.configurationKey, platform.decodeConfiguration, log);
 		const clock = this.#clock;
+		this.#workRates = new WorkRates(clock.now());
 		this.#backpressure = new UpstreamBackpressure({
 			clock,
 			random: this.#random,
@@ -186,6 +195,10 @@
 			onTables: (daemon, announcements) => {
 				this.#tables.accept(daemon, announcements);
 			},
+			ownWork: () => this.#scheduler.work(),
+			onWork: (daemon, work) => {
+				this.#workRates.hear(daemon, work, clock.now());
+			},
 		});
 		this.#crashMemory = new CrashMemoryTask({
 			log: createTaskLog(log, 'crashes'),
@@ -263,6 +276,18 @@
 			rank: () => this.#peers.topology.relayRank(this.#clock.now()),
 			times: createControllerTimes(settings.bounds.leaseMs),
 		});
+		this.#pool = options.poolDuty === undefined
+			? undefined
+			: createPoolController({
+				duty: options.poolDuty,
+				clock,
+				log,
+				metrics: this.#metrics.registry,
+				workRates: this.#workRates,
+				registry: this.#registry,
+				scheduler: this.#scheduler,
+				services: () => this.#configuration.routeTable?.services ?? new Map(),
+			});
 		this.#tables = new FleetTables({
 			platform,
 			bounds: settings.bounds,
@@ -348,6 +373,8 @@
 			this.#applyRegistryEvents(this.#registry.expire(this.#clock.now()));
 			if (this.isReady) {
 				this.#controller.tick();
+				this.#workRates.hear(daemon.name, this.#scheduler.work(), this.#clock.now(), true);
+				this.#pool?.tick();
 			}
 		}, housekeepingIntervalMs);
 		this.#crashMemory.run();
--- a/src/process/fleet/fleet-metrics.ts
+++ b/src/process/fleet/fleet-metrics.ts
@@ -61,6 +61,11 @@
 		name: 'wagtailtack_route_request_seconds', help: 'Time from arrival to the end of a request', labelNames: ['kind'], buckets: secondsBuckets, registers: [this.#registry],
 	});
 
+	/** Registry to which parts of the daemon add metrics of their own. */
+	get registry(): Registry {
+		return this.#registry;
+	}
+
 	/** Registers gauges whose values are read at each scrape. */
 	addGauges({
 		openRequests, upstreams, connectionsOpened, limitedUpstreams, pausedUpstreams, configurationVersion, droppedLogLines, droppedRows, storeEpoch, storeRestores, unusableEpochs,
--- a/src/process/fleet/fleet-scheduler.ts
+++ b/src/process/fleet/fleet-scheduler.ts
@@ -9,11 +9,12 @@
 import type {DownEvidence} from '../crashes/crash-attribution.ts';
 import type {PeerLoadTracker} from '../peers/peer-load-tracker.ts';
 import type {PeerLoad, PeerPrefill} from '../peers/peer-message.ts';
+import {WorkCounter, type ServiceWork} from '../pool/service-work.ts';
 import type {Random} from '../random.ts';
 import type {StageDemand} from '../stages/stage-sizer.ts';
 import type {DecisionLog} from './decision-log.ts';
 import {sampleCandidates} from './candidate-sample.ts';
-import {chooseLeastLoaded} from './placement-score.ts';
+import {chooseLeastLoaded, prefillRate} from './placement-score.ts';
 import {Placements} from './placements.ts';
 import {callerGivesUpAt, PrefillScheduler} from './prefill-scheduler.ts';
 import {RunQueue} from './run-queue.ts';
@@ -43,6 +44,8 @@
 	readonly services: () => ReadonlyMap<string, Service>;
 	/** Called when an upstream refuses connections or another one has its address. */
 	readonly onUpstreamDown: (upstream: string, evidence: DownEvidence) => void;
+	/** Mean prefill speed of the engines of a service, in tokens per millisecond; measured by their latency ratios if undefined. */
+	readonly tokensPerMs?: (service: string) => number;
 };
 
 /** Chooses upstreams by this daemon's own sends, the load that upstreams and the other daemons report, and the prompt parts that engines have cached. */
@@ -52,6 +55,7 @@
 	readonly #placements: Placements;
 	readonly #runQueue: RunQueue;
 	readonly #prefills: PrefillScheduler;
+	readonly #work = new WorkCounter();
 
 	constructor(options: FleetSchedulerOptions) {
 		super();
@@ -103,6 +107,11 @@
 		this.#prefills.placeQueued();
 	}
 
+	/** Work that has arrived here for the services whose number of upstreams is ordered. */
+	work(): readonly ServiceWork[] {
+		return this.#work.totals;
+	}
+
 	/** Load on the prefill and decode engines of a service, as known to this daemon. */
 	measureDemand(service: string, slots: number): StageDemand {
 		const now = this.#options.clock.now();
@@ -111,7 +120,8 @@
 			runs += state.runs + this.#states.peerRuns(state, now);
 		}
 
-		return {runs, slots, backlogMs: this.#prefills.meanBacklogMs(service, now)};
+		const demand = {runs, slots, backlogMs: this.#prefills.meanBacklogMs(service, now)};
+		return this.#isElastic(service) ? {...demand, isElastic: true} : demand;
 	}
 
 	isModelService(service: string): boolean {
@@ -141,6 +151,10 @@
 			return undefined;
 		}
 
+		if (this.#isElastic(demand.service)) {
+			this.#work.arrived(demand.service, this.#engineMs(demand.service, weightedTokens));
+		}
+
 		const state = this.#states.get(candidate.id)!;
 		const parts = demand.request.prompt?.parts ?? [];
 		state.cache.touch(parts);
@@ -151,7 +165,19 @@
 	}
 
 	async placePrefill(demand: PlacementDemand): Promise<PlacementResult> {
-		return this.#prefills.place(demand);
+		const {service} = demand;
+		if (!this.#isElastic(service)) {
+			return this.#prefills.place(demand);
+		}
+
+		const workMs = this.#engineMs(service, this.#prefills.countMissingTokens(demand));
+		this.#work.arrived(service, workMs);
+		const result = await this.#prefills.place(demand);
+		if ('reason' in result && result.reason === 'overloaded') {
+			this.#work.refused(service, workMs);
+		}
+
+		return result;
 	}
 
 	async placeDecode(demand: PlacementDemand, source: Upstream | undefined): Promise<PlacementResult> {
@@ -164,6 +190,22 @@
 		});
 	}
 
+	#isElastic(service: string): boolean {
+		return this.#options.services().get(service)?.scaling !== undefined;
+	}
+
+	/** Time that an engine needs for prompt tokens, in milliseconds. */
+	#engineMs(service: string, weightedTokens: number): number {
+		return weightedTokens / (this.#options.tokensPerMs ?? (name => this.#measureTokensPerMs(name)))(service);
+	}
+
+	/** Prefill speed by the mean latency ratio of the engines that this daemon has used. */
+	#measureTokensPerMs(service: string): number {
+		const used = this.#states.reachable(service).filter(({upstream, latencyRatio}) => upstream.stage === 'prefill' && latencyRatio !== 1);
+		const meanRatio = used.length === 0 ? 1 : used.reduce((sum, {latencyRatio}) => sum + latencyRatio, 0) / used.length;
+		return prefillRate.tokensPerMs / meanRatio;
+	}
+
 	/** Begins a run at the least loaded of these upstreams whose limit allows it. */
 	#beginAtLeastLoaded(states: readonly UpstreamState[], promptZone: string | undefined, parts: readonly PromptPart[] = []): Placement | undefined {
 		const {backpressure, peers} = this.#options;
--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -153,7 +153,7 @@
 			settle: resolve,
 			id: demand.request.id,
 			priority: demand.route.priority,
-			tokens: this.#minWeightedTokens(demand, parts),
+			tokens: this.countMissingTokens(demand, parts),
 			targetAt: demand.arrivedAt + demand.route.targetLatencyMs - firstEventDelayMs,
 			giveUpAt: callerGivesUpAt(demand) - minRemainingMs,
 		};
@@ -215,6 +215,12 @@
 		return tokens;
 	}
 
+	/** Weighted tokens to prefill at the upstream with the longest cached prefix. */
+	countMissingTokens(demand: PlacementDemand, parts = promptParts(demand)): number {
+		const {totalTokens, bestMissingTokens} = this.#findPrefixMatch(parts, demand.service);
+		return weighTokens(bestMissingTokens, totalTokens - bestMissingTokens);
+	}
+
 	/** Mean time that the prefill engines of a service need for their backlog, in milliseconds. */
 	meanBacklogMs(service: string, now: number): number {
 		const states = this.#options.states.usable(service, 'prefill', new Set());
@@ -336,12 +342,6 @@
 		return predictCompletion(tokens, {tokensAhead, tokensPerMs}, tokensPerMs / Math.max(1, states.length), prefillRate.fixedMs);
 	}
 
-	/** Weighted tokens to prefill at the upstream with the longest cached prefix. */
-	#minWeightedTokens(demand: PlacementDemand, parts: readonly PromptPart[]): number {
-		const {totalTokens, bestMissingTokens} = this.#findPrefixMatch(parts, demand.service);
-		return weighTokens(bestMissingTokens, totalTokens - bestMissingTokens);
-	}
-
 	#prefillUpstreams({service, triedUpstreams: tried}: PlacementDemand): readonly UpstreamState[] {
 		return this.#options.states.usable(service, 'prefill', tried);
 	}
--- a/src/process/fleet/upstream-registry.ts
+++ b/src/process/fleet/upstream-registry.ts
@@ -152,6 +152,11 @@
 		return [...this.#entries.values()].map(({upstream}) => upstream).filter(({isDraining}) => isDraining);
 	}
 
+	/** Upstreams of a service that are listed, with those that are leaving. */
+	listed(service: string): readonly Upstream[] {
+		return [...this.#entries.values()].map(({upstream}) => upstream).filter(upstream => upstream.service === service);
+	}
+
 	/** Last entries of the upstreams that are leaving or gone. */
 	pastEntries(): readonly PastEntry[] {
 		const toEntry = ({id, startedAt, heartbeatCount, isDraining}: Omit<PastEntry, 'isGone'>, isGone: boolean): PastEntry => ({
--- a/src/process/peers/message-buffer.ts
+++ b/src/process/peers/message-buffer.ts
@@ -48,7 +48,7 @@
 	};
 }
 
-function mergeHints(earlier: PeerMessage, later: PeerMessage): Pick<PeerMessage, 'prefills' | 'crashNews' | 'limits' | 'leaving' | 'tables'> {
+function mergeHints(earlier: PeerMessage, later: PeerMessage): Pick<PeerMessage, 'prefills' | 'crashNews' | 'limits' | 'leaving' | 'tables' | 'work'> {
 	return {
 		prefills: [...earlier.prefills, ...later.prefills].slice(-maxBufferedPrefills),
 		crashNews: [...earlier.crashNews, ...later.crashNews].slice(-maxBufferedCrashNews),
@@ -56,5 +56,6 @@
 		limits: [...new Map([...earlier.limits, ...later.limits].map(limit => [limit.upstream, limit])).values()],
 		leaving: [...new Map([...earlier.leaving, ...later.leaving].map(upstream => [upstream.id, upstream])).values()],
 		tables: later.tables.length > 0 ? later.tables : earlier.tables,
+		work: later.work.length > 0 ? later.work : earlier.work,
 	};
 }
--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -1,44 +1,15 @@
 import {createSocket, type Socket} from 'node:dgram';
-import type {Table} from '../../ports/table.ts';
 import {parseAddress} from '../address.ts';
-import type {Clock} from '../clock.ts';
 import type {CrashNews} from '../crashes/crash-attribution.ts';
-import type {DecisionLog} from '../fleet/decision-log.ts';
-import type {TableAnnouncement} from '../tables/table-sharing.ts';
 import {MessageBuffer} from './message-buffer.ts';
 import {PeerLoadTracker} from './peer-load-tracker.ts';
 import {PeerDirectory} from './peer-directory.ts';
+import type {PeerLinkOptions} from './peer-link-options.ts';
 import {
-	decodePeerDatagram, encodePeerDatagrams, type PeerDatagram, type PeerLimit, type PeerLoad, type PeerMessage, type PeerPrefill, type PeerScope, type UpstreamStart,
+	decodePeerDatagram, encodePeerDatagrams, type PeerDatagram, type PeerLoad, type PeerMessage, type PeerPrefill, type PeerScope,
 } from './peer-message.ts';
 import {PeerTopology, type PeerMember} from './peer-topology.ts';
 
-/** Options of the peer link. */
-export type PeerLinkOptions = {
-	readonly clock: Clock;
-	readonly log: DecisionLog;
-	readonly table: Table;
-	/** This daemon, with the address at which it receives datagrams. */
-	readonly self: PeerMember;
-	/** Returns this daemon's own load on all upstreams with work. */
-	readonly ownLoads: () => readonly PeerLoad[];
-	/** Returns the prompt tokens that are queued at this daemon, by priority. */
-	readonly ownQueuedTokens: () => ReadonlyMap<number, number>;
-	readonly onPrefills: (prefills: readonly PeerPrefill[]) => void;
-	readonly onCrashNews: (news: CrashNews) => void;
-	/** Returns the crash news that keep-alive messages repeat for daemons that have just started or missed it. */
-	readonly repeatedCrashNews: (isRelay: boolean) => readonly CrashNews[];
-	/** Returns the limits that upstreams named, with their use by this daemon. */
-	readonly ownLimits: () => readonly PeerLimit[];
-	readonly onLimits: (daemon: string, limits: readonly PeerLimit[]) => void;
-	/** Returns the upstreams that this daemon knows to be leaving. */
-	readonly ownLeaving: () => readonly UpstreamStart[];
-	readonly onLeaving: (daemon: string, upstreams: readonly UpstreamStart[]) => void;
-	/** Returns the state of the tables that this daemon reads from the store for the others. */
-	readonly ownTables: () => readonly TableAnnouncement[];
-	readonly onTables: (daemon: string, tables: readonly TableAnnouncement[]) => void;
-};
-
 /** Delay in which changes are collected for one message, in milliseconds. */
 const batchDelayMs = 12;
 /** The same delay when relays forward the messages, in milliseconds. It is longer because each datagram costs every host; prefill of a prompt takes 100 ms or more. */
@@ -251,6 +222,7 @@
 			limits: isKeepAlive || this.#hasChangedLimits ? this.#options.ownLimits() : [],
 			leaving: isKeepAlive || this.#hasChangedLeaving ? this.#options.ownLeaving() : [],
 			tables: isKeepAlive || this.#hasChangedTables ? this.#options.ownTables() : [],
+			work: isKeepAlive ? this.#options.ownWork() : [],
 		};
 		this.#pendingPrefills = [];
 		this.#pendingCrashNews = [];
@@ -386,6 +358,10 @@
 		if (message.tables.length > 0) {
 			this.#options.onTables(daemon, message.tables);
 		}
+
+		if (message.work.length > 0) {
+			this.#options.onWork(daemon, message.work);
+		}
 	}
 
 	#forgetSilent(): void {
--- a/src/process/peers/peer-message.ts
+++ b/src/process/peers/peer-message.ts
@@ -8,6 +8,7 @@
 import {isHostAddress} from '../address.ts';
 import type {LimitUse} from '../backpressure/shared-rate-limit.ts';
 import type {CrashNews} from '../crashes/crash-attribution.ts';
+import type {ServiceWork} from '../pool/service-work.ts';
 import type {TableAnnouncement} from '../tables/table-sharing.ts';
 
 /*
@@ -72,6 +73,9 @@
 /** Epoch of the store that the version of a table belongs to. */
 const tableEpochCodec = tuple([string, finite]);
 
+/** Service, and the engine time that its requests need that have arrived at the daemon, and of those that it refused, in milliseconds since its start. */
+const workCodec = tuple([string, finite, finite]);
+
 const messageCodec = Codec.interface({
 	/** Name of the daemon that the message describes. */
 	n: string,
@@ -88,6 +92,7 @@
 	d: optional(array(tableCodec)),
 	// A list of its own, because earlier releases reject tables with a further field.
 	h: optional(array(tableEpochCodec)),
+	o: optional(array(workCodec)),
 });
 
 const scopeCodec = oneOf([exactly('direct'), exactly('own'), exactly('zones'), exactly('final')]);
@@ -172,6 +177,8 @@
 	readonly leaving: readonly UpstreamStart[];
 	/** State of the tables that the daemon reads from the store for the others. */
 	readonly tables: readonly TableAnnouncement[];
+	/** Work that has arrived at the daemon; empty in messages between keep-alives. */
+	readonly work: readonly ServiceWork[];
 };
 
 /** Messages of one or more daemons in one datagram. */
@@ -183,7 +190,7 @@
 };
 
 /** Encodes a message as JSON text. */
-function encodePeerMessage({daemon, entry, isSnapshot, loads, prefills, queued, crashNews, limits, leaving, tables}: PeerMessage): string {
+function encodePeerMessage({daemon, entry, isSnapshot, loads, prefills, queued, crashNews, limits, leaving, tables, work}: PeerMessage): string {
 	const message: GetType<typeof messageCodec> = {
 		n: daemon,
 		e: entry === undefined ? undefined : {a: entry.address, z: entry.availabilityZone, b: entry.linkMbps},
@@ -198,6 +205,7 @@
 		v: omitEmpty(leaving.map(({id, startedAt}): [string, number] => [id, startedAt ?? unknownStart])),
 		d: omitEmpty(tables.map(({table, position: {version}, digest, ageMs}): [string, number, number, number] => [table, version, digest, ageMs])),
 		h: omitEmpty(tables.flatMap(({table, position: {epoch}}): Array<[string, number]> => epoch === undefined ? [] : [[table, epoch]])),
+		o: omitEmpty(work.map(({service, arrivedMs, refusedMs}): [string, number, number] => [service, Math.round(arrivedMs), Math.round(refusedMs)])),
 	};
 	return JSON.stringify(message);
 }
@@ -244,6 +252,7 @@
 		limits: limits.slice(index * maxLimitsPerFragment, (index + 1) * maxLimitsPerFragment),
 		leaving: leaving.slice(index * maxLeavingPerFragment, (index + 1) * maxLeavingPerFragment),
 		tables: index === 0 ? message.tables : [],
+		work: index === 0 ? message.work : [],
 	}));
 }
 
@@ -311,7 +320,7 @@
 	}
 }
 
-function decodeMessage({n, e, w, l, p, q, k, g, v, d, h}: GetType<typeof messageCodec>): PeerMessage {
+function decodeMessage({n, e, w, l, p, q, k, g, v, d, h, o}: GetType<typeof messageCodec>): PeerMessage {
 	const epochs = new Map(h);
 	return {
 		daemon: n,
@@ -329,6 +338,7 @@
 		tables: (d ?? []).map(([table, version, digest, ageMs]) => ({
 			table, position: {epoch: epochs.get(table), version}, digest, ageMs,
 		})),
+		work: (o ?? []).map(([service, arrivedMs, refusedMs]) => ({service, arrivedMs, refusedMs})),
 	};
 }
 
--- /dev/null
+++ b/src/process/pool/pool-sizer.ts
@@ -0,0 +1,94 @@
+import {countNeededDecoders, type StageDemand} from '../stages/stage-sizer.ts';
+import type {PoolSize} from './pool-plan.ts';
+import {peakWindowMs, type WorkRate} from './work-rates.ts';
+
+/** Load on the upstreams of a service. */
+export type PoolDemand = {
+	readonly work: WorkRate;
+	/** Load on the stages; undefined for services without stages. */
+	readonly stages: StageDemand | undefined;
+	/** True if all upstreams serve that were ordered. */
+	readonly isComplete: boolean;
+};
+
+/** Bounds of the chosen sizes that depend on the service. */
+export type PoolTerms = {
+	/** True if most upstreams are reclaimable ones, of which a larger headroom costs little. */
+	readonly isHeadroomCheap: boolean;
+	readonly zones: number;
+};
+
+/** Mean utilisation of ordinary prefill engines at the peak of the load, at which prompts seldom wait and a burst of one kind of request is mostly absorbed. */
+const ordinaryUtilisation = 0.55;
+/** The same of a pool of mostly reclaimable engines. A burst of a few seconds is over before new engines would serve, so only engines that are already there help; at a fraction of the price, twice the peak costs less than the answers that would be late. */
+const reclaimableUtilisation = 0.4;
+/** Mean utilisation up to which a pool that has lost a zone serves until replacements are up. */
+const lossUtilisation = 0.8;
+/** Load is known well enough to reduce the pool after this time, in milliseconds. */
+const minObservationMs = 5000;
+/** Mean backlog of the prefill engines, in milliseconds, or part of the work refused, from which the pool counts as too small whatever the estimate says. */
+const pressureBacklogMs = 80;
+const pressureRefusedShare = 0.05;
+/** Time for which such pressure must last before the estimate is corrected, and the interval of further corrections, in milliseconds. */
+const pressureIntervalMs = 1500;
+const correctionFactor = 1.25;
+const maxCorrection = 3;
+/** Time without pressure after which one correction is taken back, in milliseconds. */
+const correctionDecayMs = 20_000;
+
+/** Size that a service needs at the moment. */
+export type NeededSize = PoolSize & {
+	/** False while the load is not known well enough to reduce the pool. */
+	readonly mayShrink: boolean;
+	/** Number of upstreams in the decode stage. */
+	readonly decoders: number;
+};
+
+/** Decides how many upstreams a service needs, from the work that arrives and what becomes of it. */
+export class PoolSizer {
+	#runs: ReadonlyArray<{readonly at: number; readonly runs: number}> = [];
+	#correction = 1;
+	#pressureSince: number | undefined;
+	#calmSince: number | undefined;
+
+	/** Records the current load and returns the size that it needs. */
+	computeSize({work, stages, isComplete}: PoolDemand, {isHeadroomCheap, zones}: PoolTerms, now: number): NeededSize {
+		const {peakBusy, refusedShare, observedMs} = work;
+		const isPressed = (stages?.backlogMs ?? 0) >= pressureBacklogMs || refusedShare >= pressureRefusedShare;
+		this.#correct(isPressed && isComplete, now);
+		const busy = peakBusy * this.#correction;
+		const decoders = stages === undefined ? 0 : Math.max(zones, countNeededDecoders({runs: this.#peakRuns(stages.runs, now), slots: stages.slots}));
+		return {
+			total: Math.ceil(busy / (isHeadroomCheap ? reclaimableUtilisation : ordinaryUtilisation)) + decoders,
+			afterLoss: Math.ceil(busy / lossUtilisation) + decoders,
+			mayShrink: observedMs !== undefined && observedMs >= minObservationMs,
+			decoders,
+		};
+	}
+
+	#peakRuns(runs: number, now: number): number {
+		this.#runs = [...this.#runs.filter(({at}) => now - at < peakWindowMs), {at: now, runs}];
+		return Math.max(...this.#runs.map(sample => sample.runs));
+	}
+
+	/** Raises the correction while prompts wait although the pool should suffice: the speed of the engines is overestimated, or parts of prompts are prefilled again. */
+	#correct(isUnderPressure: boolean, now: number): void {
+		if (isUnderPressure) {
+			this.#calmSince = undefined;
+			this.#pressureSince ??= now;
+			if (now - this.#pressureSince >= pressureIntervalMs) {
+				this.#pressureSince = now;
+				this.#correction = Math.min(maxCorrection, this.#correction * correctionFactor);
+			}
+
+			return;
+		}
+
+		this.#pressureSince = undefined;
+		this.#calmSince ??= now;
+		if (now - this.#calmSince >= correctionDecayMs) {
+			this.#calmSince = now;
+			this.#correction = Math.max(1, this.#correction / correctionFactor);
+		}
+	}
+}
--- /dev/null
+++ b/src/process/pool/pool-target.ts
@@ -0,0 +1,97 @@
+import type {PoolScaling} from '../../version/routes/route-configuration.ts';
+import {
+	countAll, planPool, priceAll, type PoolCounts, type PoolLimit,
+} from './pool-plan.ts';
+import type {NeededSize} from './pool-sizer.ts';
+
+/** What the numbers of upstreams are chosen from. */
+export type TargetInput = {
+	readonly scaling: PoolScaling;
+	readonly size: NeededSize;
+	/** Upstreams that accept work. */
+	readonly present: PoolCounts;
+	readonly limit: PoolLimit;
+};
+
+/** Time for which too few or too dear upstreams must be seen before the numbers change, in milliseconds. */
+const raiseSettleMs = 500;
+const saveSettleMs = 3000;
+/** Time after a rise before numbers fall again, in milliseconds. */
+const minSaveDelayMs = 10_000;
+/** Time between two reductions, in milliseconds. */
+const saveIntervalMs = 10_000;
+/** Part of the price that a change must save, because upstreams that leave take their cached prompts with them. */
+const minSaving = 0.2;
+/** Part of the upstreams that a pool must lack before their number rises. */
+const minShortage = 0.04;
+/** Ratio of the present to the needed number from which a reduction takes one step. */
+const clearSurplusRatio = 1.5;
+/** Part of the upstreams that one step of a smaller reduction keeps. */
+const keptShare = 0.8;
+
+/**
+Decides which numbers of upstreams a service should have by availability zone and kind.
+
+Numbers rise soon after the need and change otherwise only for a clear saving, so that they do not follow every wave of the load.
+The first numbers are those that are present, so that a new holder of the duty goes on from where the last one was.
+*/
+export class PoolTarget {
+	#desired: PoolCounts | undefined;
+	#shortSince: number | undefined;
+	#savingSince: number | undefined;
+	#raisedAt = Number.NEGATIVE_INFINITY;
+	#savedAt = Number.NEGATIVE_INFINITY;
+
+	/** Records the current need and returns the numbers that should be ordered. */
+	update({scaling, size, present, limit}: TargetInput, now: number): PoolCounts {
+		const last = this.#desired ?? new Map([...scaling.zonePrices.keys()].map(zone => [zone, present.get(zone) ?? {ordinary: 0, reclaimable: 0}]));
+		const known = new Map([...last].map(([zone, {ordinary, reclaimable}]) => [zone, {
+			ordinary: Math.min(ordinary, limit(zone, 'ordinary')), reclaimable: Math.min(reclaimable, limit(zone, 'reclaimable')),
+		}]));
+		// Without knowledge of the load, the number stays as it is.
+		const needed = size.mayShrink ? size : {...size, total: Math.max(size.total, countAll(last))};
+		this.#desired = this.#raise({
+			scaling, size: needed, present, limit,
+		}, known, now) ?? this.#save({
+			scaling, size: needed, present, limit,
+		}, known, now) ?? known;
+		return this.#desired;
+	}
+
+	#raise({scaling, size, limit}: TargetInput, known: PoolCounts, now: number): PoolCounts | undefined {
+		const raised = planPool(scaling, size, limit, known);
+		const count = countAll(known);
+		if (countAll(raised) <= count * (1 + minShortage)) {
+			this.#shortSince = undefined;
+			return undefined;
+		}
+
+		this.#shortSince ??= now;
+		if (now - this.#shortSince < raiseSettleMs) {
+			return undefined;
+		}
+
+		this.#shortSince = undefined;
+		this.#raisedAt = now;
+		return raised;
+	}
+
+	#save({scaling, size, limit}: TargetInput, known: PoolCounts, now: number): PoolCounts | undefined {
+		const price = priceAll(scaling, known);
+		if (priceAll(scaling, planPool(scaling, size, limit)) > price * (1 - minSaving)) {
+			this.#savingSince = undefined;
+			return undefined;
+		}
+
+		this.#savingSince ??= now;
+		if (now - this.#savingSince < saveSettleMs || now - this.#raisedAt < minSaveDelayMs || now - this.#savedAt < saveIntervalMs) {
+			return undefined;
+		}
+
+		const count = countAll(known);
+		const total = size.total * clearSurplusRatio < count ? size.total : Math.max(size.total, Math.ceil(count * keptShare));
+		this.#savingSince = undefined;
+		this.#savedAt = now;
+		return planPool(scaling, {...size, total}, limit);
+	}
+}
--- a/src/process/stages/stage-sizer.ts
+++ b/src/process/stages/stage-sizer.ts
@@ -6,6 +6,8 @@
 	readonly slots: number;
 	/** Mean time that the prefill engines need for their backlog, in milliseconds. */
 	readonly backlogMs: number;
+	/** True if the number of engines is ordered by the load: a surplus of decode engines is then reduced although no prompts wait. */
+	readonly isElastic?: boolean;
 };
 
 /** Number of engines of a service, and of those in the decode stage. */
@@ -51,33 +53,43 @@
 	#samples: Sample[] = [];
 	#pressureSince: number | undefined;
 	#targetDecoders: number | undefined;
+	/** Time of the first run since the engines were idle. */
+	#loadedSince: number | undefined;
 
 	/** Records the current load and returns the number of engines that should decode; `now` is in milliseconds. */
-	computeDecoders({runs, slots, backlogMs}: StageDemand, {total, decoders}: StageCounts, now: number): number {
+	computeDecoders({runs, slots, backlogMs, isElastic = false}: StageDemand, {total, decoders}: StageCounts, now: number): number {
 		this.#samples = [...this.#samples.filter(({at}) => now - at < peakWindowMs), {at: now, runs}];
 		this.#pressureSince = backlogMs < pressureBacklogMs ? undefined : this.#pressureSince ?? now;
 		const peak = Math.max(...this.#samples.map(sample => sample.runs));
 		if (peak === 0) {
 			this.#targetDecoders = undefined;
+			this.#loadedSince = undefined;
 			return Math.round((total * typicalPrefillsPerSecond) / (typicalPrefillsPerSecond + (slots * typicalRunsPerSlotPerSecond)));
 		}
 
+		this.#loadedSince ??= now;
+		const isSurplusReduced = isElastic && now - this.#loadedSince >= pressureDurationMs;
 		const needed = peak / targetRuns(slots);
 		const current = this.#targetDecoders ?? decoders;
-		this.#targetDecoders = this.#adjust(current, needed, now);
+		this.#targetDecoders = this.#adjust({current, needed, isSurplusReduced}, now);
 		return this.#targetDecoders;
 	}
 
-	#adjust(current: number, needed: number, now: number): number {
+	#adjust({current, needed, isSurplusReduced}: {readonly current: number; readonly needed: number; readonly isSurplusReduced: boolean}, now: number): number {
 		if (needed > current) {
 			return Math.ceil(needed * growthFactor);
 		}
 
 		const isUnderPressure = this.#pressureSince !== undefined && now - this.#pressureSince >= pressureDurationMs;
-		return isUnderPressure && current > needed * surplusRatio ? Math.ceil(needed * shrinkTargetRatio) : current;
+		return (isUnderPressure || isSurplusReduced) && current > needed * surplusRatio ? Math.ceil(needed * shrinkTargetRatio) : current;
 	}
 }
 
+/** Number of decode engines that a number of concurrent runs needs. */
+export function countNeededDecoders({runs, slots}: Pick<StageDemand, 'runs' | 'slots'>): number {
+	return Math.ceil(runs / targetRuns(slots));
+}
+
 /** Mean number of runs of a decode engine up to which requests seldom wait for a slot on one of the busier engines. */
 function targetRuns(slots: number): number {
 	return Math.max(1, slots * minTargetRunShare, slots - (freeSlotFactor * Math.sqrt(slots)));
--- a/test/process/peers/peer-link.test.ts
+++ b/test/process/peers/peer-link.test.ts
@@ -60,6 +60,10 @@
 				onTables() {
 					// No daemon of this test reads tables.
 				},
+				ownWork: () => [],
+				onWork() {
+					// No work arrives in this test.
+				},
 			});
 			this.links.push(link);
 			this.prefills.push(prefills);
--- a/test/process/peers/peers.test.ts
+++ b/test/process/peers/peers.test.ts
@@ -41,6 +41,7 @@
 			table: 'op', position: {epoch: undefined, version: 530}, digest: 5, ageMs: 120,
 		},
 	],
+	work: [{service: 'model', arrivedMs: 12_000, refusedMs: 400}],
 };
 const idle = {runs: 0, tokensByPriority: new Map<number, number>()};
 
