--- a/src/process/fleet/fleet-scheduler.ts
+++ b/src/process/fleet/fleet-scheduler.ts
@@ -14,7 +14,8 @@
 import type {StageDemand} from '../stages/stage-sizer.ts';
 import type {DecisionLog} from './decision-log.ts';
 import {sampleCandidates} from './candidate-sample.ts';
-import {chooseLeastLoaded, prefillRate} from './placement-score.ts';
+import {measurePrefillSpeed, RankLatencyRatios} from './latency-ratio.ts';
+import {chooseLeastLoaded} from './placement-score.ts';
 import {Placements} from './placements.ts';
 import {callerGivesUpAt, PrefillScheduler} from './prefill-scheduler.ts';
 import {RunQueue} from './run-queue.ts';
@@ -55,6 +56,7 @@
 	readonly #placements: Placements;
 	readonly #runQueue: RunQueue;
 	readonly #prefills: PrefillScheduler;
+	readonly #rankLatencyRatios = new RankLatencyRatios();
 	readonly #work = new WorkCounter();
 
 	constructor(options: FleetSchedulerOptions) {
@@ -73,7 +75,13 @@
 		});
 		this.#runQueue = new RunQueue({...options, states: this.#states, placements: this.#placements});
 		this.#prefills = new PrefillScheduler({
-			...options, states: this.#states, placements: this.#placements, runQueue: this.#runQueue, peerLoads: peers.peerLoads, announcePrefill: peers.announcePrefill,
+			...options,
+			states: this.#states,
+			placements: this.#placements,
+			runQueue: this.#runQueue,
+			peerLoads: peers.peerLoads,
+			announcePrefill: peers.announcePrefill,
+			rankLatencyRatios: this.#rankLatencyRatios,
 		});
 	}
 
@@ -196,14 +204,7 @@
 
 	/** Time that an engine needs for prompt tokens, in milliseconds. */
 	#engineMs(service: string, weightedTokens: number): number {
-		return weightedTokens / (this.#options.tokensPerMs ?? (name => this.#measureTokensPerMs(name)))(service);
-	}
-
-	/** Prefill speed by the mean latency ratio of the engines that this daemon has used. */
-	#measureTokensPerMs(service: string): number {
-		const used = this.#states.reachable(service).filter(({upstream, latencyRatio}) => upstream.stage === 'prefill' && latencyRatio !== 1);
-		const meanRatio = used.length === 0 ? 1 : used.reduce((sum, {latencyRatio}) => sum + latencyRatio, 0) / used.length;
-		return prefillRate.tokensPerMs / meanRatio;
+		return weightedTokens / (this.#options.tokensPerMs ?? (name => measurePrefillSpeed(this.#states.reachable(name), this.#rankLatencyRatios.lowest)))(service);
 	}
 
 	/** Begins a run at the least loaded of these upstreams whose limit allows it. */
--- a/src/process/fleet/latency-ratio.ts
+++ b/src/process/fleet/latency-ratio.ts
@@ -1,3 +1,6 @@
+import {prefillRate} from './placement-score.ts';
+import type {UpstreamState} from './upstream-state.ts';
+
 /** Weight of the newest observation in the moving average. */
 const newestObservationWeight = 0.2;
 const maxLatencyRatio = 4;
@@ -23,8 +26,20 @@
 		return this.#ratios.get(rank) ?? 1;
 	}
 
+	/** Lowest ratio of the ranks observed: that of prompts which the fewest others overtake; 1 until the first observation. */
+	get lowest(): number {
+		return this.#ratios.size === 0 ? 1 : Math.min(...this.#ratios.values());
+	}
+
 	/** Records the latency of one prefill. */
 	observe(rank: number, elapsedMs: number, predictedMs: number): void {
 		this.#ratios.set(rank, updateLatencyRatio(this.of(rank), elapsedMs, predictedMs));
 	}
 }
+
+/** Mean prefill speed of the engines that this daemon has used, by their latency, in tokens per millisecond. */
+export function measurePrefillSpeed(engines: readonly UpstreamState[], rankRatio: number): number {
+	const used = engines.filter(({upstream, latencyRatio}) => upstream.stage === 'prefill' && latencyRatio !== 1);
+	const meanRatio = used.length === 0 ? 1 : used.reduce((sum, {latencyRatio}) => sum + latencyRatio, 0) / used.length;
+	return prefillRate.tokensPerMs / (meanRatio * rankRatio);
+}
--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -10,7 +10,7 @@
 import type {Random} from '../random.ts';
 import type {DecisionLog} from './decision-log.ts';
 import {sampleCandidates} from './candidate-sample.ts';
-import {RankLatencyRatios} from './latency-ratio.ts';
+import type {RankLatencyRatios} from './latency-ratio.ts';
 import {
 	choosePrefill, prefillRate, weighTokens, type PrefillCandidate, type PrefillChoice,
 } from './placement-score.ts';
@@ -39,6 +39,7 @@
 	readonly availabilityZone: string;
 	/** Services of the active configuration, by name. */
 	readonly services: () => ReadonlyMap<string, Service>;
+	readonly rankLatencyRatios: RankLatencyRatios;
 };
 
 /** A queued prompt with the data needed to place it. */
@@ -88,11 +89,12 @@
 export class PrefillScheduler {
 	readonly #options: PrefillSchedulerOptions;
 	readonly #queue = new Set<QueuedPrompt>();
-	readonly #rankLatencyRatios = new RankLatencyRatios();
+	readonly #rankLatencyRatios: RankLatencyRatios;
 	#isPlacementScheduled = false;
 
 	constructor(options: PrefillSchedulerOptions) {
 		this.#options = options;
+		this.#rankLatencyRatios = options.rankLatencyRatios;
 	}
 
 	/** Chooses the decode engine for a whole request; undefined if a separate prefill is expected to answer sooner. */
--- a/src/process/pool/create-pool-controller.ts
+++ b/src/process/pool/create-pool-controller.ts
@@ -33,7 +33,7 @@
 
 const figureNames: readonly FigureName[] = ['desired', 'present', 'coming', 'leaving'];
 
-/** Creates the controller that orders the numbers of upstreams of all services with bounds for them. */
+/** Creates the controller that orders the numbers of upstreams of all model services with bounds for them; the load of other services is not measured. */
 export function createPoolController({duty, clock, log, metrics, workRates, registry, scheduler, services}: PoolDependencies): PoolController {
 	const orders = new Counter({
 		name: 'wagtailtack_pool_orders_total', help: 'Orders of numbers of upstreams, by result', labelNames: ['result'], registers: [metrics],
@@ -42,14 +42,14 @@
 		...duty,
 		clock,
 		log,
-		pools: () => [...services().values()].flatMap<Pool>(service => service.scaling === undefined
+		pools: () => [...services().values()].flatMap<Pool>(service => service.scaling === undefined || service.engine === undefined
 			? []
 			: [{
 				service,
 				scaling: service.scaling,
 				upstreams: registry.listed(service.name),
 				work: workRates.measure(service.name, clock.now()),
-				stages: service.engine === undefined ? undefined : scheduler.measureDemand(service.name, service.engine.slots),
+				stages: scheduler.measureDemand(service.name, service.engine.slots),
 			}]),
 		onOrdered(_order, result) {
 			orders.inc({result});
--- a/src/process/pool/pool-controller.ts
+++ b/src/process/pool/pool-controller.ts
@@ -60,7 +60,7 @@
 /** Orders sent in one tick, so that the platform's limit on such calls is left to others. */
 const maxOrdersPerTick = 2;
 /** Time between orders that reduce different zones under load, in milliseconds; in it the engines that are left take over the stages of those that leave. */
-const lowerIntervalMs = 2000;
+const lowerIntervalMs = 1000;
 
 /**
 Orders the numbers of upstreams of services from the platform, only while this daemon holds the duty.
@@ -140,12 +140,13 @@
 		const isIdle = work.busy === 0 && (stages?.runs ?? 0) === 0;
 		const mayLower = isIdle || (now - state.loweredAt >= lowerIntervalMs && areStagesServed(serving, stages));
 		const due = state.orders.due({
-			scaling, desired: state.desired, present, mayLower: () => mayLower,
+			scaling, desired: state.desired, present, mayLower,
 		}, now);
 		const isLower = ({availabilityZone, isReclaimable, count}: PoolOrder) => count < (present.get(availabilityZone) ?? noCounts)[isReclaimable ? 'reclaimable' : 'ordinary'];
 		const raising = due.filter(order => !isLower(order));
-		const lowering = due.filter(order => isLower(order)).slice(0, isIdle ? undefined : 1);
-		const orders = [...raising, ...lowering].slice(0, maxOrders);
+		const lowering = due.filter(order => isLower(order));
+		const zone = lowering[0]?.availabilityZone;
+		const orders = [...raising, ...lowering.filter(({availabilityZone}) => isIdle || availabilityZone === zone)].slice(0, maxOrders);
 		for (const order of orders) {
 			state.loweredAt = isLower(order) ? now : state.loweredAt;
 			state.orders.started(order, present, scaling, now);
--- a/src/process/pool/pool-orders.ts
+++ b/src/process/pool/pool-orders.ts
@@ -26,8 +26,8 @@
 	readonly desired: PoolCounts;
 	/** Upstreams that accept work. */
 	readonly present: PoolCounts;
-	/** True if the number of upstreams may fall in this zone now. */
-	readonly mayLower: (availabilityZone: string) => boolean;
+	/** True if the number of upstreams may fall now. */
+	readonly mayLower: boolean;
 };
 
 const initial: OrderState = {
@@ -75,6 +75,7 @@
 		})));
 		const missing = entries.reduce((sum, {wanted, has}) => sum + Math.max(0, wanted - has), 0);
 		const isReplaced = missing <= countAll(desired) * maxMissingShare;
+		const savingOf = ({zone, kind, has, wanted}: {readonly zone: string; readonly kind: PoolKind; readonly has: number; readonly wanted: number}) => (has - wanted) * priceOf(scaling, zone, kind);
 		return entries
 			.filter(({state}) => !state.isPending && now >= state.notBefore)
 			.flatMap(entry => {
@@ -85,15 +86,15 @@
 					return [];
 				}
 
-				const isLower = wanted < Math.max(known, has);
+				const isLower = wanted < has;
 				const count = isLower ? wanted : Math.min(wanted, this.#room(input, zone, kind));
-				return (isLower && !(isReplaced && mayLower(zone))) || count < Math.min(has, wanted) || (count === known && !isWithoutEffect)
+				return (isLower && !(isReplaced && mayLower)) || count < Math.min(has, wanted) || (count === known && !isWithoutEffect)
 					? []
 					: [{
 						...entry, count, isLower, isWithoutEffect,
 					}];
 			})
-			.toSorted((a, b) => Number(a.isLower) - Number(b.isLower) || priceOf(scaling, b.zone, b.kind) - priceOf(scaling, a.zone, a.kind))
+			.toSorted((a, b) => Number(a.isLower) - Number(b.isLower) || savingOf(b) - savingOf(a))
 			.map(({zone, kind, count}) => ({
 				service: this.#service, availabilityZone: zone, count, isReclaimable: kind === 'reclaimable',
 			}));
--- a/src/process/pool/pool-plan.ts
+++ b/src/process/pool/pool-plan.ts
@@ -17,7 +17,7 @@
 };
 
 /** Part of the upstreams that cannot be reclaimed, so that a service whose reclaimable ones are all lost still answers a few urgent requests. */
-const ordinaryShare = 0.15;
+const ordinaryShare = 0.1;
 /** Fewest upstreams of a zone, so that callers of a zone that is cut off find one of each stage. */
 const minPerZone = 2;
 
--- a/src/process/pool/pool-sizer.ts
+++ b/src/process/pool/pool-sizer.ts
@@ -25,7 +25,9 @@
 /** Mean utilisation up to which a pool that has lost a zone serves until replacements are up. */
 const lossUtilisation = 0.8;
 /** Load is known well enough to reduce the pool after this time, in milliseconds. */
-const minObservationMs = 5000;
+const minObservationMs = 4000;
+/** Factor for the part of a wave that has not been seen until the load was observed for as long as a peak counts. */
+const unseenWaveFactor = 1.3;
 /** Mean backlog of the prefill engines, in milliseconds, or part of the work refused, from which the pool counts as too small whatever the estimate says. */
 const pressureBacklogMs = 80;
 const pressureRefusedShare = 0.05;
@@ -56,7 +58,8 @@
 		const {peakBusy, refusedShare, observedMs} = work;
 		const isPressed = (stages?.backlogMs ?? 0) >= pressureBacklogMs || refusedShare >= pressureRefusedShare;
 		this.#correct(isPressed && isComplete, now);
-		const busy = peakBusy * this.#correction;
+		const isShortlyObserved = observedMs !== undefined && observedMs < peakWindowMs;
+		const busy = peakBusy * this.#correction * (isShortlyObserved ? unseenWaveFactor : 1);
 		const decoders = stages === undefined ? 0 : Math.max(zones, countNeededDecoders({runs: this.#peakRuns(stages.runs, now), slots: stages.slots}));
 		return {
 			total: Math.ceil(busy / (isHeadroomCheap ? reclaimableUtilisation : ordinaryUtilisation)) + decoders,
--- a/src/process/pool/pool-target.ts
+++ b/src/process/pool/pool-target.ts
@@ -15,9 +15,12 @@
 
 /** Time for which too few or too dear upstreams must be seen before the numbers change, in milliseconds. */
 const raiseSettleMs = 500;
-const saveSettleMs = 3000;
-/** Time after a rise before numbers fall again, in milliseconds. */
-const minSaveDelayMs = 10_000;
+const saveSettleMs = 2000;
+/** Time after a rise before numbers fall again, and the same while there are clearly too many, in milliseconds. */
+const minSaveDelayMs = 20_000;
+const minClearSaveDelayMs = 3000;
+/** Ratio of the present to the needed number from which there are clearly too many. */
+const extremeSurplusRatio = 2;
 /** Time between two reductions, in milliseconds. */
 const saveIntervalMs = 10_000;
 /** Part of the price that a change must save, because upstreams that leave take their cached prompts with them. */
@@ -83,12 +86,13 @@
 			return undefined;
 		}
 
+		const count = countAll(known);
+		const delayMs = size.total * extremeSurplusRatio < count ? minClearSaveDelayMs : minSaveDelayMs;
 		this.#savingSince ??= now;
-		if (now - this.#savingSince < saveSettleMs || now - this.#raisedAt < minSaveDelayMs || now - this.#savedAt < saveIntervalMs) {
+		if (now - this.#savingSince < saveSettleMs || now - this.#raisedAt < delayMs || now - this.#savedAt < saveIntervalMs) {
 			return undefined;
 		}
 
-		const count = countAll(known);
 		const total = size.total * clearSurplusRatio < count ? size.total : Math.max(size.total, Math.ceil(count * keptShare));
 		this.#savingSince = undefined;
 		this.#savedAt = now;
