--- a/src/process/explain/timeline.ts
+++ b/src/process/explain/timeline.ts
@@ -12,7 +12,7 @@
 
 /** Context events are shown from this long before the first line of the request until its last one. */
 const contextWindowMs = 15_000;
-const contextEvents = /^(?:upstream|store|start|configuration|stages|peers|process|task)\./v;
+const contextEvents = /^(?:upstream|store|start|configuration|stages|pool|peers|process|task)\./v;
 
 /** Event that names several requests. */
 const closedConnectionEvent = 'connection.closed';
--- a/src/process/fleet/fleet-scheduler.ts
+++ b/src/process/fleet/fleet-scheduler.ts
@@ -117,7 +117,7 @@
 
 	/** Work that has arrived here for the services whose number of upstreams is ordered. */
 	work(): readonly ServiceWork[] {
-		return this.#work.totals;
+		return this.#work.totals([...this.#options.services().values()].filter(({scaling}) => scaling !== undefined).map(({name}) => name));
 	}
 
 	/** Load on the prefill and decode engines of a service, as known to this daemon. */
--- a/src/process/pool/create-pool-controller.ts
+++ b/src/process/pool/create-pool-controller.ts
@@ -1,6 +1,7 @@
 import {Counter, Gauge, type Registry} from 'prom-client';
 import type {DutyAuthority, PlatformDuties} from '../../ports/platform-duties.ts';
-import type {Service} from '../../version/routes/route-configuration.ts';
+import type {Upstream} from '../../ports/upstream.ts';
+import type {PoolScaling, Service} from '../../version/routes/route-configuration.ts';
 import type {Clock} from '../clock.ts';
 import type {DecisionLog} from '../fleet/decision-log.ts';
 import type {FleetScheduler} from '../fleet/fleet-scheduler.ts';
@@ -29,6 +30,9 @@
 	readonly services: () => ReadonlyMap<string, Service>;
 };
 
+/** Price of an upstream in a zone for which none is configured. */
+const defaultPrice = 1;
+
 type FigureName = 'desired' | 'present' | 'coming' | 'leaving';
 
 const figureNames: readonly FigureName[] = ['desired', 'present', 'coming', 'leaving'];
@@ -42,15 +46,20 @@
 		...duty,
 		clock,
 		log,
-		pools: () => [...services().values()].flatMap<Pool>(service => service.scaling === undefined || service.engine === undefined
-			? []
-			: [{
+		pools: () => [...services().values()].flatMap<Pool>(service => {
+			if (service.scaling === undefined || service.engine === undefined) {
+				return [];
+			}
+
+			const upstreams = registry.listed(service.name);
+			return [{
 				service,
-				scaling: service.scaling,
-				upstreams: registry.listed(service.name),
+				scaling: addZones(service.scaling, upstreams),
+				upstreams,
 				work: workRates.measure(service.name, clock.now()),
 				stages: scheduler.measureDemand(service.name, service.engine.slots),
-			}]),
+			}];
+		}),
 		onOrdered(_order, result) {
 			orders.inc({result});
 		},
@@ -59,6 +68,12 @@
 	return controller;
 }
 
+/** Adds the zones in which the service runs and that have no price of their own. */
+function addZones(scaling: PoolScaling, upstreams: readonly Upstream[]): PoolScaling {
+	const prices = new Map(upstreams.map(({availabilityZone}) => [availabilityZone, defaultPrice]));
+	return {...scaling, zonePrices: new Map([...prices, ...scaling.zonePrices])};
+}
+
 function addPoolGauge(metrics: Registry, figures: () => readonly PoolFigures[]): void {
 	// The registry holds the gauge and collects it at each scrape.
 	// eslint-disable-next-line no-new
--- a/src/process/pool/pool-controller.ts
+++ b/src/process/pool/pool-controller.ts
@@ -54,7 +54,8 @@
 	readonly orders: PoolOrders;
 	loweredAt: number;
 	desired: PoolCounts;
-	total: number | undefined;
+	/** Numbers last logged. */
+	logged: string;
 };
 
 /** Orders sent in one tick, so that the platform's limit on such calls is left to others. */
@@ -176,19 +177,19 @@
 	}
 
 	#logTarget(service: string, state: PoolState, size: NeededSize, present: number): void {
-		const total = countAll(state.desired);
-		if (total !== state.total) {
-			state.total = total;
-			const desired = Object.fromEntries(state.desired);
+		const desired = Object.fromEntries(state.desired);
+		const text = JSON.stringify(desired);
+		if (text !== state.logged) {
+			state.logged = text;
 			this.#options.log.write('pool.target', {
-				service, total, present, needed: size.total, neededAfterLoss: size.afterLoss, decoders: size.decoders, mayShrink: size.mayShrink, desired,
+				service, total: countAll(state.desired), present, needed: size.total, neededAfterLoss: size.afterLoss, decoders: size.decoders, mayShrink: size.mayShrink, desired,
 			});
 		}
 	}
 
 	#state(service: string): PoolState {
 		const known = this.#states.get(service) ?? {
-			sizer: new PoolSizer(), target: new PoolTarget(), orders: new PoolOrders(service), loweredAt: Number.NEGATIVE_INFINITY, desired: new Map(), total: undefined,
+			sizer: new PoolSizer(), target: new PoolTarget(), orders: new PoolOrders(service), loweredAt: Number.NEGATIVE_INFINITY, desired: new Map(), logged: '',
 		};
 		this.#states.set(service, known);
 		return known;
--- a/src/process/pool/service-work.ts
+++ b/src/process/pool/service-work.ts
@@ -20,9 +20,9 @@
 		this.#add(service, 0, ms);
 	}
 
-	/** Sums since the start. */
-	get totals(): readonly ServiceWork[] {
-		return [...this.#work.values()];
+	/** Sums since the start; also of services without work so far, so that the others know that their sums begin at zero. */
+	totals(services: Iterable<string>): readonly ServiceWork[] {
+		return [...services].map(service => this.#work.get(service) ?? {service, arrivedMs: 0, refusedMs: 0});
 	}
 
 	#add(service: string, arrivedMs: number, refusedMs: number): void {
--- a/test/platform/decoding.test.ts
+++ b/test/platform/decoding.test.ts
@@ -52,6 +52,13 @@
 		});
 	});
 
+	test('tells reclaimable upstreams and the time until one leaves', () => {
+		expect(decodeUpstream('u-1', encode({
+			...upstreamEntry, use_spot: true, state: 'draining', leaves_ms: 2900,
+		})).extract()).toMatchObject({isReclaimable: true, isDraining: true, leavesInMs: 2900});
+		expect(decodeUpstream('u-1', encode({...upstreamEntry, use_spot: 'yes', leaves_ms: -1})).extract()).not.toHaveProperty('isReclaimable');
+	});
+
 	test.each([
 		['text instead of an object', 'text'],
 		['a list', [upstreamEntry]],
--- a/test/process/peers/peers.test.ts
+++ b/test/process/peers/peers.test.ts
@@ -179,4 +179,11 @@
 		buffer.add({...message, loads: [{upstream: 'u-2', runs: 1, tokensByPriority: new Map()}]});
 		expect(buffer.takeAll()[0]).toMatchObject({isSnapshot: true, loads: [{upstream: 'u-1'}, {upstream: 'u-2'}]});
 	});
+
+	test('keep the arrived work when a change without it follows', () => {
+		const buffer = new MessageBuffer();
+		buffer.add(message);
+		buffer.add({...message, work: []});
+		expect(buffer.takeAll()[0]!.work).toEqual(message.work);
+	});
 });
--- a/test/process/pool/pool-model.ts
+++ b/test/process/pool/pool-model.ts
@@ -149,7 +149,7 @@
 			}
 
 			if (now % ticksEveryMs === 0) {
-				this.#rates.hear('daemon-1', this.#work.totals, this.clock.now(), true);
+				this.#rates.hear('daemon-1', this.#work.totals(['model']), this.clock.now(), true);
 				this.controller.tick();
 				await Promise.resolve();
 			}
--- a/test/process/stages/stage-sizer.test.ts
+++ b/test/process/stages/stage-sizer.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, test} from 'vitest';
-import {StageSizer} from '../../../src/process/stages/stage-sizer.ts';
+import {pressureDurationMs, StageSizer} from '../../../src/process/stages/stage-sizer.ts';
 
 /** Simulates a load on engines that change their stage a few seconds after the order; returns the number of decode engines in each second. */
 function simulate({total, decoders, slots, seconds, runs, backlogMs}: {
@@ -64,4 +64,14 @@
 		});
 		expect(new Set(present)).toEqual(new Set([40]));
 	});
+
+	test('falls without waiting prompts if the number of engines is ordered by the load, but not on its first requests', () => {
+		const sizer = new StageSizer();
+		const compute = (now: number) => sizer.computeDecoders({
+			runs: 20, slots: 64, backlogMs: 0, isElastic: true,
+		}, {total: 40, decoders: 23}, now);
+		expect(compute(0)).toBe(23);
+		expect(compute(pressureDurationMs - 1)).toBe(23);
+		expect(compute(pressureDurationMs)).toBe(1);
+	});
 });
