Weigh the measured prefill speed by what was observed, and pass over orders without an outcome

Cause: the lowest ratio of all ranks may be one that was seen once, which overestimates the speed; a call that never returns would hold up its zone.

--- a/src/process/fleet/fleet-scheduler.ts
+++ b/src/process/fleet/fleet-scheduler.ts
@@ -204,7 +204,7 @@
 
 	/** Time that an engine needs for prompt tokens, in milliseconds. */
 	#engineMs(service: string, weightedTokens: number): number {
-		return weightedTokens / (this.#options.tokensPerMs ?? (name => measurePrefillSpeed(this.#states.reachable(name), this.#rankLatencyRatios.lowest)))(service);
+		return weightedTokens / (this.#options.tokensPerMs ?? (name => measurePrefillSpeed(this.#states.reachable(name), this.#rankLatencyRatios.mean)))(service);
 	}
 
 	/** Begins a run at the least loaded of these upstreams whose limit allows it. */
--- a/src/process/fleet/latency-ratio.ts
+++ b/src/process/fleet/latency-ratio.ts
@@ -20,20 +20,29 @@
 */
 export class RankLatencyRatios {
 	readonly #ratios = new Map<number, number>();
+	readonly #observations = new Map<number, number>();
 
 	/** Ratio for a rank; 1 until the first observation. */
 	of(rank: number): number {
 		return this.#ratios.get(rank) ?? 1;
 	}
 
-	/** Lowest ratio of the ranks observed: that of prompts which the fewest others overtake; 1 until the first observation. */
-	get lowest(): number {
-		return this.#ratios.size === 0 ? 1 : Math.min(...this.#ratios.values());
+	/** Mean ratio of all prompts; 1 until the first observation. */
+	get mean(): number {
+		let sum = 0;
+		let count = 0;
+		for (const [rank, observations] of this.#observations) {
+			sum += this.of(rank) * observations;
+			count += observations;
+		}
+
+		return count === 0 ? 1 : sum / count;
 	}
 
 	/** Records the latency of one prefill. */
 	observe(rank: number, elapsedMs: number, predictedMs: number): void {
 		this.#ratios.set(rank, updateLatencyRatio(this.of(rank), elapsedMs, predictedMs));
+		this.#observations.set(rank, (this.#observations.get(rank) ?? 0) + 1);
 	}
 }
 
--- a/src/process/pool/pool-orders.ts
+++ b/src/process/pool/pool-orders.ts
@@ -39,6 +39,8 @@
 /** Delay before an order that was throttled or whose outcome is unknown is repeated, in milliseconds. */
 const repeatDelayMs = 1000;
 const rejectedDelayMs = 30_000;
+/** Time after which an order without an outcome no longer holds up the next one, in milliseconds. */
+const maxPendingMs = 10_000;
 /** Bounds of the exponential delay before an exhausted kind is asked for again, in milliseconds. */
 const minExhaustedMs = 3000;
 const maxExhaustedMs = 24_000;
@@ -77,7 +79,7 @@
 		const isReplaced = missing <= countAll(desired) * maxMissingShare;
 		const savingOf = ({zone, kind, has, wanted}: {readonly zone: string; readonly kind: PoolKind; readonly has: number; readonly wanted: number}) => (has - wanted) * priceOf(scaling, zone, kind);
 		return entries
-			.filter(({state}) => !state.isPending && now >= state.notBefore)
+			.filter(({state}) => now >= (state.isPending ? state.orderedAt + maxPendingMs : state.notBefore))
 			.flatMap(entry => {
 				const {zone, kind, wanted, has, state} = entry;
 				const known = state.count ?? has;
