--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -10,7 +10,7 @@
 import type {Random} from '../random.ts';
 import type {DecisionLog} from './decision-log.ts';
 import {sampleCandidates} from './candidate-sample.ts';
-import {RankLatencyRatios} from './latency-ratio.ts';
+import type {RankLatencyRatios} from './latency-ratio.ts';
 import {
 	choosePrefill, prefillRate, weighTokens, type PrefillCandidate, type PrefillChoice,
 } from './placement-score.ts';
@@ -39,6 +39,7 @@
 	readonly availabilityZone: string;
 	/** Services of the active configuration, by name. */
 	readonly services: () => ReadonlyMap<string, Service>;
+	readonly rankLatencyRatios: RankLatencyRatios;
 };
 
 /** A queued prompt with the data needed to place it. */
@@ -88,11 +89,12 @@
 export class PrefillScheduler {
 	readonly #options: PrefillSchedulerOptions;
 	readonly #queue = new Set<QueuedPrompt>();
-	readonly #rankLatencyRatios = new RankLatencyRatios();
+	readonly #rankLatencyRatios: RankLatencyRatios;
 	#isPlacementScheduled = false;
 
 	constructor(options: PrefillSchedulerOptions) {
 		this.#options = options;
+		this.#rankLatencyRatios = options.rankLatencyRatios;
 	}
 
 	/** Chooses the decode engine for a whole request; undefined if a separate prefill is expected to answer sooner. */
@@ -153,7 +155,7 @@
 			settle: resolve,
 			id: demand.request.id,
 			priority: demand.route.priority,
-			tokens: this.#minWeightedTokens(demand, parts),
+			tokens: this.countMissingTokens(demand, parts),
 			targetAt: demand.arrivedAt + demand.route.targetLatencyMs - firstEventDelayMs,
 			giveUpAt: callerGivesUpAt(demand) - minRemainingMs,
 		};
@@ -215,6 +217,12 @@
 		return tokens;
 	}
 
+	/** Weighted tokens to prefill at the upstream with the longest cached prefix. */
+	countMissingTokens(demand: PlacementDemand, parts = promptParts(demand)): number {
+		const {totalTokens, bestMissingTokens} = this.#findPrefixMatch(parts, demand.service);
+		return weighTokens(bestMissingTokens, totalTokens - bestMissingTokens);
+	}
+
 	/** Mean time that the prefill engines of a service need for their backlog, in milliseconds. */
 	meanBacklogMs(service: string, now: number): number {
 		const states = this.#options.states.usable(service, 'prefill', new Set());
@@ -336,12 +344,6 @@
 		return predictCompletion(tokens, {tokensAhead, tokensPerMs}, tokensPerMs / Math.max(1, states.length), prefillRate.fixedMs);
 	}
 
-	/** Weighted tokens to prefill at the upstream with the longest cached prefix. */
-	#minWeightedTokens(demand: PlacementDemand, parts: readonly PromptPart[]): number {
-		const {totalTokens, bestMissingTokens} = this.#findPrefixMatch(parts, demand.service);
-		return weighTokens(bestMissingTokens, totalTokens - bestMissingTokens);
-	}
-
 	#prefillUpstreams({service, triedUpstreams: tried}: PlacementDemand): readonly UpstreamState[] {
 		return this.#options.states.usable(service, 'prefill', tried);
 	}
