Learn the speed of engines, and share engines between prefill and decode by their needs

Cause: the time of a prefill was predicted from one built-in rate, corrected for each engine by what one daemon measured there, which with many daemons and engines is hardly ever anything. The number of decode engines followed the runs alone: with 12 slots an engine, running answers took nearly all engines, and the few that were left for prefill became the bottleneck.

Change: daemons fit overhead and rate of prefills, of whole requests and the delay of the first event for each service to recent sends. While the need of both stages exceeds the engines, these are shared in proportion.

--- a/src/process/fleet/fleet-scheduler.ts
+++ b/src/process/fleet/fleet-scheduler.ts
@@ -9,11 +9,12 @@
 import type {DownEvidence} from '../crashes/crash-attribution.ts';
 import type {PeerLoadTracker} from '../peers/peer-load-tracker.ts';
 import type {PeerLoad, PeerPrefill} from '../peers/peer-message.ts';
+import {ServiceSpeeds} from '../placement/service-speeds.ts';
 import type {Random} from '../random.ts';
 import type {StageDemand} from '../stages/stage-sizer.ts';
 import type {DecisionLog} from './decision-log.ts';
 import {sampleCandidates} from './candidate-sample.ts';
-import {chooseLeastLoaded} from './placement-score.ts';
+import {chooseLeastLoaded, type PrefillRate} from './placement-score.ts';
 import {Placements} from './placements.ts';
 import {callerGivesUpAt, PrefillScheduler} from './prefill-scheduler.ts';
 import {RunQueue} from './run-queue.ts';
@@ -52,6 +53,7 @@
 	readonly #placements: Placements;
 	readonly #runQueue: RunQueue;
 	readonly #prefills: PrefillScheduler;
+	readonly #speeds = new ServiceSpeeds();
 
 	constructor(options: FleetSchedulerOptions) {
 		super();
@@ -69,7 +71,7 @@
 		});
 		this.#runQueue = new RunQueue({...options, states: this.#states, placements: this.#placements});
 		this.#prefills = new PrefillScheduler({
-			...options, states: this.#states, placements: this.#placements, runQueue: this.#runQueue, peerLoads: peers.peerLoads, announcePrefill: peers.announcePrefill,
+			...options, states: this.#states, placements: this.#placements, runQueue: this.#runQueue, peerLoads: peers.peerLoads, announcePrefill: peers.announcePrefill, speeds: this.#speeds,
 		});
 	}
 
@@ -103,6 +105,11 @@
 		this.#prefills.placeQueued();
 	}
 
+	/** Learned prefill speed of the engines of a service. */
+	prefillRate(service: string): PrefillRate {
+		return this.#speeds.of(service).prefill;
+	}
+
 	/** Load on the prefill and decode engines of a service, as known to this daemon. */
 	measureDemand(service: string, slots: number): StageDemand {
 		const now = this.#options.clock.now();
@@ -111,7 +118,7 @@
 			runs += state.runs + this.#states.peerRuns(state, now);
 		}
 
-		return {runs, slots, backlogMs: this.#prefills.meanBacklogMs(service, now)};
+		return {runs, slots, ...this.#prefills.measureLoad(service, now)};
 	}
 
 	isModelService(service: string): boolean {
@@ -146,8 +153,13 @@
 		state.cache.touch(parts);
 		this.#options.peers.announcePrefill({upstream: candidate.id, parts});
 		const {priority} = demand.route;
-		const {finishPrefill, finish} = state.beginWhole(weightedTokens, priority, predictedMs, this.#options.clock.now());
-		return this.#placements.create(state, {predictedMs, rank: priority, fetchFrom: undefined}, finish, finishPrefill);
+		const startedAt = this.#options.clock.now();
+		const tokens = (candidate.backlogTokens + weightedTokens) * state.slowness(startedAt);
+		const {finishPrefill, finish} = state.beginWhole(weightedTokens, priority, predictedMs, startedAt);
+		return this.#placements.create(state, {predictedMs, rank: priority, fetchFrom: undefined}, finish, now => {
+			this.#speeds.observeWhole(demand.service, {tokens, elapsedMs: now - startedAt}, now);
+			finishPrefill(now);
+		});
 	}
 
 	async placePrefill(demand: PlacementDemand): Promise<PlacementResult> {
@@ -160,12 +172,12 @@
 			demand,
 			stage: 'decode',
 			giveUpAt: isFirst ? callerGivesUpAt(demand) : demand.deadlineAt,
-			begin: states => this.#beginAtLeastLoaded(states, source?.availabilityZone, demand.request.prompt?.parts),
+			begin: states => this.#beginAtLeastLoaded(states, source?.availabilityZone, source === undefined ? undefined : demand.service, demand.request.prompt?.parts),
 		});
 	}
 
 	/** Begins a run at the least loaded of these upstreams whose limit allows it. */
-	#beginAtLeastLoaded(states: readonly UpstreamState[], promptZone: string | undefined, parts: readonly PromptPart[] = []): Placement | undefined {
+	#beginAtLeastLoaded(states: readonly UpstreamState[], promptZone: string | undefined, fetchingService?: string, parts: readonly PromptPart[] = []): Placement | undefined {
 		const {backpressure, peers} = this.#options;
 		let open = states;
 		let state = this.#chooseLeastLoaded(open, promptZone);
@@ -181,7 +193,7 @@
 			peers.announcePrefill({upstream: state.upstream.id, parts});
 		}
 
-		return state === undefined ? undefined : this.#beginRun(state);
+		return state === undefined ? undefined : this.#beginRun(state, fetchingService);
 	}
 
 	#chooseLeastLoaded(states: readonly UpstreamState[], promptZone: string | undefined): UpstreamState | undefined {
@@ -199,7 +211,13 @@
 		return choice === undefined ? undefined : this.#states.get(choice.id);
 	}
 
-	#beginRun(state: UpstreamState): Placement {
-		return this.#placements.create(state, {predictedMs: 0, rank: undefined, fetchFrom: undefined}, state.beginRun(0));
+	/** Begins a run; if it fetches a prefilled prompt, the delay of its first event is learned for its service. */
+	#beginRun(state: UpstreamState, fetchingService: string | undefined): Placement {
+		const startedAt = this.#options.clock.now();
+		return this.#placements.create(state, {predictedMs: 0, rank: undefined, fetchFrom: undefined}, state.beginRun(0), now => {
+			if (fetchingService !== undefined) {
+				this.#speeds.observeFirstEvent(fetchingService, now - startedAt, now);
+			}
+		});
 	}
 }
--- a/src/process/fleet/prefill-queue.ts
+++ b/src/process/fleet/prefill-queue.ts
@@ -40,6 +40,11 @@
 	return isLate ? Math.min(maxRank, firstLateRank + priority) : Math.min(firstLateRank - 1, priority);
 }
 
+/** True for the ranks of prompts that can still be on time. */
+export function isOnTimeRank(rank: number): boolean {
+	return rank < firstLateRank;
+}
+
 /** True when a prompt whose prefill completes after `finishMs` misses its target latency. */
 export function isLatePrompt({targetAt}: WaitingPrompt, finishMs: number, now: number): boolean {
 	return now + finishMs > targetAt;
--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -1,4 +1,3 @@
-import type {Upstream} from '../../ports/upstream.ts';
 import {callerPatienceMs} from '../../request/delivery/caller-patience.ts';
 import type {PlacementDemand, PlacementResult} from '../../request/delivery/upstream-scheduler.ts';
 import type {PromptPart} from '../../request/delivery/route-request.ts';
@@ -7,18 +6,18 @@
 import type {Clock} from '../clock.ts';
 import {sumTokensUpTo, type PeerLoadTracker} from '../peers/peer-load-tracker.ts';
 import type {PeerPrefill} from '../peers/peer-message.ts';
+import {PrefillCandidates, promptParts, type PrefixMatch} from '../placement/prefill-candidates.ts';
+import type {ServiceSpeeds} from '../placement/service-speeds.ts';
+import {WholeScheduler} from '../placement/whole-scheduler.ts';
 import type {Random} from '../random.ts';
+import type {StageDemand} from '../stages/stage-sizer.ts';
 import type {DecisionLog} from './decision-log.ts';
 import {sampleCandidates} from './candidate-sample.ts';
-import {RankLatencyRatios} from './latency-ratio.ts';
-import {
-	choosePrefill, prefillRate, weighTokens, type PrefillCandidate, type PrefillChoice,
-} from './placement-score.ts';
+import {weighTokens, type PrefillChoice} from './placement-score.ts';
 import type {Placements} from './placements.ts';
-import {chooseWhole, type WholeChoice} from './prompt-path.ts';
-import {countTokens} from './prompt-cache.ts';
+import type {WholeChoice} from './prompt-path.ts';
 import {
-	isLatePrompt, decidePlacement, orderPrompts, predictCompletion, rankAtUpstream, type WaitingPrompt,
+	isLatePrompt, decidePlacement, isOnTimeRank, orderPrompts, predictCompletion, rankAtUpstream, type WaitingPrompt,
 } from './prefill-queue.ts';
 import type {RunQueue} from './run-queue.ts';
 import type {UpstreamState} from './upstream-state.ts';
@@ -34,6 +33,7 @@
 	readonly runQueue: RunQueue;
 	readonly backpressure: UpstreamBackpressure;
 	readonly peerLoads: PeerLoadTracker;
+	readonly speeds: ServiceSpeeds;
 	/** Announces to the other daemons that an engine starts the prefill of a prompt. */
 	readonly announcePrefill: (prefill: PeerPrefill) => void;
 	readonly availabilityZone: string;
@@ -49,81 +49,36 @@
 	readonly settle: (result: PlacementResult) => void;
 };
 
-/** Longest prefix of a prompt that an engine has cached. */
-type PrefixMatch = {
-	readonly totalTokens: number;
-	/** Upstream with the longest cached prefix. */
-	readonly bestUpstream: UpstreamState | undefined;
-	/** Tokens that this upstream would have to prefill. */
-	readonly bestMissingTokens: number;
-};
-
-/** Properties of a prompt that the prediction for an upstream depends on. */
-type PrefillInput = PrefixMatch & {
-	readonly parts: readonly PromptPart[];
-	readonly engine: EngineProfile;
-	readonly priority: number;
-};
-
-/** Fewer cached tokens than this are prefilled again rather than fetched from another engine. */
-const minFetchTokens = 1024;
-/** Time to set up a KV cache transfer between engines, in milliseconds. */
-const transferSetupMs = 6;
-const bitsPerByte = 8;
-const megabit = 1_000_000;
 const millisecondsPerSecond = 1000;
 /** A request is refused if less than this remains of the caller's waiting time after the prefill, in milliseconds. */
 const minRemainingMs = 60;
-/** Time from the end of the prefill to the first event: the KV cache transfer and the first decode step, in milliseconds. */
-const firstEventDelayMs = 60;
 /** Prompts that may fail to be placed before a pass over the queue ends; a prompt behind a blocked one may still fit elsewhere. */
 const maxBlockedPrompts = 6;
 const placementIntervalMs = 10;
-/** Fraction of an upstream's less urgent work that is expected to run before a more urgent prompt, because it has started. */
-const startedWorkFraction = 0.3;
-/** Upper bound on that work: less urgent work delays a more urgent prompt by a few steps at most. */
-const maxStartedWorkTokens = 4096;
+/** Time in which further engines should work off the queues at the daemons, in milliseconds. */
+const queueHorizonMs = 300;
 
 /** Chooses the engine for each prefill, and queues prompts at the daemon while no engine would start them soon. */
 export class PrefillScheduler {
 	readonly #options: PrefillSchedulerOptions;
 	readonly #queue = new Set<QueuedPrompt>();
-	readonly #rankLatencyRatios = new RankLatencyRatios();
+	readonly #candidates: PrefillCandidates;
+	readonly #whole: WholeScheduler;
 	#isPlacementScheduled = false;
 
 	constructor(options: PrefillSchedulerOptions) {
 		this.#options = options;
+		this.#candidates = new PrefillCandidates(options);
+		this.#whole = new WholeScheduler({
+			...options,
+			candidates: this.#candidates,
+			predictQueuedMs: (demand, parts) => this.#predictQueued(demand, parts),
+		});
 	}
 
 	/** Chooses the decode engine for a whole request; undefined if a separate prefill is expected to answer sooner. */
 	chooseWhole(demand: PlacementDemand): WholeChoice | undefined {
-		const {prompt} = demand.request;
-		const {clock, states, availabilityZone, random, peerLoads} = this.#options;
-		const engine = this.#options.services().get(demand.service)?.engine;
-		if (engine === undefined || prompt === undefined) {
-			return undefined;
-		}
-
-		const now = clock.now();
-		const parts = promptParts(demand);
-		const totalTokens = countTokens(parts);
-		const open = this.#withRoom(states.usable(demand.service, 'decode', demand.triedUpstreams));
-		const candidates = sampleCandidates(open, availabilityZone, random).map(state => {
-			const missingTokens = state.cache.missingTokens(parts);
-			return {
-				id: state.upstream.id,
-				runs: state.runs + states.peerRuns(state, now),
-				slots: state.upstream.slots,
-				backlogTokens: sumTokensUpTo(state.tokensByPriority, Number.POSITIVE_INFINITY) + peerLoads.tokensUpTo(state.upstream.id, Number.POSITIVE_INFINITY, now),
-				missingTokens,
-				cachedTokens: totalTokens - missingTokens,
-				isLocal: state.upstream.availabilityZone === availabilityZone,
-				latencyRatio: state.latencyRatio * state.slowness(now),
-				failureFraction: state.failureFraction,
-			};
-		});
-		const choice = chooseWhole(candidates, prefillRate);
-		return choice !== undefined && choice.costMs <= this.#predictApart(demand, parts, engine) ? choice : undefined;
+		return this.#whole.choose(demand);
 	}
 
 	/** Places a prefill; waits in the queue until an upstream can start it soon. */
@@ -154,7 +109,7 @@
 			id: demand.request.id,
 			priority: demand.route.priority,
 			tokens: this.#minWeightedTokens(demand, parts),
-			targetAt: demand.arrivedAt + demand.route.targetLatencyMs - firstEventDelayMs,
+			targetAt: demand.arrivedAt + demand.route.targetLatencyMs - this.#options.speeds.of(demand.service).firstEventDelayMs,
 			giveUpAt: callerGivesUpAt(demand) - minRemainingMs,
 		};
 		const expectedMs = this.#predictCompletion(waiting, now) + this.#options.runQueue.predictWaitMs({demand, stage: 'decode'});
@@ -188,7 +143,7 @@
 
 		const now = this.#options.clock.now();
 		let blocked = 0;
-		for (const prompt of orderPrompts([...this.#queue], now, prefillRate.fixedMs)) {
+		for (const prompt of orderPrompts([...this.#queue], now, this.#fastestPrefillMs())) {
 			if (blocked >= maxBlockedPrompts) {
 				break;
 			}
@@ -215,25 +170,16 @@
 		return tokens;
 	}
 
-	/** Mean time that the prefill engines of a service need for their backlog, in milliseconds. */
-	meanBacklogMs(service: string, now: number): number {
+	/** Load on the prefill engines of a service. */
+	measureLoad(service: string, now: number): Pick<StageDemand, 'backlogMs' | 'prefillEngines'> {
 		const states = this.#options.states.usable(service, 'prefill', new Set());
-		const tokens = states.reduce((sum, state) => sum + this.#sumBacklog(state, Number.POSITIVE_INFINITY, now), 0);
-		return tokens / (prefillRate.tokensPerMs * Math.max(1, states.length));
-	}
-
-	/** Predicts the time until the first event if the prompt is prefilled apart, in milliseconds. */
-	#predictApart(demand: PlacementDemand, parts: readonly PromptPart[], engine: EngineProfile): number {
-		const {states, availabilityZone, random} = this.#options;
-		const {priority} = demand.route;
-		const sample = sampleCandidates(this.#prefillUpstreams(demand), availabilityZone, random);
-		const prefixMatch = this.#findPrefixMatch(parts, demand.service);
-		const choice = choosePrefill(sample.map(state => this.#createCandidate(state, {
-			...prefixMatch, parts, engine, priority: rankAtUpstream(priority, false),
-		})), prefillRate);
-		return choice === undefined || states.usable(demand.service, 'decode', demand.triedUpstreams).length === 0
-			? Number.POSITIVE_INFINITY
-			: choice.predictedMs + firstEventDelayMs;
+		const {tokensPerMs} = this.#options.speeds.of(service).prefill;
+		const backlogs = states.map(state => this.#candidates.sumBacklog(state, Number.POSITIVE_INFINITY, now));
+		const queuedTokens = sumTokensUpTo(this.queuedTokens(), Number.POSITIVE_INFINITY) + this.#options.peerLoads.queuedTokensUpTo(Number.POSITIVE_INFINITY, now);
+		return {
+			backlogMs: backlogs.reduce((sum, tokens) => sum + tokens, 0) / (tokensPerMs * Math.max(1, states.length)),
+			prefillEngines: backlogs.filter(tokens => tokens > 0).length + (queuedTokens / tokensPerMs / queueHorizonMs),
+		};
 	}
 
 	/** Places or refuses a queued prompt; returns false if it has to keep waiting. */
@@ -245,14 +191,17 @@
 			return this.#waitForLimit(waiting, usable, now);
 		}
 
-		const prefixMatch = this.#findPrefixMatch(parts, demand.service);
+		const prefixMatch = this.#candidates.findPrefixMatch(parts, demand.service);
 		const {bestUpstream} = prefixMatch;
 		const sample = sampleCandidates(prefillUpstreams, this.#options.availabilityZone, this.#options.random);
 		const states = bestUpstream !== undefined && prefillUpstreams.includes(bestUpstream) && !sample.includes(bestUpstream) ? [...sample, bestUpstream] : sample;
-		const onTimeChoice = this.#choosePrefill(waiting, states, prefixMatch, rankAtUpstream(priority, false));
+		const choose = (rank: number) => this.#candidates.choose(states, {
+			...prefixMatch, service: demand.service, parts, engine: waiting.engine, priority: rank,
+		});
+		const onTimeChoice = choose(rankAtUpstream(priority, false));
 		const isLate = onTimeChoice === undefined || isLatePrompt(waiting, onTimeChoice.predictedMs, now);
 		const rank = rankAtUpstream(priority, isLate);
-		const choice = isLate ? this.#choosePrefill(waiting, states, prefixMatch, rank) : onTimeChoice;
+		const choice = isLate ? choose(rank) : onTimeChoice;
 		if (choice === undefined) {
 			this.#leaveQueue(waiting, this.#options.placements.refuse(demand, 'noUpstream'));
 			return true;
@@ -274,24 +223,35 @@
 					return false;
 				}
 
-				const state = this.#options.states.get(candidate.id)!;
-				const finish = state.beginPrefill(weighTokens(candidate.missingTokens, candidate.cachedTokens), rank, predictedMs);
-				state.cache.touch(parts);
-				this.#options.announcePrefill({upstream: candidate.id, parts});
-				this.#leaveQueue(waiting, this.#options.placements.create(state, {
-					predictedMs, rank, fetchFrom: candidate.fetchMs > 0 ? bestUpstream?.upstream : undefined,
-				}, (end, endedAt) => {
-					if (end.kind === 'served') {
-						this.#rankLatencyRatios.observe(rank, end.elapsedMs, predictedMs);
-					}
-
-					finish(end, endedAt);
-				}));
+				this.#place(waiting, choice, rank, candidate.fetchMs > 0 ? bestUpstream : undefined);
 				return true;
 			}
 		}
 	}
 
+	#place(waiting: QueuedPrompt, {candidate, predictedMs}: PrefillChoice, rank: number, source: UpstreamState | undefined): void {
+		const {clock, states, placements, speeds, announcePrefill} = this.#options;
+		const {demand: {service}, parts} = waiting;
+		const state = states.get(candidate.id)!;
+		const weightedTokens = weighTokens(candidate.missingTokens, candidate.cachedTokens);
+		// Behind a long backlog, the duration tells less of the engine than of the estimate of the backlog.
+		const isInformative = isOnTimeRank(rank) && candidate.backlogTokens <= weightedTokens;
+		const tokens = (candidate.backlogTokens + weightedTokens) * state.slowness(clock.now());
+		const finish = state.beginPrefill(weightedTokens, rank, predictedMs);
+		state.cache.touch(parts);
+		announcePrefill({upstream: candidate.id, parts});
+		this.#leaveQueue(waiting, placements.create(state, {predictedMs, rank, fetchFrom: source?.upstream}, (end, endedAt) => {
+			if (end.kind === 'served') {
+				this.#candidates.rankLatencyRatios.observe(rank, end.elapsedMs, predictedMs);
+				if (isInformative) {
+					speeds.observePrefill(service, {tokens, elapsedMs: end.elapsedMs - candidate.fetchMs}, endedAt);
+				}
+			}
+
+			finish(end, endedAt);
+		}));
+	}
+
 	/** Keeps a prompt waiting while all its upstreams have reached the limits that they named; gives it up when no caller waits for it any more. */
 	#waitForLimit(waiting: QueuedPrompt, usable: readonly UpstreamState[], now: number): boolean {
 		const {backpressure, placements} = this.#options;
@@ -309,86 +269,53 @@
 		return states.filter(({upstream}) => this.#options.backpressure.hasRoom(upstream.id));
 	}
 
-	#choosePrefill({parts, engine}: QueuedPrompt, states: readonly UpstreamState[], prefixMatch: PrefixMatch, rank: number): PrefillChoice | undefined {
-		return choosePrefill(states.map(state => this.#createCandidate(state, {
-			...prefixMatch, parts, engine, priority: rank,
-		})), prefillRate);
-	}
-
 	#leaveQueue(waiting: QueuedPrompt, result: PlacementResult): void {
 		if (this.#queue.delete(waiting)) {
 			waiting.settle(result);
 		}
 	}
 
+	/** Overhead of a prefill at the fastest service with queued prompts, in milliseconds. */
+	#fastestPrefillMs(): number {
+		const services = new Set([...this.#queue].map(({demand}) => demand.service));
+		return Math.min(...[...services].map(service => this.#options.speeds.of(service).prefill.fixedMs));
+	}
+
+	/** Predicts the time until the prefill of a prompt is complete that has to queue behind others, in milliseconds; 0 while none queue. */
+	#predictQueued(demand: PlacementDemand, parts: readonly PromptPart[]): number {
+		const {clock, peerLoads} = this.#options;
+		const now = clock.now();
+		const {priority} = demand.route;
+		return sumTokensUpTo(this.queuedTokens(), priority) + peerLoads.queuedTokensUpTo(priority, now) === 0
+			? 0
+			: this.#predictCompletion({demand, tokens: this.#minWeightedTokens(demand, parts), priority}, now);
+	}
+
 	/** Predicts the time until the prefill of a prompt that arrives now is complete, behind the queues of all daemons and upstreams. */
-	#predictCompletion({demand, tokens, priority}: QueuedPrompt, now: number): number {
-		const {peerLoads, backpressure} = this.#options;
+	#predictCompletion({demand, tokens, priority}: Pick<QueuedPrompt, 'demand' | 'tokens' | 'priority'>, now: number): number {
+		const {peerLoads, backpressure, speeds} = this.#options;
+		const {prefill} = speeds.of(demand.service);
 		const states = this.#prefillUpstreams(demand);
 		let tokensAhead = sumTokensUpTo(this.queuedTokens(), priority) + peerLoads.queuedTokensUpTo(priority, now);
 		let tokensPerMs = 0;
 		for (const state of states) {
-			tokensAhead += this.#sumBacklog(state, priority, now);
+			tokensAhead += this.#candidates.sumBacklog(state, priority, now);
 			const limitedTokensPerMs = (backpressure.requestsPerSecond(state.upstream.id) * Math.max(1, tokens)) / millisecondsPerSecond;
-			tokensPerMs += Math.min(prefillRate.tokensPerMs / (state.latencyRatio * state.slowness(now)), limitedTokensPerMs);
+			tokensPerMs += Math.min(prefill.tokensPerMs / (state.latencyRatio * state.slowness(now)), limitedTokensPerMs);
 		}
 
-		return predictCompletion(tokens, {tokensAhead, tokensPerMs}, tokensPerMs / Math.max(1, states.length), prefillRate.fixedMs);
+		return predictCompletion(tokens, {tokensAhead, tokensPerMs}, tokensPerMs / Math.max(1, states.length), prefill.fixedMs);
 	}
 
 	/** Weighted tokens to prefill at the upstream with the longest cached prefix. */
 	#minWeightedTokens(demand: PlacementDemand, parts: readonly PromptPart[]): number {
-		const {totalTokens, bestMissingTokens} = this.#findPrefixMatch(parts, demand.service);
+		const {totalTokens, bestMissingTokens} = this.#candidates.findPrefixMatch(parts, demand.service);
 		return weighTokens(bestMissingTokens, totalTokens - bestMissingTokens);
 	}
 
 	#prefillUpstreams({service, triedUpstreams: tried}: PlacementDemand): readonly UpstreamState[] {
 		return this.#options.states.usable(service, 'prefill', tried);
 	}
-
-	/** Finds the upstream with the longest cached prefix of a prompt. */
-	#findPrefixMatch(parts: readonly PromptPart[], service: string): PrefixMatch {
-		const totalTokens = countTokens(parts);
-		const bestUpstream = this.#options.states.longestHolder(service, parts);
-		return {totalTokens, bestUpstream, bestMissingTokens: bestUpstream?.cache.missingTokens(parts) ?? totalTokens};
-	}
-
-	#createCandidate(state: UpstreamState, {parts, totalTokens, bestUpstream, bestMissingTokens, engine, priority}: PrefillInput): PrefillCandidate {
-		const now = this.#options.clock.now();
-		const {upstream} = state;
-		const ownMissing = state.cache.missingTokens(parts);
-		const isFetched = bestUpstream !== undefined && bestUpstream !== state && ownMissing - bestMissingTokens >= minFetchTokens;
-		const missingTokens = isFetched ? bestMissingTokens : ownMissing;
-		return {
-			id: upstream.id,
-			backlogTokens: this.#sumBacklog(state, priority, now),
-			missingTokens,
-			cachedTokens: totalTokens - missingTokens,
-			fetchMs: isFetched ? this.#transferMs(ownMissing - bestMissingTokens, upstream, bestUpstream.upstream, engine) : 0,
-			isLocal: upstream.availabilityZone === this.#options.availabilityZone,
-			latencyRatio: state.latencyRatio * state.slowness(now),
-			rankLatencyRatio: this.#rankLatencyRatios.of(priority),
-			failureFraction: state.failureFraction,
-		};
-	}
-
-	/** Weighted tokens that run before a prompt of a priority at an upstream, with a fraction of less urgent work that has started. */
-	#sumBacklog(state: UpstreamState, priority: number, now: number): number {
-		const {peerLoads} = this.#options;
-		const sum = (limit: number) => sumTokensUpTo(state.tokensByPriority, limit) + peerLoads.tokensUpTo(state.upstream.id, limit, now);
-		const urgent = sum(priority);
-		return urgent + Math.min(maxStartedWorkTokens, (sum(Number.POSITIVE_INFINITY) - urgent) * startedWorkFraction);
-	}
-
-	#transferMs(tokens: number, target: Upstream, source: Upstream, {bytesPerToken, linkMbps}: EngineProfile): number {
-		const ms = (tokens * bytesPerToken * bitsPerByte) / (Math.max(1, linkMbps) * megabit / 1000);
-		return transferSetupMs + (ms * (target.availabilityZone === source.availabilityZone ? 1 : 2));
-	}
-}
-
-/** Parts of the demand's prompt; a prompt without parts is one part of its own. */
-function promptParts({request: {id, prompt}}: PlacementDemand): readonly PromptPart[] {
-	return prompt === undefined || prompt.parts.length === 0 ? [{id, tokens: prompt?.tokens ?? 0}] : prompt.parts;
 }
 
 /** Time at which the caller is assumed to abandon a stream without events, at the latest its deadline; in milliseconds. */
--- a/src/process/fleet/prompt-path.ts
+++ b/src/process/fleet/prompt-path.ts
@@ -29,14 +29,23 @@
 	readonly weightedTokens: number;
 };
 
-/** Prefill speed of a decode engine relative to that of a prefill engine: it prefills between the tokens of its running requests. */
-const decodePrefillSpeed = 0.5;
-/** Time of the first step after the prefill, in milliseconds. */
-const firstStepMs = 30;
-/** Longest prefill of one prompt at a decode engine with an empty cache, in milliseconds; longer ones slow its running requests down for too long. */
-const maxWholePrefillMs = 80;
-/** Longest prefill backlog of a decode engine with which it takes another prompt, in milliseconds. */
-const maxWholeBacklogMs = 80;
+/** Speed of decode engines, and the bounds on what they prefill. */
+export type WholeModel = {
+	/** Prefill speed of a decode engine relative to that of a prefill engine: it prefills between the tokens of its running requests. */
+	readonly prefillSpeed: number;
+	/** Time of the first step after the prefill, in milliseconds. */
+	readonly firstStepMs: number;
+	/** Longest prefill of one prompt at a decode engine with an empty cache, in milliseconds; longer ones slow its running requests down for too long. */
+	readonly maxPrefillMs: number;
+	/** Longest prefill backlog of a decode engine with which it takes another prompt, in milliseconds. */
+	readonly maxBacklogMs: number;
+};
+
+/** Model of a common decode engine, until its speed has been learned. */
+export const defaultWholeModel: WholeModel = {
+	prefillSpeed: 0.5, firstStepMs: 30, maxPrefillMs: 80, maxBacklogMs: 80,
+};
+
 /** Largest share of an engine's slots in use with which it takes a whole request; the rest is for requests whose prompts other engines have prefilled. */
 const maxSlotShare = 0.7;
 /** Share of an engine's running requests whose callers notice the delay by a prefill: those that wait for their first event. */
@@ -51,8 +60,8 @@
 engine it would wait behind long prompts and pay for a transfer. With many running requests on the decode engines, their delay
 outweighs that, unless the prefill engines have a backlog.
 */
-export function chooseWhole(candidates: readonly WholeCandidate[], rate: PrefillRate): WholeChoice | undefined {
-	const tokensPerMs = rate.tokensPerMs * decodePrefillSpeed;
+export function chooseWhole(candidates: readonly WholeCandidate[], rate: PrefillRate, {prefillSpeed, firstStepMs, maxPrefillMs, maxBacklogMs} = defaultWholeModel): WholeChoice | undefined {
+	const tokensPerMs = rate.tokensPerMs * prefillSpeed;
 	let best: WholeChoice | undefined;
 	for (const candidate of candidates) {
 		const weightedTokens = weighTokens(candidate.missingTokens, candidate.cachedTokens);
@@ -60,7 +69,7 @@
 		const backlogMs = (candidate.backlogTokens / tokensPerMs) * candidate.latencyRatio;
 		// The estimate of the cache may be wrong: a decode engine's cache turns over within seconds. So the bound counts the whole prompt.
 		const longestPrefillMs = (weighTokens(candidate.missingTokens + candidate.cachedTokens, 0) / tokensPerMs) * candidate.latencyRatio;
-		if (longestPrefillMs > maxWholePrefillMs || backlogMs > maxWholeBacklogMs || candidate.runs + 1 > candidate.slots * maxSlotShare) {
+		if (longestPrefillMs > maxPrefillMs || backlogMs > maxBacklogMs || candidate.runs + 1 > candidate.slots * maxSlotShare) {
 			continue;
 		}
 
--- a/src/process/fleet/upstream-states.ts
+++ b/src/process/fleet/upstream-states.ts
@@ -73,14 +73,15 @@
 		this.#reachable.clear();
 	}
 
-	/** Returns the reachable upstream of a service with the longest cached prefix of a prompt, by looking only at those that have one of its parts. */
-	longestHolder(service: string, parts: readonly PromptPart[]): UpstreamState | undefined {
+	/** Returns the reachable upstream of a service, and of a stage if one is given, with the longest cached prefix of a prompt, by looking only at those that have one of its parts. */
+	longestHolder(service: string, parts: readonly PromptPart[], stage?: Stage): UpstreamState | undefined {
 		const now = this.#options.clock.now();
 		for (let {length} = parts; length > 0; length -= 1) {
 			const prefix = parts.slice(0, length);
 			const {id: last} = prefix.at(-1)!;
 			for (const id of this.#holders.of(last)) {
-				const isServing = this.#options.registry.get(id)?.service === service;
+				const upstream = this.#options.registry.get(id);
+				const isServing = upstream?.service === service && (stage === undefined || upstream.stage === stage);
 				const state = this.#states.get(id);
 				if (isServing && state !== undefined && !state.isUnreachable(now) && state.cache.missingTokens(prefix) === 0) {
 					return state;
--- a/src/process/stages/stage-sizer.ts
+++ b/src/process/stages/stage-sizer.ts
@@ -6,6 +6,8 @@
 	readonly slots: number;
 	/** Mean time that the prefill engines need for their backlog, in milliseconds. */
 	readonly backlogMs: number;
+	/** Number of engines that the prefills in progress and in the queues keep busy; undefined if it is not known. */
+	readonly prefillEngines?: number;
 };
 
 /** Number of engines of a service, and of those in the decode stage. */
@@ -30,6 +32,12 @@
 const pressureBacklogMs = 60;
 /** Time for which prompts must be waiting before the number of decode engines is reduced, in milliseconds. */
 export const pressureDurationMs = 4000;
+/** Share of the time for which prefill engines should be busy on average; prompts come in bursts. */
+const targetPrefillShare = 0.5;
+/** Slot utilisation of decode engines that is accepted while prefill needs engines too. */
+const contendedRunShare = 0.6;
+/** Ratio between the number of decode engines and their share of the engines up to which the number stays as it is. */
+const excessRatio = 1.15;
 /** Prefills per second of one engine, for prompts of a few thousand tokens that are partly cached. */
 const typicalPrefillsPerSecond = 20;
 /** Requests per second that one slot decodes, for answers that take half a second, at 50 % slot utilisation. */
@@ -38,14 +46,15 @@
 type Sample = {
 	readonly at: number;
 	readonly runs: number;
+	readonly prefillEngines: number;
 };
 
 /**
 Decides how many engines of a service are in the decode stage.
 
 The mix of long prompts and long answers shifts over time. The number of decode engines follows the peak of concurrent runs, and
-falls only when prompts wait, because each change takes an engine out of service for seconds. Without load, a typical mix is
-assumed.
+falls only when prompts wait, because each change takes an engine out of service for seconds. If the engines do not suffice for
+both stages, they are shared in proportion to the needs. Without load, a typical mix is assumed.
 */
 export class StageSizer {
 	#samples: Sample[] = [];
@@ -53,8 +62,8 @@
 	#targetDecoders: number | undefined;
 
 	/** Records the current load and returns the number of engines that should decode; `now` is in milliseconds. */
-	computeDecoders({runs, slots, backlogMs}: StageDemand, {total, decoders}: StageCounts, now: number): number {
-		this.#samples = [...this.#samples.filter(({at}) => now - at < peakWindowMs), {at: now, runs}];
+	computeDecoders({runs, slots, backlogMs, prefillEngines = 0}: StageDemand, {total, decoders}: StageCounts, now: number): number {
+		this.#samples = [...this.#samples.filter(({at}) => now - at < peakWindowMs), {at: now, runs, prefillEngines}];
 		this.#pressureSince = backlogMs < pressureBacklogMs ? undefined : this.#pressureSince ?? now;
 		const peak = Math.max(...this.#samples.map(sample => sample.runs));
 		if (peak === 0) {
@@ -62,18 +71,30 @@
 			return Math.round((total * typicalPrefillsPerSecond) / (typicalPrefillsPerSecond + (slots * typicalRunsPerSlotPerSecond)));
 		}
 
-		const needed = peak / targetRuns(slots);
 		const current = this.#targetDecoders ?? decoders;
-		this.#targetDecoders = this.#adjust(current, needed, now);
+		this.#targetDecoders = this.#adjust(current, {needed: peak / targetRuns(slots), most: this.#computeShare(peak / (slots * contendedRunShare), total)}, now);
 		return this.#targetDecoders;
 	}
 
-	#adjust(current: number, needed: number, now: number): number {
+	/** Largest number of decode engines that leaves prefill its part of the engines. */
+	#computeShare(needed: number, total: number): number {
+		const prefillNeeded = this.#samples.reduce((sum, {prefillEngines}) => sum + prefillEngines, 0) / this.#samples.length / targetPrefillShare;
+		return prefillNeeded === 0
+			? Number.POSITIVE_INFINITY
+			: Math.floor(Math.max(total - prefillNeeded, (total * needed) / (needed + prefillNeeded), 1));
+	}
+
+	#adjust(current: number, {needed, most}: {readonly needed: number; readonly most: number}, now: number): number {
+		const isUnderPressure = this.#pressureSince !== undefined && now - this.#pressureSince >= pressureDurationMs;
+		if (isUnderPressure && current > most * excessRatio) {
+			return most;
+		}
+
 		if (needed > current) {
-			return Math.ceil(needed * growthFactor);
+			const wanted = Math.ceil(needed * growthFactor);
+			return wanted <= most ? wanted : (most > current * excessRatio ? most : current);
 		}
 
-		const isUnderPressure = this.#pressureSince !== undefined && now - this.#pressureSince >= pressureDurationMs;
 		return isUnderPressure && current > needed * surplusRatio ? Math.ceil(needed * shrinkTargetRatio) : current;
 	}
 }
