Count and report the usage of client accounts

The platform wants the runs of each account by window of the wall clock, once and never with other counts. Each daemon counts in memory; the holder of duties collects the counts in rounds, fixes them in the store by a conditional write and reports only what is fixed.

--- a/src/process/duties/stored-duty-lease.ts
+++ b/src/process/duties/stored-duty-lease.ts
@@ -70,6 +70,11 @@
 		return held.fencing === 1 || this.#options.steadyClock.now() - since >= this.#handoverDelayMs ? {holder: this.#options.daemon, fencing: held.fencing} : undefined;
 	}
 
+	/** True while this daemon holds the lease, also during the handover delay. */
+	get isHolder(): boolean {
+		return !this.#hasResigned && this.#lease.held !== undefined;
+	}
+
 	/** Starts to handle the outcome of table calls. */
 	run(): void {
 		this.#lease.start();
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -12,13 +12,14 @@
 import type {Table} from '../../ports/table.ts';
 import type {UpstreamProtocol} from '../../ports/upstream-protocol.ts';
 import type {Upstream} from '../../ports/upstream.ts';
-import {NoUsageRecorder} from '../../request/delivery/usage-recorder.ts';
 import type {FleetSettings} from '../../version/fleet-settings.ts';
 import {parseAddress} from '../address.ts';
 import {UpstreamBackpressure} from '../backpressure/upstream-backpressure.ts';
 import {SuspendAwareClock, SystemClock} from '../clock.ts';
 import {CrashMemoryTask} from '../crashes/crash-memory-task.ts';
 import {CrashMonitor} from '../crashes/crash-monitor.ts';
+import type {FleetDuties} from '../duties/fleet-duties.ts';
+import {wireDuties} from '../duties/wire-duties.ts';
 import {LeaseTask} from '../lease/lease-task.ts';
 import {Log} from '../log.ts';
 import {SeededRandom} from '../random.ts';
@@ -100,6 +101,7 @@
 	readonly #crashMemory: CrashMemoryTask;
 	readonly #lease: LeaseTask;
 	readonly #controller: StageController;
+	readonly #duties: FleetDuties;
 	readonly #metrics = new FleetMetrics();
 	readonly #tables: FleetTables;
 	readonly #callerServer: Server;
@@ -221,6 +223,16 @@
 				this.#crashes.upstreamDown(upstream, evidence);
 			},
 		});
+		this.#duties = wireDuties({
+			settings,
+			platform,
+			log,
+			taskLog: createTaskLog(log, 'lease'),
+			clock,
+			suspendAwareClock: this.#suspendAwareClock,
+			topology: this.#peers.topology,
+			metrics: this.#metrics,
+		});
 		const startedAt = clock.now();
 		this.#retryBudget = new SharedRetryBudget(toRetryBounds(settings.bounds), () => this.#peers.knownDaemons, () => this.#peers.hasPredecessor ? startedAt : undefined);
 		const dependencies = {
@@ -231,7 +243,7 @@
 			backpressure: this.#backpressure,
 			retryBudget: this.#retryBudget,
 			crashes: new RouteCrashes(this.#crashes, this.#registry),
-			usage: new NoUsageRecorder(),
+			usage: this.#duties.usage,
 			log,
 		};
 		this.#requestHandler = new RouteRequestHandler({
@@ -312,7 +324,7 @@
 		});
 		this.#rowServer = createServer((request, response) => {
 			const isServed = serveKnowledge(request, response, () => ({configuration: this.#configuration.activeValue, pastEntries: this.#registry.pastEntries()}));
-			if (!isServed) {
+			if (!isServed && !this.#duties.serve(request, response)) {
 				serveSharedRows(request, response, (table, after) => this.#tables.share(table, after));
 			}
 		});
@@ -349,6 +361,7 @@
 		this.#housekeepingTimer = setInterval(() => {
 			this.#upstreamClients.closeExpired();
 			this.#applyRegistryEvents(this.#registry.expire(this.#clock.now()));
+			this.#duties.tick();
 			if (this.isReady) {
 				this.#controller.tick();
 			}
@@ -356,6 +369,7 @@
 		this.#crashMemory.run();
 		await this.#peers.start();
 		this.#lease.run();
+		this.#duties.run();
 		void this.#inherit();
 	}
 
@@ -379,6 +393,7 @@
 	/** Shuts down gracefully; resolves when the process may exit. */
 	async stop(): Promise<void> {
 		this.#controller.resign();
+		void this.#duties.resign();
 		await this.#shutdown.run();
 		await stopListening(this.#callerServer, {deadlineAt: this.#shutdown.exitAt});
 		// Answers requests that were in transit when the listener closed.
@@ -393,6 +408,7 @@
 		clearInterval(this.#housekeepingTimer);
 		await this.#peers[Symbol.asyncDispose]();
 		await this.#lease[Symbol.asyncDispose]();
+		await this.#duties[Symbol.asyncDispose]();
 		await this.#crashMemory[Symbol.asyncDispose]();
 		await this.#options.platform.table[Symbol.asyncDispose]();
 		await this.#options.platform.feed[Symbol.asyncDispose]();
--- a/src/process/fleet/fleet-metrics.ts
+++ b/src/process/fleet/fleet-metrics.ts
@@ -2,6 +2,7 @@
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import type {AnswerLimit} from '../../connection/answer-guard.ts';
+import type {DutyResult} from '../../ports/platform-duties.ts';
 import type {DeliveryResult} from '../../request/delivery/delivery.ts';
 import type {RequestOutcome} from '../../request/open-request.ts';
 import type {Route} from '../../version/routes/route-configuration.ts';
@@ -24,6 +25,13 @@
 	readonly unusableEpochs: () => number;
 };
 
+/** Values of the daemon that makes the calls of duties. */
+export type DutyGauges = {
+	readonly isHolder: () => boolean;
+	readonly usageLagMs: () => number;
+	readonly reachedDaemons: () => number;
+};
+
 const secondsBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 4, 8];
 
 /** Metrics of one daemon on the operator's platform; all labels have a low cardinality. */
@@ -61,6 +69,10 @@
 		name: 'wagtailtack_route_request_seconds', help: 'Time from arrival to the end of a request', labelNames: ['kind'], buckets: secondsBuckets, registers: [this.#registry],
 	});
 
+	readonly #usageReports = new Counter({
+		name: 'wagtailtack_usage_reports_total', help: 'Reports of usage sent to the platform, by result', labelNames: ['result'], registers: [this.#registry],
+	});
+
 	/** Registers gauges whose values are read at each scrape. */
 	addGauges({
 		openRequests, upstreams, connectionsOpened, limitedUpstreams, pausedUpstreams, configurationVersion, droppedLogLines, droppedRows, storeEpoch, storeRestores, unusableEpochs,
@@ -78,6 +90,18 @@
 		this.#addGauge('wagtailtack_store_epochs_unusable', 'Answers of the store whose epoch is no whole number or an earlier one', unusableEpochs);
 	}
 
+	/** Registers the gauges of the daemon that makes the calls of duties; they are read at each scrape. */
+	addDutyGauges({isHolder, usageLagMs, reachedDaemons}: DutyGauges): void {
+		this.#addGauge('wagtailtack_duties_held', '1 while this daemon may make the calls of duties', () => isHolder() ? 1 : 0);
+		this.#addGauge('wagtailtack_usage_lag_seconds', 'Time since the end of the first window that still needs a report of usage; 0 if none does', () => usageLagMs() / 1000);
+		this.#addGauge('wagtailtack_usage_daemons_reached', 'Daemons whose counts the holder of duties has in the present round, with its own', reachedDaemons);
+	}
+
+	/** Records the result of a report of usage. */
+	usageReported(result: DutyResult): void {
+		this.#usageReports.inc({result});
+	}
+
 	/** Records a request of which head and body were read completely. */
 	requestRead(): void {
 		this.#requestsRead.inc();
--- a/src/process/peers/peer-topology.ts
+++ b/src/process/peers/peer-topology.ts
@@ -168,6 +168,11 @@
 		return this.#rank(now, ({availabilityZone}) => availabilityZone === this.#self.availabilityZone);
 	}
 
+	/** The other daemons that have been heard lately. */
+	get members(): readonly PeerMember[] {
+		return [...this.#peers.values()].map(({member}) => member);
+	}
+
 	/** Returns the address of a daemon, if it is known. */
 	address(daemon: string): string | undefined {
 		return this.#peers.get(daemon)?.member.address;
--- a/src/request/delivery/plain-delivery.ts
+++ b/src/request/delivery/plain-delivery.ts
@@ -142,11 +142,12 @@
 				},
 			},
 		});
-		this.#silent.delete(placement);
+		const wasSilent = this.#silent.delete(placement);
 		const elapsedMs = dependencies.clock.now() - sentAt;
 		const sendResult = this.#toSendResult(result, elapsedMs, signal);
 		if (hasBegun) {
 			job.open.endSend(sendResult.kind !== 'rejected' && sendResult.kind !== 'misdirected');
+			this.#recordRun(sendResult, wasSilent);
 		}
 
 		endAttempt(toAttemptResult(result, sendResult));
@@ -157,6 +158,16 @@
 		return this.#decide(result, sendResult);
 	}
 
+	/** Records a run unless the upstream rejected it; one that ended without an answer counts if the upstream had not stood still. */
+	#recordRun({kind, elapsedMs}: SendResult, wasSilent: boolean): void {
+		const {account, service} = this.job;
+		const isAnswered = kind === 'served' || kind === 'failed';
+		const hasRun = isAnswered || ((kind === 'lost' || kind === 'cancelled') && !wasSilent);
+		if (account !== undefined && hasRun) {
+			this.dependencies.usage.recordRun(account, {service, elapsedMs, isAnswered});
+		}
+	}
+
 	#toSendResult(result: CallResult, elapsedMs: number, signal: AbortSignal): SendResult {
 		if (result.kind === 'failed') {
 			return this.classifyFailure(result.failure, elapsedMs, signal);
--- a/src/request/delivery/stream-run.ts
+++ b/src/request/delivery/stream-run.ts
@@ -163,6 +163,7 @@
 			onEvent(id);
 			this.#events += 1;
 			if (this.#events === 1) {
+				this.#recordRun();
 				onFirstEvent();
 			}
 		}
@@ -177,6 +178,14 @@
 		}
 	}
 
+	/** A stream has begun to run with its first event; one that is resumed at another upstream runs again there. */
+	#recordRun(): void {
+		const {dependencies, job: {account}} = this.#options;
+		if (account !== undefined) {
+			dependencies.usage.recordRun(account);
+		}
+	}
+
 	#handleEnd(): void {
 		const answer = this.#answer;
 		if (answer === undefined) {
