--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -12,13 +12,14 @@
 import type {Table} from '../../ports/table.ts';
 import type {UpstreamProtocol} from '../../ports/upstream-protocol.ts';
 import type {Upstream} from '../../ports/upstream.ts';
-import {NoUsageRecorder} from '../../request/delivery/usage-recorder.ts';
 import type {FleetSettings} from '../../version/fleet-settings.ts';
 import {parseAddress} from '../address.ts';
 import {UpstreamBackpressure} from '../backpressure/upstream-backpressure.ts';
 import {SuspendAwareClock, SystemClock} from '../clock.ts';
 import {CrashMemoryTask} from '../crashes/crash-memory-task.ts';
 import {CrashMonitor} from '../crashes/crash-monitor.ts';
+import type {FleetDuties} from '../duties/fleet-duties.ts';
+import {wireDuties} from '../duties/wire-duties.ts';
 import {LeaseTask} from '../lease/lease-task.ts';
 import {Log} from '../log.ts';
 import {SeededRandom} from '../random.ts';
@@ -26,7 +27,7 @@
 import {PeerLink} from '../peers/peer-link.ts';
 import type {StoreEpoch} from '../tables/store-epoch.ts';
 import type {UpstreamStart} from '../peers/peer-message.ts';
-import {createPoolController, type PoolDuty} from '../pool/create-pool-controller.ts';
+import {createPoolController, createPoolDuty, type PoolDuty} from '../pool/create-pool-controller.ts';
 import type {PoolController} from '../pool/pool-controller.ts';
 import {WorkRates} from '../pool/work-rates.ts';
 import {createControllerTimes, StageController, type StageGroup} from '../stages/stage-controller.ts';
@@ -67,7 +68,7 @@
 	readonly log: DecisionLog;
 	/** Seed of the random decisions. */
 	readonly seed: number;
-	/** Calls to the platform by which upstreams are ordered; undefined if their number is fixed. */
+	/** Calls to the platform by which upstreams are ordered; by default those of the platform, under the lease of duties. */
 	readonly poolDuty?: PoolDuty;
 };
 
@@ -105,6 +106,7 @@
 	readonly #crashMemory: CrashMemoryTask;
 	readonly #lease: LeaseTask;
 	readonly #controller: StageController;
+	readonly #duties: FleetDuties;
 	readonly #metrics = new FleetMetrics();
 	readonly #tables: FleetTables;
 	/** Work that arrives at all daemons for the services whose number of upstreams is ordered. */
@@ -234,6 +236,16 @@
 				this.#crashes.upstreamDown(upstream, evidence);
 			},
 		});
+		this.#duties = wireDuties({
+			settings,
+			platform,
+			log,
+			taskLog: createTaskLog(log, 'lease'),
+			clock,
+			suspendAwareClock: this.#suspendAwareClock,
+			topology: this.#peers.topology,
+			metrics: this.#metrics,
+		});
 		const startedAt = clock.now();
 		this.#retryBudget = new SharedRetryBudget(toRetryBounds(settings.bounds), () => this.#peers.knownDaemons, () => this.#peers.hasPredecessor ? startedAt : undefined);
 		const dependencies = {
@@ -244,7 +256,7 @@
 			backpressure: this.#backpressure,
 			retryBudget: this.#retryBudget,
 			crashes: new RouteCrashes(this.#crashes, this.#registry),
-			usage: new NoUsageRecorder(),
+			usage: this.#duties.usage,
 			log,
 		};
 		this.#requestHandler = new RouteRequestHandler({
@@ -281,10 +293,11 @@
 			rank: () => this.#peers.topology.relayRank(this.#clock.now()),
 			times: createControllerTimes(settings.bounds.leaseMs),
 		});
-		this.#pool = options.poolDuty === undefined
+		const poolDuty = options.poolDuty ?? createPoolDuty(platform.duties, this.#duties.lease);
+		this.#pool = poolDuty === undefined
 			? undefined
 			: createPoolController({
-				duty: options.poolDuty,
+				duty: poolDuty,
 				clock,
 				log,
 				metrics: this.#metrics.registry,
@@ -339,7 +352,7 @@
 		});
 		this.#rowServer = createServer((request, response) => {
 			const isServed = serveKnowledge(request, response, () => ({configuration: this.#configuration.activeValue, pastEntries: this.#registry.pastEntries()}));
-			if (!isServed) {
+			if (!isServed && !this.#duties.serve(request, response)) {
 				serveSharedRows(request, response, (table, after) => this.#tables.share(table, after));
 			}
 		});
@@ -376,6 +389,7 @@
 		this.#housekeepingTimer = setInterval(() => {
 			this.#upstreamClients.closeExpired();
 			this.#applyRegistryEvents(this.#registry.expire(this.#clock.now()));
+			this.#duties.tick();
 			if (this.isReady) {
 				this.#controller.tick();
 				this.#workRates.hear(daemon.name, this.#scheduler.work(), this.#clock.now(), true);
@@ -385,6 +399,7 @@
 		this.#crashMemory.run();
 		await this.#peers.start();
 		this.#lease.run();
+		this.#duties.run();
 		void this.#inherit();
 	}
 
@@ -408,6 +423,7 @@
 	/** Shuts down gracefully; resolves when the process may exit. */
 	async stop(): Promise<void> {
 		this.#controller.resign();
+		void this.#duties.resign();
 		await this.#shutdown.run();
 		await stopListening(this.#callerServer, {deadlineAt: this.#shutdown.exitAt});
 		// Answers requests that were in transit when the listener closed.
@@ -422,6 +438,7 @@
 		clearInterval(this.#housekeepingTimer);
 		await this.#peers[Symbol.asyncDispose]();
 		await this.#lease[Symbol.asyncDispose]();
+		await this.#duties[Symbol.asyncDispose]();
 		await this.#crashMemory[Symbol.asyncDispose]();
 		await this.#options.platform.table[Symbol.asyncDispose]();
 		await this.#options.platform.feed[Symbol.asyncDispose]();
--- a/src/process/pool/create-pool-controller.ts
+++ b/src/process/pool/create-pool-controller.ts
@@ -3,6 +3,7 @@
 import type {Upstream} from '../../ports/upstream.ts';
 import type {PoolScaling, Service} from '../../version/routes/route-configuration.ts';
 import type {Clock} from '../clock.ts';
+import type {DutyLease} from '../duties/duty-lease.ts';
 import type {DecisionLog} from '../fleet/decision-log.ts';
 import type {FleetScheduler} from '../fleet/fleet-scheduler.ts';
 import type {UpstreamRegistry} from '../fleet/upstream-registry.ts';
@@ -37,6 +38,11 @@
 
 const figureNames: readonly FigureName[] = ['desired', 'present', 'coming', 'leaving'];
 
+/** Creates the duty to order upstreams; undefined if the platform expects no calls of duties. */
+export function createPoolDuty(duties: PlatformDuties | undefined, lease: DutyLease | undefined): PoolDuty | undefined {
+	return duties === undefined || lease === undefined ? undefined : {duties, authority: () => lease.authority};
+}
+
 /** Creates the controller that orders the numbers of upstreams of all model services with bounds for them; the load of other services is not measured. */
 export function createPoolController({duty, clock, log, metrics, workRates, registry, scheduler, services}: PoolDependencies): PoolController {
 	const orders = new Counter({
