Report windows without runs, and test the usage of a deployment

A holder dropped what it knew of a daemon without runs before it fixed a window, so that nothing was reported until the first run.

--- a/src/process/usage/usage-collection.ts
+++ b/src/process/usage/usage-collection.ts
@@ -2,6 +2,8 @@
 
 type InstanceUsage = {
 	firstWindow: number;
+	/** Window in which the process was last heard. */
+	heardIn: number;
 	readonly windows: Map<number, Map<string, number>>;
 };
 
@@ -14,10 +16,11 @@
 		return this.#instances.size === 0 ? undefined : Math.min(...[...this.#instances.values()].map(({firstWindow}) => firstWindow));
 	}
 
-	/** Adds the counts of a process; counts only grow, so that an older snapshot changes nothing. */
-	add({instance, firstWindow, windows}: UsageSnapshot): void {
-		const known = this.#instances.get(instance) ?? {firstWindow, windows: new Map<number, Map<string, number>>()};
+	/** Adds the counts of a process heard in the present window; counts only grow, so that an older snapshot changes nothing. */
+	add({instance, firstWindow, windows}: UsageSnapshot, present: number): void {
+		const known = this.#instances.get(instance) ?? {firstWindow, heardIn: present, windows: new Map<number, Map<string, number>>()};
 		this.#instances.set(instance, known);
+		known.heardIn = Math.max(known.heardIn, present);
 		known.firstWindow = Math.min(known.firstWindow, firstWindow);
 		for (const [window, counts] of windows) {
 			const knownCounts = known.windows.get(window) ?? new Map<string, number>();
@@ -40,16 +43,16 @@
 		return sums;
 	}
 
-	/** Removes the windows before the given one, and processes of which nothing is left. */
+	/** Removes the windows before the given one, and processes that have not been heard since. */
 	removeBefore(first: number): void {
-		for (const [instance, {windows}] of this.#instances) {
+		for (const [instance, {windows, heardIn}] of this.#instances) {
 			for (const window of windows.keys()) {
 				if (window < first) {
 					windows.delete(window);
 				}
 			}
 
-			if (windows.size === 0) {
+			if (windows.size === 0 && heardIn < first) {
 				this.#instances.delete(instance);
 			}
 		}
--- a/src/process/usage/usage-rounds.ts
+++ b/src/process/usage/usage-rounds.ts
@@ -95,12 +95,16 @@
 		this.#hasEstimatedTime = false;
 	}
 
+	get #present(): number {
+		return Math.floor(this.#options.time.now() / this.#options.windowMs);
+	}
+
 	async #fetchMissing(): Promise<void> {
-		const {members, clock, ledger, collection, time, windowMs} = this.#options;
+		const {members, clock, ledger, collection, time} = this.#options;
 		this.#isFetching = true;
 		this.#fetchedAt = clock.now();
 		const round = this.#round;
-		const from = Math.floor(time.now() / windowMs) - keptWindows;
+		const from = this.#present - keptWindows;
 		const waiting = members().filter(({daemon}) => !this.#reached.has(daemon));
 		const pending = [...waiting];
 		await Promise.all(Array.from({length: maxConcurrentFetches}, async () => {
@@ -108,7 +112,7 @@
 				await this.#fetch(member, from);
 			}
 		}));
-		collection.add(ledger.snapshot(from));
+		collection.add(ledger.snapshot(from), this.#present);
 		time.estimate();
 		this.#hasEstimatedTime = true;
 		this.#isFetching = false;
@@ -128,7 +132,7 @@
 			this.#reached.add(daemon);
 			this.#fetchMs.set(daemon, Math.min(elapsedMs, (this.#fetchMs.get(daemon) ?? elapsedMs) * pathGrowthFactor));
 			time.measure(daemon, timeOfDay, startedAt + (elapsedMs * readFraction));
-			collection.add(snapshot);
+			collection.add(snapshot, this.#present);
 		});
 	}
 }
--- a/test/process/usage/usage-ledger.test.ts
+++ b/test/process/usage/usage-ledger.test.ts
@@ -48,10 +48,10 @@
 	test('adds up processes, keeps those that have ended, and ignores an older snapshot that arrives late', () => {
 		const collection = new UsageCollection();
 		const snapshot = (instance: string, count: number) => ({instance, firstWindow: 20, windows: new Map([[20, new Map([['north', count]])]])});
-		collection.add(snapshot('daemon-1/a', 5));
-		collection.add(snapshot('daemon-1/b', 2));
-		collection.add(snapshot('daemon-2/a', 7));
-		collection.add(snapshot('daemon-2/a', 6));
+		collection.add(snapshot('daemon-1/a', 5), 20);
+		collection.add(snapshot('daemon-1/b', 2), 20);
+		collection.add(snapshot('daemon-2/a', 7), 20);
+		collection.add(snapshot('daemon-2/a', 6), 20);
 		expect(collection.sum(20)).toEqual(new Map([['north', 14]]));
 		collection.removeBefore(21);
 		expect(collection.sum(20)).toEqual(new Map());
--- a/test/process/usage/usage-report.test.ts
+++ b/test/process/usage/usage-report.test.ts
@@ -90,6 +90,14 @@
 		expect(fleet.platform.violations).toEqual([]);
 	});
 
+	// Guards against waiting for the first run before any window is reported.
+	test('are made for windows without runs', async () => {
+		await using fleet = new UsageFleet(3);
+		const first = fleet.window;
+		await fleet.advance(20_000);
+		expect(fleet.compare(first, first + 2).map(({reported, isInTime}) => [reported, isInTime])).toEqual(Array.from({length: 3}, () => [{}, true]));
+	});
+
 	test('that were accepted are not repeated by a successor', async () => {
 		const {fleet, load} = await startFleet(4);
 		await using _ = fleet;
