--- a/test/process/pool/pool-controller.test.ts
+++ b/test/process/pool/pool-controller.test.ts
@@ -226,6 +226,15 @@
 		expect(model.orders.length).toBeLessThanOrEqual(8);
 	});
 
+	test('reduce one zone a second under load, so that the engines that are left take over the stages', async () => {
+		const model = new PoolModel(createLoad(), startCount);
+		await model.run(30);
+		const zones = model.orders.map(({availabilityZone, isReclaimable}, index) => ({availabilityZone, at: model.times[index]!, isReclaimable})).filter(({isReclaimable}) => !isReclaimable);
+		const changes = zones.filter(({availabilityZone, at}, index) => index > 0 && availabilityZone !== zones[index - 1]!.availabilityZone && at - zones[index - 1]!.at < 1000);
+		expect(zones.length).toBeGreaterThanOrEqual(4);
+		expect(changes).toEqual([]);
+	});
+
 	test('are few', async () => {
 		const model = new PoolModel(createLoad(second => [isBurst(second) ? 2.5 : 1, 1]), startCount, reclaims);
 		await model.run(seconds, leadSeconds);
--- a/test/process/pool/pool-model.ts
+++ b/test/process/pool/pool-model.ts
@@ -55,6 +55,8 @@
 	readonly clock = new ManualClock(0);
 	readonly orders: PoolOrder[] = [];
 	readonly results: DutyResult[] = [];
+	/** Times of the orders, in milliseconds. */
+	readonly times: number[] = [];
 	/** Zones in which the model has engines that decode. */
 	decodeZones: ReadonlySet<string> = new Set(scaling.zonePrices.keys());
 	/** Called before the authority is checked for an order. */
@@ -171,6 +173,7 @@
 
 	#apply(order: PoolOrder): DutyResult {
 		this.orders.push(order);
+		this.times.push(this.clock.now());
 		const now = this.clock.now();
 		const {availabilityZone: zone, isReclaimable, count} = order;
 		const next = this.nextResults.shift();
