--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -7,17 +7,19 @@
 import {fetchKnowledge, serveKnowledge} from '../../connection/knowledge-exchange.ts';
 import {serveSharedRows} from '../../connection/row-exchange.ts';
 import type {CallerProtocol} from '../../ports/caller-protocol.ts';
+import type {PlatformDuties} from '../../ports/platform-duties.ts';
 import type {RowFeed} from '../../ports/row-feed.ts';
 import type {Table} from '../../ports/table.ts';
 import type {UpstreamProtocol} from '../../ports/upstream-protocol.ts';
 import type {Upstream} from '../../ports/upstream.ts';
-import {NoUsageRecorder} from '../../request/delivery/usage-recorder.ts';
 import type {FleetSettings} from '../../version/fleet-settings.ts';
 import {parseAddress} from '../address.ts';
 import {UpstreamBackpressure} from '../backpressure/upstream-backpressure.ts';
 import {SuspendAwareClock, SystemClock} from '../clock.ts';
 import {CrashMemoryTask} from '../crashes/crash-memory-task.ts';
 import {CrashMonitor} from '../crashes/crash-monitor.ts';
+import type {FleetDuties} from '../duties/fleet-duties.ts';
+import {wireDuties} from '../duties/wire-duties.ts';
 import {LeaseTask} from '../lease/lease-task.ts';
 import {Log} from '../log.ts';
 import {SeededRandom} from '../random.ts';
@@ -25,7 +27,7 @@
 import {PeerLink} from '../peers/peer-link.ts';
 import type {StoreEpoch} from '../tables/store-epoch.ts';
 import type {UpstreamStart} from '../peers/peer-message.ts';
-import {createPoolController, type PoolDuty} from '../pool/create-pool-controller.ts';
+import {createPoolController, createPoolDuty, type PoolDuty} from '../pool/create-pool-controller.ts';
 import type {PoolController} from '../pool/pool-controller.ts';
 import {WorkRates} from '../pool/work-rates.ts';
 import {createControllerTimes, StageController, type StageGroup} from '../stages/stage-controller.ts';
@@ -51,6 +53,8 @@
 	readonly table: Table;
 	readonly callerProtocol: CallerProtocol;
 	readonly upstreamProtocol: UpstreamProtocol;
+	/** Undefined if the platform expects no calls of duties. */
+	readonly duties: PlatformDuties | undefined;
 	readonly tables: {readonly operator: string; readonly upstreams: string};
 	readonly configurationKey: string;
 	readonly decodeConfiguration: ConfigurationDecoder;
@@ -64,7 +68,7 @@
 	readonly log: DecisionLog;
 	/** Seed of the random decisions. */
 	readonly seed: number;
-	/** Calls to the platform by which upstreams are ordered; undefined if their number is fixed. */
+	/** Calls to the platform by which upstreams are ordered; by default those of the platform, under the lease of duties. */
 	readonly poolDuty?: PoolDuty;
 };
 
@@ -102,6 +106,7 @@
 	readonly #crashMemory: CrashMemoryTask;
 	readonly #lease: LeaseTask;
 	readonly #controller: StageController;
+	readonly #duties: FleetDuties;
 	readonly #metrics = new FleetMetrics();
 	readonly #tables: FleetTables;
 	/** Work that arrives at all daemons for the services whose number of upstreams is ordered. */
@@ -231,6 +236,16 @@
 				this.#crashes.upstreamDown(upstream, evidence);
 			},
 		});
+		this.#duties = wireDuties({
+			settings,
+			platform,
+			log,
+			taskLog: createTaskLog(log, 'lease'),
+			clock,
+			suspendAwareClock: this.#suspendAwareClock,
+			topology: this.#peers.topology,
+			metrics: this.#metrics,
+		});
 		const startedAt = clock.now();
 		this.#retryBudget = new SharedRetryBudget(toRetryBounds(settings.bounds), () => this.#peers.knownDaemons, () => this.#peers.hasPredecessor ? startedAt : undefined);
 		const dependencies = {
@@ -241,7 +256,7 @@
 			backpressure: this.#backpressure,
 			retryBudget: this.#retryBudget,
 			crashes: new RouteCrashes(this.#crashes, this.#registry),
-			usage: new NoUsageRecorder(),
+			usage: this.#duties.usage,
 			log,
 		};
 		this.#requestHandler = new RouteRequestHandler({
@@ -250,6 +265,8 @@
 			random: this.#random,
 			metrics: this.#metrics,
 			routeTable: () => this.#configuration.routeTable,
+			accounts: () => this.#configuration.accounts,
+			isConfigurationCurrent: () => this.#tables.isConfigurationConfirmed,
 			shutdown: () => this.#shutdown,
 			durations: new RouteDurations(),
 			bodyBudgetBytes: settings.limits.memoryMb * mebibyte * bodyMemoryFraction,
@@ -276,10 +293,11 @@
 			rank: () => this.#peers.topology.relayRank(this.#clock.now()),
 			times: createControllerTimes(settings.bounds.leaseMs),
 		});
-		this.#pool = options.poolDuty === undefined
+		const poolDuty = options.poolDuty ?? createPoolDuty(platform.duties, this.#duties.lease);
+		this.#pool = poolDuty === undefined
 			? undefined
 			: createPoolController({
-				duty: options.poolDuty,
+				duty: poolDuty,
 				clock,
 				log,
 				metrics: this.#metrics.registry,
@@ -299,7 +317,7 @@
 			registry: this.#registry,
 			peers: this.#peers,
 			onConfiguration: () => {
-				this.#applyCallerLimits();
+				this.#applyConfiguration();
 			},
 			onRegistryEvents: events => {
 				this.#applyRegistryEvents(events);
@@ -334,7 +352,7 @@
 		});
 		this.#rowServer = createServer((request, response) => {
 			const isServed = serveKnowledge(request, response, () => ({configuration: this.#configuration.activeValue, pastEntries: this.#registry.pastEntries()}));
-			if (!isServed) {
+			if (!isServed && !this.#duties.serve(request, response)) {
 				serveSharedRows(request, response, (table, after) => this.#tables.share(table, after));
 			}
 		});
@@ -371,6 +389,7 @@
 		this.#housekeepingTimer = setInterval(() => {
 			this.#upstreamClients.closeExpired();
 			this.#applyRegistryEvents(this.#registry.expire(this.#clock.now()));
+			this.#duties.tick();
 			if (this.isReady) {
 				this.#controller.tick();
 				this.#workRates.hear(daemon.name, this.#scheduler.work(), this.#clock.now(), true);
@@ -380,6 +399,7 @@
 		this.#crashMemory.run();
 		await this.#peers.start();
 		this.#lease.run();
+		this.#duties.run();
 		void this.#inherit();
 	}
 
@@ -403,6 +423,7 @@
 	/** Shuts down gracefully; resolves when the process may exit. */
 	async stop(): Promise<void> {
 		this.#controller.resign();
+		void this.#duties.resign();
 		await this.#shutdown.run();
 		await stopListening(this.#callerServer, {deadlineAt: this.#shutdown.exitAt});
 		// Answers requests that were in transit when the listener closed.
@@ -417,9 +438,11 @@
 		clearInterval(this.#housekeepingTimer);
 		await this.#peers[Symbol.asyncDispose]();
 		await this.#lease[Symbol.asyncDispose]();
+		await this.#duties[Symbol.asyncDispose]();
 		await this.#crashMemory[Symbol.asyncDispose]();
 		await this.#options.platform.table[Symbol.asyncDispose]();
 		await this.#options.platform.feed[Symbol.asyncDispose]();
+		await this.#options.platform.duties?.[Symbol.asyncDispose]();
 		await this.#tables[Symbol.asyncDispose]();
 		await Promise.all([this.#callerServer, this.#readinessServer, this.#metricsServer, this.#rowServer].map(async server => closeAbruptly(server)));
 		await this.#upstreamClients[Symbol.asyncDispose]();
@@ -454,7 +477,7 @@
 		const before = this.#configuration.routeTable?.version;
 		if (configuration !== undefined) {
 			this.#configuration.inherit(configuration);
-			this.#applyCallerLimits();
+			this.#applyConfiguration();
 		}
 
 		const events = this.#registry.inherit(pastEntries, this.#clock.now());
@@ -479,7 +502,8 @@
 		};
 	}
 
-	#applyCallerLimits(): void {
+	#applyConfiguration(): void {
+		this.#requestHandler.applyAccounts();
 		const limits = this.#configuration.routeTable?.limits;
 		if (limits !== undefined) {
 			this.#callerServer.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
--- a/src/process/fleet/fleet-metrics.ts
+++ b/src/process/fleet/fleet-metrics.ts
@@ -2,8 +2,10 @@
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import type {AnswerLimit} from '../../connection/answer-guard.ts';
+import type {DutyResult} from '../../ports/platform-duties.ts';
 import type {DeliveryResult} from '../../request/delivery/delivery.ts';
 import type {RequestOutcome} from '../../request/open-request.ts';
+import type {AccessChange, AccessRefusal} from '../accounts/access.ts';
 import type {Route} from '../../version/routes/route-configuration.ts';
 
 /** Values that are read at each scrape. */
@@ -24,6 +26,13 @@
 	readonly unusableEpochs: () => number;
 };
 
+/** Values of the daemon that makes the calls of duties. */
+export type DutyGauges = {
+	readonly isHolder: () => boolean;
+	readonly usageLagMs: () => number;
+	readonly reachedDaemons: () => number;
+};
+
 const secondsBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 4, 8];
 
 /** Metrics of one daemon on the operator's platform; all labels have a low cardinality. */
@@ -53,6 +62,10 @@
 		name: 'wagtailtack_answers_given_up_total', help: 'Answers of upstreams that were given up at a limit, by limit', labelNames: ['limit'], registers: [this.#registry],
 	});
 
+	readonly #accessRefusals = new Counter({
+		name: 'wagtailtack_access_refusals_total', help: 'Requests refused because of their key, by reason', labelNames: ['reason'], registers: [this.#registry],
+	});
+
 	readonly #firstAnswer = new Histogram({
 		name: 'wagtailtack_first_answer_seconds', help: 'Time from arrival to the response or its first event', labelNames: ['kind', 'priority'], buckets: secondsBuckets, registers: [this.#registry],
 	});
@@ -61,6 +74,10 @@
 		name: 'wagtailtack_route_request_seconds', help: 'Time from arrival to the end of a request', labelNames: ['kind'], buckets: secondsBuckets, registers: [this.#registry],
 	});
 
+	readonly #usageReports = new Counter({
+		name: 'wagtailtack_usage_reports_total', help: 'Reports of usage sent to the platform, by result', labelNames: ['result'], registers: [this.#registry],
+	});
+
 	/** Registry to which parts of the daemon add metrics of their own. */
 	get registry(): Registry {
 		return this.#registry;
@@ -83,6 +100,18 @@
 		this.#addGauge('wagtailtack_store_epochs_unusable', 'Answers of the store whose epoch is no whole number or an earlier one', unusableEpochs);
 	}
 
+	/** Registers the gauges of the daemon that makes the calls of duties; they are read at each scrape. */
+	addDutyGauges({isHolder, usageLagMs, reachedDaemons}: DutyGauges): void {
+		this.#addGauge('wagtailtack_duties_held', '1 while this daemon may make the calls of duties', () => isHolder() ? 1 : 0);
+		this.#addGauge('wagtailtack_usage_lag_seconds', 'Time since the end of the first window that still needs a report of usage; 0 if none does', () => usageLagMs() / 1000);
+		this.#addGauge('wagtailtack_usage_daemons_reached', 'Daemons whose counts the holder of duties has in the present round, with its own', reachedDaemons);
+	}
+
+	/** Records the result of a report of usage. */
+	usageReported(result: DutyResult): void {
+		this.#usageReports.inc({result});
+	}
+
 	/** Records a request of which head and body were read completely. */
 	requestRead(): void {
 		this.#requestsRead.inc();
@@ -103,6 +132,11 @@
 		this.#answersGivenUp.inc({limit});
 	}
 
+	/** Records a request that was refused because of its key, or whose sends ended with its access. */
+	accessRefused(reason: AccessRefusal | Exclude<AccessChange, 'kept'>): void {
+		this.#accessRefusals.inc({reason});
+	}
+
 	/** Records a request whose delivery has ended, successfully or not. */
 	requestEnded({kind, priority}: Route, {outcome, sends, firstAnswerMs}: DeliveryResult, totalMs: number): void {
 		this.#requests.inc({kind, outcome});
--- a/src/process/fleet/latency-ratio.ts
+++ b/src/process/fleet/latency-ratio.ts
@@ -1,6 +1,3 @@
-import {prefillRate} from './placement-score.ts';
-import type {UpstreamState} from './upstream-state.ts';
-
 /** Weight of the newest observation in the moving average. */
 const newestObservationWeight = 0.2;
 const maxLatencyRatio = 4;
@@ -20,35 +17,14 @@
 */
 export class RankLatencyRatios {
 	readonly #ratios = new Map<number, number>();
-	readonly #observations = new Map<number, number>();
 
 	/** Ratio for a rank; 1 until the first observation. */
 	of(rank: number): number {
 		return this.#ratios.get(rank) ?? 1;
 	}
 
-	/** Mean ratio of all prompts; 1 until the first observation. */
-	get mean(): number {
-		let sum = 0;
-		let count = 0;
-		for (const [rank, observations] of this.#observations) {
-			sum += this.of(rank) * observations;
-			count += observations;
-		}
-
-		return count === 0 ? 1 : sum / count;
-	}
-
 	/** Records the latency of one prefill. */
 	observe(rank: number, elapsedMs: number, predictedMs: number): void {
 		this.#ratios.set(rank, updateLatencyRatio(this.of(rank), elapsedMs, predictedMs));
-		this.#observations.set(rank, (this.#observations.get(rank) ?? 0) + 1);
 	}
 }
-
-/** Mean prefill speed of the engines that this daemon has used, by their latency, in tokens per millisecond. */
-export function measurePrefillSpeed(engines: readonly UpstreamState[], rankRatio: number): number {
-	const used = engines.filter(({upstream, latencyRatio}) => upstream.stage === 'prefill' && latencyRatio !== 1);
-	const meanRatio = used.length === 0 ? 1 : used.reduce((sum, {latencyRatio}) => sum + latencyRatio, 0) / used.length;
-	return prefillRate.tokensPerMs / (meanRatio * rankRatio);
-}
