--- a/src/process/pool/pool-sizer.ts
+++ b/src/process/pool/pool-sizer.ts
@@ -29,8 +29,10 @@
 /** Factor for the part of a wave that has not been seen until the load was observed for as long as a peak counts. */
 const unseenWaveFactor = 1.3;
 /** Mean backlog of the prefill engines, in milliseconds, or part of the work refused, from which the pool counts as too small whatever the estimate says. */
-const pressureBacklogMs = 80;
+const pressureBacklogMs = 250;
 const pressureRefusedShare = 0.05;
+/** Time over which the number of engines that prefill is averaged, in milliseconds. */
+const prefillWindowMs = 4000;
 /** Time for which such pressure must last before the estimate is corrected, and the interval of further corrections, in milliseconds. */
 const pressureIntervalMs = 1500;
 const correctionFactor = 1.25;
@@ -46,9 +48,15 @@
 	readonly decoders: number;
 };
 
+type StageSample = {
+	readonly at: number;
+	readonly runs: number;
+	readonly prefillEngines: number;
+};
+
 /** Decides how many upstreams a service needs, from the work that arrives and what becomes of it. */
 export class PoolSizer {
-	#runs: ReadonlyArray<{readonly at: number; readonly runs: number}> = [];
+	#samples: readonly StageSample[] = [];
 	#correction = 1;
 	#pressureSince: number | undefined;
 	#calmSince: number | undefined;
@@ -59,8 +67,14 @@
 		const isPressed = (stages?.backlogMs ?? 0) >= pressureBacklogMs || refusedShare >= pressureRefusedShare;
 		this.#correct(isPressed && isComplete, now);
 		const isShortlyObserved = observedMs !== undefined && observedMs < peakWindowMs;
-		const busy = peakBusy * this.#correction * (isShortlyObserved ? unseenWaveFactor : 1);
-		const decoders = stages === undefined ? 0 : Math.max(zones, countNeededDecoders({runs: this.#peakRuns(stages.runs, now), slots: stages.slots}));
+		if (stages !== undefined) {
+			this.#record(stages, now);
+		}
+
+		const estimate = peakBusy * this.#correction * (isShortlyObserved ? unseenWaveFactor : 1);
+		// Does not depend on the speed of the engines, which a daemon learns from its prefills.
+		const busy = Math.max(estimate, this.#meanPrefillEngines(now));
+		const decoders = stages === undefined ? 0 : Math.max(zones, countNeededDecoders({runs: this.#peakRuns, slots: stages.slots}));
 		return {
 			total: Math.ceil(busy / (isHeadroomCheap ? reclaimableUtilisation : ordinaryUtilisation)) + decoders,
 			afterLoss: Math.ceil(busy / lossUtilisation) + decoders,
@@ -69,9 +83,24 @@
 		};
 	}
 
-	#peakRuns(runs: number, now: number): number {
-		this.#runs = [...this.#runs.filter(({at}) => now - at < peakWindowMs), {at: now, runs}];
-		return Math.max(...this.#runs.map(sample => sample.runs));
+	#record({runs, prefillEngines = 0}: StageDemand, now: number): void {
+		this.#samples = [...this.#samples.filter(({at}) => now - at < peakWindowMs), {at: now, runs, prefillEngines}];
+	}
+
+	/** Largest number of concurrent runs of the last seconds. */
+	get #peakRuns(): number {
+		return Math.max(0, ...this.#samples.map(({runs}) => runs));
+	}
+
+	/** Mean number of engines that prefill, over the last seconds. */
+	#meanPrefillEngines(now: number): number {
+		const recent = this.#samples.filter(({at}) => now - at < prefillWindowMs);
+		let sum = 0;
+		for (const {prefillEngines} of recent) {
+			sum += prefillEngines;
+		}
+
+		return sum / Math.max(1, recent.length);
 	}
 
 	/** Raises the correction while prompts wait although the pool should suffice: the speed of the engines is overestimated, or parts of prompts are prefilled again. */
--- a/test/process/pool/pool-plan.test.ts
+++ b/test/process/pool/pool-plan.test.ts
@@ -99,6 +99,18 @@
 		expect(sizer.computeSize(demand(12), terms, 5000).decoders).toBe(13);
 	});
 
+	test('covers the engines that prefill, should their speed be overestimated', () => {
+		const sizer = new PoolSizer();
+		const load = {
+			...demand(4), stages: {
+				runs: 20, slots: 64, backlogMs: 0, prefillEngines: 12,
+			},
+		};
+		sizer.computeSize({...load, stages: {...load.stages, prefillEngines: 0}}, terms, 0);
+		expect(sizer.computeSize(load, terms, 3000).total).toBeLessThan(34);
+		expect(sizer.computeSize(load, terms, 5000).total).toBe(34);
+	});
+
 	test('may not shrink before the load is known', () => {
 		expect(new PoolSizer().computeSize(demand(0, {observedMs: undefined}), terms, 0).mayShrink).toBe(false);
 		expect(new PoolSizer().computeSize(demand(5, {observedMs: 1000}), terms, 0).mayShrink).toBe(false);
