Order no upstreams before the list is complete, and without a function that Node.js 20 lacks

Each holder of the duty then stopped at Map.groupBy, which Node.js 24 of the tests has and Node.js 20 of the hosts has not.

The controller of each daemon now waits until upstreams have been listed for 4 s. The model's successor runs from the start, as on other daemons.

--- a/src/process/pool/pool-controller.ts
+++ b/src/process/pool/pool-controller.ts
@@ -58,6 +58,8 @@
 	logged: string;
 };
 
+/** Time in which the upstreams register at the start of a deployment, in milliseconds; a few intervals of their heartbeats. */
+const registrationMs = 4000;
 /** Orders sent in one tick, so that the platform's limit on such calls is left to others. */
 const maxOrdersPerTick = 2;
 /** Time between orders that reduce different zones under load, in milliseconds; in it the engines that are left take over the stages of those that leave. */
@@ -73,6 +75,8 @@
 	readonly #options: PoolControllerOptions;
 	#states = new Map<string, PoolState>();
 	#fencing: number | undefined;
+	/** Time at which the first upstreams were listed. */
+	#listedAt: number | undefined;
 
 	constructor(options: PoolControllerOptions) {
 		this.#options = options;
@@ -81,7 +85,7 @@
 	/** Compares the upstreams with the need and sends the next orders; must be called a few times per second. */
 	tick(): void {
 		const authority = this.#options.authority();
-		if (authority === undefined) {
+		if (!this.#isListComplete() || authority === undefined) {
 			return;
 		}
 
@@ -101,6 +105,16 @@
 		return this.#options.authority() === undefined ? [] : this.#options.pools().flatMap(({service, scaling, upstreams}) => this.#describe(service.name, scaling, upstreams));
 	}
 
+	/** False until upstreams have been listed for a while: at the start of a deployment they register one after the other. */
+	#isListComplete(): boolean {
+		const now = this.#options.clock.now();
+		if (this.#listedAt === undefined && this.#options.pools().some(({upstreams}) => upstreams.length > 0)) {
+			this.#listedAt = now;
+		}
+
+		return this.#listedAt !== undefined && now - this.#listedAt >= registrationMs;
+	}
+
 	#describe(service: string, scaling: PoolScaling, upstreams: readonly Upstream[]): readonly PoolFigures[] {
 		const state = this.#states.get(service);
 		const present = countUpstreams(upstreams.filter(({isDraining}) => !isDraining));
@@ -213,7 +227,8 @@
 	const engines = serving.filter(({stage}) => stage !== undefined);
 	const decoders = engines.filter(({stage}) => stage === 'decode');
 	const decodeZones = new Set(decoders.map(({availabilityZone}) => availabilityZone));
-	const zones = Map.groupBy(engines, ({availabilityZone}) => availabilityZone);
+	const counts = countUpstreams(engines);
 	return stages === undefined
-		|| (decoders.length >= countNeededDecoders(stages) && decoders.length < engines.length && [...zones].every(([zone, members]) => members.length < 2 || decodeZones.has(zone)));
+		|| (decoders.length >= countNeededDecoders(stages) && decoders.length < engines.length
+			&& [...counts].every(([zone, {ordinary, reclaimable}]) => ordinary + reclaimable < 2 || decodeZones.has(zone)));
 }
--- a/test/process/pool/pool-controller.test.ts
+++ b/test/process/pool/pool-controller.test.ts
@@ -100,6 +100,14 @@
 });
 
 describe('the number of upstreams', () => {
+	test('is left alone while upstreams register one after the other at the start, so that those that are not listed yet are not ordered away', async () => {
+		const model = new PoolModel(createLoad(), startCount);
+		model.startListingMs = [3000, 30];
+		const {present} = await model.run(leadSeconds, leadSeconds);
+		expect(model.orders.length).toBeGreaterThan(0);
+		expect(Math.min(...present.slice(8))).toBeGreaterThanOrEqual(startCount - 5);
+	});
+
 	test('stays the same until the load is known, and reclaimable upstreams replace the others one for one', async () => {
 		const model = new PoolModel(createLoad(), startCount);
 		const {present} = await model.run(leadSeconds, leadSeconds);
--- a/test/process/pool/pool-model.ts
+++ b/test/process/pool/pool-model.ts
@@ -59,6 +59,8 @@
 	readonly times: number[] = [];
 	/** Zones in which the model has engines that decode. */
 	decodeZones: ReadonlySet<string> = new Set(scaling.zonePrices.keys());
+	/** Time at which the first upstream of the start is listed, and the interval to each further one, in milliseconds. */
+	startListingMs: readonly [number, number] = [0, 0];
 	/** Called before the authority is checked for an order. */
 	beforeOrder: (() => void) | undefined;
 	/** Zones whose reclaimable upstreams are exhausted until a time in milliseconds. */
@@ -69,6 +71,8 @@
 	/** Load on the stages; undefined if the engines have none. */
 	stages: StageDemand | undefined;
 	controller = this.#createController();
+	/** Controller of the daemon that takes over the duty next; it knows the list of upstreams like the one of the holder. */
+	#successor = this.#createController();
 	readonly #engines: Engine[] = [];
 	readonly #work = new WorkCounter();
 	readonly #rates = new WorkRates(0);
@@ -89,7 +93,7 @@
 
 	get upstreams(): readonly Upstream[] {
 		return this.#engines
-			.filter(({servesFrom, leavesAt}) => servesFrom <= this.clock.now() && this.clock.now() < leavesAt)
+			.filter(({servesFrom, leavesAt, upstream}) => servesFrom <= this.clock.now() && this.clock.now() < leavesAt && (servesFrom > 0 || this.#isListed(upstream)))
 			.map(({upstream}) => upstream.stage === 'decode' && !this.decodeZones.has(upstream.availabilityZone) ? {...upstream, stage: 'prefill' as const} : upstream);
 	}
 
@@ -100,7 +104,8 @@
 	/** Replaces the controller, as when another daemon takes over the duty. */
 	changeHolder(): void {
 		this.authority = {holder: `daemon-${this.authority!.fencing + 1}`, fencing: this.authority!.fencing + 1};
-		this.controller = this.#createController();
+		this.controller = this.#successor;
+		this.#successor = this.#createController();
 	}
 
 	/** Takes all reclaimable upstreams of a zone away, and gives no new ones there for a while. */
@@ -153,6 +158,7 @@
 			if (now % ticksEveryMs === 0) {
 				this.#rates.hear('daemon-1', this.#work.totals(['model']), this.clock.now(), true);
 				this.controller.tick();
+				this.#successor.tick();
 				await Promise.resolve();
 			}
 
@@ -171,6 +177,11 @@
 		// Holds nothing open.
 	}
 
+	#isListed({id}: Upstream): boolean {
+		const [first, interval] = this.startListingMs;
+		return this.clock.now() >= first + (interval * Number(id.slice(2)));
+	}
+
 	#apply(order: PoolOrder): DutyResult {
 		this.orders.push(order);
 		this.times.push(this.clock.now());
@@ -240,7 +251,7 @@
 	}
 
 	#createController(): PoolController {
-		return new PoolController({
+		const controller: PoolController = new PoolController({
 			clock: this.clock,
 			log: {
 				write() {
@@ -248,7 +259,7 @@
 				},
 			},
 			duties: this,
-			authority: () => this.authority,
+			authority: () => this.controller === controller ? this.authority : undefined,
 			pools: () => [{
 				service: {...createModelService(), scaling}, scaling, upstreams: this.upstreams, work: this.#rates.measure('model', this.clock.now()), stages: this.stages,
 			}],
@@ -256,5 +267,6 @@
 				// The model records orders itself.
 			},
 		});
+		return controller;
 	}
 }
