Share scarce pools between client accounts by the work that they have used

While a service cannot place what callers ask for, its queues were ordered by priority and deadline alone, so the burst of one large account made the requests of all others late. Within one priority and lateness class, accounts whose demand fits into an equal share now go first, and an account of whose work far too little was placed goes before all. A prompt of an account within its share is no longer refused for the work that waits for others beyond theirs. Daemons tell each other the work of accounts every 500 ms; relays sum it, so that a daemon gets one item for each active account. Without accounts nothing changes.

The test of the links found that sums attached to a message of their receiver were lost.

--- a/bench/capacity/fleet.ts
+++ b/bench/capacity/fleet.ts
@@ -1,5 +1,6 @@
 import {performance} from 'node:perf_hooks';
 import {median} from 'simple-statistics';
+import {AccountUsage} from '../../src/process/accounts/account-usage.ts';
 import {SystemClock} from '../../src/process/clock.ts';
 import {DecisionLog} from '../../src/process/fleet/decision-log.ts';
 import {FleetScheduler} from '../../src/process/fleet/fleet-scheduler.ts';
@@ -90,7 +91,7 @@
 			upstream: chooseEngine(), runs: random.integer(9), tokensByPriority: new Map([[random.integer(3), random.integer(20_000)]]),
 		})),
 		prefills: [{upstream: chooseEngine(), parts: Array.from({length: 2}, () => ({id: random.integer(2 ** 30).toString(16), tokens: random.integer(20_000)}))}],
-		queued: new Map(),
+		queued: new Map(), excessQueued: new Map(), usage: [],
 		crashNews: [],
 		limits: [],
 		leaving: [],
@@ -125,6 +126,7 @@
 				// This benchmark has no peers to notify.
 			},
 		},
+		accountUsage: new AccountUsage(),
 		availabilityZone: 'zone-0',
 		services: () => services,
 		onUpstreamDown() {
@@ -137,6 +139,7 @@
 	const now = performance.now();
 	return {
 		service,
+		account: undefined,
 		triedUpstreams: new Set(),
 		arrivedAt: now,
 		deadlineAt: now + 5000,
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -14,6 +14,7 @@
 import {NoUsageRecorder} from '../../request/delivery/usage-recorder.ts';
 import type {FleetSettings} from '../../version/fleet-settings.ts';
 import {parseAddress} from '../address.ts';
+import {AccountUsage} from '../accounts/account-usage.ts';
 import {UpstreamBackpressure} from '../backpressure/upstream-backpressure.ts';
 import {SuspendAwareClock, SystemClock} from '../clock.ts';
 import {CrashMemoryTask} from '../crashes/crash-memory-task.ts';
@@ -23,6 +24,7 @@
 import {SeededRandom} from '../random.ts';
 import {formatError} from '../uncaught-errors.ts';
 import {PeerLink} from '../peers/peer-link.ts';
+import {maxReportedAccounts} from '../peers/usage-relay.ts';
 import type {StoreEpoch} from '../tables/store-epoch.ts';
 import type {UpstreamStart} from '../peers/peer-message.ts';
 import {createControllerTimes, StageController, type StageGroup} from '../stages/stage-controller.ts';
@@ -93,6 +95,7 @@
 	readonly #requestHandler: RouteRequestHandler;
 	readonly #shutdown: Shutdown;
 	readonly #peers: PeerLink;
+	readonly #accountUsage = new AccountUsage();
 	readonly #crashes: CrashMonitor;
 	readonly #crashMemory: CrashMemoryTask;
 	readonly #lease: LeaseTask;
@@ -167,6 +170,11 @@
 			},
 			ownLoads: () => this.#scheduler.loads(),
 			ownQueuedTokens: () => this.#scheduler.queuedTokens(),
+			ownExcessTokens: () => this.#scheduler.excessTokens(),
+			takeUsage: () => this.#accountUsage.takeUnreported(maxReportedAccounts),
+			onUsage: works => {
+				this.#accountUsage.addReported(works, clock.now());
+			},
 			onPrefills: prefills => {
 				this.#scheduler.acceptPrefills(prefills);
 			},
@@ -212,6 +220,7 @@
 					this.#peers.announcePrefill(prefill);
 				},
 			},
+			accountUsage: this.#accountUsage,
 			availabilityZone: settings.daemon.availabilityZone,
 			services: () => this.#configuration.routeTable?.services ?? new Map(),
 			onUpstreamDown: (upstream, evidence) => {
@@ -322,6 +331,7 @@
 			limitedUpstreams: () => this.#backpressure.limitCount,
 			pausedUpstreams: () => this.#backpressure.pauseCount,
 			configurationVersion: () => this.#configuration.routeTable?.version ?? 0,
+			excessTokens: () => [...this.#scheduler.excessTokens().values()].reduce((sum, tokens) => sum + tokens, 0),
 			droppedLogLines: () => log.droppedLines,
 			droppedRows: () => this.#tables.droppedRows,
 			storeEpoch: () => platform.epoch.current ?? 0,
--- a/src/process/fleet/fleet-metrics.ts
+++ b/src/process/fleet/fleet-metrics.ts
@@ -15,6 +15,8 @@
 	readonly limitedUpstreams: () => number;
 	readonly pausedUpstreams: () => number;
 	readonly configurationVersion: () => number;
+	/** Weighted prompt tokens that are queued for client accounts beyond their share. */
+	readonly excessTokens: () => number;
 	readonly droppedLogLines: () => number;
 	/** Times that a row of the platform's tables was read and dropped. */
 	readonly droppedRows: () => number;
@@ -68,7 +70,7 @@
 
 	/** Registers gauges whose values are read at each scrape. */
 	addGauges({
-		openRequests, upstreams, connectionsOpened, limitedUpstreams, pausedUpstreams, configurationVersion, droppedLogLines, droppedRows, storeEpoch, storeRestores, unusableEpochs,
+		openRequests, upstreams, connectionsOpened, limitedUpstreams, pausedUpstreams, configurationVersion, excessTokens, droppedLogLines, droppedRows, storeEpoch, storeRestores, unusableEpochs,
 	}: FleetGauges): void {
 		this.#addGauge('wagtailtack_route_open_requests', 'Requests in flight', openRequests);
 		this.#addGauge('wagtailtack_upstreams', 'Upstreams that accept work', upstreams);
@@ -76,6 +78,7 @@
 		this.#addGauge('wagtailtack_limited_upstreams', 'Upstreams that name a limit on requests per second', limitedUpstreams);
 		this.#addGauge('wagtailtack_paused_upstreams', 'Upstreams that want nothing from this daemon for a while', pausedUpstreams);
 		this.#addGauge('wagtailtack_configuration_version', 'Version of the active configuration', configurationVersion);
+		this.#addGauge('wagtailtack_excess_queued_tokens', 'Weighted prompt tokens that are queued for client accounts beyond their share', excessTokens);
 		this.#addGauge('wagtailtack_log_lines_left_out', 'Log lines dropped to stay within the limits', droppedLogLines);
 		this.#addGauge('wagtailtack_dropped_entries', 'Times that an entry of the platform was read and dropped, because it cannot be used', droppedRows);
 		this.#addGauge('wagtailtack_store_epoch', 'Epoch of the store, which rises when the store is restored from an older copy; 0 if the store names none', storeEpoch);
--- a/src/process/fleet/fleet-scheduler.ts
+++ b/src/process/fleet/fleet-scheduler.ts
@@ -4,6 +4,8 @@
 } from '../../request/delivery/upstream-scheduler.ts';
 import type {PromptPart} from '../../request/delivery/route-request.ts';
 import type {Service} from '../../version/routes/route-configuration.ts';
+import type {AccountUsage} from '../accounts/account-usage.ts';
+import {promptWork} from '../accounts/request-work.ts';
 import type {UpstreamBackpressure} from '../backpressure/upstream-backpressure.ts';
 import type {Clock} from '../clock.ts';
 import type {DownEvidence} from '../crashes/crash-attribution.ts';
@@ -38,6 +40,8 @@
 	readonly registry: UpstreamRegistry;
 	readonly backpressure: UpstreamBackpressure;
 	readonly peers: SchedulerPeers;
+	/** Work of client accounts, by which the requests that wait are ordered. */
+	readonly accountUsage: AccountUsage;
 	readonly availabilityZone: string;
 	/** Services of the active configuration, by name. */
 	readonly services: () => ReadonlyMap<string, Service>;
@@ -93,6 +97,11 @@
 		return this.#prefills.queuedTokens();
 	}
 
+	/** The part of these tokens that belongs to client accounts beyond their share. */
+	excessTokens(): ReadonlyMap<number, number> {
+		return this.#prefills.excessTokens();
+	}
+
 	/** Applies the prefills that the other daemons announced. */
 	acceptPrefills(prefills: readonly PeerPrefill[]): void {
 		this.#states.acceptPrefills(prefills);
@@ -141,6 +150,7 @@
 			return undefined;
 		}
 
+		this.#recordWhole(demand, weightedTokens);
 		const state = this.#states.get(candidate.id)!;
 		const parts = demand.request.prompt?.parts ?? [];
 		state.cache.touch(parts);
@@ -184,6 +194,15 @@
 		return state === undefined ? undefined : this.#beginRun(state);
 	}
 
+	#recordWhole({service, account, request: {prompt}}: PlacementDemand, weightedTokens: number): void {
+		if (account !== undefined && prompt !== undefined) {
+			const now = this.#options.clock.now();
+			const work = promptWork(weightedTokens, prompt);
+			this.#options.accountUsage.ask(service, account, work, now);
+			this.#options.accountUsage.place(service, account, work, now);
+		}
+	}
+
 	#chooseLeastLoaded(states: readonly UpstreamState[], promptZone: string | undefined): UpstreamState | undefined {
 		const now = this.#options.clock.now();
 		const {availabilityZone, random} = this.#options;
--- a/src/process/fleet/prefill-queue.ts
+++ b/src/process/fleet/prefill-queue.ts
@@ -46,17 +46,18 @@
 }
 
 /**
-Orders waiting prompts: those that can still be on time before those that cannot, each by priority and then by deadline.
+Orders waiting prompts: those that can still be on time before those that cannot, each by priority, then by the level of their client account and then by deadline.
 
 Under overload, first come, first served makes every answer late. With this order, the prompts that are placed first are on
 time, and late prompts get the remaining capacity.
 */
-export function orderPrompts(prompts: readonly WaitingPrompt[], now: number, fastestMs: number): readonly WaitingPrompt[] {
+export function orderPrompts<T extends WaitingPrompt>(prompts: readonly T[], now: number, fastestMs: number, rank: (ordered: readonly T[]) => ReadonlyMap<T, number> = () => new Map()): readonly T[] {
 	const isLate = (prompt: WaitingPrompt) => isLatePrompt(prompt, fastestMs, now);
-	return prompts.toSorted((a, b) => {
-		const late = Number(isLate(a)) - Number(isLate(b));
-		return late || a.priority - b.priority || (isLate(a) ? a.giveUpAt - b.giveUpAt : a.targetAt - b.targetAt);
-	});
+	const byClass = (a: T, b: T) => Number(isLate(a)) - Number(isLate(b)) || a.priority - b.priority;
+	const byDeadline = (a: T, b: T) => isLate(a) ? a.giveUpAt - b.giveUpAt : a.targetAt - b.targetAt;
+	const ordered = prompts.toSorted((a, b) => byClass(a, b) || byDeadline(a, b));
+	const levels = rank(ordered);
+	return levels.size === 0 ? ordered : ordered.toSorted((a, b) => byClass(a, b) || (levels.get(a) ?? 0) - (levels.get(b) ?? 0));
 }
 
 /**
--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -3,6 +3,9 @@
 import type {PlacementDemand, PlacementResult} from '../../request/delivery/upstream-scheduler.ts';
 import type {PromptPart} from '../../request/delivery/route-request.ts';
 import type {EngineProfile, Service} from '../../version/routes/route-configuration.ts';
+import type {AccountUsage} from '../accounts/account-usage.ts';
+import {promptWork} from '../accounts/request-work.ts';
+import {levelOnArrival, rankByShare, type SharedWork} from '../accounts/share-order.ts';
 import type {UpstreamBackpressure} from '../backpressure/upstream-backpressure.ts';
 import type {Clock} from '../clock.ts';
 import {sumTokensUpTo, type PeerLoadTracker} from '../peers/peer-load-tracker.ts';
@@ -34,6 +37,7 @@
 	readonly runQueue: RunQueue;
 	readonly backpressure: UpstreamBackpressure;
 	readonly peerLoads: PeerLoadTracker;
+	readonly accountUsage: AccountUsage;
 	/** Announces to the other daemons that an engine starts the prefill of a prompt. */
 	readonly announcePrefill: (prefill: PeerPrefill) => void;
 	readonly availabilityZone: string;
@@ -42,7 +46,7 @@
 };
 
 /** A queued prompt with the data needed to place it. */
-type QueuedPrompt = WaitingPrompt & {
+type QueuedPrompt = WaitingPrompt & SharedWork & {
 	readonly demand: PlacementDemand;
 	readonly engine: EngineProfile;
 	readonly parts: readonly PromptPart[];
@@ -146,17 +150,23 @@
 		const now = this.#options.clock.now();
 		const parts = promptParts(demand);
 		const {promise, resolve} = Promise.withResolvers<PlacementResult>();
+		const tokens = this.#minWeightedTokens(demand, parts);
+		const {service, account} = demand;
 		const waiting: QueuedPrompt = {
+			service,
+			account,
+			work: promptWork(tokens, prompt),
 			demand,
 			engine,
 			parts,
 			settle: resolve,
 			id: demand.request.id,
 			priority: demand.route.priority,
-			tokens: this.#minWeightedTokens(demand, parts),
+			tokens,
 			targetAt: demand.arrivedAt + demand.route.targetLatencyMs - firstEventDelayMs,
 			giveUpAt: callerGivesUpAt(demand) - minRemainingMs,
 		};
+		this.#recordAsked(waiting, now);
 		const expectedMs = this.#predictCompletion(waiting, now) + this.#options.runQueue.predictWaitMs({demand, stage: 'decode'});
 		if (now + expectedMs > waiting.giveUpAt) {
 			return this.#options.placements.refuse(demand, 'overloaded', expectedMs);
@@ -171,7 +181,7 @@
 		this.placeQueued();
 		if (this.#queue.has(waiting)) {
 			this.#options.log.write('queued', {
-				request: waiting.id, service: demand.service, waiting: this.#queue.size, expectedMs: Math.round(expectedMs), tokens: Math.round(waiting.tokens),
+				request: waiting.id, service: demand.service, account: waiting.account, waiting: this.#queue.size, expectedMs: Math.round(expectedMs), tokens: Math.round(waiting.tokens),
 			});
 		}
 
@@ -188,12 +198,12 @@
 
 		const now = this.#options.clock.now();
 		let blocked = 0;
-		for (const prompt of orderPrompts([...this.#queue], now, prefillRate.fixedMs)) {
+		for (const prompt of this.#orderQueue(now)) {
 			if (blocked >= maxBlockedPrompts) {
 				break;
 			}
 
-			blocked += this.#tryPlace(prompt as QueuedPrompt, now) ? 0 : 1;
+			blocked += this.#tryPlace(prompt, now) ? 0 : 1;
 		}
 
 		if (this.#queue.size > 0 && !this.#isPlacementScheduled) {
@@ -215,6 +225,19 @@
 		return tokens;
 	}
 
+	/** The part of these tokens that belongs to client accounts beyond their share. */
+	excessTokens(): ReadonlyMap<number, number> {
+		const tokens = new Map<number, number>();
+		const levels = rankByShare([...this.#queue], this.#options.accountUsage, this.#options.clock.now());
+		for (const [waiting, level] of levels) {
+			if (level > 0) {
+				tokens.set(waiting.priority, (tokens.get(waiting.priority) ?? 0) + waiting.tokens);
+			}
+		}
+
+		return tokens;
+	}
+
 	/** Mean time that the prefill engines of a service need for their backlog, in milliseconds. */
 	meanBacklogMs(service: string, now: number): number {
 		const states = this.#options.states.usable(service, 'prefill', new Set());
@@ -274,6 +297,7 @@
 					return false;
 				}
 
+				this.#recordPlaced(waiting, now);
 				const state = this.#options.states.get(candidate.id)!;
 				const finish = state.beginPrefill(weighTokens(candidate.missingTokens, candidate.cachedTokens), rank, predictedMs);
 				state.cache.touch(parts);
@@ -322,10 +346,11 @@
 	}
 
 	/** Predicts the time until the prefill of a prompt that arrives now is complete, behind the queues of all daemons and upstreams. */
-	#predictCompletion({demand, tokens, priority}: QueuedPrompt, now: number): number {
-		const {peerLoads, backpressure} = this.#options;
+	#predictCompletion(waiting: QueuedPrompt, now: number): number {
+		const {demand, tokens, priority} = waiting;
+		const {backpressure} = this.#options;
 		const states = this.#prefillUpstreams(demand);
-		let tokensAhead = sumTokensUpTo(this.queuedTokens(), priority) + peerLoads.queuedTokensUpTo(priority, now);
+		let tokensAhead = this.#sumQueuedAhead(waiting, now);
 		let tokensPerMs = 0;
 		for (const state of states) {
 			tokensAhead += this.#sumBacklog(state, priority, now);
@@ -336,6 +361,31 @@
 		return predictCompletion(tokens, {tokensAhead, tokensPerMs}, tokensPerMs / Math.max(1, states.length), prefillRate.fixedMs);
 	}
 
+	/** Weighted tokens queued at all daemons that go before a prompt that arrives. */
+	#sumQueuedAhead(waiting: QueuedPrompt, now: number): number {
+		const {peerLoads, accountUsage} = this.#options;
+		const {priority} = waiting;
+		const level = levelOnArrival(waiting, this.#queue, accountUsage, now);
+		const excess = level === 0 ? (this.excessTokens().get(priority) ?? 0) + peerLoads.excessQueuedTokens(priority, now) : 0;
+		return sumTokensUpTo(this.queuedTokens(), priority) + peerLoads.queuedTokensUpTo(priority, now) - excess;
+	}
+
+	#orderQueue(now: number): readonly QueuedPrompt[] {
+		return orderPrompts([...this.#queue], now, prefillRate.fixedMs, ordered => rankByShare(ordered, this.#options.accountUsage, now));
+	}
+
+	#recordAsked({service, account, work}: SharedWork, now: number): void {
+		if (account !== undefined) {
+			this.#options.accountUsage.ask(service, account, work, now);
+		}
+	}
+
+	#recordPlaced({service, account, work}: SharedWork, now: number): void {
+		if (account !== undefined) {
+			this.#options.accountUsage.place(service, account, work, now);
+		}
+	}
+
 	/** Weighted tokens to prefill at the upstream with the longest cached prefix. */
 	#minWeightedTokens(demand: PlacementDemand, parts: readonly PromptPart[]): number {
 		const {totalTokens, bestMissingTokens} = this.#findPrefixMatch(parts, demand.service);
--- a/src/process/fleet/run-queue.ts
+++ b/src/process/fleet/run-queue.ts
@@ -1,3 +1,6 @@
+import type {AccountUsage} from '../accounts/account-usage.ts';
+import {plainWork} from '../accounts/request-work.ts';
+import {levelOnArrival, rankByShare, type SharedWork} from '../accounts/share-order.ts';
 import type {UpstreamBackpressure} from '../backpressure/upstream-backpressure.ts';
 import type {PlacementDemand, PlacementResult} from '../../request/delivery/upstream-scheduler.ts';
 import type {Stage} from '../../ports/upstream.ts';
@@ -14,6 +17,7 @@
 	readonly backpressure: UpstreamBackpressure;
 	readonly states: UpstreamStates;
 	readonly placements: Placements;
+	readonly accountUsage: AccountUsage;
 };
 
 /** Run to be placed at an upstream of a service. */
@@ -26,7 +30,7 @@
 	readonly begin: (states: readonly UpstreamState[]) => PlacementResult | undefined;
 };
 
-type WaitingRun = RunDemand & {
+type WaitingRun = RunDemand & SharedWork & {
 	readonly settle: (result: PlacementResult) => void;
 };
 
@@ -60,6 +64,7 @@
 			return {reason: 'cancelled', retryAfterMs: 0};
 		}
 
+		this.#record(run, 'ask');
 		const ahead = this.#countAhead(run);
 		const result = ahead === 0 ? this.#tryPlace(run) : 'limited';
 		return result === 'limited' ? this.#wait(run, ahead) : result;
@@ -71,16 +76,33 @@
 		return this.#options.backpressure.predictWaitMs(usable.map(({upstream}) => upstream.id), ahead);
 	}
 
-	#countAhead({demand, stage}: RunDemand): number {
+	#countAhead(run: RunDemand): number {
+		if (this.#queue.size === 0) {
+			return 0;
+		}
+
+		const {accountUsage, clock} = this.#options;
+		const {demand: {service, route: {priority}}, stage} = run;
+		const now = clock.now();
+		const level = levelOnArrival(toSharedWork(run), this.#queue, accountUsage, now);
 		let count = 0;
-		for (const {demand: other, stage: otherStage} of this.#queue) {
-			count += other.service === demand.service && otherStage === stage && other.route.priority <= demand.route.priority ? 1 : 0;
+		for (const [{demand: other, stage: otherStage}, otherLevel] of rankByShare([...this.#queue], accountUsage, now)) {
+			const isAhead = other.route.priority < priority || (other.route.priority === priority && otherLevel <= level);
+			count += other.service === service && otherStage === stage && isAhead ? 1 : 0;
 		}
 
 		return count;
 	}
 
-	#tryPlace({demand, stage, begin}: RunDemand): AttemptResult {
+	/** Records the work of a plain run; that of a model request is recorded with its prompt. */
+	#record({demand: {service, account}, stage}: RunDemand, event: 'ask' | 'place'): void {
+		if (account !== undefined && stage === undefined) {
+			this.#options.accountUsage[event](service, account, plainWork, this.#options.clock.now());
+		}
+	}
+
+	#tryPlace(run: RunDemand): AttemptResult {
+		const {demand, stage, begin} = run;
 		const {states, backpressure, placements} = this.#options;
 		const usable = states.usable(demand.service, stage, demand.triedUpstreams);
 		if (usable.length === 0) {
@@ -88,7 +110,13 @@
 		}
 
 		const open = usable.filter(({upstream}) => backpressure.hasRoom(upstream.id));
-		return (open.length === 0 ? undefined : begin(open)) ?? 'limited';
+		const result = open.length === 0 ? undefined : begin(open);
+		if (result === undefined) {
+			return 'limited';
+		}
+
+		this.#record(run, 'place');
+		return result;
 	}
 
 	async #wait(run: RunDemand, ahead: number): Promise<PlacementResult> {
@@ -102,7 +130,7 @@
 		}
 
 		const {promise, resolve} = Promise.withResolvers<PlacementResult>();
-		const waiting: WaitingRun = {...run, settle: resolve};
+		const waiting: WaitingRun = {...run, ...toSharedWork(run), settle: resolve};
 		const cancel = () => {
 			this.#leave(waiting, {reason: 'cancelled', retryAfterMs: 0});
 		};
@@ -133,11 +161,13 @@
 		}, retryIntervalMs);
 	}
 
-	/** Places waiting runs, the most urgent and oldest first, until all upstreams of their service have reached their limits again. */
+	/** Places waiting runs, the most urgent first, then those of accounts within their share and then the oldest, until all upstreams of their service have reached their limits again. */
 	#placeWaiting(): void {
 		const now = this.#options.clock.now();
 		const blocked = new Set<string>();
-		const ordered = [...this.#queue].toSorted((a, b) => a.demand.route.priority - b.demand.route.priority || a.demand.arrivedAt - b.demand.arrivedAt);
+		const byArrival = [...this.#queue].toSorted((a, b) => a.demand.arrivedAt - b.demand.arrivedAt);
+		const levels = rankByShare(byArrival, this.#options.accountUsage, now);
+		const ordered = byArrival.toSorted((a, b) => a.demand.route.priority - b.demand.route.priority || levels.get(a)! - levels.get(b)!);
 		for (const run of ordered) {
 			const {demand, stage, giveUpAt} = run;
 			const group = `${demand.service} ${stage ?? ''}`;
@@ -161,3 +191,7 @@
 		}
 	}
 }
+
+function toSharedWork({demand: {service, account}}: RunDemand): SharedWork {
+	return {service, account, work: plainWork};
+}
--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -1,43 +1,15 @@
 import {createSocket, type Socket} from 'node:dgram';
-import type {Table} from '../../ports/table.ts';
 import {parseAddress} from '../address.ts';
-import type {Clock} from '../clock.ts';
 import type {CrashNews} from '../crashes/crash-attribution.ts';
-import type {DecisionLog} from '../fleet/decision-log.ts';
-import type {TableAnnouncement} from '../tables/table-sharing.ts';
 import {MessageBuffer} from './message-buffer.ts';
 import {PeerLoadTracker} from './peer-load-tracker.ts';
 import {PeerDirectory} from './peer-directory.ts';
+import type {PeerLinkOptions} from './peer-link-options.ts';
 import {
-	decodePeerDatagram, encodePeerDatagrams, type PeerDatagram, type PeerLimit, type PeerLoad, type PeerMessage, type PeerPrefill, type PeerScope, type UpstreamStart,
+	decodePeerDatagram, encodePeerDatagrams, type PeerDatagram, type PeerLoad, type PeerMessage, type PeerPrefill, type PeerScope,
 } from './peer-message.ts';
 import {PeerTopology, type PeerMember} from './peer-topology.ts';
-
-/** Options of the peer link. */
-export type PeerLinkOptions = {
-	readonly clock: Clock;
-	readonly log: DecisionLog;
-	readonly table: Table;
-	/** This daemon, with the address at which it receives datagrams. */
-	readonly self: PeerMember;
-	/** Returns this daemon's own load on all upstreams with work. */
-	readonly ownLoads: () => readonly PeerLoad[];
-	/** Returns the prompt tokens that are queued at this daemon, by priority. */
-	readonly ownQueuedTokens: () => ReadonlyMap<number, number>;
-	readonly onPrefills: (prefills: readonly PeerPrefill[]) => void;
-	readonly onCrashNews: (news: CrashNews) => void;
-	/** Returns the crash news that keep-alive messages repeat for daemons that have just started or missed it. */
-	readonly repeatedCrashNews: (isRelay: boolean) => readonly CrashNews[];
-	/** Returns the limits that upstreams named, with their use by this daemon. */
-	readonly ownLimits: () => readonly PeerLimit[];
-	readonly onLimits: (daemon: string, limits: readonly PeerLimit[]) => void;
-	/** Returns the upstreams that this daemon knows to be leaving. */
-	readonly ownLeaving: () => readonly UpstreamStart[];
-	readonly onLeaving: (daemon: string, upstreams: readonly UpstreamStart[]) => void;
-	/** Returns the state of the tables that this daemon reads from the store for the others. */
-	readonly ownTables: () => readonly TableAnnouncement[];
-	readonly onTables: (daemon: string, tables: readonly TableAnnouncement[]) => void;
-};
+import {UsageRelay, withoutUsage} from './usage-relay.ts';
 
 /** Delay in which changes are collected for one message, in milliseconds. */
 const batchDelayMs = 12;
@@ -71,6 +43,7 @@
 	readonly #socket: Socket = createSocket('udp4');
 	readonly #ownZoneBuffer = new MessageBuffer();
 	readonly #otherZonesBuffer = new MessageBuffer();
+	readonly #usageRelay: UsageRelay;
 	readonly #changedUpstreams = new Set<string>();
 	#pendingPrefills: PeerPrefill[] = [];
 	#pendingCrashNews: CrashNews[] = [];
@@ -95,6 +68,7 @@
 		this.#options = options;
 		const {log, self, table, clock} = options;
 		this.topology = new PeerTopology(self);
+		this.#usageRelay = new UsageRelay(self.daemon);
 		this.#directory = new PeerDirectory({
 			table,
 			log,
@@ -247,6 +221,8 @@
 			loads,
 			prefills: this.#pendingPrefills,
 			queued: this.#options.ownQueuedTokens(),
+			excessQueued: this.#options.ownExcessTokens(),
+			usage: isKeepAlive ? this.#options.takeUsage() : [],
 			crashNews: isKeepAlive ? [...repeatedCrashNews(this.topology.isDirect || this.topology.isRelay(now)), ...this.#pendingCrashNews] : this.#pendingCrashNews,
 			limits: isKeepAlive || this.#hasChangedLimits ? this.#options.ownLimits() : [],
 			leaving: isKeepAlive || this.#hasChangedLeaving ? this.#options.ownLeaving() : [],
@@ -266,13 +242,15 @@
 		}
 
 		if (this.topology.isRelay(now)) {
-			this.#ownZoneBuffer.add(message);
-			this.#otherZonesBuffer.add(message);
+			this.#ownZoneBuffer.add(withoutUsage(message));
+			this.#otherZonesBuffer.add(withoutUsage(message));
+			this.#usageRelay.add(message.usage, true);
 			this.#scheduleRelay();
 		}
 
 		const suspectedRelay = isKeepAlive ? this.topology.suspectedRelay(now) : undefined;
-		this.#send('own', [message], [...targets, ...suspectedRelay === undefined ? [] : [suspectedRelay]]);
+		this.#send('own', [message], targets);
+		this.#send('own', [withoutUsage(message)], suspectedRelay === undefined ? [] : [suspectedRelay]);
 	}
 
 	#setCurrentRelay(relay: string): void {
@@ -305,8 +283,8 @@
 		}
 
 		this.#lastRelayedAt = now;
-		const bytes = this.#send('final', this.#ownZoneBuffer.takeAll(), this.topology.zoneTargets())
-			+ this.#send('zones', this.#otherZonesBuffer.takeAll(), this.topology.otherRelays(now));
+		const bytes = this.#send('final', this.#usageRelay.attachToOwnZone(this.#ownZoneBuffer.takeAll(), now), this.topology.zoneTargets())
+			+ this.#send('zones', this.#usageRelay.attachToOtherZones(this.#otherZonesBuffer.takeAll(), now), this.topology.otherRelays(now));
 		this.#relayBudgetFreeAt = now + ((bytes * bitsPerByte) / (this.#options.self.linkMbps * bitsPerMillisecondPerMbps * maxRelayLinkFraction));
 	}
 
@@ -339,11 +317,12 @@
 		for (const message of messages.filter(({daemon}) => daemon !== ownName)) {
 			this.#applyMessage(message, now);
 			if (this.topology.forwardsWithinZone(scope)) {
-				this.#ownZoneBuffer.add(message);
+				this.#ownZoneBuffer.add(withoutUsage(message));
+				this.#usageRelay.add(message.usage, this.topology.forwardsToOtherZones(scope));
 			}
 
 			if (this.topology.forwardsToOtherZones(scope)) {
-				this.#otherZonesBuffer.add(message);
+				this.#otherZonesBuffer.add(withoutUsage(message));
 			}
 		}
 
@@ -375,6 +354,10 @@
 			this.#options.onCrashNews(news);
 		}
 
+		if (message.usage.length > 0) {
+			this.#options.onUsage(message.usage);
+		}
+
 		if (message.limits.length > 0) {
 			this.#options.onLimits(daemon, message.limits);
 		}
--- a/src/process/peers/peer-load-tracker.ts
+++ b/src/process/peers/peer-load-tracker.ts
@@ -7,6 +7,7 @@
 	readonly address: string;
 	lastHeardAt: number;
 	queued: ReadonlyMap<number, number>;
+	excessQueued: ReadonlyMap<number, number>;
 	readonly upstreams: Set<string>;
 };
 
@@ -20,7 +21,7 @@
 	readonly #loads = new Map<string, Map<string, PeerLoad>>();
 
 	/** Applies a message; returns true when its daemon is new or has a new address. Messages before the first one with the daemon's entry are ignored. */
-	apply({daemon, entry, isSnapshot, loads, queued}: PeerMessage, now: number): boolean {
+	apply({daemon, entry, isSnapshot, loads, queued, excessQueued}: PeerMessage, now: number): boolean {
 		const known = this.#peers.get(daemon);
 		const address = entry?.address ?? known?.address;
 		if (address === undefined) {
@@ -35,10 +36,11 @@
 		const peer = isSame
 			? known
 			: {
-				address, lastHeardAt: now, queued, upstreams: new Set<string>(),
+				address, lastHeardAt: now, queued, excessQueued, upstreams: new Set<string>(),
 			};
 		peer.lastHeardAt = now;
 		peer.queued = queued;
+		peer.excessQueued = excessQueued;
 		this.#peers.set(daemon, peer);
 		if (isSnapshot) {
 			this.#removeAllLoads(daemon, peer);
@@ -78,6 +80,16 @@
 		return sum;
 	}
 
+	/** Returns the prompt tokens of a priority that are queued at the other daemons for client accounts beyond their share. */
+	excessQueuedTokens(priority: number, now: number): number {
+		let sum = 0;
+		for (const {lastHeardAt, excessQueued} of this.#peers.values()) {
+			sum += now - lastHeardAt < peerLoadTimeoutMs ? excessQueued.get(priority) ?? 0 : 0;
+		}
+
+		return sum;
+	}
+
 	/** Removes a daemon and its loads. */
 	forget(daemon: string): void {
 		const peer = this.#peers.get(daemon);
--- a/src/process/peers/peer-message.ts
+++ b/src/process/peers/peer-message.ts
@@ -6,6 +6,7 @@
 } from 'purify-ts/Codec';
 import type {Upstream} from '../../ports/upstream.ts';
 import {isHostAddress} from '../address.ts';
+import type {AccountWork} from '../accounts/account-usage.ts';
 import type {LimitUse} from '../backpressure/shared-rate-limit.ts';
 import type {CrashNews} from '../crashes/crash-attribution.ts';
 import type {TableAnnouncement} from '../tables/table-sharing.ts';
@@ -72,6 +73,9 @@
 /** Epoch of the store that the version of a table belongs to. */
 const tableEpochCodec = tuple([string, finite]);
 
+/** Work of a client account since the last report: service, account, work asked for, and work placed at upstreams. */
+const usageCodec = tuple([string, string, finite, finite]);
+
 const messageCodec = Codec.interface({
 	/** Name of the daemon that the message describes. */
 	n: string,
@@ -88,6 +92,9 @@
 	d: optional(array(tableCodec)),
 	// A list of its own, because earlier releases reject tables with a further field.
 	h: optional(array(tableEpochCodec)),
+	/** The part of `q` that belongs to client accounts beyond their share. */
+	x: optional(array(tuple([finite, finite]))),
+	a: optional(array(usageCodec)),
 });
 
 const scopeCodec = oneOf([exactly('direct'), exactly('own'), exactly('zones'), exactly('final')]);
@@ -112,6 +119,7 @@
 const maxCrashNewsPerFragment = 6;
 const maxLimitsPerFragment = 16;
 const maxLeavingPerFragment = 16;
+const maxUsagePerFragment = 32;
 
 /**
 Stage of a datagram on its way: `direct` from a daemon to all that it knows, `own` from a daemon to its relay, `zones` from a
@@ -165,6 +173,10 @@
 	readonly prefills: readonly PeerPrefill[];
 	/** Prompt tokens that are queued at the daemon, by priority. */
 	readonly queued: ReadonlyMap<number, number>;
+	/** The part of `queued` that belongs to client accounts beyond their share, by priority. */
+	readonly excessQueued: ReadonlyMap<number, number>;
+	/** Work of client accounts that no earlier message has told; a relay sums that of several daemons. */
+	readonly usage: readonly AccountWork[];
 	readonly crashNews: readonly CrashNews[];
 	/** All limits that the daemon knows, and those that ended recently; empty if nothing has changed. */
 	readonly limits: readonly PeerLimit[];
@@ -183,7 +195,7 @@
 };
 
 /** Encodes a message as JSON text. */
-function encodePeerMessage({daemon, entry, isSnapshot, loads, prefills, queued, crashNews, limits, leaving, tables}: PeerMessage): string {
+function encodePeerMessage({daemon, entry, isSnapshot, loads, prefills, queued, excessQueued, usage, crashNews, limits, leaving, tables}: PeerMessage): string {
 	const message: GetType<typeof messageCodec> = {
 		n: daemon,
 		e: entry === undefined ? undefined : {a: entry.address, z: entry.availabilityZone, b: entry.linkMbps},
@@ -198,6 +210,8 @@
 		v: omitEmpty(leaving.map(({id, startedAt}): [string, number] => [id, startedAt ?? unknownStart])),
 		d: omitEmpty(tables.map(({table, position: {version}, digest, ageMs}): [string, number, number, number] => [table, version, digest, ageMs])),
 		h: omitEmpty(tables.flatMap(({table, position: {epoch}}): Array<[string, number]> => epoch === undefined ? [] : [[table, epoch]])),
+		x: omitEmpty(encodeTokens(excessQueued)),
+		a: omitEmpty(usage.map(({service, account, asked, placed}): [string, string, number, number] => [service, account, Math.round(asked), Math.round(placed)])),
 	};
 	return JSON.stringify(message);
 }
@@ -225,7 +239,7 @@
 
 /** Splits a message into fragments that have the same effect when applied in order. */
 function splitMessage(message: PeerMessage): readonly PeerMessage[] {
-	const {loads, prefills, crashNews, limits, leaving} = message;
+	const {loads, prefills, usage, crashNews, limits, leaving} = message;
 	const count = Math.max(
 		1,
 		Math.ceil(loads.length / maxLoadsPerFragment),
@@ -233,6 +247,7 @@
 		Math.ceil(crashNews.length / maxCrashNewsPerFragment),
 		Math.ceil(limits.length / maxLimitsPerFragment),
 		Math.ceil(leaving.length / maxLeavingPerFragment),
+		Math.ceil(usage.length / maxUsagePerFragment),
 	);
 	return Array.from({length: count}, (_, index) => ({
 		...message,
@@ -243,6 +258,7 @@
 		crashNews: crashNews.slice(index * maxCrashNewsPerFragment, (index + 1) * maxCrashNewsPerFragment),
 		limits: limits.slice(index * maxLimitsPerFragment, (index + 1) * maxLimitsPerFragment),
 		leaving: leaving.slice(index * maxLeavingPerFragment, (index + 1) * maxLeavingPerFragment),
+		usage: usage.slice(index * maxUsagePerFragment, (index + 1) * maxUsagePerFragment),
 		tables: index === 0 ? message.tables : [],
 	}));
 }
@@ -311,7 +327,7 @@
 	}
 }
 
-function decodeMessage({n, e, w, l, p, q, k, g, v, d, h}: GetType<typeof messageCodec>): PeerMessage {
+function decodeMessage({n, e, w, l, p, q, k, g, v, d, h, x, a}: GetType<typeof messageCodec>): PeerMessage {
 	const epochs = new Map(h);
 	return {
 		daemon: n,
@@ -321,6 +337,10 @@
 		loads: (l ?? []).map(({u, r, t}) => ({upstream: u, runs: r, tokensByPriority: new Map(t)})),
 		prefills: (p ?? []).map(({u, p: parts}) => ({upstream: u, parts: parts.map(([id, tokens]) => ({id, tokens}))})),
 		queued: new Map(q),
+		excessQueued: new Map(x),
+		usage: (a ?? []).map(([service, account, asked, placed]) => ({
+			service, account, asked: Math.max(0, asked), placed: Math.max(0, placed),
+		})),
 		crashNews: (k ?? []).map(news => decodeCrashNews(news)),
 		limits: (g ?? []).map(([upstream, requestsPerSecond, ageMs, sent, askedPerSecond]) => ({
 			upstream, requestsPerSecond: requestsPerSecond > 0 ? requestsPerSecond : undefined, ageMs, use: {sent, askedPerSecond},
--- a/src/request/delivery/delivery.ts
+++ b/src/request/delivery/delivery.ts
@@ -126,10 +126,10 @@
 	}
 
 	protected get demand(): PlacementDemand {
-		const {request, identity, route, service, arrivedAt, deadlineAt, startSignal} = this.job;
+		const {request, identity, route, service, account, arrivedAt, deadlineAt, startSignal} = this.job;
 		const excluded = this.dependencies.crashes.excludedUpstreams(identity, service);
 		return {
-			request, route, service, triedUpstreams: excluded.size === 0 ? this.triedUpstreams : new Set([...this.triedUpstreams, ...excluded]), arrivedAt, deadlineAt, signal: startSignal,
+			request, route, service, account, triedUpstreams: excluded.size === 0 ? this.triedUpstreams : new Set([...this.triedUpstreams, ...excluded]), arrivedAt, deadlineAt, signal: startSignal,
 		};
 	}
 
--- a/src/request/delivery/upstream-scheduler.ts
+++ b/src/request/delivery/upstream-scheduler.ts
@@ -35,6 +35,8 @@
 	readonly request: RouteRequest;
 	readonly route: Route;
 	readonly service: string;
+	/** Client account of the caller; undefined if there is none. */
+	readonly account: string | undefined;
 	/** Ids of the upstreams that the request has been sent to. */
 	readonly triedUpstreams: ReadonlySet<string>;
 	/** Time of arrival on the daemon's clock, in milliseconds. */
--- a/test/process/peers/peer-link.test.ts
+++ b/test/process/peers/peer-link.test.ts
@@ -5,6 +5,7 @@
 import {SystemClock} from '../../../src/process/clock.ts';
 import type {CrashNews} from '../../../src/process/crashes/crash-attribution.ts';
 import {DecisionLog} from '../../../src/process/fleet/decision-log.ts';
+import type {AccountWork} from '../../../src/process/accounts/account-usage.ts';
 import {PeerLink} from '../../../src/process/peers/peer-link.ts';
 import type {PeerLimit, PeerPrefill} from '../../../src/process/peers/peer-message.ts';
 import {maxDirectDaemons} from '../../../src/process/peers/peer-topology.ts';
@@ -21,6 +22,10 @@
 	limits: readonly PeerLimit[] = [];
 	/** Limits that each daemon has heard of. */
 	readonly heardLimits: PeerLimit[][] = [];
+	/** Work that each daemon tells in its next keep-alive message. */
+	readonly usage: AccountWork[][] = [];
+	/** Placed work of each account that each daemon was told. */
+	readonly heardUsage: Array<Map<string, number>> = [];
 	readonly table = new MemoryTable();
 
 	async start(zones: number, perZone: number): Promise<void> {
@@ -30,6 +35,8 @@
 			const prefills: PeerPrefill[] = [];
 			const received: CrashNews[] = [];
 			const heard: PeerLimit[] = [];
+			const ownUsage: AccountWork[] = [];
+			const usage = new Map<string, number>();
 			const link = new PeerLink({
 				clock: new SystemClock(),
 				log: new DecisionLog({}, (_bytes, done) => {
@@ -40,6 +47,13 @@
 					daemon: `daemon-${String(index).padStart(2, '0')}`, address: `127.0.0.1:${port}`, availabilityZone: `zone-${index % zones}`, linkMbps: index < zones ? 200 : 10,
 				},
 				ownLoads: () => [{upstream: `u-${index}`, runs: 1, tokensByPriority: new Map([[1, 1000]])}],
+				ownExcessTokens: () => new Map(),
+				takeUsage: () => ownUsage.splice(0),
+				onUsage(works) {
+					for (const {account, placed} of works) {
+						usage.set(account, (usage.get(account) ?? 0) + placed);
+					}
+				},
 				ownQueuedTokens: () => new Map([[0, 10]]),
 				onPrefills(found) {
 					prefills.push(...found);
@@ -65,6 +79,8 @@
 			this.prefills.push(prefills);
 			this.crashNews.push(received);
 			this.heardLimits.push(heard);
+			this.usage.push(ownUsage);
+			this.heardUsage.push(usage);
 			await link.start();
 		}
 	}
@@ -97,6 +113,43 @@
 		}, {timeout: 1000, interval: 10});
 	});
 
+	// Guards against work that is counted again for each relay that forwards it, and against lists that grow with the daemons.
+	test.each([
+		['directly', 2, 3],
+		['through relays', 3, Math.ceil((maxDirectDaemons * 2) / 3)],
+	])('tell all others the work of client accounts once, %s', async (_name, zones, perZone) => {
+		await using fixture = new LinkFixture();
+		await fixture.start(zones, perZone);
+		const {links, usage, heardUsage} = fixture;
+		await vi.waitFor(() => {
+			expect(links.every(({peerLoads}, index) => links.every((_, other) => other === index || peerLoads.runs(`u-${other}`, performance.now()) === 1))).toBe(true);
+		}, {timeout: 4000, interval: 50});
+		// Relays that were chosen while few daemons were known still forward for a while.
+		await delay(1500);
+		for (const [index, works] of usage.entries()) {
+			works.push({
+				service: 'model', account: `a-${index}`, asked: 5, placed: 5,
+			}, {
+				service: 'model', account: 'all', asked: 2, placed: 2,
+			});
+		}
+
+		await vi.waitFor(() => {
+			for (const [index, heard] of heardUsage.entries()) {
+				const others = [...links.keys()].filter(other => other !== index);
+				expect(others.filter(other => !heard.has(`a-${other}`))).toEqual([]);
+			}
+		}, {timeout: 6000, interval: 50});
+		// Work that is told twice would arrive with the next messages.
+		await delay(1200);
+		for (const [index, heard] of heardUsage.entries()) {
+			const others = [...links.keys()].filter(other => other !== index);
+			expect(others.map(other => heard.get(`a-${other}`))).toEqual(others.map(() => 5));
+			expect(heard.get('all')).toBeGreaterThanOrEqual(2 * others.length);
+			expect(heard.get('all')).toBeLessThanOrEqual(2 * links.length);
+		}
+	}, 15_000);
+
 	test.each([
 		['directly', 2, 2],
 		['through relays', 3, Math.ceil((maxDirectDaemons * 2) / 3)],
--- a/test/process/peers/peer-topology.test.ts
+++ b/test/process/peers/peer-topology.test.ts
@@ -69,7 +69,7 @@
 	#act({member, topology, own, others}: Node): void {
 		const {daemon, ...entry} = member;
 		const message: PeerMessage = {
-			daemon, entry, isSnapshot: false, loads: [], prefills: [], queued: new Map(), crashNews: [], limits: [], leaving: [], tables: [],
+			daemon, entry, isSnapshot: false, loads: [], prefills: [], queued: new Map(), excessQueued: new Map(), usage: [], crashNews: [], limits: [], leaving: [], tables: [],
 		};
 		if (topology.isRelay(this.now)) {
 			own.add(message);
--- a/test/process/peers/peers.test.ts
+++ b/test/process/peers/peers.test.ts
@@ -13,6 +13,10 @@
 	loads: [{upstream: 'u-1', runs: 2, tokensByPriority: new Map([[0, 100], [2, 4000]])}],
 	prefills: [{upstream: 'u-1', parts: [{id: '5c1e', tokens: 800}]}],
 	queued: new Map([[1, 50], [2, 600]]),
+	excessQueued: new Map([[2, 400]]),
+	usage: [{
+		service: 'model', account: 'north', asked: 900, placed: 300,
+	}],
 	crashNews: [
 		{
 			kind: 'suspected' as const, ...identify('f', 'part-1', 'part-2'), upstream: 'u-2', ageMs: 40,
