--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -2,6 +2,9 @@
 import type {PlacementDemand, PlacementResult} from '../../request/delivery/upstream-scheduler.ts';
 import type {PromptPart} from '../../request/delivery/route-request.ts';
 import type {EngineProfile, Service} from '../../version/routes/route-configuration.ts';
+import type {AccountUsage} from '../accounts/account-usage.ts';
+import {promptWork} from '../accounts/request-work.ts';
+import {levelOnArrival, rankByShare, type SharedWork} from '../accounts/share-order.ts';
 import type {UpstreamBackpressure} from '../backpressure/upstream-backpressure.ts';
 import type {Clock} from '../clock.ts';
 import {sumTokensUpTo, type PeerLoadTracker} from '../peers/peer-load-tracker.ts';
@@ -34,6 +37,7 @@
 	readonly backpressure: UpstreamBackpressure;
 	readonly peerLoads: PeerLoadTracker;
 	readonly speeds: ServiceSpeeds;
+	readonly accountUsage: AccountUsage;
 	/** Announces to the other daemons that an engine starts the prefill of a prompt. */
 	readonly announcePrefill: (prefill: PeerPrefill) => void;
 	readonly availabilityZone: string;
@@ -42,7 +46,7 @@
 };
 
 /** A queued prompt with the data needed to place it. */
-type QueuedPrompt = WaitingPrompt & {
+type QueuedPrompt = WaitingPrompt & SharedWork & {
 	readonly demand: PlacementDemand;
 	readonly engine: EngineProfile;
 	readonly parts: readonly PromptPart[];
@@ -101,17 +105,23 @@
 		const now = this.#options.clock.now();
 		const parts = promptParts(demand);
 		const {promise, resolve} = Promise.withResolvers<PlacementResult>();
+		const tokens = this.countMissingTokens(demand, parts);
+		const {service, account} = demand;
 		const waiting: QueuedPrompt = {
+			service,
+			account,
+			work: promptWork(tokens, prompt),
 			demand,
 			engine,
 			parts,
 			settle: resolve,
 			id: demand.request.id,
 			priority: demand.route.priority,
-			tokens: this.countMissingTokens(demand, parts),
+			tokens,
 			targetAt: demand.arrivedAt + demand.route.targetLatencyMs - this.#options.speeds.of(demand.service).firstEventDelayMs,
 			giveUpAt: callerGivesUpAt(demand) - minRemainingMs,
 		};
+		this.#recordAsked(waiting, now);
 		const expectedMs = this.#predictCompletion(waiting, now) + this.#options.runQueue.predictWaitMs({demand, stage: 'decode'});
 		if (now + expectedMs > waiting.giveUpAt) {
 			return this.#options.placements.refuse(demand, 'overloaded', expectedMs);
@@ -126,7 +136,7 @@
 		this.placeQueued();
 		if (this.#queue.has(waiting)) {
 			this.#options.log.write('queued', {
-				request: waiting.id, service: demand.service, waiting: this.#queue.size, expectedMs: Math.round(expectedMs), tokens: Math.round(waiting.tokens),
+				request: waiting.id, service: demand.service, account: waiting.account, waiting: this.#queue.size, expectedMs: Math.round(expectedMs), tokens: Math.round(waiting.tokens),
 			});
 		}
 
@@ -143,12 +153,12 @@
 
 		const now = this.#options.clock.now();
 		let blocked = 0;
-		for (const prompt of orderPrompts([...this.#queue], now, this.#fastestPrefillMs())) {
+		for (const prompt of this.#orderQueue(now)) {
 			if (blocked >= maxBlockedPrompts) {
 				break;
 			}
 
-			blocked += this.#tryPlace(prompt as QueuedPrompt, now) ? 0 : 1;
+			blocked += this.#tryPlace(prompt, now) ? 0 : 1;
 		}
 
 		if (this.#queue.size > 0 && !this.#isPlacementScheduled) {
@@ -176,6 +186,19 @@
 		return weighTokens(bestMissingTokens, totalTokens - bestMissingTokens);
 	}
 
+	/** The part of these tokens that belongs to client accounts beyond their share. */
+	excessTokens(): ReadonlyMap<number, number> {
+		const tokens = new Map<number, number>();
+		const levels = rankByShare([...this.#queue], this.#options.accountUsage, this.#options.clock.now());
+		for (const [waiting, level] of levels) {
+			if (level > 0) {
+				tokens.set(waiting.priority, (tokens.get(waiting.priority) ?? 0) + waiting.tokens);
+			}
+		}
+
+		return tokens;
+	}
+
 	/** Load on the prefill engines of a service. */
 	measureLoad(service: string, now: number): Pick<StageDemand, 'backlogMs' | 'prefillEngines'> {
 		const states = this.#options.states.usable(service, 'prefill', new Set());
@@ -229,6 +252,7 @@
 					return false;
 				}
 
+				this.#recordPlaced(waiting, now);
 				this.#place(waiting, choice, rank, candidate.fetchMs > 0 ? bestUpstream : undefined);
 				return true;
 			}
@@ -291,18 +315,24 @@
 	#predictQueued(demand: PlacementDemand, parts: readonly PromptPart[]): number {
 		const {clock, peerLoads} = this.#options;
 		const now = clock.now();
-		const {priority} = demand.route;
-		return sumTokensUpTo(this.queuedTokens(), priority) + peerLoads.queuedTokensUpTo(priority, now) === 0
-			? 0
-			: this.#predictCompletion({demand, tokens: this.countMissingTokens(demand, parts), priority}, now);
+		const {service, account, route: {priority}, request: {prompt}} = demand;
+		if (sumTokensUpTo(this.queuedTokens(), priority) + peerLoads.queuedTokensUpTo(priority, now) === 0) {
+			return 0;
+		}
+
+		const tokens = this.countMissingTokens(demand, parts);
+		return this.#predictCompletion({
+			service, account, work: prompt === undefined ? tokens : promptWork(tokens, prompt), demand, tokens, priority,
+		}, now);
 	}
 
 	/** Predicts the time until the prefill of a prompt that arrives now is complete, behind the queues of all daemons and upstreams. */
-	#predictCompletion({demand, tokens, priority}: Pick<QueuedPrompt, 'demand' | 'tokens' | 'priority'>, now: number): number {
-		const {peerLoads, backpressure, speeds} = this.#options;
+	#predictCompletion(waiting: Pick<QueuedPrompt, 'demand' | 'tokens' | 'priority'> & SharedWork, now: number): number {
+		const {demand, tokens, priority} = waiting;
+		const {backpressure, speeds} = this.#options;
 		const {prefill} = speeds.of(demand.service);
 		const states = this.#prefillUpstreams(demand);
-		let tokensAhead = sumTokensUpTo(this.queuedTokens(), priority) + peerLoads.queuedTokensUpTo(priority, now);
+		let tokensAhead = this.#sumQueuedAhead(waiting, now);
 		let tokensPerMs = 0;
 		for (const state of states) {
 			tokensAhead += this.#candidates.sumBacklog(state, priority, now);
@@ -313,6 +343,31 @@
 		return predictCompletion(tokens, {tokensAhead, tokensPerMs}, tokensPerMs / Math.max(1, states.length), prefill.fixedMs);
 	}
 
+	/** Weighted tokens queued at all daemons that go before a prompt that arrives. */
+	#sumQueuedAhead(waiting: Pick<QueuedPrompt, 'priority'> & SharedWork, now: number): number {
+		const {peerLoads, accountUsage} = this.#options;
+		const {priority} = waiting;
+		const level = levelOnArrival(waiting, this.#queue, accountUsage, now);
+		const excess = level === 0 ? (this.excessTokens().get(priority) ?? 0) + peerLoads.excessQueuedTokens(priority, now) : 0;
+		return sumTokensUpTo(this.queuedTokens(), priority) + peerLoads.queuedTokensUpTo(priority, now) - excess;
+	}
+
+	#orderQueue(now: number): readonly QueuedPrompt[] {
+		return orderPrompts([...this.#queue], now, this.#fastestPrefillMs(), ordered => rankByShare(ordered, this.#options.accountUsage, now));
+	}
+
+	#recordAsked({service, account, work}: SharedWork, now: number): void {
+		if (account !== undefined) {
+			this.#options.accountUsage.ask(service, account, work, now);
+		}
+	}
+
+	#recordPlaced({service, account, work}: SharedWork, now: number): void {
+		if (account !== undefined) {
+			this.#options.accountUsage.place(service, account, work, now);
+		}
+	}
+
 	#prefillUpstreams({service, triedUpstreams: tried}: PlacementDemand): readonly UpstreamState[] {
 		return this.#options.states.usable(service, 'prefill', tried);
 	}
--- a/src/process/peers/peer-link-options.ts
+++ b/src/process/peers/peer-link-options.ts
@@ -1,4 +1,5 @@
 import type {Table} from '../../ports/table.ts';
+import type {AccountWork} from '../accounts/account-usage.ts';
 import type {Clock} from '../clock.ts';
 import type {CrashNews} from '../crashes/crash-attribution.ts';
 import type {DecisionLog} from '../fleet/decision-log.ts';
@@ -20,6 +21,11 @@
 	readonly ownLoads: () => readonly PeerLoad[];
 	/** Returns the prompt tokens that are queued at this daemon, by priority. */
 	readonly ownQueuedTokens: () => ReadonlyMap<number, number>;
+	/** Returns the part of these tokens that belongs to client accounts beyond their share. */
+	readonly ownExcessTokens: () => ReadonlyMap<number, number>;
+	/** Returns the work of client accounts at this daemon since the last call. */
+	readonly takeUsage: () => readonly AccountWork[];
+	readonly onUsage: (works: readonly AccountWork[]) => void;
 	readonly onPrefills: (prefills: readonly PeerPrefill[]) => void;
 	readonly onCrashNews: (news: CrashNews) => void;
 	/** Returns the crash news that keep-alive messages repeat for daemons that have just started or missed it. */
--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -9,6 +9,7 @@
 	decodePeerDatagram, encodePeerDatagrams, type PeerDatagram, type PeerLoad, type PeerMessage, type PeerPrefill, type PeerScope,
 } from './peer-message.ts';
 import {PeerTopology, type PeerMember} from './peer-topology.ts';
+import {UsageRelay, withoutUsage} from './usage-relay.ts';
 
 /** Delay in which changes are collected for one message, in milliseconds. */
 const batchDelayMs = 12;
@@ -42,6 +43,7 @@
 	readonly #socket: Socket = createSocket('udp4');
 	readonly #ownZoneBuffer = new MessageBuffer();
 	readonly #otherZonesBuffer = new MessageBuffer();
+	readonly #usageRelay: UsageRelay;
 	readonly #changedUpstreams = new Set<string>();
 	#pendingPrefills: PeerPrefill[] = [];
 	#pendingCrashNews: CrashNews[] = [];
@@ -66,6 +68,7 @@
 		this.#options = options;
 		const {log, self, table, clock} = options;
 		this.topology = new PeerTopology(self);
+		this.#usageRelay = new UsageRelay(self.daemon);
 		this.#directory = new PeerDirectory({
 			table,
 			log,
@@ -218,6 +221,8 @@
 			loads,
 			prefills: this.#pendingPrefills,
 			queued: this.#options.ownQueuedTokens(),
+			excessQueued: this.#options.ownExcessTokens(),
+			usage: isKeepAlive ? this.#options.takeUsage() : [],
 			crashNews: isKeepAlive ? [...repeatedCrashNews(this.topology.isDirect || this.topology.isRelay(now)), ...this.#pendingCrashNews] : this.#pendingCrashNews,
 			limits: isKeepAlive || this.#hasChangedLimits ? this.#options.ownLimits() : [],
 			leaving: isKeepAlive || this.#hasChangedLeaving ? this.#options.ownLeaving() : [],
@@ -238,13 +243,15 @@
 		}
 
 		if (this.topology.isRelay(now)) {
-			this.#ownZoneBuffer.add(message);
-			this.#otherZonesBuffer.add(message);
+			this.#ownZoneBuffer.add(withoutUsage(message));
+			this.#otherZonesBuffer.add(withoutUsage(message));
+			this.#usageRelay.add(message.usage, true);
 			this.#scheduleRelay();
 		}
 
 		const suspectedRelay = isKeepAlive ? this.topology.suspectedRelay(now) : undefined;
-		this.#send('own', [message], [...targets, ...suspectedRelay === undefined ? [] : [suspectedRelay]]);
+		this.#send('own', [message], targets);
+		this.#send('own', [withoutUsage(message)], suspectedRelay === undefined ? [] : [suspectedRelay]);
 	}
 
 	#setCurrentRelay(relay: string): void {
@@ -277,8 +284,8 @@
 		}
 
 		this.#lastRelayedAt = now;
-		const bytes = this.#send('final', this.#ownZoneBuffer.takeAll(), this.topology.zoneTargets())
-			+ this.#send('zones', this.#otherZonesBuffer.takeAll(), this.topology.otherRelays(now));
+		const bytes = this.#send('final', this.#usageRelay.attachToOwnZone(this.#ownZoneBuffer.takeAll(), now), this.topology.zoneTargets())
+			+ this.#send('zones', this.#usageRelay.attachToOtherZones(this.#otherZonesBuffer.takeAll(), now), this.topology.otherRelays(now));
 		this.#relayBudgetFreeAt = now + ((bytes * bitsPerByte) / (this.#options.self.linkMbps * bitsPerMillisecondPerMbps * maxRelayLinkFraction));
 	}
 
@@ -311,11 +318,12 @@
 		for (const message of messages.filter(({daemon}) => daemon !== ownName)) {
 			this.#applyMessage(message, now);
 			if (this.topology.forwardsWithinZone(scope)) {
-				this.#ownZoneBuffer.add(message);
+				this.#ownZoneBuffer.add(withoutUsage(message));
+				this.#usageRelay.add(message.usage, this.topology.forwardsToOtherZones(scope));
 			}
 
 			if (this.topology.forwardsToOtherZones(scope)) {
-				this.#otherZonesBuffer.add(message);
+				this.#otherZonesBuffer.add(withoutUsage(message));
 			}
 		}
 
@@ -347,6 +355,10 @@
 			this.#options.onCrashNews(news);
 		}
 
+		if (message.usage.length > 0) {
+			this.#options.onUsage(message.usage);
+		}
+
 		if (message.limits.length > 0) {
 			this.#options.onLimits(daemon, message.limits);
 		}
--- a/test/process/fleet/arrived-work.test.ts
+++ b/test/process/fleet/arrived-work.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, test} from 'vitest';
+import {AccountUsage} from '../../../src/process/accounts/account-usage.ts';
 import {ManualClock} from '../../../src/process/clock.ts';
 import {DecisionLog} from '../../../src/process/fleet/decision-log.ts';
 import {FleetScheduler} from '../../../src/process/fleet/fleet-scheduler.ts';
@@ -39,6 +40,7 @@
 				// There are no other daemons.
 			},
 		},
+		accountUsage: new AccountUsage(),
 		availabilityZone: 'zone-a',
 		services: () => services,
 		onUpstreamDown() {
@@ -50,6 +52,7 @@
 function createDemand(id: string, tokens: number, patienceMs: number): PlacementDemand {
 	return {
 		service: 'model',
+		account: undefined,
 		triedUpstreams: new Set(),
 		arrivedAt: 1000,
 		deadlineAt: 1000 + patienceMs,
