Let the soak report the usage of two client accounts

The daemons of the soak get an endpoint of duties that notes a second report with other counts, a fencing number that falls or has two holders, and holders that alternate within a lease. Callers show keys of two accounts.

--- a/test/soak/caller-load.ts
+++ b/test/soak/caller-load.ts
@@ -1,6 +1,7 @@
 import {Agent, request as createRequest, type ClientRequest} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
 import {SeededRandom} from '../../src/process/random.ts';
+import {soakKey} from './soak-accounts.ts';
 
 /** Kinds of requests that callers send, each with its route. */
 export const requestKinds = {
@@ -137,6 +138,7 @@
 				host: 'a.example',
 				'x-request-id': sent.id,
 				'x-deadline-ms': String(deadlineMs),
+				authorization: `Bearer ${soakKey(isStream ? 'north' : 'south')}`,
 				...(isStream ? createPromptHeaders(this.#count) : {}),
 			},
 		}, response => {
--- a/test/soak/crashing-caller.ts
+++ b/test/soak/crashing-caller.ts
@@ -1,5 +1,6 @@
 import {request} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
+import {soakKey} from './soak-accounts.ts';
 
 /** Target of the request that crashes each plain upstream that begins to run it. */
 export const crashTarget = '/lookup/crash';
@@ -44,7 +45,9 @@
 			agent: false,
 			localAddress: `127.0.3.${1 + (count % 200)}`,
 			timeout: deadlineMs,
-			headers: {host: 'a.example', 'x-request-id': `crash-${count}`, 'x-deadline-ms': String(deadlineMs)},
+			headers: {
+				host: 'a.example', 'x-request-id': `crash-${count}`, 'x-deadline-ms': String(deadlineMs), authorization: `Bearer ${soakKey('south')}`,
+			},
 		}, response => {
 			response.resume();
 			response.once('close', resolve);
--- a/test/soak/soak-deployment.ts
+++ b/test/soak/soak-deployment.ts
@@ -1,12 +1,14 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {DaemonProcess, portsPerDaemon, toDaemonPorts} from '../fixtures/fleet/daemon-process.ts';
 import {createOperatorConfiguration} from '../fixtures/fleet/fleet-fixture.ts';
+import {DutyServer} from '../fixtures/fleet/duty-server.ts';
 import {StoreServer, type StoreCopy} from '../fixtures/fleet/store-server.ts';
 import {UpstreamServer, type UpstreamBehaviour} from '../fixtures/fleet/upstream-server.ts';
 import {chooseFreePorts} from '../fixtures/free-ports.ts';
 import {FaultProxy} from './fault-proxy.ts';
 import type {Observations, ObservedOrder, TimeSpan} from './invariants.ts';
 import type {Disruption, PlannedWork} from './request-account.ts';
+import {soakAccounts, soakKey} from './soak-accounts.ts';
 import {spareServices} from './changed-configuration.ts';
 
 const zones = ['zone-a', 'zone-b', 'zone-c'];
@@ -82,6 +84,7 @@
 /** Store and upstreams in this process and daemons as processes of their own, on loopback with proxies in between. */
 export class SoakDeployment implements AsyncDisposable {
 	readonly store = new StoreServer();
+	readonly duties = new DutyServer();
 	readonly upstreams: SoakUpstream[] = [];
 	readonly daemons: DaemonProcess[] = [];
 	/** Proxy between each daemon and the store. */
@@ -106,6 +109,7 @@
 	/** Starts the store, the upstreams and the daemons, and waits until all daemons are ready; `hasSpareServices` adds services to which routes can be moved. */
 	async start(bundle: string, daemons: number, hasSpareServices = false): Promise<void> {
 		await this.store.start();
+		await this.duties.start();
 		this.#writeConfiguration(createOperatorConfiguration());
 		for (const [index, availabilityZone] of zones.entries()) {
 			await this.#addUpstream({id: `desk-${index}`}, availabilityZone);
@@ -129,7 +133,7 @@
 			await proxy.start();
 			this.storeProxies.push(proxy);
 			const daemon = new DaemonProcess({
-				bundle, name: `daemon-${index}`, availabilityZone: zones[index % zones.length]!, storeAddress: proxy.address, ports: toDaemonPorts(ports.slice(index * portsPerDaemon)),
+				bundle, name: `daemon-${index}`, availabilityZone: zones[index % zones.length]!, storeAddress: proxy.address, dutiesAddress: this.duties.address, ports: toDaemonPorts(ports.slice(index * portsPerDaemon)),
 			});
 			daemon.start();
 			this.daemons.push(daemon);
@@ -288,6 +292,7 @@
 		await Promise.all([...this.storeProxies, ...this.upstreams.map(({proxy}) => proxy)].map(async proxy => proxy[Symbol.asyncDispose]()));
 		await Promise.all(this.upstreams.map(async ({server}) => server[Symbol.asyncDispose]()));
 		await this.store[Symbol.asyncDispose]();
+		await this.duties[Symbol.asyncDispose]();
 	}
 
 	/** Notes when a daemon that was started again is ready, at the latest after a timeout. */
@@ -299,7 +304,8 @@
 		this.#startingDaemons.delete(index);
 	}
 
-	#writeConfiguration(configuration: Readonly<Record<string, unknown>>): void {
+	#writeConfiguration(withoutAccounts: Readonly<Record<string, unknown>>): void {
+		const configuration = {...withoutAccounts, tenants: soakAccounts.map(name => ({name, api_keys: [soakKey(name)]}))};
 		this.plannedWork.push({kind: 'configuration', at: performance.now()});
 		this.configurations.push(configuration);
 		this.store.put('op', 'config', configuration);
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -104,10 +104,11 @@
 			unexpectedEnds: deployment.daemons.flatMap(({unexpectedExits: unexpectedEnds}) => unexpectedEnds),
 		}),
 		...unserved,
+		...deployment.duties.violations,
 	];
 	return {
 		violations,
-		account: account.report,
+		account: [...account.report, summarizeReports(deployment.duties.reports)],
 		requests: load.requests.length,
 		served: load.requests.filter(({status, isComplete}) => status === 200 && isComplete).length,
 		crashes: deployment.observe().crashTimes.length,
@@ -120,6 +121,11 @@
 	};
 }
 
+function summarizeReports(reports: ReadonlyMap<number, Readonly<Record<string, number>>>): string {
+	const runs = [...reports.values()].flatMap(counts => Object.values(counts)).reduce((sum, count) => sum + count, 0);
+	return `usage: ${reports.size} windows with ${runs} runs reported`;
+}
+
 /** Accounts for the requests of the callers with the logs of the daemons. */
 function accountLoad(deployment: SoakDeployment, requests: readonly CallerRequest[], timeoutRatio: number): ReturnType<typeof accountRequests> {
 	const {seen, upstreamDisruptions} = deployment.observe();
