Fix no window before its end when the holder's time of day is ahead

The first round of a holder whose time of day was ahead counted as made after the end of the window, and its counts were fixed too early. A round now counts only by the time that it has estimated.

--- a/src/process/usage/usage-reporter.ts
+++ b/src/process/usage/usage-reporter.ts
@@ -18,7 +18,7 @@
 	/** Epoch of the store, as its latest answer to any call has named it. */
 	readonly epoch: () => number | undefined;
 	readonly collection: UsageCollection;
-	readonly rounds: Pick<UsageRounds, 'isComplete' | 'missing' | 'reachedCount'>;
+	readonly rounds: Pick<UsageRounds, 'isComplete' | 'isTimeKnown' | 'missing' | 'reachedCount'>;
 	readonly windowMs: number;
 	/** Time after the end of a window at which its report is due, in milliseconds. */
 	readonly dueMs: number;
@@ -157,13 +157,13 @@
 	#findDueWindow(): number | undefined {
 		const {collection, rounds, time, windowMs, dueMs} = this.#options;
 		const {firstWindow} = collection;
-		if (firstWindow === undefined) {
+		if (firstWindow === undefined || !rounds.isTimeKnown) {
 			return undefined;
 		}
 
 		const window = Math.max((this.#lastFixed ?? Number.NEGATIVE_INFINITY) + 1, this.#present - maxLateWindows, firstWindow, this.#firstAfterRestore);
 		const sinceEndMs = time.now() - ((window + 1) * windowMs);
-		const isDue = rounds.isComplete(window) || sinceEndMs >= dueMs * stragglerFraction;
+		const isDue = (sinceEndMs >= 0 && rounds.isComplete(window)) || sinceEndMs >= dueMs * stragglerFraction;
 		return isDue ? window : undefined;
 	}
 
--- a/src/process/usage/usage-rounds.ts
+++ b/src/process/usage/usage-rounds.ts
@@ -68,6 +68,11 @@
 		return this.#missing;
 	}
 
+	/** True once a round of the present tenure has ended, so that the time has been estimated. */
+	get isTimeKnown(): boolean {
+		return this.#hasEstimatedTime;
+	}
+
 	/** True if all daemons have answered since the window has settled. */
 	isComplete(window: number): boolean {
 		return this.#completeRound >= Math.round(((window + 1) * this.#options.windowMs) / this.#intervalMs);
@@ -75,12 +80,15 @@
 
 	/** Begins a round, or asks the missing daemons again, when that is due. */
 	tick(): void {
-		const {time, clock} = this.#options;
-		const round = Math.floor((time.now() - settleMs) / this.#intervalMs);
+		const {clock} = this.#options;
+		const round = this.#dueRound;
 		if (this.#isFetching) {
 			return;
 		}
 
+		// The time has been corrected backwards.
+		this.#completeRound = Math.min(this.#completeRound, round);
+
 		if (round !== this.#round) {
 			this.#round = round;
 			this.#reached.clear();
@@ -97,6 +105,10 @@
 		this.#hasEstimatedTime = false;
 	}
 
+	get #dueRound(): number {
+		return Math.floor((this.#options.time.now() - settleMs) / this.#intervalMs);
+	}
+
 	get #present(): number {
 		return Math.floor(this.#options.time.now() / this.#options.windowMs);
 	}
@@ -119,7 +131,7 @@
 		this.#hasEstimatedTime = true;
 		this.#isFetching = false;
 		this.#missing = waiting.filter(({daemon}) => !this.#reached.has(daemon)).map(({daemon}) => daemon);
-		if (this.#missing.length === 0 && round === this.#round) {
+		if (this.#missing.length === 0 && this.#dueRound >= round) {
 			this.#completeRound = round;
 			this.#options.onComplete();
 		}
--- a/test/process/usage/usage-report.test.ts
+++ b/test/process/usage/usage-report.test.ts
@@ -236,6 +236,22 @@
 		expect(fleet.platform.violations).toEqual([]);
 	});
 
+	// Guards against fixing a window before its end.
+	test.each([false, true])('keep to the true windows when the time of day of the first holder is ahead, with an unreachable daemon: %s', async hasUnreachable => {
+		for (let startMs = 0; startMs < windowMs; startMs += 250) {
+			await using fleet = new UsageFleet(7, {startAfterMs: startMs, firstClockErrorsMs: [3200, 3200]});
+			fleet.daemons.at(-1)!.isRunning = !hasUnreachable;
+			const first = fleet.window;
+			// The daemons whose time of day is wrong take no requests before they have heard of the others.
+			await fleet.advance(25_000, () => {
+				for (const daemon of fleet.daemons.slice(2, 5)) {
+					fleet.run(daemon, 'large');
+				}
+			});
+			expect(findWrong(fleet, first, first + 2), `start after ${startMs} ms`).toEqual([]);
+		}
+	});
+
 	test('put the runs of a host that was suspended into their windows again within two rounds', async () => {
 		const {fleet, load, first} = await startFleet(9);
 		await using _ = fleet;
