--- a/src/process/fleet/fleet-metrics.ts
+++ b/src/process/fleet/fleet-metrics.ts
@@ -78,6 +78,11 @@
 		name: 'wagtailtack_usage_reports_total', help: 'Reports of usage sent to the platform, by result', labelNames: ['result'], registers: [this.#registry],
 	});
 
+	/** Registry to which parts of the daemon add metrics of their own. */
+	get registry(): Registry {
+		return this.#registry;
+	}
+
 	/** Registers gauges whose values are read at each scrape. */
 	addGauges({
 		openRequests, upstreams, connectionsOpened, limitedUpstreams, pausedUpstreams, configurationVersion, droppedLogLines, droppedRows, storeEpoch, storeRestores, unusableEpochs,
--- a/test/process/peers/peers.test.ts
+++ b/test/process/peers/peers.test.ts
@@ -41,6 +41,7 @@
 			table: 'op', position: {epoch: undefined, version: 530}, digest: 5, ageMs: 120,
 		},
 	],
+	work: [{service: 'model', arrivedMs: 12_000, refusedMs: 400}],
 };
 const idle = {runs: 0, tokensByPriority: new Map<number, number>()};
 
@@ -178,4 +179,11 @@
 		buffer.add({...message, loads: [{upstream: 'u-2', runs: 1, tokensByPriority: new Map()}]});
 		expect(buffer.takeAll()[0]).toMatchObject({isSnapshot: true, loads: [{upstream: 'u-1'}, {upstream: 'u-2'}]});
 	});
+
+	test('keep the arrived work when a change without it follows', () => {
+		const buffer = new MessageBuffer();
+		buffer.add(message);
+		buffer.add({...message, work: []});
+		expect(buffer.takeAll()[0]!.work).toEqual(message.work);
+	});
 });
