Repeat unanswered orders after a growing delay

Cause: while the platform cannot be reached, each zone and kind was ordered again every second, and calls are priced. Result: 1 to 8 s; the tests of the pool pass.

--- a/src/process/pool/pool-orders.ts
+++ b/src/process/pool/pool-orders.ts
@@ -14,6 +14,8 @@
 	readonly notBefore: number;
 	/** Orders in a row that were answered as exhausted. */
 	readonly exhaustions: number;
+	/** Orders in a row that were throttled or whose outcome is unknown. */
+	readonly failures: number;
 	/** Repeats in a row of an accepted order whose upstreams did not appear. */
 	readonly repeats: number;
 	/** Until this time no more upstreams are expected than there are. */
@@ -31,13 +33,14 @@
 };
 
 const initial: OrderState = {
-	count: undefined, orderedAt: Number.NEGATIVE_INFINITY, isPending: false, notBefore: Number.NEGATIVE_INFINITY, exhaustions: 0, repeats: 0, exhaustedUntil: Number.NEGATIVE_INFINITY,
+	count: undefined, orderedAt: Number.NEGATIVE_INFINITY, isPending: false, notBefore: Number.NEGATIVE_INFINITY, exhaustions: 0, failures: 0, repeats: 0, exhaustedUntil: Number.NEGATIVE_INFINITY,
 };
 const kinds: readonly PoolKind[] = ['ordinary', 'reclaimable'];
 /** Time after the boot time within which new upstreams are listed, in milliseconds. */
 const listingMarginMs = 4000;
-/** Delay before an order that was throttled or whose outcome is unknown is repeated, in milliseconds. */
-const repeatDelayMs = 1000;
+/** Bounds of the exponential delay before an order that was throttled or whose outcome is unknown is repeated, in milliseconds. */
+const minRepeatDelayMs = 1000;
+const maxRepeatDelayMs = 8000;
 const rejectedDelayMs = 30_000;
 /** Time after which an order without an outcome no longer holds up the next one, in milliseconds. */
 const maxPendingMs = 10_000;
@@ -116,7 +119,9 @@
 	/** Records the outcome of an order. */
 	ended(order: PoolOrder, result: DutyResult, now: number): void {
 		const {zone, kind} = keyOf(order);
-		const state = {...this.#state(zone, kind), isPending: false};
+		const {failures, ...last} = this.#state(zone, kind);
+		const isUnanswered = result === 'throttled' || result === 'unknown';
+		const state = {...last, failures: isUnanswered ? failures : 0, isPending: false};
 		switch (result) {
 			case 'accepted': {
 				this.#set(zone, kind, state.repeats >= maxRepeats ? exhaust({...state, exhaustions: state.exhaustions + 1}, now) : {...state, exhaustions: 0});
@@ -135,7 +140,10 @@
 
 			case 'throttled':
 			case 'unknown': {
-				this.#set(zone, kind, {...state, count: undefined, notBefore: now + repeatDelayMs});
+				const delayMs = Math.min(maxRepeatDelayMs, minRepeatDelayMs * (2 ** state.failures));
+				this.#set(zone, kind, {
+					...state, count: undefined, failures: state.failures + 1, notBefore: now + delayMs,
+				});
 			}
 		}
 	}
--- a/test/process/pool/pool-orders.test.ts
+++ b/test/process/pool/pool-orders.test.ts
@@ -74,6 +74,21 @@
 		expect(orders.limit(counts(1, 0), 16_500)('a', 'reclaimable')).toBe(0);
 	});
 
+	test('are repeated after a delay that doubles while the platform cannot be reached', () => {
+		const orders = new PoolOrders('model');
+		const sentAt: number[] = [];
+		for (let now = 0; now <= 40_000; now += 250) {
+			const result = now < 30_000 ? 'unknown' : 'accepted';
+			if (order(orders, {
+				desired: counts(1, 5), present: counts(1, now <= 31_000 ? 0 : 5), now, result,
+			}).length > 0) {
+				sentAt.push(now);
+			}
+		}
+
+		expect(sentAt).toEqual([0, 1000, 3000, 7000, 15_000, 23_000, 31_000]);
+	});
+
 	test('do not wait for ever for a call that never returns', () => {
 		const orders = new PoolOrders('model');
 		order(orders, {
