--- a/src/process/pool/pool-orders.ts
+++ b/src/process/pool/pool-orders.ts
@@ -1,7 +1,7 @@
 import type {DutyResult, PoolOrder} from '../../ports/platform-duties.ts';
 import type {PoolScaling} from '../../version/routes/route-configuration.ts';
 import {
-	countAll, noCounts, priceOf, type PoolCounts, type PoolKind, type PoolLimit,
+	countAll, listingMarginMs, noCounts, priceOf, type PoolCounts, type PoolKind, type PoolLimit,
 } from './pool-plan.ts';
 
 /** State of the orders for one kind of upstreams in one availability zone. */
@@ -22,6 +22,17 @@
 	readonly exhaustedUntil: number;
 };
 
+/** Desired, present and last ordered number of one kind of upstreams in one zone. */
+type OrderEntry = {
+	readonly zone: string;
+	readonly kind: PoolKind;
+	readonly wanted: number;
+	readonly has: number;
+	/** Last number ordered; that which is there if nothing was ordered. */
+	readonly known: number;
+	readonly state: OrderState;
+};
+
 /** What decides which orders are due. */
 export type OrderInput = {
 	readonly scaling: PoolScaling;
@@ -36,8 +47,6 @@
 	count: undefined, orderedAt: Number.NEGATIVE_INFINITY, isPending: false, notBefore: Number.NEGATIVE_INFINITY, exhaustions: 0, failures: 0, repeats: 0, exhaustedUntil: Number.NEGATIVE_INFINITY,
 };
 const kinds: readonly PoolKind[] = ['ordinary', 'reclaimable'];
-/** Time after the boot time within which new upstreams are listed, in milliseconds. */
-const listingMarginMs = 4000;
 /** Bounds of the exponential delay before an order that was throttled or whose outcome is unknown is repeated, in milliseconds. */
 const minRepeatDelayMs = 1000;
 const maxRepeatDelayMs = 8000;
@@ -49,7 +58,7 @@
 const maxExhaustedMs = 24_000;
 /** Repeats in a row of an accepted order without effect, from which a kind counts as exhausted in a zone. */
 const maxRepeats = 2;
-/** Part of the desired upstreams that may be missing while others are ordered away. */
+/** Part of the desired upstreams that may be missing while others are ordered away; also the least step by which they are. */
 const maxMissingShare = 0.05;
 
 /**
@@ -74,35 +83,24 @@
 
 	/** Orders to be sent now, the most urgent first; each must be followed by `started` and `ended`. */
 	due(input: OrderInput, now: number): readonly PoolOrder[] {
-		const {desired, present, scaling, mayLower} = input;
-		const entries = [...desired].flatMap(([zone, counts]) => kinds.map(kind => ({
-			zone, kind, wanted: counts[kind], has: (present.get(zone) ?? noCounts)[kind], state: this.#state(zone, kind),
-		})));
-		const missing = entries.reduce((sum, {wanted, has}) => sum + Math.max(0, wanted - has), 0);
-		const isReplaced = missing <= countAll(desired) * maxMissingShare;
-		const savingOf = ({zone, kind, has, wanted}: {readonly zone: string; readonly kind: PoolKind; readonly has: number; readonly wanted: number}) => (has - wanted) * priceOf(scaling, zone, kind);
-		return entries
-			.filter(({state}) => now >= (state.isPending ? state.orderedAt + maxPendingMs : state.notBefore))
-			.flatMap(entry => {
-				const {zone, kind, wanted, has, state} = entry;
-				const known = state.count ?? has;
-				const isWithoutEffect = state.count !== undefined && wanted === state.count && has !== wanted && now - state.orderedAt >= scaling.bootMs + listingMarginMs;
-				if (wanted === known && !isWithoutEffect) {
-					return [];
-				}
-
-				const isLower = wanted < has;
-				const count = isLower ? wanted : Math.min(wanted, this.#room(input, zone, kind));
-				return (isLower && !(isReplaced && mayLower)) || count < Math.min(has, wanted) || (count === known && !isWithoutEffect)
-					? []
-					: [{
-						...entry, count, isLower, isWithoutEffect,
-					}];
-			})
-			.toSorted((a, b) => Number(a.isLower) - Number(b.isLower) || savingOf(b) - savingOf(a))
-			.map(({zone, kind, count}) => ({
-				service: this.#service, availabilityZone: zone, count, isReclaimable: kind === 'reclaimable',
-			}));
+		const {desired, present, scaling} = input;
+		const entries = [...desired].flatMap(([zone, counts]) => kinds.map(kind => {
+			const state = this.#state(zone, kind);
+			const has = (present.get(zone) ?? noCounts)[kind];
+			return {
+				zone, kind, wanted: counts[kind], has, state, known: state.count ?? has,
+			};
+		}));
+		const open = entries.filter(({state}) => now >= (state.isPending ? state.orderedAt + maxPendingMs : state.notBefore));
+		const changed = open.filter(({wanted, has, known, state}) => wanted !== known || (has !== wanted && now - state.orderedAt >= scaling.bootMs + listingMarginMs));
+		const raised = changed.filter(({wanted, has}) => wanted >= has).flatMap(entry => {
+			const count = Math.min(entry.wanted, this.#room(input, entry.zone, entry.kind));
+			const isRepeat = entry.wanted === entry.known;
+			return count < entry.has || (count === entry.known && !isRepeat) ? [] : [{...entry, count}];
+		});
+		return [...raised, ...input.mayLower ? this.#reduce(input, entries, changed) : []].map(({zone, kind, count}) => ({
+			service: this.#service, availabilityZone: zone, count, isReclaimable: kind === 'reclaimable',
+		}));
 	}
 
 	/** Records that an order is sent; `present` is the number of such upstreams at that time. */
@@ -153,6 +151,30 @@
 		return this.#state(availabilityZone, kind).count;
 	}
 
+	/** Reduces the numbers that save most, as long as enough upstreams serve without those that are ordered away. */
+	#reduce({desired, scaling}: OrderInput, entries: readonly OrderEntry[], changed: readonly OrderEntry[]): ReadonlyArray<OrderEntry & {readonly count: number}> {
+		const total = countAll(desired);
+		let spare = -Math.ceil(total * (1 - maxMissingShare));
+		for (const {has, known} of entries) {
+			// Upstreams that were ordered away may still be listed as serving.
+			spare += Math.min(has, known);
+		}
+
+		const minStep = Math.max(1, total * maxMissingShare);
+		const savingOf = ({zone, kind, has, wanted}: OrderEntry) => (has - wanted) * priceOf(scaling, zone, kind);
+		return changed.filter(({wanted, has}) => wanted < has).toSorted((a, b) => savingOf(b) - savingOf(a)).flatMap(entry => {
+			const {has, known, wanted} = entry;
+			const step = Math.min(has - wanted, spare + (has - Math.min(has, known)));
+			const isOrdered = wanted !== known && has - step >= known;
+			if (isOrdered || step < Math.min(has - wanted, minStep)) {
+				return [];
+			}
+
+			spare -= Math.max(0, Math.min(has, known) - (has - step));
+			return [{...entry, count: has - step}];
+		});
+	}
+
 	/** Number up to which upstreams of a kind may be ordered while those of the other kind are there or coming. */
 	#room({scaling, present}: OrderInput, zone: string, kind: PoolKind): number {
 		const other: PoolKind = kind === 'ordinary' ? 'reclaimable' : 'ordinary';
--- a/src/process/pool/pool-plan.ts
+++ b/src/process/pool/pool-plan.ts
@@ -16,17 +16,22 @@
 	readonly afterLoss: number;
 };
 
+/** Time after the boot time within which new upstreams are listed, in milliseconds. */
+export const listingMarginMs = 4000;
 /** Part of the upstreams that cannot be reclaimed, so that a service whose reclaimable ones are all lost still answers a few urgent requests. */
 const ordinaryShare = 0.1;
 /** Fewest upstreams of a zone, so that callers of a zone that is cut off find one of each stage. */
 const minPerZone = 2;
 
+/** Least price that counts, so that upstreams of zones without a price are spread too, and fewer of them are a saving. */
+const minPrice = 0.01;
+
 /** No upstreams of either kind. */
 export const noCounts: Readonly<Record<PoolKind, number>> = {ordinary: 0, reclaimable: 0};
 
 /** Price of one second of an upstream. */
 export function priceOf({zonePrices, reclaimablePrice}: PoolScaling, availabilityZone: string, kind: PoolKind): number {
-	return (zonePrices.get(availabilityZone) ?? 0) * (kind === 'ordinary' ? 1 : reclaimablePrice ?? 1);
+	return Math.max(minPrice, (zonePrices.get(availabilityZone) ?? 0) * (kind === 'ordinary' ? 1 : reclaimablePrice ?? 1));
 }
 
 /** Number of upstreams of both kinds in all zones. */
--- a/test/process/pool/pool-controller.test.ts
+++ b/test/process/pool/pool-controller.test.ts
@@ -67,6 +67,12 @@
 		},
 	},
 ];
+const earlyReclaims: readonly ModelEvent[] = [[6, 'b'], [18, 'd'], [27, 'a']].map(([second, zone]) => ({
+	second: second as number,
+	run(model) {
+		model.reclaim(zone as string, 8500);
+	},
+}));
 const crash: readonly ModelEvent[] = [{
 	second: 40, run(model) {
 		model.drain(({id}) => Number(id.slice(2)) % 4 === 0);
@@ -84,6 +90,7 @@
 		['in bursts of one kind to 2.5 times', createLoad(second => [isBurst(second) ? 2.5 : 1, 1]), []],
 		['while the mix changes', createLoad(alternates), []],
 		['when a zone loses its reclaimable upstreams and has no new ones, twice', createLoad(), reclaims],
+		['when zones lose them while they replace the others, whose places they need', createLoad(), earlyReclaims],
 		['when a quarter of the upstreams is lost at once', createLoad(), crash],
 		['when a zone is lost', createLoad(), zoneCut],
 	])('%s', async (_name, load, events) => {
@@ -132,7 +139,7 @@
 		const {onTime, present, prices} = await model.run(seconds, leadSeconds);
 		expect(onTime).toBeGreaterThan(0.99);
 		expect(Math.max(...present)).toBeLessThan(startCount * 1.5);
-		expect(sum(prices)).toBeLessThan(sum(steady.prices) * 1.2);
+		expect(sum(prices)).toBeLessThan(sum(steady.prices) * 1.1);
 		const later = present.slice(45);
 		expect(Math.max(...later) - Math.min(...later)).toBeLessThanOrEqual(12);
 	});
--- a/test/process/pool/pool-orders.test.ts
+++ b/test/process/pool/pool-orders.test.ts
@@ -99,6 +99,33 @@
 	});
 });
 
+describe('reductions', () => {
+	/** Numbers of ordinary and reclaimable upstreams in the dear zone `a` and the cheap zone `b`. */
+	const inZones = (a: readonly [number, number], b: readonly [number, number]): PoolCounts => new Map([['a', {ordinary: a[0], reclaimable: a[1]}], ['b', {ordinary: b[0], reclaimable: b[1]}]]);
+	const desired = inZones([0, 20], [0, 20]);
+	const countsOf = (sent: readonly PoolOrder[]) => sent.map(({availabilityZone, count, isReclaimable}) => [availabilityZone, count, isReclaimable]);
+
+	test('begin in the dear zone and leave as many as are desired, also before those that were ordered away are listed as leaving', () => {
+		const orders = new PoolOrders('model');
+		const present = inZones([20, 10], [20, 20]);
+		const sent = order(orders, {desired, present, now: 0});
+		expect(countsOf(sent)).toEqual([['a', 20, true], ['a', 0, false], ['b', 8, false]]);
+		expect(order(orders, {desired, present, now: 250})).toEqual([]);
+		expect(countsOf(order(orders, {desired, present: inZones([0, 10], [8, 20]), now: 500}))).toEqual([]);
+		expect(countsOf(order(orders, {desired, present: inZones([0, 20], [8, 20]), now: 750}))).toEqual([['b', 0, false]]);
+	});
+
+	test('wait until a step is worth an order', () => {
+		expect(order(new PoolOrders('model'), {desired, present: inZones([20, 9], [0, 10]), now: 0}).filter(({isReclaimable}) => !isReclaimable)).toEqual([]);
+		expect(countsOf(order(new PoolOrders('model'), {desired, present: inZones([20, 13], [0, 10]), now: 0}).filter(({isReclaimable}) => !isReclaimable))).toEqual([['a', 15, false]]);
+	});
+
+	test('begin with those that save most, whatever the order of the zones', () => {
+		const sent = order(new PoolOrders('model'), {desired, present: inZones([2, 20], [20, 20]), now: 0});
+		expect(countsOf(sent)).toEqual([['b', 0, false], ['a', 0, false]]);
+	});
+});
+
 describe('target', () => {
 	/** Lets time pass with a need of this many upstreams and returns the desired total after each quarter of a second. */
 	const follow = (target: PoolTarget, needed: (second: number) => number, start: number, seconds: number) => {
--- a/test/process/pool/pool-plan.test.ts
+++ b/test/process/pool/pool-plan.test.ts
@@ -62,6 +62,11 @@
 		}
 	});
 
+	test('is spread over zones that cost nothing', () => {
+		const plan = planPool({...scaling, zonePrices: new Map([['a', 0], ['b', 0], ['c', 0]])}, size, noLimit);
+		expect([...plan.keys()].map(zone => countsIn(plan, zone))).toEqual([14, 13, 13]);
+	});
+
 	test('does not grow without bound in a service with one zone, whose loss nothing can make up for', () => {
 		expect(countAll(planPool({...scaling, zonePrices: new Map([['a', 1]])}, size, noLimit))).toBe(40);
 	});
