--- a/src/process/usage/usage-rounds.ts
+++ b/src/process/usage/usage-rounds.ts
@@ -21,6 +21,8 @@
 	readonly members: () => readonly UsageMember[];
 	readonly fetch: (address: string, query: UsageQuery) => Promise<Either<string, UsageAnswer>>;
 	readonly windowMs: number;
+	/** Called when all daemons have answered in a round. */
+	readonly onComplete: () => void;
 };
 
 /** Time after the end of a window in which runs that began in it are still recorded, in milliseconds. */
@@ -95,12 +97,16 @@
 		this.#hasEstimatedTime = false;
 	}
 
+	get #present(): number {
+		return Math.floor(this.#options.time.now() / this.#options.windowMs);
+	}
+
 	async #fetchMissing(): Promise<void> {
-		const {members, clock, ledger, collection, time, windowMs} = this.#options;
+		const {members, clock, ledger, collection, time} = this.#options;
 		this.#isFetching = true;
 		this.#fetchedAt = clock.now();
 		const round = this.#round;
-		const from = Math.floor(time.now() / windowMs) - keptWindows;
+		const from = this.#present - keptWindows;
 		const waiting = members().filter(({daemon}) => !this.#reached.has(daemon));
 		const pending = [...waiting];
 		await Promise.all(Array.from({length: maxConcurrentFetches}, async () => {
@@ -108,13 +114,14 @@
 				await this.#fetch(member, from);
 			}
 		}));
-		collection.add(ledger.snapshot(from));
+		collection.add(ledger.snapshot(from), this.#present);
 		time.estimate();
 		this.#hasEstimatedTime = true;
 		this.#isFetching = false;
 		this.#missing = waiting.filter(({daemon}) => !this.#reached.has(daemon)).map(({daemon}) => daemon);
 		if (this.#missing.length === 0 && round === this.#round) {
 			this.#completeRound = round;
+			this.#options.onComplete();
 		}
 	}
 
@@ -128,7 +135,7 @@
 			this.#reached.add(daemon);
 			this.#fetchMs.set(daemon, Math.min(elapsedMs, (this.#fetchMs.get(daemon) ?? elapsedMs) * pathGrowthFactor));
 			time.measure(daemon, timeOfDay, startedAt + (elapsedMs * readFraction));
-			collection.add(snapshot);
+			collection.add(snapshot, this.#present);
 		});
 	}
 }
