Tell all daemons which engines reject work, and how long prefills take

Cause: an engine that changes its stage rejects work for seconds, and each daemon found that out by sends of its own. Each daemon also learned the speed of an engine from its own few prefills.

Change: the holder of the lease tells the others which engine it has ordered to change, a daemon tells of a rejected send for as long as it avoids the engine itself, and of the duration of each prefill that tells the speed.

--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -262,6 +262,9 @@
 			groups: () => this.#stageGroups(),
 			rank: () => this.#peers.topology.relayRank(this.#clock.now()),
 			times: createControllerTimes(settings.bounds.leaseMs),
+			onOrdered: upstream => {
+				this.#scheduler.stageChangeOrdered(upstream);
+			},
 		});
 		this.#tables = new FleetTables({
 			platform,
--- a/src/process/fleet/fleet-scheduler.ts
+++ b/src/process/fleet/fleet-scheduler.ts
@@ -46,6 +46,9 @@
 	readonly onUpstreamDown: (upstream: string, evidence: DownEvidence) => void;
 };
 
+/** Time after the duration of a stage change by which the registry shows it, in milliseconds; running work ends first. */
+const stageChangeMarginMs = 1000;
+
 /** Chooses upstreams by this daemon's own sends, the load that upstreams and the other daemons report, and the prompt parts that engines have cached. */
 export class FleetScheduler extends UpstreamScheduler {
 	readonly #options: FleetSchedulerOptions;
@@ -59,11 +62,14 @@
 		super();
 		this.#options = options;
 		const {peers, onUpstreamDown} = options;
-		this.#states = new UpstreamStates({...options, peerLoads: peers.peerLoads});
+		this.#states = new UpstreamStates({...options, peerLoads: peers.peerLoads, speeds: this.#speeds});
 		this.#placements = new Placements({
 			...options,
 			onLoadChanged: peers.markLoadChanged,
 			onUpstreamDown,
+			onRejected(upstream, unavailableMs) {
+				peers.announcePrefill({upstream, parts: [], unavailableMs});
+			},
 			onReleased: () => {
 				this.#states.invalidate();
 				this.placeQueued();
@@ -100,6 +106,14 @@
 		this.#states.acceptPrefills(prefills);
 	}
 
+	/** Prefers other upstreams at all daemons while an engine changes its stage and rejects work. */
+	stageChangeOrdered(upstream: Upstream): void {
+		const changeMs = this.#options.services().get(upstream.service)?.engine?.stageChangeMs ?? 0;
+		const news = {upstream: upstream.id, parts: [], unavailableMs: changeMs + stageChangeMarginMs};
+		this.#states.acceptPrefills([news]);
+		this.#options.peers.announcePrefill(news);
+	}
+
 	/** Places the queued prompts that an upstream would start soon. */
 	placeQueued(): void {
 		this.#prefills.placeQueued();
@@ -157,7 +171,9 @@
 		const tokens = (candidate.backlogTokens + weightedTokens) * state.slowness(startedAt);
 		const {finishPrefill, finish} = state.beginWhole(weightedTokens, priority, predictedMs, startedAt);
 		return this.#placements.create(state, {predictedMs, rank: priority, fetchFrom: undefined}, finish, now => {
-			this.#speeds.observeWhole(demand.service, {tokens, elapsedMs: now - startedAt}, now);
+			const observation = {tokens, elapsedMs: now - startedAt};
+			this.#speeds.observeWhole(demand.service, observation, now);
+			this.#options.peers.announcePrefill({upstream: candidate.id, parts: [], observation});
 			finishPrefill(now);
 		});
 	}
--- a/src/process/fleet/placements.ts
+++ b/src/process/fleet/placements.ts
@@ -17,6 +17,8 @@
 	readonly onLoadChanged: (upstream: string) => void;
 	/** Called when a placement has been released. */
 	readonly onReleased: () => void;
+	/** Called when an upstream has rejected a send, with the time for which it is avoided in milliseconds. */
+	readonly onRejected: (upstream: string, avoidedMs: number) => void;
 	/** Called when an upstream refuses connections or another one has its address. */
 	readonly onUpstreamDown: (upstream: string, evidence: DownEvidence) => void;
 };
@@ -39,7 +41,7 @@
 		finish: (end: SendResult, now: number) => void,
 		onFirstEvent: (now: number) => void = () => undefined,
 	): Placement {
-		const {clock, onLoadChanged, onReleased, onUpstreamDown} = this.#options;
+		const {clock, onLoadChanged, onReleased, onRejected, onUpstreamDown} = this.#options;
 		const {id} = state.upstream;
 		let isReleased = false;
 		onLoadChanged(id);
@@ -67,6 +69,10 @@
 					onUpstreamDown(id, end.kind === 'refused' ? 'refused' : 'restarted');
 				}
 
+				if (end.kind === 'rejected') {
+					onRejected(id, state.avoidedMs(clock.now()));
+				}
+
 				onLoadChanged(id);
 				onReleased();
 			},
--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -244,7 +244,9 @@
 			if (end.kind === 'served') {
 				this.#candidates.rankLatencyRatios.observe(rank, end.elapsedMs, predictedMs);
 				if (isInformative) {
-					speeds.observePrefill(service, {tokens, elapsedMs: end.elapsedMs - candidate.fetchMs}, endedAt);
+					const observation = {tokens, elapsedMs: end.elapsedMs - candidate.fetchMs};
+					speeds.observePrefill(service, observation, endedAt);
+					announcePrefill({upstream: candidate.id, parts: [], observation});
 				}
 			}
 
--- a/src/process/fleet/upstream-state.ts
+++ b/src/process/fleet/upstream-state.ts
@@ -11,6 +11,8 @@
 /** Bounds of the exponential backoff after consecutive failures, in milliseconds. */
 const minAvoidanceMs = 300;
 const maxAvoidanceMs = 4000;
+/** Longest time for which an upstream is avoided that another daemon or an order made unavailable, in milliseconds. */
+const maxAnnouncedAvoidanceMs = 10_000;
 /** Time for which an upstream that refuses connections is avoided, in milliseconds; it is gone or restarting, which its next heartbeat shows. */
 const refusedAvoidanceMs = 2000;
 /** Time after which an upstream counts as reachable again even without a newer heartbeat, in milliseconds; daemons that follow others learn of heartbeats only with other changes. */
@@ -69,12 +71,12 @@
 		if (isRestarted || upstream.stage !== this.#upstream.stage) {
 			this.#latencyRatio = 1;
 			this.#stated = undefined;
+			this.#avoidedUntil = neverAvoided;
 		}
 
 		if (isRestarted) {
 			this.cache.clear();
 			this.#consecutiveFailures = 0;
-			this.#avoidedUntil = neverAvoided;
 			this.#awaitedHeartbeat = neverAvoided;
 		}
 
@@ -117,6 +119,21 @@
 		this.#stated = {load, at: now, ownRuns: this.#runs + this.#prefills};
 	}
 
+	/** Time for which other upstreams are preferred, in milliseconds. */
+	avoidedMs(now: number): number {
+		return Math.max(0, this.#avoidedUntil - now);
+	}
+
+	/** Learns the relative speed of the upstream from a prefill that any daemon has seen end; `predictedMs` was predicted with the current ratio. */
+	learnSpeed(elapsedMs: number, predictedMs: number): void {
+		this.#latencyRatio = updateLatencyRatio(this.#latencyRatio, elapsedMs, predictedMs);
+	}
+
+	/** Prefers other upstreams for a given time, in milliseconds. */
+	avoidFor(durationMs: number, now: number): void {
+		this.#avoidedUntil = Math.max(this.#avoidedUntil, now + Math.min(maxAnnouncedAvoidanceMs, durationMs));
+	}
+
 	/** Prefers other upstreams for a time that doubles with each consecutive failure. */
 	avoid(now: number): void {
 		this.#consecutiveFailures += 1;
--- a/src/process/fleet/upstream-states.ts
+++ b/src/process/fleet/upstream-states.ts
@@ -4,6 +4,7 @@
 import type {Clock} from '../clock.ts';
 import type {PeerLoadTracker} from '../peers/peer-load-tracker.ts';
 import type {PeerLoad, PeerPrefill} from '../peers/peer-message.ts';
+import type {PrefillObservation, ServiceSpeeds} from '../placement/service-speeds.ts';
 import type {UpstreamRegistry} from './upstream-registry.ts';
 import {PromptHolders} from './prompt-holders.ts';
 import {UpstreamState} from './upstream-state.ts';
@@ -14,6 +15,7 @@
 	readonly registry: UpstreamRegistry;
 	/** Load reported by the other daemons. */
 	readonly peerLoads: PeerLoadTracker;
+	readonly speeds: ServiceSpeeds;
 	/** Services of the active configuration, by name. */
 	readonly services: () => ReadonlyMap<string, Service>;
 };
@@ -113,14 +115,43 @@
 
 	/** Applies the prefills that the other daemons announced. */
 	acceptPrefills(prefills: readonly PeerPrefill[]): void {
-		for (const {upstream: id, parts} of prefills) {
+		const now = this.#options.clock.now();
+		for (const {upstream: id, parts, observation, unavailableMs} of prefills) {
 			const upstream = this.#options.registry.get(id);
-			if (upstream !== undefined) {
-				this.#getOrCreate(upstream).cache.touch(parts);
+			if (upstream === undefined) {
+				continue;
+			}
+
+			const state = this.#getOrCreate(upstream);
+			state.cache.touch(parts);
+			if (observation !== undefined) {
+				this.#learnSpeed(state, observation, now);
+			}
+
+			if (unavailableMs !== undefined) {
+				state.avoidFor(unavailableMs, now);
 			}
 		}
 	}
 
+	/** Applies the duration of a prefill that another daemon has seen end. */
+	#learnSpeed(state: UpstreamState, observation: PrefillObservation, now: number): void {
+		const {service, stage} = state.upstream;
+		const {tokens, elapsedMs} = observation;
+		const {speeds} = this.#options;
+		const {tokensPerMs, fixedMs} = stage === 'decode' ? speeds.of(service).whole : speeds.of(service).prefill;
+		if (tokens < 0 || elapsedMs <= 0) {
+			return;
+		}
+
+		state.learnSpeed(elapsedMs, (tokens / tokensPerMs * state.latencyRatio) + fixedMs);
+		if (stage === 'decode') {
+			speeds.observeWhole(service, observation, now);
+		} else {
+			speeds.observePrefill(service, observation, now);
+		}
+	}
+
 	#getOrCreate(upstream: Upstream): UpstreamState {
 		const known = this.#states.get(upstream.id);
 		if (known !== undefined) {
--- a/src/process/peers/peer-message.ts
+++ b/src/process/peers/peer-message.ts
@@ -44,6 +44,10 @@
 	u: string,
 	/** Parts of the prompt: pairs of id and tokens. */
 	p: array(tuple([string, finite])),
+	/** Weighted tokens and milliseconds of a completed prefill. */
+	o: optional(tuple([finite, finite])),
+	/** Time for which the upstream takes no work, in milliseconds. */
+	x: optional(finite),
 });
 
 /** News about a request, or about parts of prompts, that may crash upstreams. */
@@ -135,10 +139,18 @@
 	readonly tokensByPriority: ReadonlyMap<number, number>;
 };
 
-/** The start of a prefill: an upstream that begins to process a prompt. */
+/** News about the prefills of an upstream: a prompt that it begins to process, the duration of a completed one, or that it takes none for a while. */
 export type PeerPrefill = {
 	readonly upstream: string;
+	/** Parts of the prompt that it begins to process; empty in other news. */
 	readonly parts: ReadonlyArray<{readonly id: string; readonly tokens: number}>;
+	readonly observation?: {
+		/** Weighted tokens of the prompt and the backlog ahead of it, multiplied by the reported slowdown. */
+		readonly tokens: number;
+		readonly elapsedMs: number;
+	} | undefined;
+	/** Time for which the upstream rejects work, in milliseconds. */
+	readonly unavailableMs?: number | undefined;
 };
 
 /** Limit that an upstream named, and its use by one daemon. */
@@ -189,7 +201,7 @@
 		e: entry === undefined ? undefined : {a: entry.address, z: entry.availabilityZone, b: entry.linkMbps},
 		w: isSnapshot || undefined,
 		l: omitEmpty(loads.map(({upstream, runs, tokensByPriority}) => ({u: upstream, r: runs, t: encodeTokens(tokensByPriority)}))),
-		p: omitEmpty(prefills.map(({upstream, parts}) => ({u: upstream, p: parts.map(({id, tokens}): [string, number] => [id, tokens])}))),
+		p: omitEmpty(prefills.map(prefill => encodePrefill(prefill))),
 		q: omitEmpty(encodeTokens(queued)),
 		k: omitEmpty(crashNews.map(news => encodeCrashNews(news))),
 		g: omitEmpty(limits.map(({upstream, requestsPerSecond, ageMs, use}): [string, number, number, number, number] => [
@@ -247,6 +259,24 @@
 	}));
 }
 
+function encodePrefill({upstream, parts, observation, unavailableMs}: PeerPrefill): GetType<typeof prefillCodec> {
+	return {
+		u: upstream,
+		p: parts.map(({id, tokens}): [string, number] => [id, tokens]),
+		o: observation === undefined ? undefined : [Math.round(observation.tokens), Math.round(observation.elapsedMs)],
+		x: unavailableMs === undefined ? undefined : Math.round(unavailableMs),
+	};
+}
+
+function decodePrefill({u, p, o, x}: GetType<typeof prefillCodec>): PeerPrefill {
+	return {
+		upstream: u,
+		parts: p.map(([id, tokens]) => ({id, tokens})),
+		observation: o === undefined ? undefined : {tokens: o[0], elapsedMs: o[1]},
+		unavailableMs: x,
+	};
+}
+
 function encodeCrashNews(news: CrashNews): GetType<typeof crashCodec> {
 	const empty = {
 		p: undefined, u: undefined, a: undefined, r: undefined,
@@ -319,7 +349,7 @@
 		entry: e === undefined || !isHostAddress(e.a) || e.b <= 0 ? undefined : {address: e.a, availabilityZone: e.z, linkMbps: e.b},
 		isSnapshot: w ?? false,
 		loads: (l ?? []).map(({u, r, t}) => ({upstream: u, runs: r, tokensByPriority: new Map(t)})),
-		prefills: (p ?? []).map(({u, p: parts}) => ({upstream: u, parts: parts.map(([id, tokens]) => ({id, tokens}))})),
+		prefills: (p ?? []).map(prefill => decodePrefill(prefill)),
 		queued: new Map(q),
 		crashNews: (k ?? []).map(news => decodeCrashNews(news)),
 		limits: (g ?? []).map(([upstream, requestsPerSecond, ageMs, sent, askedPerSecond]) => ({
--- a/src/process/stages/stage-controller.ts
+++ b/src/process/stages/stage-controller.ts
@@ -56,6 +56,8 @@
 	/** Rank of this daemon among those that may acquire the lease, from 0. */
 	readonly rank: () => number;
 	readonly times: ControllerTimes;
+	/** Called when an engine has accepted an order; it rejects work until it has changed its stage. */
+	readonly onOrdered?: (upstream: Upstream) => void;
 };
 
 /** Creates the timing; between the last possible order under a lease and the first one of the next holder, at least `handoverDelayMs` passes. */
@@ -199,6 +201,10 @@
 			this.#pendingOrders.set(upstream.id, {stage, until: clock.now() + times.unknownOutcomeMs});
 		}
 
+		if (result.kind === 'answered' && result.answer.status === 202) {
+			this.#options.onOrdered?.(upstream);
+		}
+
 		log.write('stages.answered', {
 			upstream: upstream.id, stage, fencing: lease.fencing, ...(result.kind === 'answered' ? {status: result.answer.status} : {cause: result.failure.message, wasSent: result.failure.wasSent}),
 		});
--- a/test/process/fleet/prompt-holders.test.ts
+++ b/test/process/fleet/prompt-holders.test.ts
@@ -3,6 +3,7 @@
 import {UpstreamRegistry} from '../../../src/process/fleet/upstream-registry.ts';
 import {UpstreamStates} from '../../../src/process/fleet/upstream-states.ts';
 import {PeerLoadTracker} from '../../../src/process/peers/peer-load-tracker.ts';
+import {ServiceSpeeds} from '../../../src/process/placement/service-speeds.ts';
 import {SeededRandom} from '../../../src/process/random.ts';
 import {createUpstream} from '../../fixtures/fleet/configuration.ts';
 
@@ -15,6 +16,7 @@
 		clock,
 		registry,
 		peerLoads: new PeerLoadTracker(),
+		speeds: new ServiceSpeeds(),
 		services: () => new Map([['model', {
 			name: 'model',
 			connectionLimit: 64,
