--- a/bench/capacity/fleet.ts
+++ b/bench/capacity/fleet.ts
@@ -124,6 +124,7 @@
 			announcePrefill() {
 				// This benchmark has no peers to notify.
 			},
+			newsDelayMs: () => 0,
 		},
 		availabilityZone: 'zone-0',
 		services: () => services,
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -211,6 +211,7 @@
 				announcePrefill: prefill => {
 					this.#peers.announcePrefill(prefill);
 				},
+				newsDelayMs: () => this.#peers.newsDelayMs,
 			},
 			availabilityZone: settings.daemon.availabilityZone,
 			services: () => this.#configuration.routeTable?.services ?? new Map(),
--- a/src/process/fleet/fleet-scheduler.ts
+++ b/src/process/fleet/fleet-scheduler.ts
@@ -1,13 +1,13 @@
 import type {Upstream} from '../../ports/upstream.ts';
 import {
-	UpstreamScheduler, type PlacementDemand, type Placement, type PlacementResult,
+	UpstreamScheduler, type PlacementDemand, type Placement, type PlacementResult, type SendResult,
 } from '../../request/delivery/upstream-scheduler.ts';
 import type {PromptPart} from '../../request/delivery/route-request.ts';
 import type {Service} from '../../version/routes/route-configuration.ts';
 import type {UpstreamBackpressure} from '../backpressure/upstream-backpressure.ts';
 import type {Clock} from '../clock.ts';
 import type {DownEvidence} from '../crashes/crash-attribution.ts';
-import type {PeerLoadTracker} from '../peers/peer-load-tracker.ts';
+import {sumTokensUpTo, type PeerLoadTracker} from '../peers/peer-load-tracker.ts';
 import type {PeerLoad, PeerPrefill} from '../peers/peer-message.ts';
 import {ServiceSpeeds} from '../placement/service-speeds.ts';
 import type {Random} from '../random.ts';
@@ -29,6 +29,8 @@
 	readonly markLoadChanged: (upstream: string) => void;
 	/** Announces to the other daemons which prompt parts an upstream will have cached. */
 	readonly announcePrefill: (prefill: PeerPrefill) => void;
+	/** Returns the time in which the other daemons hear of a send, in milliseconds. */
+	readonly newsDelayMs: () => number;
 };
 
 /** Dependencies of the scheduler. */
@@ -48,6 +50,10 @@
 
 /** Time after the duration of a stage change by which the registry shows it, in milliseconds; running work ends first. */
 const stageChangeMarginMs = 1000;
+/** Events of an answer from which the time between them shows the speed of an engine. */
+const minObservedEvents = 3;
+/** Largest part of the time between events by which a prefill at the same engine extends it. */
+const prefillGapFactor = 1.5;
 
 /** Chooses upstreams by this daemon's own sends, the load that upstreams and the other daemons report, and the prompt parts that engines have cached. */
 export class FleetScheduler extends UpstreamScheduler {
@@ -77,7 +83,7 @@
 		});
 		this.#runQueue = new RunQueue({...options, states: this.#states, placements: this.#placements});
 		this.#prefills = new PrefillScheduler({
-			...options, states: this.#states, placements: this.#placements, runQueue: this.#runQueue, peerLoads: peers.peerLoads, announcePrefill: peers.announcePrefill, speeds: this.#speeds,
+			...options, states: this.#states, placements: this.#placements, runQueue: this.#runQueue, peerLoads: peers.peerLoads, announcePrefill: peers.announcePrefill, newsDelayMs: peers.newsDelayMs, speeds: this.#speeds,
 		});
 	}
 
@@ -147,7 +153,7 @@
 
 	async placePlain(demand: PlacementDemand): Promise<PlacementResult> {
 		return this.#runQueue.place({
-			demand, stage: undefined, giveUpAt: demand.deadlineAt, begin: states => this.#beginAtLeastLoaded(states, undefined),
+			demand, stage: undefined, giveUpAt: demand.deadlineAt, begin: states => this.#beginAtLeastLoaded(states, demand),
 		});
 	}
 
@@ -169,11 +175,13 @@
 		const {priority} = demand.route;
 		const startedAt = this.#options.clock.now();
 		const tokens = (candidate.backlogTokens + weightedTokens) * state.slowness(startedAt);
-		const {finishPrefill, finish} = state.beginWhole(weightedTokens, priority, predictedMs, startedAt);
+		const {finishPrefill, finish: finishRun} = state.beginWhole(weightedTokens, priority, predictedMs, startedAt);
+		const {finish, firstEvent} = this.#observeEvents(state, finishRun);
 		return this.#placements.create(state, {predictedMs, rank: priority, fetchFrom: undefined}, finish, now => {
 			const observation = {tokens, elapsedMs: now - startedAt};
 			this.#speeds.observeWhole(demand.service, observation, now);
 			this.#options.peers.announcePrefill({upstream: candidate.id, parts: [], observation});
+			firstEvent(now);
 			finishPrefill(now);
 		});
 	}
@@ -188,19 +196,20 @@
 			demand,
 			stage: 'decode',
 			giveUpAt: isFirst ? callerGivesUpAt(demand) : demand.deadlineAt,
-			begin: states => this.#beginAtLeastLoaded(states, source?.availabilityZone, source === undefined ? undefined : demand.service, demand.request.prompt?.parts),
+			begin: states => this.#beginAtLeastLoaded(states, demand, source),
 		});
 	}
 
-	/** Begins a run at the least loaded of these upstreams whose limit allows it. */
-	#beginAtLeastLoaded(states: readonly UpstreamState[], promptZone: string | undefined, fetchingService?: string, parts: readonly PromptPart[] = []): Placement | undefined {
+	/** Begins a run at the least loaded of these upstreams whose limit allows it; `source` has prefilled the prompt. */
+	#beginAtLeastLoaded(states: readonly UpstreamState[], demand: PlacementDemand, source?: Upstream): Placement | undefined {
 		const {backpressure, peers} = this.#options;
+		const parts = demand.request.prompt?.parts ?? [];
 		let open = states;
-		let state = this.#chooseLeastLoaded(open, promptZone);
+		let state = this.#chooseLeastLoaded(open, demand, source);
 		while (state !== undefined && !backpressure.take(state.upstream.id)) {
 			const refusing = state;
 			open = open.filter(other => other !== refusing);
-			state = this.#chooseLeastLoaded(open, promptZone);
+			state = this.#chooseLeastLoaded(open, demand, source);
 		}
 
 		if (state !== undefined && parts.length > 0) {
@@ -209,31 +218,60 @@
 			peers.announcePrefill({upstream: state.upstream.id, parts});
 		}
 
-		return state === undefined ? undefined : this.#beginRun(state, fetchingService);
+		return state === undefined ? undefined : this.#beginRun(state, source !== undefined);
 	}
 
-	#chooseLeastLoaded(states: readonly UpstreamState[], promptZone: string | undefined): UpstreamState | undefined {
+	#chooseLeastLoaded(states: readonly UpstreamState[], {service, route: {targetGapMs}}: PlacementDemand, source: Upstream | undefined): UpstreamState | undefined {
 		const now = this.#options.clock.now();
-		const {availabilityZone, random} = this.#options;
-		const choice = chooseLeastLoaded(sampleCandidates(states, availabilityZone, random).map(state => ({
-			id: state.upstream.id,
-			runs: state.runs + this.#states.peerRuns(state, now),
-			slots: state.upstream.slots,
-			isLocal: state.upstream.availabilityZone === availabilityZone,
-			isInPromptZone: promptZone === undefined || state.upstream.availabilityZone === promptZone,
-			slowness: state.slowness(now),
-			failureFraction: state.failureFraction,
-		})), random.next());
+		const {availabilityZone, random, peers} = this.#options;
+		const {eventMs, whole} = this.#speeds.of(service);
+		const choice = chooseLeastLoaded(sampleCandidates(states, availabilityZone, random).map(state => {
+			const {id, slots, availabilityZone: zone} = state.upstream;
+			const slowness = state.slowness(now) * state.stepRatio;
+			const backlogTokens = targetGapMs === undefined ? 0 : sumTokensUpTo(state.tokensByPriority, Number.POSITIVE_INFINITY) + peers.peerLoads.tokensUpTo(id, Number.POSITIVE_INFINITY, now);
+			const prefillMs = Math.min(backlogTokens / whole.tokensPerMs, eventMs * prefillGapFactor);
+			return {
+				id,
+				runs: state.runs + this.#states.peerRuns(state, now),
+				slots,
+				isLocal: zone === availabilityZone,
+				isInPromptZone: source === undefined || zone === source.availabilityZone,
+				slowness,
+				gapRatio: targetGapMs === undefined ? 0 : (eventMs + prefillMs) * slowness / targetGapMs,
+				failureFraction: state.failureFraction,
+			};
+		}), random.next());
 		return choice === undefined ? undefined : this.#states.get(choice.id);
 	}
 
 	/** Begins a run; if it fetches a prefilled prompt, the delay of its first event is learned for its service. */
-	#beginRun(state: UpstreamState, fetchingService: string | undefined): Placement {
+	#beginRun(state: UpstreamState, isFetching: boolean): Placement {
 		const startedAt = this.#options.clock.now();
-		return this.#placements.create(state, {predictedMs: 0, rank: undefined, fetchFrom: undefined}, state.beginRun(0), now => {
-			if (fetchingService !== undefined) {
-				this.#speeds.observeFirstEvent(fetchingService, now - startedAt, now);
+		const {finish, firstEvent} = this.#observeEvents(state, state.beginRun(0));
+		return this.#placements.create(state, {predictedMs: 0, rank: undefined, fetchFrom: undefined}, finish, now => {
+			firstEvent(now);
+			if (isFetching) {
+				this.#speeds.observeFirstEvent(state.upstream.service, now - startedAt, now);
 			}
 		});
 	}
+
+	/** Learns the decode speed of an engine from the time between the events of an answer, and tells the other daemons. */
+	#observeEvents(state: UpstreamState, finish: (end: SendResult, now: number) => void): {readonly finish: typeof finish; readonly firstEvent: (now: number) => void} {
+		let firstEventAt = Number.NaN;
+		return {
+			firstEvent(now) {
+				firstEventAt = now;
+			},
+			finish: (end, now) => {
+				const eventMs = (now - firstEventAt) / ((end.events ?? 0) - 1);
+				if (end.kind === 'served' && (end.events ?? 0) >= minObservedEvents && eventMs > 0) {
+					this.#states.learnStep(state, eventMs, now);
+					this.#options.peers.announcePrefill({upstream: state.upstream.id, parts: [], eventMs});
+				}
+
+				finish(end, now);
+			},
+		};
+	}
 }
--- a/src/process/fleet/latency-ratio.ts
+++ b/src/process/fleet/latency-ratio.ts
@@ -1,12 +1,14 @@
 /** Weight of the newest observation in the moving average. */
 const newestObservationWeight = 0.2;
+/** The same if the observations of all daemons are applied; there are many of them. */
+export const sharedObservationWeight = 0.05;
 const maxLatencyRatio = 4;
 const minLatencyRatio = 0.5;
 
 /** Updates the ratio of measured to modelled latency; `predictedMs` is the prediction that was made with the current ratio. */
-export function updateLatencyRatio(ratio: number, elapsedMs: number, predictedMs: number): number {
+export function updateLatencyRatio(ratio: number, elapsedMs: number, predictedMs: number, weight = newestObservationWeight): number {
 	const observed = ratio * (elapsedMs / Math.max(1, predictedMs));
-	return Math.min(maxLatencyRatio, Math.max(minLatencyRatio, ratio + ((observed - ratio) * newestObservationWeight)));
+	return Math.min(maxLatencyRatio, Math.max(minLatencyRatio, ratio + ((observed - ratio) * weight)));
 }
 
 /**
--- a/src/process/fleet/placement-score.ts
+++ b/src/process/fleet/placement-score.ts
@@ -3,6 +3,8 @@
 	readonly id: string;
 	/** Weighted tokens queued ahead of this prompt. */
 	readonly backlogTokens: number;
+	/** Expected weighted tokens that other daemons have sent but not yet reported. */
+	readonly unreportedTokens?: number;
 	/** Prompt tokens that are not in the upstream's cache. */
 	readonly missingTokens: number;
 	/** Prompt tokens that are in the upstream's cache. */
@@ -44,7 +46,7 @@
 /** Predicts when a candidate would have completed the prefill, in milliseconds from now. */
 export function predictPrefill(candidate: PrefillCandidate, rate: PrefillRate): number {
 	const weightedTokens = weighTokens(candidate.missingTokens, candidate.cachedTokens);
-	return (((candidate.backlogTokens + weightedTokens) / rate.tokensPerMs) * candidate.latencyRatio * candidate.rankLatencyRatio) + rate.fixedMs + candidate.fetchMs;
+	return (((candidate.backlogTokens + (candidate.unreportedTokens ?? 0) + weightedTokens) / rate.tokensPerMs) * candidate.latencyRatio * candidate.rankLatencyRatio) + rate.fixedMs + candidate.fetchMs;
 }
 
 /** Chosen candidate with its prediction; times in milliseconds. */
@@ -86,8 +88,10 @@
 	readonly isLocal: boolean;
 	/** True when the prefill ran in the same availability zone. */
 	readonly isInPromptZone: boolean;
-	/** Reported slowdown of the upstream's host; 1 is normal. */
+	/** Reported slowdown of the upstream's host and its learned decode speed; 1 is normal. */
 	readonly slowness: number;
+	/** Expected time between events relative to the target of the route, if there is one. */
+	readonly gapRatio?: number;
 	/** Fraction of recent sends that failed, from 0 to 1. */
 	readonly failureFraction: number;
 };
@@ -95,6 +99,10 @@
 const remoteZonePenaltyLoad = 0.1;
 const remotePromptPenaltyLoad = 0.05;
 const failurePenaltyLoad = 2;
+/** Expected time between events, relative to the target, up to which an answer is expected to be on time. */
+const safeGapRatio = 0.7;
+/** Penalty for an expected time between events that exceeds the target by as much as the target. */
+const gapPenaltyLoad = 0.5;
 
 /** Chooses the upstream with the lowest slot utilisation, scaled by its slowdown; `draw` is a random number below 1 that breaks ties. */
 export function chooseLeastLoaded(candidates: readonly RunCandidate[], draw: number): RunCandidate | undefined {
@@ -104,7 +112,8 @@
 	for (let index = 0; index < candidates.length; index += 1) {
 		const candidate = candidates[(first + index) % candidates.length]!;
 		const load = ((candidate.runs + 1) / Math.max(1, candidate.slots)) * candidate.slowness;
-		const cost = load + (candidate.isLocal ? 0 : remoteZonePenaltyLoad) + (candidate.isInPromptZone ? 0 : remotePromptPenaltyLoad) + (candidate.failureFraction * failurePenaltyLoad);
+		const cost = load + (candidate.isLocal ? 0 : remoteZonePenaltyLoad) + (candidate.isInPromptZone ? 0 : remotePromptPenaltyLoad) + (candidate.failureFraction * failurePenaltyLoad)
+			+ (Math.max(0, (candidate.gapRatio ?? 0) - safeGapRatio) * gapPenaltyLoad);
 		if (cost < bestCost) {
 			best = candidate;
 			bestCost = cost;
--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -37,6 +37,8 @@
 	/** Announces to the other daemons that an engine starts the prefill of a prompt. */
 	readonly announcePrefill: (prefill: PeerPrefill) => void;
 	readonly availabilityZone: string;
+	/** Returns the time in which the other daemons hear of a send, in milliseconds. */
+	readonly newsDelayMs: () => number;
 	/** Services of the active configuration, by name. */
 	readonly services: () => ReadonlyMap<string, Service>;
 };
--- a/src/process/fleet/upstream-state.ts
+++ b/src/process/fleet/upstream-state.ts
@@ -1,7 +1,8 @@
 import type {Upstream} from '../../ports/upstream.ts';
 import type {ReportedLoad} from '../../ports/upstream-protocol.ts';
 import type {SendResult} from '../../request/delivery/upstream-scheduler.ts';
-import {updateLatencyRatio} from './latency-ratio.ts';
+import {ArrivalRate} from '../placement/arrival-rate.ts';
+import {sharedObservationWeight, updateLatencyRatio} from './latency-ratio.ts';
 import {PromptCache, type PromptCacheListener} from './prompt-cache.ts';
 
 /** Age at which the load reported by an upstream no longer counts, in milliseconds; its weight falls linearly until then. */
@@ -22,12 +23,15 @@
 /** State of one upstream as known to this daemon: the daemon's own sends, the load that the upstream reports, and the outcomes of sends. */
 export class UpstreamState {
 	readonly cache: PromptCache;
+	/** Prompts that other daemons send to the upstream. */
+	readonly arrivals = new ArrivalRate();
 	#upstream: Upstream;
 	readonly #tokensByPriority = new Map<number, number>();
 	#runs = 0;
 	#prefills = 0;
 	#stated: {readonly load: ReportedLoad; readonly at: number; readonly ownRuns: number} | undefined;
 	#latencyRatio = 1;
+	#stepRatio = 1;
 	#failureFraction = 0;
 	#consecutiveFailures = 0;
 	#avoidedUntil = neverAvoided;
@@ -60,6 +64,11 @@
 		return this.#latencyRatio;
 	}
 
+	/** Ratio of the time between events of this upstream to the mean of its service. */
+	get stepRatio(): number {
+		return this.#stepRatio;
+	}
+
 	/** Moving average of the fraction of sends that failed. */
 	get failureFraction(): number {
 		return this.#failureFraction;
@@ -75,6 +84,7 @@
 		}
 
 		if (isRestarted) {
+			this.#stepRatio = 1;
 			this.cache.clear();
 			this.#consecutiveFailures = 0;
 			this.#awaitedHeartbeat = neverAvoided;
@@ -126,7 +136,12 @@
 
 	/** Learns the relative speed of the upstream from a prefill that any daemon has seen end; `predictedMs` was predicted with the current ratio. */
 	learnSpeed(elapsedMs: number, predictedMs: number): void {
-		this.#latencyRatio = updateLatencyRatio(this.#latencyRatio, elapsedMs, predictedMs);
+		this.#latencyRatio = updateLatencyRatio(this.#latencyRatio, elapsedMs, predictedMs, sharedObservationWeight);
+	}
+
+	/** Learns the relative decode speed of the upstream from the time between the events of an answer. */
+	learnStep(eventMs: number, meanEventMs: number): void {
+		this.#stepRatio = updateLatencyRatio(this.#stepRatio, eventMs, meanEventMs * this.#stepRatio, sharedObservationWeight);
 	}
 
 	/** Prefers other upstreams for a given time, in milliseconds. */
--- a/src/process/fleet/upstream-states.ts
+++ b/src/process/fleet/upstream-states.ts
@@ -6,6 +6,8 @@
 import type {PeerLoad, PeerPrefill} from '../peers/peer-message.ts';
 import type {PrefillObservation, ServiceSpeeds} from '../placement/service-speeds.ts';
 import type {UpstreamRegistry} from './upstream-registry.ts';
+import {weighTokens} from './placement-score.ts';
+import {countTokens} from './prompt-cache.ts';
 import {PromptHolders} from './prompt-holders.ts';
 import {UpstreamState} from './upstream-state.ts';
 
@@ -116,24 +118,43 @@
 	/** Applies the prefills that the other daemons announced. */
 	acceptPrefills(prefills: readonly PeerPrefill[]): void {
 		const now = this.#options.clock.now();
-		for (const {upstream: id, parts, observation, unavailableMs} of prefills) {
+		for (const {upstream: id, parts, observation, eventMs, unavailableMs} of prefills) {
 			const upstream = this.#options.registry.get(id);
 			if (upstream === undefined) {
 				continue;
 			}
 
 			const state = this.#getOrCreate(upstream);
-			state.cache.touch(parts);
+			if (parts.length > 0) {
+				const missingTokens = state.cache.missingTokens(parts);
+				state.arrivals.record(weighTokens(missingTokens, countTokens(parts) - missingTokens), now);
+				state.cache.touch(parts);
+			}
+
 			if (observation !== undefined) {
 				this.#learnSpeed(state, observation, now);
 			}
 
+			if (eventMs !== undefined) {
+				this.learnStep(state, eventMs, now);
+			}
+
 			if (unavailableMs !== undefined) {
 				state.avoidFor(unavailableMs, now);
 			}
 		}
 	}
 
+	/** Learns the decode speed of an upstream and of its service from the time between the events of an answer. */
+	learnStep(state: UpstreamState, eventMs: number, now: number): void {
+		const {speeds} = this.#options;
+		const {service} = state.upstream;
+		if (eventMs > 0) {
+			state.learnStep(eventMs, speeds.of(service).eventMs);
+			speeds.observeEvents(service, eventMs, now);
+		}
+	}
+
 	/** Applies the duration of a prefill that another daemon has seen end. */
 	#learnSpeed(state: UpstreamState, observation: PrefillObservation, now: number): void {
 		const {service, stage} = state.upstream;
--- a/src/process/peers/peer-message.ts
+++ b/src/process/peers/peer-message.ts
@@ -46,6 +46,8 @@
 	p: array(tuple([string, finite])),
 	/** Weighted tokens and milliseconds of a completed prefill. */
 	o: optional(tuple([finite, finite])),
+	/** Time between the events of an answer that has ended, in milliseconds. */
+	i: optional(finite),
 	/** Time for which the upstream takes no work, in milliseconds. */
 	x: optional(finite),
 });
@@ -139,7 +141,7 @@
 	readonly tokensByPriority: ReadonlyMap<number, number>;
 };
 
-/** News about the prefills of an upstream: a prompt that it begins to process, the duration of a completed one, or that it takes none for a while. */
+/** News about the work of an upstream: a prompt that it begins to process, the duration of completed work, or that it takes none for a while. */
 export type PeerPrefill = {
 	readonly upstream: string;
 	/** Parts of the prompt that it begins to process; empty in other news. */
@@ -149,6 +151,8 @@
 		readonly tokens: number;
 		readonly elapsedMs: number;
 	} | undefined;
+	/** Mean time between the events of an answer that has ended, in milliseconds. */
+	readonly eventMs?: number | undefined;
 	/** Time for which the upstream rejects work, in milliseconds. */
 	readonly unavailableMs?: number | undefined;
 };
@@ -259,20 +263,22 @@
 	}));
 }
 
-function encodePrefill({upstream, parts, observation, unavailableMs}: PeerPrefill): GetType<typeof prefillCodec> {
+function encodePrefill({upstream, parts, observation, eventMs, unavailableMs}: PeerPrefill): GetType<typeof prefillCodec> {
 	return {
 		u: upstream,
 		p: parts.map(({id, tokens}): [string, number] => [id, tokens]),
 		o: observation === undefined ? undefined : [Math.round(observation.tokens), Math.round(observation.elapsedMs)],
+		i: eventMs === undefined ? undefined : Math.round(eventMs),
 		x: unavailableMs === undefined ? undefined : Math.round(unavailableMs),
 	};
 }
 
-function decodePrefill({u, p, o, x}: GetType<typeof prefillCodec>): PeerPrefill {
+function decodePrefill({u, p, o, i, x}: GetType<typeof prefillCodec>): PeerPrefill {
 	return {
 		upstream: u,
 		parts: p.map(([id, tokens]) => ({id, tokens})),
 		observation: o === undefined ? undefined : {tokens: o[0], elapsedMs: o[1]},
+		eventMs: i,
 		unavailableMs: x,
 	};
 }
--- a/src/process/placement/prefill-candidates.ts
+++ b/src/process/placement/prefill-candidates.ts
@@ -18,6 +18,8 @@
 	readonly peerLoads: PeerLoadTracker;
 	readonly speeds: ServiceSpeeds;
 	readonly availabilityZone: string;
+	/** Returns the time in which the other daemons hear of a send, in milliseconds. */
+	readonly newsDelayMs: () => number;
 };
 
 /** Longest prefix of a prompt that an engine has cached. */
@@ -87,6 +89,7 @@
 		return {
 			id: upstream.id,
 			backlogTokens: this.sumBacklog(state, priority, now),
+			unreportedTokens: state.arrivals.unreportedTokens(this.#options.newsDelayMs(), now),
 			missingTokens,
 			cachedTokens: totalTokens - missingTokens,
 			fetchMs: isFetched ? transferMs(ownMissing - bestMissingTokens, upstream, bestUpstream.upstream, engine) : 0,
--- a/src/process/placement/service-speeds.ts
+++ b/src/process/placement/service-speeds.ts
@@ -16,6 +16,8 @@
 	readonly whole: PrefillRate;
 	/** Time from the end of a prefill apart to the first event: the KV cache transfer and the first decode step, in milliseconds. */
 	readonly firstEventDelayMs: number;
+	/** Time between the events of an answer, in milliseconds. */
+	readonly eventMs: number;
 };
 
 /** Prefill speed of a decode engine relative to that of a prefill engine: it prefills between the tokens of its running requests. */
@@ -23,6 +25,7 @@
 /** Time of the first step after the prefill at a decode engine, in milliseconds. */
 const firstStepMs = 30;
 const initialFirstEventDelayMs = 60;
+const initialEventMs = 40;
 const minFirstEventDelayMs = 20;
 const maxFirstEventDelayMs = 150;
 /** Longest duration from which the delay of the first event is learned, in milliseconds; longer ones are waits for a slot. */
@@ -32,12 +35,14 @@
 class ServiceFits {
 	readonly prefill = new DurationFit(initialPrefillRate);
 	readonly whole = new DurationFit({tokensPerMs: initialPrefillRate.tokensPerMs * decodePrefillSpeed, fixedMs: firstStepMs});
+	readonly events = new DurationFit({tokensPerMs: initialPrefillRate.tokensPerMs, fixedMs: initialEventMs});
 	readonly firstEvent = new DurationFit({tokensPerMs: initialPrefillRate.tokensPerMs, fixedMs: initialFirstEventDelayMs});
 
 	get speeds(): EngineSpeeds {
 		return {
 			prefill: this.prefill.rate,
 			whole: this.whole.rate,
+			eventMs: Math.max(1, this.events.rate.fixedMs),
 			firstEventDelayMs: Math.min(maxFirstEventDelayMs, Math.max(minFirstEventDelayMs, this.firstEvent.rate.fixedMs)),
 		};
 	}
@@ -67,6 +72,11 @@
 		this.#fits(service).whole.observe(tokens, elapsedMs, now);
 	}
 
+	/** Records the mean time between the events of an answer. */
+	observeEvents(service: string, eventMs: number, now: number): void {
+		this.#fits(service).events.observe(0, eventMs, now);
+	}
+
 	/** Records the time to the first event of a request whose prompt was prefilled apart. */
 	observeFirstEvent(service: string, elapsedMs: number, now: number): void {
 		if (elapsedMs <= maxObservedDelayMs) {
--- a/src/process/stages/stage-sizer.ts
+++ b/src/process/stages/stage-sizer.ts
@@ -36,6 +36,8 @@
 const targetPrefillShare = 0.5;
 /** Slot utilisation of decode engines that is accepted while prefill needs engines too. */
 const contendedRunShare = 0.6;
+/** Slot utilisation of decode engines beyond which they do not give up any engine to prefill. */
+const maxRunShare = 0.85;
 /** Ratio between the number of decode engines and their share of the engines up to which the number stays as it is. */
 const excessRatio = 1.15;
 /** Prefills per second of one engine, for prompts of a few thousand tokens that are partly cached. */
@@ -72,16 +74,17 @@
 		}
 
 		const current = this.#targetDecoders ?? decoders;
-		this.#targetDecoders = this.#adjust(current, {needed: peak / targetRuns(slots), most: this.#computeShare(peak / (slots * contendedRunShare), total)}, now);
+		this.#targetDecoders = this.#adjust(current, {needed: peak / targetRuns(slots), most: this.#computeShare(peak / slots, total)}, now);
 		return this.#targetDecoders;
 	}
 
 	/** Largest number of decode engines that leaves prefill its part of the engines. */
-	#computeShare(needed: number, total: number): number {
+	#computeShare(fullEngines: number, total: number): number {
+		const needed = fullEngines / contendedRunShare;
 		const prefillNeeded = this.#samples.reduce((sum, {prefillEngines}) => sum + prefillEngines, 0) / this.#samples.length / targetPrefillShare;
 		return prefillNeeded === 0
 			? Number.POSITIVE_INFINITY
-			: Math.floor(Math.max(total - prefillNeeded, (total * needed) / (needed + prefillNeeded), 1));
+			: Math.floor(Math.max(total - prefillNeeded, (total * needed) / (needed + prefillNeeded), fullEngines / maxRunShare, 1));
 	}
 
 	#adjust(current: number, {needed, most}: {readonly needed: number; readonly most: number}, now: number): number {
--- a/src/request/delivery/stream-run.ts
+++ b/src/request/delivery/stream-run.ts
@@ -229,7 +229,9 @@
 		this.#hasEnded = true;
 		const {dependencies, placement} = this.#options;
 		const elapsedMs = dependencies.clock.now() - this.#sentAt;
-		placement.release({kind: kind === 'complete' ? 'served' : kind, elapsedMs, load: this.#answer?.load});
+		placement.release({
+			kind: kind === 'complete' ? 'served' : kind, elapsedMs, load: this.#answer?.load, events: this.#events,
+		});
 		const mayHaveArrived = this.#exchange?.isStarted ?? true;
 		const isRejected = kind === 'rejected' || kind === 'misdirected';
 		this.#result.resolve({
--- a/src/request/delivery/upstream-scheduler.ts
+++ b/src/request/delivery/upstream-scheduler.ts
@@ -9,6 +9,8 @@
 	readonly kind: 'served' | 'failed' | 'rejected' | 'misdirected' | 'refused' | 'unreachable' | 'lost' | 'silent' | 'cancelled';
 	readonly elapsedMs: number;
 	readonly load?: ReportedLoad;
+	/** Events of a stream that arrived. */
+	readonly events?: number;
 };
 
 /** Place reserved at an upstream; counts as occupied until it is released. */
--- a/test/process/fleet/prompt-path.test.ts
+++ b/test/process/fleet/prompt-path.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, test} from 'vitest';
-import {chooseWhole, type WholeCandidate} from '../../../src/process/fleet/prompt-path.ts';
+import {chooseWhole, defaultWholeModel, type WholeCandidate} from '../../../src/process/fleet/prompt-path.ts';
 import {prefillRate, weighTokens} from '../../../src/process/fleet/placement-score.ts';
 import {SeededRandom} from '../../../src/process/random.ts';
 
@@ -28,6 +28,16 @@
 	});
 });
 
+describe('choice of a decode engine when a prefill apart would be late', () => {
+	test('takes a long prompt at an engine with few runs within the longer bound, but not at a busy one', () => {
+		const model = {...defaultWholeModel, maxPrefillMs: 400, maxBacklogMs: 400};
+		const long = {missingTokens: 17_000, slots: 12};
+		expect(chooseWhole([createCandidate({...long, id: 'busy', runs: 7}), createCandidate({...long, id: 'idle', isLocal: false})], prefillRate, model)?.candidate.id).toBe('idle');
+		expect(chooseWhole([createCandidate({...long, runs: 9})], prefillRate, model)).toBeUndefined();
+		expect(chooseWhole([createCandidate({...long, latencyRatio: 2})], prefillRate, model)).toBeUndefined();
+	});
+});
+
 type Way = 'apart' | 'chosen';
 
 /**
--- a/test/process/stages/stage-sizer.test.ts
+++ b/test/process/stages/stage-sizer.test.ts
@@ -64,4 +64,23 @@
 		});
 		expect(new Set(present)).toEqual(new Set([40]));
 	});
+
+	// Guards against engines with few slots that all decode while prompts wait for the last ones that prefill.
+	test('leaves prefill its share when the runs would fill all engines with few slots', () => {
+		const sizer = new StageSizer();
+		let decoders = 18;
+		for (let now = 0; now < 20_000; now += 250) {
+			decoders = sizer.computeDecoders({
+				runs: 110, slots: 12, backlogMs: 80, prefillEngines: 28 - decoders,
+			}, {total: 28, decoders}, now);
+		}
+
+		expect(decoders).toBeGreaterThanOrEqual(10);
+		expect(decoders).toBeLessThanOrEqual(18);
+	});
+
+	test('follows the runs alone while the engines suffice for both stages', () => {
+		const demand = {runs: 570, slots: 128, backlogMs: 0};
+		expect(new StageSizer().computeDecoders({...demand, prefillEngines: 1}, {total: 12, decoders: 3}, 0)).toBe(new StageSizer().computeDecoders(demand, {total: 12, decoders: 3}, 0));
+	});
 });
