--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -218,6 +218,9 @@
 			onUpstreamDown: (upstream, evidence) => {
 				this.#crashes.upstreamDown(upstream, evidence);
 			},
+			onPrefillEnded: (work, elapsedMs, predictedMs) => {
+				this.#metrics.prefillEnded(work, elapsedMs, predictedMs);
+			},
 		});
 		const startedAt = clock.now();
 		this.#retryBudget = new SharedRetryBudget(toRetryBounds(settings.bounds), () => this.#peers.knownDaemons, () => this.#peers.hasPredecessor ? startedAt : undefined);
--- a/src/process/fleet/fleet-metrics.ts
+++ b/src/process/fleet/fleet-metrics.ts
@@ -24,6 +24,7 @@
 	readonly unusableEpochs: () => number;
 };
 
+const ratioBuckets = [0.25, 0.5, 0.75, 0.9, 1.1, 1.33, 2, 4, 8];
 const secondsBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 4, 8];
 
 /** Metrics of one daemon on the operator's platform; all labels have a low cardinality. */
@@ -57,6 +58,10 @@
 		name: 'wagtailtack_first_answer_seconds', help: 'Time from arrival to the response or its first event', labelNames: ['kind', 'priority'], buckets: secondsBuckets, registers: [this.#registry],
 	});
 
+	readonly #estimates = new Histogram({
+		name: 'wagtailtack_prefill_estimate_ratio', help: 'Measured duration of a prefill relative to its estimate, by work: a prefill apart, or the time to the first event of a whole request', labelNames: ['work'], buckets: ratioBuckets, registers: [this.#registry],
+	});
+
 	readonly #duration = new Histogram({
 		name: 'wagtailtack_route_request_seconds', help: 'Time from arrival to the end of a request', labelNames: ['kind'], buckets: secondsBuckets, registers: [this.#registry],
 	});
@@ -108,6 +113,11 @@
 		}
 	}
 
+	/** Records the duration of a prefill, beside the estimate that it was placed with. */
+	prefillEnded(work: 'apart' | 'whole', elapsedMs: number, predictedMs: number): void {
+		this.#estimates.observe({work}, elapsedMs / Math.max(1, predictedMs));
+	}
+
 	/** Records a request that was refused before its delivery started. */
 	requestRefused(kind: string, totalMs: number): void {
 		this.#requests.inc({kind: 'none', outcome: kind});
--- a/src/process/fleet/fleet-scheduler.ts
+++ b/src/process/fleet/fleet-scheduler.ts
@@ -9,6 +9,7 @@
 import type {DownEvidence} from '../crashes/crash-attribution.ts';
 import {sumTokensUpTo, type PeerLoadTracker} from '../peers/peer-load-tracker.ts';
 import type {PeerLoad, PeerPrefill} from '../peers/peer-message.ts';
+import {assessGapRisk} from '../placement/event-gap.ts';
 import {ServiceSpeeds} from '../placement/service-speeds.ts';
 import type {Random} from '../random.ts';
 import type {StageDemand} from '../stages/stage-sizer.ts';
@@ -44,6 +45,8 @@
 	readonly availabilityZone: string;
 	/** Services of the active configuration, by name. */
 	readonly services: () => ReadonlyMap<string, Service>;
+	/** Called with the duration of a prefill, and the estimate that it was placed with, in milliseconds. */
+	readonly onPrefillEnded?: (work: 'apart' | 'whole', elapsedMs: number, predictedMs: number) => void;
 	/** Called when an upstream refuses connections or another one has its address. */
 	readonly onUpstreamDown: (upstream: string, evidence: DownEvidence) => void;
 };
@@ -52,8 +55,6 @@
 const stageChangeMarginMs = 1000;
 /** Events of an answer from which the time between them shows the speed of an engine. */
 const minObservedEvents = 3;
-/** Largest part of the time between events by which a prefill at the same engine extends it. */
-const prefillGapFactor = 1.5;
 
 /** Chooses upstreams by this daemon's own sends, the load that upstreams and the other daemons report, and the prompt parts that engines have cached. */
 export class FleetScheduler extends UpstreamScheduler {
@@ -179,6 +180,7 @@
 		const {finish, firstEvent} = this.#observeEvents(state, finishRun);
 		return this.#placements.create(state, {predictedMs, rank: priority, fetchFrom: undefined}, finish, now => {
 			const observation = {tokens, elapsedMs: now - startedAt};
+			this.#options.onPrefillEnded?.('whole', observation.elapsedMs, predictedMs);
 			this.#speeds.observeWhole(demand.service, observation, now);
 			this.#options.peers.announcePrefill({upstream: candidate.id, parts: [], observation});
 			firstEvent(now);
@@ -229,7 +231,6 @@
 			const {id, slots, availabilityZone: zone} = state.upstream;
 			const slowness = state.slowness(now) * state.stepRatio;
 			const backlogTokens = targetGapMs === undefined ? 0 : sumTokensUpTo(state.tokensByPriority, Number.POSITIVE_INFINITY) + peers.peerLoads.tokensUpTo(id, Number.POSITIVE_INFINITY, now);
-			const prefillMs = Math.min(backlogTokens / whole.tokensPerMs, eventMs * prefillGapFactor);
 			return {
 				id,
 				runs: state.runs + this.#states.peerRuns(state, now),
@@ -237,7 +238,7 @@
 				isLocal: zone === availabilityZone,
 				isInPromptZone: source === undefined || zone === source.availabilityZone,
 				slowness,
-				gapRatio: targetGapMs === undefined ? 0 : (eventMs + prefillMs) * slowness / targetGapMs,
+				gapRisk: assessGapRisk({eventMs, prefillMs: backlogTokens / whole.tokensPerMs, slowness}, targetGapMs),
 				failureFraction: state.failureFraction,
 			};
 		}), random.next());
--- a/src/process/fleet/placement-score.ts
+++ b/src/process/fleet/placement-score.ts
@@ -90,8 +90,8 @@
 	readonly isInPromptZone: boolean;
 	/** Reported slowdown of the upstream's host and its learned decode speed; 1 is normal. */
 	readonly slowness: number;
-	/** Expected time between events relative to the target of the route, if there is one. */
-	readonly gapRatio?: number;
+	/** Risk that the answer misses its target for the gap between events. */
+	readonly gapRisk?: number;
 	/** Fraction of recent sends that failed, from 0 to 1. */
 	readonly failureFraction: number;
 };
@@ -99,10 +99,7 @@
 const remoteZonePenaltyLoad = 0.1;
 const remotePromptPenaltyLoad = 0.05;
 const failurePenaltyLoad = 2;
-/** Expected time between events, relative to the target, up to which an answer is expected to be on time. */
-const safeGapRatio = 0.7;
-/** Penalty for an expected time between events that exceeds the target by as much as the target. */
-const gapPenaltyLoad = 0.5;
+const gapPenaltyLoad = 1;
 
 /** Chooses the upstream with the lowest slot utilisation, scaled by its slowdown; `draw` is a random number below 1 that breaks ties. */
 export function chooseLeastLoaded(candidates: readonly RunCandidate[], draw: number): RunCandidate | undefined {
@@ -113,7 +110,7 @@
 		const candidate = candidates[(first + index) % candidates.length]!;
 		const load = ((candidate.runs + 1) / Math.max(1, candidate.slots)) * candidate.slowness;
 		const cost = load + (candidate.isLocal ? 0 : remoteZonePenaltyLoad) + (candidate.isInPromptZone ? 0 : remotePromptPenaltyLoad) + (candidate.failureFraction * failurePenaltyLoad)
-			+ (Math.max(0, (candidate.gapRatio ?? 0) - safeGapRatio) * gapPenaltyLoad);
+			+ ((candidate.gapRisk ?? 0) * gapPenaltyLoad);
 		if (cost < bestCost) {
 			best = candidate;
 			bestCost = cost;
--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -39,6 +39,8 @@
 	readonly availabilityZone: string;
 	/** Returns the time in which the other daemons hear of a send, in milliseconds. */
 	readonly newsDelayMs: () => number;
+	/** Called with the duration of a prefill, and the estimate that it was placed with, in milliseconds. */
+	readonly onPrefillEnded?: ((work: 'apart', elapsedMs: number, predictedMs: number) => void) | undefined;
 	/** Services of the active configuration, by name. */
 	readonly services: () => ReadonlyMap<string, Service>;
 };
@@ -232,7 +234,7 @@
 	}
 
 	#place(waiting: QueuedPrompt, {candidate, predictedMs}: PrefillChoice, rank: number, source: UpstreamState | undefined): void {
-		const {clock, states, placements, speeds, announcePrefill} = this.#options;
+		const {clock, states, placements, speeds, announcePrefill, onPrefillEnded} = this.#options;
 		const {demand: {service}, parts} = waiting;
 		const state = states.get(candidate.id)!;
 		const weightedTokens = weighTokens(candidate.missingTokens, candidate.cachedTokens);
@@ -244,6 +246,7 @@
 		announcePrefill({upstream: candidate.id, parts});
 		this.#leaveQueue(waiting, placements.create(state, {predictedMs, rank, fetchFrom: source?.upstream}, (end, endedAt) => {
 			if (end.kind === 'served') {
+				onPrefillEnded?.('apart', end.elapsedMs, predictedMs);
 				this.#candidates.rankLatencyRatios.observe(rank, end.elapsedMs, predictedMs);
 				if (isInformative) {
 					const observation = {tokens, elapsedMs: end.elapsedMs - candidate.fetchMs};
--- a/src/process/fleet/prompt-path.ts
+++ b/src/process/fleet/prompt-path.ts
@@ -13,6 +13,8 @@
 	/** Prompt tokens that are in the engine's cache. */
 	readonly cachedTokens: number;
 	readonly isLocal: boolean;
+	/** Risk that the answer misses its target for the gap between events. */
+	readonly gapRisk?: number;
 	/** Measured time to the first event at this engine, relative to the prediction. */
 	readonly latencyRatio: number;
 	/** Fraction of recent sends that failed, from 0 to 1. */
@@ -52,6 +54,7 @@
 const delayedRunShare = 0.1;
 const remoteZonePenaltyMs = 6;
 const failurePenaltyMs = 600;
+const gapPenaltyMs = 200;
 
 /**
 Chooses the decode engine that would send the first event of a whole request first; undefined if none takes it.
@@ -75,7 +78,7 @@
 
 		const predictedMs = backlogMs + prefillMs + firstStepMs;
 		const delayMs = prefillMs * candidate.runs * delayedRunShare;
-		const costMs = predictedMs + delayMs + (candidate.isLocal ? 0 : remoteZonePenaltyMs) + (candidate.failureFraction * failurePenaltyMs);
+		const costMs = predictedMs + delayMs + (candidate.isLocal ? 0 : remoteZonePenaltyMs) + (candidate.failureFraction * failurePenaltyMs) + ((candidate.gapRisk ?? 0) * gapPenaltyMs);
 		if (best === undefined || costMs < best.costMs) {
 			best = {
 				candidate, predictedMs, costMs, weightedTokens,
--- a/src/process/placement/duration-fit.ts
+++ b/src/process/placement/duration-fit.ts
@@ -4,6 +4,10 @@
 const memoryMs = 20_000;
 /** Size at which the initial rate counts as one observation, beside two of its overhead; small, so that a few real observations outweigh it. */
 const initialObservationTokens = 2000;
+/** Multiple of the fitted duration at which observations are clipped: few that waited for something else must not determine the fit. */
+const maxExcess = 1.5;
+/** Observations from which they are clipped; before, the fit may be far off. */
+const minClippingObservations = 15;
 const maxFixedMs = 400;
 const minTokensPerMs = 1;
 const maxTokensPerMs = 5000;
@@ -50,8 +54,10 @@
 	}
 
 	/** Records the duration of work of a size in tokens. */
-	observe(tokens: number, durationMs: number, now: number): void {
+	observe(tokens: number, observedMs: number, now: number): void {
 		const sums = this.#sums;
+		const {tokensPerMs, fixedMs} = this.rate;
+		const durationMs = sums.weight < minClippingObservations ? observedMs : Math.min(observedMs, maxExcess * (fixedMs + (tokens / tokensPerMs)));
 		const kept = Math.exp(Math.min(0, this.#decayedAt - now) / memoryMs);
 		this.#decayedAt = now;
 		sums.weight = (sums.weight * kept) + 1;
--- a/src/process/placement/whole-scheduler.ts
+++ b/src/process/placement/whole-scheduler.ts
@@ -13,6 +13,7 @@
 import type {UpstreamStates} from '../fleet/upstream-states.ts';
 import {sumTokensUpTo, type PeerLoadTracker} from '../peers/peer-load-tracker.ts';
 import type {Random} from '../random.ts';
+import {assessGapRisk, predictGapMs} from './event-gap.ts';
 import {promptParts, type PrefillCandidates} from './prefill-candidates.ts';
 import type {ServiceSpeeds} from './service-speeds.ts';
 
@@ -50,7 +51,7 @@
 		}
 
 		const parts = promptParts(demand);
-		const {prefill, whole} = speeds.of(demand.service);
+		const {prefill, whole, eventMs} = speeds.of(demand.service);
 		const candidates = this.#createCandidates(demand, parts);
 		const apartMs = this.#predictApart(demand, parts, engine);
 		const remainingMs = demand.arrivedAt + demand.route.targetLatencyMs - clock.now();
@@ -65,23 +66,30 @@
 		}
 
 		// A decode engine that would be on time is worth a longer prefill between the tokens of its running requests.
-		const longer = chooseWhole(candidates, prefill, {...model, maxPrefillMs: remainingMs, maxBacklogMs: remainingMs});
+		const {targetGapMs = Number.POSITIVE_INFINITY} = demand.route;
+		const undisturbed = candidates.filter(({runs, slowness}) => runs < 1 || predictGapMs({eventMs, prefillMs: Number.POSITIVE_INFINITY, slowness}) <= targetGapMs);
+		const longer = chooseWhole(undisturbed, prefill, {...model, maxPrefillMs: remainingMs, maxBacklogMs: remainingMs});
 		return longer !== undefined && longer.predictedMs <= remainingMs && longer.costMs <= apartMs ? longer : undefined;
 	}
 
-	#createCandidates(demand: PlacementDemand, parts: readonly PromptPart[]): readonly WholeCandidate[] {
-		const {clock, states, availabilityZone, random, peerLoads, backpressure} = this.#options;
+	#createCandidates(demand: PlacementDemand, parts: readonly PromptPart[]): ReadonlyArray<WholeCandidate & {readonly slowness: number}> {
+		const {clock, states, availabilityZone, peerLoads, backpressure, speeds} = this.#options;
+		const {eventMs, whole} = speeds.of(demand.service);
 		const now = clock.now();
 		const totalTokens = countTokens(parts);
 		const open = states.usable(demand.service, 'decode', demand.triedUpstreams).filter(({upstream}) => backpressure.hasRoom(upstream.id));
 		return this.#sampleWithHolder(open, parts, demand.service).map(state => {
 			const {upstream} = state;
 			const missingTokens = state.cache.missingTokens(parts);
+			const backlogTokens = sumTokensUpTo(state.tokensByPriority, Number.POSITIVE_INFINITY) + peerLoads.tokensUpTo(upstream.id, Number.POSITIVE_INFINITY, now);
+			const slowness = state.slowness(now) * state.stepRatio;
 			return {
 				id: upstream.id,
+				slowness,
+				gapRisk: assessGapRisk({eventMs, prefillMs: backlogTokens / whole.tokensPerMs, slowness}, demand.route.targetGapMs),
 				runs: state.runs + states.peerRuns(state, now),
 				slots: upstream.slots,
-				backlogTokens: sumTokensUpTo(state.tokensByPriority, Number.POSITIVE_INFINITY) + peerLoads.tokensUpTo(upstream.id, Number.POSITIVE_INFINITY, now),
+				backlogTokens,
 				missingTokens,
 				cachedTokens: totalTokens - missingTokens,
 				isLocal: upstream.availabilityZone === availabilityZone,
--- a/test/process/placement/duration-fit.test.ts
+++ b/test/process/placement/duration-fit.test.ts
@@ -26,6 +26,17 @@
 		expect(fit.rate.tokensPerMs).toBeLessThan(62);
 	});
 
+	test('is not determined by a tenth of the prefills that waited for something else', () => {
+		const fit = new DurationFit(initial);
+		for (let index = 0; index < 300; index += 1) {
+			const tokens = 500 + ((index * 37) % 16_000);
+			fit.observe(tokens, (40 + (tokens / 157)) * (index % 10 === 9 ? 10 : 1), index * 50);
+		}
+
+		expect(fit.rate.fixedMs).toBeLessThan(60);
+		expect(fit.rate.tokensPerMs).toBeGreaterThan(120);
+	});
+
 	test('forgets engines that have been replaced by faster ones', () => {
 		const fit = new DurationFit(initial);
 		observe(fit, {tokensPerMs: 51, fixedMs: 40}, 200);
