Count unreported work in the observations as in the predictions

Cause: the prediction of a prefill counted the tokens that other daemons are expected to have sent, and the observation of its duration did not, so that the fit learned that wait as overhead and the prediction counted it twice.

--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -240,7 +240,7 @@
 		const weightedTokens = weighTokens(candidate.missingTokens, candidate.cachedTokens);
 		// Behind a long backlog, the duration tells less of the engine than of the estimate of the backlog.
 		const isInformative = isOnTimeRank(rank) && candidate.backlogTokens <= weightedTokens;
-		const tokens = (candidate.backlogTokens + weightedTokens) * state.slowness(clock.now());
+		const tokens = (candidate.backlogTokens + (candidate.unreportedTokens ?? 0) + weightedTokens) * state.slowness(clock.now());
 		const finish = state.beginPrefill(weightedTokens, rank, predictedMs);
 		state.cache.touch(parts);
 		announcePrefill({upstream: candidate.id, parts});
