--- a/bench/capacity/fleet.ts
+++ b/bench/capacity/fleet.ts
@@ -126,6 +126,7 @@
 			announcePrefill() {
 				// This benchmark has no peers to notify.
 			},
+			newsDelayMs: () => 0,
 		},
 		accountUsage: new AccountUsage(),
 		availabilityZone: 'zone-0',
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -237,6 +237,7 @@
 				announcePrefill: prefill => {
 					this.#peers.announcePrefill(prefill);
 				},
+				newsDelayMs: () => this.#peers.newsDelayMs,
 			},
 			accountUsage: this.#accountUsage,
 			availabilityZone: settings.daemon.availabilityZone,
@@ -244,6 +245,9 @@
 			onUpstreamDown: (upstream, evidence) => {
 				this.#crashes.upstreamDown(upstream, evidence);
 			},
+			onPrefillEnded: (work, elapsedMs, predictedMs) => {
+				this.#metrics.prefillEnded(work, elapsedMs, predictedMs);
+			},
 		});
 		this.#duties = wireDuties({
 			settings,
@@ -301,6 +305,9 @@
 			groups: () => this.#stageGroups(),
 			rank: () => this.#peers.topology.relayRank(this.#clock.now()),
 			times: createControllerTimes(settings.bounds.leaseMs),
+			onOrdered: upstream => {
+				this.#scheduler.stageChangeOrdered(upstream);
+			},
 		});
 		const poolDuty = options.poolDuty ?? createPoolDuty(platform.duties, this.#duties.lease);
 		this.#pool = poolDuty === undefined
--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -41,6 +41,10 @@
 	/** Announces to the other daemons that an engine starts the prefill of a prompt. */
 	readonly announcePrefill: (prefill: PeerPrefill) => void;
 	readonly availabilityZone: string;
+	/** Returns the time in which the other daemons hear of a send, in milliseconds. */
+	readonly newsDelayMs: () => number;
+	/** Called with the duration of a prefill, and the estimate that it was placed with, in milliseconds. */
+	readonly onPrefillEnded?: ((work: 'apart', elapsedMs: number, predictedMs: number) => void) | undefined;
 	/** Services of the active configuration, by name. */
 	readonly services: () => ReadonlyMap<string, Service>;
 };
@@ -260,21 +264,24 @@
 	}
 
 	#place(waiting: QueuedPrompt, {candidate, predictedMs}: PrefillChoice, rank: number, source: UpstreamState | undefined): void {
-		const {clock, states, placements, speeds, announcePrefill} = this.#options;
+		const {clock, states, placements, speeds, announcePrefill, onPrefillEnded} = this.#options;
 		const {demand: {service}, parts} = waiting;
 		const state = states.get(candidate.id)!;
 		const weightedTokens = weighTokens(candidate.missingTokens, candidate.cachedTokens);
 		// Behind a long backlog, the duration tells less of the engine than of the estimate of the backlog.
 		const isInformative = isOnTimeRank(rank) && candidate.backlogTokens <= weightedTokens;
-		const tokens = (candidate.backlogTokens + weightedTokens) * state.slowness(clock.now());
+		const tokens = (candidate.backlogTokens + (candidate.unreportedTokens ?? 0) + weightedTokens) * state.slowness(clock.now());
 		const finish = state.beginPrefill(weightedTokens, rank, predictedMs);
 		state.cache.touch(parts);
 		announcePrefill({upstream: candidate.id, parts});
 		this.#leaveQueue(waiting, placements.create(state, {predictedMs, rank, fetchFrom: source?.upstream}, (end, endedAt) => {
 			if (end.kind === 'served') {
+				onPrefillEnded?.('apart', end.elapsedMs, predictedMs);
 				this.#candidates.rankLatencyRatios.observe(rank, end.elapsedMs, predictedMs);
 				if (isInformative) {
-					speeds.observePrefill(service, {tokens, elapsedMs: end.elapsedMs - candidate.fetchMs}, endedAt);
+					const observation = {tokens, elapsedMs: end.elapsedMs - candidate.fetchMs};
+					speeds.observePrefill(service, observation, endedAt);
+					announcePrefill({upstream: candidate.id, parts: [], observation});
 				}
 			}
 
--- a/src/process/fleet/upstream-state.ts
+++ b/src/process/fleet/upstream-state.ts
@@ -1,7 +1,8 @@
 import type {Upstream} from '../../ports/upstream.ts';
 import type {ReportedLoad} from '../../ports/upstream-protocol.ts';
 import type {SendResult} from '../../request/delivery/upstream-scheduler.ts';
-import {updateLatencyRatio} from './latency-ratio.ts';
+import {ArrivalRate} from '../placement/arrival-rate.ts';
+import {sharedObservationWeight, updateLatencyRatio} from './latency-ratio.ts';
 import {PromptCache, type PromptCacheListener} from './prompt-cache.ts';
 
 /** Age at which the load reported by an upstream no longer counts, in milliseconds; its weight falls linearly until then. */
@@ -11,6 +12,8 @@
 /** Bounds of the exponential backoff after consecutive failures, in milliseconds. */
 const minAvoidanceMs = 300;
 const maxAvoidanceMs = 4000;
+/** Longest time for which an upstream is avoided that another daemon or an order made unavailable, in milliseconds. */
+const maxAnnouncedAvoidanceMs = 10_000;
 /** Time for which an upstream that refuses connections is avoided, in milliseconds; it is gone or restarting, which its next heartbeat shows. */
 const refusedAvoidanceMs = 2000;
 /** Time after which an upstream counts as reachable again even without a newer heartbeat, in milliseconds; daemons that follow others learn of heartbeats only with other changes. */
@@ -20,12 +23,15 @@
 /** State of one upstream as known to this daemon: the daemon's own sends, the load that the upstream reports, and the outcomes of sends. */
 export class UpstreamState {
 	readonly cache: PromptCache;
+	/** Prompts that other daemons send to the upstream. */
+	readonly arrivals = new ArrivalRate();
 	#upstream: Upstream;
 	readonly #tokensByPriority = new Map<number, number>();
 	#runs = 0;
 	#prefills = 0;
 	#stated: {readonly load: ReportedLoad; readonly at: number; readonly ownRuns: number} | undefined;
 	#latencyRatio = 1;
+	#stepRatio = 1;
 	#failureFraction = 0;
 	#consecutiveFailures = 0;
 	#avoidedUntil = neverAvoided;
@@ -58,6 +64,11 @@
 		return this.#latencyRatio;
 	}
 
+	/** Ratio of the time between events of this upstream to the mean of its service. */
+	get stepRatio(): number {
+		return this.#stepRatio;
+	}
+
 	/** Moving average of the fraction of sends that failed. */
 	get failureFraction(): number {
 		return this.#failureFraction;
@@ -69,12 +80,13 @@
 		if (isRestarted || upstream.stage !== this.#upstream.stage) {
 			this.#latencyRatio = 1;
 			this.#stated = undefined;
+			this.#avoidedUntil = neverAvoided;
 		}
 
 		if (isRestarted) {
+			this.#stepRatio = 1;
 			this.cache.clear();
 			this.#consecutiveFailures = 0;
-			this.#avoidedUntil = neverAvoided;
 			this.#awaitedHeartbeat = neverAvoided;
 		}
 
@@ -117,6 +129,26 @@
 		this.#stated = {load, at: now, ownRuns: this.#runs + this.#prefills};
 	}
 
+	/** Time for which other upstreams are preferred, in milliseconds. */
+	avoidedMs(now: number): number {
+		return Math.max(0, this.#avoidedUntil - now);
+	}
+
+	/** Learns the relative speed of the upstream from a prefill that any daemon has seen end; `predictedMs` was predicted with the current ratio. */
+	learnSpeed(elapsedMs: number, predictedMs: number): void {
+		this.#latencyRatio = updateLatencyRatio(this.#latencyRatio, elapsedMs, predictedMs, sharedObservationWeight);
+	}
+
+	/** Learns the relative decode speed of the upstream from the time between the events of an answer. */
+	learnStep(eventMs: number, meanEventMs: number): void {
+		this.#stepRatio = updateLatencyRatio(this.#stepRatio, eventMs, meanEventMs * this.#stepRatio, sharedObservationWeight);
+	}
+
+	/** Prefers other upstreams for a given time, in milliseconds. */
+	avoidFor(durationMs: number, now: number): void {
+		this.#avoidedUntil = Math.max(this.#avoidedUntil, now + Math.min(maxAnnouncedAvoidanceMs, durationMs));
+	}
+
 	/** Prefers other upstreams for a time that doubles with each consecutive failure. */
 	avoid(now: number): void {
 		this.#consecutiveFailures += 1;
--- a/test/process/fleet/arrived-work.test.ts
+++ b/test/process/fleet/arrived-work.test.ts
@@ -33,6 +33,7 @@
 		backpressure: createUpstreamBackpressure({clock}),
 		peers: {
 			peerLoads: new PeerLoadTracker(),
+			newsDelayMs: () => 30,
 			markLoadChanged() {
 				// There are no other daemons.
 			},
