Test reports of usage across a restore of the store

The test deletes the row of a reported window, raises the epoch and kills the holder; without the note of the epoch, the successor reports other counts.

--- a/test/process/usage/usage-report.test.ts
+++ b/test/process/usage/usage-report.test.ts
@@ -193,6 +193,22 @@
 		expect(fleet.platform.violations).toEqual([]);
 	});
 
+	test('are not made again with other counts after a restore of the store has taken away their row', async () => {
+		const {fleet, load, first} = await startFleet(4);
+		await using _ = fleet;
+		await fleet.advance(((first + 1) * windowMs) - fleet.now + 2000, load);
+		expect(fleet.platform.reports.has(first)).toBe(true);
+		const rows = await fleet.table.query('usage');
+		const {key, revision} = rows.unsafeCoerce().find(({body}) => body.includes(`"window":${first},`))!;
+		await fleet.table.write([{kind: 'delete', key, expected: revision}]);
+		fleet.epoch = 2;
+		// Its counts are lost, so that those of a successor differ.
+		fleet.holder!.isRunning = false;
+		await fleet.advance(30_000, load);
+		expect(fleet.platform.violations).toEqual([]);
+		expect(findWrong(fleet, first + 2, first + 4)).toEqual([]);
+	});
+
 	test('are the same when the write that fixes them is lost, applied or not', async () => {
 		for (const fault of ['lost-before', 'lost-after', 'late'] as const) {
 			const {fleet, load, first} = await startFleet(4);
