--- a/src/process/pool/pool-plan.ts
+++ b/src/process/pool/pool-plan.ts
@@ -12,6 +12,8 @@
 /** Number of upstreams that a service needs. */
 export type PoolSize = {
 	readonly total: number;
+	/** Number up to which ordinary upstreams take the place of cheaper ones that cannot be had. */
+	readonly essential: number;
 	/** Number that must be left when any one availability zone, or all reclaimable upstreams of it, are lost. */
 	readonly afterLoss: number;
 };
@@ -55,10 +57,10 @@
 Suits pools whose reclaimable upstreams are much cheaper than the others: nearly all are reclaimable, spread over the zones such
 that enough are left when a zone loses all of them. Zones get numbers in inverse proportion to their prices, so that the cheap ones
 get most and the loss of one zone costs a limited part; concentration on the cheapest would save little, and would need as many
-more against its loss. A kind that cannot be had in a zone is replaced by the other zones, and then by ordinary upstreams. The
-numbers in `kept` are not reduced.
+more against its loss. A kind that cannot be had in a zone is replaced by the other zones, and then by ordinary upstreams, but not for the headroom
+that only a low price justifies. The numbers in `kept` are not reduced.
 */
-export function planPool(scaling: PoolScaling, {total, afterLoss}: PoolSize, limit: PoolLimit, kept: PoolCounts = new Map()): PoolCounts {
+export function planPool(scaling: PoolScaling, {total, essential, afterLoss}: PoolSize, limit: PoolLimit, kept: PoolCounts = new Map()): PoolCounts {
 	const allotment = new Allotment(scaling, limit, kept);
 	const zones = [...scaling.zonePrices.keys()];
 	const minimum = Math.min(scaling.maxUpstreams, Math.max(scaling.minUpstreams, minPerZone));
@@ -74,7 +76,7 @@
 	}
 
 	allotment.addUntil(cheap, () => allotment.count >= total);
-	allotment.addUntil('ordinary', () => allotment.count >= total);
+	allotment.addUntil('ordinary', () => allotment.count >= Math.min(total, essential));
 	const isSafe = () => allotment.count - allotment.largestLoss >= afterLoss;
 	allotment.addUntil(cheap, isSafe, true);
 	allotment.addUntil('ordinary', isSafe, true);
--- a/src/process/pool/pool-sizer.ts
+++ b/src/process/pool/pool-sizer.ts
@@ -31,6 +31,8 @@
 /** Mean backlog of the prefill engines, in milliseconds, or part of the work refused, from which the pool counts as too small whatever the estimate says. */
 const pressureBacklogMs = 250;
 const pressureRefusedShare = 0.05;
+/** Ratio of the estimate to the engines that were seen to prefill, at most: hosts that are short of processor time measure slow engines. */
+const maxUnseenFactor = 1.5;
 /** Time over which the number of engines that prefill is averaged, in milliseconds. */
 const prefillWindowMs = 4000;
 /** Time for which such pressure must last before the estimate is corrected, and the interval of further corrections, in milliseconds. */
@@ -71,12 +73,16 @@
 			this.#record(stages, now);
 		}
 
-		const estimate = peakBusy * this.#correction * (isShortlyObserved ? unseenWaveFactor : 1);
+		const estimate = Math.min(
+			peakBusy * this.#correction * (isShortlyObserved ? unseenWaveFactor : 1),
+			stages?.prefillEngines === undefined ? Number.POSITIVE_INFINITY : this.#peakPrefillEngines * maxUnseenFactor,
+		);
 		// Does not depend on the speed of the engines, which a daemon learns from its prefills.
 		const busy = Math.max(estimate, this.#meanPrefillEngines(now));
 		const decoders = stages === undefined ? 0 : Math.max(zones, countNeededDecoders({runs: this.#peakRuns, slots: stages.slots}));
 		return {
 			total: Math.ceil(busy / (isHeadroomCheap ? reclaimableUtilisation : ordinaryUtilisation)) + decoders,
+			essential: Math.ceil(busy / ordinaryUtilisation) + decoders,
 			afterLoss: Math.ceil(busy / lossUtilisation) + decoders,
 			mayShrink: observedMs !== undefined && observedMs >= minObservationMs,
 			decoders,
@@ -92,6 +98,11 @@
 		return Math.max(0, ...this.#samples.map(({runs}) => runs));
 	}
 
+	/** Largest number of engines that prefilled at the same time in the last seconds, with those that the queues would keep busy. */
+	get #peakPrefillEngines(): number {
+		return Math.max(0, ...this.#samples.map(({prefillEngines}) => prefillEngines));
+	}
+
 	/** Mean number of engines that prefill, over the last seconds. */
 	#meanPrefillEngines(now: number): number {
 		const recent = this.#samples.filter(({at}) => now - at < prefillWindowMs);
--- a/test/process/pool/pool-orders.test.ts
+++ b/test/process/pool/pool-orders.test.ts
@@ -132,7 +132,7 @@
 		const input = (now: number): TargetInput => ({
 			scaling: {...scaling, reclaimablePrice: undefined},
 			size: {
-				total: needed(now / 1000), afterLoss: 0, mayShrink: true, decoders: 0,
+				total: needed(now / 1000), essential: needed(now / 1000), afterLoss: 0, mayShrink: true, decoders: 0,
 			},
 			present: new Map([...scaling.zonePrices.keys()].map(zone => [zone, {ordinary: start / scaling.zonePrices.size, reclaimable: 0}])),
 			limit: () => Number.POSITIVE_INFINITY,
--- a/test/process/pool/pool-plan.test.ts
+++ b/test/process/pool/pool-plan.test.ts
@@ -10,7 +10,7 @@
 };
 const noLimit: PoolLimit = () => Number.POSITIVE_INFINITY;
 const dry = (...zones: readonly string[]): PoolLimit => (zone, kind) => kind === 'reclaimable' && zones.includes(zone) ? 0 : Number.POSITIVE_INFINITY;
-const size: PoolSize = {total: 40, afterLoss: 25};
+const size: PoolSize = {total: 40, essential: 40, afterLoss: 25};
 const countsIn = (plan: PoolCounts, zone: string) => {
 	const {ordinary, reclaimable} = plan.get(zone)!;
 	return ordinary + reclaimable;
@@ -39,9 +39,14 @@
 		}
 	});
 
+	test('buys no ordinary upstreams for the headroom of which reclaimable ones would be cheap', () => {
+		const plan = planPool(scaling, {total: 40, essential: 18, afterLoss: 12}, dry('a', 'b', 'c', 'd'));
+		expect(countAll(plan)).toBe(18);
+	});
+
 	test('keeps the bounds of each zone, with two upstreams at least', () => {
 		for (const total of [0, 3, 17, 90, 400]) {
-			const plan = planPool({...scaling, maxUpstreams: 20}, {total, afterLoss: total}, noLimit);
+			const plan = planPool({...scaling, maxUpstreams: 20}, {total, essential: total, afterLoss: total}, noLimit);
 			for (const zone of plan.keys()) {
 				expect(countsIn(plan, zone)).toBeGreaterThanOrEqual(2);
 				expect(countsIn(plan, zone)).toBeLessThanOrEqual(20);
@@ -50,7 +55,7 @@
 	});
 
 	test('has the configured minimum, also of ordinary upstreams if no others can be had', () => {
-		const plan = planPool({...scaling, minUpstreams: 6}, {total: 0, afterLoss: 0}, dry('a'));
+		const plan = planPool({...scaling, minUpstreams: 6}, {total: 0, essential: 0, afterLoss: 0}, dry('a'));
 		expect([...plan.keys()].map(zone => countsIn(plan, zone))).toEqual([6, 6, 6, 6]);
 	});
 
@@ -116,6 +121,13 @@
 		expect(sizer.computeSize(load, terms, 5000).total).toBe(34);
 	});
 
+	test('is bounded by the engines that were seen to prefill, should hosts without processor time measure slow engines', () => {
+		const stages = {
+			runs: 20, slots: 64, backlogMs: 0, prefillEngines: 8,
+		};
+		expect(new PoolSizer().computeSize({...demand(60), stages}, terms, 0).total).toBe(34);
+	});
+
 	test('may not shrink before the load is known', () => {
 		expect(new PoolSizer().computeSize(demand(0, {observedMs: undefined}), terms, 0).mayShrink).toBe(false);
 		expect(new PoolSizer().computeSize(demand(5, {observedMs: 1000}), terms, 0).mayShrink).toBe(false);
