--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -5,7 +5,7 @@
 import type {EngineProfile, Service} from '../../version/routes/route-configuration.ts';
 import type {AccountUsage} from '../accounts/account-usage.ts';
 import {promptWork} from '../accounts/request-work.ts';
-import {levelOnArrival, rankByShare, type SharedWork} from '../accounts/share-order.ts';
+import {SharedPrompts, type ServiceLoad, type SharedPrompt} from '../accounts/shared-prompts.ts';
 import type {UpstreamBackpressure} from '../backpressure/upstream-backpressure.ts';
 import type {Clock} from '../clock.ts';
 import {sumTokensUpTo, type PeerLoadTracker} from '../peers/peer-load-tracker.ts';
@@ -21,7 +21,7 @@
 import {chooseWhole, type WholeChoice} from './prompt-path.ts';
 import {countTokens} from './prompt-cache.ts';
 import {
-	isLatePrompt, decidePlacement, orderPrompts, predictCompletion, rankAtUpstream, type WaitingPrompt,
+	isLatePrompt, decidePlacement, predictCompletion, rankAtUpstream,
 } from './prefill-queue.ts';
 import type {RunQueue} from './run-queue.ts';
 import type {UpstreamState} from './upstream-state.ts';
@@ -46,7 +46,7 @@
 };
 
 /** A queued prompt with the data needed to place it. */
-type QueuedPrompt = WaitingPrompt & SharedWork & {
+type QueuedPrompt = SharedPrompt & {
 	readonly demand: PlacementDemand;
 	readonly engine: EngineProfile;
 	readonly parts: readonly PromptPart[];
@@ -93,10 +93,12 @@
 	readonly #options: PrefillSchedulerOptions;
 	readonly #queue = new Set<QueuedPrompt>();
 	readonly #rankLatencyRatios = new RankLatencyRatios();
+	readonly #shared: SharedPrompts;
 	#isPlacementScheduled = false;
 
 	constructor(options: PrefillSchedulerOptions) {
 		this.#options = options;
+		this.#shared = new SharedPrompts(options.accountUsage, options.peerLoads);
 	}
 
 	/** Chooses the decode engine for a whole request; undefined if a separate prefill is expected to answer sooner. */
@@ -166,7 +168,7 @@
 			targetAt: demand.arrivedAt + demand.route.targetLatencyMs - firstEventDelayMs,
 			giveUpAt: callerGivesUpAt(demand) - minRemainingMs,
 		};
-		this.#recordAsked(waiting, now);
+		this.#shared.recordAsked(waiting, now);
 		const expectedMs = this.#predictCompletion(waiting, now) + this.#options.runQueue.predictWaitMs({demand, stage: 'decode'});
 		if (now + expectedMs > waiting.giveUpAt) {
 			return this.#options.placements.refuse(demand, 'overloaded', expectedMs);
@@ -178,6 +180,7 @@
 
 		demand.signal.addEventListener('abort', cancel, {once: true});
 		this.#queue.add(waiting);
+		this.#refuseOvertaken(now);
 		this.placeQueued();
 		if (this.#queue.has(waiting)) {
 			this.#options.log.write('queued', {
@@ -198,7 +201,7 @@
 
 		const now = this.#options.clock.now();
 		let blocked = 0;
-		for (const prompt of this.#orderQueue(now)) {
+		for (const prompt of this.#shared.order(this.#queue, now, prefillRate.fixedMs)) {
 			if (blocked >= maxBlockedPrompts) {
 				break;
 			}
@@ -227,15 +230,7 @@
 
 	/** The part of these tokens that belongs to client accounts beyond their share. */
 	excessTokens(): ReadonlyMap<number, number> {
-		const tokens = new Map<number, number>();
-		const levels = rankByShare([...this.#queue], this.#options.accountUsage, this.#options.clock.now());
-		for (const [waiting, level] of levels) {
-			if (level > 0) {
-				tokens.set(waiting.priority, (tokens.get(waiting.priority) ?? 0) + waiting.tokens);
-			}
-		}
-
-		return tokens;
+		return this.#shared.excessTokens(this.#queue, this.#options.clock.now());
 	}
 
 	/** Mean time that the prefill engines of a service need for their backlog, in milliseconds. */
@@ -297,7 +292,7 @@
 					return false;
 				}
 
-				this.#recordPlaced(waiting, now);
+				this.#shared.recordPlaced(waiting, now);
 				const state = this.#options.states.get(candidate.id)!;
 				const finish = state.beginPrefill(weighTokens(candidate.missingTokens, candidate.cachedTokens), rank, predictedMs);
 				state.cache.touch(parts);
@@ -347,42 +342,29 @@
 
 	/** Predicts the time until the prefill of a prompt that arrives now is complete, behind the queues of all daemons and upstreams. */
 	#predictCompletion(waiting: QueuedPrompt, now: number): number {
-		const {demand, tokens, priority} = waiting;
+		const queuedAhead = this.#shared.tokensAhead(waiting, this.#queue, this.queuedTokens(), now);
+		const {backlogTokens, tokensPerMs} = this.#measureLoad(waiting, now);
+		const upstreams = Math.max(1, this.#prefillUpstreams(waiting.demand).length);
+		return predictCompletion(waiting.tokens, {tokensAhead: queuedAhead + backlogTokens, tokensPerMs}, tokensPerMs / upstreams, prefillRate.fixedMs);
+	}
+
+	#measureLoad({demand, tokens, priority}: QueuedPrompt, now: number): ServiceLoad {
 		const {backpressure} = this.#options;
-		const states = this.#prefillUpstreams(demand);
-		let tokensAhead = this.#sumQueuedAhead(waiting, now);
+		let backlogTokens = 0;
 		let tokensPerMs = 0;
-		for (const state of states) {
-			tokensAhead += this.#sumBacklog(state, priority, now);
+		for (const state of this.#prefillUpstreams(demand)) {
+			backlogTokens += this.#sumBacklog(state, priority, now);
 			const limitedTokensPerMs = (backpressure.requestsPerSecond(state.upstream.id) * Math.max(1, tokens)) / millisecondsPerSecond;
 			tokensPerMs += Math.min(prefillRate.tokensPerMs / (state.latencyRatio * state.slowness(now)), limitedTokensPerMs);
 		}
 
-		return predictCompletion(tokens, {tokensAhead, tokensPerMs}, tokensPerMs / Math.max(1, states.length), prefillRate.fixedMs);
-	}
-
-	/** Weighted tokens queued at all daemons that go before a prompt that arrives. */
-	#sumQueuedAhead(waiting: QueuedPrompt, now: number): number {
-		const {peerLoads, accountUsage} = this.#options;
-		const {priority} = waiting;
-		const level = levelOnArrival(waiting, this.#queue, accountUsage, now);
-		const excess = level === 0 ? (this.excessTokens().get(priority) ?? 0) + peerLoads.excessQueuedTokens(priority, now) : 0;
-		return sumTokensUpTo(this.queuedTokens(), priority) + peerLoads.queuedTokensUpTo(priority, now) - excess;
-	}
-
-	#orderQueue(now: number): readonly QueuedPrompt[] {
-		return orderPrompts([...this.#queue], now, prefillRate.fixedMs, ordered => rankByShare(ordered, this.#options.accountUsage, now));
-	}
-
-	#recordAsked({service, account, work}: SharedWork, now: number): void {
-		if (account !== undefined) {
-			this.#options.accountUsage.ask(service, account, work, now);
-		}
+		return {backlogTokens, tokensPerMs};
 	}
 
-	#recordPlaced({service, account, work}: SharedWork, now: number): void {
-		if (account !== undefined) {
-			this.#options.accountUsage.place(service, account, work, now);
+	/** Refuses queued prompts as soon as others have overtaken them for too long, so that their callers need not wait for the refusal. */
+	#refuseOvertaken(now: number): void {
+		for (const waiting of this.#shared.findOvertaken(this.#queue, now, prefillRate.fixedMs, prompt => this.#measureLoad(prompt, now))) {
+			this.#leaveQueue(waiting, this.#options.placements.refuse(waiting.demand, 'overloaded', waiting.giveUpAt - now));
 		}
 	}
 
