Bound the cost of shares with many accounts, and leave them out without accounts

Shares are now computed less often with many accounts, and not at all before an account has asked for work.

Tests: shared-queue.test.ts has the order of runs that wait for a limit, and fails without it. It and test/process/accounts pass.

--- a/src/process/accounts/account-usage.ts
+++ b/src/process/accounts/account-usage.ts
@@ -23,8 +23,9 @@
 
 /** Time after which work counts for 1/e, in milliseconds; about as long as the most patient callers wait for a first event, so that a burst counts while the requests that it delays may still wait. */
 const decayMs = 5000;
-/** Shares are computed again after this time, in milliseconds. */
+/** Shares are computed again after this time, and longer with many accounts, because the cost grows with their number; in milliseconds. */
 const sharesValidMs = 100;
+const sharesValidMsPerAccount = 0.1;
 /** Part of the largest work below which an account is forgotten. */
 const forgottenFraction = 0.001;
 /** Multiple of the fair work up to which an account is not put behind others; requests differ in size, and reports are late. */
@@ -47,6 +48,11 @@
 	/** Own work that the other daemons have not been told of yet. */
 	readonly #unreported = new Map<string, AccountWork>();
 
+	/** False until work of an account has been recorded, and so without accounts in the configuration. */
+	get isActive(): boolean {
+		return this.#services.size > 0;
+	}
+
 	/** Records work that the callers of an account ask for at this daemon. */
 	ask(service: string, account: string, work: number, now: number): void {
 		this.#record({
@@ -147,7 +153,7 @@
 
 	#sharesOf(service: string, accounts: Map<string, DecayingWork>, now: number): ServiceShares {
 		const known = this.#shares.get(service);
-		if (known !== undefined && now - known.computedAt < sharesValidMs) {
+		if (known !== undefined && now - known.computedAt < sharesValidMs + (accounts.size * sharesValidMsPerAccount)) {
 			return known;
 		}
 
@@ -159,7 +165,7 @@
 			placedSum += work.placed * factor;
 		}
 
-		const largest = Math.max(...asked);
+		const largest = asked.reduce((most, work) => Math.max(most, work), 0);
 		for (const [account, work] of accounts) {
 			if (work.asked * decay(now - work.at) < largest * forgottenFraction) {
 				accounts.delete(account);
--- a/src/process/accounts/shared-prompts.ts
+++ b/src/process/accounts/shared-prompts.ts
@@ -39,12 +39,16 @@
 
 	/** Orders waiting prompts; `fastestMs` is the shortest time of a prefill. */
 	order<T extends SharedPrompt>(queue: Iterable<T>, now: number, fastestMs: number): readonly T[] {
-		return orderPrompts([...queue], now, fastestMs, ordered => rankByShare(ordered, this.#usage, now));
+		return orderPrompts([...queue], now, fastestMs, this.#usage.isActive ? ordered => rankByShare(ordered, this.#usage, now) : undefined);
 	}
 
 	/** Tokens that wait for accounts beyond their share, by priority. */
 	excessTokens(queue: Iterable<SharedPrompt>, now: number): ReadonlyMap<number, number> {
 		const tokens = new Map<number, number>();
+		if (!this.#usage.isActive) {
+			return tokens;
+		}
+
 		for (const [prompt, level] of rankByShare([...queue], this.#usage, now)) {
 			if (level > 0) {
 				tokens.set(prompt.priority, (tokens.get(prompt.priority) ?? 0) + prompt.tokens);
@@ -64,6 +68,10 @@
 
 	/** Returns the waiting prompts of accounts beyond their share that others have overtaken, so that they cannot be read in time any more. `loadOf` is called once for each service and priority. */
 	findOvertaken<T extends SharedPrompt>(queue: Iterable<T>, now: number, fastestMs: number, loadOf: (prompt: T) => ServiceLoad): readonly T[] {
+		if (!this.#usage.isActive) {
+			return [];
+		}
+
 		const ordered = this.order(queue, now, fastestMs);
 		const levels = rankByShare(ordered, this.#usage, now);
 		const loads = new Map<string, ServiceLoad>();
--- a/test/process/fleet/shared-queue.test.ts
+++ b/test/process/fleet/shared-queue.test.ts
@@ -1,5 +1,7 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {describe, expect, test} from 'vitest';
+import {
+	describe, expect, test, vi,
+} from 'vitest';
 import {AccountUsage} from '../../../src/process/accounts/account-usage.ts';
 import {DecisionLog} from '../../../src/process/fleet/decision-log.ts';
 import {FleetScheduler} from '../../../src/process/fleet/fleet-scheduler.ts';
@@ -176,3 +178,52 @@
 		expect(await countTaken(without.scheduler, undefined)).toBe(await countTaken(scarce.scheduler, 'large'));
 	});
 });
+
+test('runs that wait for the limit of an upstream are placed in the order of their accounts\' shares', async () => {
+	vi.useFakeTimers();
+	const registry = new UpstreamRegistry();
+	registry.set(createUpstream({id: 'u-1', service: 'desk', stage: undefined}));
+	const clock = {now: () => performance.now()};
+	const backpressure = createUpstreamBackpressure({clock});
+	const usage = new AccountUsage();
+	const scheduler = new FleetScheduler({
+		clock,
+		random: new SeededRandom(1),
+		log: new DecisionLog({}, (_bytes, done) => {
+			done(undefined);
+		}),
+		registry,
+		backpressure,
+		peers: {peerLoads: new PeerLoadTracker(), markLoadChanged: nothing, announcePrefill: nothing},
+		accountUsage: usage,
+		availabilityZone: 'zone-a',
+		services: () => new Map(),
+		onUpstreamDown: nothing,
+	});
+	scheduler.update(registry.get('u-1')!);
+	const now = clock.now();
+	usage.ask('desk', 'large', 100, now);
+	usage.place('desk', 'large', 50, now);
+	usage.ask('desk', 'small', 1, now);
+	usage.place('desk', 'small', 1, now);
+	backpressure.hear('u-1', {
+		requestsPerSecond: 2, isLeaving: false, pauseMs: undefined, isConclusive: true, malformedHeaders: [],
+	}, now);
+	while (backpressure.take('u-1')) {
+		// Uses up what the limit allows at once.
+	}
+
+	const placed: string[] = [];
+	const place = async (account: string, priority: number) => {
+		const result = await scheduler.placePlain({
+			...createDemand(account, account), service: 'desk', arrivedAt: now, deadlineAt: now + 60_000, route: createRoute({targetLatencyMs: 60_000, timeoutMs: 60_000, priority}),
+		});
+		placed.push(isPlaced(result) ? `${account}-${priority}` : result.reason);
+	};
+
+	const waiting = [place('large', 1), place('small', 1), place('large', 0)];
+	await vi.advanceTimersByTimeAsync(10_000);
+	await Promise.all(waiting);
+	vi.useRealTimers();
+	expect(placed).toEqual(['large-0', 'small-1', 'large-1']);
+});
