--- a/src/process/accounts/account-usage.ts
+++ b/src/process/accounts/account-usage.ts
@@ -159,13 +159,14 @@
 
 		const asked: number[] = [];
 		let placedSum = 0;
+		let largest = 0;
 		for (const work of accounts.values()) {
 			const factor = decay(now - work.at);
 			asked.push(work.asked * factor);
+			largest = Math.max(largest, work.asked * factor);
 			placedSum += work.placed * factor;
 		}
 
-		const largest = asked.reduce((most, work) => Math.max(most, work), 0);
 		for (const [account, work] of accounts) {
 			if (work.asked * decay(now - work.at) < largest * forgottenFraction) {
 				accounts.delete(account);
