--- a/test/process/fleet/placement-simulation.test.ts
+++ b/test/process/fleet/placement-simulation.test.ts
@@ -129,7 +129,7 @@
 			continue;
 		}
 
-		const prompt = first as WaitingPrompt & {readonly at: number};
+		const prompt = first;
 		waiting.delete(prompt);
 		const finishMs = prompt.tokens / prefillRate.tokensPerMs;
 		if (decidePlacement(prompt, {finishMs, waitMs: 0}, isLatePrompt(prompt, finishMs, now), now) === 'giveUp') {
