--- a/src/process/fleet/prefill-scheduler.ts
+++ b/src/process/fleet/prefill-scheduler.ts
@@ -4,7 +4,7 @@
 import type {EngineProfile, Service} from '../../version/routes/route-configuration.ts';
 import type {AccountUsage} from '../accounts/account-usage.ts';
 import {promptWork} from '../accounts/request-work.ts';
-import {levelOnArrival, rankByShare, type SharedWork} from '../accounts/share-order.ts';
+import {SharedPrompts, type ServiceLoad, type SharedPrompt} from '../accounts/shared-prompts.ts';
 import type {UpstreamBackpressure} from '../backpressure/upstream-backpressure.ts';
 import type {Clock} from '../clock.ts';
 import {sumTokensUpTo, type PeerLoadTracker} from '../peers/peer-load-tracker.ts';
@@ -20,7 +20,7 @@
 import type {Placements} from './placements.ts';
 import type {WholeChoice} from './prompt-path.ts';
 import {
-	isLatePrompt, decidePlacement, isOnTimeRank, orderPrompts, predictCompletion, rankAtUpstream, type WaitingPrompt,
+	isLatePrompt, decidePlacement, isOnTimeRank, predictCompletion, rankAtUpstream,
 } from './prefill-queue.ts';
 import type {RunQueue} from './run-queue.ts';
 import type {UpstreamState} from './upstream-state.ts';
@@ -50,13 +50,16 @@
 };
 
 /** A queued prompt with the data needed to place it. */
-type QueuedPrompt = WaitingPrompt & SharedWork & {
+type QueuedPrompt = SharedPrompt & {
 	readonly demand: PlacementDemand;
 	readonly engine: EngineProfile;
 	readonly parts: readonly PromptPart[];
 	readonly settle: (result: PlacementResult) => void;
 };
 
+/** A prompt of which only what its completion is predicted from is known. */
+type ArrivingPrompt = Pick<QueuedPrompt, 'demand' | 'tokens' | 'priority' | 'service' | 'account' | 'work'>;
+
 const millisecondsPerSecond = 1000;
 /** A request is refused if less than this remains of the caller's waiting time after the prefill, in milliseconds. */
 const minRemainingMs = 60;
@@ -72,11 +75,13 @@
 	readonly #queue = new Set<QueuedPrompt>();
 	readonly #candidates: PrefillCandidates;
 	readonly #whole: WholeScheduler;
+	readonly #shared: SharedPrompts;
 	#isPlacementScheduled = false;
 
 	constructor(options: PrefillSchedulerOptions) {
 		this.#options = options;
 		this.#candidates = new PrefillCandidates(options);
+		this.#shared = new SharedPrompts(options.accountUsage, options.peerLoads);
 		this.#whole = new WholeScheduler({
 			...options,
 			candidates: this.#candidates,
@@ -125,7 +130,7 @@
 			targetAt: demand.arrivedAt + demand.route.targetLatencyMs - this.#options.speeds.of(demand.service).firstEventDelayMs,
 			giveUpAt: callerGivesUpAt(demand) - minRemainingMs,
 		};
-		this.#recordAsked(waiting, now);
+		this.#shared.recordAsked(waiting, now);
 		const expectedMs = this.#predictCompletion(waiting, now) + this.#options.runQueue.predictWaitMs({demand, stage: 'decode'});
 		if (now + expectedMs > waiting.giveUpAt) {
 			return this.#options.placements.refuse(demand, 'overloaded', expectedMs);
@@ -137,6 +142,7 @@
 
 		demand.signal.addEventListener('abort', cancel, {once: true});
 		this.#queue.add(waiting);
+		this.#refuseOvertaken(now);
 		this.placeQueued();
 		if (this.#queue.has(waiting)) {
 			this.#options.log.write('queued', {
@@ -157,7 +163,7 @@
 
 		const now = this.#options.clock.now();
 		let blocked = 0;
-		for (const prompt of this.#orderQueue(now)) {
+		for (const prompt of this.#shared.order(this.#queue, now, this.#fastestPrefillMs())) {
 			if (blocked >= maxBlockedPrompts) {
 				break;
 			}
@@ -192,15 +198,7 @@
 
 	/** The part of these tokens that belongs to client accounts beyond their share. */
 	excessTokens(): ReadonlyMap<number, number> {
-		const tokens = new Map<number, number>();
-		const levels = rankByShare([...this.#queue], this.#options.accountUsage, this.#options.clock.now());
-		for (const [waiting, level] of levels) {
-			if (level > 0) {
-				tokens.set(waiting.priority, (tokens.get(waiting.priority) ?? 0) + waiting.tokens);
-			}
-		}
-
-		return tokens;
+		return this.#shared.excessTokens(this.#queue, this.#options.clock.now());
 	}
 
 	/** Load on the prefill engines of a service. */
@@ -256,7 +254,7 @@
 					return false;
 				}
 
-				this.#recordPlaced(waiting, now);
+				this.#shared.recordPlaced(waiting, now);
 				this.#place(waiting, choice, rank, candidate.fetchMs > 0 ? bestUpstream : undefined);
 				return true;
 			}
@@ -334,44 +332,34 @@
 	}
 
 	/** Predicts the time until the prefill of a prompt that arrives now is complete, behind the queues of all daemons and upstreams. */
-	#predictCompletion(waiting: Pick<QueuedPrompt, 'demand' | 'tokens' | 'priority'> & SharedWork, now: number): number {
-		const {demand, tokens, priority} = waiting;
+	#predictCompletion(waiting: ArrivingPrompt, now: number): number {
+		const {demand, tokens} = waiting;
+		const queuedAhead = this.#shared.tokensAhead(waiting, this.#queue, this.queuedTokens(), now);
+		const {backlogTokens, tokensPerMs} = this.#measureBacklog(waiting, now);
+		const upstreams = Math.max(1, this.#prefillUpstreams(demand).length);
+		const {fixedMs} = this.#options.speeds.of(demand.service).prefill;
+		return predictCompletion(tokens, {tokensAhead: queuedAhead + backlogTokens, tokensPerMs}, tokensPerMs / upstreams, fixedMs);
+	}
+
+	/** Backlog of the engines that may prefill a prompt, as far as it goes before that prompt, and their throughput. */
+	#measureBacklog({demand, tokens, priority}: Pick<QueuedPrompt, 'demand' | 'tokens' | 'priority'>, now: number): ServiceLoad {
 		const {backpressure, speeds} = this.#options;
 		const {prefill} = speeds.of(demand.service);
-		const states = this.#prefillUpstreams(demand);
-		let tokensAhead = this.#sumQueuedAhead(waiting, now);
+		let backlogTokens = 0;
 		let tokensPerMs = 0;
-		for (const state of states) {
-			tokensAhead += this.#candidates.sumBacklog(state, priority, now);
+		for (const state of this.#prefillUpstreams(demand)) {
+			backlogTokens += this.#candidates.sumBacklog(state, priority, now);
 			const limitedTokensPerMs = (backpressure.requestsPerSecond(state.upstream.id) * Math.max(1, tokens)) / millisecondsPerSecond;
 			tokensPerMs += Math.min(prefill.tokensPerMs / (state.latencyRatio * state.slowness(now)), limitedTokensPerMs);
 		}
 
-		return predictCompletion(tokens, {tokensAhead, tokensPerMs}, tokensPerMs / Math.max(1, states.length), prefill.fixedMs);
-	}
-
-	/** Weighted tokens queued at all daemons that go before a prompt that arrives. */
-	#sumQueuedAhead(waiting: Pick<QueuedPrompt, 'priority'> & SharedWork, now: number): number {
-		const {peerLoads, accountUsage} = this.#options;
-		const {priority} = waiting;
-		const level = levelOnArrival(waiting, this.#queue, accountUsage, now);
-		const excess = level === 0 ? (this.excessTokens().get(priority) ?? 0) + peerLoads.excessQueuedTokens(priority, now) : 0;
-		return sumTokensUpTo(this.queuedTokens(), priority) + peerLoads.queuedTokensUpTo(priority, now) - excess;
-	}
-
-	#orderQueue(now: number): readonly QueuedPrompt[] {
-		return orderPrompts([...this.#queue], now, this.#fastestPrefillMs(), ordered => rankByShare(ordered, this.#options.accountUsage, now));
-	}
-
-	#recordAsked({service, account, work}: SharedWork, now: number): void {
-		if (account !== undefined) {
-			this.#options.accountUsage.ask(service, account, work, now);
-		}
+		return {backlogTokens, tokensPerMs};
 	}
 
-	#recordPlaced({service, account, work}: SharedWork, now: number): void {
-		if (account !== undefined) {
-			this.#options.accountUsage.place(service, account, work, now);
+	/** Refuses queued prompts as soon as others have overtaken them for too long, so that their callers need not wait for the refusal. */
+	#refuseOvertaken(now: number): void {
+		for (const waiting of this.#shared.findOvertaken(this.#queue, now, this.#fastestPrefillMs(), prompt => this.#measureBacklog(prompt, now))) {
+			this.#leaveQueue(waiting, this.#options.placements.refuse(waiting.demand, 'overloaded', waiting.giveUpAt - now));
 		}
 	}
 
