--- a/src/version/fleet-settings.ts
+++ b/src/version/fleet-settings.ts
@@ -32,6 +32,8 @@
 		readonly memoryMb: number;
 		/** Bandwidth of the host's link in megabits a second. */
 		readonly linkMbps: number;
+		/** File descriptors that the process may open, those reserved for files included; undefined if not limited. */
+		readonly maxDescriptors: number | undefined;
 	};
 	readonly bounds: {
 		readonly retryRatio: number;
@@ -62,7 +64,7 @@
 	listen: ['callers', 'readiness', 'peer-port', 'metrics-port'],
 	store: ['address'],
 	duties: ['address', 'report-window-s', 'report-due-s'],
-	limits: ['memory-mb', 'link-mbps'],
+	limits: ['memory-mb', 'link-mbps', 'max-descriptors'],
 	bounds: ['retry-ratio', 'retry-slack', 'retry-window-s', 'grace-s', 'contact-ms', 'drain-ms', 'config-apply-ms', 'lease-ms'],
 };
 const millisecondsPerSecond = 1000;
@@ -98,7 +100,11 @@
 				reportWindowMs: reportWindowS === undefined || reportWindowS === 0 ? undefined : reportWindowS * millisecondsPerSecond,
 				reportDueMs: (reportDueS ?? defaultReportDueS) * millisecondsPerSecond,
 			},
-		limits: {memoryMb: reader.number('limits', 'memory-mb'), linkMbps: reader.number('limits', 'link-mbps')},
+		limits: {
+			memoryMb: reader.number('limits', 'memory-mb'),
+			linkMbps: reader.number('limits', 'link-mbps'),
+			maxDescriptors: reader.optionalNumber('limits', 'max-descriptors'),
+		},
 		bounds: {
 			retryRatio: reader.number('bounds', 'retry-ratio'),
 			retrySlack: reader.number('bounds', 'retry-slack'),
--- a/test/version/fleet-settings.test.ts
+++ b/test/version/fleet-settings.test.ts
@@ -36,7 +36,7 @@
 				callers: '10.1.0.38:8149', readiness: '10.1.0.38:8141', peerPort: 7380, metricsPort: 9464,
 			},
 			store: {address: '10.200.1.7:8142'},
-			limits: {memoryMb: 350, linkMbps: 1000},
+			limits: {memoryMb: 350, linkMbps: 1000, maxDescriptors: undefined},
 			bounds: {
 				retryRatio: 0.2, retrySlack: 56, retryWindowMs: 10_000, graceMs: 8000, contactMs: 3000, drainMs: 2000, configApplyMs: 2500, leaseMs: 3000,
 			},
