--- a/src/version/settings.ts
+++ b/src/version/settings.ts
@@ -37,6 +37,8 @@
 	limits: z.object({
 		'body-bytes': integer(kibibyte, 256 * kibibyte * kibibyte).default(4 * kibibyte * kibibyte),
 		'header-bytes': integer(kibibyte, kibibyte * kibibyte).default(16 * kibibyte),
+		'memory-mb': integer(64, 1_000_000).optional(),
+		'max-descriptors': integer(256, 10_000_000).optional(),
 		'engine-slots': integer(1, 100_000).default(64),
 	}),
 	shutdown: z.object({
