Pass on no answer with a status from 600 and no part of one that broke off during the request

Cause: statuses from 600 to 999 were passed on; and on the operator's platform an upstream that sent a 200 without a length, a part of its body, the end of its side and then a reset, while the request was still being written, had the part passed on as a complete answer. The own interface rejects answers without framing and streams without an end mark. Change: the screen of answers gives up statuses outside 100 to 599; an end of the connection before the request has been written counts as broken.

--- a/src/connection/answer-guard.ts
+++ b/src/connection/answer-guard.ts
@@ -11,7 +11,7 @@
 export type AnswerLimit = AnswerFault | 'framing' | 'body';
 
 const limitMessages: Readonly<Record<AnswerLimit, string>> = {
-	status: 'the status of the answer is below 100',
+	status: 'the status of the answer is not from 100 to 599',
 	head: 'the head of the answer is too long',
 	trailers: 'the trailers of the answer are too long',
 	chunks: 'the answer has too many small chunks',
--- a/src/connection/answer-screen.ts
+++ b/src/connection/answer-screen.ts
@@ -17,6 +17,7 @@
 /** Average size of chunks above which there may be any number of them, in bytes; the shortest useful event has nine. */
 const minAverageChunkBytes = 8;
 const minStatus = 100;
+const maxStatus = 599;
 const minFinalStatus = 200;
 const lineFeed = 10;
 /** Length up to which a line is kept; beyond it, only its bytes count. */
@@ -151,7 +152,7 @@
 		}
 
 		this.#status = Number(status);
-		return this.#status < minStatus ? 'status' : undefined;
+		return this.#status < minStatus || this.#status > maxStatus ? 'status' : undefined;
 	}
 
 	/** Ends a head; an empty line before the status line is skipped, and another head follows an informational one. */
--- a/src/connection/links/upstream-clients.ts
+++ b/src/connection/links/upstream-clients.ts
@@ -237,7 +237,8 @@
 		});
 		socket.once('end', () => {
 			// A reset right after the end of the stream is reported as a normal end; only the missing remote port tells them apart.
-			if (socket.remotePort === undefined) {
+			// An upstream that breaks off while the request is written may end its side first.
+			if (socket.remotePort === undefined || socket.writableLength > 0) {
 				this.#broken.add(client);
 			}
 		});
--- a/test/request/upstream-fixture.ts
+++ b/test/request/upstream-fixture.ts
@@ -8,6 +8,7 @@
 	readonly received: string[];
 	/** Connections that are currently open. */
 	readonly open: Set<Socket>;
+	readonly server: Server;
 };
 
 /** Answers one request on a raw socket; `text` is everything received on that connection so far. */
@@ -40,6 +41,7 @@
 		},
 		received,
 		open,
+		server,
 		async [Symbol.asyncDispose]() {
 			for (const socket of open) {
 				socket.destroy();
