Bound what callers outside the limits may hold and cost

Cause: memory of bodies counted by bytes and not by blocks, and the cost of chunks, of requests sent ahead and of answers not taken counted nowhere; connections and requests in progress had no bound below the descriptors; the bodies of unroutable requests were kept; the readiness, metrics and row servers had no limits. Change: a budget shared between callers, limits on connections from descriptors and memory, and a route check before the body (docs/design/uncontrolled-callers.md); the settings max-descriptors and, on the own interface, memory-mb.

--- a/src/connection/caller-server.ts
+++ b/src/connection/caller-server.ts
@@ -4,17 +4,30 @@
 import type {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 import {
-	createRefusal, formatCallerError, runStateHeader, type CallerError,
+	createRefusal, formatCallerError, runStateHeader, sendCallerError, type CallerError,
 } from '../request/caller-error.ts';
 import {maxHeaderCount} from '../request/parsed-request.ts';
 import {readRecentEvents} from '../process/pending-events.ts';
+import {
+	countAhead, noteProgress, trackResponse, viewConnection, watchConnection, type CallerLimit, type ClosedConnection, type ClosingReason, type Connection,
+} from './caller-connection.ts';
+import {chooseDispensable, chooseUnread} from './connection-limits.ts';
+import {muteParser} from './request-parser.ts';
 
 /** Limits on the connections and requests of callers. */
 export type CallerServerOptions = {
 	/** Largest head of a request, in bytes. */
 	readonly maxHeaderBytes: number;
-	/** Limit on open connections; further ones are closed immediately. @default 8192 */
+	/** Limit on open connections; for a further one, a connection that makes no progress is closed, or else the new one. @default 8192 */
 	readonly maxConnections?: number;
+	/** Requests of one connection that are served at a time; a further one is refused, and the connection closes. @default 16 */
+	readonly maxPipelined?: number;
+	/** Answers that callers have not taken, over all connections, in bytes; beyond it, connections are closed. @default 64 MiB */
+	readonly maxUnsentBytes?: number;
+	/** Answers a request beyond the limit of its connection; by default with 503. */
+	readonly refuse?: (request: IncomingMessage, response: ServerResponse) => void;
+	/** Called when a limit closes a connection or refuses a request. */
+	readonly onLimited?: (limit: CallerLimit) => void;
 	/** Timeout for receiving the head of a request, in milliseconds. @default 10_000 */
 	readonly headersTimeoutMs?: number;
 	/** Timeout for receiving a complete request, in milliseconds. @default 60_000 */
@@ -29,28 +42,6 @@
 	readonly closesConnections?: () => boolean;
 };
 
-/** Reason for which a caller's connection closed; `unattributed`: closed by the daemon, but not by this server. */
-export type ClosingReason = 'callerLeft' | 'malformedRequest' | 'requestTimeout' | 'idleTimeout' | 'shutdown' | 'unattributed';
-
-/** A closed connection of a caller. */
-export type ClosedConnection = {
-	readonly reason: ClosingReason;
-	/** Status of the error that the server itself has answered with, because a request could not be read. */
-	readonly refusedStatus: number | undefined;
-	/** Responses that were not sent completely, in the order of their requests. */
-	readonly unfinished: readonly ServerResponse[];
-};
-
-/** State of an open connection. */
-type Connection = {
-	readonly socket: Socket;
-	readonly responses: Set<ServerResponse>;
-	reason: ClosingReason | undefined;
-	refusedStatus: number | undefined;
-	/** Time of the end of the last response or the rest of its request, in milliseconds of the steady clock, the bytes read until then, and the idle time that the response promised; undefined before. */
-	idle: {readonly since: number; readonly bytesRead: number; readonly promisedMs: number} | undefined;
-};
-
 const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
 /** Stands for the request of a tunnel among the codes of errors. */
 const tunnelCode = 'CONNECT';
@@ -64,7 +55,12 @@
 /** Bounds the time in which waiting connections are accepted before the listener closes, in milliseconds; callers may open new ones all the time. */
 const maxAcceptMs = 1000;
 const tcpKeepAliveDelayMs = 30_000;
+/** Interval between checks of the progress of connections. */
+const progressIntervalMs = 250;
+const connectionMargin = 64;
+const defaultMaxUnsentBytes = 64 * 1024 * 1024;
 
+const excessRefusal = createRefusal(503, 'overloaded', 'Too many requests are in progress on the connection.', 1);
 const malformedRequest = createRefusal(400, 'malformed_request', 'The request is not valid HTTP.');
 const parserRefusals: Readonly<Record<string, CallerError>> = {
 
@@ -106,17 +102,69 @@
 			return;
 		}
 
-		trackResponse(connections.get(request.socket), response, server);
-		handle(request, response);
+		const connection = connections.get(request.socket);
+		trackResponse(connection, response, server);
+		if (connection !== undefined && countAhead(connection) > maxPipelined) {
+			closing.add(request.socket);
+			options.onLimited?.('pipelining');
+			refuseExcess(request, response, options.refuse);
+		} else {
+			handle(request, response);
+		}
 	});
+	const maxConnections = options.maxConnections ?? 8192;
+	const maxPipelined = options.maxPipelined ?? 16;
 	server.on('connection', socket => {
 		const connection = watchConnection(socket, server, options.onClosed);
 		connections.set(socket, connection);
+		if (open.size >= maxConnections && !makeRoom(open)) {
+			connection.reason = 'connections';
+			socket.destroy();
+			options.onLimited?.('connections');
+			return;
+		}
+
 		open.add(connection);
 		socket.once('close', () => {
 			open.delete(connection);
 		});
 	});
+	const makeRoom = (candidates: ReadonlySet<Connection>): boolean => {
+		const now = performance.now();
+		const dispensable = chooseDispensable([...candidates].map(connection => viewConnection(connection)), now);
+		if (dispensable === undefined) {
+			return false;
+		}
+
+		const {connection} = dispensable;
+		open.delete(connection);
+		options.onLimited?.('connections');
+		if (dispensable.isIdle) {
+			connection.reason ??= 'connections';
+			connection.socket.destroy();
+		} else {
+			refuseMalformed(connection.socket, connection, requestTimeoutCode);
+		}
+
+		return true;
+	};
+
+	const checkTimer = setInterval(() => {
+		const now = performance.now();
+		for (const connection of open) {
+			noteProgress(connection, now);
+		}
+
+		for (const {connection} of chooseUnread([...open].filter(({responses}) => responses.size > 0).map(connection => viewConnection(connection)), now, options.maxUnsentBytes ?? defaultMaxUnsentBytes)) {
+			connection.reason ??= 'unread';
+			connection.socket.destroy();
+			options.onLimited?.('unread');
+		}
+	}, progressIntervalMs);
+	checkTimer.unref();
+	server.once('close', () => {
+		clearInterval(checkTimer);
+	});
 	// `close` calls this method as well. The one of the library also closes connections whose last answer has not been sent completely.
 	server.closeIdleConnections = () => {
 		for (const {socket, responses, idle} of open) {
@@ -138,7 +186,8 @@
 	server.on('connect', (_request, socket) => {
 		refuseMalformed(socket, connections.get(socket), tunnelCode);
 	});
-	server.maxConnections = options.maxConnections ?? 8192;
+	// Connections beyond the limit are closed one by one; those of a flood before they are accepted.
+	server.maxConnections = maxConnections + connectionMargin;
 	server.maxHeadersCount = maxHeaderCount;
 	server.on('clientError', (error: Error & {readonly code?: string}, socket) => {
 		const connection = connections.get(socket);
@@ -151,27 +200,10 @@
 	return server;
 }
 
-/** Keeps the responses of a connection and the reason for which it closes. */
-function watchConnection(socket: Socket, server: Server, onClosed: CallerServerOptions['onClosed']): Connection {
-	const connection: Connection = {
-		socket, responses: new Set(), reason: undefined, refusedStatus: undefined, idle: undefined,
-	};
-	const markLeft = () => {
-		connection.reason ??= 'callerLeft';
-	};
-
-	socket.once('end', markLeft);
-	// Stays, because the HTTP library removes its own listener at the first error.
-	socket.on('error', markLeft);
-	socket.once('close', () => {
-		const unfinished = [...connection.responses].filter(response => !response.writableFinished);
-		if (unfinished.length > 0) {
-			onClosed?.({
-				reason: connection.reason ?? (server.listening ? 'unattributed' : 'shutdown'), refusedStatus: connection.refusedStatus, unfinished,
-			});
-		}
-	});
-	return connection;
+/** Sets the largest head of a request, in bytes, on connections that are opened from now on. */
+export function setMaxHeaderSize(server: Server, bytes: number): void {
+	// The HTTP library reads the option for each connection but does not declare it.
+	(server as Server & {maxHeaderSize: number}).maxHeaderSize = bytes;
 }
 
 /**
@@ -192,26 +224,6 @@
 	};
 }
 
-function trackResponse(connection: Connection | undefined, response: ServerResponse, server: Server): void {
-	if (connection === undefined) {
-		return;
-	}
-
-	// The library announces the limit that is in force when the request arrives.
-	const promisedMs = server.keepAliveTimeout;
-	const markIdle = () => {
-		connection.idle = {since: performance.now(), bytesRead: connection.socket.bytesRead, promisedMs};
-	};
-
-	connection.responses.add(response);
-	response.once('close', () => {
-		connection.responses.delete(response);
-		markIdle();
-	});
-	// The rest of a body may be read after its refusal.
-	response.req.once('close', markIdle);
-}
-
 /**
 Closes a connection that has been idle for the limit in force.
 
@@ -280,6 +292,18 @@
 	server.close(onClosed);
 }
 
+/** Refuses a request that was sent ahead of too many answers; the connection closes with the refusal, and nothing more is read from it. */
+function refuseExcess(request: IncomingMessage, response: ServerResponse, refuse: CallerServerOptions['refuse']): void {
+	response.shouldKeepAlive = false;
+	muteParser(request);
+	request.socket.pause();
+	if (refuse === undefined) {
+		sendCallerError(response, excessRefusal);
+	} else {
+		refuse(request, response);
+	}
+}
+
 /** Answers with an error; while earlier requests are being served, their answers are completed first and the connection is then closed without one. */
 function refuseMalformed(socket: Duplex, connection: Connection | undefined, code: string): void {
 	const error = parserRefusals[code] ?? malformedRequest;
--- a/src/connection/peer-server.ts
+++ b/src/connection/peer-server.ts
@@ -24,7 +24,9 @@
 /** Leaves room for a heartbeat, which has 1,200 bytes of news and a digest of at most a hundred members. */
 const maxRequestBytes = 65_536;
 const maxAnswerBytes = 64 * 1024 * 1024;
-const maxConnections = 2048;
+const defaultMaxConnections = 2048;
+/** Time without a byte after which a connection is closed, in milliseconds; daemons send heartbeats far more often. */
+const idleTimeoutMs = 30_000;
 const maxStreamsPerConnection = 32;
 const maxCallMs = 10_000;
 
@@ -33,7 +35,7 @@
 	readonly #server: Http2Server;
 	readonly #sessions = new Set<ServerHttp2Session>();
 
-	constructor(handlers: PeerHandlers, authenticator: PeerAuthenticator) {
+	constructor(handlers: PeerHandlers, authenticator: PeerAuthenticator, maxConnections = defaultMaxConnections) {
 		const handler = connectNodeAdapter({
 			routes(router) {
 				addRoutes(router, handlers);
@@ -49,6 +51,9 @@
 		this.#server.maxConnections = maxConnections;
 		this.#server.on('session', session => {
 			this.#sessions.add(session);
+			session.setTimeout(idleTimeoutMs, () => {
+				session.destroy();
+			});
 			session.once('close', () => {
 				this.#sessions.delete(session);
 			});
--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -1,20 +1,27 @@
-import {createServer, type Server, type ServerResponse} from 'node:http';
+import type {Server, ServerResponse} from 'node:http';
 import type {Either} from 'purify-ts';
-import {closeIdleConnections, createCallerServer, stopListening} from '../../connection/caller-server.ts';
+import {
+	closeIdleConnections, createCallerServer, setMaxHeaderSize, stopListening,
+} from '../../connection/caller-server.ts';
+import type {CallerLimit} from '../../connection/caller-connection.ts';
+import {limitConnections, limitOpenRequests} from '../../connection/connection-limits.ts';
 import {closeAbruptly, listen} from '../../connection/http-listener.ts';
 import {UpstreamClients} from '../../connection/links/upstream-clients.ts';
 import {refusesConnections} from '../../connection/refusal-probe.ts';
 import {fetchKnowledge, serveKnowledge} from '../../connection/knowledge-exchange.ts';
 import {serveSharedRows} from '../../connection/row-exchange.ts';
+import {createSideServer} from '../../connection/side-server.ts';
 import type {CallerProtocol} from '../../ports/caller-protocol.ts';
 import type {RowFeed} from '../../ports/row-feed.ts';
 import type {Table} from '../../ports/table.ts';
 import type {UpstreamProtocol} from '../../ports/upstream-protocol.ts';
 import type {Upstream} from '../../ports/upstream.ts';
+import {CallerBudget} from '../../request/caller-budget.ts';
 import {NoUsageRecorder} from '../../request/delivery/usage-recorder.ts';
 import type {FleetSettings} from '../../version/fleet-settings.ts';
 import {parseAddress} from '../address.ts';
 import {UpstreamBackpressure} from '../backpressure/upstream-backpressure.ts';
+import {CallerLimits} from '../caller-limits.ts';
 import {SuspendAwareClock, SystemClock} from '../clock.ts';
 import {CrashMemoryTask} from '../crashes/crash-memory-task.ts';
 import {CrashMonitor} from '../crashes/crash-monitor.ts';
@@ -69,11 +76,19 @@
 /** Requests per second that one slot of an engine decodes, for answers that take a second. */
 const decodesPerSlotPerSecond = 1;
 const maxHeaderBytes = 64 * 1024;
+/** Added to the configured limit on the head of a request, in bytes. */
+const headerMarginBytes = 1024;
 /** Added to the configured timeouts of caller connections. */
 const idleMarginMs = 2000;
+/** Time without a byte after which a body is refused until a configuration has been received. */
+const defaultIdleTimeoutMs = 15_000;
 const mebibyte = 1024 * 1024;
 /** Fraction of the host's memory that request bodies may use. */
 const bodyMemoryFraction = 0.2;
+/** Fraction of the host's memory that answers may use which callers have not taken. */
+const unsentMemoryFraction = 0.1;
+/** The same for each of the servers that are not for callers. */
+const sideMemoryFraction = 0.05;
 /** Fraction of the host's memory that answers may use while they are collected. */
 const answerMemoryFraction = 0.1;
 
@@ -104,6 +119,8 @@
 	readonly #metricsServer: Server;
 	/** Gives rows of the platform's tables to the other daemons. */
 	readonly #rowServer: Server;
+	readonly #bodyBudget: CallerBudget;
+	readonly #callerLimits: CallerLimits;
 	#housekeepingTimer: NodeJS.Timeout | undefined;
 	/** True once the other daemons were asked for what the store may lack. */
 	#hasInherited = false;
@@ -113,6 +130,15 @@
 		const {settings, platform, log, seed} = options;
 		this.#random = new SeededRandom(seed);
 		this.#configuration = new ConfigurationHolder(platform.configurationKey, platform.decodeConfiguration, log);
+		this.#bodyBudget = new CallerBudget(settings.limits.memoryMb * mebibyte * bodyMemoryFraction);
+		this.#callerLimits = new CallerLimits({
+			count: limit => {
+				this.#metrics.callerLimited(limit);
+			},
+			log(counts) {
+				log.write('callers.limited', counts);
+			},
+		});
 		const clock = this.#clock;
 		this.#backpressure = new UpstreamBackpressure({
 			clock,
@@ -239,7 +265,11 @@
 			routeTable: () => this.#configuration.routeTable,
 			shutdown: () => this.#shutdown,
 			durations: new RouteDurations(),
-			bodyBudgetBytes: settings.limits.memoryMb * mebibyte * bodyMemoryFraction,
+			bodyBudget: this.#bodyBudget,
+			openRequestLimit: limitOpenRequests(settings.limits.maxDescriptors),
+			onLimited: limit => {
+				this.#callerLimits.note(limit);
+			},
 		});
 		this.#shutdown = new Shutdown(clock, log, createStopTimes(settings.bounds.graceMs), this.#requestHandler);
 		const leaseClock = this.#suspendAwareClock;
@@ -291,23 +321,35 @@
 				log.write('store.epochUnusable', {value, epoch: platform.epoch.current});
 			},
 		});
+		const memoryBytes = settings.limits.memoryMb * mebibyte;
+		const onLimited = (limit: CallerLimit) => {
+			this.#callerLimits.note(limit);
+		};
+
 		this.#callerServer = createCallerServer({
 			maxHeaderBytes,
+			maxConnections: limitConnections(memoryBytes, settings.limits.maxDescriptors),
+			maxUnsentBytes: memoryBytes * unsentMemoryFraction,
+			refuse: (request, response) => {
+				this.#requestHandler.refuseExcess(request, response);
+			},
+			onLimited,
 			onClosed: connection => {
 				this.#requestHandler.connectionClosed(connection);
 			},
 		}, (request, response) => {
 			void this.#requestHandler.handle(request, response);
 		});
-		this.#readinessServer = createServer((request, response) => {
+		const sideOptions = {maxUnsentBytes: memoryBytes * sideMemoryFraction, onLimited};
+		this.#readinessServer = createSideServer(sideOptions, (request, response) => {
 			const isReadinessPath = platform.callerProtocol.isReadinessPath(request.url ?? '/');
 			response.statusCode = isReadinessPath ? (this.isReady ? 200 : 503) : 404;
 			response.end();
 		});
-		this.#metricsServer = createServer((_request, response) => {
+		this.#metricsServer = createSideServer(sideOptions, (_request, response) => {
 			void this.#sendMetrics(response);
 		});
-		this.#rowServer = createServer((request, response) => {
+		this.#rowServer = createSideServer(sideOptions, (request, response) => {
 			const isServed = serveKnowledge(request, response, () => ({configuration: this.#configuration.activeValue, pastEntries: this.#registry.pastEntries()}));
 			if (!isServed) {
 				serveSharedRows(request, response, (table, after) => this.#tables.share(table, after));
@@ -325,6 +367,7 @@
 			storeEpoch: () => platform.epoch.current ?? 0,
 			storeRestores: () => platform.epoch.restores,
 			unusableEpochs: () => platform.epoch.unusable,
+			heldBodyBytes: () => this.#bodyBudget.heldBytes,
 		});
 	}
 
@@ -345,6 +388,7 @@
 		await listen(this.#rowServer, {host: daemon.host, port: addresses.peerPort});
 		this.#housekeepingTimer = setInterval(() => {
 			this.#upstreamClients.closeExpired();
+			this.#checkCallers();
 			this.#applyRegistryEvents(this.#registry.expire(this.#clock.now()));
 			if (this.isReady) {
 				this.#controller.tick();
@@ -452,11 +496,19 @@
 		};
 	}
 
+	#checkCallers(): void {
+		const idleTimeoutMs = this.#configuration.routeTable?.limits.idleTimeoutMs ?? defaultIdleTimeoutMs;
+		const now = this.#clock.now();
+		this.#bodyBudget.refuseStalled(now, idleTimeoutMs + idleMarginMs);
+		this.#callerLimits.report(now);
+	}
+
 	#applyCallerLimits(): void {
 		const limits = this.#configuration.routeTable?.limits;
 		if (limits !== undefined) {
 			this.#callerServer.keepAliveTimeout = limits.idleTimeoutMs + idleMarginMs;
 			this.#callerServer.headersTimeout = limits.headerTimeoutMs + idleMarginMs;
+			setMaxHeaderSize(this.#callerServer, limits.headerBytes + headerMarginBytes);
 		}
 	}
 
--- a/src/process/fleet/fleet-metrics.ts
+++ b/src/process/fleet/fleet-metrics.ts
@@ -2,6 +2,8 @@
 	Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
 import type {AnswerLimit} from '../../connection/answer-guard.ts';
+import type {CallerLimit} from '../../connection/caller-connection.ts';
+import type {BudgetRefusal} from '../../request/caller-budget.ts';
 import type {DeliveryResult} from '../../request/delivery/delivery.ts';
 import type {RequestOutcome} from '../../request/open-request.ts';
 import type {Route} from '../../version/routes/route-configuration.ts';
@@ -22,6 +24,7 @@
 	readonly storeRestores: () => number;
 	/** Answers of the store whose epoch was no whole number or went back. */
 	readonly unusableEpochs: () => number;
+	readonly heldBodyBytes: () => number;
 };
 
 const secondsBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 4, 8];
@@ -53,6 +56,10 @@
 		name: 'wagtailtack_answers_given_up_total', help: 'Answers of upstreams that were given up at a limit, by limit', labelNames: ['limit'], registers: [this.#registry],
 	});
 
+	readonly #callersLimited = new Counter({
+		name: 'wagtailtack_callers_limited_total', help: 'Requests refused and connections closed at a limit on callers, by limit', labelNames: ['limit'], registers: [this.#registry],
+	});
+
 	readonly #firstAnswer = new Histogram({
 		name: 'wagtailtack_first_answer_seconds', help: 'Time from arrival to the response or its first event', labelNames: ['kind', 'priority'], buckets: secondsBuckets, registers: [this.#registry],
 	});
@@ -63,7 +70,7 @@
 
 	/** Registers gauges whose values are read at each scrape. */
 	addGauges({
-		openRequests, upstreams, connectionsOpened, limitedUpstreams, pausedUpstreams, configurationVersion, droppedLogLines, droppedRows, storeEpoch, storeRestores, unusableEpochs,
+		openRequests, upstreams, connectionsOpened, limitedUpstreams, pausedUpstreams, configurationVersion, droppedLogLines, droppedRows, storeEpoch, storeRestores, unusableEpochs, heldBodyBytes,
 	}: FleetGauges): void {
 		this.#addGauge('wagtailtack_route_open_requests', 'Requests in flight', openRequests);
 		this.#addGauge('wagtailtack_upstreams', 'Upstreams that accept work', upstreams);
@@ -76,6 +83,7 @@
 		this.#addGauge('wagtailtack_store_epoch', 'Epoch of the store, which rises when the store is restored from an older copy; 0 if the store names none', storeEpoch);
 		this.#addGauge('wagtailtack_store_restores', 'Restores of the store that this process has noticed', storeRestores);
 		this.#addGauge('wagtailtack_store_epochs_unusable', 'Answers of the store whose epoch is no whole number or an earlier one', unusableEpochs);
+		this.#addGauge('wagtailtack_request_body_bytes', 'Memory that request bodies hold', heldBodyBytes);
 	}
 
 	/** Records a request of which head and body were read completely. */
@@ -98,6 +106,11 @@
 		this.#answersGivenUp.inc({limit});
 	}
 
+	/** Records a request that was refused, or a connection that was closed, at a limit on callers. */
+	callerLimited(limit: CallerLimit | BudgetRefusal): void {
+		this.#callersLimited.inc({limit});
+	}
+
 	/** Records a request whose delivery has ended, successfully or not. */
 	requestEnded({kind, priority}: Route, {outcome, sends, firstAnswerMs}: DeliveryResult, totalMs: number): void {
 		this.#requests.inc({kind, outcome});
--- a/src/process/fleet/route-request-handler.ts
+++ b/src/process/fleet/route-request-handler.ts
@@ -1,11 +1,11 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 import type {Either} from 'purify-ts';
-import type {ClosedConnection} from '../../connection/caller-server.ts';
+import type {ClosedConnection} from '../../connection/caller-connection.ts';
 import {CallerAnswer} from '../../connection/links/caller-answer.ts';
 import type {CallerProtocol, Refusal} from '../../ports/caller-protocol.ts';
 import type {CallerError} from '../../request/caller-error.ts';
-import {ByteBudget} from '../../request/byte-budget.ts';
+import type {BudgetRefusal, CallerBudget} from '../../request/caller-budget.ts';
 import {cancelOnDisconnect, cancelOnDeadline, combineSignals} from '../../request/cancellation.ts';
 import {
 	stopReason, type DeliveryResult, type DeliveryJob, type DeliveryDependencies,
@@ -15,7 +15,9 @@
 import type {RouteRequest} from '../../request/delivery/route-request.ts';
 import {StreamDelivery} from '../../request/delivery/stream-delivery.ts';
 import {OpenRequest, type RequestOutcome} from '../../request/open-request.ts';
-import {readBody, type RequestBody} from '../../request/request-body.ts';
+import {
+	dropRest, hasUnreadBody, isRestUnread, readBody, type RequestBody,
+} from '../../request/request-body.ts';
 import type {Route} from '../../version/routes/route-configuration.ts';
 import {chooseTarget, type RouteTable} from '../../version/routes/route-table.ts';
 import {readPendingEvents} from '../pending-events.ts';
@@ -36,8 +38,12 @@
 	/** From its start each connection is closed with its next response; it decides which requests are still served. */
 	readonly shutdown: () => Pick<Shutdown, 'hasStarted' | 'endRequestsAt' | 'canEnd'>;
 	readonly durations: RouteDurations;
-	/** Memory available for request bodies, in bytes. */
-	readonly bodyBudgetBytes: number;
+	/** Budget of all request bodies. */
+	readonly bodyBudget: CallerBudget;
+	/** Limit on requests in progress; further ones are refused. */
+	readonly openRequestLimit: number;
+	/** Called when a request is refused at a limit on callers. */
+	readonly onLimited: (limit: BudgetRefusal | 'requests') => void;
 };
 
 type BodyResult = Either<CallerError, RequestBody>;
@@ -77,7 +83,6 @@
 /** Receives callers' requests, matches them to routes and delivers them. */
 export class RouteRequestHandler implements OpenRequests {
 	readonly #options: RouteRequestHandlerOptions;
-	readonly #budget: ByteBudget;
 	/** Number of requests per connection that have been read but not answered. */
 	readonly #unansweredRequests = new WeakMap<Socket, number>();
 	/** Connections that a response has announced to be closed. */
@@ -95,7 +100,6 @@
 
 	constructor(options: RouteRequestHandlerOptions) {
 		this.#options = options;
-		this.#budget = new ByteBudget(options.bodyBudgetBytes);
 	}
 
 	/** Requests that the shutdown has ended so far. */
@@ -162,6 +166,15 @@
 		}
 	}
 
+	/** Refuses a request that its caller has sent ahead of too many answers. */
+	refuseExcess(message: IncomingMessage, response: ServerResponse): void {
+		const exchange = this.#createExchange(message, response);
+		this.#open.set(response, exchange.open);
+		const request = this.#options.protocol.decode(message, emptyBody);
+		exchange.open.id = request.id;
+		this.#refuse(exchange, request, createRefusal('busy', 'Too many requests are in progress on the connection.', defaultRetryMs));
+	}
+
 	/** Logs and counts the requests without a complete answer on a connection that has closed. */
 	connectionClosed({reason, refusedStatus, unfinished}: ClosedConnection): void {
 		const {dependencies, metrics} = this.#options;
@@ -197,7 +210,13 @@
 		const {message, arrivedAt} = exchange;
 		const {routeTable, dependencies, protocol, metrics} = this.#options;
 		const limit = routeTable()?.limits.bodyBytes ?? defaultBodyBytes;
-		exchange.open.id = protocol.decode(message, emptyBody).id;
+		const head = protocol.decode(message, emptyBody);
+		exchange.open.id = head.id;
+		if (hasUnreadBody(message) && this.#refuseUnroutable(exchange, head)) {
+			dropRest(message, limit);
+			return;
+		}
+
 		const body = await this.#readBody(message, limit);
 		if (body === undefined) {
 			this.#stopCounts.refused += 1;
@@ -206,12 +225,12 @@
 		}
 
 		await body.caseOf({
-			Left: async ({status}) => {
+			Left: async error => {
 				const request = protocol.decode(message, emptyBody);
-				const isTooLarge = status === 413;
-				this.#refuse(exchange, request, isTooLarge
+				exchange.response.shouldKeepAlive &&= !isRestUnread(error);
+				this.#refuse(exchange, request, error.status === 413
 					? createRefusal('tooLarge', 'The body is too large.')
-					: createRefusal('busy', 'Too many request bodies are being received.', defaultRetryMs));
+					: createRefusal('busy', error.message, defaultRetryMs));
 			},
 			Right: async value => {
 				using _body = value;
@@ -226,6 +245,12 @@
 					return;
 				}
 
+				if (this.#takenRequests.size >= this.#options.openRequestLimit) {
+					this.#options.onLimited('requests');
+					this.#refuse(exchange, request, createRefusal('busy', 'Too many requests are in progress.', defaultRetryMs));
+					return;
+				}
+
 				const identity = identifyRouteRequest(request);
 				const crashRefusal = dependencies.crashes.findRefusal(identity);
 				if (crashRefusal !== undefined) {
@@ -243,6 +268,17 @@
 		});
 	}
 
+	/** Refuses a request that cannot be routed before its body is read; returns false if it can be. */
+	#refuseUnroutable(exchange: Exchange, request: RouteRequest): boolean {
+		const table = this.#options.routeTable();
+		const route = table?.match(request.host, request.target);
+		if (route === undefined) {
+			this.#refuse(exchange, request, this.#findRefusal(table, undefined, exchange.arrivedAt, Number.POSITIVE_INFINITY) ?? createRefusal('noRoute', 'No route matches.'));
+		}
+
+		return route === undefined;
+	}
+
 	/** Reads the body of a request; undefined if the shutdown ends first. */
 	async #readBody(message: IncomingMessage, maxBodyBytes: number): Promise<BodyResult | undefined> {
 		const {promise, resolve} = Promise.withResolvers<undefined>();
@@ -252,7 +288,7 @@
 
 		this.#bodyWaits.add(endWait);
 		try {
-			const reading = readBody(message, {maxBodyBytes, budget: this.#budget});
+			const reading = readBody(message, {maxBodyBytes, budget: this.#options.bodyBudget, onRefused: this.#options.onLimited});
 			const body = await Promise.race([reading, promise]);
 			if (body === undefined) {
 				void releaseBody(reading);
--- a/src/process/metrics.ts
+++ b/src/process/metrics.ts
@@ -1,8 +1,10 @@
 import {
 	collectDefaultMetrics, Counter, Gauge, Histogram, Registry,
 } from 'prom-client';
+import type {CallerLimit} from '../connection/caller-connection.ts';
 import type {Host} from '../ports/host-list.ts';
 import {AttemptListener, type AttemptEnd, type Attempt} from '../request/attempt-listener.ts';
+import type {BudgetRefusal} from '../request/caller-budget.ts';
 import type {RunState} from '../request/caller-error.ts';
 
 /** Finished request, as recorded by the metrics. */
@@ -40,6 +42,10 @@
 
 	readonly #openAttempts = new Gauge({name: 'wagtailtack_open_attempts', help: 'Attempts in progress', registers: [this.#registry]});
 
+	readonly #callersLimited = new Counter({
+		name: 'wagtailtack_callers_limited_total', help: 'Requests refused and connections closed at a limit on callers, by limit', labelNames: ['limit'], registers: [this.#registry],
+	});
+
 	readonly #firstByte = new Histogram({
 		name: 'wagtailtack_first_byte_seconds', help: 'Time from admission to the first byte of the answer', labelNames: ['kind'], buckets: durationBucketsS, registers: [this.#registry],
 	});
@@ -71,6 +77,11 @@
 		}
 	}
 
+	/** Records a request that was refused, or a connection that was closed, at a limit on callers. */
+	callerLimited(limit: CallerLimit | BudgetRefusal): void {
+		this.#callersLimited.inc({limit});
+	}
+
 	attemptStarted(): void {
 		this.#openAttempts.inc();
 	}
--- a/src/process/operational-routes.ts
+++ b/src/process/operational-routes.ts
@@ -8,6 +8,13 @@
 	readonly isReady: () => boolean;
 };
 
+const paths: ReadonlySet<string> = new Set(['/healthz', '/readyz', '/metrics']);
+
+/** True for the paths that `serveOperationalRoute` serves. */
+export function isOperationalRoute(url: string): boolean {
+	return paths.has(url);
+}
+
 /** Serves `/healthz`, `/readyz` and `/metrics`; returns false for any other path. */
 export async function serveOperationalRoute(url: string, response: ServerResponse, options: OperationalRoutesOptions): Promise<boolean> {
 	switch (url) {
--- a/src/process/request-handler.ts
+++ b/src/process/request-handler.ts
@@ -3,17 +3,21 @@
 import {
 	createRefusal, internalError, runStateHeader, sendCallerError, type CallerError,
 } from '../request/caller-error.ts';
+import {muteParser} from '../connection/request-parser.ts';
+import {findPathRefusal} from '../request/call.ts';
 import {cancelOnDisconnect, cancelOnDeadline} from '../request/cancellation.ts';
 import {
 	parseHead, parseRequest, type ParsedRequest, type RequestHead,
 } from '../request/parsed-request.ts';
-import {readBody, type BodyLimits, type RequestBody} from '../request/request-body.ts';
+import {
+	hasUnreadBody, readBody, type BodyLimits, type RequestBody,
+} from '../request/request-body.ts';
 import {RequestPipeline, type PipelineOutcome, type RequestPipelineOptions} from '../request/request-pipeline.ts';
 import {RequestTrace} from '../request/request-trace.ts';
 import {resolveCustomer, type KeyDirectory} from './key-directory.ts';
 import type {Log} from './log.ts';
 import type {Metrics} from './metrics.ts';
-import {serveOperationalRoute} from './operational-routes.ts';
+import {isOperationalRoute, serveOperationalRoute} from './operational-routes.ts';
 
 /** Dependencies and limits of the request handler. */
 export type RequestHandlerOptions = RequestPipelineOptions & {
@@ -71,6 +75,11 @@
 		});
 		this.#openRequests += 1;
 		try {
+			if (isOperationalRoute(request.url ?? '/') && hasUnreadBody(request)) {
+				response.shouldKeepAlive = false;
+				muteParser(request);
+			}
+
 			if (!await serveOperationalRoute(request.url ?? '/', response, this.#options)) {
 				await this.#serve({request, response, startMs: this.#options.clock.now()});
 			}
@@ -134,6 +143,11 @@
 			return {};
 		}
 
+		const refusal = hasUnreadBody(exchange.request) ? findPathRefusal(head.method, head.url) : undefined;
+		if (refusal !== undefined) {
+			return {error: refusal};
+		}
+
 		const body = await readBody(exchange.request, this.#options.bodyLimits);
 		return body.caseOf<RequestOutcome | Promise<RequestOutcome>>({
 			Left: error => ({error}),
--- a/src/process/wiring.ts
+++ b/src/process/wiring.ts
@@ -1,5 +1,6 @@
 import {randomInt} from 'node:crypto';
 import {createCallerServer} from '../connection/caller-server.ts';
+import {limitConnections, limitPeerConnections} from '../connection/connection-limits.ts';
 import {createGuardedAgent} from '../connection/guarded-agent.ts';
 import {closeAbruptly, listen} from '../connection/http-listener.ts';
 import type {Connectivity} from '../connection/connectivity.ts';
@@ -13,7 +14,7 @@
 import {HttpEngine} from '../ports/engine.ts';
 import {HttpHostList, type HostList} from '../ports/host-list.ts';
 import {HttpObjectStore, type ObjectStore} from '../ports/object-store.ts';
-import {ByteBudget} from '../request/byte-budget.ts';
+import {CallerBudget} from '../request/caller-budget.ts';
 import type {ClaimStore} from '../request/claim-store.ts';
 import type {CrashRegistry} from '../request/crash-registry.ts';
 import {RetryBudget} from '../request/retry-budget.ts';
@@ -21,6 +22,7 @@
 import type {Table} from '../ports/table.ts';
 import {resolveRoute, type Contract} from '../version/contract.ts';
 import type {Settings} from '../version/settings.ts';
+import {CallerLimits} from './caller-limits.ts';
 import {AdmissionTask} from './admission/admission-task.ts';
 import {FairAdmission} from './admission/fair-admission.ts';
 import {ClaimSettler} from './claims/claim-settler.ts';
@@ -105,6 +107,14 @@
 
 /** Limit on the memory that all request bodies take together. */
 const bodyMemoryLimitBytes = 64 * 1024 * 1024;
+const mebibyte = 1024 * 1024;
+/** Fraction of the host's memory that request bodies may use, where the settings name that memory. */
+const bodyMemoryFraction = 0.15;
+/** The same for answers that callers have not taken. */
+const unsentMemoryFraction = 0.1;
+/** Time without a byte after which a body is refused, in milliseconds. */
+const bodyStallMs = 30_000;
+const callerCheckIntervalMs = 1000;
 /** Daemons of an availability zone that read the head of the configuration every second. */
 const configurationPollersPerZone = 2;
 const maxSeed = 2 ** 31;
@@ -119,9 +129,15 @@
 	const engineGroups = createEngineGroupManager(base, peers);
 	peers.status.addSection('leases', () => engineGroups.heldGroups);
 	peers.status.addSection('drainingForPlans', () => [...engineGroups.draining]);
-	const requestHandler = createRequestHandler(base, peers, engineGroups);
+	const callers = createCallerResources(base);
+	const requestHandler = createRequestHandler(base, peers, engineGroups, callers);
+	const memoryMb = settings.limits['memory-mb'];
 	const server = createCallerServer({
 		maxHeaderBytes: settings.limits['header-bytes'],
+		maxConnections: limitConnections(memoryMb === undefined ? undefined : memoryMb * mebibyte, settings.limits['max-descriptors']),
+		onLimited(limit) {
+			callers.limits.note(limit);
+		},
 		closesConnections: () => lifecycle.phase === 'draining',
 	}, (request, response) => {
 		void requestHandler.handle(request, response);
@@ -149,6 +165,37 @@
 	};
 }
 
+/** What the requests of all callers share. */
+type CallerResources = {
+	readonly metrics: Metrics;
+	readonly bodyBudget: CallerBudget;
+	readonly limits: CallerLimits;
+};
+
+function createCallerResources({resources, settings, log, clock}: BaseComponents): CallerResources {
+	const metrics = new Metrics();
+	const memoryMb = settings.limits['memory-mb'];
+	const bodyBudget = new CallerBudget(memoryMb === undefined ? bodyMemoryLimitBytes : memoryMb * mebibyte * bodyMemoryFraction);
+	const callerLog = log.child('callers');
+	const limits = new CallerLimits({
+		count(limit) {
+			metrics.callerLimited(limit);
+		},
+		log(counts) {
+			callerLog.warn('Refused requests and closed connections at limits on callers.', counts);
+		},
+	});
+	const timer = setInterval(() => {
+		bodyBudget.refuseStalled(clock.now(), bodyStallMs);
+		limits.report(clock.now());
+	}, callerCheckIntervalMs);
+	timer.unref();
+	resources.defer(() => {
+		clearInterval(timer);
+	});
+	return {metrics, bodyBudget, limits};
+}
+
 function createBaseComponents(resources: AsyncDisposableStack, settings: Settings, log: Log, tuning: DaemonTuning): BaseComponents {
 	const table = resources.use(new DynamoTable({
 		endpoint: settings.platform.table,
@@ -187,7 +234,7 @@
 	const {resources, settings, log, clock, table, objects, hostList} = base;
 	const clients = resources.use(new PeerClients(new AllowAllPeerAuthenticator(), base.tuning.connectivity));
 	const dependencies = Promise.withResolvers<PeerHandlerDependencies>();
-	const peerServer = resources.use(new PeerServer(createPeerHandlers(dependencies.promise), new AllowAllPeerAuthenticator()));
+	const peerServer = resources.use(new PeerServer(createPeerHandlers(dependencies.promise), new AllowAllPeerAuthenticator(), limitPeerConnections(settings.limits['max-descriptors'])));
 	const address = await peerServer.listen(parseAddress(settings.daemon['peer-listen']));
 	const lifecycle = new Lifecycle({
 		log: log.child('lifecycle'),
@@ -302,11 +349,10 @@
 	}, tuning.connectivity));
 }
 
-function createRequestHandler(base: BaseComponents, peers: PeerComponents, engineGroups: EngineGroupManager): RequestHandler {
+function createRequestHandler(base: BaseComponents, peers: PeerComponents, engineGroups: EngineGroupManager, {metrics, bodyBudget, limits}: CallerResources): RequestHandler {
 	const {resources, settings, log, clock} = base;
 	const {configuration, directory, lifecycle} = peers;
 	const traces = resources.use(createTraces(settings.daemon.id, settings.traces.endpoint));
-	const metrics = new Metrics();
 	const {router, admission} = createLoadControl(base, peers);
 	return new RequestHandler({
 		log: log.child('front'),
@@ -314,7 +360,13 @@
 		dispatcher: createUpstreamPool(base, peers),
 		metrics,
 		tracer: traces.tracer,
-		bodyLimits: {maxBodyBytes: settings.limits['body-bytes'], budget: new ByteBudget(bodyMemoryLimitBytes)},
+		bodyLimits: {
+			maxBodyBytes: settings.limits['body-bytes'],
+			budget: bodyBudget,
+			onRefused(reason) {
+				limits.note(reason);
+			},
+		},
 		keys: () => configuration.keys,
 		models: () => directory.models,
 		upstreams: call => directory.eligibleUpstreams(call).filter(({id}) => !engineGroups.draining.has(id)),
--- a/src/request/byte-buffer.ts
+++ b/src/request/byte-buffer.ts
@@ -6,9 +6,15 @@
 
 /** Collects bytes in one block of memory: a list of chunks of one byte takes a hundred times as much. */
 export class ByteBuffer {
+	readonly #maxBytes: number;
 	#memory: Uint8Array = empty;
 	#length = 0;
 
+	/** `maxBytes`: length beyond which no memory is set aside for further bytes. */
+	constructor(maxBytes = Number.POSITIVE_INFINITY) {
+		this.#maxBytes = maxBytes;
+	}
+
 	/** Number of bytes collected. */
 	get length(): number {
 		return this.#length;
@@ -19,11 +25,21 @@
 		return this.#memory.subarray(0, this.#length);
 	}
 
+	/** Memory that the buffer will take once it has been given `bytes` more. */
+	capacityWith(bytes: number): number {
+		const length = this.#length + bytes;
+		if (length <= this.#memory.length) {
+			return this.#memory.length;
+		}
+
+		return this.#length === 0 ? length : Math.max(length, Math.min(this.#memory.length * growthFactor, this.#maxBytes));
+	}
+
 	/** Adds a copy of a chunk. */
 	append(chunk: Uint8Array): void {
 		const length = this.#length + chunk.length;
 		if (length > this.#memory.length) {
-			const memory = Buffer.allocUnsafeSlow(this.#length === 0 ? length : Math.max(length, this.#memory.length * growthFactor));
+			const memory = Buffer.allocUnsafeSlow(this.capacityWith(chunk.length));
 			memory.set(this.bytes);
 			this.#memory = memory;
 		}
--- a/src/request/call.ts
+++ b/src/request/call.ts
@@ -36,12 +36,9 @@
 	}
 
 	const [path = '/'] = url.split('?');
-	if (!modelPaths.has(path)) {
-		return Left(createRefusal(404, 'path_not_found', 'There is nothing at this path.'));
-	}
-
-	if (method !== 'POST') {
-		return Left(createRefusal(405, 'method_not_allowed', `${path} takes POST.`));
+	const refusal = findModelPathRefusal(method, path);
+	if (refusal !== undefined) {
+		return Left(refusal);
 	}
 
 	return parseModelBody(body).map(value => ({
@@ -49,11 +46,29 @@
 	}));
 }
 
+/** Returns the refusal of a request whose method and path cannot be served with any body. */
+export function findPathRefusal(method: string, url: string): CallerError | undefined {
+	const service = servicePathPattern.exec(url)?.groups;
+	if (service?.service === undefined) {
+		return findModelPathRefusal(method, url.split('?')[0]!);
+	}
+
+	return resolveServiceCall(method, service.service, service.path ?? '/').swap().toMaybe().extract();
+}
+
 /** True when a call may safely run twice; a contract may restrict this further. */
 export function isRepeatableCall(method: string, call: Call): boolean {
 	return call.kind === 'model' || idempotentMethods.has(method);
 }
 
+function findModelPathRefusal(method: string, path: string): CallerError | undefined {
+	if (!modelPaths.has(path)) {
+		return createRefusal(404, 'path_not_found', 'There is nothing at this path.');
+	}
+
+	return method === 'POST' ? undefined : createRefusal(405, 'method_not_allowed', `${path} takes POST.`);
+}
+
 function resolveServiceCall(method: string, service: string, path: string): Either<CallerError, Call> {
 	if (!serviceMethods.has(method)) {
 		return Left(createRefusal(405, 'method_not_allowed', 'Services do not take this method.'));
--- a/src/request/request-body.ts
+++ b/src/request/request-body.ts
@@ -1,10 +1,11 @@
 import type {IncomingMessage} from 'node:http';
 import {Left, Right, type Either} from 'purify-ts';
-import type {ByteBudget} from './byte-budget.ts';
+import {muteParser} from '../connection/request-parser.ts';
 import {ByteBuffer} from './byte-buffer.ts';
+import type {BudgetRefusal, CallerBudget} from './caller-budget.ts';
 import {createRefusal, type CallerError} from './caller-error.ts';
 
-/** A request body; disposal returns its bytes to the byte budget. */
+/** A request body; disposal returns its bytes to the budget. */
 export type RequestBody = Disposable & {
 	readonly bytes: Uint8Array;
 };
@@ -14,47 +15,132 @@
 	/** Largest body of one request, in bytes. */
 	readonly maxBodyBytes: number;
 	/** Budget shared by all requests. */
-	readonly budget: ByteBudget;
+	readonly budget: CallerBudget;
+	/** Called when the request is refused because the budget is short. */
+	readonly onRefused?: (reason: BudgetRefusal) => void;
 };
 
-/** Reads a request body within the limits; rejects when the caller disconnects early. */
+/** True if the head of a request announces a body that has not been read completely. */
+export function hasUnreadBody(request: IncomingMessage): boolean {
+	return !request.complete && (request.headers['transfer-encoding'] !== undefined || Number(request.headers['content-length'] ?? 0) > 0);
+}
+
+const tooLargeCode = 'body_too_large';
+const smallPiecesCode = 'body_in_small_pieces';
+
+/** True if the rest of the refused body is not read, so that its connection must close. */
+export function isRestUnread({code}: CallerError): boolean {
+	return code === tooLargeCode || code === smallPiecesCode;
+}
+
+/** Reads a request body within the limits; rejects when the caller disconnects early. The rest of a refused body is dropped. */
 export async function readBody(request: IncomingMessage, limits: BodyLimits): Promise<Either<CallerError, RequestBody>> {
+	const {maxBodyBytes, budget, onRefused} = limits;
 	const declared = Number(request.headers['content-length'] ?? 0);
-	if (declared > limits.maxBodyBytes) {
-		return Left(createSizeRefusal(limits.maxBodyBytes));
+	if (declared > maxBodyBytes) {
+		muteParser(request);
+		return Left(createSizeRefusal(maxBodyBytes));
 	}
 
-	const body = new ByteBuffer();
-	let size = 0;
-	const release = () => {
-		limits.budget.release(size);
-		size = 0;
+	const {promise, resolve, reject} = Promise.withResolvers<Either<CallerError, RequestBody>>();
+	const body = new ByteBuffer(declared > 0 ? declared : maxBodyBytes);
+	const source = request.socket.remoteAddress ?? '';
+	let isEnded = false;
+	const account = budget.open(source, performance.now(), reason => {
+		onRefused?.(reason);
+		refuse(createBudgetRefusal(reason), reason === 'pieces');
+	});
+	const finish = () => {
+		isEnded = true;
+		request.off('data', read);
+		request.off('end', end);
+		request.off('close', fail);
 	};
 
-	try {
-		// By default, leaving the loop early destroys the request and with it the connection that the answer needs.
-		for await (const chunk of request.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
-			if (size + chunk.length > limits.maxBodyBytes) {
-				release();
-				return Left(createSizeRefusal(limits.maxBodyBytes));
-			}
+	const refuse = (error: CallerError, isRestUnreadable: boolean) => {
+		if (isEnded) {
+			return;
+		}
+
+		finish();
+		budget.close(account);
+		body.take();
+		if (isRestUnreadable) {
+			muteParser(request);
+		}
 
-			if (!limits.budget.reserve(chunk.length)) {
-				release();
-				return Left(createRefusal(503, 'overloaded', 'Too many request bodies are being received.', 1));
-			}
+		dropRest(request, maxBodyBytes);
+		resolve(Left(error));
+	};
 
-			size += chunk.length;
+	const read = (chunk: Uint8Array) => {
+		const now = performance.now();
+		const reason = budget.countPiece(account, chunk.length, now);
+		if (reason !== undefined) {
+			account.refuse(reason);
+		} else if (body.length + chunk.length > maxBodyBytes) {
+			refuse(createSizeRefusal(maxBodyBytes), true);
+		} else if (budget.take(account, body.capacityWith(chunk.length) - account.heldBytes, now)) {
 			body.append(chunk);
+		} else {
+			account.refuse('memory');
 		}
-	} catch (error) {
-		release();
-		throw error;
+	};
+
+	const end = () => {
+		finish();
+		budget.endReading(account);
+		resolve(Right({
+			bytes: body.bytes,
+			[Symbol.dispose]() {
+				budget.close(account);
+			},
+		}));
+	};
+
+	const fail = () => {
+		finish();
+		budget.close(account);
+		reject(request.errored ?? new Error('The caller disconnected.'));
+	};
+
+	if (request.destroyed && !request.complete) {
+		fail();
+		return promise;
 	}
 
-	return Right({bytes: body.bytes, [Symbol.dispose]: release});
+	request.on('data', read);
+	request.once('end', end);
+	request.once('close', fail);
+	return promise;
+}
+
+/** Drops the rest of a body, and closes the connection once that is longer than any body may be. */
+export function dropRest(request: IncomingMessage, maxBodyBytes: number): void {
+	let dropped = 0;
+	request.on('data', (chunk: Uint8Array) => {
+		dropped += Math.max(chunk.length, minCountedBytes);
+		if (dropped > maxBodyBytes) {
+			muteParser(request);
+			request.socket.destroySoon();
+		}
+	});
+	request.resume();
 }
 
+/** A piece that is dropped counts as at least so many bytes, for its cost. */
+const minCountedBytes = 256;
+
 function createSizeRefusal(limitBytes: number): CallerError {
-	return createRefusal(413, 'body_too_large', `The body is larger than ${limitBytes} bytes.`);
+	return createRefusal(413, tooLargeCode, `The body is larger than ${limitBytes} bytes.`);
+}
+
+const budgetMessages: Readonly<Record<BudgetRefusal, string>> = {
+	memory: 'Too many request bodies are being received.',
+	pieces: 'Too many request bodies are being received in small pieces.',
+	stalled: 'The body has stopped arriving.',
+};
+
+function createBudgetRefusal(reason: BudgetRefusal): CallerError {
+	return createRefusal(503, reason === 'pieces' ? smallPiecesCode : 'overloaded', budgetMessages[reason], 1);
 }
--- a/test/connection/idle-connections.test.ts
+++ b/test/connection/idle-connections.test.ts
@@ -6,8 +6,9 @@
 import {
 	afterEach, describe, expect, test,
 } from 'vitest';
+import type {ClosedConnection} from '../../src/connection/caller-connection.ts';
 import {
-	closeIdleConnections, createCallerServer, stopListening, type CallerServerOptions, type ClosedConnection,
+	closeIdleConnections, createCallerServer, stopListening, type CallerServerOptions,
 } from '../../src/connection/caller-server.ts';
 import {closeAbruptly, listen} from '../../src/connection/http-listener.ts';
 
--- a/test/request/request-handler-fixture.ts
+++ b/test/request/request-handler-fixture.ts
@@ -10,7 +10,7 @@
 import {Metrics} from '../../src/process/metrics.ts';
 import {RequestHandler, type RequestHandlerOptions} from '../../src/process/request-handler.ts';
 import {UnlimitedAdmission} from '../../src/request/admission.ts';
-import {ByteBudget} from '../../src/request/byte-budget.ts';
+import {CallerBudget} from '../../src/request/caller-budget.ts';
 import {UnavailableClaimStore} from '../../src/request/claim-store.ts';
 import {DisabledCrashRegistry} from '../../src/request/crash-registry.ts';
 import {RetryBudget} from '../../src/request/retry-budget.ts';
@@ -51,7 +51,7 @@
 		dispatcher,
 		metrics,
 		tracer: trace.getTracer('test'),
-		bodyLimits: {maxBodyBytes: 64 * 1024, budget: new ByteBudget(1024 * 1024)},
+		bodyLimits: {maxBodyBytes: 64 * 1024, budget: new CallerBudget(1024 * 1024)},
 		keys: () => new Map([[hashKey(fixtureKey), 'customer-a']]),
 		models: () => hosts.map(host => host.serves),
 		upstreams: call => hosts.filter(host => host.serves === (call.kind === 'model' ? call.model : call.service)),
