Answer the requests before one that was sent ahead of too many

Cause: the limit on requests sent ahead marked the connection as closing, so that the first answer announced the close and the 15 after it were lost. Change: only the refusal closes the connection.

--- a/src/connection/caller-server.ts
+++ b/src/connection/caller-server.ts
@@ -105,7 +105,6 @@
 		const connection = connections.get(request.socket);
 		trackResponse(connection, response, server);
 		if (connection !== undefined && countAhead(connection) > maxPipelined) {
-			closing.add(request.socket);
 			options.onLimited?.('pipelining');
 			refuseExcess(request, response, options.refuse);
 		} else {
