--- a/src/process/fleet/body-reader.ts
+++ b/src/process/fleet/body-reader.ts
@@ -1,6 +1,6 @@
 import type {IncomingMessage} from 'node:http';
 import type {Either} from 'purify-ts';
-import type {ByteBudget} from '../../request/byte-budget.ts';
+import type {BudgetRefusal, CallerBudget} from '../../request/caller-budget.ts';
 import type {CallerError} from '../../request/caller-error.ts';
 import {readBody, type RequestBody} from '../../request/request-body.ts';
 
@@ -8,12 +8,15 @@
 
 /** Reads the bodies of requests until the shutdown ends. */
 export class BodyReader {
-	readonly #budget: ByteBudget;
+	readonly #budget: CallerBudget;
+	readonly #onRefused: (reason: BudgetRefusal) => void;
 	/** Ends the wait for a body that is being read. */
 	readonly #waits = new Set<() => void>();
 
-	constructor(budget: ByteBudget) {
+	/** `onRefused` is called when a body is refused because the budget is short. */
+	constructor(budget: CallerBudget, onRefused: (reason: BudgetRefusal) => void) {
 		this.#budget = budget;
+		this.#onRefused = onRefused;
 	}
 
 	/** Reads the body of a request; undefined if the shutdown ends first. */
@@ -25,7 +28,7 @@
 
 		this.#waits.add(endWait);
 		try {
-			const reading = readBody(message, {maxBodyBytes, budget: this.#budget});
+			const reading = readBody(message, {maxBodyBytes, budget: this.#budget, onRefused: this.#onRefused});
 			const body = await Promise.race([reading, promise]);
 			if (body === undefined) {
 				void releaseBody(reading);
--- a/src/process/fleet/fleet-metrics.ts
+++ b/src/process/fleet/fleet-metrics.ts
@@ -3,6 +3,8 @@
 } from 'prom-client';
 import type {AnswerLimit} from '../../connection/answer-guard.ts';
 import type {DutyResult} from '../../ports/platform-duties.ts';
+import type {CallerLimit} from '../../connection/caller-connection.ts';
+import type {BudgetRefusal} from '../../request/caller-budget.ts';
 import type {DeliveryResult} from '../../request/delivery/delivery.ts';
 import type {RequestOutcome} from '../../request/open-request.ts';
 import type {AccessChange, AccessRefusal} from '../accounts/access.ts';
@@ -26,6 +28,7 @@
 	readonly storeRestores: () => number;
 	/** Answers of the store whose epoch was no whole number or went back. */
 	readonly unusableEpochs: () => number;
+	readonly heldBodyBytes: () => number;
 };
 
 /** Values of the daemon that makes the calls of duties. */
@@ -69,6 +72,10 @@
 		name: 'wagtailtack_access_refusals_total', help: 'Requests refused because of their key, by reason', labelNames: ['reason'], registers: [this.#registry],
 	});
 
+	readonly #callersLimited = new Counter({
+		name: 'wagtailtack_callers_limited_total', help: 'Requests refused and connections closed at a limit on callers, by limit', labelNames: ['limit'], registers: [this.#registry],
+	});
+
 	readonly #firstAnswer = new Histogram({
 		name: 'wagtailtack_first_answer_seconds', help: 'Time from arrival to the response or its first event', labelNames: ['kind', 'priority'], buckets: secondsBuckets, registers: [this.#registry],
 	});
@@ -92,7 +99,7 @@
 
 	/** Registers gauges whose values are read at each scrape. */
 	addGauges({
-		openRequests, upstreams, connectionsOpened, limitedUpstreams, pausedUpstreams, configurationVersion, excessTokens, droppedLogLines, droppedRows, storeEpoch, storeRestores, unusableEpochs,
+		openRequests, upstreams, connectionsOpened, limitedUpstreams, pausedUpstreams, configurationVersion, excessTokens, droppedLogLines, droppedRows, storeEpoch, storeRestores, unusableEpochs, heldBodyBytes,
 	}: FleetGauges): void {
 		this.#addGauge('wagtailtack_route_open_requests', 'Requests in flight', openRequests);
 		this.#addGauge('wagtailtack_upstreams', 'Upstreams that accept work', upstreams);
@@ -106,6 +113,7 @@
 		this.#addGauge('wagtailtack_store_epoch', 'Epoch of the store, which rises when the store is restored from an older copy; 0 if the store names none', storeEpoch);
 		this.#addGauge('wagtailtack_store_restores', 'Restores of the store that this process has noticed', storeRestores);
 		this.#addGauge('wagtailtack_store_epochs_unusable', 'Answers of the store whose epoch is no whole number or an earlier one', unusableEpochs);
+		this.#addGauge('wagtailtack_request_body_bytes', 'Memory that request bodies hold', heldBodyBytes);
 	}
 
 	/** Registers the gauges of the daemon that makes the calls of duties; they are read at each scrape. */
@@ -145,6 +153,11 @@
 		this.#accessRefusals.inc({reason});
 	}
 
+	/** Records a request that was refused, or a connection that was closed, at a limit on callers. */
+	callerLimited(limit: CallerLimit | BudgetRefusal): void {
+		this.#callersLimited.inc({limit});
+	}
+
 	/** Records a request whose delivery has ended, successfully or not. */
 	requestEnded({kind, priority}: Route, {outcome, sends, firstAnswerMs}: DeliveryResult, totalMs: number): void {
 		this.#requests.inc({kind, outcome});
--- a/src/process/fleet/request-refusals.ts
+++ b/src/process/fleet/request-refusals.ts
@@ -1,4 +1,5 @@
 import type {Refusal} from '../../ports/caller-protocol.ts';
+import type {CallerError} from '../../request/caller-error.ts';
 import type {AccessRefusal} from '../accounts/access.ts';
 
 /** Retry delay when no configuration is known, its age is unknown or memory for bodies is short. */
@@ -29,11 +30,16 @@
 	return createRefusal('unprepared', 'No configuration is known yet.', defaultRetryMs);
 }
 
-/** Refusal of a request whose body could not be read, by the status that the reader chose. */
-export function createBodyRefusal(status: number): Refusal {
+/** Refusal of a request whose body could not be read. */
+export function createBodyRefusal({status, message}: CallerError): Refusal {
 	return status === 413
 		? createRefusal('tooLarge', 'The body is too large.')
-		: createRefusal('busy', 'Too many request bodies are being received.', defaultRetryMs);
+		: createRefusal('busy', message, defaultRetryMs);
+}
+
+/** Refusal while as many requests are in progress as may be. */
+export function createFullRefusal(message: string): Refusal {
+	return createRefusal('busy', message, defaultRetryMs);
 }
 
 /** Refusal of a request without access. */
--- a/src/process/fleet/route-request-handler.ts
+++ b/src/process/fleet/route-request-handler.ts
@@ -1,9 +1,9 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import type {ClosedConnection} from '../../connection/caller-server.ts';
+import type {ClosedConnection} from '../../connection/caller-connection.ts';
 import {CallerAnswer} from '../../connection/links/caller-answer.ts';
 import type {CallerProtocol, Refusal} from '../../ports/caller-protocol.ts';
-import {ByteBudget} from '../../request/byte-budget.ts';
+import type {BudgetRefusal, CallerBudget} from '../../request/caller-budget.ts';
 import {cancelOnDisconnect, cancelOnDeadline, combineSignals} from '../../request/cancellation.ts';
 import {
 	stopReason, type DeliveryResult, type DeliveryJob, type DeliveryDependencies,
@@ -13,6 +13,7 @@
 import type {RouteRequest} from '../../request/delivery/route-request.ts';
 import {StreamDelivery} from '../../request/delivery/stream-delivery.ts';
 import {OpenRequest, type RequestOutcome} from '../../request/open-request.ts';
+import {dropRest, hasUnreadBody, isRestUnread} from '../../request/request-body.ts';
 import type {Route} from '../../version/routes/route-configuration.ts';
 import {chooseTarget, type RouteTable} from '../../version/routes/route-table.ts';
 import {
@@ -27,7 +28,7 @@
 import type {RouteDurations} from './route-durations.ts';
 import {crashRefusalMessages, type CrashRefusal} from './route-crashes.ts';
 import {
-	createAccessRefusal, createBodyRefusal, createRefusal, createStopRefusal, createUnpreparedRefusal,
+	createAccessRefusal, createBodyRefusal, createFullRefusal, createRefusal, createStopRefusal, createUnpreparedRefusal,
 } from './request-refusals.ts';
 import {TakenRequests} from './taken-requests.ts';
 import type {OpenRequests, Shutdown, StopCounts} from './shutdown.ts';
@@ -47,8 +48,12 @@
 	/** From its start each connection is closed with its next response; it decides which requests are still served. */
 	readonly shutdown: () => Pick<Shutdown, 'hasStarted' | 'endRequestsAt' | 'canEnd'>;
 	readonly durations: RouteDurations;
-	/** Memory available for request bodies, in bytes. */
-	readonly bodyBudgetBytes: number;
+	/** Budget of all request bodies. */
+	readonly bodyBudget: CallerBudget;
+	/** Limit on requests in progress; further ones are refused. */
+	readonly openRequestLimit: number;
+	/** Called when a request is refused at a limit on callers. */
+	readonly onLimited: (limit: BudgetRefusal | 'requests') => void;
 };
 
 /** One request with its response. */
@@ -98,7 +103,7 @@
 
 	constructor(options: RouteRequestHandlerOptions) {
 		this.#options = options;
-		this.#bodies = new BodyReader(new ByteBudget(options.bodyBudgetBytes));
+		this.#bodies = new BodyReader(options.bodyBudget, options.onLimited);
 	}
 
 	/** Requests that the shutdown has ended so far. */
@@ -174,6 +179,15 @@
 		}
 	}
 
+	/** Refuses a request that its caller has sent ahead of too many answers. */
+	refuseExcess(message: IncomingMessage, response: ServerResponse): void {
+		const exchange = this.#createExchange(message, response);
+		this.#open.set(response, exchange.open);
+		const request = this.#options.protocol.decode(message, emptyBody);
+		exchange.open.id = request.id;
+		this.#refuse(exchange, request, createFullRefusal('Too many requests are in progress on the connection.'));
+	}
+
 	/** Logs and counts the requests without a complete answer on a connection that has closed. */
 	connectionClosed({reason, refusedStatus, unfinished}: ClosedConnection): void {
 		const {dependencies, metrics} = this.#options;
@@ -209,7 +223,13 @@
 		const {message, arrivedAt} = exchange;
 		const {routeTable, accounts, isConfigurationCurrent, dependencies, protocol, metrics} = this.#options;
 		const limit = routeTable()?.limits.bodyBytes ?? defaultBodyBytes;
-		exchange.open.id = protocol.decode(message, emptyBody).id;
+		const head = protocol.decode(message, emptyBody);
+		exchange.open.id = head.id;
+		if (hasUnreadBody(message) && this.#refuseByHead(exchange, head)) {
+			dropRest(message, limit);
+			return;
+		}
+
 		const body = await this.#bodies.read(message, limit);
 		if (body === undefined) {
 			this.#stopCounts.refused += 1;
@@ -218,8 +238,9 @@
 		}
 
 		await body.caseOf({
-			Left: async ({status}) => {
-				this.#refuse(exchange, protocol.decode(message, emptyBody), createBodyRefusal(status));
+			Left: async error => {
+				exchange.response.shouldKeepAlive &&= !isRestUnread(error);
+				this.#refuse(exchange, protocol.decode(message, emptyBody), createBodyRefusal(error));
 			},
 			Right: async value => {
 				using _body = value;
@@ -235,6 +256,12 @@
 					return;
 				}
 
+				if (this.#takenRequests.size >= this.#options.openRequestLimit) {
+					this.#options.onLimited('requests');
+					this.#refuse(exchange, received, createFullRefusal('Too many requests are in progress.'));
+					return;
+				}
+
 				const request = access.kind === 'open' ? received : protocol.removeCredentials(received);
 				const route = withAccountPriority(matched, access);
 
@@ -264,6 +291,20 @@
 		});
 	}
 
+	/** Refuses a request that has no route or no access, before its body is read; returns false if it has both. */
+	#refuseByHead(exchange: Exchange, head: RouteRequest): boolean {
+		const {routeTable, accounts, isConfigurationCurrent} = this.#options;
+		const table = routeTable();
+		const route = table?.match(head.host, head.target);
+		const access = route === undefined ? undefined : decideAccess(accounts(), route, head.key, isConfigurationCurrent);
+		if (route !== undefined && access?.kind !== 'refused') {
+			return false;
+		}
+
+		this.#refuse(exchange, head, this.#findRefusal(table, {route, access}, exchange.arrivedAt, Number.POSITIVE_INFINITY) ?? createRefusal('noRoute', 'No route matches.'));
+		return true;
+	}
+
 	#findRefusal(table: RouteTable | undefined, {route, access}: MatchedRequest, arrivedAt: number, deadlineAt: number): Refusal | undefined {
 		if (table === undefined) {
 			return createUnpreparedRefusal();
--- a/src/process/fleet/taken-requests.ts
+++ b/src/process/fleet/taken-requests.ts
@@ -20,6 +20,11 @@
 export class TakenRequests {
 	readonly #requests = new Set<TakenRequest>();
 
+	/** Number of requests that have not ended. */
+	get size(): number {
+		return this.#requests.size;
+	}
+
 	/** Adds a request until the returned object is disposed. */
 	track(taken: TakenRequest): Disposable {
 		this.#requests.add(taken);
