--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -564,7 +564,8 @@
 	}
 
 	#checkCallers(): void {
-		const idleTimeoutMs = this.#configuration.routeTable?.limits.idleTimeoutMs ?? defaultIdleTimeoutMs;
+		// A body may have begun under an earlier configuration with a longer time-out.
+		const idleTimeoutMs = Math.max(defaultIdleTimeoutMs, this.#configuration.routeTable?.limits.idleTimeoutMs ?? 0);
 		const now = this.#clock.now();
 		this.#bodyBudget.refuseStalled(now, idleTimeoutMs + idleMarginMs);
 		this.#callerLimits.report(now);
