Send fewer messages between daemons while a process is short of processor time

The delays of these messages are now up to three times as long while the event loop has little idle time left. Reports of progress no longer create an error with a stack for each event, and the head of a request is decoded once.

--- a/src/process/fleet/route-request-handler.ts
+++ b/src/process/fleet/route-request-handler.ts
@@ -233,20 +233,20 @@
 		const body = await this.#bodies.read(message, limit);
 		if (body === undefined) {
 			this.#stopCounts.refused += 1;
-			this.#refuse(exchange, protocol.decode(message, emptyBody), createStopRefusal());
+			this.#refuse(exchange, head, createStopRefusal());
 			return;
 		}
 
 		await body.caseOf({
 			Left: async error => {
 				exchange.response.shouldKeepAlive &&= !isRestUnread(error);
-				this.#refuse(exchange, protocol.decode(message, emptyBody), createBodyRefusal(error));
+				this.#refuse(exchange, head, createBodyRefusal(error));
 			},
 			Right: async value => {
 				using _body = value;
 				exchange.open.isWhole = true;
 				metrics.requestRead();
-				const received = protocol.decode(message, value.bytes);
+				const received = {...head, body: value.bytes};
 				const table = routeTable();
 				const matched = table?.match(received.host, received.target);
 				const access = matched === undefined ? undefined : decideAccess(accounts(), matched, received.key, isConfigurationCurrent);
--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -2,6 +2,7 @@
 import {parseAddress} from '../address.ts';
 import type {CrashNews} from '../crashes/crash-attribution.ts';
 import {MessageBuffer} from './message-buffer.ts';
+import {createBusyMeter, MessagePace} from './message-pace.ts';
 import {PeerLoadTracker} from './peer-load-tracker.ts';
 import {PeerDirectory} from './peer-directory.ts';
 import type {PeerLinkOptions} from './peer-link-options.ts';
@@ -44,6 +45,7 @@
 	readonly #ownZoneBuffer = new MessageBuffer();
 	readonly #otherZonesBuffer = new MessageBuffer();
 	readonly #usageRelay: UsageRelay;
+	readonly #pace = new MessagePace(createBusyMeter());
 	readonly #changedUpstreams = new Set<string>();
 	#pendingPrefills: PeerPrefill[] = [];
 	#pendingCrashNews: CrashNews[] = [];
@@ -129,6 +131,7 @@
 			});
 		});
 		this.#keepAliveTimer = setInterval(() => {
+			this.#pace.measure();
 			this.#sendOwnMessage(this.#options.ownLoads(), true);
 			this.#forgetSilent();
 		}, keepAliveIntervalMs);
@@ -167,7 +170,7 @@
 
 	/** Time in which the other daemons hear of a change, in milliseconds. */
 	get newsDelayMs(): number {
-		return this.topology.isDirect ? directNewsDelayMs : relayedNewsDelayMs;
+		return (this.topology.isDirect ? directNewsDelayMs : relayedNewsDelayMs) * this.#pace.stretch;
 	}
 
 	/** Schedules a message about the tables, of which this daemon has read a change. */
@@ -208,7 +211,7 @@
 			const changedLoads = [...this.#changedUpstreams].map(upstream => loads.get(upstream) ?? {upstream, runs: 0, tokensByPriority: new Map<number, number>()});
 			this.#changedUpstreams.clear();
 			this.#sendOwnMessage(changedLoads, false);
-		}, this.topology.isDirect ? batchDelayMs : relayedBatchDelayMs);
+		}, (this.topology.isDirect ? batchDelayMs : relayedBatchDelayMs) * this.#pace.stretch);
 	}
 
 	#sendOwnMessage(loads: readonly PeerLoad[], isKeepAlive: boolean): void {
@@ -269,7 +272,7 @@
 			if (!this.#isClosed && this.topology.isRelay(this.#options.clock.now())) {
 				this.#scheduleRelay();
 			}
-		}, relayIntervalMs);
+		}, relayIntervalMs * this.#pace.stretch);
 	}
 
 	/** Forwards the messages received since the last time to the daemons of the own availability zone and to the relays of the other zones. */
--- a/src/request/delivery/attempt-race.ts
+++ b/src/request/delivery/attempt-race.ts
@@ -4,7 +4,8 @@
 	readonly #ended: Array<() => Result> = [];
 	#isSilent = false;
 	#wake: (() => void) | undefined;
-	#silence = new AbortController();
+	/** Aborts the search for a further attempt, if there is one. */
+	#silence: AbortController | undefined;
 
 	/** Number of attempts whose results have not been taken. */
 	get size(): number {
@@ -28,7 +29,7 @@
 	/** Records that an attempt has been heard of again; ends the search for a further one. */
 	reportProgress(): void {
 		this.#isSilent = false;
-		this.#silence.abort();
+		this.#endSearch();
 	}
 
 	/** Returns the next result, or `silent` after a report of silence; rejects if the attempt did. At least one attempt must be in progress. */
@@ -65,7 +66,13 @@
 		}
 
 		this.#running.delete(result);
-		this.#silence.abort();
+		this.#endSearch();
 		this.#wake?.();
 	}
+
+	/** Each call of `abort` creates an error with a stack, also on a signal that has been aborted before. */
+	#endSearch(): void {
+		this.#silence?.abort();
+		this.#silence = undefined;
+	}
 }
