--- a/test/process/fleet/daemon-process.test.ts
+++ b/test/process/fleet/daemon-process.test.ts
@@ -153,6 +153,10 @@
 		second.start();
 		expect(await second.waitForExit()).toBe(1);
 		expect(second.output).toContain('EADDRINUSE');
+		// The report of an unexpected end must show its cause.
+		await vi.waitFor(() => {
+			expect(second.unexpectedExits).toEqual([expect.stringMatching(/^daemon-2 ended with code 1, signal null: .*EADDRINUSE/v)]);
+		});
 	}, 10_000);
 
 	// Guards against a daemon that serves, ignores SIGTERM and is killed with requests in flight.
