Let the readers of large zones confirm their copies before these lapse

In a small twin, followers followed the readers for 18 to 44 of 64 s.

Cause: with bounds of 3,000 ms a confirmation counts for 1,100 ms after it was told, but a reader made the next one after 1,800 to 2,500 ms; so followers read the store in between. Besides, a follower that was fetching changed rows from a reader read the store as well, at each change of the list.

Change: a reader in a zone of eight daemons or more calls again within the time for which its confirmation counts, where the bounds allow it. A follower that fetches rows relies on its last confirmation meanwhile; its age is bounded as before.

--- a/src/process/fleet/fleet-tables.ts
+++ b/src/process/fleet/fleet-tables.ts
@@ -9,7 +9,7 @@
 import type {Random} from '../random.ts';
 import {DroppedRows} from '../tables/dropped-rows.ts';
 import type {TablePosition} from '../tables/table-position.ts';
-import {readersPerZone, type TableAnnouncement} from '../tables/table-sharing.ts';
+import {readersPerZone, readsForMany, type TableAnnouncement} from '../tables/table-sharing.ts';
 import {TableWatch, type TablePeers, type TableWatchOptions} from '../tables/table-watch.ts';
 import {createConfigurationTimes, createListTimes} from '../tables/watch-times.ts';
 import type {ConfigurationHolder} from './configuration-holder.ts';
@@ -131,6 +131,7 @@
 		const {peers, clock} = this.#options;
 		return {
 			isReader: () => peers.topology.zoneRank(clock.now()) < readersPerZone,
+			areFollowersMany: () => readsForMany(peers.topology.zoneTargets().length + 1),
 			async fetchRows(daemon, table, after) {
 				const address = peers.topology.address(daemon);
 				return address === undefined ? Left('the address of the daemon is not known') : fetchSharedRows(address, table, after);
--- a/src/process/fleet/route-request-handler.ts
+++ b/src/process/fleet/route-request-handler.ts
@@ -246,7 +246,7 @@
 				using _body = value;
 				exchange.open.isWhole = true;
 				metrics.requestRead();
-				const received = {...head, body: value.bytes};
+				const received = protocol.decode(message, value.bytes);
 				const table = routeTable();
 				const matched = table?.match(received.host, received.target);
 				const access = matched === undefined ? undefined : decideAccess(accounts(), matched, received.key, isConfigurationCurrent);
--- a/src/process/tables/table-sharing.ts
+++ b/src/process/tables/table-sharing.ts
@@ -25,10 +25,17 @@
 /** Readers of the store in each availability zone; the other daemons of the zone follow them. */
 export const readersPerZone = 2;
 /** Time that an announcement may take through the relays, which its age does not include, in milliseconds. */
-const announcementDelayMs = 400;
+export const announcementDelayMs = 400;
+/** Daemons that follow each reader, from which on it reads more often for them. */
+const manyFollowers = 3;
 /** Time for which a reader that could not be asked for rows is left out, in milliseconds. */
 const failedReaderMs = 1000;
 
+/** True if the readers of an availability zone with so many daemons read for many others. */
+export function readsForMany(zoneDaemons: number): boolean {
+	return zoneDaemons - readersPerZone >= readersPerZone * manyFollowers;
+}
+
 type KnownReader = {
 	readonly position: TablePosition;
 	readonly digest: number;
@@ -45,6 +52,8 @@
 export class TableSharing {
 	#maxAgeMs: number;
 	readonly #readers = new Map<string, KnownReader>();
+	/** Time until which the last confirmation of the own copy counts. */
+	#confirmedUntil = Number.NEGATIVE_INFINITY;
 
 	/** `maxAgeMs`: age in milliseconds from which a confirmation no longer counts. */
 	constructor(maxAgeMs: number) {
@@ -95,7 +104,30 @@
 			return {kind: 'behind', reader: newest[0]};
 		}
 
-		return confirmed !== undefined && now < until ? {kind: 'current', until, position: confirmed} : {kind: 'unconfirmed'};
+		if (confirmed === undefined || now >= until) {
+			return {kind: 'unconfirmed'};
+		}
+
+		this.#confirmedUntil = until;
+		return {kind: 'current', until, position: confirmed};
+	}
+
+	/** Time until which a daemon can rely on its copy without a call to the store; one that fetches the rows that it lacks need not read them as well. */
+	reliableUntil(copy: OwnCopy, isFetching: boolean, now: number): number {
+		const state = this.assess(copy, now);
+		switch (state.kind) {
+			case 'current': {
+				return state.until;
+			}
+
+			case 'behind': {
+				return isFetching ? this.#confirmedUntil : now;
+			}
+
+			case 'unconfirmed': {
+				return now;
+			}
+		}
 	}
 
 	#forgetOld(now: number): void {
--- a/src/process/tables/table-watch.ts
+++ b/src/process/tables/table-watch.ts
@@ -6,10 +6,11 @@
 import type {Clock} from '../clock.ts';
 import type {DecisionLog} from '../fleet/decision-log.ts';
 import type {Random} from '../random.ts';
+import {backoffMs} from './read-backoff.ts';
 import {TableCopy, type RowContent} from './table-copy.ts';
 import {comparePositions, isOfLaterEpoch, type TablePosition} from './table-position.ts';
 import {TableSharing, type TableAnnouncement} from './table-sharing.ts';
-import type {WatchTimes} from './watch-times.ts';
+import type {CallTimes, WatchTimes} from './watch-times.ts';
 
 /** Receives the rows of a table; its methods must be synchronous. */
 export type WatchListener = {
@@ -28,6 +29,8 @@
 export type TablePeers = {
 	/** True while this daemon is one of those that read the store for the others. */
 	readonly isReader: () => boolean;
+	/** True while each reader has many followers. */
+	readonly areFollowersMany: () => boolean;
 	/** Fetches the rows that changed after a position from another daemon; a failure is a short message. */
 	readonly fetchRows: (daemon: string, table: string, after: TablePosition | undefined) => Promise<Either<string, SharedRows>>;
 	/** Called when this daemon has read a change that the other daemons may lack. */
@@ -50,10 +53,6 @@
 	readonly onRowFailed: (key: string, error: unknown) => void;
 };
 
-const minBackoffMs = 100;
-const maxBackoffMs = 600;
-/** Factor on the backoff of daemons that are not readers, which hear from the readers when the store is back. */
-const followerBackoffFactor = 4;
 /** Spread of the first own read of daemons that have lost their readers at the same time, in milliseconds. */
 const takeoverSpreadMs = 300;
 /** Shortest wait of a call, as a fraction of the longest. */
@@ -124,10 +123,15 @@
 		const now = this.#options.clock.now();
 		const {kind} = this.#sharing.assess(this.#copy, now);
 		// The store answers a waiting call at once when a row changes, so a confirmation counts until that call must have ended.
-		const isWaiting = this.#failures === 0 && !this.#isDoubtful && now - this.#confirmedAt < this.#times.waitMs + maxAnswerMs;
+		const isWaiting = this.#failures === 0 && !this.#isDoubtful && now - this.#confirmedAt < this.#callTimes.waitMs + maxAnswerMs;
 		return kind === 'current' || (kind === 'unconfirmed' && isWaiting);
 	}
 
+	get #callTimes(): CallTimes {
+		const {isReader, areFollowersMany} = this.#options.peers;
+		return isReader() && areFollowersMany() ? this.#times.forMany : this.#times;
+	}
+
 	/** Changes the timing; it takes effect with the next call. */
 	setTimes(times: WatchTimes): void {
 		this.#times = times;
@@ -200,8 +204,7 @@
 		}
 
 		const now = this.#options.clock.now();
-		const state = this.#sharing.assess(this.#copy, now);
-		return state.kind === 'current' ? state.until - now : 0;
+		return Math.max(0, this.#sharing.reliableUntil(this.#copy, this.#isFetching, now) - now);
 	}
 
 	#setFollowing(isFollowing: boolean): void {
@@ -224,7 +227,7 @@
 		const {feed, peers} = this.#options;
 		const {position: known} = this.#copy;
 		// The wait varies, because a change ends the waits of all readers at the same time.
-		const waitMs = this.#isDoubtful ? 0 : Math.round(this.#times.waitMs * (minWaitFraction + (this.#options.random.next() * (1 - minWaitFraction))));
+		const waitMs = this.#isDoubtful ? 0 : Math.round(this.#callTimes.waitMs * (minWaitFraction + (this.#options.random.next() * (1 - minWaitFraction))));
 		const isWhole = this.#needsWhole || known === undefined;
 		const page = isWhole ? await this.#readWhole() : await this.#waitForChanges(known, waitMs);
 		// Rows of another daemon may have brought the copy to a later epoch meanwhile.
@@ -449,16 +452,12 @@
 
 	/** Time until the next call, in milliseconds. */
 	#pauseMs(): number {
+		const {clock, random, peers} = this.#options;
 		if (this.#failures > 0) {
-			return this.#backoffMs();
+			return backoffMs(this.#failures, peers.isReader(), random);
 		}
 
-		return this.#needsWhole ? Math.max(0, this.#wholeReadAt + wholeReadIntervalMs - this.#options.clock.now()) : this.#times.pauseMs;
-	}
-
-	#backoffMs(): number {
-		const bound = Math.min(maxBackoffMs, minBackoffMs * (2 ** (this.#failures - 1)));
-		return bound * (0.5 + (this.#options.random.next() / 2)) * (this.#options.peers.isReader() ? 1 : followerBackoffFactor);
+		return this.#needsWhole ? Math.max(0, this.#wholeReadAt + wholeReadIntervalMs - clock.now()) : this.#callTimes.pauseMs;
 	}
 
 	/** Waits until the time is over, the watch is stopped or it has to be read at once. */
--- a/test/process/tables/table-watch.test.ts
+++ b/test/process/tables/table-watch.test.ts
@@ -12,7 +12,8 @@
 import {TableWatch} from '../../../src/process/tables/table-watch.ts';
 import {MemoryFeed, MemoryRows} from '../../fixtures/memory-feed.ts';
 
-const times = {waitMs: 100, pauseMs: 100, maxAgeMs: 700};
+const callTimes = {waitMs: 100, pauseMs: 100};
+const times = {...callTimes, maxAgeMs: 700, forMany: callTimes};
 const announceMs = 50;
 /** Time within which a change must be known: the age bound, one call with its pause and the spread of the takeover. */
 const changeBoundMs = 1500;
@@ -63,6 +64,7 @@
 			},
 			peers: {
 				isReader: () => this.isReader,
+				areFollowersMany: () => false,
 				fetchRows: async (daemon, _table, after) => fetchRows(this, daemon, after),
 				onChangeRead: () => undefined,
 			},
