Learn the length of answers, and show the estimates beside the outcome

Daemons learn the mean number of events by service, route and magnitude of the caller's hint (X-Length-Hint, which is passed on as before). No decision uses the estimate: wagtailtack_answer_length_ratio shows what it would be worth.

--- a/src/process/fleet/fleet-daemon.ts
+++ b/src/process/fleet/fleet-daemon.ts
@@ -274,6 +274,7 @@
 			onPrefillEnded: (work, elapsedMs, predictedMs) => {
 				this.#metrics.prefillEnded(work, elapsedMs, predictedMs);
 			},
+			onAnswerEnded: this.#metrics.answerEnded.bind(this.#metrics),
 		});
 		this.#duties = wireDuties({
 			settings,
--- a/src/process/fleet/fleet-metrics.ts
+++ b/src/process/fleet/fleet-metrics.ts
@@ -84,6 +84,10 @@
 		name: 'wagtailtack_prefill_estimate_ratio', help: 'Measured duration of a prefill relative to its estimate, by work: a prefill apart, or the time to the first event of a whole request', labelNames: ['work'], buckets: ratioBuckets, registers: [this.#registry],
 	});
 
+	readonly #answerLengths = new Histogram({
+		name: 'wagtailtack_answer_length_ratio', help: 'Events of an answer relative to their estimate, by whether the caller gave a hint of the length', labelNames: ['hint'], buckets: ratioBuckets, registers: [this.#registry],
+	});
+
 	readonly #duration = new Histogram({
 		name: 'wagtailtack_route_request_seconds', help: 'Time from arrival to the end of a request', labelNames: ['kind'], buckets: secondsBuckets, registers: [this.#registry],
 	});
@@ -173,6 +177,11 @@
 		this.#estimates.observe({work}, elapsedMs / Math.max(1, predictedMs));
 	}
 
+	/** Records the number of events of an answer, beside its estimate. */
+	answerEnded(isHinted: boolean, events: number, expectedEvents: number): void {
+		this.#answerLengths.observe({hint: String(isHinted)}, events / Math.max(1, expectedEvents));
+	}
+
 	/** Records a request that was refused before its delivery started. */
 	requestRefused(kind: string, totalMs: number): void {
 		this.#requests.inc({kind: 'none', outcome: kind});
--- a/src/process/fleet/fleet-scheduler.ts
+++ b/src/process/fleet/fleet-scheduler.ts
@@ -11,6 +11,7 @@
 import type {DownEvidence} from '../crashes/crash-attribution.ts';
 import {sumTokensUpTo, type PeerLoadTracker} from '../peers/peer-load-tracker.ts';
 import type {PeerLoad, PeerPrefill} from '../peers/peer-message.ts';
+import {AnswerLengths, type AnswerKind} from '../placement/answer-lengths.ts';
 import {assessGapRisk} from '../placement/event-gap.ts';
 import {ServiceSpeeds} from '../placement/service-speeds.ts';
 import {WorkCounter, type ServiceWork} from '../pool/service-work.ts';
@@ -52,6 +53,8 @@
 	readonly services: () => ReadonlyMap<string, Service>;
 	/** Called with the duration of a prefill, and the estimate that it was placed with, in milliseconds. */
 	readonly onPrefillEnded?: (work: 'apart' | 'whole', elapsedMs: number, predictedMs: number) => void;
+	/** Called with the number of events of an answer, and the estimate that it was placed with. */
+	readonly onAnswerEnded?: (isHinted: boolean, events: number, expectedEvents: number) => void;
 	/** Called when an upstream refuses connections or another one has its address. */
 	readonly onUpstreamDown: (upstream: string, evidence: DownEvidence) => void;
 };
@@ -70,6 +73,7 @@
 	readonly #prefills: PrefillScheduler;
 	readonly #work = new WorkCounter();
 	readonly #speeds = new ServiceSpeeds();
+	readonly #lengths = new AnswerLengths();
 
 	constructor(options: FleetSchedulerOptions) {
 		super();
@@ -199,7 +203,7 @@
 		const startedAt = this.#options.clock.now();
 		const tokens = (candidate.backlogTokens + weightedTokens) * state.slowness(startedAt);
 		const {finishPrefill, finish: finishRun} = state.beginWhole(weightedTokens, priority, predictedMs, startedAt);
-		const {finish, firstEvent} = this.#observeEvents(state, finishRun);
+		const {finish, firstEvent} = this.#observeEvents(state, finishRun, demand);
 		return this.#placements.create(state, {predictedMs, rank: priority, fetchFrom: undefined}, finish, now => {
 			const observation = {tokens, elapsedMs: now - startedAt};
 			this.#options.onPrefillEnded?.('whole', observation.elapsedMs, predictedMs);
@@ -263,7 +267,7 @@
 			peers.announcePrefill({upstream: state.upstream.id, parts});
 		}
 
-		return state === undefined ? undefined : this.#beginRun(state, source !== undefined);
+		return state === undefined ? undefined : this.#beginRun(state, demand, source !== undefined);
 	}
 
 	#recordWhole({service, account, request: {prompt}}: PlacementDemand, weightedTokens: number): void {
@@ -298,9 +302,9 @@
 	}
 
 	/** Begins a run; if it fetches a prefilled prompt, the delay of its first event is learned for its service. */
-	#beginRun(state: UpstreamState, isFetching: boolean): Placement {
+	#beginRun(state: UpstreamState, demand: PlacementDemand, isFetching: boolean): Placement {
 		const startedAt = this.#options.clock.now();
-		const {finish, firstEvent} = this.#observeEvents(state, state.beginRun(0));
+		const {finish, firstEvent} = this.#observeEvents(state, state.beginRun(0), demand);
 		return this.#placements.create(state, {predictedMs: 0, rank: undefined, fetchFrom: undefined}, finish, now => {
 			firstEvent(now);
 			if (isFetching) {
@@ -309,22 +313,42 @@
 		});
 	}
 
-	/** Learns the decode speed of an engine from the time between the events of an answer, and tells the other daemons. */
-	#observeEvents(state: UpstreamState, finish: (end: SendResult, now: number) => void): {readonly finish: typeof finish; readonly firstEvent: (now: number) => void} {
+	/** Learns the decode speed of an engine from the time between the events of an answer, which the other daemons are told, and the length of the answer. */
+	#observeEvents(state: UpstreamState, finish: (end: SendResult, now: number) => void, demand: PlacementDemand): {readonly finish: typeof finish; readonly firstEvent: (now: number) => void} {
 		let firstEventAt = Number.NaN;
+		const answerKind = toAnswerKind(demand);
+		const expectedEvents = this.#lengths.expect(answerKind, this.#options.clock.now());
+		// A run that resumes an answer sends only a part of it.
+		const isComplete = demand.triedUpstreams.size === 0 && demand.request.lastEventId === undefined;
 		return {
 			firstEvent(now) {
 				firstEventAt = now;
 			},
 			finish: (end, now) => {
-				const eventMs = (now - firstEventAt) / ((end.events ?? 0) - 1);
-				if (end.kind === 'served' && (end.events ?? 0) >= minObservedEvents && eventMs > 0) {
+				const {kind, events = 0} = end;
+				const eventMs = (now - firstEventAt) / (events - 1);
+				if (kind === 'served' && events >= minObservedEvents && eventMs > 0) {
 					this.#states.learnStep(state, eventMs, now);
 					this.#options.peers.announcePrefill({upstream: state.upstream.id, parts: [], eventMs});
 				}
 
+				if (kind === 'served' && events > 0 && isComplete) {
+					this.#recordLength(answerKind, events, expectedEvents);
+				}
+
 				finish(end, now);
 			},
 		};
 	}
+
+	#recordLength(kind: AnswerKind, events: number, expectedEvents: number | undefined): void {
+		this.#lengths.observe(kind, events, this.#options.clock.now());
+		if (expectedEvents !== undefined) {
+			this.#options.onAnswerEnded?.(kind.hintedTokens !== undefined, events, expectedEvents);
+		}
+	}
+}
+
+function toAnswerKind({service, route, request}: PlacementDemand): AnswerKind {
+	return {service, route: route.name, hintedTokens: request.prompt?.expectedOutputTokens};
 }
--- a/src/request/delivery/route-request.ts
+++ b/src/request/delivery/route-request.ts
@@ -11,6 +11,8 @@
 	readonly tokens: number;
 	/** Limit on the tokens of the answer. */
 	readonly maxOutputTokens: number;
+	/** The caller's estimate of the tokens of the answer, which is often far off. */
+	readonly expectedOutputTokens?: number | undefined;
 };
 
 /** A caller's request, decoded once on arrival. */
