Bound the age of confirmations that wait in relays or outlive a lowered bound

A relay on a busy host forwards up to 150 ms after it receives, two of them 300 ms; 400 ms are allowed for the whole way of an announcement, and event loops lag most just then. A daemon could count a confirmation for longer than the bound allows. Relays now add the time for which a message waits to the age of its tables.

A daemon that fetches rows relied on its last confirmation until a time that had been computed with the bound of then, also after this had been lowered. The time of the confirmation is kept instead.

Both new tests fail without the change. Other changes to tests only pass the time to MessageBuffer.

--- a/src/process/peers/message-buffer.ts
+++ b/src/process/peers/message-buffer.ts
@@ -7,6 +7,7 @@
 
 /** Messages to relay, at most one per daemon: a later message of a daemon is merged into the earlier one. */
 export class MessageBuffer {
+	/** Their tables have an age relative to the time 0, which does not change while they wait. */
 	#messages = new Map<string, PeerMessage>();
 
 	/** Number of daemons with a buffered message. */
@@ -15,19 +16,24 @@
 	}
 
 	/** Adds a message. It is merged with an earlier one of the same daemon, or replaces it when the address of the daemon has changed. */
-	add(message: PeerMessage): void {
+	add(message: PeerMessage, now: number): void {
 		const earlier = this.#messages.get(message.daemon);
-		this.#messages.set(message.daemon, earlier === undefined || hasNewAddress(earlier, message) ? message : merge(earlier, message));
+		const added = withOlderTables(message, -now);
+		this.#messages.set(message.daemon, earlier === undefined || hasNewAddress(earlier, added) ? added : merge(earlier, added));
 	}
 
-	/** Returns all messages and empties the buffer. */
-	takeAll(): readonly PeerMessage[] {
-		const messages = [...this.#messages.values()];
+	/** Returns all messages, whose tables have aged since they were added, and empties the buffer. */
+	takeAll(now: number): readonly PeerMessage[] {
+		const messages = [...this.#messages.values()].map(message => withOlderTables(message, now));
 		this.#messages = new Map();
 		return messages;
 	}
 }
 
+function withOlderTables(message: PeerMessage, ms: number): PeerMessage {
+	return message.tables.length === 0 ? message : {...message, tables: message.tables.map(({ageMs, ...rest}) => ({...rest, ageMs: ageMs + ms}))};
+}
+
 /** True when the daemon has restarted at another address. */
 function hasNewAddress(earlier: PeerMessage, later: PeerMessage): boolean {
 	return earlier.entry !== undefined && later.entry !== undefined && earlier.entry.address !== later.entry.address;
--- a/src/process/peers/peer-link.ts
+++ b/src/process/peers/peer-link.ts
@@ -246,8 +246,8 @@
 		}
 
 		if (this.topology.isRelay(now)) {
-			this.#ownZoneBuffer.add(withoutUsage(message));
-			this.#otherZonesBuffer.add(withoutUsage(message));
+			this.#ownZoneBuffer.add(withoutUsage(message), now);
+			this.#otherZonesBuffer.add(withoutUsage(message), now);
 			this.#usageRelay.add(message.usage, true);
 			this.#scheduleRelay();
 		}
@@ -287,8 +287,8 @@
 		}
 
 		this.#lastRelayedAt = now;
-		const bytes = this.#send('final', this.#usageRelay.attachToOwnZone(this.#ownZoneBuffer.takeAll(), now), this.topology.zoneTargets())
-			+ this.#send('zones', this.#usageRelay.attachToOtherZones(this.#otherZonesBuffer.takeAll(), now), this.topology.otherRelays(now));
+		const bytes = this.#send('final', this.#usageRelay.attachToOwnZone(this.#ownZoneBuffer.takeAll(now), now), this.topology.zoneTargets())
+			+ this.#send('zones', this.#usageRelay.attachToOtherZones(this.#otherZonesBuffer.takeAll(now), now), this.topology.otherRelays(now));
 		this.#relayBudgetFreeAt = now + ((bytes * bitsPerByte) / (this.#options.self.linkMbps * bitsPerMillisecondPerMbps * maxRelayLinkFraction));
 	}
 
@@ -321,12 +321,12 @@
 		for (const message of messages.filter(({daemon}) => daemon !== ownName)) {
 			this.#applyMessage(message, now);
 			if (this.topology.forwardsWithinZone(scope)) {
-				this.#ownZoneBuffer.add(withoutUsage(message));
+				this.#ownZoneBuffer.add(withoutUsage(message), now);
 				this.#usageRelay.add(message.usage, this.topology.forwardsToOtherZones(scope));
 			}
 
 			if (this.topology.forwardsToOtherZones(scope)) {
-				this.#otherZonesBuffer.add(withoutUsage(message));
+				this.#otherZonesBuffer.add(withoutUsage(message), now);
 			}
 		}
 
--- a/src/process/tables/table-sharing.ts
+++ b/src/process/tables/table-sharing.ts
@@ -24,7 +24,7 @@
 
 /** Readers of the store in each availability zone; the other daemons of the zone follow them. */
 export const readersPerZone = 2;
-/** Time that an announcement may take through the relays, which its age does not include, in milliseconds. */
+/** Time that an announcement may take on its way, which its age does not include, in milliseconds; relays add the time that it waits there. */
 export const announcementDelayMs = 400;
 /** Daemons that follow each reader, from which on it reads more often for them. */
 const manyFollowers = 3;
@@ -52,8 +52,8 @@
 export class TableSharing {
 	#maxAgeMs: number;
 	readonly #readers = new Map<string, KnownReader>();
-	/** Time until which the last confirmation of the own copy counts. */
-	#confirmedUntil = Number.NEGATIVE_INFINITY;
+	/** Time of the last confirmation of the own copy. */
+	#confirmedAt = Number.NEGATIVE_INFINITY;
 
 	/** `maxAgeMs`: age in milliseconds from which a confirmation no longer counts. */
 	constructor(maxAgeMs: number) {
@@ -108,7 +108,7 @@
 			return {kind: 'unconfirmed'};
 		}
 
-		this.#confirmedUntil = until;
+		this.#confirmedAt = until - this.#maxAgeMs;
 		return {kind: 'current', until, position: confirmed};
 	}
 
@@ -121,7 +121,7 @@
 			}
 
 			case 'behind': {
-				return isFetching ? this.#confirmedUntil : now;
+				return isFetching ? this.#confirmedAt + this.#maxAgeMs : now;
 			}
 
 			case 'unconfirmed': {
--- a/test/process/peers/peer-topology.test.ts
+++ b/test/process/peers/peer-topology.test.ts
@@ -72,10 +72,10 @@
 			daemon, entry, isSnapshot: false, loads: [], prefills: [], queued: new Map(), excessQueued: new Map(), usage: [], crashNews: [], limits: [], leaving: [], tables: [], work: [],
 		};
 		if (topology.isRelay(this.now)) {
-			own.add(message);
-			others.add(message);
-			this.#send(daemon, 'final', own.takeAll(), topology.zoneTargets());
-			this.#send(daemon, 'zones', others.takeAll(), topology.otherRelays(this.now));
+			own.add(message, this.now);
+			others.add(message, this.now);
+			this.#send(daemon, 'final', own.takeAll(this.now), topology.zoneTargets());
+			this.#send(daemon, 'zones', others.takeAll(this.now), topology.otherRelays(this.now));
 		}
 
 		const suspected = this.now % 500 === 0 ? topology.suspectedRelay(this.now) : undefined;
@@ -100,11 +100,11 @@
 			topology.add({daemon: message.daemon, ...message.entry!}, this.now);
 			topology.recordMessage(message.daemon, this.now);
 			if (topology.forwardsWithinZone(scope)) {
-				own.add(message);
+				own.add(message, this.now);
 			}
 
 			if (topology.forwardsToOtherZones(scope)) {
-				others.add(message);
+				others.add(message, this.now);
 			}
 		}
 
--- a/test/process/peers/peers.test.ts
+++ b/test/process/peers/peers.test.ts
@@ -165,10 +165,10 @@
 describe('messages that a relay buffers', () => {
 	test('are merged into one message per daemon with its newest loads and all its prefills and crashes', () => {
 		const buffer = new MessageBuffer();
-		buffer.add(message);
-		buffer.add({...message, daemon: 'b'});
-		buffer.add({...message, loads: [{upstream: 'u-1', ...idle}, {upstream: 'u-2', runs: 1, tokensByPriority: new Map()}], queued: new Map()});
-		const [first, second] = buffer.takeAll();
+		buffer.add(message, 0);
+		buffer.add({...message, daemon: 'b'}, 0);
+		buffer.add({...message, loads: [{upstream: 'u-1', ...idle}, {upstream: 'u-2', runs: 1, tokensByPriority: new Map()}], queued: new Map()}, 0);
+		const [first, second] = buffer.takeAll(0);
 		expect(second!.daemon).toBe('b');
 		expect(first).toMatchObject({isSnapshot: false, queued: new Map()});
 		expect(first!.loads.map(({upstream, runs}) => [upstream, runs])).toEqual([['u-1', 0], ['u-2', 1]]);
@@ -179,15 +179,27 @@
 
 	test('stay a snapshot when changes are merged into a snapshot', () => {
 		const buffer = new MessageBuffer();
-		buffer.add({...message, isSnapshot: true});
-		buffer.add({...message, loads: [{upstream: 'u-2', runs: 1, tokensByPriority: new Map()}]});
-		expect(buffer.takeAll()[0]).toMatchObject({isSnapshot: true, loads: [{upstream: 'u-1'}, {upstream: 'u-2'}]});
+		buffer.add({...message, isSnapshot: true}, 0);
+		buffer.add({...message, loads: [{upstream: 'u-2', runs: 1, tokensByPriority: new Map()}]}, 0);
+		expect(buffer.takeAll(0)[0]).toMatchObject({isSnapshot: true, loads: [{upstream: 'u-1'}, {upstream: 'u-2'}]});
 	});
 
 	test('keep the arrived work when a change without it follows', () => {
 		const buffer = new MessageBuffer();
-		buffer.add(message);
-		buffer.add({...message, work: []});
-		expect(buffer.takeAll()[0]!.work).toEqual(message.work);
+		buffer.add(message, 0);
+		buffer.add({...message, work: []}, 0);
+		expect(buffer.takeAll(0)[0]!.work).toEqual(message.work);
+	});
+
+	// Guards against a daemon that relies for too long on a confirmation which waited in busy relays.
+	test('have tables that age while they wait, also when a change without tables follows', () => {
+		const buffer = new MessageBuffer();
+		const tables = [{
+			table: 'servers', position: {epoch: 1, version: 5}, digest: 50, ageMs: 20,
+		}];
+		buffer.add({...message, tables}, 1000);
+		buffer.add({...message, tables: []}, 1100);
+		buffer.add({...message, daemon: 'b', tables}, 1100);
+		expect(buffer.takeAll(1150).map(({tables: [table]}) => table!.ageMs)).toEqual([170, 70]);
 	});
 });
--- a/test/process/tables/table-sharing.test.ts
+++ b/test/process/tables/table-sharing.test.ts
@@ -37,6 +37,14 @@
 		expect(sharing.reliableUntil(own, true, 2600)).toBeLessThanOrEqual(2600);
 	});
 
+	test('is no longer reliable while the rows are fetched than a bound allows that was lowered meanwhile', () => {
+		const sharing = createConfirmed();
+		sharing.reliableUntil(own, false, 1200);
+		sharing.setMaxAge(1000);
+		announceNewer(sharing, 1300);
+		expect(sharing.reliableUntil(own, true, 1400)).toBe(confirmedUntil - 500);
+	});
+
 	test('is not reliable once a reader has newer rows that nobody fetches', () => {
 		const sharing = createConfirmed();
 		sharing.reliableUntil(own, false, 1200);
