Count the time in relays in the age of crashes that daemons tell each other

Daemons compute the turns of contested requests, of 500 ms, from the time of the last crash, and the others took it for later by the time that its news waited in relays: up to 100 ms, and up to 300 ms since busy relays forward less often. Turns of different requests could then overlap at different daemons.

The new test fails without the change.

--- a/src/process/peers/message-buffer.ts
+++ b/src/process/peers/message-buffer.ts
@@ -7,7 +7,7 @@
 
 /** Messages to relay, at most one per daemon: a later message of a daemon is merged into the earlier one. */
 export class MessageBuffer {
-	/** Their tables have an age relative to the time 0, which does not change while they wait. */
+	/** Their tables and crashes have an age relative to the time 0, which does not change while they wait. */
 	#messages = new Map<string, PeerMessage>();
 
 	/** Number of daemons with a buffered message. */
@@ -18,20 +18,28 @@
 	/** Adds a message. It is merged with an earlier one of the same daemon, or replaces it when the address of the daemon has changed. */
 	add(message: PeerMessage, now: number): void {
 		const earlier = this.#messages.get(message.daemon);
-		const added = withOlderTables(message, -now);
+		const added = withHigherAges(message, -now);
 		this.#messages.set(message.daemon, earlier === undefined || hasNewAddress(earlier, added) ? added : merge(earlier, added));
 	}
 
-	/** Returns all messages, whose tables have aged since they were added, and empties the buffer. */
+	/** Returns all messages, whose tables and crashes have aged since they were added, and empties the buffer. */
 	takeAll(now: number): readonly PeerMessage[] {
-		const messages = [...this.#messages.values()].map(message => withOlderTables(message, now));
+		const messages = [...this.#messages.values()].map(message => withHigherAges(message, now));
 		this.#messages = new Map();
 		return messages;
 	}
 }
 
-function withOlderTables(message: PeerMessage, ms: number): PeerMessage {
-	return message.tables.length === 0 ? message : {...message, tables: message.tables.map(({ageMs, ...rest}) => ({...rest, ageMs: ageMs + ms}))};
+/** Returns a message whose tables and crashes are older by a time in milliseconds. */
+function withHigherAges(message: PeerMessage, ms: number): PeerMessage {
+	const {tables, crashNews} = message;
+	return tables.length === 0 && crashNews.length === 0
+		? message
+		: {
+			...message,
+			tables: tables.map(table => ({...table, ageMs: table.ageMs + ms})),
+			crashNews: crashNews.map(news => news.kind === 'suspected' ? {...news, ageMs: news.ageMs + ms} : news),
+		};
 }
 
 /** True when the daemon has restarted at another address. */
--- a/src/process/peers/peer-message.ts
+++ b/src/process/peers/peer-message.ts
@@ -314,7 +314,7 @@
 	switch (news.kind) {
 		case 'suspected': {
 			return {
-				...empty, f: news.fingerprint, p: omitEmpty([...news.promptParts]), u: news.upstream, a: news.ageMs,
+				...empty, f: news.fingerprint, p: omitEmpty([...news.promptParts]), u: news.upstream, a: Math.round(news.ageMs),
 			};
 		}
 
--- a/test/process/peers/peers.test.ts
+++ b/test/process/peers/peers.test.ts
@@ -202,4 +202,15 @@
 		buffer.add({...message, daemon: 'b', tables}, 1100);
 		expect(buffer.takeAll(1150).map(({tables: [table]}) => table!.ageMs)).toEqual([170, 70]);
 	});
+
+	// Guards against daemons whose turns of contested requests overlap, because they believe that the crash was later than it was.
+	test('have crashes that age while they wait', () => {
+		const buffer = new MessageBuffer();
+		const news = {
+			kind: 'suspected', fingerprint: 'f', promptParts: [], upstream: 'u-1', ageMs: 20,
+		} as const;
+		buffer.add({...message, crashNews: [news]}, 1000);
+		buffer.add({...message, crashNews: [news, {kind: 'cleared', fingerprint: 'g'}]}, 1100);
+		expect(buffer.takeAll(1150)[0]!.crashNews).toEqual([{...news, ageMs: 170}, {...news, ageMs: 70}, {kind: 'cleared', fingerprint: 'g'}]);
+	});
 });
