End the processes that a test started when the test process ends in any way

Cause: a test that times out does not dispose of its processes; they were to be killed by an exit listener. Vitest ends a worker with SIGTERM, for which Node.js runs no exit listeners, so the processes lived on (parent 1), as they did when a whole run or a soak was ended. A daemon of the own interface that is left over calls the address of its table, `POST /`, for ever; the stand-ins listen on ports that the system chooses, so that another test's upstream gets this port at some time.

Evidence: after a test with `spawnCommand` had timed out, the process ran on with parent 1, and vitest said "close timed out after 10000ms"; so it did after a SIGTERM to vitest. A stand-in of an upstream on the port of the ended platform counted 96 `POST /` in 10 s from one such daemon, all as started, and 236 from four (99 starts = 96 + 3 crashes, in a test of about 10 s).

--- a/test/soak/main.ts
+++ b/test/soak/main.ts
@@ -23,8 +23,6 @@
 	.parse();
 const [first = 1, last = first] = seeds.split('-').map(Number);
 const bundle = buildDaemon();
-// Each daemon process adds a listener for the exit of this process.
-process.setMaxListeners(daemons + 10);
 let failedSeeds = 0;
 for (let seed = first; seed <= last; seed += 1) {
 	const isHeld = held && seed % 2 === 0;
