Do not take an upstream for unreachable because the daemon stood still

Cause: the event loop runs timers before it reads sockets. After a standstill of 400 ms or more, which a busy host brings about as well, the timer ended the exchange before the connection that had long been established was seen.

Change: the timer lets the event loop read the sockets once more.

--- a/src/connection/links/upstream-clients.ts
+++ b/src/connection/links/upstream-clients.ts
@@ -4,6 +4,7 @@
 import type {Upstream} from '../../ports/upstream.ts';
 import {parseAddress} from '../../process/address.ts';
 import type {Clock} from '../../process/clock.ts';
+import {readPendingEvents} from '../../process/pending-events.ts';
 import {ByteBudget} from '../../request/byte-budget.ts';
 import {AnswerGuard, type AnswerLimit} from '../answer-guard.ts';
 import {maxHeadBytes} from '../answer-screen.ts';
@@ -106,7 +107,7 @@
 
 		const {client, guard} = connection;
 		const timer = setTimeout(() => {
-			exchange.cancelConnecting(`no connection within ${this.#timeouts.connectTimeoutMs} ms`);
+			void this.#cancelConnecting(exchange);
 		}, this.#timeouts.connectTimeoutMs);
 		const exchange = new Exchange({
 			...listener,
@@ -203,6 +204,12 @@
 		await Promise.all([...this.#open].map(async client => client.destroy()));
 	}
 
+	/** Ends an exchange without a connection; after the daemon has stood still, the timer runs before connections that were established meanwhile are seen. */
+	async #cancelConnecting(exchange: Exchange): Promise<void> {
+		await readPendingEvents();
+		exchange.cancelConnecting(`no connection within ${this.#timeouts.connectTimeoutMs} ms`);
+	}
+
 	#connect(address: string): GuardedClient {
 		const guard = new AnswerGuard();
 		const client = new Client(`http://${address}`, {
--- a/test/connection/unconnectable-upstreams.test.ts
+++ b/test/connection/unconnectable-upstreams.test.ts
@@ -1,10 +1,17 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {connect} from 'node:net';
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
 import {describe, expect, test} from 'vitest';
 import {HttpUpstreamProtocol} from '../../platform/http-upstream-protocol.ts';
 import {callUpstream, type CallResult} from '../../src/connection/links/upstream-call.ts';
-import {UpstreamClients} from '../../src/connection/links/upstream-clients.ts';
+import {defaultConnectionTimeouts, UpstreamClients} from '../../src/connection/links/upstream-clients.ts';
 import {SystemClock} from '../../src/process/clock.ts';
 import type {Upstream} from '../../src/ports/upstream.ts';
 import {createUpstream} from '../fixtures/fleet/configuration.ts';
+import {UpstreamServer} from '../fixtures/fleet/upstream-server.ts';
+import {endWithThisProcess} from '../fixtures/process-guard.ts';
 
 async function call(upstream: Upstream): Promise<CallResult> {
 	await using upstreamClients = new UpstreamClients(new SystemClock());
@@ -33,4 +40,37 @@
 		const result = await call(createUpstream({address: '127.0.0.1:80'}));
 		expect(result.kind === 'failed' ? result.failure.message : 'an answer').toMatch(/^an answer$|127\.0\.0\.1:80$/v);
 	});
+
+	// Guards against a host that was busy or suspended taking all its upstreams for unreachable.
+	test('is answered if the daemon stood still while the connection was established', async () => {
+		await using server = new UpstreamServer();
+		await server.start();
+		const result = call(createUpstream({address: server.address}));
+		const endAt = performance.now() + (1.5 * defaultConnectionTimeouts.connectTimeoutMs);
+		while (performance.now() < endAt) {
+			// The process stands still.
+		}
+
+		expect(await result).toMatchObject({kind: 'answered'});
+	});
+
+	test('fails as unreachable if its connection is not established in time', async () => {
+		const script = 'const server = require("node:net").createServer(); server.listen({port: 0, host: "127.0.0.1", backlog: 1}, () => console.log(server.address().port));';
+		const child = spawn(process.execPath, ['--eval', script], {stdio: ['ignore', 'pipe', 'inherit']});
+		endWithThisProcess(child);
+		const [output] = await once(child.stdout, 'data') as [Uint8Array];
+		const port = Number(new TextDecoder().decode(output));
+		child.kill('SIGSTOP');
+		// The queue of a stopped process holds two connections; the system drops further ones.
+		const waiting = Array.from({length: 4}, () => connect({host: '127.0.0.1', port}).on('error', () => undefined));
+		await delay(100);
+		try {
+			expect(await call(createUpstream({address: `127.0.0.1:${port}`}))).toMatchObject({kind: 'failed', failure: {wasSent: false, kind: 'unreachable'}});
+		} finally {
+			child.kill('SIGKILL');
+			for (const socket of waiting) {
+				socket.destroy();
+			}
+		}
+	});
 });
