Share the decay of observations and the sums of accounts' work

AccountUsage and UsageSums summed, sorted and dropped the work of accounts by the same code; both use WorkSums now. Four places computed the weight that an observation has left; they call `decay`. The number of daemons in a zone was found by sorting them for each decision of a table watch; it is counted.

No behaviour is changed.

--- a/src/process/accounts/account-usage.ts
+++ b/src/process/accounts/account-usage.ts
@@ -1,3 +1,6 @@
+import {decay} from '../decay.ts';
+import {accountKey, WorkSums} from './work-sums.ts';
+
 /** Work of one client account at one service: what its callers asked for, and what was placed at upstreams. */
 export type AccountWork = {
 	readonly service: string;
@@ -46,7 +49,7 @@
 	/** Work at this daemon, by service and account. */
 	readonly #own = new Map<string, DecayingWork>();
 	/** Own work that the other daemons have not been told of yet. */
-	readonly #unreported = new Map<string, AccountWork>();
+	readonly #unreported = new WorkSums();
 
 	/** False until work of an account has been recorded, and so without accounts in the configuration. */
 	get isActive(): boolean {
@@ -76,9 +79,7 @@
 
 	/** Returns the own work since the last call, the largest first, for at most `limit` accounts. */
 	takeUnreported(limit: number): readonly AccountWork[] {
-		const works = [...this.#unreported.values()].toSorted((a, b) => (b.asked + b.placed) - (a.asked + a.placed)).slice(0, limit);
-		this.#unreported.clear();
-		return works;
+		return this.#unreported.take(limit);
 	}
 
 	/**
@@ -118,8 +119,8 @@
 			return {asked: 0, placed: 0};
 		}
 
-		const factor = decay(now - known.at);
-		const unreported = this.#unreported.get(createKey(service, account));
+		const factor = decay(known.at, now, decayMs);
+		const unreported = this.#unreported.get(service, account);
 		const others = this.#spread(service, account, accounts, now) - 1;
 		return {
 			asked: (known.asked * factor) + ((unreported?.asked ?? 0) * others), placed: (known.placed * factor) + ((unreported?.placed ?? 0) * others),
@@ -129,20 +130,18 @@
 	/** Work of an account at all daemons for each unit at this one. */
 	#spread(service: string, account: string, accounts: ReadonlyMap<string, DecayingWork>, now: number): number {
 		const known = accounts.get(account);
-		const own = this.#own.get(createKey(service, account));
+		const own = this.#own.get(accountKey(service, account));
 		if (known === undefined || own === undefined) {
 			return 1;
 		}
 
-		return Math.min(maxSpread, Math.max(1, (known.asked * decay(now - known.at)) / Math.max(1, own.asked * decay(now - own.at))));
+		return Math.min(maxSpread, Math.max(1, (known.asked * decay(known.at, now, decayMs)) / Math.max(1, own.asked * decay(own.at, now, decayMs))));
 	}
 
 	#record(work: AccountWork, now: number): void {
 		this.#add(work, now);
-		const key = createKey(work.service, work.account);
-		addDecaying(this.#own, key, work, now);
-		const known = this.#unreported.get(key);
-		this.#unreported.set(key, known === undefined ? work : {...work, asked: known.asked + work.asked, placed: known.placed + work.placed});
+		addDecaying(this.#own, accountKey(work.service, work.account), work, now);
+		this.#unreported.add(work);
 	}
 
 	#add({service, account, asked, placed}: AccountWork, now: number): void {
@@ -161,16 +160,16 @@
 		let placedSum = 0;
 		let largest = 0;
 		for (const work of accounts.values()) {
-			const factor = decay(now - work.at);
+			const factor = decay(work.at, now, decayMs);
 			asked.push(work.asked * factor);
 			largest = Math.max(largest, work.asked * factor);
 			placedSum += work.placed * factor;
 		}
 
 		for (const [account, work] of accounts) {
-			if (work.asked * decay(now - work.at) < largest * forgottenFraction) {
+			if (work.asked * decay(work.at, now, decayMs) < largest * forgottenFraction) {
 				accounts.delete(account);
-				this.#own.delete(createKey(service, account));
+				this.#own.delete(accountKey(service, account));
 			}
 		}
 
@@ -197,10 +196,6 @@
 	return Number.POSITIVE_INFINITY;
 }
 
-function createKey(service: string, account: string): string {
-	return `${service}\n${account}`;
-}
-
 function addDecaying(works: Map<string, DecayingWork>, key: string, {asked, placed}: Pick<AccountWork, 'asked' | 'placed'>, now: number): void {
 	const known = works.get(key);
 	if (known === undefined) {
@@ -208,12 +203,8 @@
 		return;
 	}
 
-	const factor = decay(now - known.at);
+	const factor = decay(known.at, now, decayMs);
 	known.asked = (known.asked * factor) + asked;
 	known.placed = (known.placed * factor) + placed;
 	known.at = now;
 }
-
-function decay(elapsedMs: number): number {
-	return Math.exp(-Math.max(0, elapsedMs) / decayMs);
-}
--- a/src/process/accounts/share-order.ts
+++ b/src/process/accounts/share-order.ts
@@ -1,4 +1,5 @@
 import type {AccountUsage} from './account-usage.ts';
+import {accountKey} from './work-sums.ts';
 
 /** Work that waits, as far as its place among the accounts depends on it. */
 export type SharedWork = {
@@ -12,7 +13,7 @@
 export function rankByShare<T extends SharedWork>(items: readonly T[], usage: AccountUsage, now: number): ReadonlyMap<T, number> {
 	const ahead = new Map<string, number>();
 	return new Map(items.map(item => {
-		const key = `${item.service}\n${item.account ?? ''}`;
+		const key = accountKey(item.service, item.account ?? '');
 		const before = ahead.get(key) ?? 0;
 		ahead.set(key, before + item.work);
 		return [item, usage.level(item.service, item.account, before, now)];
--- a/src/process/accounts/usage-sums.ts
+++ b/src/process/accounts/usage-sums.ts
@@ -1,10 +1,11 @@
 import type {AccountWork} from './account-usage.ts';
+import {WorkSums} from './work-sums.ts';
 
 /** Work of all daemons of a zone that a relay has received and not passed on; its size is that of the active accounts, however many daemons report. */
 export class UsageSums {
 	readonly #intervalMs: number;
 	readonly #limit: number;
-	#sums = new Map<string, AccountWork>();
+	readonly #sums = new WorkSums();
 	#takenAt = Number.NEGATIVE_INFINITY;
 
 	/** `intervalMs`: least time between two reports. `limit`: most accounts in one report. */
@@ -16,9 +17,7 @@
 	/** Adds reported work. */
 	add(works: readonly AccountWork[]): void {
 		for (const work of works) {
-			const key = `${work.service}\n${work.account}`;
-			const known = this.#sums.get(key);
-			this.#sums.set(key, known === undefined ? work : {...work, asked: known.asked + work.asked, placed: known.placed + work.placed});
+			this.#sums.add(work);
 		}
 	}
 
@@ -28,9 +27,7 @@
 			return [];
 		}
 
-		const works = [...this.#sums.values()].toSorted((a, b) => (b.asked + b.placed) - (a.asked + a.placed)).slice(0, this.#limit);
-		this.#sums = new Map();
 		this.#takenAt = now;
-		return works;
+		return this.#sums.take(this.#limit);
 	}
 }
--- a/src/process/fleet/fleet-tables.ts
+++ b/src/process/fleet/fleet-tables.ts
@@ -131,7 +131,7 @@
 		const {peers, clock} = this.#options;
 		return {
 			isReader: () => peers.topology.zoneRank(clock.now()) < readersPerZone,
-			areFollowersMany: () => readsForMany(peers.topology.zoneTargets().length + 1),
+			areFollowersMany: () => readsForMany(peers.topology.zoneSize),
 			async fetchRows(daemon, table, after) {
 				const address = peers.topology.address(daemon);
 				return address === undefined ? Left('the address of the daemon is not known') : fetchSharedRows(address, table, after);
--- a/src/process/peers/peer-topology.ts
+++ b/src/process/peers/peer-topology.ts
@@ -168,6 +168,16 @@
 		return this.#rank(now, ({availabilityZone}) => availabilityZone === this.#self.availabilityZone);
 	}
 
+	/** Number of daemons of the own availability zone, including this one. */
+	get zoneSize(): number {
+		let size = 1;
+		for (const {member} of this.#peers.values()) {
+			size += member.availabilityZone === this.#self.availabilityZone ? 1 : 0;
+		}
+
+		return size;
+	}
+
 	/** The other daemons that have been heard lately. */
 	get members(): readonly PeerMember[] {
 		return [...this.#peers.values()].map(({member}) => member);
--- a/src/process/placement/answer-lengths.ts
+++ b/src/process/placement/answer-lengths.ts
@@ -1,3 +1,5 @@
+import {decay} from '../decay.ts';
+
 /** Answers that are expected to be of alike length. */
 export type AnswerKind = {
 	readonly service: string;
@@ -39,7 +41,7 @@
 	}
 
 	#keptFraction(now: number): number {
-		return Math.exp(Math.min(0, this.#decayedAt - now) / memoryMs);
+		return decay(this.#decayedAt, now, memoryMs);
 	}
 }
 
--- a/src/process/placement/arrival-rate.ts
+++ b/src/process/placement/arrival-rate.ts
@@ -1,3 +1,5 @@
+import {decay} from '../decay.ts';
+
 /** Time after which the weight of an arrival has fallen to 1/e, in milliseconds. */
 const memoryMs = 2000;
 
@@ -23,6 +25,6 @@
 	}
 
 	#keptFraction(now: number): number {
-		return Math.exp(Math.min(0, this.#decayedAt - now) / memoryMs);
+		return decay(this.#decayedAt, now, memoryMs);
 	}
 }
--- a/src/process/placement/duration-fit.ts
+++ b/src/process/placement/duration-fit.ts
@@ -1,3 +1,4 @@
+import {decay} from '../decay.ts';
 import type {PrefillRate} from '../fleet/placement-score.ts';
 
 /** Time after which the weight of an observation has fallen to 1/e, in milliseconds. */
@@ -58,7 +59,7 @@
 		const sums = this.#sums;
 		const {tokensPerMs, fixedMs} = this.rate;
 		const durationMs = sums.weight < minClippingObservations ? observedMs : Math.min(observedMs, maxExcess * (fixedMs + (tokens / tokensPerMs)));
-		const kept = Math.exp(Math.min(0, this.#decayedAt - now) / memoryMs);
+		const kept = decay(this.#decayedAt, now, memoryMs);
 		this.#decayedAt = now;
 		sums.weight = (sums.weight * kept) + 1;
 		sums.size = (sums.size * kept) + tokens;
