Create the schedulers of tests in one fixture

Five set-ups of a FleetScheduler in four test files were copies with small variations; createScheduler has what they share.

--- a/test/process/fleet/arrived-work.test.ts
+++ b/test/process/fleet/arrived-work.test.ts
@@ -1,53 +1,25 @@
 import {describe, expect, test} from 'vitest';
-import {AccountUsage} from '../../../src/process/accounts/account-usage.ts';
 import {ManualClock} from '../../../src/process/clock.ts';
-import {DecisionLog} from '../../../src/process/fleet/decision-log.ts';
-import {FleetScheduler} from '../../../src/process/fleet/fleet-scheduler.ts';
+import type {FleetScheduler} from '../../../src/process/fleet/fleet-scheduler.ts';
 import {UpstreamRegistry} from '../../../src/process/fleet/upstream-registry.ts';
-import {PeerLoadTracker} from '../../../src/process/peers/peer-load-tracker.ts';
-import {SeededRandom} from '../../../src/process/random.ts';
 import type {PlacementDemand} from '../../../src/request/delivery/upstream-scheduler.ts';
 import type {PoolScaling} from '../../../src/version/routes/route-configuration.ts';
 import {
 	createModelService, createRequest, createRoute, createUpstream,
 } from '../../fixtures/fleet/configuration.ts';
-import {createUpstreamBackpressure} from '../../fixtures/upstream-backpressure.ts';
+import {createScheduler} from '../../fixtures/fleet/scheduler.ts';
 
 const scaling: PoolScaling = {
 	minUpstreams: 1, maxUpstreams: 9, bootMs: 4000, reclaimablePrice: undefined, zonePrices: new Map([['zone-a', 1]]),
 };
 
-function createScheduler(bounds: PoolScaling | undefined): FleetScheduler {
+function createScalableScheduler(bounds: PoolScaling | undefined): FleetScheduler {
 	const clock = new ManualClock(1000);
 	const registry = new UpstreamRegistry();
 	registry.set(createUpstream({id: 'u-1', stage: 'prefill'}));
 	registry.set(createUpstream({id: 'u-2', stage: 'decode'}));
 	const services = new Map([['model', {...createModelService(), scaling: bounds}]]);
-	return new FleetScheduler({
-		clock,
-		random: new SeededRandom(1),
-		log: new DecisionLog({}, (_bytes, done) => {
-			done(undefined);
-		}),
-		registry,
-		backpressure: createUpstreamBackpressure({clock}),
-		peers: {
-			peerLoads: new PeerLoadTracker(),
-			newsDelayMs: () => 30,
-			markLoadChanged() {
-				// There are no other daemons.
-			},
-			announcePrefill() {
-				// There are no other daemons.
-			},
-		},
-		accountUsage: new AccountUsage(),
-		availabilityZone: 'zone-a',
-		services: () => services,
-		onUpstreamDown() {
-			// No upstream fails.
-		},
-	});
+	return createScheduler({clock, registry, services: () => services});
 }
 
 function createDemand(id: string, tokens: number, patienceMs: number): PlacementDemand {
@@ -67,7 +39,7 @@
 
 describe('work that arrives', () => {
 	test('is counted in engine time by the speed of the engines, with what is refused', async () => {
-		const scheduler = createScheduler(scaling);
+		const scheduler = createScalableScheduler(scaling);
 		await scheduler.placePrefill(createDemand('r-1', 5000, 5000));
 		const {arrivedMs, refusedMs} = scheduler.work()[0]!;
 		expect(arrivedMs).toBeGreaterThan(30);
@@ -80,13 +52,13 @@
 	});
 
 	test('is not counted for services without bounds', async () => {
-		const scheduler = createScheduler(undefined);
+		const scheduler = createScalableScheduler(undefined);
 		await scheduler.placePrefill(createDemand('r-1', 5000, 5000));
 		expect(scheduler.work()).toEqual([]);
 	});
 
 	test('has a surplus of decode engines reduced only for services with bounds', () => {
-		expect(createScheduler(scaling).measureDemand('model', 64).isElastic).toBe(true);
-		expect(createScheduler(undefined).measureDemand('model', 64)).not.toHaveProperty('isElastic');
+		expect(createScalableScheduler(scaling).measureDemand('model', 64).isElastic).toBe(true);
+		expect(createScalableScheduler(undefined).measureDemand('model', 64)).not.toHaveProperty('isElastic');
 	});
 });
--- a/test/process/fleet/shared-queue.test.ts
+++ b/test/process/fleet/shared-queue.test.ts
@@ -3,26 +3,21 @@
 	describe, expect, test, vi,
 } from 'vitest';
 import {AccountUsage} from '../../../src/process/accounts/account-usage.ts';
-import {DecisionLog} from '../../../src/process/fleet/decision-log.ts';
-import {FleetScheduler} from '../../../src/process/fleet/fleet-scheduler.ts';
+import type {FleetScheduler} from '../../../src/process/fleet/fleet-scheduler.ts';
 import {UpstreamRegistry} from '../../../src/process/fleet/upstream-registry.ts';
 import {PeerLoadTracker} from '../../../src/process/peers/peer-load-tracker.ts';
 import type {PeerMessage} from '../../../src/process/peers/peer-message.ts';
-import {SeededRandom} from '../../../src/process/random.ts';
 import {isPlaced, type PlacementDemand} from '../../../src/request/delivery/upstream-scheduler.ts';
 import {
 	createModelService, createRequest, createRoute, createUpstream,
 } from '../../fixtures/fleet/configuration.ts';
+import {createScheduler} from '../../fixtures/fleet/scheduler.ts';
 import {createUpstreamBackpressure} from '../../fixtures/upstream-backpressure.ts';
 
 const service = 'model';
 /** Prompts so far; each has an id of its own, so that no engine has cached it. */
 let promptCount = 0;
 
-function nothing(): void {
-	// No other daemon is told, and no engine fails.
-}
-
 /** A scheduler of one prefill and one decode engine, at a clock that the test sets. */
 function createFixture(): {readonly scheduler: FleetScheduler; readonly usage: AccountUsage; readonly peerLoads: PeerLoadTracker} {
 	const registry = new UpstreamRegistry();
@@ -30,21 +25,8 @@
 	registry.set(createUpstream({id: 'd-1', service, stage: 'decode'}));
 	const usage = new AccountUsage();
 	const peerLoads = new PeerLoadTracker();
-	const scheduler = new FleetScheduler({
-		clock: {now: () => 1000},
-		random: new SeededRandom(1),
-		log: new DecisionLog({}, (_bytes, done) => {
-			done(undefined);
-		}),
-		registry,
-		backpressure: createUpstreamBackpressure(),
-		peers: {
-			peerLoads, markLoadChanged: nothing, announcePrefill: nothing, newsDelayMs: () => 30,
-		},
-		accountUsage: usage,
-		availabilityZone: 'zone-a',
-		services: () => new Map([[service, createModelService(service)]]),
-		onUpstreamDown: nothing,
+	const scheduler = createScheduler({
+		clock: {now: () => 1000}, registry, backpressure: createUpstreamBackpressure(), accountUsage: usage, services: () => new Map([[service, createModelService(service)]]), peers: {peerLoads},
 	});
 	for (const upstream of ['p-1', 'd-1']) {
 		scheduler.update(registry.get(upstream)!);
@@ -188,21 +170,8 @@
 	const clock = {now: () => performance.now()};
 	const backpressure = createUpstreamBackpressure({clock});
 	const usage = new AccountUsage();
-	const scheduler = new FleetScheduler({
-		clock,
-		random: new SeededRandom(1),
-		log: new DecisionLog({}, (_bytes, done) => {
-			done(undefined);
-		}),
-		registry,
-		backpressure,
-		peers: {
-			peerLoads: new PeerLoadTracker(), markLoadChanged: nothing, announcePrefill: nothing, newsDelayMs: () => 30,
-		},
-		accountUsage: usage,
-		availabilityZone: 'zone-a',
-		services: () => new Map(),
-		onUpstreamDown: nothing,
+	const scheduler = createScheduler({
+		clock, registry, backpressure, accountUsage: usage, services: () => new Map(),
 	});
 	scheduler.update(registry.get('u-1')!);
 	const now = clock.now();
--- a/test/process/placement/observed-lengths.test.ts
+++ b/test/process/placement/observed-lengths.test.ts
@@ -1,19 +1,15 @@
 import {
 	describe, expect, test, vi,
 } from 'vitest';
-import {AccountUsage} from '../../../src/process/accounts/account-usage.ts';
 import {ManualClock} from '../../../src/process/clock.ts';
-import {DecisionLog} from '../../../src/process/fleet/decision-log.ts';
-import {FleetScheduler} from '../../../src/process/fleet/fleet-scheduler.ts';
+import type {FleetScheduler} from '../../../src/process/fleet/fleet-scheduler.ts';
 import {UpstreamRegistry} from '../../../src/process/fleet/upstream-registry.ts';
-import {PeerLoadTracker} from '../../../src/process/peers/peer-load-tracker.ts';
-import {SeededRandom} from '../../../src/process/random.ts';
 import type {RouteRequest} from '../../../src/request/delivery/route-request.ts';
 import {isPlaced, type PlacementDemand, type SendResult} from '../../../src/request/delivery/upstream-scheduler.ts';
 import {
-	createModelService, createRequest, createRoute, createUpstream,
+	createRequest, createRoute, createUpstream,
 } from '../../fixtures/fleet/configuration.ts';
-import {createUpstreamBackpressure} from '../../fixtures/upstream-backpressure.ts';
+import {createScheduler} from '../../fixtures/fleet/scheduler.ts';
 
 type AnswerOptions = {readonly hint?: number; readonly kind?: SendResult['kind']; readonly tried?: string; readonly lastEventId?: string};
 
@@ -28,32 +24,7 @@
 			registry.set(createUpstream({id, stage: 'decode'}));
 		}
 
-		this.#scheduler = new FleetScheduler({
-			clock,
-			random: new SeededRandom(1),
-			log: new DecisionLog({}, (_bytes, done) => {
-				done(undefined);
-			}),
-			registry,
-			backpressure: createUpstreamBackpressure({clock}),
-			peers: {
-				peerLoads: new PeerLoadTracker(),
-				newsDelayMs: () => 30,
-				markLoadChanged() {
-					// There are no other daemons.
-				},
-				announcePrefill() {
-					// There are no other daemons.
-				},
-			},
-			accountUsage: new AccountUsage(),
-			availabilityZone: 'zone-a',
-			services: () => new Map([['model', createModelService()]]),
-			onAnswerEnded: this.ended,
-			onUpstreamDown() {
-				// No upstream fails.
-			},
-		});
+		this.#scheduler = createScheduler({clock, registry, onAnswerEnded: this.ended});
 	}
 
 	/** Places a decode whose stream ends after a number of events. */
--- a/test/process/placement/rejection-news.test.ts
+++ b/test/process/placement/rejection-news.test.ts
@@ -1,17 +1,14 @@
 import {describe, expect, test} from 'vitest';
-import {AccountUsage} from '../../../src/process/accounts/account-usage.ts';
 import {ManualClock} from '../../../src/process/clock.ts';
-import {DecisionLog} from '../../../src/process/fleet/decision-log.ts';
-import {FleetScheduler} from '../../../src/process/fleet/fleet-scheduler.ts';
+import type {FleetScheduler} from '../../../src/process/fleet/fleet-scheduler.ts';
 import {UpstreamRegistry} from '../../../src/process/fleet/upstream-registry.ts';
-import {PeerLoadTracker} from '../../../src/process/peers/peer-load-tracker.ts';
 import {decodePeerDatagram, encodePeerDatagrams, type PeerPrefill} from '../../../src/process/peers/peer-message.ts';
 import {SeededRandom} from '../../../src/process/random.ts';
 import {isPlaced, type Placement, type PlacementDemand} from '../../../src/request/delivery/upstream-scheduler.ts';
 import {
 	createModelService, createRequest, createRoute, createUpstream,
 } from '../../fixtures/fleet/configuration.ts';
-import {createUpstreamBackpressure} from '../../fixtures/upstream-backpressure.ts';
+import {createScheduler} from '../../fixtures/fleet/scheduler.ts';
 
 const service = 'model';
 
@@ -28,30 +25,18 @@
 			}
 
 			registry.set(createUpstream({id: 'd-1', service, stage: 'decode'}));
-			this.#schedulers.push(new FleetScheduler({
+			this.#schedulers.push(createScheduler({
 				clock: this.clock,
 				random: new SeededRandom(index),
-				log: new DecisionLog({}, (_bytes, done) => {
-					done(undefined);
-				}),
 				registry,
-				backpressure: createUpstreamBackpressure({clock: this.clock}),
 				peers: {
-					peerLoads: new PeerLoadTracker(),
-					markLoadChanged() {
-						// Only prefills matter here.
-					},
 					announcePrefill: prefill => {
 						this.#schedulers[1 - index]!.acceptPrefills(transmit(prefill));
 					},
 					newsDelayMs: () => 0,
 				},
-				accountUsage: new AccountUsage(),
 				availabilityZone: 'a',
 				services: () => new Map([[service, createModelService(service)]]),
-				onUpstreamDown() {
-					// No engine fails here.
-				},
 			}));
 		}
 	}
