Take ports of review cases from below the ephemeral range

A daemon that is started again could find its port taken by an outgoing connection of another process.

--- a/review/stand-ins-2/deployment.mjs
+++ b/review/stand-ins-2/deployment.mjs
@@ -81,9 +81,9 @@
 				const chunks = [];
 				response.on('data', chunk => chunks.push(chunk));
 				response.once('end', () => resolve({status: response.statusCode, body: chunks.join('')}));
-				response.once('error', error => resolve({status: error.code}));
+				response.once('error', error => resolve({status: error.code, isKept: sent.reusedSocket}));
 			});
-			sent.once('error', error => resolve({status: error.code}));
+			sent.once('error', error => resolve({status: error.code, isKept: sent.reusedSocket}));
 			sent.once('timeout', () => sent.destroy());
 			sent.end(body);
 		});
--- a/review/stand-ins-2/net.mjs
+++ b/review/stand-ins-2/net.mjs
@@ -20,15 +20,24 @@
 	return Buffer.concat(chunks);
 }
 
+/** Ports below those that systems give to outgoing connections. */
+const lowestPort = 10_000;
+const portCount = 20_000;
+
 /** Returns free loopback ports. */
 export async function findPorts(count) {
-	const servers = Array.from({length: count}, () => createServer());
-	const ports = [];
-	for (const server of servers) {
-		const address = await listen(server);
-		ports.push(Number(address.split(':')[1]));
+	const servers = [];
+	while (servers.length < count) {
+		const server = createServer();
+		try {
+			await listen(server, lowestPort + Math.floor(Math.random() * portCount));
+			servers.push(server);
+		} catch {
+			// Another process has this port.
+		}
 	}
 
+	const ports = servers.map(server => server.address().port);
 	await Promise.all(servers.map(async server => {
 		server.close();
 		await once(server, 'close');
